--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+include .ci/tools.env
+
+.PHONY: build test ci lint format fuzz capacity measure generate
+
+build:
+	CGO_ENABLED=1 go build -o samphirewharf .
+
+test:
+	go test ./...
+
+ci:
+	bash .ci/run
+
+lint: .tools/golangci-lint
+	.tools/golangci-lint run ./...
+
+format:
+	git ls-files '*.go' | grep -vE '\.(pb|twirp)\.go$$' | xargs go tool gofumpt -w
+
+.tools/golangci-lint:
+	GOBIN=$(CURDIR)/.tools go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+
+generate:
+	go generate ./...
--- /dev/null
+++ b/internal/peer/messenger/message.go
@@ -0,0 +1,84 @@
+// Package messenger defines the messages between daemons and carries them by twirp.
+package messenger
+
+import (
+	"time"
+
+	"samphirewharf/internal/backend/orderer"
+)
+
+// A Message is what one daemon sends another. Exactly the parts that are set are meant.
+type Message struct {
+	// From is the sender's daemon ID, Instance its process, Address where it takes messages.
+	From     string
+	Instance string
+	Address  string
+	Zone     string
+
+	Heartbeat *Heartbeat
+	Reports   []ServerReport
+	Needs     *Needs
+	Placement *Placement
+	Verdict   *Verdict
+}
+
+// A Heartbeat tells that the sender is alive.
+type Heartbeat struct {
+	// ConfigurationVersion is the version in force at the sender.
+	ConfigurationVersion int64
+	// Placements are the revisions of the placement records that the sender knows, by cell.
+	Placements map[string]int64
+	// Leaving tells that the sender is in a planned stop.
+	Leaving bool
+	// InFlight is how many requests the sender holds.
+	InFlight int
+}
+
+// A ServerReport is the digest of one server's report that the sender has polled.
+type ServerReport struct {
+	Server string
+	// Age is how old the report is at sending.
+	Age    time.Duration
+	Report orderer.Report
+	// Unreachable tells that the server did not answer the last polls.
+	Unreachable bool
+}
+
+// Needs tell a cell's placer which deployments have requests waiting at the sender, in full.
+type Needs struct {
+	Cell string
+	// Sequence grows with every message of the instance.
+	Sequence int64
+	Waiting  []Need
+}
+
+// A Need is one deployment's waiting requests at one daemon.
+type Need struct {
+	Deployment string
+	Adapter    string
+	Urgent     int
+	CanWait    int
+	// Slack is the time until the earliest deadline among them.
+	Slack time.Duration
+	// Used tells that requests ran since the last message, so that the replica is not idle.
+	Used bool
+	// Running is how many requests of the sender are running at the deployment's replicas.
+	Running int
+}
+
+// A Placement is a cell's placement record as written to the key-value service.
+type Placement struct {
+	Cell     string
+	Revision int64
+	Record   []byte
+}
+
+// A Verdict convicts requests that crash the servers that run them.
+type Verdict struct {
+	Cell   string
+	Hashes []uint64
+	// Expires is how long the verdict holds from now on.
+	Expires time.Duration
+	// Suspects are hashes of requests that were running when a server died.
+	Suspects []uint64
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,4 @@
+// Samphirewharf serves a large catalogue of rarely used models.
+package main
+
+func main() {}
