feat: plan placement by one compare-and-swap record for each cell

The record is written before an order is sent, so replica counts and memory are checked and changed in one write. Reservations stay until the placer's own poll proves that the load order can't take effect any more.

--- /dev/null
+++ b/internal/decision/observer/fleet.go
@@ -0,0 +1,232 @@
+// Package observer keeps what a daemon knows of the backend servers of its cells: hosts, reports and replicas.
+package observer
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"samphirewharf/internal/backend/orderer"
+	"samphirewharf/internal/platform/lister"
+)
+
+// UnreachableAfter is how many polls in a row must fail before a server counts as unreachable.
+const UnreachableAfter = 2
+
+// A Fleet is the backend servers of a daemon's cells. The zero value is empty and ready to use.
+type Fleet struct {
+	servers map[string]*Server
+	// byService lists the servers of a service ordered by name.
+	byService map[string][]*Server
+	// byDeployment lists the replicas of a deployment ordered by ID, in any state.
+	byDeployment map[string][]*Replica
+	replicas     map[string]*Replica
+}
+
+// A Change tells what a report or host list changed.
+type Change struct {
+	// Ready are deployments that gained a usable replica or adapter.
+	Ready []string
+	// Lost are replicas that are gone.
+	Lost []*Replica
+	// Restarted tells that the engine has a new instance.
+	Restarted bool
+	// Differs tells that replicas changed in anything but load figures.
+	Differs bool
+}
+
+// Replica returns the replica with the ID.
+func (f *Fleet) Replica(id string) (*Replica, bool) {
+	r, ok := f.replicas[id]
+	return r, ok
+}
+
+// Replicas returns the deployment's replicas on all servers, ordered by ID. The slice must not be changed.
+func (f *Fleet) Replicas(deployment string) []*Replica { return f.byDeployment[deployment] }
+
+// Report takes a server's report that was taken at takenAt, and returns what it changed.
+// A report older than the newest known is ignored.
+func (f *Fleet) Report(server string, report orderer.Report, takenAt time.Duration) Change {
+	s, ok := f.servers[server]
+	if !ok {
+		return Change{}
+	}
+	if s.Known && !newer(s, report, takenAt) {
+		return Change{}
+	}
+	change := Change{Restarted: s.Known && s.Report.Instance != report.Instance}
+	s.failures = 0
+	s.takeCheckpoints(report)
+	f.replaceReplicas(s, report, takenAt, &change)
+	s.Report = report
+	s.TakenAt = takenAt
+	s.Known = true
+	return change
+}
+
+// Server returns the server with the name.
+func (f *Fleet) Server(name string) (*Server, bool) {
+	s, ok := f.servers[name]
+	return s, ok
+}
+
+// Servers returns the service's servers ordered by name, leaving ones included. The slice must not be changed.
+func (f *Fleet) Servers(service string) []*Server { return f.byService[service] }
+
+// SetHosts takes the host list of a service and returns what it changed.
+func (f *Fleet) SetHosts(service string, hosts []lister.Host) Change {
+	f.prepare()
+	var change Change
+	listed := make(map[string]bool, len(hosts))
+	for _, host := range hosts {
+		listed[host.Server] = true
+		f.setHost(host, &change)
+	}
+	for _, s := range slices.Clone(f.byService[service]) {
+		if !listed[s.Host.Server] {
+			f.removeServer(s, &change)
+		}
+	}
+	return change
+}
+
+// Unreachable notes that a poll of the server failed and returns whether it now counts as unreachable.
+func (f *Fleet) Unreachable(server string) bool {
+	s, ok := f.servers[server]
+	if !ok {
+		return false
+	}
+	s.failures++
+	return !s.Reachable()
+}
+
+// MarkUnreachable makes the server count as unreachable until its next report.
+func (f *Fleet) MarkUnreachable(server string) {
+	if s, ok := f.servers[server]; ok {
+		s.failures = UnreachableAfter
+	}
+}
+
+func (f *Fleet) addReplica(r *Replica) {
+	f.replicas[r.ID] = r
+	list := f.byDeployment[r.Deployment]
+	at, _ := slices.BinarySearchFunc(list, r.ID, compareReplica)
+	f.byDeployment[r.Deployment] = slices.Insert(list, at, r)
+}
+
+func (f *Fleet) prepare() {
+	if f.servers != nil {
+		return
+	}
+	f.servers = make(map[string]*Server)
+	f.byService = make(map[string][]*Server)
+	f.byDeployment = make(map[string][]*Replica)
+	f.replicas = make(map[string]*Replica)
+}
+
+func (f *Fleet) removeReplica(r *Replica) {
+	r.State = orderer.StateUnloading
+	r.Gone = true
+	delete(f.replicas, r.ID)
+	list := f.byDeployment[r.Deployment]
+	at, found := slices.BinarySearchFunc(list, r.ID, compareReplica)
+	if !found {
+		return
+	}
+	list = slices.Delete(list, at, at+1)
+	if len(list) == 0 {
+		delete(f.byDeployment, r.Deployment)
+		return
+	}
+	f.byDeployment[r.Deployment] = list
+}
+
+func (f *Fleet) removeServer(s *Server, change *Change) {
+	change.Differs = true
+	s.Gone = true
+	for _, r := range s.replicas {
+		f.removeReplica(r)
+		change.Lost = append(change.Lost, r)
+	}
+	delete(f.servers, s.Host.Server)
+	list := f.byService[s.Host.Service]
+	at, found := slices.BinarySearchFunc(list, s.Host.Server, compareServer)
+	if found {
+		f.byService[s.Host.Service] = slices.Delete(list, at, at+1)
+	}
+}
+
+func (f *Fleet) replaceReplicas(s *Server, report orderer.Report, takenAt time.Duration, change *Change) {
+	seen := make(map[string]bool, len(report.Replicas))
+	for _, rr := range report.Replicas {
+		seen[rr.Replica] = true
+		r, ok := f.replicas[rr.Replica]
+		if ok && r.Server != s {
+			continue
+		}
+		if !ok {
+			r = &Replica{ID: rr.Replica, Deployment: rr.Deployment, ModelVersion: rr.ModelVersion, Server: s}
+			f.addReplica(r)
+			s.replicas = append(s.replicas, r)
+			change.Differs = true
+		}
+		if r.update(rr, takenAt) {
+			change.Differs = true
+			change.Ready = appendReady(change.Ready, r)
+		}
+	}
+	kept := s.replicas[:0]
+	for _, r := range s.replicas {
+		if seen[r.ID] {
+			kept = append(kept, r)
+			continue
+		}
+		f.removeReplica(r)
+		change.Lost = append(change.Lost, r)
+		change.Differs = true
+	}
+	s.replicas = kept
+}
+
+func (f *Fleet) setHost(host lister.Host, change *Change) {
+	s, ok := f.servers[host.Server]
+	if !ok {
+		s = &Server{Host: host}
+		f.servers[host.Server] = s
+		list := f.byService[host.Service]
+		at, _ := slices.BinarySearchFunc(list, host.Server, compareServer)
+		f.byService[host.Service] = slices.Insert(list, at, s)
+		change.Differs = true
+		return
+	}
+	if s.Host == host {
+		return
+	}
+	change.Differs = true
+	cameBack := s.Leaving() && host.State == lister.HostLive
+	s.Host = host
+	if !cameBack {
+		return
+	}
+	for _, r := range s.replicas {
+		change.Ready = appendReady(change.Ready, r)
+	}
+}
+
+func appendReady(ready []string, r *Replica) []string {
+	if !r.Usable() || slices.Contains(ready, r.Deployment) {
+		return ready
+	}
+	return append(ready, r.Deployment)
+}
+
+func compareReplica(r *Replica, id string) int { return strings.Compare(r.ID, id) }
+
+func compareServer(s *Server, name string) int { return strings.Compare(s.Host.Server, name) }
+
+func newer(s *Server, report orderer.Report, takenAt time.Duration) bool {
+	if s.Report.Instance == report.Instance {
+		return report.Sequence > s.Report.Sequence
+	}
+	return takenAt > s.TakenAt
+}
--- /dev/null
+++ b/internal/decision/observer/replica.go
@@ -0,0 +1,65 @@
+package observer
+
+import (
+	"slices"
+	"time"
+
+	"samphirewharf/internal/backend/orderer"
+)
+
+// A Replica is one loaded or loading model on a backend server.
+type Replica struct {
+	ID           string
+	Deployment   string
+	ModelVersion string
+	Server       *Server
+	State        orderer.ReplicaState
+	Role         string
+	// Running and Waiting are the engine's load figures, which lag.
+	Running int
+	Waiting int
+	// Adapters are the adapters in the replica's slots, ordered by name.
+	Adapters []string
+	// ReportedAt is when the load figures were taken.
+	ReportedAt time.Duration
+	// InFlight is how many requests this daemon runs at the replica.
+	InFlight int
+	// SentSinceReport is how many requests this daemon sent since ReportedAt.
+	SentSinceReport int
+	// OwnAtReport is InFlight at ReportedAt, so that the engine's figure can be split.
+	OwnAtReport int
+	// Draining tells that the placement record marks the replica as unloading.
+	Draining bool
+	// Gone tells that the engine's newest report lacks the replica.
+	Gone bool
+}
+
+// HasAdapter reports whether the adapter is in one of the replica's slots.
+func (r *Replica) HasAdapter(name string) bool {
+	_, found := slices.BinarySearch(r.Adapters, name)
+	return found
+}
+
+// OthersInFlight returns how many requests other daemons ran at the last report.
+func (r *Replica) OthersInFlight() int { return max(0, r.Running+r.Waiting-r.OwnAtReport) }
+
+// Usable reports whether new requests may be sent to the replica.
+func (r *Replica) Usable() bool {
+	return r.State == orderer.StateReady && !r.Gone && !r.Draining && r.Server.Takes()
+}
+
+// update takes the newest report and returns whether more than load figures changed.
+func (r *Replica) update(rr orderer.ReplicaReport, takenAt time.Duration) bool {
+	adapters := slices.Clone(rr.Adapters)
+	slices.Sort(adapters)
+	changed := rr.State != r.State || rr.Role != r.Role || !slices.Equal(adapters, r.Adapters)
+	r.State = rr.State
+	r.Role = rr.Role
+	r.Running = rr.Running
+	r.Waiting = rr.Waiting
+	r.Adapters = adapters
+	r.ReportedAt = takenAt
+	r.OwnAtReport = r.InFlight
+	r.SentSinceReport = 0
+	return changed
+}
--- /dev/null
+++ b/internal/decision/planner/decide.go
@@ -0,0 +1,365 @@
+package planner
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"samphirewharf/internal/backend/orderer"
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/decision/observer"
+)
+
+// sameZonePenalty is added to a server's score for each replica of the deployment in its zone.
+const sameZonePenalty = 50 * time.Millisecond
+
+// A choice is a server for a new replica, or a server where memory must be freed first.
+type choice struct {
+	server  *observer.Server
+	tier    observer.Tier
+	score   time.Duration
+	victims []Replica
+	lost    float64
+}
+
+// decide adds replicas for deployments that requests wait for.
+func (m *Machine) decide(v View, next Record, report func(Decision)) Record {
+	m.expireEvictions(v.Now)
+	for _, w := range m.demand.wants(v.Now) {
+		if w.waiting() == 0 {
+			continue
+		}
+		d, ok := v.Catalog.Deployment(w.deployment)
+		if !ok || d.Service != m.Cell {
+			continue
+		}
+		next = m.decideOne(v, next, w, d, report)
+	}
+	return next
+}
+
+func (m *Machine) decideOne(v View, next Record, w want, d *cataloger.Deployment, report func(Decision)) Record {
+	serving, coming, ready := m.countReplicas(v, next, d)
+	if coming > 0 || ready > 0 {
+		m.forecastLoading(v, d, ready)
+	}
+	if !m.wantsMore(w, d, serving, coming) {
+		return next
+	}
+	best, other := m.choose(v, next, d)
+	switch {
+	case best.server == nil:
+		m.forecastImpossible(v, d, serving)
+		return next
+	case len(best.victims) > 0:
+		if serving > 0 && !m.worthEvicting(v, best, d) {
+			return next
+		}
+		return m.evictFor(v, next, best, d, report)
+	default:
+		return m.load(v, next, w, d, best, other, report)
+	}
+}
+
+// countReplicas returns how many decided replicas serve or will serve the deployment's current version,
+// how many of these are not ready, and how many are ready.
+func (m *Machine) countReplicas(v View, next Record, d *cataloger.Deployment) (serving, coming, ready int) {
+	for _, r := range next.Replicas {
+		if r.Deployment != d.Name || r.State != StateDecided || r.ModelVersion != d.ModelVersion {
+			continue
+		}
+		s, ok := v.Fleet.Server(r.Server)
+		if !ok || !s.Takes() {
+			continue
+		}
+		if m.lostOrder(v, r) {
+			continue
+		}
+		serving++
+		view, ok := v.Fleet.Replica(r.ID)
+		if ok && view.State == orderer.StateReady {
+			ready++
+		} else {
+			coming++
+		}
+	}
+	return serving, coming, ready
+}
+
+// lostOrder reports whether a reservation may never become a replica, so that another may be decided:
+// its order is of another process, or its outcome is unknown, and no engine shows it.
+func (m *Machine) lostOrder(v View, r Replica) bool {
+	if _, ok := v.Fleet.Replica(r.ID); ok || m.seen[r.ID] {
+		return false
+	}
+	if r.Instance != m.Instance {
+		return true
+	}
+	o := m.orders[r.ID]
+	return o != nil && o.ended && o.outcome == orderer.OutcomeUnknown
+}
+
+// wantsMore reports whether another replica shortens the wait: there is none, or the requests that
+// are running and waiting fill all of them for longer than a load takes.
+func (m *Machine) wantsMore(w want, d *cataloger.Deployment, serving, coming int) bool {
+	if serving >= max(1, d.MaxReplicas) {
+		return false
+	}
+	if serving == 0 {
+		return true
+	}
+	if coming > 0 {
+		return w.waiting() > coming*d.MaxInFlight && serving*d.MaxInFlight < w.waiting()+w.running
+	}
+	return w.waiting()+w.running > serving*d.MaxInFlight
+}
+
+// choose returns the best server and the runner-up. If no server has memory free, the best is the one
+// whose idle replicas cost least to lose.
+func (m *Machine) choose(v View, next Record, d *cataloger.Deployment) (best, other choice) {
+	var fits, evicts []choice
+	for _, s := range v.Fleet.Servers(m.Cell) {
+		if !m.usableForLoad(v, s) {
+			continue
+		}
+		free := m.freeBytes(next, s, d.Name)
+		c := choice{server: s, tier: s.Tier(d.Name)}
+		c.score = m.loadTime(v, d, c.tier) + sameZonePenalty*time.Duration(m.inZone(v, next, d, s.Host.Zone))
+		if free >= d.ReplicaBytes() {
+			fits = append(fits, c)
+			continue
+		}
+		c.victims, c.lost = m.victims(v, next, s, d, d.ReplicaBytes()-free)
+		if len(c.victims) > 0 {
+			evicts = append(evicts, c)
+		}
+	}
+	slices.SortStableFunc(fits, func(a, b choice) int { return cmp.Compare(a.score, b.score) })
+	slices.SortStableFunc(evicts, func(a, b choice) int { return cmp.Compare(a.lost, b.lost) })
+	ranked := slices.Concat(fits, evicts)
+	if len(ranked) > 0 {
+		best = ranked[0]
+	}
+	if len(ranked) > 1 {
+		other = ranked[1]
+	}
+	return best, other
+}
+
+// usableForLoad reports whether a server may be chosen: it takes work and the placer has seen its state.
+func (m *Machine) usableForLoad(v View, s *observer.Server) bool {
+	if !s.Takes() || !s.Known {
+		return false
+	}
+	state, polled := m.evidence(s)
+	if !polled {
+		return false
+	}
+	return !m.checksFencing(v.Catalog) || state.fence >= m.record.Fence
+}
+
+// freeBytes returns the accelerator memory that is neither reserved by the record, nor taken by a
+// replica that the record lacks, nor kept for another deployment after an eviction.
+func (m *Machine) freeBytes(next Record, s *observer.Server, deployment string) int64 {
+	free := min(s.Host.MemoryBytes, s.Report.MemoryBytes)
+	for _, r := range next.Replicas {
+		if r.Server == s.Host.Server {
+			free -= r.Bytes
+		}
+	}
+	for _, rr := range s.Report.Replicas {
+		if _, decided := next.Replica(rr.Replica); !decided {
+			free -= rr.Bytes
+		}
+	}
+	for name, e := range m.evict {
+		if e.server == s.Host.Server && name != deployment {
+			free -= e.bytes
+		}
+	}
+	return free
+}
+
+func (m *Machine) inZone(v View, next Record, d *cataloger.Deployment, zone string) int {
+	count := 0
+	for _, r := range next.Replicas {
+		if r.Deployment != d.Name {
+			continue
+		}
+		if s, ok := v.Fleet.Server(r.Server); ok && s.Host.Zone == zone {
+			count++
+		}
+	}
+	return count
+}
+
+func (m *Machine) loadTime(v View, d *cataloger.Deployment, tier observer.Tier) time.Duration {
+	full := d.Load.D()
+	switch tier {
+	case observer.TierMemory:
+		full = d.LoadFromMemory.D()
+	case observer.TierDisk:
+		full = d.LoadFromDisk.D()
+	}
+	if m.Loads.Predict == nil {
+		return full
+	}
+	return m.Loads.Predict(v.Now, full, tier == observer.TierRemote)
+}
+
+// victims returns the idle replicas of a server whose loss costs least and frees enough memory.
+func (m *Machine) victims(v View, next Record, s *observer.Server, d *cataloger.Deployment, bytes int64) ([]Replica, float64) {
+	type candidate struct {
+		replica Replica
+		score   float64
+	}
+	var list []candidate
+	for _, r := range next.Replicas {
+		if r.Server != s.Host.Server || r.Deployment == d.Name || r.State != StateDecided || !m.evictable(v, r) {
+			continue
+		}
+		list = append(list, candidate{r, m.evictionScore(v, r)})
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.score, b.score), strings.Compare(a.replica.ID, b.replica.ID))
+	})
+	var victims []Replica
+	var lost float64
+	for _, c := range list {
+		if bytes <= 0 {
+			break
+		}
+		victims = append(victims, c.replica)
+		lost += c.score
+		bytes -= c.replica.Bytes
+	}
+	if bytes > 0 {
+		return nil, math.Inf(1)
+	}
+	return victims, lost
+}
+
+func (m *Machine) evictable(v View, r Replica) bool {
+	view, ok := v.Fleet.Replica(r.ID)
+	if !ok || view.State != orderer.StateReady || view.Running+view.Waiting+view.InFlight > 0 {
+		return false
+	}
+	return m.idleTime(v.Now, r) >= minIdle
+}
+
+func (m *Machine) evictionScore(v View, r Replica) float64 {
+	d, ok := v.Catalog.Deployment(r.Deployment)
+	if !ok || m.EvictionScore == nil {
+		return 0
+	}
+	return m.EvictionScore(v.Now, d)
+}
+
+// worthEvicting reports whether a further replica of a served deployment is worth what it evicts.
+func (m *Machine) worthEvicting(v View, c choice, d *cataloger.Deployment) bool {
+	if m.EvictionScore == nil {
+		return false
+	}
+	return c.lost < m.EvictionScore(v.Now, d)
+}
+
+func (m *Machine) evictFor(v View, next Record, c choice, d *cataloger.Deployment, report func(Decision)) Record {
+	m.evict[d.Name] = eviction{server: c.server.Host.Server, bytes: d.ReplicaBytes(), at: v.Now}
+	for _, r := range c.victims {
+		r.State = StateUnloading
+		next = next.WithReplica(r)
+		report(Decision{
+			Action: "Evict", Deployment: r.Deployment, Replica: r.ID, Server: r.Server,
+			Reason: "memory is needed for " + d.Name, Score: c.lost,
+		})
+	}
+	return next
+}
+
+// load decides one replica within the limits of the weight store.
+func (m *Machine) load(v View, next Record, w want, d *cataloger.Deployment, best, other choice, report func(Decision)) Record {
+	id := next.nextReplicaID()
+	remote := best.tier == observer.TierRemote
+	if m.Loads.Start != nil && !m.Loads.Start(v.Now, id, remote, w.urgent > 0, w.deadline) {
+		m.act(Forecast{Deployment: d.Name, ReadyIn: m.loadTime(v, d, best.tier)})
+		return next
+	}
+	m.started[id] = true
+	delete(m.evict, d.Name)
+	next.Next++
+	next = next.WithReplica(Replica{
+		ID:           id,
+		Deployment:   d.Name,
+		ModelVersion: d.ModelVersion,
+		Server:       best.server.Host.Server,
+		Bytes:        d.ReplicaBytes(),
+		AdapterSlots: d.AdapterSlots,
+		State:        StateDecided,
+		Instance:     m.Instance,
+		Fence:        m.record.Fence,
+	})
+	decision := Decision{
+		Action: "Load", Deployment: d.Name, Replica: id, Server: best.server.Host.Server,
+		Reason:  fmt.Sprintf("checkpoint is in %s", best.tier),
+		Score:   best.score.Seconds(),
+		Waiting: w.waiting(),
+	}
+	if other.server != nil {
+		decision.Other = other.server.Host.Server
+		decision.OtherScore = other.score.Seconds()
+	}
+	report(decision)
+	m.act(Forecast{Deployment: d.Name, ReadyIn: best.score})
+	return next
+}
+
+func (m *Machine) expireEvictions(now time.Duration) {
+	for name, e := range m.evict {
+		if now-e.at > evictionLife {
+			delete(m.evict, name)
+		}
+	}
+}
+
+// forecastLoading tells the daemons how long the nearest loading replica still takes.
+func (m *Machine) forecastLoading(v View, d *cataloger.Deployment, ready int) {
+	if ready > 0 {
+		return
+	}
+	for _, r := range m.record.Replicas {
+		o := m.orders[r.ID]
+		if r.Deployment != d.Name || o == nil {
+			continue
+		}
+		s, ok := v.Fleet.Server(r.Server)
+		if !ok {
+			continue
+		}
+		left := m.loadTime(v, d, s.Tier(d.Name)) - (v.Now - o.sentAt)
+		m.act(Forecast{Deployment: d.Name, ReadyIn: max(0, left)})
+		return
+	}
+}
+
+func (m *Machine) forecastImpossible(v View, d *cataloger.Deployment, serving int) {
+	if serving > 0 || !m.allPolled(v) {
+		return
+	}
+	if _, waiting := m.evict[d.Name]; waiting {
+		return
+	}
+	m.act(Forecast{Deployment: d.Name, ReadyIn: m.keepAlive(d), Impossible: true})
+}
+
+func (m *Machine) allPolled(v View) bool {
+	servers := v.Fleet.Servers(m.Cell)
+	for _, s := range servers {
+		if s.Takes() && !m.server(s.Host.Server).polled {
+			return false
+		}
+	}
+	return len(servers) > 0
+}
--- /dev/null
+++ b/internal/decision/planner/machine.go
@@ -0,0 +1,458 @@
+package planner
+
+import (
+	"fmt"
+	"time"
+
+	"samphirewharf/internal/backend/orderer"
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/decision/observer"
+	"samphirewharf/internal/platform/storer"
+)
+
+// The planner's own times.
+const (
+	// orderLife is how long after it was made an order may still be sent.
+	orderLife = 2 * time.Second
+	// orderSettle is how long an order whose answer was lost may still be on its way to an engine.
+	orderSettle = 30 * time.Second
+	// drainDelay is how long after the record's write other daemons may still send to a replica.
+	drainDelay = time.Second
+	// busyPoll is how often a server with a pending order is polled.
+	busyPoll = 50 * time.Millisecond
+	// unloadRepeat is how long after an unload order it is sent again if the replica is still there.
+	unloadRepeat = 2 * time.Second
+	// storeRetry is how long after a failed call to the key-value service the next one is made.
+	storeRetry = 200 * time.Millisecond
+	// absentAfter is how long a server must be missing in the host list before its replicas are given up.
+	absentAfter = 10 * time.Second
+	// minIdle is how long a replica must be idle before it may be evicted for another.
+	minIdle = time.Second
+	// evictionLife is how long memory that was freed for a deployment is kept for it.
+	evictionLife = 30 * time.Second
+)
+
+// A Machine plans one cell. One reducer drives it; it is not safe for concurrent use.
+type Machine struct {
+	// Cell is the service whose servers it plans.
+	Cell string
+	// Daemon and Instance are this daemon and its process.
+	Daemon   string
+	Instance string
+	// KeepAlive returns how long an idle replica of the deployment stays loaded.
+	KeepAlive func(d *cataloger.Deployment) time.Duration
+	// EvictionScore returns what is lost when an idle replica is unloaded; the lowest goes first.
+	EvictionScore func(now time.Duration, d *cataloger.Deployment) float64
+	// Loads shares the weight store.
+	Loads Loads
+
+	record   Record
+	revision int64
+	// known tells that the record has been read or is known not to exist.
+	known bool
+
+	write   *write
+	reading bool
+	retryAt time.Duration
+	tokens  int64
+
+	demand demand
+	orders map[string]*order
+	// seen are replicas that an own poll has shown, so that their load order is used up.
+	seen map[string]bool
+	// started are replicas that took a place at the weight store.
+	started map[string]bool
+	// renounced are replicas whose sender has promised never to send their load order.
+	renounced map[string]bool
+	idle      map[string]time.Duration
+	used      map[string]time.Duration
+	unload    map[string]unloading
+	evict     map[string]eviction
+	absent    map[string]time.Duration
+	servers   map[string]*serverState
+	slots     map[string]*slotOrder
+
+	fenceOut bool
+	orderNo  int64
+	actions  []Action
+}
+
+// Loads are the limits of the weight store, as function fields.
+type Loads struct {
+	// Predict returns how long a load takes if it starts now.
+	Predict func(now time.Duration, full time.Duration, remote bool) time.Duration
+	// Start takes a place for a load, or reports that none is free.
+	Start func(now time.Duration, id string, remote bool, urgent bool, deadline time.Duration) bool
+	// Finish gives the place back.
+	Finish func(now time.Duration, id string)
+	// StartAdapter and FinishAdapter do the same for adapters.
+	StartAdapter  func(now time.Duration, id string) bool
+	FinishAdapter func(now time.Duration, id string)
+}
+
+// A write is a swap of the record that has not been settled.
+type write struct {
+	next Record
+	// decisions are reported once the write is known to have taken effect.
+	decisions []Action
+	inCall    bool
+	retryAt   time.Duration
+}
+
+// An order is what this process knows of a load order that it sent.
+type order struct {
+	id      string
+	server  string
+	ended   bool
+	outcome orderer.Outcome
+	sentAt  time.Duration
+	endedAt time.Duration
+	// engine is the engine's instance when the order was sent.
+	engine string
+}
+
+type unloading struct {
+	since   time.Duration
+	sentAt  time.Duration
+	orderID string
+}
+
+type eviction struct {
+	server string
+	bytes  int64
+	at     time.Duration
+}
+
+// A serverState is what the placer itself has seen of a server.
+type serverState struct {
+	polling bool
+	pollAt  time.Duration
+	// seenAt is when the newest own poll was sent; engine and fence are what it showed.
+	seenAt time.Duration
+	polled bool
+	engine string
+	fence  int64
+	// present are the replicas that it showed.
+	present map[string]bool
+	// raising is the order that raises the fence, empty if none is on its way.
+	raising string
+	retryAt time.Duration
+}
+
+// Demand takes the needs of one daemon of the cell.
+func (m *Machine) Demand(now time.Duration, daemon, instance string, sequence int64, needs []Need) {
+	m.prepare()
+	if !m.demand.set(now, daemon, instance, sequence, needs) {
+		return
+	}
+	for _, need := range needs {
+		if need.Used || need.Running > 0 || need.Urgent+need.CanWait > 0 {
+			m.used[need.Deployment] = now
+			m.used[need.Adapter] = now
+		}
+	}
+}
+
+// Got takes the answer of a Get.
+func (m *Machine) Got(v View, result storer.Result, entry storer.Entry) []Action {
+	m.prepare()
+	m.actions = nil
+	m.reading = false
+	switch result {
+	case storer.ResultOK:
+		m.learn(v, entry.Value, entry.Revision)
+		m.known = true
+	case storer.ResultNotFound:
+		m.forgetRevision()
+		m.known = true
+	default:
+		m.retryAt = v.Now + storeRetry
+	}
+	m.advance(v)
+	return m.actions
+}
+
+// Learn takes a record from a watch or another daemon.
+func (m *Machine) Learn(v View, value []byte, revision int64) []Action {
+	m.prepare()
+	if revision <= m.revision {
+		return nil
+	}
+	m.actions = nil
+	m.learn(v, value, revision)
+	m.known = true
+	m.advance(v)
+	return m.actions
+}
+
+// Ordered takes the end of an order.
+func (m *Machine) Ordered(v View, id, server string, outcome orderer.Outcome, fence int64) []Action {
+	m.prepare()
+	if s := m.servers[server]; s != nil && s.raising == id {
+		s.raising = ""
+		s.retryAt = v.Now + storeRetry
+	}
+	for key, slot := range m.slots {
+		if slot.id == id {
+			slot.ended = true
+			slot.endedAt = v.Now
+			slot.outcome = outcome
+			m.slots[key] = slot
+		}
+	}
+	for _, o := range m.orders {
+		if o.id != id {
+			continue
+		}
+		o.ended = true
+		o.outcome = outcome
+		o.endedAt = v.Now
+	}
+	if outcome == orderer.OutcomeStaleFence && fence > m.record.Fence {
+		m.known = false
+	}
+	m.pollSoon(v.Now, server)
+	return m.Step(v)
+}
+
+// Polled takes the end of an own poll. The fleet has taken the report already.
+func (m *Machine) Polled(v View, server string, ok bool, sentAt time.Duration, report orderer.Report) []Action {
+	m.prepare()
+	s := m.server(server)
+	s.polling = false
+	s.pollAt = v.Now + busyPoll
+	if ok && sentAt >= s.seenAt {
+		s.seenAt = sentAt
+		s.polled = true
+		s.engine = report.Instance
+		s.fence = report.Fence
+		m.see(v, s, report)
+	}
+	return m.Step(v)
+}
+
+// Record returns the newest record known and its revision, 0 if none exists.
+func (m *Machine) Record() (Record, int64) { return m.record, m.revision }
+
+// Placing reports whether this process is the cell's placer as far as it knows.
+func (m *Machine) Placing() bool {
+	return m.known && m.record.Placer == m.Daemon && m.record.Instance == m.Instance
+}
+
+// Renounce takes a daemon's promise never to send the load orders of the replicas.
+func (m *Machine) Renounce(ids []string) {
+	m.prepare()
+	for _, id := range ids {
+		if _, ok := m.record.Replica(id); ok {
+			m.renounced[id] = true
+		}
+	}
+}
+
+// Renounced returns the replicas that this process decided as a former placer and whose order it
+// has not sent and will never send.
+func (m *Machine) Renounced() []string {
+	if m.Placing() || m.write != nil {
+		return nil
+	}
+	var ids []string
+	for _, r := range m.record.Replicas {
+		if r.Instance == m.Instance && m.orders[r.ID] == nil {
+			m.renounced[r.ID] = true
+			ids = append(ids, r.ID)
+		}
+	}
+	return ids
+}
+
+// Step plans what can be planned now and returns what to do.
+func (m *Machine) Step(v View) []Action {
+	m.prepare()
+	m.actions = nil
+	m.advance(v)
+	return m.actions
+}
+
+// Swapped takes the answer of the Swap with the token.
+func (m *Machine) Swapped(v View, token string, result storer.Result, revision int64) []Action {
+	m.prepare()
+	m.actions = nil
+	if m.write == nil || m.write.next.Token != token {
+		return nil
+	}
+	m.write.inCall = false
+	switch result {
+	case storer.ResultOK:
+		m.adopt(v, m.write.next, revision)
+	case storer.ResultConflict:
+		m.known = false
+		m.retryAt = 0
+	default:
+		m.write.retryAt = v.Now + storeRetry
+	}
+	m.advance(v)
+	return m.actions
+}
+
+// adopt takes a record as the newest. It settles the pending write: a write of the same token took
+// effect, any other can't take effect any more because its base revision is gone.
+func (m *Machine) adopt(v View, record Record, revision int64) {
+	if !m.Placing() && record.Placer == m.Daemon && record.Instance == m.Instance {
+		clear(m.servers)
+	}
+	m.record = record
+	m.revision = revision
+	defer m.prune(v.Now)
+	if m.write == nil {
+		return
+	}
+	if m.write.next.Token == record.Token {
+		m.actions = append(m.actions, m.write.decisions...)
+		m.act(Push{Revision: revision, Value: record.Encode()})
+	}
+	m.write = nil
+}
+
+func (m *Machine) act(a Action) { m.actions = append(m.actions, a) }
+
+// advance reads the record if it is not known, settles a write, or plans.
+func (m *Machine) advance(v View) {
+	if !m.known {
+		m.read(v)
+		return
+	}
+	if m.write != nil {
+		m.rewrite(v)
+	}
+	if v.Catalog == nil {
+		return
+	}
+	if !m.Placing() {
+		m.takeOver(v)
+		return
+	}
+	m.plan(v)
+}
+
+// forgetRevision notes that the record does not exist in the key-value service. What is known of it
+// stays, so that a service that lost the record is given it again.
+func (m *Machine) forgetRevision() {
+	m.revision = 0
+	m.write = nil
+	if m.Placing() {
+		m.write = &write{next: m.record.WithToken(m.nextToken())}
+	}
+}
+
+// learn takes an encoded record if it is newer than the known one.
+func (m *Machine) learn(v View, value []byte, revision int64) {
+	if revision <= m.revision {
+		return
+	}
+	record, err := DecodeRecord(value)
+	if err != nil {
+		return
+	}
+	m.adopt(v, record, revision)
+}
+
+func (m *Machine) nextOrderID() string {
+	m.orderNo++
+	return fmt.Sprintf("%s.%s.%d", m.Cell, m.Instance, m.orderNo)
+}
+
+func (m *Machine) nextToken() string {
+	m.tokens++
+	return fmt.Sprintf("%s.%d", m.Instance, m.tokens)
+}
+
+func (m *Machine) pollSoon(now time.Duration, server string) {
+	m.server(server).pollAt = now
+}
+
+func (m *Machine) prepare() {
+	if m.orders != nil {
+		return
+	}
+	m.orders = make(map[string]*order)
+	m.seen = make(map[string]bool)
+	m.renounced = make(map[string]bool)
+	m.started = make(map[string]bool)
+	m.idle = make(map[string]time.Duration)
+	m.used = make(map[string]time.Duration)
+	m.unload = make(map[string]unloading)
+	m.evict = make(map[string]eviction)
+	m.absent = make(map[string]time.Duration)
+	m.servers = make(map[string]*serverState)
+	m.slots = make(map[string]*slotOrder)
+}
+
+func (m *Machine) read(v View) {
+	if m.reading || v.Now < m.retryAt {
+		return
+	}
+	m.reading = true
+	m.act(Get{})
+}
+
+// rewrite sends the pending write again, with the same content and revision, until its answer is definite.
+func (m *Machine) rewrite(v View) {
+	if m.write.inCall || v.Now < m.write.retryAt {
+		return
+	}
+	m.write.inCall = true
+	m.act(Swap{Token: m.write.next.Token, Value: m.write.next.Encode(), Revision: m.revision})
+}
+
+func (m *Machine) see(v View, s *serverState, report orderer.Report) {
+	s.present = make(map[string]bool, len(report.Replicas))
+	for _, r := range report.Replicas {
+		s.present[r.Replica] = true
+		m.seen[r.Replica] = true
+		if r.State == orderer.StateReady {
+			m.Loads.finish(v.Now, r.Replica)
+		}
+		if _, ok := m.idle[r.Replica]; !ok || r.Running+r.Waiting > 0 {
+			m.idle[r.Replica] = v.Now
+		}
+	}
+}
+
+func (m *Machine) server(name string) *serverState {
+	s, ok := m.servers[name]
+	if !ok {
+		s = &serverState{}
+		m.servers[name] = s
+	}
+	return s
+}
+
+func (m *Machine) swap(v View, next Record, decisions []Action) {
+	m.write = &write{next: next.WithToken(m.nextToken()), decisions: decisions}
+	m.rewrite(v)
+}
+
+func (m *Machine) takeOver(v View) {
+	if !v.Lead || m.write != nil {
+		return
+	}
+	if m.record.Placer != "" && v.Alive(m.record.Placer, m.record.Instance) {
+		return
+	}
+	next := m.record.WithPlacer(m.Daemon, m.Instance).WithFence(m.record.Fence + 1)
+	next.Cell = m.Cell
+	reason := "placer " + m.record.Placer + " is not live"
+	m.swap(v, next, []Action{Decision{Action: "TakeOver", Server: m.Daemon, Reason: reason}})
+}
+
+func (l Loads) finish(now time.Duration, id string) {
+	if l.Finish != nil {
+		l.Finish(now, id)
+	}
+}
+
+// evidence returns the placer's own view of a server; ok is false before the first own poll.
+func (m *Machine) evidence(s *observer.Server) (*serverState, bool) {
+	state := m.server(s.Host.Server)
+	return state, state.polled
+}
--- /dev/null
+++ b/internal/decision/planner/plan.go
@@ -0,0 +1,266 @@
+package planner
+
+import (
+	"slices"
+	"time"
+
+	"samphirewharf/internal/backend/orderer"
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/decision/observer"
+)
+
+// plan makes one round as the cell's placer: decisions if no write is pending, and the orders that
+// the known record calls for.
+func (m *Machine) plan(v View) {
+	if m.write == nil && m.maySend(v) {
+		m.planRecord(v)
+	}
+	m.sendLoads(v)
+	m.sendUnloads(v)
+	m.raiseFences(v)
+	m.planAdapters(v)
+	m.pollBusy(v)
+}
+
+func (m *Machine) planRecord(v View) {
+	m.fenceOut = false
+	var decisions []Action
+	report := func(d Decision) { decisions = append(decisions, d) }
+	next := m.release(v, m.record, report)
+	next = m.retire(v, next, report)
+	next = m.decide(v, next, report)
+	if m.fenceOut {
+		next = next.WithFence(m.record.Fence + 1)
+		report(Decision{Action: "RaiseFence", Reason: "an order's outcome is unknown"})
+	}
+	if len(decisions) > 0 {
+		m.swap(v, next, decisions)
+	}
+}
+
+// retire marks idle, outdated and surplus replicas as unloading.
+func (m *Machine) retire(v View, next Record, report func(Decision)) Record {
+	for _, r := range next.Replicas {
+		if r.State != StateDecided {
+			continue
+		}
+		reason := m.retireReason(v, next, r)
+		if reason == "" {
+			continue
+		}
+		r.State = StateUnloading
+		next = next.WithReplica(r)
+		report(Decision{Action: "Unload", Deployment: r.Deployment, Replica: r.ID, Server: r.Server, Reason: reason})
+	}
+	return next
+}
+
+func (m *Machine) retireReason(v View, next Record, r Replica) string {
+	d, ok := v.Catalog.Deployment(r.Deployment)
+	if !ok || d.Service != m.Cell {
+		return "deployment is not in the configuration"
+	}
+	view, ok := v.Fleet.Replica(r.ID)
+	if !ok || view.State != orderer.StateReady {
+		return ""
+	}
+	if d.ModelVersion != r.ModelVersion && m.readyWithVersion(v, next, d) {
+		return "a newer model version is ready"
+	}
+	if view.Running+view.Waiting+view.InFlight > 0 {
+		return ""
+	}
+	idle := m.idleTime(v.Now, r)
+	if idle < m.keepAlive(d) {
+		return ""
+	}
+	return "idle longer than its keep-alive"
+}
+
+func (m *Machine) readyWithVersion(v View, next Record, d *cataloger.Deployment) bool {
+	for _, view := range v.Fleet.Replicas(d.Name) {
+		r, ok := next.Replica(view.ID)
+		if ok && r.State == StateDecided && r.ModelVersion == d.ModelVersion && view.Usable() {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) idleTime(now time.Duration, r Replica) time.Duration {
+	since := m.idle[r.ID]
+	return now - max(since, m.used[r.Deployment])
+}
+
+func (m *Machine) keepAlive(d *cataloger.Deployment) time.Duration {
+	if m.KeepAlive == nil {
+		return time.Minute
+	}
+	return m.KeepAlive(d)
+}
+
+// sendLoads sends the load orders of replicas that this process decided, each once.
+func (m *Machine) sendLoads(v View) {
+	if !m.maySend(v) {
+		return
+	}
+	for _, r := range m.record.Replicas {
+		if r.State != StateDecided || r.Instance != m.Instance || m.orders[r.ID] != nil || m.renounced[r.ID] {
+			continue
+		}
+		s, ok := v.Fleet.Server(r.Server)
+		d, known := v.Catalog.Deployment(r.Deployment)
+		if !ok || !known || !s.Takes() {
+			continue
+		}
+		o := &order{id: m.nextOrderID(), server: r.Server, sentAt: v.Now, engine: s.Report.Instance}
+		m.orders[r.ID] = o
+		m.act(Send{Server: s, Order: m.loadOrder(o.id, r, d), Expires: v.Now + orderLife})
+	}
+}
+
+func (m *Machine) loadOrder(id string, r Replica, d *cataloger.Deployment) orderer.Order {
+	return orderer.Order{
+		OrderID:      id,
+		Kind:         orderer.KindLoad,
+		Fence:        r.Fence,
+		Replica:      r.ID,
+		Deployment:   r.Deployment,
+		ModelVersion: r.ModelVersion,
+		Role:         d.Role,
+		Bytes:        r.Bytes,
+		AdapterSlots: r.AdapterSlots,
+		MaxInFlight:  d.MaxInFlight,
+		LoadMilliseconds: [3]int64{
+			d.Load.D().Milliseconds(),
+			d.LoadFromDisk.D().Milliseconds(),
+			d.LoadFromMemory.D().Milliseconds(),
+		},
+	}
+}
+
+// maySend reports whether orders may leave now. Engines that ignore fencing numbers are sent nothing
+// once the lease has run out, because another placer may have taken over.
+func (m *Machine) maySend(v View) bool {
+	return v.LeaseValid || m.checksFencing(v.Catalog)
+}
+
+// sendUnloads sends unload orders for drained replicas and for replicas that the record lacks.
+func (m *Machine) sendUnloads(v View) {
+	if !m.maySend(v) {
+		return
+	}
+	for _, r := range m.record.Replicas {
+		if r.State == StateUnloading {
+			m.sendUnload(v, r.ID, r.Server, r.Deployment)
+		}
+	}
+	for _, s := range v.Fleet.Servers(m.Cell) {
+		for _, view := range s.Replicas() {
+			_, decided := m.record.Replica(view.ID)
+			if !decided && m.write == nil && m.decidedBefore(view.ID) {
+				m.sendUnload(v, view.ID, s.Host.Server, view.Deployment)
+			}
+		}
+	}
+}
+
+// sendUnload sends an unload order once the replica has no requests and other daemons know the record.
+func (m *Machine) sendUnload(v View, id, server, deployment string) {
+	s, ok := v.Fleet.Server(server)
+	if !ok || !s.Reachable() {
+		return
+	}
+	u, ok := m.unload[id]
+	if !ok {
+		u = unloading{since: v.Now}
+		m.unload[id] = u
+	}
+	state, polled := m.evidence(s)
+	if !polled || !state.present[id] || state.seenAt < u.since+drainDelay {
+		return
+	}
+	view, ok := v.Fleet.Replica(id)
+	if !ok || view.Running+view.Waiting+view.InFlight > 0 {
+		return
+	}
+	if u.orderID != "" && v.Now < u.sentAt+unloadRepeat {
+		return
+	}
+	u.sentAt = v.Now
+	u.orderID = m.nextOrderID()
+	m.unload[id] = u
+	m.act(Send{Server: s, Expires: v.Now + orderLife, Order: orderer.Order{
+		OrderID:    u.orderID,
+		Kind:       orderer.KindUnload,
+		Fence:      m.record.Fence,
+		Replica:    id,
+		Deployment: deployment,
+	}})
+}
+
+// raiseFences shuts orders of former placers out of engines that check fencing numbers.
+func (m *Machine) raiseFences(v View) {
+	if !m.checksFencing(v.Catalog) {
+		return
+	}
+	for _, s := range v.Fleet.Servers(m.Cell) {
+		state := m.server(s.Host.Server)
+		if state.raising != "" || v.Now < state.retryAt || !s.Reachable() {
+			continue
+		}
+		if state.polled && state.fence >= m.record.Fence {
+			continue
+		}
+		state.raising = m.nextOrderID()
+		m.act(Send{Server: s, Expires: v.Now + orderLife, Order: orderer.Order{
+			OrderID: state.raising,
+			Kind:    orderer.KindRaiseFence,
+			Fence:   m.record.Fence,
+		}})
+	}
+}
+
+// pollBusy polls the servers from which the placer needs evidence.
+func (m *Machine) pollBusy(v View) {
+	for _, s := range v.Fleet.Servers(m.Cell) {
+		state := m.server(s.Host.Server)
+		if state.polling || v.Now < state.pollAt {
+			continue
+		}
+		if state.polled && !m.busy(v, s, state) {
+			continue
+		}
+		state.polling = true
+		m.act(Poll{Server: s})
+	}
+}
+
+func (m *Machine) busy(v View, s *observer.Server, state *serverState) bool {
+	if m.checksFencing(v.Catalog) && state.fence < m.record.Fence {
+		return true
+	}
+	for _, view := range s.Replicas() {
+		if _, decided := m.record.Replica(view.ID); !decided {
+			return true
+		}
+	}
+	return slices.ContainsFunc(m.record.Replicas, func(r Replica) bool {
+		return r.Server == s.Host.Server && m.unsettled(v, r)
+	}) || m.slotPending(s)
+}
+
+// unsettled reports whether a replica's next state has to be seen at its engine.
+func (m *Machine) unsettled(v View, r Replica) bool {
+	if r.State == StateUnloading {
+		return true
+	}
+	view, ok := v.Fleet.Replica(r.ID)
+	return !ok || view.State != orderer.StateReady
+}
+
+// decidedBefore reports whether a replica's ID was made under the current fence or an earlier one.
+func (m *Machine) decidedBefore(id string) bool {
+	fence, ok := fenceOf(m.Cell, id)
+	return ok && fence <= m.record.Fence
+}
--- /dev/null
+++ b/internal/decision/planner/release.go
@@ -0,0 +1,152 @@
+package planner
+
+import (
+	"time"
+
+	"samphirewharf/internal/backend/orderer"
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/decision/observer"
+)
+
+// release frees the reservations of replicas that provably are not loaded and can't be loaded any more.
+func (m *Machine) release(v View, next Record, report func(Decision)) Record {
+	for _, r := range m.record.Replicas {
+		reason := m.releaseReason(v, r)
+		if reason == "" {
+			continue
+		}
+		next = next.WithoutReplica(r.ID)
+		report(Decision{Action: "Release", Deployment: r.Deployment, Replica: r.ID, Server: r.Server, Reason: reason})
+	}
+	return next
+}
+
+// releaseReason returns why a reservation may be freed, or "" if it must stay.
+func (m *Machine) releaseReason(v View, r Replica) string {
+	s, listed := v.Fleet.Server(r.Server)
+	if !listed {
+		return m.absentReason(v.Now, r)
+	}
+	delete(m.absent, r.Server)
+	o := m.orders[r.ID]
+	if r.Instance == m.Instance {
+		if reason := m.unsentReason(r, s, o); reason != "" {
+			return reason
+		}
+	}
+	state, ok := m.evidence(s)
+	if !ok || state.present[r.ID] {
+		return ""
+	}
+	return m.goneReason(v, r, state, o)
+}
+
+// absentReason frees replicas of servers that the host list has not shown for some time.
+func (m *Machine) absentReason(now time.Duration, r Replica) string {
+	since, ok := m.absent[r.Server]
+	if !ok {
+		m.absent[r.Server] = now
+		return ""
+	}
+	if now-since < absentAfter {
+		return ""
+	}
+	return "server left the host list"
+}
+
+// unsentReason frees replicas of this process whose order was not sent or was refused.
+func (m *Machine) unsentReason(r Replica, s *observer.Server, o *order) string {
+	if o == nil {
+		unsendable := !s.Takes() || r.State == StateUnloading
+		if unsendable && !m.seen[r.ID] {
+			return "order was not sent"
+		}
+		return ""
+	}
+	if !o.ended {
+		return ""
+	}
+	switch o.outcome {
+	case orderer.OutcomeNotSent:
+		return "order could not be sent"
+	case orderer.OutcomeRefused, orderer.OutcomeStaleFence:
+		return "engine refused the order"
+	default:
+		return ""
+	}
+}
+
+// goneReason frees a replica that the newest own poll does not show, if its order can't take effect later.
+func (m *Machine) goneReason(v View, r Replica, state *serverState, o *order) string {
+	if m.seen[r.ID] {
+		return "engine does not hold the replica any more"
+	}
+	if m.renounced[r.ID] {
+		return "sender has renounced the order"
+	}
+	if m.checksFencing(v.Catalog) && state.fence > r.Fence {
+		return "engine shut the order out by its fencing number"
+	}
+	if o != nil {
+		return m.ownGoneReason(v, r, state, o)
+	}
+	if r.Instance == m.Instance || v.DeadSince == nil {
+		return ""
+	}
+	since, dead := v.DeadSince(r.Instance)
+	if !dead || state.seenAt < since+orderSettle {
+		return ""
+	}
+	return "sender is dead and its order has expired"
+}
+
+func (m *Machine) ownGoneReason(v View, r Replica, state *serverState, o *order) string {
+	if !o.ended {
+		return ""
+	}
+	if o.outcome == orderer.OutcomeAccepted && state.seenAt >= o.endedAt {
+		return "load failed"
+	}
+	if o.outcome != orderer.OutcomeUnknown {
+		return ""
+	}
+	if m.checksFencing(v.Catalog) {
+		m.fenceOut = m.fenceOut || m.record.Fence <= r.Fence
+		return ""
+	}
+	if o.engine != state.engine && state.seenAt > o.endedAt {
+		return "engine restarted after the order"
+	}
+	if state.seenAt >= o.endedAt+orderSettle {
+		return "order has expired"
+	}
+	return ""
+}
+
+func (m *Machine) checksFencing(c *cataloger.Catalog) bool {
+	service, ok := c.Service(m.Cell)
+	return ok && service.ChecksFencing
+}
+
+// prune forgets what concerns replicas that the record does not hold any more. Their IDs never come back.
+func (m *Machine) prune(now time.Duration) {
+	for id := range m.started {
+		if _, ok := m.record.Replica(id); !ok {
+			m.Loads.finish(now, id)
+		}
+	}
+	pruneMap(m.record, m.started)
+	pruneMap(m.record, m.orders)
+	pruneMap(m.record, m.seen)
+	pruneMap(m.record, m.idle)
+	pruneMap(m.record, m.unload)
+	pruneMap(m.record, m.renounced)
+}
+
+func pruneMap[V any](record Record, byReplica map[string]V) {
+	for id := range byReplica {
+		if _, ok := record.Replica(id); !ok {
+			delete(byReplica, id)
+		}
+	}
+}
