--- /dev/null
+++ b/internal/decision/admitter/queue_test.go
@@ -0,0 +1,207 @@
+package admitter
+
+import (
+	"cmp"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestPopOrder(t *testing.T) {
+	q := newQueue(t, Item{ID: 1, Deadline: 1}, Item{ID: 2, Urgent: true, Deadline: 9},
+		Item{ID: 3, Urgent: true, Deadline: 5}, Item{ID: 4, Deadline: 3})
+	for _, want := range []uint64{3, 2, 1, 4} {
+		item, ok := q.Pop()
+		assertItem(t, item, ok, want)
+	}
+	if item, ok := q.Pop(); ok {
+		t.Errorf("empty queue: got %v, want none", item)
+	}
+}
+
+func TestPopForTakesFirstMatch(t *testing.T) {
+	var q Queue
+	for id := range uint64(100) {
+		q.Push(Item{ID: id, Deadline: time.Duration(1000 - id)})
+	}
+	item, ok := q.PopFor(func(i Item) bool { return i.ID%7 == 0 })
+	assertItem(t, item, ok, 98)
+	if _, ok := q.PopFor(func(Item) bool { return false }); ok {
+		t.Error("filter that takes nothing: got an item, want none")
+	}
+	if got, want := q.Len(), 99; got != want {
+		t.Errorf("length: got %d, want %d", got, want)
+	}
+}
+
+func TestPushWhenFull(t *testing.T) {
+	t.Run("urgent displaces the latest that can wait", func(t *testing.T) {
+		q := newQueue(t, Item{ID: 1, Deadline: 7}, Item{ID: 2, Deadline: 8}, Item{ID: 3, Urgent: true, Deadline: 99})
+		q.Max = 3
+		displaced, ok := q.Push(Item{ID: 4, Urgent: true, Deadline: 50})
+		if displaced == nil {
+			t.Fatal("displaced: got none, want item 2")
+		}
+		assertItem(t, *displaced, ok, 2)
+	})
+	t.Run("can wait is refused", func(t *testing.T) {
+		q := newQueue(t, Item{ID: 1, Deadline: 7})
+		q.Max = 1
+		if displaced, ok := q.Push(Item{ID: 2, Deadline: 1}); ok || displaced != nil {
+			t.Errorf("push: got %v and %v, want refusal", displaced, ok)
+		}
+	})
+	t.Run("urgent is refused among urgent", func(t *testing.T) {
+		q := newQueue(t, Item{ID: 1, Urgent: true, Deadline: 7})
+		q.Max = 1
+		if displaced, ok := q.Push(Item{ID: 2, Urgent: true, Deadline: 1}); ok || displaced != nil {
+			t.Errorf("push: got %v and %v, want refusal", displaced, ok)
+		}
+	})
+	t.Run("known ID is refused", func(t *testing.T) {
+		q := newQueue(t, Item{ID: 1})
+		if _, ok := q.Push(Item{ID: 1}); ok {
+			t.Error("push: got accepted, want refused")
+		}
+	})
+}
+
+func TestExpiredGivesUpInTimeBehindUrgent(t *testing.T) {
+	q := newQueue(t, Item{ID: 1, Deadline: 10 * time.Second}, Item{ID: 2, Urgent: true, Deadline: time.Minute})
+	q.Margin = 2 * time.Second
+	if got, _ := q.NextDeadline(); got != 8*time.Second {
+		t.Errorf("next deadline: got %v, want 8s", got)
+	}
+	if got := q.Expired(8*time.Second - 1); len(got) != 0 {
+		t.Errorf("before the margin: got %v, want none", got)
+	}
+	got := q.Expired(8 * time.Second)
+	if len(got) != 1 || got[0].ID != 1 {
+		t.Errorf("at the margin: got %v, want item 1", got)
+	}
+}
+
+func TestQueueAgainstSortedSlice(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		q := Queue{Max: 12}
+		var model []Item
+		for step := range rapid.IntRange(1, 80).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 3).Draw(rt, "action") {
+			case 0, 1:
+				item := Item{
+					ID: uint64(step), Urgent: rapid.Bool().Draw(rt, "urgent"),
+					Deadline: time.Duration(rapid.IntRange(0, 30).Draw(rt, "deadline")),
+				}
+				displaced, ok := q.Push(item)
+				if displaced != nil {
+					model = slices.DeleteFunc(model, func(i Item) bool { return i == *displaced })
+				}
+				if ok {
+					model = append(model, item)
+				}
+			case 2:
+				sortItems(model)
+				if got, ok := q.Pop(); ok {
+					if want := model[0]; got != want {
+						rt.Fatalf("pop: got %v, want %v", got, want)
+					}
+					model = model[1:]
+				}
+			default:
+				id := uint64(rapid.IntRange(0, step).Draw(rt, "id"))
+				size := len(model)
+				model = slices.DeleteFunc(model, func(i Item) bool { return i.ID == id })
+				if got, want := q.Remove(id), len(model) < size; got != want {
+					rt.Fatalf("remove %d: got %v, want %v", id, got, want)
+				}
+			}
+			if got, want := q.Counts(), countsOf(model); got != want {
+				rt.Fatalf("counts: got %v, want %v", got, want)
+			}
+		}
+	})
+}
+
+func TestEstimatorPredict(t *testing.T) {
+	tests := []struct {
+		name                  string
+		ahead, slots, running int
+		want                  time.Duration
+	}{
+		{"free slot", 0, 4, 3, 2 * time.Second},
+		{"next slot", 0, 4, 4, 2500 * time.Millisecond},
+		{"one turn ahead", 4, 4, 4, 4500 * time.Millisecond},
+		{"no slots", 0, 0, 0, Never},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := Estimator{Prior: 2 * time.Second}
+			if got := e.Predict(tt.ahead, tt.slots, tt.running); got != tt.want {
+				t.Errorf("predicted finish: got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestEstimatorFollowsCompletions(t *testing.T) {
+	e := Estimator{Prior: 10 * time.Second}
+	for range 60 {
+		e.Observe(time.Second)
+	}
+	if got := e.Service(); got < time.Second || got > 1100*time.Millisecond {
+		t.Errorf("service time: got %v, want about 1s", got)
+	}
+	if got, want := e.RetryAfter(0, 4, 0), MinRetryAfter; got != want {
+		t.Errorf("retry after with free slots: got %v, want %v", got, want)
+	}
+	if got := e.RetryAfter(39, 4, 4); got < 9*time.Second || got > 12*time.Second {
+		t.Errorf("retry after 39 others: got %v, want about 10s", got)
+	}
+}
+
+func assertItem(t *testing.T, got Item, ok bool, want uint64) {
+	t.Helper()
+	if !ok || got.ID != want {
+		t.Errorf("item: got %d (%v), want %d", got.ID, ok, want)
+	}
+}
+
+func countsOf(items []Item) Counts {
+	var c Counts
+	for _, i := range items {
+		if i.Urgent {
+			c.Urgent++
+		} else {
+			c.CanWait++
+		}
+		if c.Urgent+c.CanWait == 1 || i.Deadline < c.EarliestDeadline {
+			c.EarliestDeadline = i.Deadline
+		}
+	}
+	return c
+}
+
+func newQueue(t *testing.T, items ...Item) *Queue {
+	t.Helper()
+	var q Queue
+	for _, item := range items {
+		if _, ok := q.Push(item); !ok {
+			t.Fatalf("push %v: got refused, want accepted", item)
+		}
+	}
+	return &q
+}
+
+func sortItems(items []Item) {
+	slices.SortFunc(items, func(a, b Item) int {
+		if a.Urgent != b.Urgent {
+			if a.Urgent {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.Deadline, b.Deadline), cmp.Compare(a.ID, b.ID))
+	})
+}
--- /dev/null
+++ b/internal/decision/resolver/resolver.go
@@ -0,0 +1,77 @@
+// Package resolver chooses the daemons that a caller is told to use.
+package resolver
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// MaxDaemons is how many daemons an answer names at most.
+	MaxDaemons = 4
+	// DefaultTimeToLive is how long callers may keep an answer if nothing is configured.
+	DefaultTimeToLive = 30 * time.Second
+)
+
+// A Daemon is one daemon of a cell.
+type Daemon struct {
+	ID      string
+	Address string
+	Zone    string
+	// Leaving tells that the daemon is in a planned stop.
+	Leaving bool
+}
+
+// An Answer is what a caller is told.
+type Answer struct {
+	// Daemons are ordered by preference, none of them leaving.
+	Daemons []Daemon
+	// TimeToLive is how long the caller may keep the answer.
+	TimeToLive time.Duration
+}
+
+// A Resolver answers address look-ups. The zero value knows only equal and different zones.
+type Resolver struct {
+	// Distance returns the network delay between two availability zones, one way.
+	Distance func(from, to string) time.Duration
+	// TimeToLive is how long callers may keep an answer; zero means DefaultTimeToLive.
+	TimeToLive time.Duration
+}
+
+type ranked struct {
+	daemon   Daemon
+	distance time.Duration
+}
+
+// Resolve returns at most MaxDaemons daemons for a caller in the zone, nearest first and in random
+// order at equal distance. No daemon is named if all are leaving.
+func (r Resolver) Resolve(daemons []Daemon, zone string, rng *rand.Rand) Answer {
+	list := make([]ranked, 0, len(daemons))
+	for _, d := range daemons {
+		if !d.Leaving {
+			list = append(list, ranked{d, r.distance(zone, d.Zone)})
+		}
+	}
+	rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(a, b ranked) int { return int(a.distance - b.distance) })
+	list = list[:min(len(list), MaxDaemons)]
+	answer := Answer{TimeToLive: r.TimeToLive}
+	if answer.TimeToLive <= 0 {
+		answer.TimeToLive = DefaultTimeToLive
+	}
+	for _, entry := range list {
+		answer.Daemons = append(answer.Daemons, entry.daemon)
+	}
+	return answer
+}
+
+func (r Resolver) distance(from, to string) time.Duration {
+	if from == to {
+		return 0
+	}
+	if r.Distance == nil {
+		return 1
+	}
+	return r.Distance(from, to)
+}
