feat: isolate requests that crash servers

A suspect runs at one server at a time and never beside another suspect. A conviction clears the requests suspected for the same crash, and the convicted one stays suspected when its verdict expires: without both, an innocent suspect beside a returning crasher was convicted in its stead.

--- /dev/null
+++ b/internal/decision/isolator/isolator.go
@@ -0,0 +1,185 @@
+// Package isolator finds requests that crash the servers that run them.
+//
+// Requests that were running when a server died are suspects. A suspect runs at one server at a time
+// and never beside another suspect, so that a second crash convicts it and nothing else.
+package isolator
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// DefaultMaxVerdicts bounds the suspects and the convicted if nothing is set.
+	DefaultMaxVerdicts = 1024
+	// DefaultSuspectFor is how long a request stays suspected if nothing is set.
+	DefaultSuspectFor = 10 * time.Minute
+	// DefaultConvictFor is how long a request stays convicted if nothing is set.
+	DefaultConvictFor = time.Hour
+)
+
+// An Isolator keeps the running requests of a daemon and the verdicts on them. Requests are known by
+// a hash of their deployment and body. The zero value is ready to use.
+type Isolator struct {
+	// Owns tells whether this daemon may run suspects at the server; nil means at any. When each
+	// server has one owner, suspects of two daemons never meet.
+	Owns func(server string) bool
+	// MaxVerdicts bounds suspects and convicted, each; zero means DefaultMaxVerdicts.
+	MaxVerdicts int
+	// SuspectFor and ConvictFor are how long verdicts hold; zero means the defaults.
+	SuspectFor time.Duration
+	ConvictFor time.Duration
+
+	suspects  verdicts
+	convicted verdicts
+	// byServer counts the running requests of each server by hash. No count is zero.
+	byServer map[string]map[uint64]int
+	// byHash counts the running requests of each hash over all servers. No count is zero.
+	byHash map[uint64]int
+}
+
+// Convicted reports whether the request must be refused.
+func (i *Isolator) Convicted(hash uint64, now time.Duration) bool { return i.convicted.has(hash, now) }
+
+// Finished notes that a request ended at a live server. A success clears it from suspicion.
+func (i *Isolator) Finished(server string, hash uint64, success bool) {
+	if success {
+		i.suspects.remove(hash)
+	}
+	running, ok := i.byServer[server]
+	if !ok || running[hash] == 0 {
+		return
+	}
+	decrement(running, hash, 1)
+	decrement(i.byHash, hash, 1)
+	if len(running) == 0 {
+		delete(i.byServer, server)
+	}
+}
+
+// MayRun reports whether the request may be sent to the server now. Requests that are not suspected
+// may run anywhere.
+func (i *Isolator) MayRun(server string, hash uint64, now time.Duration) bool {
+	if i.Convicted(hash, now) {
+		return false
+	}
+	if !i.Suspected(hash, now) {
+		return true
+	}
+	if i.byHash[hash] > 0 || (i.Owns != nil && !i.Owns(server)) {
+		return false
+	}
+	for other := range i.byServer[server] {
+		if i.Suspected(other, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// Merge takes a peer's verdicts, which hold until expires.
+func (i *Isolator) Merge(convicted, suspects []uint64, expires, now time.Duration) {
+	for _, hash := range convicted {
+		i.convict(hash, min(expires, now+i.convictFor()), now)
+	}
+	i.suspect(suspects, min(expires, now+i.suspectFor()), now)
+}
+
+// Running notes that a request was sent to the server.
+func (i *Isolator) Running(server string, hash uint64) {
+	if i.byServer == nil {
+		i.byServer = make(map[string]map[uint64]int)
+		i.byHash = make(map[uint64]int)
+	}
+	if i.byServer[server] == nil {
+		i.byServer[server] = make(map[uint64]int)
+	}
+	i.byServer[server][hash]++
+	i.byHash[hash]++
+}
+
+// ServerDied forgets what ran at the server and returns the verdicts on it, ordered. If one suspect
+// ran there it is convicted. If several did, the crash is laid to one of them. Only if none did,
+// everything that ran there becomes suspected.
+func (i *Isolator) ServerDied(server string, now time.Duration) (suspects, convicted []uint64) {
+	var known, others []uint64
+	for hash, count := range i.byServer[server] {
+		decrement(i.byHash, hash, count)
+		if i.Suspected(hash, now) {
+			known = append(known, hash)
+		} else if !i.Convicted(hash, now) {
+			others = append(others, hash)
+		}
+	}
+	delete(i.byServer, server)
+	slices.Sort(known)
+	slices.Sort(others)
+	switch len(known) {
+	case 0:
+		suspects = others
+	case 1:
+		i.convict(known[0], now+i.convictFor(), now)
+		return nil, known
+	default:
+		suspects = known
+	}
+	i.suspect(suspects, now+i.suspectFor(), now)
+	return suspects, nil
+}
+
+// Suspected reports whether the request was running when a server died, has not succeeded since and
+// is not convicted. A request stays suspected for a while after its conviction has expired.
+func (i *Isolator) Suspected(hash uint64, now time.Duration) bool {
+	return !i.Convicted(hash, now) && i.suspects.has(hash, now)
+}
+
+// convict convicts the request and clears those that were suspected for its crash.
+func (i *Isolator) convict(hash uint64, expires, now time.Duration) {
+	if c := i.suspects.crashOf(hash); c != nil {
+		for _, other := range c.hashes {
+			if i.suspects.crashOf(other) == c {
+				i.suspects.remove(other)
+			}
+		}
+	}
+	i.convicted.add(hash, nil, expires, now, i.maxVerdicts())
+	i.suspects.add(hash, nil, expires+i.suspectFor(), now, i.maxVerdicts())
+}
+
+func (i *Isolator) convictFor() time.Duration {
+	if i.ConvictFor > 0 {
+		return i.ConvictFor
+	}
+	return DefaultConvictFor
+}
+
+func (i *Isolator) maxVerdicts() int {
+	if i.MaxVerdicts > 0 {
+		return i.MaxVerdicts
+	}
+	return DefaultMaxVerdicts
+}
+
+// suspect makes the requests that are not convicted suspects for one crash.
+func (i *Isolator) suspect(hashes []uint64, expires, now time.Duration) {
+	c := &crash{hashes: hashes}
+	for _, hash := range hashes {
+		if !i.Convicted(hash, now) {
+			i.suspects.add(hash, c, expires, now, i.maxVerdicts())
+		}
+	}
+}
+
+func (i *Isolator) suspectFor() time.Duration {
+	if i.SuspectFor > 0 {
+		return i.SuspectFor
+	}
+	return DefaultSuspectFor
+}
+
+func decrement(counts map[uint64]int, hash uint64, by int) {
+	counts[hash] -= by
+	if counts[hash] <= 0 {
+		delete(counts, hash)
+	}
+}
--- /dev/null
+++ b/internal/decision/isolator/isolator_test.go
@@ -0,0 +1,154 @@
+package isolator
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+const (
+	poison    = 666
+	innocents = 8
+)
+
+func TestPoisonLosesTwoServersAtMost(t *testing.T) {
+	for _, count := range []int{1, 2, 7} {
+		t.Run(fmt.Sprintf("%d daemons", count), func(t *testing.T) {
+			daemons := make([]Isolator, count)
+			lost := 0
+			for try := range 20 {
+				now := time.Duration(try) * time.Second
+				d := &daemons[try%count]
+				server := fmt.Sprintf("server-%d", try)
+				if !d.MayRun(server, poison, now) {
+					continue
+				}
+				d.Running(server, poison)
+				runInnocents(d, server, now)
+				lost++
+				tellAll(daemons, d, server, now)
+			}
+			if got, want := lost, 2; got != want {
+				t.Errorf("servers lost: got %d, want %d", got, want)
+			}
+			for i := range daemons {
+				assertOnlyPoisonConvicted(t, &daemons[i], 20*time.Second)
+			}
+		})
+	}
+}
+
+func TestInnocentsThatAlwaysRunBesidePoison(t *testing.T) {
+	i := Isolator{ConvictFor: time.Second, SuspectFor: time.Hour}
+	for round := range 50 {
+		now := time.Duration(round) * 2 * time.Second
+		if !i.MayRun("server", poison, now) {
+			t.Fatalf("poison in round %d: got held back, want run after its verdict expired", round)
+		}
+		i.Running("server", poison)
+		runInnocents(&i, "server", now)
+		i.ServerDied("server", now)
+		for hash := range uint64(innocents) {
+			if i.Convicted(hash, now) {
+				t.Fatalf("innocent %d in round %d: got convicted, want free", hash, round)
+			}
+		}
+	}
+}
+
+func TestMayRun(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(*Isolator)
+		want    bool
+	}{
+		{"alone", func(*Isolator) {}, true},
+		{"beside an innocent", func(i *Isolator) { i.Running("b", 9) }, true},
+		{"beside a suspect", func(i *Isolator) { i.Running("b", 2) }, false},
+		{"running elsewhere", func(i *Isolator) { i.Running("c", 1) }, false},
+		{"server of another daemon", func(i *Isolator) { i.Owns = func(string) bool { return false } }, false},
+		{"cleared", func(i *Isolator) { i.Running("b", 2); i.Finished("c", 1, true) }, true},
+		{"after the other suspect", func(i *Isolator) { i.Running("b", 2); i.Finished("b", 2, false) }, true},
+		{"convicted by a peer", func(i *Isolator) { i.Merge([]uint64{1}, nil, time.Hour, 0) }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var i Isolator
+			i.Running("a", 1)
+			i.Running("a", 2)
+			i.ServerDied("a", 0)
+			tt.prepare(&i)
+			if got := i.MayRun("b", 1, 0); got != tt.want {
+				t.Errorf("may run: got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestServerDied(t *testing.T) {
+	t.Run("several suspects are not convicted", func(t *testing.T) {
+		var i Isolator
+		i.Running("a", 1)
+		i.Running("a", 2)
+		i.Merge(nil, []uint64{1, 2}, time.Hour, 0)
+		suspects, convicted := i.ServerDied("a", 0)
+		if want := []uint64{1, 2}; !slices.Equal(suspects, want) || len(convicted) != 0 {
+			t.Errorf("verdicts: got %v and %v, want %v and none", suspects, convicted, want)
+		}
+	})
+	t.Run("suspected by a peer while it runs", func(t *testing.T) {
+		var i Isolator
+		i.Running("a", 1)
+		i.Running("a", 2)
+		i.Merge(nil, []uint64{1}, time.Hour, 0)
+		suspects, convicted := i.ServerDied("a", 0)
+		if want := []uint64{1}; !slices.Equal(convicted, want) || len(suspects) != 0 {
+			t.Errorf("verdicts: got %v and %v, want none and %v", suspects, convicted, want)
+		}
+	})
+}
+
+func TestVerdictsAreBoundedAndExpire(t *testing.T) {
+	i := Isolator{MaxVerdicts: 10}
+	for hash := range uint64(1000) {
+		i.Merge([]uint64{hash}, []uint64{hash + 5000}, time.Minute, 0)
+	}
+	for name, v := range map[string]*verdicts{"convicted": &i.convicted, "suspects": &i.suspects} {
+		if got, want := len(v.byHash), 10; got != want || v.order.Len() != want {
+			t.Errorf("%s: got %d and %d in order, want %d", name, got, v.order.Len(), want)
+		}
+	}
+	if !i.Convicted(999, time.Minute-1) || i.Convicted(999, time.Minute) {
+		t.Error("newest verdict: want convicted until its expiry and not after it")
+	}
+}
+
+func assertOnlyPoisonConvicted(t *testing.T, i *Isolator, now time.Duration) {
+	t.Helper()
+	if !i.Convicted(poison, now) {
+		t.Error("poison: got free, want convicted")
+	}
+	for hash := range uint64(innocents) {
+		if i.Convicted(hash, now) {
+			t.Errorf("innocent %d: got convicted, want free", hash)
+		}
+	}
+}
+
+func runInnocents(i *Isolator, server string, now time.Duration) {
+	for hash := range uint64(innocents) {
+		if i.MayRun(server, hash, now) {
+			i.Running(server, hash)
+		}
+	}
+}
+
+func tellAll(daemons []Isolator, from *Isolator, server string, now time.Duration) {
+	suspects, convicted := from.ServerDied(server, now)
+	for i := range daemons {
+		if &daemons[i] != from {
+			daemons[i].Merge(convicted, suspects, now+time.Hour, now)
+		}
+	}
+}
