--- /dev/null
+++ b/internal/decision/warmer/warmer.go
@@ -0,0 +1,183 @@
+// Package warmer decides how long idle replicas stay loaded and which of them is evicted first.
+package warmer
+
+import (
+	"time"
+
+	"samphirewharf/internal/config/cataloger"
+)
+
+const (
+	// DefaultMinKeepAlive is the shortest keep-alive if nothing is configured.
+	DefaultMinKeepAlive = 30 * time.Second
+	// DefaultMaxKeepAlive is the longest keep-alive if nothing is configured.
+	DefaultMaxKeepAlive = 10 * time.Minute
+	// DefaultQuantile is the share of gaps that keep-alive covers if nothing is configured.
+	DefaultQuantile = 0.9
+	// Soon is the time in which a use counts for the eviction score.
+	Soon = 10 * time.Minute
+
+	// minGaps is how many gaps must be known before the histogram is used.
+	minGaps = 4
+	// minRegularGaps is how many gaps must be known before a next use is predicted.
+	minRegularGaps = 8
+	// regularBuckets is how many buckets the middle of a regular histogram spans at most.
+	regularBuckets = 2
+	// regularTail is the share of gaps on each side that regularity leaves out.
+	regularTail = 0.1
+	// worthKeeping is the share of gaps within the longest keep-alive from which keeping pays when
+	// idle hours weigh more.
+	worthKeeping = 0.5
+	// priorGaps is the weight of the prior in the probability of use.
+	priorGaps = 1.0
+
+	gibibyte = 1 << 30
+)
+
+// A Warmer keeps the gaps between the arrivals of each deployment, in about 100 bytes a deployment.
+// The zero value is ready to use.
+type Warmer struct {
+	// Weighting tells what weighs more; empty means WeightColdStart.
+	Weighting cataloger.Weighting
+	// Limits bound keep-alive. Only the keep-alive limits are used; zero ones mean the defaults.
+	Limits cataloger.Limits
+
+	byName map[string]int32
+	// entries of removed deployments are listed in free.
+	entries []entry
+	free    []int32
+}
+
+type entry struct {
+	last time.Duration
+	gaps histogram
+}
+
+// Arrived notes that a request for the deployment arrived.
+func (w *Warmer) Arrived(deployment string, now time.Duration) {
+	e := w.entry(deployment)
+	if e == nil {
+		w.add(deployment, now)
+		return
+	}
+	if now <= e.last {
+		return
+	}
+	e.gaps.add(now - e.last)
+	e.last = now
+}
+
+// EvictionScore returns the cost of evicting the deployment's idle replica: seconds of reload, times the
+// probability of a use within Soon, for each gibibyte. The replica with the lowest score goes first.
+func (w *Warmer) EvictionScore(deployment string, reload time.Duration, bytes int64, now time.Duration) float64 {
+	gibibytes := float64(max(bytes, 1)) / gibibyte
+	return reload.Seconds() * w.UseProbability(deployment, now) / gibibytes
+}
+
+// KeepAlive returns how long the deployment's replica stays loaded after its last use: the configured
+// quantile of the gaps, within the configured bounds.
+func (w *Warmer) KeepAlive(deployment string) time.Duration {
+	shortest, longest := w.bounds()
+	e := w.entry(deployment)
+	if e == nil || e.gaps.total < minGaps {
+		if w.Weighting == cataloger.WeightIdleHours {
+			return shortest
+		}
+		return longest
+	}
+	wanted := edges[e.gaps.quantile(w.quantile())]
+	if wanted <= longest {
+		return max(shortest, wanted)
+	}
+	covered := e.gaps.below(longest) / float64(e.gaps.total)
+	if w.Weighting == cataloger.WeightIdleHours && covered < worthKeeping {
+		return shortest
+	}
+	return longest
+}
+
+// Prewarm returns when to start loading the deployment so that it is ready for its next use, if its
+// gaps are regular and so long that keep-alive does not cover them.
+func (w *Warmer) Prewarm(deployment string, load time.Duration) (at time.Duration, ok bool) {
+	e := w.entry(deployment)
+	if e == nil || e.gaps.total < minRegularGaps {
+		return 0, false
+	}
+	early := e.gaps.quantile(regularTail)
+	late := e.gaps.quantile(1 - regularTail)
+	if late-early > regularBuckets {
+		return 0, false
+	}
+	after := lowerEdge(early) - load
+	if after <= w.KeepAlive(deployment) {
+		return 0, false
+	}
+	return e.last + after, true
+}
+
+// Remove forgets a deployment.
+func (w *Warmer) Remove(deployment string) {
+	at, ok := w.byName[deployment]
+	if !ok {
+		return
+	}
+	delete(w.byName, deployment)
+	w.entries[at] = entry{}
+	w.free = append(w.free, at)
+}
+
+// UseProbability returns how likely the deployment is used within Soon, given how long it has been idle.
+func (w *Warmer) UseProbability(deployment string, now time.Duration) float64 {
+	e := w.entry(deployment)
+	if e == nil {
+		return 0
+	}
+	idle := max(0, now-e.last)
+	prior := float64(Soon) / float64(Soon+idle)
+	before := e.gaps.below(idle)
+	within := e.gaps.below(idle+Soon) - before
+	left := float64(e.gaps.total) - before
+	return (within + priorGaps*prior) / (left + priorGaps)
+}
+
+func (w *Warmer) add(deployment string, now time.Duration) {
+	if w.byName == nil {
+		w.byName = make(map[string]int32)
+	}
+	if last := len(w.free) - 1; last >= 0 {
+		at := w.free[last]
+		w.free = w.free[:last]
+		w.entries[at].last = now
+		w.byName[deployment] = at
+		return
+	}
+	w.byName[deployment] = int32(len(w.entries))
+	w.entries = append(w.entries, entry{last: now})
+}
+
+func (w *Warmer) bounds() (shortest, longest time.Duration) {
+	shortest = w.Limits.MinKeepAlive.D()
+	if shortest <= 0 {
+		shortest = DefaultMinKeepAlive
+	}
+	longest = w.Limits.MaxKeepAlive.D()
+	if longest <= 0 {
+		longest = DefaultMaxKeepAlive
+	}
+	return min(shortest, longest), longest
+}
+
+func (w *Warmer) entry(deployment string) *entry {
+	at, ok := w.byName[deployment]
+	if !ok {
+		return nil
+	}
+	return &w.entries[at]
+}
+
+func (w *Warmer) quantile() float64 {
+	if w.Limits.KeepAliveQuantile > 0 {
+		return w.Limits.KeepAliveQuantile
+	}
+	return DefaultQuantile
+}
--- /dev/null
+++ b/internal/decision/warmer/warmer_test.go
@@ -0,0 +1,186 @@
+package warmer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"samphirewharf/internal/config/cataloger"
+)
+
+const catalogueSize = 18560
+
+func TestKeepAlive(t *testing.T) {
+	tests := []struct {
+		name      string
+		weighting cataloger.Weighting
+		gaps      []time.Duration
+		want      time.Duration
+	}{
+		{"unknown, cold start", cataloger.WeightColdStart, nil, DefaultMaxKeepAlive},
+		{"unknown, idle hours", cataloger.WeightIdleHours, nil, DefaultMinKeepAlive},
+		{"bursts", cataloger.WeightColdStart, repeat(2*time.Second, 20), DefaultMinKeepAlive},
+		{"rare, cold start", cataloger.WeightColdStart, repeat(time.Hour, 20), DefaultMaxKeepAlive},
+		{"rare, idle hours", cataloger.WeightIdleHours, repeat(time.Hour, 20), DefaultMinKeepAlive},
+		{"minutes", cataloger.WeightIdleHours, repeat(100*time.Second, 20), edges[bucketOf(100*time.Second)]},
+		{
+			"mostly minutes, idle hours", cataloger.WeightIdleHours,
+			append(repeat(time.Minute, 16), repeat(time.Hour, 4)...), DefaultMaxKeepAlive,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := Warmer{Weighting: tt.weighting}
+			feed(&w, "d", tt.gaps)
+			if got := w.KeepAlive("d"); got != tt.want {
+				t.Errorf("keep-alive: got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestKeepAliveFollowsChange(t *testing.T) {
+	var w Warmer
+	feed(&w, "d", append(repeat(time.Hour, 500), repeat(2*time.Minute, 1000)...))
+	if got, want := w.KeepAlive("d"), edges[bucketOf(2*time.Minute)]; got != want {
+		t.Errorf("keep-alive: got %v, want %v", got, want)
+	}
+}
+
+func TestKeepAliveKeepsConfiguredBounds(t *testing.T) {
+	limits := cataloger.Limits{
+		MinKeepAlive: cataloger.Duration(time.Minute), MaxKeepAlive: cataloger.Duration(2 * time.Minute), KeepAliveQuantile: 0.5,
+	}
+	for gap, want := range map[time.Duration]time.Duration{time.Second: time.Minute, time.Hour: 2 * time.Minute} {
+		w := Warmer{Limits: limits}
+		feed(&w, "d", repeat(gap, 20))
+		if got := w.KeepAlive("d"); got != want {
+			t.Errorf("keep-alive for gaps of %v: got %v, want %v", gap, got, want)
+		}
+	}
+}
+
+func TestPrewarm(t *testing.T) {
+	tests := []struct {
+		name string
+		gaps []time.Duration
+		want bool
+	}{
+		{"regular and rare", repeat(time.Hour, 12), true},
+		{"regular and frequent", repeat(time.Minute, 12), false},
+		{"too few", repeat(time.Hour, 7), false},
+		{"irregular", append(repeat(time.Hour, 6), repeat(20*time.Minute, 6)...), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var w Warmer
+			last := feed(&w, "d", tt.gaps)
+			at, got := w.Prewarm("d", time.Minute)
+			if got != tt.want {
+				t.Fatalf("prewarm: got %v, want %v", got, tt.want)
+			}
+			if got && (at < last+30*time.Minute || at > last+59*time.Minute) {
+				t.Errorf("prewarm after last use: got %v, want 30m to 59m", at-last)
+			}
+		})
+	}
+}
+
+func TestEvictionScore(t *testing.T) {
+	var w Warmer
+	feed(&w, "frequent", repeat(time.Minute, 60))
+	feed(&w, "rare", repeat(time.Hour, 1))
+	now := time.Hour
+	score := func(name string, reload time.Duration, bytes int64) float64 {
+		return w.EvictionScore(name, reload, bytes, now)
+	}
+	base := score("rare", time.Minute, gibibyte)
+	assertLess(t, "rare before frequent", base, score("frequent", time.Minute, gibibyte))
+	assertLess(t, "large before small", score("rare", time.Minute, 4*gibibyte), base)
+	assertLess(t, "cheap reload before dear", base, score("rare", 2*time.Minute, gibibyte))
+	assertLess(t, "unknown before known", score("unknown", time.Minute, gibibyte), base)
+	assertLess(t, "long idle before short", w.EvictionScore("frequent", time.Minute, gibibyte, 9*time.Hour),
+		score("frequent", time.Minute, gibibyte))
+}
+
+func TestRemoveReusesEntries(t *testing.T) {
+	var w Warmer
+	for round := range 100 {
+		name := fmt.Sprint(round)
+		feed(&w, name, repeat(time.Hour, 12))
+		if got, want := w.entries[0].gaps.total, uint16(12); got != want {
+			t.Fatalf("gaps of new deployment: got %d, want %d", got, want)
+		}
+		w.Remove(name)
+	}
+	if got, want := len(w.entries), 1; got != want {
+		t.Errorf("entries: got %d, want %d", got, want)
+	}
+}
+
+func BenchmarkWarmer(b *testing.B) {
+	var before, after runtime.MemStats
+	names := make([]string, catalogueSize)
+	for i := range names {
+		names[i] = fmt.Sprintf("deployment-%d", i)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var w Warmer
+	for _, name := range names {
+		feed(&w, name, repeat(3*time.Minute, 10))
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	bytes := float64(after.HeapAlloc) - float64(before.HeapAlloc)
+	rng := rand.New(rand.NewPCG(1, 2))
+	now := time.Hour
+	b.Run("Arrived", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			now += time.Second
+			w.Arrived(names[rng.IntN(catalogueSize)], now)
+		}
+		b.ReportMetric(bytes, "heap-bytes")
+	})
+	b.Run("KeepAlive", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			w.KeepAlive(names[rng.IntN(catalogueSize)])
+		}
+	})
+	b.Run("EvictionScore", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			w.EvictionScore(names[rng.IntN(catalogueSize)], time.Minute, gibibyte, now)
+		}
+	})
+}
+
+func assertLess(t *testing.T, name string, got, want float64) {
+	t.Helper()
+	if got >= want {
+		t.Errorf("%s: got %g, want less than %g", name, got, want)
+	}
+}
+
+// feed lets requests arrive with the gaps and returns when the last came.
+func feed(w *Warmer, name string, gaps []time.Duration) time.Duration {
+	now := time.Duration(1)
+	w.Arrived(name, now)
+	for _, gap := range gaps {
+		now += gap
+		w.Arrived(name, now)
+	}
+	return now
+}
+
+func repeat(gap time.Duration, n int) []time.Duration {
+	gaps := make([]time.Duration, n)
+	for i := range gaps {
+		gaps[i] = gap
+	}
+	return gaps
+}
