feat: bound retries and share the weight store by event time

A learned slowdown fades with a half-life of 30s, since a placer that believes the store is slow starts nothing and would never learn that it has recovered. Model loads start one at a time at the stated rate: a larger burst would exceed the rate within a second.

--- /dev/null
+++ b/internal/decision/limiter/loadshare_test.go
@@ -0,0 +1,144 @@
+package limiter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"samphirewharf/internal/config/cataloger"
+)
+
+const far = time.Hour
+
+func TestTakeKeepsRate(t *testing.T) {
+	s := newShare()
+	var started []time.Duration
+	for ms := range 20000 {
+		now := time.Duration(ms) * time.Millisecond
+		key := fmt.Sprint(ms)
+		if s.Take(Pending{Key: key, Deadline: far, Duration: time.Millisecond}, now) == VerdictStart {
+			started = append(started, now)
+			s.Done(key, now+time.Millisecond)
+		}
+	}
+	if got, want := len(started), 60; got != want {
+		t.Errorf("loads started in 20s: got %d, want %d", got, want)
+	}
+	for i := 3; i < len(started); i++ {
+		if got := started[i] - started[i-3]; got < time.Second-time.Millisecond {
+			t.Fatalf("time from load %d to %d: got %v, want 1s", i-3, i, got)
+		}
+	}
+}
+
+func TestTakeKeepsFullSpeed(t *testing.T) {
+	s := newShare()
+	for i := range 4 {
+		now := time.Duration(i) * time.Second
+		assertVerdict(t, &s, Pending{Key: fmt.Sprint(i), Deadline: far, Duration: 10 * time.Second}, now, VerdictStart)
+	}
+	fifth := Pending{Key: "4", Deadline: far, Duration: 10 * time.Second}
+	assertVerdict(t, &s, fifth, 5*time.Second, VerdictWait)
+	if got, want := s.Predict(fifth, 0, 5*time.Second), 20*time.Second; got != want {
+		t.Errorf("predicted end: got %v, want %v", got, want)
+	}
+	if got, want := s.Predict(fifth, 1, 5*time.Second), 21*time.Second; got != want {
+		t.Errorf("predicted end behind one: got %v, want %v", got, want)
+	}
+	s.Abandon("2")
+	assertVerdict(t, &s, fifth, 5*time.Second, VerdictStart)
+}
+
+func TestAdaptersHaveTheirOwnShare(t *testing.T) {
+	s := newShare()
+	for i := range 32 {
+		assertVerdict(t, &s, Pending{Key: fmt.Sprint(i), Deadline: far, Duration: time.Millisecond, Adapter: true}, 0, VerdictStart)
+	}
+	assertVerdict(t, &s, Pending{Key: "32", Deadline: far, Duration: time.Millisecond, Adapter: true}, 0, VerdictWait)
+	assertVerdict(t, &s, Pending{Key: "model", Deadline: far, Duration: time.Second}, 0, VerdictStart)
+	models, adapters := s.InFlight()
+	if models != 1 || adapters != 32 {
+		t.Errorf("in flight: got %d and %d, want 1 and 32", models, adapters)
+	}
+}
+
+func TestTakeRefusesHopelessLoads(t *testing.T) {
+	s := newShare()
+	p := Pending{Key: "a", Deadline: 9 * time.Second, Duration: 10 * time.Second}
+	assertVerdict(t, &s, p, 0, VerdictHopeless)
+	if models, _ := s.InFlight(); models != 0 {
+		t.Errorf("in flight: got %d, want 0", models)
+	}
+	p.Deadline = 10 * time.Second
+	assertVerdict(t, &s, p, 0, VerdictStart)
+}
+
+func TestSlowdown(t *testing.T) {
+	s := newShare()
+	now := time.Duration(0)
+	for i := range 20 {
+		key := fmt.Sprint(i)
+		assertVerdict(t, &s, Pending{Key: key, Deadline: far, Duration: time.Second}, now, VerdictStart)
+		now += 5 * time.Second
+		s.Done(key, now)
+	}
+	p := Pending{Key: "next", Deadline: now + 3*time.Second, Duration: time.Second}
+	t.Run("learned", func(t *testing.T) {
+		got, _ := s.Slowdown(now)
+		if got < 4.3 || got > 5 {
+			t.Errorf("slowdown: got %g, want about 5", got)
+		}
+		assertVerdict(t, &s, p, now, VerdictHopeless)
+	})
+	t.Run("tried again later", func(t *testing.T) {
+		later := now + 2*time.Minute
+		p.Deadline = later + 3*time.Second
+		assertVerdict(t, &s, p, later, VerdictStart)
+	})
+	t.Run("seen before the load is done", func(t *testing.T) {
+		if got, _ := s.Slowdown(now + 2*time.Minute + 50*time.Second); got != 50 {
+			t.Errorf("slowdown: got %g, want 50", got)
+		}
+	})
+}
+
+func TestResumeBeyondFullSpeed(t *testing.T) {
+	s := newShare()
+	for i := range 5 {
+		s.Resume(Pending{Key: fmt.Sprint(i), Duration: 4 * time.Second}, 0)
+	}
+	s.Done("4", 5*time.Second)
+	if got := s.models.average(5 * time.Second); got != 1 {
+		t.Errorf("slowdown after a load that shared: got %g, want 1", got)
+	}
+}
+
+func TestOrder(t *testing.T) {
+	pending := []Pending{{Key: "1", Deadline: 1}, {Key: "2", Deadline: 9, Urgent: true}, {Key: "3", Deadline: 5, Urgent: true}}
+	Order(pending)
+	for i, want := range []string{"3", "2", "1"} {
+		if got := pending[i].Key; got != want {
+			t.Errorf("load %d: got %s, want %s", i, got, want)
+		}
+	}
+}
+
+func TestZeroLoadShareStartsAll(t *testing.T) {
+	var s LoadShare
+	for i := range 100 {
+		assertVerdict(t, &s, Pending{Key: fmt.Sprint(i), Deadline: far, Duration: time.Second}, 0, VerdictStart)
+	}
+}
+
+func assertVerdict(t *testing.T, s *LoadShare, p Pending, now time.Duration, want Verdict) {
+	t.Helper()
+	if got := s.Take(p, now); got != want {
+		t.Errorf("verdict on %s at %v: got %d, want %d", p.Key, now, got, want)
+	}
+}
+
+func newShare() LoadShare {
+	var s LoadShare
+	s.Configure(cataloger.WeightStore{LoadsPerSecond: 3, FullSpeedLoads: 4, FullSpeedAdapters: 32}, 0)
+	return s
+}
--- /dev/null
+++ b/internal/decision/limiter/retrybudget.go
@@ -0,0 +1,51 @@
+// Package limiter bounds retries and the loads that one cell takes from the weight store.
+package limiter
+
+import "time"
+
+const (
+	// DefaultRetryShare is how many retries each success allows if nothing is configured.
+	DefaultRetryShare = 0.1
+	// retryFloorPerSecond is how many retries are allowed without any success.
+	retryFloorPerSecond = 0.2
+	// maxRetries is how many retries may be saved up.
+	maxRetries = 10.0
+)
+
+// A RetryBudget bounds retries to a share of successes and a small floor, so that retries don't
+// multiply the load of a failing fleet. The zero value is ready to use and full.
+type RetryBudget struct {
+	// Share is how many retries each success allows; zero means DefaultRetryShare.
+	Share float64
+
+	// used is how much of maxRetries is missing, from 0 to maxRetries.
+	used    float64
+	updated time.Duration
+}
+
+// Spend takes one retry from the budget and returns whether it may be sent.
+func (b *RetryBudget) Spend(now time.Duration) bool {
+	b.refill(now)
+	if b.used > maxRetries-1 {
+		return false
+	}
+	b.used++
+	return true
+}
+
+// Success notes a request that succeeded.
+func (b *RetryBudget) Success() {
+	share := b.Share
+	if share <= 0 {
+		share = DefaultRetryShare
+	}
+	b.used = max(0, b.used-share)
+}
+
+func (b *RetryBudget) refill(now time.Duration) {
+	if now <= b.updated {
+		return
+	}
+	b.used = max(0, b.used-retryFloorPerSecond*(now-b.updated).Seconds())
+	b.updated = now
+}
