--- a/internal/backend/orderer/order.go
+++ b/internal/backend/orderer/order.go
@@ -58,3 +58,19 @@
 	// OutcomeRefused means that the engine refused the order for another reason, such as memory.
 	OutcomeRefused
 )
+
+// String returns the outcome's name in logs.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeNotSent:
+		return "not sent"
+	case OutcomeAccepted:
+		return "accepted"
+	case OutcomeStaleFence:
+		return "stale fence"
+	case OutcomeRefused:
+		return "refused"
+	default:
+		return "unknown"
+	}
+}
--- /dev/null
+++ b/internal/daemon/executor/call.go
@@ -0,0 +1,132 @@
+package executor
+
+import (
+	"context"
+	"time"
+
+	"samphirewharf/internal/backend/orderer"
+	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/platform/storer"
+)
+
+// connectTimeout bounds a test whether a server takes connections.
+const connectTimeout = time.Second
+
+// A call is one effect on its way.
+type call struct {
+	executor *Executor
+	effect   reducer.Effect
+}
+
+// run carries the effect out and posts the event that it ends in.
+func (c *call) run() {
+	x := c.executor
+	ctx := x.Context
+	switch e := c.effect.(type) {
+	case reducer.StoreGet:
+		entry, result := x.Store.Get(ctx, e.Key)
+		x.Post(reducer.StoreGot{Op: e.Op, Result: result, Entry: entry})
+	case reducer.StoreSwap:
+		c.swap(ctx, e)
+	case reducer.StoreDelete:
+		result := x.Store.Delete(ctx, e.Key, e.Revision)
+		x.Post(reducer.StoreSwapped{Op: e.Op, Result: result})
+	case reducer.StoreList:
+		entries, result := x.Store.List(ctx, e.Prefix)
+		x.Post(reducer.StoreListed{Op: e.Op, Result: result, Entries: entries})
+	case reducer.LeaseRenew:
+		c.renew(ctx, e)
+	case reducer.LeaseRevoke:
+		if id := x.LeaseID(); id != 0 {
+			x.Store.Revoke(ctx, id)
+		}
+	case reducer.ListHosts:
+		c.listHosts(ctx, e)
+	case reducer.PollServer:
+		c.poll(ctx, e)
+	case reducer.SendOrder:
+		c.order(ctx, e)
+	case reducer.LoadConfiguration:
+		c.loadConfiguration(ctx, e)
+	}
+}
+
+func (c *call) listHosts(ctx context.Context, e reducer.ListHosts) {
+	x := c.executor
+	hosts, etag, unchanged, err := x.Hosts.List(ctx, e.Service, x.etag(e.Service))
+	if err != nil {
+		x.Post(reducer.HostsListed{Service: e.Service})
+		return
+	}
+	x.setEtag(e.Service, etag)
+	x.Post(reducer.HostsListed{Service: e.Service, OK: true, Unchanged: unchanged, Hosts: hosts})
+}
+
+func (c *call) loadConfiguration(ctx context.Context, e reducer.LoadConfiguration) {
+	x := c.executor
+	catalog, revision, err := x.FetchConfiguration(ctx, e.PeerAddress, e.HaveVersion)
+	if err != nil {
+		x.Logger.Warn().Err(err).Str("PeerAddress", e.PeerAddress).Msg("configuration could not be read")
+		catalog = nil
+	}
+	x.Post(reducer.ConfigurationLoaded{Catalog: catalog, Revision: revision})
+}
+
+// order sends an order unless its time has passed, which it checks last.
+func (c *call) order(ctx context.Context, e reducer.SendOrder) {
+	x := c.executor
+	if x.since() > e.Expires {
+		x.Post(reducer.OrderEnded{OrderID: e.Order.OrderID, Server: e.Server, Outcome: orderer.OutcomeNotSent})
+		return
+	}
+	outcome, fence := x.Engine.Send(ctx, e.Address, e.Order)
+	x.logOrder(e, outcome)
+	x.Post(reducer.OrderEnded{OrderID: e.Order.OrderID, Server: e.Server, Outcome: outcome, Fence: fence})
+}
+
+func (c *call) poll(ctx context.Context, e reducer.PollServer) {
+	x := c.executor
+	sentAt := x.since()
+	if e.ConnectOnly {
+		ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+		defer cancel()
+		x.Post(reducer.ServerPolled{Server: e.Server, OK: x.Connect(ctx, e.Address), SentAt: sentAt})
+		return
+	}
+	report, err := x.Engine.Poll(ctx, e.Address, e.Checkpoints)
+	x.Post(reducer.ServerPolled{Server: e.Server, OK: err == nil, SentAt: sentAt, Report: report})
+}
+
+// renew renews the lease, or makes a new one if there is none or it has expired.
+func (c *call) renew(ctx context.Context, e reducer.LeaseRenew) {
+	x := c.executor
+	sentAt := x.since()
+	id := x.LeaseID()
+	if id != 0 {
+		alive, result := x.Store.KeepAlive(ctx, id)
+		if result != storer.ResultOK || alive {
+			x.Post(reducer.LeaseRenewed{SentAt: sentAt, Result: result})
+			return
+		}
+		sentAt = x.since()
+	}
+	granted, result := x.Store.Grant(ctx, e.TimeToLive)
+	if result == storer.ResultOK {
+		x.setLease(granted)
+	}
+	x.Post(reducer.LeaseRenewed{SentAt: sentAt, Result: result, Lost: true})
+}
+
+func (c *call) swap(ctx context.Context, e reducer.StoreSwap) {
+	x := c.executor
+	var lease int64
+	if e.Leased {
+		lease = x.LeaseID()
+		if lease == 0 {
+			x.Post(reducer.StoreSwapped{Op: e.Op, Result: storer.ResultNotSent})
+			return
+		}
+	}
+	revision, result := x.Store.Swap(ctx, e.Key, e.Value, e.Revision, lease)
+	x.Post(reducer.StoreSwapped{Op: e.Op, Result: result, Revision: revision})
+}
--- /dev/null
+++ b/internal/daemon/executor/watcher.go
@@ -0,0 +1,73 @@
+package executor
+
+import (
+	"context"
+	"time"
+
+	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/platform/storer"
+)
+
+// watchRetry is how long after a broken watch the next one is made.
+const watchRetry = 500 * time.Millisecond
+
+// A watcher reports changes below a prefix until its context ends. After each break it reads the
+// prefix anew, so that the newest value of each key is reported even if changes were missed.
+type watcher struct {
+	executor *Executor
+	ctx      context.Context //nolint:containedctx // It spans the watch's life.
+	prefix   string
+	known    map[string]int64
+}
+
+// loop watches, and reconnects after breaks.
+func (w *watcher) loop() {
+	for w.ctx.Err() == nil {
+		from, ok := w.refresh()
+		if ok {
+			_ = w.executor.Store.Watch(w.ctx, w.prefix, from, w.report)
+		}
+		select {
+		case <-w.ctx.Done():
+		case <-time.After(watchRetry):
+		}
+	}
+}
+
+// refresh reports what changed while no watch was open and returns the revision to watch from.
+func (w *watcher) refresh() (int64, bool) {
+	entries, result := w.executor.Store.List(w.ctx, w.prefix)
+	if result != storer.ResultOK && result != storer.ResultNotFound {
+		return 0, false
+	}
+	var newest int64
+	present := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		present[e.Key] = true
+		newest = max(newest, e.Revision)
+		if w.known[e.Key] < e.Revision {
+			w.report(e, false)
+		}
+	}
+	for key := range w.known {
+		if !present[key] {
+			w.report(storer.Entry{Key: key}, true)
+		}
+	}
+	if newest == 0 {
+		return 0, true
+	}
+	return newest + 1, true
+}
+
+func (w *watcher) report(e storer.Entry, deleted bool) {
+	if w.known == nil {
+		w.known = make(map[string]int64)
+	}
+	if deleted {
+		delete(w.known, e.Key)
+	} else {
+		w.known[e.Key] = e.Revision
+	}
+	w.executor.Post(reducer.StoreChanged{Entry: e, Deleted: deleted})
+}
--- a/internal/decision/observer/server.go
+++ b/internal/decision/observer/server.go
@@ -79,3 +79,6 @@
 		s.checkpoints[name] = TierMemory
 	}
 }
+
+// Revive makes the server count as reachable.
+func (s *Server) Revive() { s.failures = 0 }
--- a/internal/decision/planner/adapters.go
+++ b/internal/decision/planner/adapters.go
@@ -79,7 +79,7 @@
 	kind := orderer.KindUnloadAdapter
 	if load {
 		kind = orderer.KindLoadAdapter
-		if m.Loads.StartAdapter != nil && !m.Loads.StartAdapter(v.Now, id) {
+		if m.Loads.StartAdapter != nil && !m.Loads.StartAdapter(v.Now, id, m.adapterLoad(v)) {
 			return
 		}
 	}
@@ -140,6 +140,15 @@
 	return victim, victim != ""
 }
 
+// adapterLoad returns how long an adapter's load takes at full speed.
+func (m *Machine) adapterLoad(v View) time.Duration {
+	service, ok := v.Catalog.Service(m.Cell)
+	if !ok {
+		return 0
+	}
+	return service.Store.AdapterLoad.D()
+}
+
 func (m *Machine) slotPending(s *observer.Server) bool {
 	for _, slot := range m.slots {
 		if slot.server == s.Host.Server {
--- a/internal/decision/planner/decide.go
+++ b/internal/decision/planner/decide.go
@@ -20,6 +20,8 @@
 type choice struct {
 	server  *observer.Server
 	tier    observer.Tier
+	// full is how long the load takes at full speed, score what it is predicted to take with penalties.
+	full    time.Duration
 	score   time.Duration
 	victims []Replica
 	lost    float64
@@ -127,6 +129,7 @@
 		}
 		free := m.freeBytes(next, s, d.Name)
 		c := choice{server: s, tier: s.Tier(d.Name)}
+		c.full = fullLoadTime(d, c.tier)
 		c.score = m.loadTime(v, d, c.tier) + sameZonePenalty*time.Duration(m.inZone(v, next, d, s.Host.Zone))
 		if free >= d.ReplicaBytes() {
 			fits = append(fits, c)
@@ -197,19 +200,25 @@
 }
 
 func (m *Machine) loadTime(v View, d *cataloger.Deployment, tier observer.Tier) time.Duration {
-	full := d.Load.D()
-	switch tier {
-	case observer.TierMemory:
-		full = d.LoadFromMemory.D()
-	case observer.TierDisk:
-		full = d.LoadFromDisk.D()
-	}
+	full := fullLoadTime(d, tier)
 	if m.Loads.Predict == nil {
 		return full
 	}
 	return m.Loads.Predict(v.Now, full, tier == observer.TierRemote)
 }
 
+// fullLoadTime returns how long a load takes at full speed.
+func fullLoadTime(d *cataloger.Deployment, tier observer.Tier) time.Duration {
+	switch tier {
+	case observer.TierMemory:
+		return d.LoadFromMemory.D()
+	case observer.TierDisk:
+		return d.LoadFromDisk.D()
+	default:
+		return d.Load.D()
+	}
+}
+
 // victims returns the idle replicas of a server whose loss costs least and frees enough memory.
 func (m *Machine) victims(v View, next Record, s *observer.Server, d *cataloger.Deployment, bytes int64) ([]Replica, float64) {
 	type candidate struct {
@@ -283,7 +292,7 @@
 func (m *Machine) load(v View, next Record, w want, d *cataloger.Deployment, best, other choice, report func(Decision)) Record {
 	id := next.nextReplicaID()
 	remote := best.tier == observer.TierRemote
-	if m.Loads.Start != nil && !m.Loads.Start(v.Now, id, remote, w.urgent > 0, w.deadline) {
+	if m.Loads.Start != nil && !m.Loads.Start(v.Now, id, best.full, remote, w.urgent > 0, w.deadline) {
 		m.act(Forecast{Deployment: d.Name, ReadyIn: m.loadTime(v, d, best.tier)})
 		return next
 	}
--- a/internal/decision/planner/demand.go
+++ b/internal/decision/planner/demand.go
@@ -86,6 +86,18 @@
 	return list
 }
 
+// waiting reports whether any request waits.
+func (d *demand) waiting() bool {
+	for _, dd := range d.byDaemon {
+		for _, need := range dd.needs {
+			if need.Urgent+need.CanWait > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func addNeed(sums map[string]*want, need Need, at time.Duration) {
 	w, ok := sums[need.Deployment]
 	if !ok {
--- a/internal/decision/planner/machine.go
+++ b/internal/decision/planner/machine.go
@@ -81,12 +81,13 @@
 type Loads struct {
 	// Predict returns how long a load takes if it starts now.
 	Predict func(now time.Duration, full time.Duration, remote bool) time.Duration
-	// Start takes a place for a load, or reports that none is free.
-	Start func(now time.Duration, id string, remote bool, urgent bool, deadline time.Duration) bool
-	// Finish gives the place back.
-	Finish func(now time.Duration, id string)
+	// Start takes a place for a load of the given time, or reports that none is free.
+	Start func(now time.Duration, id string, full time.Duration, remote, urgent bool, deadline time.Duration) bool
+	// Finish gives the place of a load that is done back, Abandon that of one that came to nothing.
+	Finish  func(now time.Duration, id string)
+	Abandon func(id string)
 	// StartAdapter and FinishAdapter do the same for adapters.
-	StartAdapter  func(now time.Duration, id string) bool
+	StartAdapter  func(now time.Duration, id string, full time.Duration) bool
 	FinishAdapter func(now time.Duration, id string)
 }
 
@@ -130,8 +131,9 @@
 	// seenAt is when the newest own poll was sent; engine and fence are what it showed.
 	seenAt time.Duration
 	polled bool
-	engine string
-	fence  int64
+	engine   string
+	sequence int64
+	fence    int64
 	// present are the replicas that it showed.
 	present map[string]bool
 	// raising is the order that raises the fence, empty if none is on its way.
@@ -221,8 +223,10 @@
 	s := m.server(server)
 	s.polling = false
 	s.pollAt = v.Now + busyPoll
-	if ok && sentAt >= s.seenAt {
+	stale := s.engine == report.Instance && report.Sequence <= s.sequence
+	if ok && sentAt >= s.seenAt && !stale {
 		s.seenAt = sentAt
+		s.sequence = report.Sequence
 		s.polled = true
 		s.engine = report.Instance
 		s.fence = report.Fence
@@ -234,6 +238,22 @@
 // Record returns the newest record known and its revision, 0 if none exists.
 func (m *Machine) Record() (Record, int64) { return m.record, m.revision }
 
+// Busy reports whether something is pending that another Step soon may further.
+func (m *Machine) Busy() bool {
+	if m.write != nil || m.reading || len(m.slots) > 0 || len(m.evict) > 0 || len(m.unload) > 0 {
+		return true
+	}
+	if !m.Placing() {
+		return false
+	}
+	for _, r := range m.record.Replicas {
+		if !m.seen[r.ID] || r.State == StateUnloading {
+			return true
+		}
+	}
+	return m.demand.waiting()
+}
+
 // Placing reports whether this process is the cell's placer as far as it knows.
 func (m *Machine) Placing() bool {
 	return m.known && m.record.Placer == m.Daemon && m.record.Instance == m.Instance
@@ -302,7 +322,7 @@
 	}
 	m.record = record
 	m.revision = revision
-	defer m.prune(v.Now)
+	defer m.prune()
 	if m.write == nil {
 		return
 	}
@@ -445,6 +465,12 @@
 	m.swap(v, next, []Action{Decision{Action: "TakeOver", Server: m.Daemon, Reason: reason}})
 }
 
+func (l Loads) abandon(id string) {
+	if l.Abandon != nil {
+		l.Abandon(id)
+	}
+}
+
 func (l Loads) finish(now time.Duration, id string) {
 	if l.Finish != nil {
 		l.Finish(now, id)
--- a/internal/decision/planner/release.go
+++ b/internal/decision/planner/release.go
@@ -129,10 +129,10 @@
 }
 
 // prune forgets what concerns replicas that the record does not hold any more. Their IDs never come back.
-func (m *Machine) prune(now time.Duration) {
+func (m *Machine) prune() {
 	for id := range m.started {
 		if _, ok := m.record.Replica(id); !ok {
-			m.Loads.finish(now, id)
+			m.Loads.abandon(id)
 		}
 	}
 	pruneMap(m.record, m.started)
--- /dev/null
+++ b/internal/decision/reducer/arrival.go
@@ -0,0 +1,224 @@
+package reducer
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"samphirewharf/internal/caller/refuser"
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/decision/admitter"
+)
+
+const (
+	defaultPlainDeadline = 5 * time.Second
+	// coldInterest is how long a request that was refused as too slow to start keeps asking for a replica.
+	coldInterest = 10 * time.Second
+)
+
+// arrive takes a new request.
+func (m *Machine) arrive(e RequestArrived) {
+	r := &request{id: e.Request, arrived: e, at: m.now.Since, heapIndex: -1}
+	m.requests[r.id] = r
+	if m.catalog == nil {
+		m.refuse(r, refuser.CodeNoConfiguration, refuser.NotRun, time.Second, "")
+		return
+	}
+	if m.stop.closed {
+		m.refuse(r, refuser.CodeDaemonStopping, refuser.NotRun, time.Second, "")
+		return
+	}
+	if len(m.requests) > m.maxRequests() {
+		m.refuse(r, refuser.CodeOverloaded, refuser.NotRun, time.Second, "")
+		return
+	}
+	if !m.resolve(r) {
+		m.refuse(r, refuser.CodeUnknownDeployment, refuser.NotRun, 0, e.Target)
+		return
+	}
+	m.wakeRequest(r, r.deadline)
+	if m.cells[r.service.Name] == nil {
+		m.forwardToCell(r)
+		return
+	}
+	if m.isolator.Convicted(r.hash, m.now.Since) {
+		m.refuse(r, refuser.CodePoisonRequest, refuser.NotRun, 0, "")
+		return
+	}
+	if e.Plain {
+		m.arrivePlain(r)
+		return
+	}
+	m.arriveModel(r)
+}
+
+// resolve finds the request's service, target and deadline.
+func (m *Machine) resolve(r *request) bool {
+	e := r.arrived
+	name := e.Target
+	var timeout time.Duration
+	if e.Plain {
+		service, ok := m.catalog.Service(name)
+		if !ok || service.Kind != cataloger.KindPlain {
+			return false
+		}
+		r.service = service
+		timeout = service.Deadline.D()
+		if timeout == 0 {
+			timeout = defaultPlainDeadline
+		}
+	} else {
+		target, ok := m.catalog.Target(name)
+		if !ok {
+			return false
+		}
+		service, ok := m.catalog.Service(target.Deployment.Service)
+		if !ok {
+			return false
+		}
+		r.target, r.service = target, service
+		r.idempotent = true
+		timeout = defaultDeadline(target.Deployment, e.Urgent)
+	}
+	if e.Timeout > 0 {
+		timeout = e.Timeout
+	}
+	r.deadline = r.at + timeout
+	r.hash = requestHash(name, e.BodyHash)
+	return true
+}
+
+func defaultDeadline(d *cataloger.Deployment, urgent bool) time.Duration {
+	if urgent {
+		return d.UrgentDeadline.D()
+	}
+	return d.CanWaitDeadline.D()
+}
+
+func requestHash(name string, body uint64) uint64 {
+	var digest xxhash.Digest
+	digest.ResetWithSeed(body)
+	_, _ = digest.WriteString(name)
+	return digest.Sum64()
+}
+
+// arriveModel routes a request to a replica, queues it, or refuses it early.
+func (m *Machine) arriveModel(r *request) {
+	d := r.target.Deployment
+	r.queue = m.modelQueue(d)
+	r.queue.used = true
+	m.warmer.Arrived(d.Name, m.now.Since)
+	if r.queue.waiting.Len() == 0 && m.route(r) {
+		return
+	}
+	m.enqueue(r)
+}
+
+// arrivePlain claims a request that must never be repeated, or routes any other.
+func (m *Machine) arrivePlain(r *request) {
+	r.queue = m.plainQueue(r.service)
+	if m.needsClaim(r) {
+		m.claim(r)
+		return
+	}
+	r.idempotent = idempotentMethod(r.arrived.Method)
+	if r.queue.waiting.Len() == 0 && m.route(r) {
+		return
+	}
+	m.enqueue(r)
+}
+
+// needsClaim reports whether the configuration says that the request must never be repeated.
+func (m *Machine) needsClaim(r *request) bool {
+	for _, rule := range r.service.NonIdempotent {
+		if rule.Method != "*" && rule.Method != r.arrived.Method {
+			continue
+		}
+		if strings.HasPrefix(r.arrived.Path, rule.PathPrefix) {
+			return true
+		}
+	}
+	return false
+}
+
+func idempotentMethod(method string) bool {
+	switch method {
+	case "GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE":
+		return true
+	default:
+		return false
+	}
+}
+
+// enqueue queues a request, or refuses it at once if it can't be served in time.
+func (m *Machine) enqueue(r *request) {
+	if code, after := m.hopeless(r); code != refuser.CodeOK {
+		m.refuse(r, code, r.ran(), after, r.queue.name)
+		return
+	}
+	item := admitter.Item{ID: uint64(r.id), Urgent: r.arrived.Urgent, Deadline: r.deadline, Arrived: r.at}
+	displaced, ok := r.queue.waiting.Push(item)
+	if !ok {
+		m.refuse(r, refuser.CodeQueueFull, r.ran(), m.queueRetryAfter(r.queue), r.queue.name)
+		return
+	}
+	r.state = stateQueued
+	r.queue.add(r)
+	m.wakeRequest(r, r.deadline)
+	m.needSoon(r.queue)
+	if displaced == nil {
+		return
+	}
+	if other := r.queue.byID[displaced.ID]; other != nil {
+		r.queue.forget(other)
+		m.refuse(other, refuser.CodeQueueFull, other.ran(), m.queueRetryAfter(r.queue), r.queue.name)
+	}
+}
+
+// hopeless returns why a request can't be served in time, or CodeOK, and when to come back.
+func (m *Machine) hopeless(r *request) (refuser.Code, time.Duration) {
+	q := r.queue
+	left := r.deadline - m.now.Since
+	slots, running := m.slots(q)
+	if slots > 0 {
+		predicted := q.estimator.Predict(q.waiting.Ahead(r.arrived.Urgent), slots, running)
+		if r.arrived.Stream {
+			predicted -= q.estimator.Service()
+		}
+		if q.waiting.Len() > 0 && predicted > left {
+			return refuser.CodeDeadlineUnreachable, m.queueRetryAfter(q)
+		}
+		return refuser.CodeOK, 0
+	}
+	if q.plain {
+		return refuser.CodeNoServer, admitter.MinRetryAfter
+	}
+	return m.hopelessCold(r, left)
+}
+
+// hopelessCold judges a request whose deployment is not loaded. Its interest stays, so that a repeat
+// at the time it is told finds the deployment loaded.
+func (m *Machine) hopelessCold(r *request, left time.Duration) (refuser.Code, time.Duration) {
+	q := r.queue
+	if q.impossible && q.readyAt > m.now.Since {
+		return refuser.CodeNoCapacity, max(admitter.MinRetryAfter, q.readyAt-m.now.Since)
+	}
+	ready := r.target.Deployment.LoadFromMemory.D()
+	if q.readyAt > m.now.Since {
+		ready = q.readyAt - m.now.Since
+	}
+	if ready <= left {
+		return refuser.CodeOK, 0
+	}
+	q.coldUntil = m.now.Since + coldInterest
+	m.needSoon(q)
+	return refuser.CodeColdStartTooSlow, max(admitter.MinRetryAfter, ready)
+}
+
+func (m *Machine) maxRequests() int {
+	if m.settings.MaxRequests > 0 {
+		return m.settings.MaxRequests
+	}
+	return maxRequests
+}
--- /dev/null
+++ b/internal/decision/reducer/cell.go
@@ -0,0 +1,166 @@
+package reducer
+
+import (
+	"slices"
+	"time"
+
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/decision/claimer"
+	"samphirewharf/internal/decision/limiter"
+	"samphirewharf/internal/decision/planner"
+)
+
+// A cell is what a daemon keeps of one service whose requests it serves. Today a service is one cell.
+type cell struct {
+	name string
+	kind cataloger.ServiceKind
+	// daemons are the IDs of the daemons that serve the cell, ordered by name.
+	daemons []string
+
+	planner *planner.Machine
+	loads   limiter.LoadShare
+	claims  *claimer.Machine
+	// owned are the claim partitions that this daemon owns.
+	owned map[int]bool
+
+	// needy are the queues with waiting requests.
+	needy map[string]*deployment
+	// needsAt is when needs are sent next; needsSequence numbers the messages.
+	needsAt       time.Duration
+	needsSequence int64
+	// forecasts are the forecasts last sent, by deployment.
+	forecasts map[string]forecast
+	watching  bool
+}
+
+type forecast struct {
+	at    time.Duration
+	ready time.Duration
+}
+
+// wake returns when the cell needs a Ticked event at the latest.
+func (c *cell) wake() time.Duration {
+	wake := time.Duration(1<<63 - 1)
+	if len(c.needy) > 0 {
+		wake = c.needsAt
+	}
+	if at, ok := c.claims.NextWake(); ok {
+		wake = min(wake, at)
+	}
+	return wake
+}
+
+// updateCells takes up the cells that this daemon now serves and gives up the others.
+func (m *Machine) updateCells() {
+	if m.catalog == nil {
+		return
+	}
+	for i := range m.catalog.Configuration.Services {
+		service := &m.catalog.Configuration.Services[i]
+		daemons := m.cellDaemons(service.Name)
+		if !slices.Contains(daemons, m.settings.Daemon) {
+			m.dropCell(service.Name)
+			continue
+		}
+		c := m.cells[service.Name]
+		if c == nil {
+			c = m.addCell(service)
+		}
+		c.loads.Configure(service.Store, m.now.Since)
+		if !slices.Equal(c.daemons, daemons) {
+			c.daemons = daemons
+			m.assignPolls(c)
+			m.assignClaims(c)
+		}
+	}
+	for _, name := range slices.Clone(m.cellNames) {
+		if _, ok := m.catalog.Service(name); !ok {
+			m.dropCell(name)
+		}
+	}
+}
+
+func (m *Machine) addCell(service *cataloger.Service) *cell {
+	c := &cell{
+		name:      service.Name,
+		kind:      service.Kind,
+		owned:     make(map[int]bool),
+		needy:     make(map[string]*deployment),
+		forecasts: make(map[string]forecast),
+	}
+	c.planner = &planner.Machine{
+		Cell:          service.Name,
+		Daemon:        m.settings.Daemon,
+		Instance:      m.settings.Instance,
+		KeepAlive:     m.keepAlive,
+		EvictionScore: m.evictionScore,
+		Loads:         m.loadsOf(c),
+	}
+	c.claims = claimer.New(claimer.Settings{
+		Cell:      service.Name,
+		Daemon:    m.settings.Daemon,
+		Instance:  m.settings.Instance,
+		Retention: service.ClaimRetention.D(),
+	})
+	m.cells[service.Name] = c
+	at, _ := slices.BinarySearch(m.cellNames, service.Name)
+	m.cellNames = slices.Insert(m.cellNames, at, service.Name)
+	m.emit(StoreWatch{Prefix: placementKey(c.name)})
+	m.next.hosts = m.now.Since
+	m.next.plan = m.now.Since
+	return c
+}
+
+// dropCell gives a cell up. Requests in hand go on with what is known of its servers.
+func (m *Machine) dropCell(name string) {
+	c := m.cells[name]
+	if c == nil {
+		return
+	}
+	delete(m.cells, name)
+	at, found := slices.BinarySearch(m.cellNames, name)
+	if found {
+		m.cellNames = slices.Delete(m.cellNames, at, at+1)
+	}
+	m.emit(StoreUnwatch{Prefix: placementKey(name)})
+	for _, q := range c.needy {
+		for _, r := range q.byID {
+			q.remove(r)
+			m.forwardToCell(r)
+		}
+	}
+}
+
+func (m *Machine) loadsOf(c *cell) planner.Loads {
+	return planner.Loads{
+		Predict: func(now, full time.Duration, remote bool) time.Duration {
+			if !remote {
+				return full
+			}
+			return c.loads.Predict(limiter.Pending{Duration: full}, 0, now)
+		},
+		Start: func(now time.Duration, id string, full time.Duration, remote, urgent bool, deadline time.Duration) bool {
+			if !remote {
+				return true
+			}
+			pending := limiter.Pending{Key: id, Urgent: urgent, Duration: full}
+			return c.loads.Take(pending, now) == limiter.VerdictStart
+		},
+		Finish:  func(now time.Duration, id string) { c.loads.Done(id, now) },
+		Abandon: func(id string) { c.loads.Abandon(id) },
+		StartAdapter: func(now time.Duration, id string, full time.Duration) bool {
+			return c.loads.Take(limiter.Pending{Key: id, Duration: full, Adapter: true}, now) == limiter.VerdictStart
+		},
+		FinishAdapter: func(now time.Duration, id string) { c.loads.Done(id, now) },
+	}
+}
+
+func (m *Machine) keepAlive(d *cataloger.Deployment) time.Duration {
+	return m.warmer.KeepAlive(d.Name)
+}
+
+func (m *Machine) evictionScore(now time.Duration, d *cataloger.Deployment) float64 {
+	return m.warmer.EvictionScore(d.Name, d.Load.D(), d.ReplicaBytes(), now)
+}
+
+func placementKey(cell string) string { return "cells/" + cell + "/placement" }
--- /dev/null
+++ b/internal/decision/reducer/claiming.go
@@ -0,0 +1,180 @@
+package reducer
+
+import (
+	"strconv"
+	"time"
+
+	"samphirewharf/internal/caller/refuser"
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/decision/assigner"
+	"samphirewharf/internal/decision/claimer"
+)
+
+const maxKeyBytes = 255
+
+// claim checks the idempotency key of a request that must never be repeated and takes it to the owner
+// of the key's claim partition.
+func (m *Machine) claim(r *request) {
+	key := r.arrived.Key
+	if key == "" {
+		m.refuse(r, refuser.CodeIdempotencyKeyMissing, refuser.NotRun, 0, identityHeader(r.service))
+		return
+	}
+	if !validKey(key) {
+		m.refuse(r, refuser.CodeIdempotencyKeyInvalid, refuser.NotRun, 0, identityHeader(r.service))
+		return
+	}
+	c := m.cells[r.service.Name]
+	owner := claimOwner(c, claimer.Partition(key, claimer.DefaultPartitions))
+	if owner == m.settings.Daemon || r.arrived.ForwardedBy != "" {
+		m.claimHere(r)
+		return
+	}
+	for _, d := range m.cellMembers(c.name) {
+		if d.ID == owner {
+			m.forward(r, d, "claim partition is owned by another daemon")
+			return
+		}
+	}
+	m.claimHere(r)
+}
+
+// claimHere claims a request at this daemon, whoever owns the partition: safety comes from the
+// key-value service alone.
+func (m *Machine) claimHere(r *request) {
+	c := m.cells[r.service.Name]
+	partition := claimer.Partition(r.arrived.Key, claimer.DefaultPartitions)
+	r.state = stateClaiming
+	if !c.owned[partition] {
+		c.owned[partition] = true
+		m.applyClaims(c, c.claims.Own(m.claimMoment(), partition))
+	}
+	m.applyClaims(c, c.claims.Claim(m.claimMoment(), claimer.Request{
+		ID: uint64(r.id), Key: r.arrived.Key, BodyHash: r.arrived.BodyHash, Deadline: r.deadline,
+	}))
+}
+
+// assignClaims takes and gives up claim partitions after the cell's daemons changed.
+func (m *Machine) assignClaims(c *cell) {
+	service, ok := m.catalog.Service(c.name)
+	if !ok || len(service.NonIdempotent) == 0 {
+		return
+	}
+	for p := range claimer.DefaultPartitions {
+		mine := claimOwner(c, p) == m.settings.Daemon
+		switch {
+		case mine && !c.owned[p]:
+			c.owned[p] = true
+			m.applyClaims(c, c.claims.Own(m.claimMoment(), p))
+		case !mine && c.owned[p]:
+			delete(c.owned, p)
+			m.applyClaims(c, c.claims.Disown(m.claimMoment(), p))
+		}
+	}
+}
+
+// applyClaims carries out what a cell's claimer asks for.
+func (m *Machine) applyClaims(c *cell, actions []claimer.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case claimer.Read:
+			m.emit(StoreGet{Op: m.op(operation{cell: c.name, kind: operationClaim, claimOp: a.Op}), Key: a.Key})
+		case claimer.Swap:
+			op := m.op(operation{cell: c.name, kind: operationClaim, claimOp: a.Op})
+			m.emit(StoreSwap{Op: op, Key: a.Key, Value: a.Value, Revision: a.Revision})
+		case claimer.Delete:
+			op := m.op(operation{cell: c.name, kind: operationClaim, claimOp: a.Op})
+			m.emit(StoreDelete{Op: op, Key: a.Key, Revision: a.Revision})
+		case claimer.Granted:
+			m.granted(c, RequestID(a.Request))
+		case claimer.Denied:
+			m.denied(a)
+		case claimer.Replayed:
+			m.replayed(a)
+		}
+	}
+}
+
+// granted dispatches a request whose claim is in the key-value service.
+func (m *Machine) granted(c *cell, id RequestID) {
+	r, ok := m.requests[id]
+	if !ok || r.state != stateClaiming {
+		m.applyClaims(c, c.claims.Release(m.claimMoment(), uint64(id)))
+		return
+	}
+	r.claimed = true
+	if r.queue.waiting.Len() == 0 && m.route(r) {
+		return
+	}
+	m.enqueue(r)
+}
+
+func (m *Machine) denied(a claimer.Denied) {
+	r, ok := m.requests[RequestID(a.Request)]
+	if !ok {
+		return
+	}
+	m.refuse(r, a.Code, a.Ran, a.RetryAfter, "")
+}
+
+func (m *Machine) replayed(a claimer.Replayed) {
+	r, ok := m.requests[RequestID(a.Request)]
+	if !ok {
+		return
+	}
+	m.emit(Answer{Request: r.id, Status: a.Status, ContentType: a.ContentType, Body: a.Body})
+	m.finish(r)
+}
+
+// releaseClaim gives up the claim of a request that has not been sent and never will be.
+func (m *Machine) releaseClaim(r *request) {
+	r.claimed = false
+	c := m.cells[r.service.Name]
+	if c == nil {
+		return
+	}
+	m.applyClaims(c, c.claims.Release(m.claimMoment(), uint64(r.id)))
+}
+
+func (m *Machine) tickClaims() {
+	for _, name := range m.cellNames {
+		c := m.cells[name]
+		if at, ok := c.claims.NextWake(); ok && at <= m.now.Since {
+			m.applyClaims(c, c.claims.Tick(m.claimMoment()))
+		}
+	}
+}
+
+func (m *Machine) claimMoment() claimer.Moment {
+	return claimer.Moment{Since: m.now.Since, Wall: m.now.Wall}
+}
+
+func claimOwner(c *cell, partition int) string {
+	owner := assigner.Pick("claims/"+c.name+"/"+strconv.Itoa(partition), c.daemons, 1)
+	if len(owner) == 0 {
+		return ""
+	}
+	return owner[0]
+}
+
+func identityHeader(s *cataloger.Service) string {
+	if s.IdentityHeader != "" {
+		return s.IdentityHeader
+	}
+	return "Idempotency-Key"
+}
+
+func validKey(key string) bool {
+	if len(key) > maxKeyBytes {
+		return false
+	}
+	for _, b := range []byte(key) {
+		if b <= ' ' || b > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// verdictLife is how long a verdict on a request holds at other daemons.
+const verdictLife = time.Hour
--- /dev/null
+++ b/internal/decision/reducer/deployment.go
@@ -0,0 +1,201 @@
+package reducer
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/decision/admitter"
+	"samphirewharf/internal/peer/messenger"
+)
+
+// A deployment is what a daemon keeps of a deployment, or of a plain service, that it has requests for.
+type deployment struct {
+	// name is the deployment's, or the plain service's.
+	name    string
+	plain   bool
+	service string
+
+	waiting   admitter.Queue
+	estimator admitter.Estimator
+	// byID finds the waiting requests.
+	byID map[uint64]*request
+	// adapters count the waiting requests by adapter.
+	adapters map[string]int
+
+	running int
+	// used tells that requests ran or arrived since the last message to the placer.
+	used bool
+	// coldUntil is until when a request that was refused as too slow to start keeps asking for a replica.
+	coldUntil time.Duration
+	// readyAt is when the placer expects a replica to be ready; zero if it is not known.
+	readyAt    time.Duration
+	impossible bool
+}
+
+func newDeployment(name, service string, maxQueue int, prior time.Duration) *deployment {
+	return &deployment{
+		name:      name,
+		service:   service,
+		waiting:   admitter.Queue{Max: maxQueue},
+		estimator: admitter.Estimator{Prior: prior},
+		byID:      make(map[uint64]*request),
+		adapters:  make(map[string]int),
+	}
+}
+
+func (d *deployment) add(r *request) {
+	d.byID[uint64(r.id)] = r
+	d.adapters[r.adapter()]++
+}
+
+// forget removes a request that has left the queue.
+func (d *deployment) forget(r *request) {
+	if _, ok := d.byID[uint64(r.id)]; !ok {
+		return
+	}
+	delete(d.byID, uint64(r.id))
+	d.adapters[r.adapter()]--
+	if d.adapters[r.adapter()] == 0 {
+		delete(d.adapters, r.adapter())
+	}
+}
+
+func (d *deployment) remove(r *request) {
+	d.waiting.Remove(uint64(r.id))
+	d.forget(r)
+}
+
+// modelQueue returns the state of a model deployment, made on first use.
+func (m *Machine) modelQueue(d *cataloger.Deployment) *deployment {
+	state, ok := m.deployments[d.Name]
+	if !ok {
+		state = newDeployment(d.Name, d.Service, d.MaxQueue, 0)
+		m.deployments[d.Name] = state
+	}
+	return state
+}
+
+// plainQueue returns the state of a plain service, made on first use.
+func (m *Machine) plainQueue(s *cataloger.Service) *deployment {
+	state, ok := m.plains[s.Name]
+	if !ok {
+		state = newDeployment(s.Name, s.Name, 0, 0)
+		state.plain = true
+		m.plains[s.Name] = state
+	}
+	return state
+}
+
+// queueRetryAfter returns when a repeat is worth sending: when the replica is expected, or a slot free.
+func (m *Machine) queueRetryAfter(q *deployment) time.Duration {
+	slots, running := m.slots(q)
+	if slots == 0 {
+		if q.readyAt > m.now.Since {
+			return max(admitter.MinRetryAfter, q.readyAt-m.now.Since)
+		}
+		if d, ok := m.catalog.Deployment(q.name); ok && !q.plain {
+			return max(admitter.MinRetryAfter, d.Load.D())
+		}
+		return admitter.MinRetryAfter
+	}
+	return q.estimator.RetryAfter(q.waiting.Len(), slots, running)
+}
+
+// slots returns how many requests all usable servers or replicas run at once, and how many they run.
+func (m *Machine) slots(q *deployment) (slots, running int) {
+	if q.plain {
+		return m.plainSlots(q)
+	}
+	d, ok := m.catalog.Deployment(q.name)
+	if !ok {
+		return 0, 0
+	}
+	for _, r := range m.fleet.Replicas(q.name) {
+		if !r.Usable() {
+			continue
+		}
+		slots += d.MaxInFlight
+		running += r.InFlight + r.OthersInFlight()
+	}
+	return slots, running
+}
+
+func (m *Machine) plainSlots(q *deployment) (slots, running int) {
+	service, ok := m.catalog.Service(q.service)
+	if !ok {
+		return 0, 0
+	}
+	for _, s := range m.fleet.Servers(q.service) {
+		if s.Takes() {
+			slots += service.MaxInFlight
+			running += s.InFlight
+		}
+	}
+	return slots, running
+}
+
+// sorted returns the waiting requests in order of arrival.
+func (d *deployment) sorted() []*request {
+	list := slices.Collect(maps.Values(d.byID))
+	slices.SortFunc(list, func(a, b *request) int { return cmp.Compare(a.id, b.id) })
+	return list
+}
+
+// usedQueues returns the queues of a cell that have requests waiting, running or lately served, by name.
+func (m *Machine) usedQueues(c *cell) []*deployment {
+	var list []*deployment
+	for _, q := range m.deployments {
+		if q.service != c.name {
+			continue
+		}
+		if q.used || q.running > 0 || q.waiting.Len() > 0 || m.now.Since < q.coldUntil {
+			list = append(list, q)
+		}
+	}
+	slices.SortFunc(list, func(a, b *deployment) int { return strings.Compare(a.name, b.name) })
+	return list
+}
+
+// queueNeeds returns what a queue's requests wait for, one need for each adapter.
+func (m *Machine) queueNeeds(q *deployment) []messenger.Need {
+	counts := q.waiting.Counts()
+	base := messenger.Need{Deployment: q.name, Used: q.used, Running: q.running}
+	if counts.Urgent+counts.CanWait == 0 {
+		if m.now.Since < q.coldUntil {
+			base.CanWait = 1
+			base.Slack = q.coldUntil - m.now.Since
+		}
+		return []messenger.Need{base}
+	}
+	base.Slack = counts.EarliestDeadline - m.now.Since
+	byAdapter := make(map[string]*messenger.Need)
+	var names []string
+	for _, r := range q.byID {
+		n, ok := byAdapter[r.adapter()]
+		if !ok {
+			n = &messenger.Need{Deployment: q.name, Adapter: r.adapter(), Slack: r.deadline - m.now.Since}
+			byAdapter[r.adapter()] = n
+			names = append(names, r.adapter())
+		}
+		n.Slack = min(n.Slack, r.deadline-m.now.Since)
+		if r.arrived.Urgent {
+			n.Urgent++
+		} else {
+			n.CanWait++
+		}
+	}
+	slices.Sort(names)
+	needs := make([]messenger.Need, 0, len(names))
+	for i, name := range names {
+		n := *byAdapter[name]
+		if i == 0 {
+			n.Used, n.Running = true, q.running
+		}
+		needs = append(needs, n)
+	}
+	return needs
+}
--- a/internal/decision/reducer/effect.go
+++ b/internal/decision/reducer/effect.go
@@ -137,6 +137,8 @@
 	Address string
 	// Checkpoints is the version of the checkpoints already known.
 	Checkpoints int64
+	// ConnectOnly asks only whether the server takes connections; the answer's Report is empty.
+	ConnectOnly bool
 }
 
 // A SendOrder effect sends an order once and never again.
--- /dev/null
+++ b/internal/decision/reducer/forwarding.go
@@ -0,0 +1,102 @@
+package reducer
+
+import (
+	"time"
+
+	"samphirewharf/internal/caller/refuser"
+	"samphirewharf/internal/decision/tracker"
+)
+
+// forwardToCell passes a request to a daemon that serves its cell, one hop at most.
+func (m *Machine) forwardToCell(r *request) {
+	if r.arrived.ForwardedBy != "" {
+		m.refuse(r, refuser.CodeForwardFailed, refuser.NotRun, time.Second, "daemon does not serve "+r.service.Name)
+		return
+	}
+	daemons := m.cellMembers(r.service.Name)
+	near := daemons[:0:0]
+	for _, d := range daemons {
+		if d.ID != r.avoid && !d.Leaving && d.Zone == m.settings.Zone {
+			near = append(near, d)
+		}
+	}
+	if len(near) == 0 {
+		for _, d := range daemons {
+			if d.ID != r.avoid && !d.Leaving {
+				near = append(near, d)
+			}
+		}
+	}
+	if len(near) == 0 {
+		m.refuse(r, refuser.CodeForwardFailed, r.ran(), time.Second, "no daemon serves "+r.service.Name)
+		return
+	}
+	m.forward(r, near[m.rng.IntN(len(near))], "cell is served by another daemon")
+}
+
+func (m *Machine) forward(r *request, to tracker.Member, reason string) {
+	r.attempt++
+	r.state = stateForwarded
+	r.avoid = to.ID
+	m.emit(Forward{
+		Request: r.id,
+		Attempt: r.attempt,
+		Daemon:  to.ID,
+		Address: to.Address,
+		Timeout: r.deadline - m.now.Since,
+		Reason:  reason,
+	})
+}
+
+// forwardEnded takes the end of a Forward. "Not run" is only passed on if nothing was sent or the
+// other daemon said so.
+func (m *Machine) forwardEnded(r *request, e AttemptEnded) {
+	switch e.Outcome {
+	case AttemptDone:
+		m.finish(r)
+	case AttemptCancelled:
+		m.finish(r)
+	case AttemptRefused:
+		m.forwardRefused(r, e)
+	case AttemptNotSent, AttemptNotRun:
+		m.retryForward(r)
+	case AttemptFailed:
+		r.mayHaveRun = true
+		if !r.idempotent || r.started || !m.budget.Spend(m.now.Since) {
+			m.refuse(r, refuser.CodeForwardFailed, refuser.MayHaveRun, time.Second, "")
+			return
+		}
+		m.retryForward(r)
+	}
+}
+
+func (m *Machine) forwardRefused(r *request, e AttemptEnded) {
+	refusal := e.Refusal
+	if refusal.Ran != refuser.NotRun {
+		r.mayHaveRun = true
+	}
+	elsewhere := refusal.Code == refuser.CodeDaemonStopping || refusal.Code == refuser.CodeForwardFailed ||
+		refusal.Code == refuser.CodeNoConfiguration
+	if elsewhere && refusal.Ran == refuser.NotRun && r.attempt < maxAttempts {
+		m.retryForward(r)
+		return
+	}
+	if r.mayHaveRun && refusal.Ran == refuser.NotRun {
+		refusal.Ran = refuser.MayHaveRun
+	}
+	m.emit(Refuse{Request: r.id, Refusal: refusal})
+	m.finish(r)
+}
+
+// retryForward sends a request that its last daemon did not run elsewhere.
+func (m *Machine) retryForward(r *request) {
+	if r.attempt >= maxAttempts {
+		m.refuse(r, refuser.CodeForwardFailed, r.ran(), time.Second, "")
+		return
+	}
+	if m.cells[r.service.Name] == nil {
+		m.forwardToCell(r)
+		return
+	}
+	m.claimHere(r)
+}
--- /dev/null
+++ b/internal/decision/reducer/machine.go
@@ -0,0 +1,208 @@
+package reducer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/decision/isolator"
+	"samphirewharf/internal/decision/limiter"
+	"samphirewharf/internal/decision/observer"
+	"samphirewharf/internal/decision/router"
+	"samphirewharf/internal/decision/tracker"
+	"samphirewharf/internal/decision/warmer"
+)
+
+// The reducer's own times.
+const (
+	// pollInterval is how often a server is polled by the daemon that it is assigned to.
+	pollInterval = time.Second
+	// hostsInterval is how often the host list of a cell is read.
+	hostsInterval = time.Second
+	// needsInterval is how often needs are repeated to a cell's placer while requests wait.
+	needsInterval = 250 * time.Millisecond
+	// usesInterval is how often uses are told to a cell's placer while no request waits.
+	usesInterval = time.Second
+	// planInterval is how often a placer plans while something is pending.
+	planInterval = 20 * time.Millisecond
+	// verifyTimeout is how long a request whose server broke off waits to learn whether the server died.
+	verifyTimeout = 300 * time.Millisecond
+	// defaultDrain is how long a stopping daemon takes new requests if nothing is configured.
+	defaultDrain = 6 * time.Second
+	// maxRequests bounds the requests that a daemon holds if nothing is configured.
+	maxRequests = 20000
+	// maxAttempts bounds the attempts of one request, whatever the retry budget allows.
+	maxAttempts = 6
+)
+
+// Settings identify a daemon.
+type Settings struct {
+	Daemon string
+	// Instance identifies the process; it is never used by another process.
+	Instance string
+	// Address is where callers and other daemons reach the daemon.
+	Address string
+	Zone    string
+	Region  string
+	// Seed seeds the daemon's random choices.
+	Seed uint64
+	// DrainTime is how long a stopping daemon takes new requests, at least the time to live of address answers.
+	DrainTime time.Duration
+	// MaxRequests bounds the requests held at once; zero means a default.
+	MaxRequests int
+}
+
+// A Machine is the state of one daemon's decisions. New makes one. It is not safe for concurrent use.
+type Machine struct {
+	settings Settings
+	rng      *rand.Rand
+	now      Moment
+	out      []Effect
+
+	catalog      *cataloger.Catalog
+	loading      bool
+	loadAt       time.Duration
+	headRevision int64
+
+	fleet    observer.Fleet
+	members  tracker.Tracker
+	isolator isolator.Isolator
+	budget   limiter.RetryBudget
+	warmer   warmer.Warmer
+	router   router.Router
+
+	// candidates and what they stand for are kept between decisions to save allocations.
+	candidates        []router.Candidate
+	candidateReplicas []*observer.Replica
+	candidateServers  []*observer.Server
+	candidateAt       func(int) router.Candidate
+
+	// cells are the services whose requests this daemon serves, by name.
+	cells     map[string]*cell
+	cellNames []string
+
+	requests    map[RequestID]*request
+	deadlines   deadlineHeap
+	deployments map[string]*deployment
+	plains      map[string]*deployment
+
+	nextOp OpID
+	ops    map[OpID]operation
+
+	polls     map[string]*poll
+	verifying map[string][]*request
+
+	stop stopping
+	next schedule
+}
+
+// A schedule holds when the machine's periodic work is due.
+type schedule struct {
+	hosts     time.Duration
+	heartbeat time.Duration
+	reports   time.Duration
+	uses      time.Duration
+	plan      time.Duration
+}
+
+// New returns a machine for one daemon process. The first event should follow at once.
+func New(settings Settings) *Machine {
+	m := &Machine{
+		settings:    settings,
+		rng:         rand.New(rand.NewPCG(settings.Seed, 0x5a3)),
+		cells:       make(map[string]*cell),
+		requests:    make(map[RequestID]*request),
+		deployments: make(map[string]*deployment),
+		plains:      make(map[string]*deployment),
+		ops:         make(map[OpID]operation),
+		polls:       make(map[string]*poll),
+		verifying:   make(map[string][]*request),
+	}
+	m.isolator.Owns = m.ownsServer
+	m.candidateAt = func(i int) router.Candidate { return m.candidates[i] }
+	m.startMembership()
+	return m
+}
+
+// NextWake returns the Moment.Since at which Step must be called with Ticked at the latest.
+func (m *Machine) NextWake() time.Duration {
+	wake := min(m.next.hosts, m.next.heartbeat, m.next.reports, m.next.uses, m.next.plan)
+	if at, ok := m.members.NextWake(); ok {
+		wake = min(wake, at)
+	}
+	if len(m.deadlines) > 0 {
+		wake = min(wake, m.deadlines[0].wakeAt)
+	}
+	for _, c := range m.cells {
+		wake = min(wake, c.wake())
+	}
+	return wake
+}
+
+// Step takes one event and returns the effects to carry out, in order. The slice is valid until the next Step.
+func (m *Machine) Step(now Moment, event Event) []Effect {
+	m.now = now
+	m.out = m.out[:0]
+	m.handle(event)
+	m.expireRequests()
+	m.tick()
+	return m.out
+}
+
+func (m *Machine) emit(e Effect) { m.out = append(m.out, e) }
+
+func (m *Machine) handle(event Event) {
+	switch e := event.(type) {
+	case RequestArrived:
+		m.arrive(e)
+	case AddressesAsked:
+		m.askAddresses(e)
+	case CallerLeft:
+		m.callerLeft(e)
+	case AttemptStarted:
+		m.attemptStarted(e)
+	case AttemptEnded:
+		m.attemptEnded(e)
+	case StoreGot, StoreSwapped, StoreListed:
+		m.storeAnswered(event)
+	case StoreChanged:
+		m.storeChanged(e)
+	case LeaseRenewed:
+		m.leaseRenewed(e)
+	case HostsListed:
+		m.hostsListed(e)
+	case ServerPolled:
+		m.serverPolled(e)
+	case OrderEnded:
+		m.orderEnded(e)
+	case PeerReceived:
+		m.peerReceived(e.Message)
+	case ConfigurationLoaded:
+		m.configurationLoaded(e)
+	case StopRequested:
+		m.stopRequested()
+	case Ticked:
+	}
+}
+
+// tick does the periodic work that is due.
+func (m *Machine) tick() {
+	now := m.now.Since
+	m.tickMembership()
+	m.tickConfiguration()
+	if now >= m.next.hosts {
+		m.next.hosts = now + hostsInterval
+		m.listHosts()
+	}
+	m.pollServers()
+	if now >= m.next.reports {
+		m.next.reports = now + pollInterval
+		m.sendReports(false)
+	}
+	m.tickNeeds()
+	if now >= m.next.plan {
+		m.planCells()
+	}
+	m.tickClaims()
+	m.tickStop()
+}
--- /dev/null
+++ b/internal/decision/reducer/placing.go
@@ -0,0 +1,231 @@
+package reducer
+
+import (
+	"time"
+
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/decision/planner"
+	"samphirewharf/internal/peer/messenger"
+)
+
+// forecastInterval is how often an unchanged forecast is repeated.
+const forecastInterval = 500 * time.Millisecond
+
+// view returns what a cell's planner sees.
+func (m *Machine) view(c *cell) planner.View {
+	return planner.View{
+		Now:        m.now.Since,
+		Catalog:    m.catalog,
+		Fleet:      &m.fleet,
+		Lead:       m.leads(c),
+		LeaseValid: m.members.LeaseValid(m.now.Since),
+		Alive:      m.placerAlive,
+		DeadSince:  m.deadSince,
+	}
+}
+
+// planCells lets the planners of model cells plan.
+func (m *Machine) planCells() {
+	busy := false
+	for _, name := range m.cellNames {
+		c := m.cells[name]
+		if c.kind != cataloger.KindModel {
+			continue
+		}
+		m.applyPlan(c, c.planner.Step(m.view(c)))
+		busy = busy || c.planner.Busy()
+	}
+	m.next.plan = m.now.Since + 10*planInterval
+	if busy {
+		m.next.plan = m.now.Since + planInterval
+	}
+}
+
+// applyPlan carries out what a cell's planner asks for.
+func (m *Machine) applyPlan(c *cell, actions []planner.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case planner.Get:
+			op := m.op(operation{kind: operationPlacementGet, cell: c.name})
+			m.emit(StoreGet{Op: op, Key: placementKey(c.name)})
+		case planner.Swap:
+			op := m.op(operation{kind: operationPlacementSwap, cell: c.name, token: a.Token})
+			m.emit(StoreSwap{Op: op, Key: placementKey(c.name), Value: a.Value, Revision: a.Revision})
+		case planner.Send:
+			m.emit(SendOrder{
+				Server: a.Server.Host.Server, Address: a.Server.Host.Address, Order: a.Order, Expires: a.Expires,
+			})
+		case planner.Poll:
+			m.pollNow(a.Server.Host.Server)
+		case planner.Push:
+			placement := &messenger.Placement{Cell: c.name, Revision: a.Revision, Record: a.Value}
+			m.sendCell(c.name, messenger.Message{Placement: placement})
+			m.markDraining(c)
+		case planner.Forecast:
+			m.forecast(c, a)
+		case planner.Decision:
+			m.emit(placementDecided(c, a))
+		}
+	}
+}
+
+func placementDecided(c *cell, d planner.Decision) PlacementDecided {
+	return PlacementDecided{
+		Cell: c.name, Action: d.Action, Deployment: d.Deployment, Replica: d.Replica, Server: d.Server,
+		Reason: d.Reason, Score: d.Score, Other: d.Other, OtherScore: d.OtherScore, Waiting: d.Waiting,
+	}
+}
+
+// markDraining keeps new requests from replicas that the record marks as unloading.
+func (m *Machine) markDraining(c *cell) {
+	record, _ := c.planner.Record()
+	for _, r := range record.Replicas {
+		if r.State != planner.StateUnloading {
+			continue
+		}
+		if replica, ok := m.fleet.Replica(r.ID); ok {
+			replica.Draining = true
+		}
+	}
+}
+
+// forecast tells the cell when a deployment will be ready, if that is news.
+func (m *Machine) forecast(c *cell, a planner.Forecast) {
+	ready := m.now.Since + a.ReadyIn
+	last, known := c.forecasts[a.Deployment]
+	if known && m.now.Since-last.at < forecastInterval && (ready-last.ready).Abs() < forecastInterval {
+		return
+	}
+	c.forecasts[a.Deployment] = forecast{at: m.now.Since, ready: ready}
+	f := messenger.Forecast{Deployment: a.Deployment, ReadyIn: a.ReadyIn, Impossible: a.Impossible}
+	m.takeForecast(f)
+	m.sendCell(c.name, messenger.Message{Forecasts: []messenger.Forecast{f}})
+}
+
+// takeForecast refuses waiting requests that can't be served in time any more.
+func (m *Machine) takeForecast(f messenger.Forecast) {
+	q, ok := m.deployments[f.Deployment]
+	if !ok {
+		return
+	}
+	q.readyAt = m.now.Since + f.ReadyIn
+	q.impossible = f.Impossible
+	m.refuseHopeless(q)
+}
+
+// refuseHopeless refuses the waiting requests that the forecast shows can't be served in time.
+func (m *Machine) refuseHopeless(q *deployment) {
+	if slots, _ := m.slots(q); slots > 0 {
+		return
+	}
+	for _, r := range q.sorted() {
+		code, after := m.hopeless(r)
+		if code == 0 {
+			continue
+		}
+		q.remove(r)
+		m.refuse(r, code, r.ran(), after, q.name)
+	}
+}
+
+// orderEnded hands the end of an order to the planner of the server's cell.
+func (m *Machine) orderEnded(e OrderEnded) {
+	s, ok := m.fleet.Server(e.Server)
+	if !ok {
+		return
+	}
+	c := m.cells[s.Host.Service]
+	if c == nil {
+		return
+	}
+	m.applyPlan(c, c.planner.Ordered(m.view(c), e.OrderID, e.Server, e.Outcome, e.Fence))
+}
+
+// needSoon notes that requests of a queue wait, so that the placer is told.
+func (m *Machine) needSoon(q *deployment) {
+	if q.plain {
+		return
+	}
+	c := m.cells[q.service]
+	if c == nil {
+		return
+	}
+	if _, known := c.needy[q.name]; !known {
+		c.needy[q.name] = q
+		c.needsAt = m.now.Since
+	}
+}
+
+// tickNeeds tells the placers of all cells which requests wait and which deployments are used.
+func (m *Machine) tickNeeds() {
+	uses := m.now.Since >= m.next.uses
+	if uses {
+		m.next.uses = m.now.Since + usesInterval
+	}
+	for _, name := range m.cellNames {
+		c := m.cells[name]
+		if c.kind != cataloger.KindModel {
+			continue
+		}
+		if len(c.needy) > 0 && m.now.Since >= c.needsAt || uses {
+			m.sendNeeds(c)
+		}
+	}
+}
+
+// sendNeeds tells a cell's placer all needs of this daemon.
+func (m *Machine) sendNeeds(c *cell) {
+	needs := m.collectNeeds(c)
+	renounced := c.planner.Renounced()
+	c.needsAt = m.now.Since + needsInterval
+	if len(needs) == 0 && len(renounced) == 0 && c.needsSequence > 0 && len(c.needy) == 0 && !c.told {
+		return
+	}
+	c.told = len(needs) > 0
+	c.needsSequence++
+	if c.planner.Placing() {
+		c.planner.Demand(m.now.Since, m.settings.Daemon, m.settings.Instance, c.needsSequence, planNeeds(needs))
+		m.applyPlan(c, c.planner.Step(m.view(c)))
+		return
+	}
+	record, _ := c.planner.Record()
+	message := &messenger.Needs{Cell: c.name, Sequence: c.needsSequence, Waiting: needs, Renounced: renounced}
+	m.sendTo(record.Placer, messenger.Message{Needs: message})
+}
+
+// collectNeeds returns the needs of a cell's queues, ordered by deployment, and forgets those that wait no more.
+func (m *Machine) collectNeeds(c *cell) []messenger.Need {
+	var needs []messenger.Need
+	for _, q := range m.usedQueues(c) {
+		needs = append(needs, m.queueNeeds(q)...)
+		q.used = false
+		if q.waiting.Len() == 0 && m.now.Since >= q.coldUntil {
+			delete(c.needy, q.name)
+		}
+	}
+	return needs
+}
+
+func planNeeds(needs []messenger.Need) []planner.Need {
+	list := make([]planner.Need, 0, len(needs))
+	for _, n := range needs {
+		list = append(list, planner.Need{
+			Deployment: n.Deployment, Adapter: n.Adapter, Urgent: n.Urgent, CanWait: n.CanWait,
+			Slack: n.Slack, Used: n.Used, Running: n.Running,
+		})
+	}
+	return list
+}
+
+// takeNeeds takes another daemon's needs if this daemon is the cell's placer.
+func (m *Machine) takeNeeds(from, instance string, needs *messenger.Needs) {
+	c := m.cells[needs.Cell]
+	if c == nil {
+		return
+	}
+	c.planner.Renounce(needs.Renounced)
+	c.planner.Demand(m.now.Since, from, instance, needs.Sequence, planNeeds(needs.Waiting))
+	if c.planner.Placing() {
+		m.applyPlan(c, c.planner.Step(m.view(c)))
+	}
+}
--- /dev/null
+++ b/internal/decision/reducer/polling.go
@@ -0,0 +1,304 @@
+package reducer
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"samphirewharf/internal/backend/orderer"
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/decision/assigner"
+	"samphirewharf/internal/decision/observer"
+	"samphirewharf/internal/peer/messenger"
+)
+
+// A poll is this daemon's reading of one server's state.
+type poll struct {
+	// mine tells that the server is assigned to this daemon.
+	mine   bool
+	inCall bool
+	// again tells that another poll was asked for while one was in flight.
+	again bool
+	// verify tells that requests wait to learn whether the server died.
+	verify bool
+	at     time.Duration
+	// told is the report that the cell's other daemons were last sent.
+	told       orderer.Report
+	toldAt     time.Duration
+	unreported bool
+}
+
+// poll returns the poll of a server, made on first use.
+func (m *Machine) poll(server string) *poll {
+	p, ok := m.polls[server]
+	if !ok {
+		p = &poll{}
+		m.polls[server] = p
+	}
+	return p
+}
+
+// assignPolls shares the cell's servers among its daemons.
+func (m *Machine) assignPolls(c *cell) {
+	for _, s := range m.fleet.Servers(c.name) {
+		name := s.Host.Server
+		owner := assigner.Pick(name, c.daemons, 1)
+		p := m.poll(name)
+		mine := len(owner) == 1 && owner[0] == m.settings.Daemon
+		if mine && !p.mine {
+			p.at = m.now.Since + time.Duration(xxhash.Sum64String(name)%uint64(pollInterval/8))
+		}
+		p.mine = mine
+	}
+}
+
+// pollServers polls the servers that are due: in model cells those assigned to this daemon, of plain
+// services those that this daemon can't reach.
+func (m *Machine) pollServers() {
+	for _, name := range m.cellNames {
+		model := m.cells[name].kind == cataloger.KindModel
+		for _, s := range m.fleet.Servers(name) {
+			p := m.poll(s.Host.Server)
+			wanted := model && p.mine || !model && !s.Reachable()
+			if wanted && !p.inCall && m.now.Since >= p.at {
+				m.startPoll(s, p)
+			}
+		}
+	}
+}
+
+// replaced reports whether a request that waits for the server's verdict ran at an earlier process of it.
+func (m *Machine) replaced(server, instance string) bool {
+	for _, r := range m.verifying[server] {
+		if r.engine != instance {
+			return true
+		}
+	}
+	return false
+}
+
+// pollNow polls a server at once, or once more after the poll in flight.
+func (m *Machine) pollNow(server string) {
+	s, ok := m.fleet.Server(server)
+	if !ok {
+		return
+	}
+	p := m.poll(server)
+	if p.inCall {
+		p.again = true
+		return
+	}
+	m.startPoll(s, p)
+}
+
+func (m *Machine) startPoll(s *observer.Server, p *poll) {
+	p.inCall = true
+	p.at = m.now.Since + pollInterval
+	c := m.cells[s.Host.Service]
+	m.emit(PollServer{
+		Server:      s.Host.Server,
+		Address:     s.Host.Address,
+		Checkpoints: s.CheckpointsVersion(),
+		ConnectOnly: c == nil || c.kind != cataloger.KindModel,
+	})
+}
+
+// serverPolled takes the end of a poll. A plain service has no state; it answers or it does not.
+func (m *Machine) serverPolled(e ServerPolled) {
+	s, ok := m.fleet.Server(e.Server)
+	if !ok {
+		delete(m.polls, e.Server)
+		return
+	}
+	p := m.poll(e.Server)
+	p.inCall = false
+	if !e.OK {
+		m.pollFailed(s, p)
+	} else {
+		m.pollAnswered(s, p, e)
+	}
+	if p.again {
+		p.again = false
+		m.startPoll(s, p)
+	}
+	c := m.cells[s.Host.Service]
+	if c == nil || c.kind != cataloger.KindModel {
+		return
+	}
+	m.applyPlan(c, c.planner.Polled(m.view(c), e.Server, e.OK, e.SentAt, e.Report))
+}
+
+func (m *Machine) pollFailed(s *observer.Server, p *poll) {
+	name := s.Host.Server
+	reachable := s.Reachable()
+	if p.verify || m.fleet.Unreachable(name) && reachable {
+		p.verify = false
+		m.serverDied(name)
+		p.unreported = true
+		m.sendReports(true)
+	}
+}
+
+func (m *Machine) pollAnswered(s *observer.Server, p *poll, e ServerPolled) {
+	name := s.Host.Server
+	wasReachable := s.Reachable()
+	var change observer.Change
+	if e.Report.Instance != "" {
+		change = m.takeReport(name, e.Report, e.SentAt)
+	}
+	switch {
+	case change.Restarted, p.verify && m.replaced(name, e.Report.Instance):
+		m.serverDied(name)
+	case p.verify:
+		m.serverLives(name)
+	}
+	p.verify = false
+	s.Revive()
+	p.unreported = true
+	if change.Differs || !wasReachable {
+		m.pumpService(s)
+		m.sendReports(true)
+	}
+}
+
+// takeReport takes a report from an own poll or another daemon.
+func (m *Machine) takeReport(server string, report orderer.Report, takenAt time.Duration) observer.Change {
+	change := m.fleet.Report(server, report, takenAt)
+	for _, r := range change.Lost {
+		m.router.Prefixes.RemoveReplica(r.ID)
+	}
+	for _, event := range report.CacheEvents {
+		m.router.Prefixes.Event(event)
+	}
+	if change.Differs {
+		if s, ok := m.fleet.Server(server); ok {
+			if c := m.cells[s.Host.Service]; c != nil {
+				m.markDraining(c)
+			}
+		}
+	}
+	m.pumpDeployments(change.Ready)
+	return change
+}
+
+// pumpService pumps all queues that wait for a server's service.
+func (m *Machine) pumpService(s *observer.Server) {
+	c := m.cells[s.Host.Service]
+	if c == nil {
+		return
+	}
+	for _, q := range m.usedQueues(c) {
+		m.pump(q)
+	}
+	if q, ok := m.plains[c.name]; ok {
+		m.pump(q)
+	}
+}
+
+// sendReports gives the cell's other daemons the reports of the servers polled here: at once those
+// that changed in more than load, and every poll interval all that were taken since.
+func (m *Machine) sendReports(changed bool) {
+	for _, name := range m.cellNames {
+		var reports []messenger.ServerReport
+		for _, s := range m.fleet.Servers(name) {
+			p := m.polls[s.Host.Server]
+			if p == nil || !p.unreported || changed && !m.reportDiffers(s, p) {
+				continue
+			}
+			p.unreported = false
+			p.told = s.Report
+			reports = append(reports, m.serverReport(s))
+		}
+		if len(reports) > 0 {
+			m.sendCell(name, messenger.Message{Reports: reports})
+		}
+	}
+}
+
+func (m *Machine) reportDiffers(s *observer.Server, p *poll) bool {
+	if !s.Reachable() || s.Report.Instance != p.told.Instance || len(s.Report.Replicas) != len(p.told.Replicas) {
+		return true
+	}
+	for i, r := range s.Report.Replicas {
+		old := p.told.Replicas[i]
+		if r.Replica != old.Replica || r.State != old.State || len(r.Adapters) != len(old.Adapters) {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) serverReport(s *observer.Server) messenger.ServerReport {
+	report := s.Report
+	report.Checkpoints = nil
+	return messenger.ServerReport{
+		Server:      s.Host.Server,
+		Age:         m.now.Since - s.TakenAt,
+		Report:      report,
+		Unreachable: !s.Reachable(),
+	}
+}
+
+// takeReports takes another daemon's reports.
+func (m *Machine) takeReports(reports []messenger.ServerReport) {
+	for _, r := range reports {
+		s, ok := m.fleet.Server(r.Server)
+		if !ok {
+			continue
+		}
+		if r.Unreachable {
+			if s.Reachable() && m.now.Since-s.TakenAt > pollInterval {
+				m.pollNow(r.Server)
+			}
+			continue
+		}
+		m.takeReport(r.Server, r.Report, m.now.Since-r.Age)
+	}
+}
+
+// listHosts reads the host list of each cell.
+func (m *Machine) listHosts() {
+	for _, name := range m.cellNames {
+		m.emit(ListHosts{Service: name})
+	}
+}
+
+// hostsListed takes the host list of one cell.
+func (m *Machine) hostsListed(e HostsListed) {
+	c := m.cells[e.Service]
+	if c == nil || !e.OK || e.Unchanged {
+		return
+	}
+	before := make(map[string]bool)
+	for _, s := range m.fleet.Servers(e.Service) {
+		before[s.Host.Server] = true
+	}
+	change := m.fleet.SetHosts(e.Service, e.Hosts)
+	for _, r := range change.Lost {
+		m.router.Prefixes.RemoveReplica(r.ID)
+	}
+	if !change.Differs {
+		return
+	}
+	for name := range before {
+		if _, ok := m.fleet.Server(name); !ok {
+			m.serverGone(name)
+		}
+	}
+	m.assignPolls(c)
+	m.pumpDeployments(change.Ready)
+	if q, ok := m.plains[e.Service]; ok {
+		m.pump(q)
+	}
+	if c.kind == cataloger.KindModel {
+		m.applyPlan(c, c.planner.Step(m.view(c)))
+	}
+}
+
+// serverGone forgets a server that left the host list.
+func (m *Machine) serverGone(name string) {
+	delete(m.polls, name)
+	waiting := m.verifying[name]
+	delete(m.verifying, name)
+	m.retryVerified(waiting)
+}
--- /dev/null
+++ b/internal/decision/reducer/request.go
@@ -0,0 +1,204 @@
+package reducer
+
+import (
+	"container/heap"
+	"time"
+
+	"samphirewharf/internal/caller/refuser"
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/decision/observer"
+)
+
+// A requestState tells what a request waits for.
+type requestState uint8
+
+const (
+	// stateQueued: the request waits for a replica or server.
+	stateQueued requestState = iota
+	// stateClaiming: the request waits for its claim.
+	stateClaiming
+	// stateRunning: a backend server runs the request.
+	stateRunning
+	// stateForwarded: another daemon has the request.
+	stateForwarded
+	// stateVerifying: the request waits to learn whether its server died.
+	stateVerifying
+	// stateAnswered: the caller has its final answer or is gone; the attempt's end is awaited.
+	stateAnswered
+)
+
+// A request is one caller's request at this daemon.
+type request struct {
+	id      RequestID
+	arrived RequestArrived
+	at      time.Duration
+	// deadline is when the caller must have its answer, or the start of it for a stream.
+	deadline time.Duration
+	service  *cataloger.Service
+	target   cataloger.Target
+	// queue is the deployment or plain service that the request waits for.
+	queue *deployment
+	state requestState
+	// hash identifies the request among repeats by its caller.
+	hash uint64
+	// idempotent tells that the request may run more than once.
+	idempotent bool
+	// claimed tells that the request was granted its claim and has to tell the claimer its result.
+	claimed bool
+
+	attempt int
+	server  *observer.Server
+	replica *observer.Replica
+	// engine is the engine process that was known when the request was sent.
+	engine string
+	sentAt time.Duration
+	// mayHaveRun tells that a byte was sent to a server that did not say that it did not run it.
+	mayHaveRun bool
+	// started tells that the caller has had the start of an answer.
+	started bool
+	tokens  int
+	// avoid is the server of the last failed attempt.
+	avoid string
+
+	// wakeAt is the request's time in the deadline heap, heapIndex its place, -1 if it is not in it.
+	wakeAt    time.Duration
+	heapIndex int
+}
+
+func (r *request) adapter() string {
+	if r.target.Adapter == nil {
+		return ""
+	}
+	return r.target.Adapter.Name
+}
+
+func (r *request) ran() refuser.Ran {
+	if r.mayHaveRun {
+		return refuser.MayHaveRun
+	}
+	return refuser.NotRun
+}
+
+// A deadlineHeap orders requests by the time at which they must be looked at.
+type deadlineHeap []*request
+
+// Len returns the number of requests.
+func (h deadlineHeap) Len() int { return len(h) }
+
+// Less reports whether request i is due before request j.
+func (h deadlineHeap) Less(i, j int) bool {
+	if h[i].wakeAt != h[j].wakeAt {
+		return h[i].wakeAt < h[j].wakeAt
+	}
+	return h[i].id < h[j].id
+}
+
+// Pop removes the last request.
+func (h *deadlineHeap) Pop() any {
+	old := *h
+	r := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	r.heapIndex = -1
+	return r
+}
+
+// Push adds a request.
+func (h *deadlineHeap) Push(x any) {
+	r, ok := x.(*request)
+	if !ok {
+		return
+	}
+	r.heapIndex = len(*h)
+	*h = append(*h, r)
+}
+
+// Swap swaps two requests.
+func (h deadlineHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapIndex = i
+	h[j].heapIndex = j
+}
+
+// wakeRequest sets when the request is looked at next.
+func (m *Machine) wakeRequest(r *request, at time.Duration) {
+	r.wakeAt = at
+	if r.heapIndex < 0 {
+		heap.Push(&m.deadlines, r)
+		return
+	}
+	heap.Fix(&m.deadlines, r.heapIndex)
+}
+
+func (m *Machine) unwakeRequest(r *request) {
+	if r.heapIndex >= 0 {
+		heap.Remove(&m.deadlines, r.heapIndex)
+	}
+}
+
+// expireRequests looks at the requests that are due.
+func (m *Machine) expireRequests() {
+	for len(m.deadlines) > 0 && m.deadlines[0].wakeAt <= m.now.Since {
+		r := m.deadlines[0]
+		m.unwakeRequest(r)
+		if r.state == stateVerifying && m.now.Since < r.deadline {
+			m.verified(r)
+			continue
+		}
+		m.expire(r)
+	}
+}
+
+// expire gives a request up at its deadline.
+func (m *Machine) expire(r *request) {
+	switch r.state {
+	case stateQueued:
+		r.queue.remove(r)
+		m.refuse(r, refuser.CodeDeadlineExpired, r.ran(), m.retryAfter(r), "")
+	case stateVerifying:
+		m.refuse(r, refuser.CodeDeadlineExpired, refuser.MayHaveRun, m.retryAfter(r), "")
+	case stateClaiming:
+		// The claimer denies its requests at their deadline.
+		m.wakeRequest(r, m.now.Since+time.Second)
+	case stateRunning, stateForwarded:
+		if r.started && r.arrived.Stream {
+			return
+		}
+		m.emit(Cancel{Request: r.id, Attempt: r.attempt})
+		m.answer(r, refuser.CodeDeadlineExpired, refuser.MayHaveRun, m.retryAfter(r), "")
+	case stateAnswered:
+	}
+}
+
+// refuse gives a request its final answer and forgets it.
+func (m *Machine) refuse(r *request, code refuser.Code, ran refuser.Ran, after time.Duration, detail string) {
+	m.emit(Refuse{Request: r.id, Refusal: refuser.Refusal{Code: code, Ran: ran, RetryAfter: after, Detail: detail}})
+	m.finish(r)
+}
+
+// answer gives a request its final answer while its attempt still has to end.
+func (m *Machine) answer(r *request, code refuser.Code, ran refuser.Ran, after time.Duration, detail string) {
+	m.emit(Refuse{Request: r.id, Refusal: refuser.Refusal{Code: code, Ran: ran, RetryAfter: after, Detail: detail}})
+	r.state = stateAnswered
+	m.unwakeRequest(r)
+}
+
+// finish forgets a request. A claim that was granted and not settled is released if the request
+// provably did not run, and else stays as one whose outcome is unknown.
+func (m *Machine) finish(r *request) {
+	if r.claimed && !r.mayHaveRun {
+		m.releaseClaim(r)
+	}
+	m.settleClaim(r, AttemptEnded{Outcome: AttemptFailed})
+	m.unwakeRequest(r)
+	r.state = stateAnswered
+	delete(m.requests, r.id)
+}
+
+// retryAfter returns when a repeat of the request is worth sending.
+func (m *Machine) retryAfter(r *request) time.Duration {
+	if r.queue == nil {
+		return time.Second
+	}
+	return m.queueRetryAfter(r.queue)
+}
--- /dev/null
+++ b/internal/decision/reducer/routing.go
@@ -0,0 +1,245 @@
+package reducer
+
+import (
+	"time"
+
+	"samphirewharf/internal/decision/admitter"
+	"samphirewharf/internal/decision/observer"
+	"samphirewharf/internal/decision/router"
+)
+
+// A selection is where a request may be sent.
+type selection struct {
+	server   *observer.Server
+	replica  *observer.Replica
+	decision RoutingDecision
+}
+
+// route sends a request to a replica or server with a free slot, if there is one.
+func (m *Machine) route(r *request) bool {
+	chosen, ok := m.selectFor(r)
+	if !ok {
+		return false
+	}
+	m.dispatch(r, chosen)
+	return true
+}
+
+// selectFor chooses among the replicas or servers that may take the request now.
+func (m *Machine) selectFor(r *request) (selection, bool) {
+	if r.queue.plain {
+		return m.selectServer(r)
+	}
+	return m.selectReplica(r)
+}
+
+func (m *Machine) selectReplica(r *request) (selection, bool) {
+	d := r.target.Deployment
+	m.candidates = m.candidates[:0]
+	m.candidateReplicas = m.candidateReplicas[:0]
+	for _, replica := range m.fleet.Replicas(d.Name) {
+		if !m.mayTake(r, replica) {
+			continue
+		}
+		m.candidateReplicas = append(m.candidateReplicas, replica)
+		m.candidates = append(m.candidates, router.Candidate{
+			Replica:      replica.ID,
+			Server:       replica.Server.Host.Server,
+			Zone:         replica.Server.Host.Zone,
+			OwnInFlight:  replica.InFlight,
+			ReportedLoad: replica.OthersInFlight(),
+			ReportAge:    m.now.Since - replica.ReportedAt,
+			MaxInFlight:  d.MaxInFlight,
+			AdapterReady: true,
+		})
+	}
+	choice := m.chooseCandidate(r.arrived.Prefixes)
+	if choice.Index < 0 {
+		return selection{}, false
+	}
+	return m.selected(r, choice), true
+}
+
+// mayTake reports whether a replica may be sent the request at all, however loaded it is.
+func (m *Machine) mayTake(r *request, replica *observer.Replica) bool {
+	if !replica.Usable() {
+		return false
+	}
+	adapter := r.adapter()
+	if adapter != "" && !replica.HasAdapter(adapter) {
+		return false
+	}
+	if m.otherVersionReady(r, replica) {
+		return false
+	}
+	server := replica.Server.Host.Server
+	if server == r.avoid && len(m.fleet.Replicas(replica.Deployment)) > 1 {
+		return false
+	}
+	return m.isolator.MayRun(server, r.hash, m.now.Since)
+}
+
+// otherVersionReady reports whether the replica has an outdated model version while a current one is usable.
+func (m *Machine) otherVersionReady(r *request, replica *observer.Replica) bool {
+	current := r.target.Deployment.ModelVersion
+	if replica.ModelVersion == current {
+		return false
+	}
+	for _, other := range m.fleet.Replicas(replica.Deployment) {
+		if other.ModelVersion == current && other.Usable() {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) chooseCandidate(prefixes []uint64) router.Choice {
+	candidates := router.Candidates{Len: len(m.candidates), At: m.candidateAt}
+	return m.router.Choose(candidates, prefixes, m.settings.Zone, m.rng)
+}
+
+func (m *Machine) selected(r *request, choice router.Choice) selection {
+	replica := m.candidateReplicas[choice.Index]
+	s := selection{server: replica.Server, replica: replica}
+	s.decision = RoutingDecision{
+		Deployment: r.queue.name,
+		Reason:     string(choice.Reason),
+		Score:      choice.Score,
+		Waited:     m.now.Since - r.at,
+	}
+	if choice.Other >= 0 {
+		s.decision.Other = m.candidateReplicas[choice.Other].ID
+		s.decision.OtherScore = choice.OtherScore
+	}
+	return s
+}
+
+// selectServer chooses the less loaded of two random servers of a plain service.
+func (m *Machine) selectServer(r *request) (selection, bool) {
+	m.candidates = m.candidates[:0]
+	m.candidateServers = m.candidateServers[:0]
+	for _, s := range m.fleet.Servers(r.service.Name) {
+		if !s.Takes() || !m.isolator.MayRun(s.Host.Server, r.hash, m.now.Since) {
+			continue
+		}
+		m.candidateServers = append(m.candidateServers, s)
+		m.candidates = append(m.candidates, router.Candidate{
+			Server:       s.Host.Server,
+			Zone:         s.Host.Zone,
+			OwnInFlight:  s.InFlight,
+			MaxInFlight:  r.service.MaxInFlight,
+			AdapterReady: true,
+		})
+	}
+	m.preferOthers(r.avoid)
+	choice := m.chooseCandidate(nil)
+	if choice.Index < 0 {
+		return selection{}, false
+	}
+	s := selection{server: m.candidateServers[choice.Index]}
+	s.decision = RoutingDecision{
+		Deployment: r.service.Name,
+		Reason:     string(choice.Reason),
+		Score:      choice.Score,
+		Waited:     m.now.Since - r.at,
+	}
+	if choice.Other >= 0 {
+		s.decision.Other = m.candidateServers[choice.Other].Host.Server
+		s.decision.OtherScore = choice.OtherScore
+	}
+	return s, true
+}
+
+// preferOthers drops the server of the last failed attempt if there are others.
+func (m *Machine) preferOthers(avoid string) {
+	if avoid == "" || len(m.candidates) < 2 {
+		return
+	}
+	for i := range m.candidates {
+		if m.candidates[i].Server != avoid {
+			continue
+		}
+		m.candidates = append(m.candidates[:i], m.candidates[i+1:]...)
+		m.candidateServers = append(m.candidateServers[:i], m.candidateServers[i+1:]...)
+		return
+	}
+}
+
+// dispatch sends a request to the chosen replica or server.
+func (m *Machine) dispatch(r *request, chosen selection) {
+	r.attempt++
+	r.state = stateRunning
+	r.server = chosen.server
+	r.replica = chosen.replica
+	r.sentAt = m.now.Since
+	r.queue.running++
+	r.queue.used = true
+	chosen.server.InFlight++
+	r.engine = chosen.server.Report.Instance
+	m.isolator.Running(chosen.server.Host.Server, r.hash)
+	e := Dispatch{
+		Request:    r.id,
+		Attempt:    r.attempt,
+		Server:     chosen.server.Host.Server,
+		Address:    chosen.server.Host.Address,
+		Adapter:    r.adapter(),
+		Timeout:    r.deadline - m.now.Since,
+		ResumeFrom: r.tokens,
+		KeepAnswer: r.claimed,
+		Decision:   chosen.decision,
+	}
+	if chosen.replica != nil {
+		e.Replica = chosen.replica.ID
+		chosen.replica.InFlight++
+		chosen.replica.SentSinceReport++
+		m.router.Prefixes.Sent(chosen.replica.ID, r.arrived.Prefixes)
+	}
+	m.emit(e)
+}
+
+// release gives the slot of a request's attempt back.
+func (m *Machine) release(r *request) {
+	if r.server == nil {
+		return
+	}
+	r.server.InFlight--
+	r.queue.running--
+	if r.replica != nil {
+		r.replica.InFlight--
+	}
+	r.server, r.replica = nil, nil
+}
+
+// pump sends waiting requests of a queue while slots are free.
+func (m *Machine) pump(q *deployment) {
+	for q.waiting.Len() > 0 {
+		var chosen selection
+		item, ok := q.waiting.PopFor(func(item admitter.Item) bool {
+			var found bool
+			chosen, found = m.selectFor(q.byID[item.ID])
+			return found
+		})
+		if !ok {
+			return
+		}
+		r := q.byID[item.ID]
+		q.forget(r)
+		m.dispatch(r, chosen)
+	}
+}
+
+// pumpDeployments pumps the queues of deployments that gained a replica or adapter.
+func (m *Machine) pumpDeployments(names []string) {
+	for _, name := range names {
+		q, ok := m.deployments[name]
+		if !ok {
+			continue
+		}
+		q.readyAt = 0
+		q.impossible = false
+		m.pump(q)
+	}
+}
+
+// observeService learns how long requests of the queue run.
+func (q *deployment) observeService(took time.Duration) { q.estimator.Observe(took) }
--- /dev/null
+++ b/internal/decision/reducer/stopping.go
@@ -0,0 +1,57 @@
+package reducer
+
+import "time"
+
+// closeGrace is how long after the drain time a stopping daemon with nothing in hand still answers
+// late callers plainly.
+const closeGrace = 200 * time.Millisecond
+
+// stopping is the state of a planned stop.
+type stopping struct {
+	requested bool
+	// drainUntil is until when new requests are taken, so that callers' kept addresses expire.
+	drainUntil time.Duration
+	// closed tells that new requests are refused.
+	closed bool
+	// revoked tells that the lease was given up.
+	revoked bool
+	exitAt  time.Duration
+}
+
+// stopRequested starts a planned stop: no look-up names the daemon any more, and its roles go to others.
+func (m *Machine) stopRequested() {
+	if m.stop.requested {
+		return
+	}
+	m.stop.requested = true
+	drain := m.settings.DrainTime
+	if m.catalog != nil {
+		drain = max(drain, m.catalog.Configuration.Limits.AddressTimeToLive.D()+time.Second)
+	}
+	if drain == 0 {
+		drain = defaultDrain
+	}
+	m.stop.drainUntil = m.now.Since + drain
+	m.emit(Noted{Message: "planned stop started", Subject: m.settings.Daemon, Detail: drain.String()})
+	m.announceLeaving()
+}
+
+// tickStop ends the process once kept addresses have expired and every request has its answer.
+func (m *Machine) tickStop() {
+	if !m.stop.requested || m.now.Since < m.stop.drainUntil {
+		return
+	}
+	m.stop.closed = true
+	if len(m.requests) > 0 {
+		return
+	}
+	if !m.stop.revoked {
+		m.stop.revoked = true
+		m.stop.exitAt = m.now.Since + closeGrace
+		m.emit(LeaseRevoke{})
+		return
+	}
+	if m.now.Since >= m.stop.exitAt {
+		m.emit(Exit{})
+	}
+}
--- /dev/null
+++ b/internal/decision/reducer/storing.go
@@ -0,0 +1,112 @@
+package reducer
+
+import (
+	"strings"
+
+	"samphirewharf/internal/decision/claimer"
+	"samphirewharf/internal/platform/storer"
+)
+
+// An operationKind tells who asked for a call to the key-value service.
+type operationKind uint8
+
+const (
+	operationPlacementGet operationKind = iota
+	operationPlacementSwap
+	operationClaim
+	operationMembers
+	operationRegister
+)
+
+// An operation is a call to the key-value service that has not been answered.
+type operation struct {
+	kind operationKind
+	cell string
+	// token is the token of a placement write.
+	token string
+	// claimOp is the claimer's own number.
+	claimOp uint64
+}
+
+func (m *Machine) op(o operation) OpID {
+	m.nextOp++
+	m.ops[m.nextOp] = o
+	return m.nextOp
+}
+
+// storeAnswered hands the answer of a call to the part that asked.
+func (m *Machine) storeAnswered(event Event) {
+	var id OpID
+	answer := claimer.Answer{}
+	var entries []storer.Entry
+	switch e := event.(type) {
+	case StoreGot:
+		id = e.Op
+		answer.Result, answer.Value, answer.Revision = e.Result, e.Entry.Value, e.Entry.Revision
+	case StoreSwapped:
+		id = e.Op
+		answer.Result, answer.Revision = e.Result, e.Revision
+	case StoreListed:
+		id = e.Op
+		answer.Result, entries = e.Result, e.Entries
+	}
+	o, ok := m.ops[id]
+	if !ok {
+		return
+	}
+	delete(m.ops, id)
+	m.answered(o, answer, entries)
+}
+
+func (m *Machine) answered(o operation, answer claimer.Answer, entries []storer.Entry) {
+	c := m.cells[o.cell]
+	switch o.kind {
+	case operationMembers:
+		m.membersListed(answer.Result, entries)
+	case operationRegister:
+		m.registered(answer.Result, answer.Revision)
+	case operationClaim:
+		if c == nil {
+			return
+		}
+		answer.Op = o.claimOp
+		m.applyClaims(c, c.claims.StoreAnswer(m.claimMoment(), answer))
+	case operationPlacementGet:
+		if c == nil {
+			return
+		}
+		entry := storer.Entry{Value: answer.Value, Revision: answer.Revision}
+		m.applyPlan(c, c.planner.Got(m.view(c), answer.Result, entry))
+		m.markDraining(c)
+	case operationPlacementSwap:
+		if c == nil {
+			return
+		}
+		m.applyPlan(c, c.planner.Swapped(m.view(c), o.token, answer.Result, answer.Revision))
+		m.markDraining(c)
+	}
+}
+
+// storeChanged takes a change below a watched prefix.
+func (m *Machine) storeChanged(e StoreChanged) {
+	key := e.Entry.Key
+	switch {
+	case key == configurationHeadKey:
+		m.headRevision = max(m.headRevision, e.Entry.Revision)
+		m.loadConfiguration("")
+	case strings.HasPrefix(key, membersPrefix):
+		m.memberChanged(e)
+	case strings.HasPrefix(key, "cells/"):
+		m.placementChanged(e)
+	}
+}
+
+func (m *Machine) placementChanged(e StoreChanged) {
+	name := strings.TrimSuffix(strings.TrimPrefix(e.Entry.Key, "cells/"), "/placement")
+	c := m.cells[name]
+	if c == nil || e.Deleted {
+		return
+	}
+	m.applyPlan(c, c.planner.Learn(m.view(c), e.Entry.Value, e.Entry.Revision))
+	m.markDraining(c)
+}
--- /dev/null
+++ b/internal/decision/reducer/verifying.go
@@ -0,0 +1,91 @@
+package reducer
+
+import (
+	"samphirewharf/internal/decision/assigner"
+	"samphirewharf/internal/peer/messenger"
+)
+
+// verify holds a request whose server broke off until it is known whether the server died, so that a
+// request that crashes servers is suspected before it is retried.
+func (m *Machine) verify(r *request, server string) {
+	r.state = stateVerifying
+	m.verifying[server] = append(m.verifying[server], r)
+	m.wakeRequest(r, min(r.deadline, m.now.Since+verifyTimeout))
+	m.verifyServer(server)
+}
+
+// verifyServer polls a server to learn whether it died.
+func (m *Machine) verifyServer(server string) {
+	p := m.poll(server)
+	p.verify = true
+	m.pollNow(server)
+}
+
+// verified ends the wait of one request without an answer from its server, which counts as dead.
+func (m *Machine) verified(r *request) {
+	server := r.avoid
+	if _, waiting := m.verifying[server]; waiting {
+		m.serverDied(server)
+		return
+	}
+	m.retryFailed(r)
+}
+
+// serverLives ends the wait of requests whose server is the process that it was.
+func (m *Machine) serverLives(server string) {
+	waiting := m.verifying[server]
+	delete(m.verifying, server)
+	for _, r := range waiting {
+		m.isolator.Finished(server, r.hash, false)
+	}
+	m.retryVerified(waiting)
+}
+
+// serverDied makes the requests that ran at a dead server suspects, tells the cell, and retries them.
+func (m *Machine) serverDied(server string) {
+	m.fleet.MarkUnreachable(server)
+	suspects, convicted := m.isolator.ServerDied(server, m.now.Since)
+	if len(suspects)+len(convicted) > 0 {
+		m.sendVerdict(server, suspects, convicted)
+	}
+	waiting := m.verifying[server]
+	delete(m.verifying, server)
+	m.retryVerified(waiting)
+}
+
+func (m *Machine) retryVerified(waiting []*request) {
+	for _, r := range waiting {
+		if r.state != stateVerifying {
+			continue
+		}
+		m.wakeRequest(r, r.deadline)
+		m.retryFailed(r)
+	}
+}
+
+// sendVerdict tells the daemons of the server's cell about suspects and convicted requests.
+func (m *Machine) sendVerdict(server string, suspects, convicted []uint64) {
+	s, ok := m.fleet.Server(server)
+	if !ok {
+		return
+	}
+	verdict := &messenger.Verdict{
+		Cell: s.Host.Service, Hashes: convicted, Suspects: suspects, Expires: verdictLife,
+	}
+	m.sendCell(s.Host.Service, messenger.Message{Verdict: verdict})
+	m.emit(Noted{Message: "backend server died", Subject: server, Warning: true})
+}
+
+// ownsServer reports whether this daemon may run suspects at the server.
+func (m *Machine) ownsServer(server string) bool {
+	s, ok := m.fleet.Server(server)
+	if !ok {
+		return false
+	}
+	c := m.cells[s.Host.Service]
+	if c == nil {
+		return false
+	}
+	owner := assigner.Pick(server, c.daemons, 1)
+	return len(owner) == 1 && owner[0] == m.settings.Daemon
+}
