--- /dev/null
+++ b/internal/decision/router/herd_test.go
@@ -0,0 +1,120 @@
+package router
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+const (
+	herdRouters   = 7
+	herdReplicas  = 50
+	herdMean      = 10 // Requests at a replica.
+	herdTick      = 10 * time.Millisecond
+	herdStaleness = 200 // Ticks that reports are old.
+	herdTicks     = 6000
+)
+
+func TestChooseDoesNotHerd(t *testing.T) {
+	for _, service := range []time.Duration{500 * time.Millisecond, time.Second, 10 * time.Second} {
+		t.Run(fmt.Sprint(service), func(t *testing.T) {
+			var r Router
+			got := newHerd(service).peak(func(c []Candidate, rng *rand.Rand) int {
+				candidates := candidatesOf(c)
+				candidates.Service = service
+				return r.Choose(candidates, nil, "here", rng).Index
+			})
+			random := newHerd(service).peak(func(c []Candidate, rng *rand.Rand) int { return rng.IntN(len(c)) })
+			leastReported := newHerd(service).peak(func(c []Candidate, _ *rand.Rand) int {
+				return least(c, func(c Candidate) float64 { return float64(c.ReportedLoad) })
+			})
+			leastScore := newHerd(service).peak(func(c []Candidate, _ *rand.Rand) int {
+				return least(c, func(c Candidate) float64 { return c.load(service) })
+			})
+			t.Logf("peak load at mean %d: two choices %d, random %d, least score of all %d, least reported load %d",
+				herdMean, got, random, leastScore, leastReported)
+			if want := random; got > want {
+				t.Errorf("peak load: got %d, want at most that of random choice, %d", got, want)
+			}
+			if want := leastReported / 2; got > want {
+				t.Errorf("peak load: got %d, want at most half of that of least reported load, %d", got, want)
+			}
+		})
+	}
+}
+
+// A herd is routers that share replicas and see each other's load late.
+type herd struct {
+	rng     *rand.Rand
+	service int
+	now     loads
+	// past is now in the last herdStaleness ticks.
+	past [herdStaleness]loads
+	// ends are the requests that end in a tick, as pairs of router and replica.
+	ends [herdTicks][][2]int
+}
+
+// loads are what each router runs at each replica, and the sums over routers.
+type loads struct {
+	own   [herdRouters][herdReplicas]int
+	total [herdReplicas]int
+}
+
+func newHerd(service time.Duration) *herd {
+	return &herd{rng: rand.New(rand.NewPCG(3, 4)), service: int(service / herdTick)}
+}
+
+func (h *herd) arrive(router, tick int, choose func([]Candidate, *rand.Rand) int) {
+	replica := choose(h.candidates(router, tick), h.rng)
+	h.now.own[router][replica]++
+	h.now.total[replica]++
+	end := tick + h.service/2 + h.rng.IntN(h.service)
+	if end < herdTicks {
+		h.ends[end] = append(h.ends[end], [2]int{router, replica})
+	}
+}
+
+func (h *herd) candidates(router, tick int) []Candidate {
+	candidates := make([]Candidate, herdReplicas)
+	reported := &h.past[tick%herdStaleness]
+	for i := range candidates {
+		candidates[i] = Candidate{
+			Zone: "here", AdapterReady: true, OwnInFlight: h.now.own[router][i],
+			ReportedLoad: reported.total[i] - reported.own[router][i], ReportAge: herdStaleness * herdTick,
+		}
+	}
+	return candidates
+}
+
+// peak returns the highest load of any replica once the load has settled.
+func (h *herd) peak(choose func([]Candidate, *rand.Rand) int) int {
+	highest := 0
+	due := 0
+	for tick := range herdTicks {
+		for _, end := range h.ends[tick] {
+			h.now.own[end[0]][end[1]]--
+			h.now.total[end[1]]--
+		}
+		due += herdMean * herdReplicas
+		for ; due >= h.service; due -= h.service {
+			h.arrive(h.rng.IntN(herdRouters), tick, choose)
+		}
+		h.past[tick%herdStaleness] = h.now
+		if tick > 2*herdStaleness+2*h.service {
+			highest = max(highest, slices.Max(h.now.total[:]))
+		}
+	}
+	return highest
+}
+
+func least(candidates []Candidate, score func(Candidate) float64) int {
+	best := 0
+	for i := range candidates {
+		if score(candidates[i]) < score(candidates[best]) {
+			best = i
+		}
+	}
+	return best
+}
