feat: claim non-idempotent requests at most once

Each partition has one active segment that is written only by compare-and-swap on its revision, so a paused former owner can't write. Claims are granted only when known to be in the store, by the instance that wrote them.

A sealed copy is named for the revision that it copies, so creating it is idempotent and needs no unique name. A write token was ruled out: an unknown write may have landed and been replaced since, so only the unique claim ids settle it once the revision has moved.

--- /dev/null
+++ b/internal/decision/claimer/history_test.go
@@ -0,0 +1,426 @@
+package claimer
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"time"
+
+	"samphirewharf/internal/caller/refuser"
+	"samphirewharf/internal/platform/storer"
+)
+
+const (
+	historyDaemons    = 3
+	historyPartitions = 2
+	historyKeys       = 8
+	historyRetention  = 24 * time.Hour
+	historyMargin     = time.Minute
+)
+
+var historyStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// A call is a call to the store that is under way. Its effect, answer and process are independent.
+type call struct {
+	action  Action
+	daemon  int
+	machine *Machine
+	applied bool
+	// lost tells that the process has been told that the outcome is unknown.
+	lost   bool
+	answer Answer
+}
+
+// A run is what the oracle knows of one request.
+type run struct {
+	id         uint64
+	machine    *Machine
+	key        string
+	body       uint64
+	final      Action
+	granted    bool
+	dispatched bool
+	ended      bool
+	grantedAt  time.Duration
+	result     Result
+	completed  bool
+}
+
+// A history drives several Machines over one store through chosen faults and checks every answer.
+type history struct {
+	store    *fakeStore
+	now      time.Duration
+	daemons  [historyDaemons]*Machine
+	paused   [historyDaemons]bool
+	calls    []*call
+	runs     []*run
+	byID     map[uint64]*run
+	holder   map[string]*run
+	instance int
+	breaks   func(*Machine)
+	err      error
+}
+
+func newHistory(breaks func(*Machine)) *history {
+	h := &history{
+		store:  newFakeStore(),
+		byID:   make(map[uint64]*run),
+		holder: make(map[string]*run),
+		breaks: breaks,
+	}
+	for d := range h.daemons {
+		h.restart(d)
+	}
+	return h
+}
+
+// play runs the steps that the choices stand for, heals all faults and returns the first fault found.
+func play(choices []uint64, breaks func(*Machine)) error {
+	h := newHistory(breaks)
+	for i, c := range choices {
+		h.step(mix(c + uint64(i)<<32))
+		if h.err != nil {
+			return h.err
+		}
+	}
+	h.heal()
+	return h.err
+}
+
+// mix spreads a choice evenly, as generators prefer small numbers.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func (h *history) moment() Moment {
+	return Moment{Since: h.now, Wall: historyStart.Add(h.now)}
+}
+
+func (h *history) fault(format string, args ...any) {
+	if h.err == nil {
+		h.err = fmt.Errorf(format, args...)
+	}
+}
+
+func (h *history) step(x uint64) {
+	daemon := int(x >> 8 % historyDaemons)
+	arg := x >> 16
+	switch choice := x % 64; {
+	case choice < 12:
+		h.claim(daemon, arg)
+	case choice < 24:
+		h.applyCall(arg)
+	case choice < 40:
+		h.answerCall(arg)
+	case choice < 42:
+		h.loseCall(arg)
+	case choice < 43:
+		h.dropCall(arg)
+	case choice < 49:
+		h.endRun(arg)
+	case choice < 52:
+		h.own(daemon, arg)
+	case choice < 53:
+		h.restart(daemon)
+	case choice < 54:
+		h.paused[daemon] = !h.paused[daemon]
+	case choice < 55:
+		h.advance(historyRetention / 2 * time.Duration(arg%8/7))
+	default:
+		h.advance(time.Duration(arg%400) * time.Millisecond)
+	}
+}
+
+func (h *history) advance(by time.Duration) {
+	h.now += by
+	for d, m := range h.daemons {
+		if !h.paused[d] {
+			h.take(d, m.Tick(h.moment()))
+		}
+	}
+}
+
+// answerCall passes the answer of a carried out call to its process.
+func (h *history) answerCall(arg uint64) {
+	for i := range h.calls {
+		at := (i + int(arg%1024)) % len(h.calls)
+		c := h.calls[at]
+		if c.applied && !c.lost && !h.paused[c.daemon] {
+			h.calls = append(h.calls[:at], h.calls[at+1:]...)
+			h.take(c.daemon, c.machine.StoreAnswer(h.moment(), c.answer))
+			return
+		}
+	}
+}
+
+// applyCall lets a call take effect.
+func (h *history) applyCall(arg uint64) {
+	for i := range h.calls {
+		c := h.calls[(i+int(arg%1024))%len(h.calls)]
+		if !c.applied {
+			c.applied = true
+			c.answer = h.store.apply(c.action)
+			return
+		}
+	}
+}
+
+func (h *history) claim(daemon int, arg uint64) {
+	key := "key-" + strconv.Itoa(int(arg%historyKeys))
+	for range historyDaemons {
+		if p := h.daemons[daemon].partitions[Partition(key, historyPartitions)]; p != nil && p.owned && !h.paused[daemon] {
+			break
+		}
+		daemon = (daemon + 1) % historyDaemons
+	}
+	if h.paused[daemon] {
+		return
+	}
+	r := &run{id: uint64(len(h.runs) + 1), machine: h.daemons[daemon], key: key, body: 1}
+	if arg>>8%8 == 0 {
+		r.body = 2
+	}
+	h.runs = append(h.runs, r)
+	h.byID[r.id] = r
+	deadline := h.now + time.Duration(arg>>16%5000+1)*time.Millisecond
+	h.take(daemon, r.machine.Claim(h.moment(), Request{ID: r.id, Key: r.key, BodyHash: r.body, Deadline: deadline}))
+}
+
+// dropCall ends a call that never left its process.
+func (h *history) dropCall(arg uint64) {
+	for i := range h.calls {
+		at := (i + int(arg%1024)) % len(h.calls)
+		c := h.calls[at]
+		if !c.applied && !c.lost && !h.paused[c.daemon] {
+			h.calls = append(h.calls[:at], h.calls[at+1:]...)
+			op, _ := opOf(c.action)
+			h.take(c.daemon, c.machine.StoreAnswer(h.moment(), Answer{Op: op, Result: storer.ResultNotSent}))
+			return
+		}
+	}
+}
+
+// endRun moves a granted request on: it is dispatched, released before that, or ends after it.
+func (h *history) endRun(arg uint64) {
+	for i := range h.runs {
+		r := h.runs[(i+int(arg%1024))%len(h.runs)]
+		if d, ok := h.daemonOf(r.machine); ok && !h.paused[d] && r.granted && !r.ended {
+			h.end(d, r, arg>>10)
+			return
+		}
+	}
+}
+
+func (h *history) end(d int, r *run, arg uint64) {
+	switch {
+	case !r.dispatched && arg%4 == 0:
+		r.ended = true
+		delete(h.holder, r.key)
+		h.take(d, r.machine.Release(h.moment(), r.id))
+	case !r.dispatched:
+		r.dispatched = true
+	case arg%4 == 0:
+		r.ended = true
+		h.take(d, r.machine.Fail(h.moment(), r.id))
+	default:
+		r.ended = true
+		r.completed = true
+		answer := fmt.Appendf(nil, "answer %d", r.id)
+		if arg>>2%16 == 0 {
+			answer = make([]byte, DefaultAnswerBytes+1)
+		}
+		r.result = Result{Status: 200, ContentType: "text/plain", Body: answer}
+		h.take(d, r.machine.Complete(h.moment(), r.id, r.result))
+	}
+}
+
+func (h *history) daemonOf(m *Machine) (int, bool) {
+	for d, other := range h.daemons {
+		if other == m {
+			return d, true
+		}
+	}
+	return 0, false
+}
+
+// loseCall tells a process that the outcome is unknown; the effect may still come.
+func (h *history) loseCall(arg uint64) {
+	for i := range h.calls {
+		c := h.calls[(i+int(arg%1024))%len(h.calls)]
+		if !c.lost && !h.paused[c.daemon] {
+			c.lost = true
+			op, _ := opOf(c.action)
+			h.take(c.daemon, c.machine.StoreAnswer(h.moment(), Answer{Op: op, Result: storer.ResultUnknown}))
+			return
+		}
+	}
+}
+
+// own changes the owner of a partition; several daemons may own the same one.
+func (h *history) own(daemon int, arg uint64) {
+	if h.paused[daemon] {
+		return
+	}
+	m := h.daemons[daemon]
+	number := int(arg % historyPartitions)
+	if arg>>8%8 == 0 {
+		h.take(daemon, m.Disown(h.moment(), number))
+		return
+	}
+	h.take(daemon, m.Own(h.moment(), number))
+}
+
+// restart replaces a process by a new instance. Calls of the old one may still take effect.
+func (h *history) restart(daemon int) {
+	h.instance++
+	for _, c := range h.calls {
+		if c.daemon == daemon {
+			c.lost = true
+		}
+	}
+	m := New(Settings{
+		Cell:         "cell",
+		Daemon:       "daemon-" + strconv.Itoa(daemon),
+		Instance:     strconv.Itoa(h.instance),
+		Partitions:   historyPartitions,
+		Retention:    historyRetention,
+		ClockMargin:  historyMargin,
+		SegmentBytes: 400,
+	})
+	if h.breaks != nil {
+		h.breaks(m)
+	}
+	h.daemons[daemon] = m
+	h.paused[daemon] = false
+}
+
+// take carries out a Machine's actions and checks its answers.
+func (h *history) take(daemon int, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Granted:
+			h.checkGranted(h.finish(a.Request, a))
+		case Denied:
+			h.checkDenied(h.finish(a.Request, a), a)
+		case Replayed:
+			h.checkReplayed(h.finish(a.Request, a), a)
+		default:
+			h.calls = append(h.calls, &call{action: a, daemon: daemon, machine: h.daemons[daemon]})
+		}
+	}
+}
+
+// finish notes the only answer of a request.
+func (h *history) finish(id uint64, a Action) *run {
+	r := h.byID[id]
+	if r.final != nil {
+		h.fault("request %d: got %T after %T, want one answer", id, a, r.final)
+	}
+	r.final = a
+	return r
+}
+
+func (h *history) checkDenied(r *run, d Denied) {
+	if d.Ran == refuser.DidRun && !h.anyRun(r.key, func(other *run) bool { return other.completed }) {
+		h.fault("request %d: got ran, want not run as %s never completed", r.id, r.key)
+	}
+	if d.Code == refuser.CodeIdempotencyKeyReused && !h.anyRun(r.key, func(other *run) bool { return other.body != r.body }) {
+		h.fault("request %d: got key reused, but %s was never sent with another body", r.id, r.key)
+	}
+}
+
+func (h *history) checkGranted(r *run) {
+	if other := h.holder[r.key]; other != nil && h.now-other.grantedAt < historyRetention {
+		h.fault("request %d: %s granted again after request %d", r.id, r.key, other.id)
+	}
+	r.granted = true
+	r.grantedAt = h.now
+	h.holder[r.key] = r
+}
+
+func (h *history) checkReplayed(r *run, got Replayed) {
+	same := func(other *run) bool {
+		return other.completed && other.body == r.body && bytes.Equal(other.result.Body, got.Body)
+	}
+	if !h.anyRun(r.key, same) {
+		h.fault("request %d: got answer %q, want one recorded for %s", r.id, got.Body, r.key)
+	}
+}
+
+func (h *history) anyRun(key string, match func(*run) bool) bool {
+	for _, r := range h.runs {
+		if r.key == key && match(r) {
+			return true
+		}
+	}
+	return false
+}
+
+// heal ends all faults and checks that everything pending is decided and new requests are granted.
+func (h *history) heal() {
+	h.paused = [historyDaemons]bool{}
+	for d, m := range h.daemons {
+		for number := range historyPartitions {
+			if d == 0 {
+				h.take(d, m.Own(h.moment(), number))
+			} else {
+				h.take(d, m.Disown(h.moment(), number))
+			}
+		}
+	}
+	h.settle(10)
+	h.checkDecided()
+	for i := range 4 {
+		h.checkServes("new-" + strconv.Itoa(i))
+	}
+}
+
+// settle answers all calls and ends all requests for some seconds.
+func (h *history) settle(seconds int) {
+	for range seconds {
+		for i := 0; i < 1000 && len(h.calls) > 0; i++ {
+			h.applyCall(0)
+			c := h.calls[0]
+			h.calls = h.calls[1:]
+			if !c.lost {
+				h.take(c.daemon, c.machine.StoreAnswer(h.moment(), c.answer))
+			}
+		}
+		if len(h.calls) > 0 {
+			h.fault("got %d calls after 1000 answers, want an end", len(h.calls))
+		}
+		for _, r := range h.runs {
+			if d, ok := h.daemonOf(r.machine); ok && r.granted && !r.ended {
+				h.end(d, r, 1)
+			}
+		}
+		h.advance(time.Second)
+	}
+}
+
+func (h *history) checkDecided() {
+	for _, r := range h.runs {
+		if _, alive := h.daemonOf(r.machine); alive && r.final == nil {
+			h.fault("request %d: got no answer after all faults healed", r.id)
+		}
+	}
+	for d, m := range h.daemons {
+		if got, want := len(m.requests), 0; got != want {
+			h.fault("daemon %d: got %d open requests, want %d", d, got, want)
+		}
+	}
+}
+
+func (h *history) checkServes(key string) {
+	r := &run{id: uint64(len(h.runs) + 1), machine: h.daemons[0], key: key, body: 1}
+	h.runs = append(h.runs, r)
+	h.byID[r.id] = r
+	h.take(0, r.machine.Claim(h.moment(), Request{ID: r.id, Key: key, BodyHash: 1, Deadline: h.now + time.Minute}))
+	h.settle(3)
+	if !r.completed {
+		h.fault("request %d: got %#v after all faults healed, want it granted", r.id, r.final)
+	}
+}
--- /dev/null
+++ b/internal/decision/claimer/index.go
@@ -0,0 +1,138 @@
+package claimer
+
+// A record is what the store says of a key.
+type record struct {
+	claim       string
+	kind        entryKind
+	bodyHash    uint64
+	status      int
+	contentType string
+	body        []byte
+	tooLarge    bool
+	// segment is the sealed segment that the record comes from.
+	segment string
+}
+
+// free reports whether the key may be claimed.
+func (r record) free() bool { return r.kind == entryRelease }
+
+// A segment is a sealed segment that has been read.
+type segment struct {
+	name     string
+	revision int64
+	// newest is the wall time of the youngest entry in milliseconds since 1970.
+	newest int64
+	keys   []string
+}
+
+// An index holds the state of every key of a partition, as read from its segments.
+type index struct {
+	// active holds the last record of each key in the active segment; it goes before older.
+	active map[string]record
+	// older holds the last record of each key in the sealed segments.
+	older map[string]record
+	// newest is the wall time of the youngest entry in the active segment.
+	newest int64
+	// segments are the sealed segments that have been read, oldest first.
+	segments []segment
+}
+
+// addActive applies an entry of the active segment.
+func (x *index) addActive(e entry) {
+	x.active[e.Key] = newRecord(e, "")
+	x.newest = max(x.newest, e.At)
+}
+
+// addSegment applies a sealed segment, which is younger than all before it.
+func (x *index) addSegment(name string, revision int64, entries []entry) {
+	s := segment{name: name, revision: revision}
+	for _, e := range entries {
+		x.older[e.Key] = newRecord(e, name)
+		s.keys = append(s.keys, e.Key)
+		s.newest = max(s.newest, e.At)
+	}
+	x.segments = append(x.segments, s)
+}
+
+// drop forgets the sealed segments that are not listed and returns them.
+func (x *index) drop(listed []string) []segment {
+	names := make(map[string]bool, len(listed))
+	for _, name := range listed {
+		names[name] = true
+	}
+	var kept, dropped []segment
+	for _, s := range x.segments {
+		if names[s.name] {
+			kept = append(kept, s)
+			continue
+		}
+		dropped = append(dropped, s)
+		x.forget(s)
+	}
+	x.segments = kept
+	return dropped
+}
+
+func (x *index) forget(s segment) {
+	for _, key := range s.keys {
+		if x.older[key].segment == s.name {
+			delete(x.older, key)
+		}
+	}
+}
+
+// expired returns how many of the oldest sealed segments have no entry younger than the limit.
+func (x *index) expired(limit int64) int {
+	for i, s := range x.segments {
+		if s.newest >= limit {
+			return i
+		}
+	}
+	return len(x.segments)
+}
+
+// lookup returns the last record of a key.
+func (x *index) lookup(key string) (record, bool) {
+	if r, ok := x.active[key]; ok {
+		return r, true
+	}
+	r, ok := x.older[key]
+	return r, ok
+}
+
+// resetActive replaces what is known of the active segment.
+func (x *index) resetActive(entries []entry) {
+	x.active = make(map[string]record, len(entries))
+	x.newest = 0
+	for _, e := range entries {
+		x.addActive(e)
+	}
+	if x.older == nil {
+		x.older = make(map[string]record)
+	}
+}
+
+// sealActive turns the active segment into a sealed one.
+func (x *index) sealActive(name string, revision int64) {
+	s := segment{name: name, revision: revision, newest: x.newest}
+	for key, r := range x.active {
+		r.segment = name
+		x.older[key] = r
+		s.keys = append(s.keys, key)
+	}
+	x.segments = append(x.segments, s)
+	x.resetActive(nil)
+}
+
+func newRecord(e entry, segment string) record {
+	return record{
+		claim:       e.Claim,
+		kind:        e.Kind,
+		bodyHash:    e.BodyHash,
+		status:      e.Status,
+		contentType: e.ContentType,
+		body:        e.Body,
+		tooLarge:    e.TooLarge,
+		segment:     segment,
+	}
+}
--- /dev/null
+++ b/internal/decision/claimer/machine.go
@@ -0,0 +1,445 @@
+package claimer
+
+import (
+	"container/heap"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"samphirewharf/internal/caller/refuser"
+	"samphirewharf/internal/platform/storer"
+)
+
+// A Moment is when a call is made.
+type Moment struct {
+	// Since is monotonic time, which goes on while the process is frozen.
+	Since time.Duration
+	// Wall is the wall clock, for the retention.
+	Wall time.Time
+}
+
+// An Answer is the answer to a Read, Swap or Delete. Every one is answered, with
+// storer.ResultUnknown if nothing better is known in time.
+type Answer struct {
+	Op     uint64
+	Result storer.Result
+	// Value and Revision are the value that was read and its revision, or the revision written.
+	Value    []byte
+	Revision int64
+}
+
+// A Machine claims the non-idempotent requests of one cell for one process. It is deterministic and
+// does no I/O. Each method returns what is to be done because of it. It is not safe for concurrent use.
+type Machine struct {
+	settings Settings
+	owner    string
+	moment   Moment
+	actions  []Action
+
+	nextOp     uint64
+	nextClaim  uint64
+	partitions map[int]*partition
+	operations map[uint64]operation
+	// requests holds every request that is undecided or running.
+	requests  map[uint64]*claim
+	deadlines deadlineQueue
+
+	seams seams
+}
+
+// seams replace rules of the Machine, to show that tests notice when one is broken.
+type seams struct {
+	// landed tells whether a swap's result proves that it took effect.
+	landed func(storer.Result) bool
+	// revision returns the revision that an active segment is written at.
+	revision func(int64) int64
+	// sealed returns the names of the sealed segments that are read.
+	sealed func([]string) []string
+	// mayAbandon tells whether a claim may be given up at its deadline.
+	mayAbandon func(*claim) bool
+	// abandoned tells that a claim that has landed must not be granted.
+	abandoned func(*claim) bool
+	// fail ends a claim whose request was dispatched and has no known outcome.
+	fail func(*claim)
+}
+
+// New returns a Machine that owns no partition.
+func New(settings Settings) *Machine {
+	m := &Machine{
+		settings:   settings.withDefaults(),
+		owner:      settings.Daemon + "/" + settings.Instance + "/",
+		partitions: make(map[int]*partition),
+		operations: make(map[uint64]operation),
+		requests:   make(map[uint64]*claim),
+		seams: seams{
+			landed:     func(r storer.Result) bool { return r == storer.ResultOK },
+			revision:   func(r int64) int64 { return r },
+			sealed:     func(names []string) []string { return names },
+			mayAbandon: (*claim).undecided,
+			abandoned:  func(c *claim) bool { return c.abandoned },
+		},
+	}
+	m.seams.fail = m.forget
+	return m
+}
+
+// Claim asks for the claim of a request. The request ends in one Granted, Denied or Replayed.
+func (m *Machine) Claim(now Moment, r Request) []Action {
+	m.begin(now)
+	number := Partition(r.Key, m.settings.Partitions)
+	p := m.partitions[number]
+	// A claim must not be granted after the store has forgotten it.
+	r.Deadline = min(r.Deadline, now.Since+m.settings.Retention)
+	c := &claim{request: r, state: StateWaiting, partition: p}
+	switch {
+	case m.keyExpired(r.Key):
+		m.deny(c, refuser.CodeIdempotencyKeyExpired, refuser.MayHaveRun, 0)
+	case p == nil || !p.owned:
+		m.deny(c, refuser.CodeClaimUnavailable, refuser.NotRun, m.settings.RetryInterval)
+	case r.Deadline <= now.Since:
+		m.deny(c, refuser.CodeDeadlineExpired, refuser.NotRun, 0)
+	case len(p.waiting)+len(p.items) >= m.settings.MaxQueued:
+		m.deny(c, refuser.CodeOverloaded, refuser.NotRun, m.settings.RetryInterval)
+	default:
+		m.requests[r.ID] = c
+		heap.Push(&m.deadlines, c)
+		m.decide(c)
+		m.advance(p)
+	}
+	return m.end()
+}
+
+// Complete records the result of a granted request.
+func (m *Machine) Complete(now Moment, request uint64, result Result) []Action {
+	m.begin(now)
+	c, ok := m.requests[request]
+	if !ok || c.state != StateRunning {
+		return m.end()
+	}
+	if len(result.Body) > m.settings.AnswerBytes {
+		result.Body = nil
+		result.TooLarge = true
+	}
+	delete(m.requests, request)
+	c.state = StateFinished
+	c.result = result
+	m.enqueue(c, entryResult)
+	m.advance(c.partition)
+	return m.end()
+}
+
+// Disown tells that the partition has another owner. Requests that were granted go on, and their
+// results are still written.
+func (m *Machine) Disown(now Moment, number int) []Action {
+	m.begin(now)
+	if p := m.partitions[number]; p != nil && p.owned {
+		p.owned = false
+		m.refuseUnsent(p)
+		m.advance(p)
+	}
+	return m.end()
+}
+
+// Fail tells that a granted request was dispatched and that its outcome will never be known.
+func (m *Machine) Fail(now Moment, request uint64) []Action {
+	m.begin(now)
+	if c, ok := m.requests[request]; ok && c.state == StateRunning {
+		delete(m.requests, request)
+		m.seams.fail(c)
+		m.advance(c.partition)
+	}
+	return m.end()
+}
+
+// NextWake returns the monotonic time at which Tick must be called at the latest.
+func (m *Machine) NextWake() (time.Duration, bool) {
+	var wake time.Duration
+	found := false
+	earliest := func(t time.Duration) {
+		if !found || t < wake {
+			wake, found = t, true
+		}
+	}
+	m.trimDeadlines()
+	if len(m.deadlines) > 0 {
+		earliest(m.deadlines[0].request.Deadline)
+	}
+	for _, p := range m.partitions {
+		if !p.busy && m.hasWork(p) {
+			earliest(max(p.retryAt, p.nextWriteAt))
+		}
+	}
+	return wake, found
+}
+
+// Own tells that this process owns the partition. Its segments are read before anything is claimed.
+func (m *Machine) Own(now Moment, number int) []Action {
+	m.begin(now)
+	p := m.partitions[number]
+	if p == nil {
+		p = newPartition(m.settings.Cell, number)
+		m.partitions[number] = p
+	}
+	p.owned = true
+	m.advance(p)
+	return m.end()
+}
+
+// Release tells that the request was never dispatched and never will be: its caller left before it
+// was granted, or no byte of it was sent after it was granted. The key can then be claimed again.
+func (m *Machine) Release(now Moment, request uint64) []Action {
+	m.begin(now)
+	c, ok := m.requests[request]
+	if !ok {
+		return m.end()
+	}
+	if c.undecided() {
+		m.abandon(c, refuser.CodeCallerLeft)
+	} else if c.state == StateRunning {
+		delete(m.requests, request)
+		m.release(c)
+	}
+	m.advance(c.partition)
+	return m.end()
+}
+
+// State returns how far the claim of a key is.
+func (m *Machine) State(key string) State {
+	p := m.partitions[Partition(key, m.settings.Partitions)]
+	if p == nil {
+		return StateUnclaimed
+	}
+	if c, ok := p.local[key]; ok {
+		return c.state
+	}
+	r, ok := p.index.lookup(key)
+	switch {
+	case !ok || r.free():
+		return StateUnclaimed
+	case r.kind == entryResult:
+		return StateFinished
+	default:
+		return StateUnknown
+	}
+}
+
+// Tick lets time pass.
+func (m *Machine) Tick(now Moment) []Action {
+	m.begin(now)
+	for number := range m.settings.Partitions {
+		if p := m.partitions[number]; p != nil {
+			m.advance(p)
+		}
+	}
+	return m.end()
+}
+
+// abandon answers an undecided request, which is never granted afterwards.
+func (m *Machine) abandon(c *claim, code refuser.Code) {
+	p := c.partition
+	m.deny(c, code, refuser.NotRun, m.settings.RetryInterval)
+	if c.state == StateRunning {
+		m.release(c)
+		return
+	}
+	c.abandoned = true
+	if c.state == StateWaiting {
+		p.waiting = slices.DeleteFunc(p.waiting, func(other *claim) bool { return other == c })
+		return
+	}
+	for i, queued := range p.items {
+		if queued.claim == c && !queued.sent {
+			p.items = append(p.items[:i:i], p.items[i+1:]...)
+			m.forget(c)
+			return
+		}
+	}
+}
+
+func (m *Machine) begin(now Moment) {
+	m.moment = now
+	m.actions = nil
+	for len(m.deadlines) > 0 && m.deadlines[0].request.Deadline <= now.Since {
+		c := heap.Pop(&m.deadlines).(*claim)
+		if m.requests[c.request.ID] == c && m.seams.mayAbandon(c) {
+			m.abandon(c, refuser.CodeDeadlineExpired)
+		}
+	}
+}
+
+// decide answers a request from what is known, queues its claim, or leaves it waiting.
+func (m *Machine) decide(c *claim) {
+	p := c.partition
+	if other, ok := p.local[c.request.Key]; ok {
+		m.decideLocal(c, other)
+		return
+	}
+	if !p.loaded {
+		m.wait(c)
+		return
+	}
+	r, ok := p.index.lookup(c.request.Key)
+	switch {
+	case !ok || r.free():
+		m.queueClaim(c)
+	case r.bodyHash != c.request.BodyHash:
+		m.deny(c, refuser.CodeIdempotencyKeyReused, refuser.NotRun, 0)
+	case r.kind == entryResult:
+		m.replay(c, Result{Status: r.status, ContentType: r.contentType, Body: r.body, TooLarge: r.tooLarge})
+	case strings.HasPrefix(r.claim, m.owner) || c.fresh || p.down:
+		m.deny(c, refuser.CodeOutcomeUnknown, refuser.MayHaveRun, 0)
+	default:
+		// Its former owner may have recorded the result since.
+		p.stale = true
+		m.wait(c)
+	}
+}
+
+// decideLocal answers a request whose key this process is busy with.
+func (m *Machine) decideLocal(c, other *claim) {
+	switch {
+	case other.abandoned || other.state == StateReleasing:
+		m.wait(c)
+	case other.request.BodyHash != c.request.BodyHash:
+		m.deny(c, refuser.CodeIdempotencyKeyReused, refuser.NotRun, 0)
+	case other.state == StateFinished:
+		m.replay(c, other.result)
+	default:
+		m.deny(c, refuser.CodeAlreadyInProgress, refuser.MayHaveRun, m.settings.RetryInterval)
+	}
+}
+
+func (m *Machine) decideWaiting(p *partition) {
+	for _, c := range p.takeWaiting() {
+		m.decide(c)
+	}
+}
+
+func (m *Machine) deny(c *claim, code refuser.Code, ran refuser.Ran, retryAfter time.Duration) {
+	delete(m.requests, c.request.ID)
+	m.emit(Denied{Request: c.request.ID, Code: code, Ran: ran, RetryAfter: retryAfter})
+}
+
+func (m *Machine) emit(a Action) { m.actions = append(m.actions, a) }
+
+func (m *Machine) end() []Action {
+	actions := m.actions
+	m.actions = nil
+	return actions
+}
+
+// enqueue adds an entry of a claim to what is to be written.
+func (m *Machine) enqueue(c *claim, kind entryKind) {
+	e := entry{
+		Kind:     kind,
+		Key:      c.request.Key,
+		BodyHash: c.request.BodyHash,
+		Claim:    c.id,
+		At:       m.moment.Wall.UnixMilli(),
+	}
+	if kind == entryResult {
+		e.Status = c.result.Status
+		e.ContentType = c.result.ContentType
+		e.Body = c.result.Body
+		e.TooLarge = c.result.TooLarge
+	}
+	line, err := e.encode()
+	if err != nil {
+		// An entry of strings, numbers and bytes always has an encoding.
+		return
+	}
+	c.partition.items = append(c.partition.items, &item{claim: c, entry: e, line: line})
+}
+
+// forget ends a claim of this process.
+func (m *Machine) forget(c *claim) {
+	delete(m.requests, c.request.ID)
+	if c.partition.local[c.request.Key] == c {
+		delete(c.partition.local, c.request.Key)
+	}
+}
+
+// grant lets a request run whose claim is known to be in the store.
+func (m *Machine) grant(c *claim) {
+	if m.seams.abandoned(c) {
+		m.release(c)
+		return
+	}
+	c.state = StateRunning
+	m.emit(Granted{Request: c.request.ID})
+}
+
+// keyExpired reports whether the key's own time is older than claims are kept.
+func (m *Machine) keyExpired(key string) bool {
+	made, ok := keyTime(key)
+	return ok && m.moment.Wall.Sub(made) > m.settings.Retention
+}
+
+func (m *Machine) queueClaim(c *claim) {
+	if c.partition.down {
+		m.deny(c, refuser.CodeClaimUnavailable, refuser.NotRun, m.settings.RetryInterval)
+		return
+	}
+	m.nextClaim++
+	c.id = m.owner + strconv.FormatUint(m.nextClaim, 10)
+	c.state = StateClaiming
+	c.partition.local[c.request.Key] = c
+	m.enqueue(c, entryClaim)
+}
+
+// refuseUnsent refuses every request whose claim was in no write.
+func (m *Machine) refuseUnsent(p *partition) {
+	for _, c := range p.takeWaiting() {
+		m.deny(c, refuser.CodeClaimUnavailable, refuser.NotRun, m.settings.RetryInterval)
+	}
+	var kept []*item
+	for _, i := range p.items {
+		if i.entry.Kind != entryClaim || i.sent {
+			kept = append(kept, i)
+			continue
+		}
+		m.forget(i.claim)
+		if !i.claim.abandoned {
+			m.deny(i.claim, refuser.CodeClaimUnavailable, refuser.NotRun, m.settings.RetryInterval)
+		}
+	}
+	p.items = kept
+}
+
+// release frees the key of a claim that is never dispatched.
+func (m *Machine) release(c *claim) {
+	c.state = StateReleasing
+	m.enqueue(c, entryRelease)
+}
+
+func (m *Machine) replay(c *claim, r Result) {
+	if r.TooLarge {
+		m.deny(c, refuser.CodeAlreadyRan, refuser.DidRun, 0)
+		return
+	}
+	delete(m.requests, c.request.ID)
+	m.emit(Replayed{Request: c.request.ID, Status: r.Status, ContentType: r.ContentType, Body: r.Body})
+}
+
+// trimDeadlines drops requests that are decided from the head of the queue.
+func (m *Machine) trimDeadlines() {
+	for len(m.deadlines) > 0 {
+		c := m.deadlines[0]
+		if m.requests[c.request.ID] == c && c.undecided() {
+			return
+		}
+		heap.Pop(&m.deadlines)
+	}
+}
+
+// wait keeps a request until the partition has been read, or refuses it if that can't be done now.
+func (m *Machine) wait(c *claim) {
+	p := c.partition
+	if p.down || !p.owned {
+		m.deny(c, refuser.CodeClaimUnavailable, refuser.NotRun, m.settings.RetryInterval)
+		return
+	}
+	c.state = StateWaiting
+	p.waiting = append(p.waiting, c)
+}
--- /dev/null
+++ b/internal/decision/claimer/partition.go
@@ -0,0 +1,86 @@
+package claimer
+
+import (
+	"strconv"
+	"time"
+)
+
+// A partition is what a Machine knows of one partition that it owns or still has to write to.
+type partition struct {
+	number int
+	// key is the key of the active segment.
+	key   string
+	owned bool
+	// loaded tells that the index holds all of the active segment at revision and all that it lists.
+	loaded bool
+	// stale tells that the active segment must be read again before the next write.
+	stale bool
+	// down tells that the last call failed; claims are then refused at once.
+	down bool
+	// busy tells that a call is under way. There is never more than one, deletes aside.
+	busy bool
+
+	// revision, listed and body are the active segment as last read or written.
+	revision int64
+	listed   []string
+	body     []byte
+	index    index
+	// copied is the revision of the sealed copy of the active segment, 0 if there is none.
+	copied int64
+
+	// local holds the claims of this process by key; at most one for each key.
+	local map[string]*claim
+	// waiting are requests whose claims can't be decided yet, oldest first.
+	waiting []*claim
+	// items are the entries that are not known to be in the store, oldest first.
+	items []*item
+	// garbage are sealed segments that are no longer listed and whose deletion failed.
+	garbage []segment
+
+	retryAt     time.Duration
+	nextWriteAt time.Duration
+}
+
+func newPartition(cell string, number int) *partition {
+	return &partition{
+		number: number,
+		key:    "claims/" + cell + "/" + strconv.Itoa(number),
+		local:  make(map[string]*claim),
+	}
+}
+
+// copyName returns the name of the sealed copy of the active segment.
+func (p *partition) copyName() string { return strconv.FormatInt(p.revision, 36) }
+
+// landed reports whether an item that was sent is in the store. The active segment must have moved
+// past the revision that the item was sent at.
+func (p *partition) landed(i *item) bool {
+	r, ok := p.index.lookup(i.entry.Key)
+	same := ok && r.claim == i.entry.Claim
+	switch i.entry.Kind {
+	case entryClaim:
+		return same
+	case entryResult:
+		return same && r.kind == entryResult
+	default:
+		return !same || r.kind == entryRelease
+	}
+}
+
+// segmentKey returns the key of a sealed segment.
+func (p *partition) segmentKey(name string) string { return p.key + "/" + name }
+
+// segmentsLoaded reports whether all listed segments have been read.
+func (p *partition) segmentsLoaded() bool { return len(p.index.segments) == len(p.listed) }
+
+// takeWaiting returns the waiting requests and leaves none.
+func (p *partition) takeWaiting() []*claim {
+	waiting := p.waiting
+	p.waiting = nil
+	return waiting
+}
+
+// unused reports whether nothing is left to do for the partition.
+func (p *partition) unused() bool {
+	return !p.owned && !p.busy && len(p.items) == 0 && len(p.local) == 0 && len(p.waiting) == 0
+}
--- /dev/null
+++ b/internal/decision/claimer/settings.go
@@ -0,0 +1,58 @@
+package claimer
+
+import "time"
+
+// The defaults of Settings.
+const (
+	DefaultPartitions    = 16
+	DefaultSegmentBytes  = 32 << 10
+	DefaultAnswerBytes   = 4096
+	DefaultMaxQueued     = 1024
+	DefaultRetention     = 24 * time.Hour
+	DefaultClockMargin   = 5 * time.Minute
+	DefaultRetryInterval = time.Second
+)
+
+// Settings configure a Machine. Zero fields take the defaults.
+type Settings struct {
+	// Cell is the cell whose requests are claimed.
+	Cell string
+	// Daemon and Instance identify the process; Instance is never used by another process.
+	Daemon   string
+	Instance string
+	// Partitions is how many partitions the cell has. It must be the same in all daemons, for ever.
+	Partitions int
+	// Retention is how long a claim is kept at least.
+	Retention time.Duration
+	// ClockMargin is how far the wall clocks of two daemons or a caller may differ.
+	ClockMargin time.Duration
+	// SegmentBytes is the size past which the active segment is sealed.
+	SegmentBytes int
+	// AnswerBytes is the size up to which answers are recorded.
+	AnswerBytes int
+	// MaxQueued bounds the requests of one partition that wait for their claims to be written.
+	MaxQueued int
+	// MinWriteInterval is the least time between two writes of a partition's claims.
+	MinWriteInterval time.Duration
+	// RetryInterval is the time between two attempts to reach a key-value service that is down.
+	RetryInterval time.Duration
+}
+
+func (s Settings) withDefaults() Settings {
+	s.Partitions = orDefault(s.Partitions, DefaultPartitions)
+	s.Retention = orDefault(s.Retention, DefaultRetention)
+	s.ClockMargin = orDefault(s.ClockMargin, DefaultClockMargin)
+	s.SegmentBytes = orDefault(s.SegmentBytes, DefaultSegmentBytes)
+	s.AnswerBytes = orDefault(s.AnswerBytes, DefaultAnswerBytes)
+	s.MaxQueued = orDefault(s.MaxQueued, DefaultMaxQueued)
+	s.RetryInterval = orDefault(s.RetryInterval, DefaultRetryInterval)
+	return s
+}
+
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
