--- /dev/null
+++ b/internal/network/sender/sender_test.go
@@ -0,0 +1,131 @@
+package sender_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"samphirewharf/internal/network/sender"
+)
+
+// A script is a server that handles each accepted connection with the next function, then closes it.
+type script struct {
+	listener net.Listener
+	requests atomic.Int64
+}
+
+func startScript(t *testing.T, handlers ...func(*script, net.Conn)) *script {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go s.run(handlers)
+	return s
+}
+
+func (s *script) run(handlers []func(*script, net.Conn)) {
+	for _, handle := range handlers {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		handle(s, conn)
+		_ = conn.Close()
+	}
+}
+
+func (s *script) read(conn net.Conn) bool {
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	s.requests.Add(1)
+	return true
+}
+
+func answer(s *script, conn net.Conn) {
+	if s.read(conn) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	}
+}
+
+func readAndDrop(s *script, conn net.Conn) { s.read(conn) }
+
+func answerThenReadAndDrop(s *script, conn net.Conn) {
+	answer(s, conn)
+	s.read(conn)
+}
+
+func post(t *testing.T, s *sender.Sender, ctx context.Context, address, body string) error {
+	t.Helper()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Idempotency-Key", "k")
+	response, err := s.Do(r)
+	if err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.Body.Close()
+}
+
+func assertNotSent(t *testing.T, err error, want bool) {
+	t.Helper()
+	if err == nil {
+		t.Fatal("got no error, want one")
+	}
+	if got := errors.Is(err, sender.ErrNotSent); got != want {
+		t.Errorf("got not sent %v, want %v: %v", got, want, err)
+	}
+}
+
+func assertRequests(t *testing.T, s *script, want int64) {
+	t.Helper()
+	if got := s.requests.Load(); got != want {
+		t.Errorf("got %d requests at the server, want %d", got, want)
+	}
+}
+
+func TestSenderDo(t *testing.T) {
+	t.Run("a refused connection is not sent", func(t *testing.T) {
+		server := startScript(t)
+		_ = server.listener.Close()
+		assertNotSent(t, post(t, &sender.Sender{}, t.Context(), server.listener.Addr().String(), "x"), true)
+	})
+	t.Run("a context that is over is not sent", func(t *testing.T) {
+		server := startScript(t, answer)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		assertNotSent(t, post(t, &sender.Sender{}, ctx, server.listener.Addr().String(), "x"), true)
+		assertRequests(t, server, 0)
+	})
+	t.Run("a dropped connection may have been received", func(t *testing.T) {
+		server := startScript(t, readAndDrop, answer)
+		assertNotSent(t, post(t, &sender.Sender{}, t.Context(), server.listener.Addr().String(), "x"), false)
+		assertRequests(t, server, 1)
+	})
+	for _, body := range []string{"x", ""} {
+		t.Run("a reused connection is not retried with body "+body, func(t *testing.T) {
+			server := startScript(t, answerThenReadAndDrop, answer)
+			address := server.listener.Addr().String()
+			s := &sender.Sender{}
+			if err := post(t, s, t.Context(), address, body); err != nil {
+				t.Fatal(err)
+			}
+			assertNotSent(t, post(t, s, t.Context(), address, body), false)
+			assertRequests(t, server, 2)
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/responder/message.go
@@ -0,0 +1,56 @@
+package responder
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// MaxBodyBytes is the largest request body that the stand-ins read.
+const MaxBodyBytes = 16 << 20
+
+// Drop closes the connection of a request without an answer, or in the middle of one.
+func Drop(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		log.Error().Err(err).Msg("stand-in could not drop a connection")
+		return
+	}
+	_ = conn.Close()
+}
+
+// ReadJSON decodes the request's body into value. It answers 400 and returns false if it can't.
+func ReadJSON(w http.ResponseWriter, r *http.Request, value any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxBodyBytes)).Decode(value)
+	if err != nil {
+		http.Error(w, "malformed body: "+err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// Sleep waits for the duration and returns false if stop was closed before its end.
+func Sleep(d time.Duration, stop <-chan struct{}) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-stop:
+		return false
+	}
+}
+
+// WriteJSON answers with the status and the value.
+func WriteJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		log.Debug().Err(err).Msg("stand-in could not write its answer")
+	}
+}
--- /dev/null
+++ b/internal/standin/responder/server.go
@@ -0,0 +1,67 @@
+// Package responder serves HTTP for the stand-ins of outside systems.
+// It uses net/http because the stand-ins play systems that are not part of the project
+// and have to drop single connections without an answer.
+package responder
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+const readHeaderTimeout = 10 * time.Second
+
+// A Server serves one handler on one TCP address. It can be stopped and started again.
+// The zero value is ready to start.
+type Server struct {
+	mu      sync.Mutex
+	server  *http.Server
+	address string
+}
+
+// Address returns the IP and port of the last start.
+func (s *Server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address
+}
+
+// Start serves the handler on an IP and port; port 0 takes a free one.
+func (s *Server) Start(address string, handler http.Handler) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.server != nil {
+		return fmt.Errorf("start stand-in on %s: already started", address)
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("start stand-in: %w", err)
+	}
+	s.address = listener.Addr().String()
+	s.server = &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	go s.run(s.server, listener)
+	return nil
+}
+
+// Stop closes the listener and all connections without waiting for handlers.
+func (s *Server) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.server == nil {
+		return
+	}
+	_ = s.server.Close()
+	s.server = nil
+}
+
+func (s *Server) run(server *http.Server, listener net.Listener) {
+	err := server.Serve(listener)
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		log.Error().Err(err).Str("address", listener.Addr().String()).Msg("stand-in stopped serving")
+	}
+}
