--- /dev/null
+++ b/internal/platform/storer/message.go
@@ -0,0 +1,214 @@
+package storer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"samphirewharf/internal/network/sender"
+)
+
+// maxErrorBytes is how much of an error answer is read.
+const maxErrorBytes = 4096
+
+// A number is an int64 that the service writes as a JSON string.
+type number int64
+
+// MarshalJSON returns the number as a string.
+func (n number) MarshalJSON() ([]byte, error) {
+	return []byte(`"` + strconv.FormatInt(int64(n), 10) + `"`), nil
+}
+
+// UnmarshalJSON reads a string or a number.
+func (n *number) UnmarshalJSON(data []byte) error {
+	value, err := strconv.ParseInt(strings.Trim(string(data), `"`), 10, 64)
+	if err != nil {
+		return fmt.Errorf("parse number: %w", err)
+	}
+	*n = number(value)
+	return nil
+}
+
+type header struct {
+	Revision number `json:"revision"`
+}
+
+type keyValue struct {
+	Key         []byte `json:"key"`
+	Value       []byte `json:"value"`
+	ModRevision number `json:"mod_revision"`
+}
+
+func (kv keyValue) entry() Entry {
+	return Entry{Key: string(kv.Key), Value: kv.Value, Revision: int64(kv.ModRevision)}
+}
+
+type rangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+}
+
+type rangeResponse struct {
+	KVs []keyValue `json:"kvs"`
+}
+
+type putRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+	Lease number `json:"lease,omitempty"`
+}
+
+type compare struct {
+	Result      string `json:"result"`
+	Target      string `json:"target"`
+	Key         []byte `json:"key"`
+	ModRevision number `json:"mod_revision"`
+}
+
+func modEquals(key string, revision int64) compare {
+	return compare{Result: "EQUAL", Target: "MOD", Key: []byte(key), ModRevision: number(revision)}
+}
+
+type requestOp struct {
+	Range       *rangeRequest `json:"request_range,omitempty"`
+	Put         *putRequest   `json:"request_put,omitempty"`
+	DeleteRange *rangeRequest `json:"request_delete_range,omitempty"`
+}
+
+type txnRequest struct {
+	Compare []compare   `json:"compare"`
+	Success []requestOp `json:"success"`
+	Failure []requestOp `json:"failure,omitempty"`
+}
+
+type txnResponse struct {
+	Header    header       `json:"header"`
+	Succeeded bool         `json:"succeeded"`
+	Responses []responseOp `json:"responses"`
+}
+
+type responseOp struct {
+	Range *rangeResponse `json:"response_range"`
+}
+
+type leaseRequest struct {
+	ID  number `json:"ID,omitempty"`
+	TTL number `json:"TTL,omitempty"`
+}
+
+type leaseResponse struct {
+	ID  number `json:"ID"`
+	TTL number `json:"TTL"`
+}
+
+type keepAliveResponse struct {
+	Result leaseResponse `json:"result"`
+}
+
+type watchCreate struct {
+	Key           []byte `json:"key"`
+	RangeEnd      []byte `json:"range_end,omitempty"`
+	StartRevision number `json:"start_revision,omitempty"`
+}
+
+type watchRequest struct {
+	Create watchCreate `json:"create_request"`
+}
+
+type watchMessage struct {
+	Result watchResponse `json:"result"`
+	Error  *callError    `json:"error"`
+}
+
+type watchResponse struct {
+	Canceled        bool         `json:"canceled"`
+	CancelReason    string       `json:"cancel_reason"`
+	CompactRevision number       `json:"compact_revision"`
+	Events          []watchEvent `json:"events"`
+}
+
+type watchEvent struct {
+	Type string   `json:"type"`
+	KV   keyValue `json:"kv"`
+}
+
+// deliver reports the events of a message, or returns why the watch has ended.
+func (m watchMessage) deliver(report func(e Entry, deleted bool)) error {
+	if m.Error != nil {
+		return m.Error
+	}
+	if m.Result.CompactRevision > 0 {
+		return fmt.Errorf("%w before %d", ErrCompacted, m.Result.CompactRevision)
+	}
+	if m.Result.Canceled {
+		return fmt.Errorf("cancelled by the service: %s", m.Result.CancelReason)
+	}
+	for _, e := range m.Result.Events {
+		report(e.KV.entry(), e.Type == "DELETE")
+	}
+	return nil
+}
+
+// A callError is the service's answer to a call that failed. Code is the gRPC status code.
+type callError struct {
+	Status  int    `json:"-"`
+	Code    int    `json:"code"`
+	Message string `json:"message"`
+}
+
+// Error returns the service's message.
+func (e *callError) Error() string {
+	return fmt.Sprintf("status %d, code %d: %s", e.Status, e.Code, e.Message)
+}
+
+// statusError returns nil for an answer with status 200.
+func statusError(response *http.Response) error {
+	if response.StatusCode == http.StatusOK {
+		return nil
+	}
+	failed := &callError{}
+	body, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	if json.Unmarshal(body, failed) != nil {
+		failed = &callError{Message: string(body)}
+	}
+	failed.Status = response.StatusCode
+	return failed
+}
+
+func (c *Client) post(ctx context.Context, path string, request any) (*http.Response, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, fmt.Errorf("post %s: %w: %w", path, sender.ErrNotSent, err)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("post %s: %w: %w", path, sender.ErrNotSent, err)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	return c.sender.Do(r)
+}
+
+// prefixEnd returns the end of the range of all keys with the prefix. A single zero byte means all keys.
+func prefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
+
+// prefixStart returns the first key of the range of all keys with the prefix. The service takes no empty key.
+func prefixStart(prefix string) []byte {
+	if prefix == "" {
+		return []byte{0}
+	}
+	return []byte(prefix)
+}
--- /dev/null
+++ b/internal/standin/keeper/keeper.go
@@ -0,0 +1,304 @@
+// Package keeper is a stand-in for the platform's key-value service. It speaks the JSON form of the
+// published etcd v3 API for ranges, puts, deletions, transactions, leases and watches.
+package keeper
+
+import (
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"samphirewharf/internal/standin/responder"
+)
+
+const (
+	expiryInterval = 20 * time.Millisecond
+	randomStream   = 1
+)
+
+// gRPC status codes of error answers.
+const (
+	codeInvalidArgument   = 3
+	codeNotFound          = 5
+	codeResourceExhausted = 8
+	codeUnavailable       = 14
+)
+
+var (
+	errTooManyRequests = errors.New("etcdserver: too many requests")
+	errNoLeader        = errors.New("etcdserver: no leader")
+)
+
+// A Keeper is the stand-in. The zero value is ready to start.
+type Keeper struct {
+	// WritesPerSecond and ReadsPerSecond are the rate limits; zero means none.
+	WritesPerSecond float64
+	ReadsPerSecond  float64
+	// Seed seeds the choice of lost answers.
+	Seed uint64
+	// Now returns the time by which leases expire; nil means time.Now.
+	Now func() time.Time
+
+	server responder.Server
+	stop   chan struct{}
+
+	mu     sync.Mutex
+	store  *store
+	faults Faults
+	// replaced is closed and replaced with the faults.
+	replaced chan struct{}
+	counts   Counts
+	random   *rand.Rand
+	writes   *rate.Limiter
+	reads    *rate.Limiter
+}
+
+// A call is one kind of call to the service.
+type call struct {
+	count *int64
+	write bool
+}
+
+// Address returns the IP and port.
+func (k *Keeper) Address() string { return k.server.Address() }
+
+// Compact forgets the changes up to a revision, so that watches can't start before its end.
+func (k *Keeper) Compact(revision int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.prepare()
+	k.store.compacted = max(k.store.compacted, revision)
+}
+
+// Counts returns how many calls came.
+func (k *Keeper) Counts() Counts {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.prepare()
+	counts := k.counts
+	counts.Keys = int64(len(k.store.keys))
+	for key, kv := range k.store.values {
+		counts.Bytes += int64(len(key) + len(kv.Value))
+	}
+	counts.Revision = k.store.revision
+	return counts
+}
+
+// SetFaults replaces all faults.
+func (k *Keeper) SetFaults(f Faults) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.prepare()
+	k.faults = f
+	close(k.replaced)
+	k.replaced = make(chan struct{})
+	close(k.store.changed)
+	k.store.changed = make(chan struct{})
+}
+
+// Start serves on an IP and port. A keeper that is started again keeps its keys.
+func (k *Keeper) Start(address string) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.prepare()
+	if err := k.server.Start(address, k.handler()); err != nil {
+		return err
+	}
+	k.stop = make(chan struct{})
+	go k.loop(k.stop)
+	return nil
+}
+
+// Stop closes the listener and all connections.
+func (k *Keeper) Stop() {
+	k.server.Stop()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.stop != nil {
+		close(k.stop)
+		k.stop = nil
+	}
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond == 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond/10)))
+}
+
+func (k *Keeper) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v3/kv/range", k.serveRange)
+	mux.HandleFunc("POST /v3/kv/put", k.servePut)
+	mux.HandleFunc("POST /v3/kv/deleterange", k.serveDeleteRange)
+	mux.HandleFunc("POST /v3/kv/txn", k.serveTxn)
+	mux.HandleFunc("POST /v3/lease/grant", k.serveGrant)
+	mux.HandleFunc("POST /v3/lease/keepalive", k.serveKeepAlive)
+	mux.HandleFunc("POST /v3/lease/revoke", k.serveRevoke)
+	mux.HandleFunc("POST /v3/watch", k.serveWatch)
+	mux.HandleFunc("GET /stand-in/counts", k.serveCounts)
+	mux.HandleFunc("POST /stand-in/faults", k.serveFaults)
+	return mux
+}
+
+// admit counts a call and lets it wait or fail as the faults say. It returns false if it has answered.
+func (k *Keeper) admit(w http.ResponseWriter, c call) bool {
+	k.mu.Lock()
+	stop, replaced := k.stop, k.replaced
+	faults := k.faults
+	*c.count++
+	limit := k.reads
+	if c.write {
+		k.counts.Writes++
+		limit = k.writes
+	} else {
+		k.counts.Reads++
+	}
+	var err error
+	switch {
+	case faults.Down:
+	case !limit.Allow():
+		err = errTooManyRequests
+	case c.write && faults.RefuseWrites:
+		err = errNoLeader
+	}
+	if err != nil {
+		k.counts.Refused++
+	}
+	k.mu.Unlock()
+	if err != nil {
+		fail(w, err)
+		return false
+	}
+	if faults.Down || !wait(faults.Delay.D(), replaced, stop) {
+		responder.Drop(w)
+		return false
+	}
+	return true
+}
+
+// wait returns after the delay or when the faults are replaced. It returns false if the keeper stopped.
+func wait(delay time.Duration, replaced, stop <-chan struct{}) bool {
+	if delay <= 0 {
+		return true
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-replaced:
+		return true
+	case <-stop:
+		return false
+	}
+}
+
+// answer writes an answer, or loses it as the faults say.
+func (k *Keeper) answer(w http.ResponseWriter, c call, value any, err error) {
+	if k.loses(c) {
+		responder.Drop(w)
+		return
+	}
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	responder.WriteJSON(w, http.StatusOK, value)
+}
+
+func (k *Keeper) loses(c call) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	lost := k.faults.LoseAnswersShare > 0 && k.random.Float64() < k.faults.LoseAnswersShare
+	if c.write && k.faults.LoseAnswersNext > 0 {
+		k.faults.LoseAnswersNext--
+		lost = true
+	}
+	if lost {
+		k.counts.Lost++
+	}
+	return lost
+}
+
+func fail(w http.ResponseWriter, err error) {
+	status, code := http.StatusBadRequest, codeInvalidArgument
+	switch {
+	case errors.Is(err, errLeaseNotFound):
+		status, code = http.StatusNotFound, codeNotFound
+	case errors.Is(err, errTooManyRequests):
+		status, code = http.StatusTooManyRequests, codeResourceExhausted
+	case errors.Is(err, errNoLeader):
+		status, code = http.StatusServiceUnavailable, codeUnavailable
+	}
+	responder.WriteJSON(w, status, ErrorResponse{Error: err.Error(), Message: err.Error(), Code: code})
+}
+
+func (k *Keeper) header() Header {
+	return Header{ClusterID: 1, MemberID: 1, Revision: Int64(k.store.revision), RaftTerm: 1}
+}
+
+// loop expires leases.
+func (k *Keeper) loop(stop <-chan struct{}) {
+	for responder.Sleep(expiryInterval, stop) {
+		k.mu.Lock()
+		k.store.expire(k.now())
+		k.mu.Unlock()
+	}
+}
+
+func (k *Keeper) now() time.Time {
+	if k.Now == nil {
+		return time.Now()
+	}
+	return k.Now()
+}
+
+func (k *Keeper) prepare() {
+	if k.store != nil {
+		return
+	}
+	k.store = newStore()
+	k.replaced = make(chan struct{})
+	k.random = rand.New(rand.NewPCG(k.Seed, randomStream))
+	k.writes = limiter(k.WritesPerSecond)
+	k.reads = limiter(k.ReadsPerSecond)
+}
+
+func (k *Keeper) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	responder.WriteJSON(w, http.StatusOK, k.Counts())
+}
+
+func (k *Keeper) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if !responder.ReadJSON(w, r, &f) {
+		return
+	}
+	k.SetFaults(f)
+	responder.WriteJSON(w, http.StatusOK, f)
+}
+
+// serveWatch streams changes until the caller leaves, the keeper stops or goes down.
+func (k *Keeper) serveWatch(w http.ResponseWriter, r *http.Request) {
+	var request WatchRequest
+	if !responder.ReadJSON(w, r, &request) || !k.admit(w, call{count: &k.counts.Watch}) {
+		return
+	}
+	k.mu.Lock()
+	k.counts.Watching++
+	watch := &watcher{keeper: k, request: request.Create, next: int64(request.Create.StartRevision)}
+	if watch.next == 0 {
+		watch.next = k.store.revision + 1
+	}
+	k.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	watch.serve(json.NewEncoder(w), w, r)
+	k.mu.Lock()
+	k.counts.Watching--
+	k.mu.Unlock()
+}
--- /dev/null
+++ b/internal/standin/keeper/store.go
@@ -0,0 +1,308 @@
+package keeper
+
+import (
+	"bytes"
+	"errors"
+	"sort"
+	"time"
+)
+
+const (
+	// maxValueBytes is the size of the largest value.
+	maxValueBytes = 1 << 20
+	// maxHistory is how many events are kept at least for watches that start in the past.
+	maxHistory = 20000
+)
+
+var (
+	errTooLarge      = errors.New("etcdserver: request is too large")
+	errEmptyKey      = errors.New("etcdserver: key is not provided")
+	errLeaseNotFound = errors.New("etcdserver: requested lease not found")
+	errDuplicateKey  = errors.New("etcdserver: duplicate key given in txn request")
+)
+
+// A lease keeps keys until it expires.
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// A store is the state of the service. It is not safe for concurrent use.
+type store struct {
+	// revision grows by one with each change and is never reused.
+	revision int64
+	// keys is sorted and holds exactly the keys of values.
+	keys   []string
+	values map[string]KeyValue
+	leases map[int64]lease
+	// history holds the last events, oldest first; all events after compacted are in it.
+	history   []Event
+	compacted int64
+	nextLease int64
+	// changed is closed and replaced with each change.
+	changed chan struct{}
+}
+
+func newStore() *store {
+	return &store{
+		revision:  1,
+		values:    make(map[string]KeyValue),
+		leases:    make(map[int64]lease),
+		nextLease: 7000,
+		changed:   make(chan struct{}),
+	}
+}
+
+func (s *store) check(c Compare) bool {
+	kv := s.values[string(c.Key)]
+	var order int
+	switch c.Target {
+	case "VALUE":
+		if kv.ModRevision == 0 {
+			return false
+		}
+		order = bytes.Compare(kv.Value, c.Value)
+	case "MOD":
+		order = compareInt(kv.ModRevision, c.ModRevision)
+	case "CREATE":
+		order = compareInt(kv.CreateRevision, c.CreateRevision)
+	default:
+		order = compareInt(kv.Version, c.Version)
+	}
+	switch c.Result {
+	case "NOT_EQUAL":
+		return order != 0
+	case "GREATER":
+		return order > 0
+	case "LESS":
+		return order < 0
+	default:
+		return order == 0
+	}
+}
+
+func compareInt(a, b Int64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func (s *store) deleteRange(r DeleteRangeRequest) Int64 {
+	keys := append([]string(nil), s.selectKeys(r.Key, r.RangeEnd)...)
+	if len(keys) == 0 {
+		return 0
+	}
+	for _, key := range keys {
+		i := sort.SearchStrings(s.keys, key)
+		s.keys = append(s.keys[:i], s.keys[i+1:]...)
+		delete(s.values, key)
+		s.record(Event{Type: "DELETE", KV: KeyValue{Key: []byte(key), ModRevision: Int64(s.revision + 1)}})
+	}
+	return Int64(len(keys))
+}
+
+// expire removes the leases that are over.
+func (s *store) expire(now time.Time) {
+	for id, l := range s.leases {
+		if !now.Before(l.expires) {
+			s.revoke(id)
+		}
+	}
+}
+
+func (s *store) find(r RangeRequest) RangeResponse {
+	keys := s.selectKeys(r.Key, r.RangeEnd)
+	response := RangeResponse{Count: Int64(len(keys))}
+	if r.CountOnly {
+		return response
+	}
+	if r.Limit > 0 && len(keys) > int(r.Limit) {
+		keys = keys[:r.Limit]
+		response.More = true
+	}
+	for _, key := range keys {
+		kv := s.values[key]
+		if r.KeysOnly {
+			kv.Value = nil
+		}
+		response.KVs = append(response.KVs, kv)
+	}
+	return response
+}
+
+func (s *store) grant(id int64, ttl time.Duration, now time.Time) int64 {
+	if id == 0 {
+		s.nextLease++
+		id = s.nextLease
+	}
+	s.leases[id] = lease{ttl: ttl, expires: now.Add(ttl)}
+	return id
+}
+
+// keepAlive returns the lease's time to live, or 0 if it does not exist.
+func (s *store) keepAlive(id int64, now time.Time) time.Duration {
+	l, ok := s.leases[id]
+	if !ok {
+		return 0
+	}
+	l.expires = now.Add(l.ttl)
+	s.leases[id] = l
+	return l.ttl
+}
+
+// publish gives the events recorded since the last call their revision, if there are any.
+func (s *store) publish() {
+	if len(s.history) == 0 || int64(s.history[len(s.history)-1].KV.ModRevision) <= s.revision {
+		return
+	}
+	s.revision++
+	if len(s.history) > 2*maxHistory {
+		drop := len(s.history) - maxHistory
+		s.compacted = int64(s.history[drop-1].KV.ModRevision)
+		s.history = append([]Event(nil), s.history[drop:]...)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) put(r PutRequest) {
+	key := string(r.Key)
+	kv, ok := s.values[key]
+	if !ok {
+		kv.CreateRevision = Int64(s.revision + 1)
+		i := sort.SearchStrings(s.keys, key)
+		s.keys = append(s.keys, "")
+		copy(s.keys[i+1:], s.keys[i:])
+		s.keys[i] = key
+	}
+	kv.Key = r.Key
+	kv.Value = r.Value
+	kv.Lease = r.Lease
+	kv.ModRevision = Int64(s.revision + 1)
+	kv.Version++
+	s.values[key] = kv
+	s.record(Event{KV: kv})
+}
+
+func (s *store) record(e Event) { s.history = append(s.history, e) }
+
+// revoke removes a lease and its keys and returns whether it existed.
+func (s *store) revoke(id int64) bool {
+	if _, ok := s.leases[id]; !ok {
+		return false
+	}
+	delete(s.leases, id)
+	for _, key := range append([]string(nil), s.keys...) {
+		if int64(s.values[key].Lease) == id {
+			s.deleteRange(DeleteRangeRequest{Key: []byte(key)})
+		}
+	}
+	s.publish()
+	return true
+}
+
+// selectKeys returns the keys of a range. The caller must not keep or change the slice.
+func (s *store) selectKeys(key, end []byte) []string {
+	first := sort.SearchStrings(s.keys, string(key))
+	last := len(s.keys)
+	switch {
+	case len(end) == 0:
+		last = first
+		if first < len(s.keys) && s.keys[first] == string(key) {
+			last++
+		}
+	case len(end) != 1 || end[0] != 0:
+		last = max(first, sort.SearchStrings(s.keys, string(end)))
+	}
+	return s.keys[first:last]
+}
+
+// since returns the events of a range from a revision on, up to the present.
+func (s *store) since(key, end []byte, revision int64) []Event {
+	first := sort.Search(len(s.history), func(i int) bool { return int64(s.history[i].KV.ModRevision) >= revision })
+	var events []Event
+	for _, e := range s.history[first:] {
+		if inRange(e.KV.Key, key, end) {
+			events = append(events, e)
+		}
+	}
+	return events
+}
+
+func inRange(key, first, end []byte) bool {
+	switch {
+	case len(end) == 0:
+		return bytes.Equal(key, first)
+	case len(end) == 1 && end[0] == 0:
+		return bytes.Compare(key, first) >= 0
+	}
+	return bytes.Compare(key, first) >= 0 && bytes.Compare(key, end) < 0
+}
+
+// transact carries out a transaction in one revision, or returns an error and changes nothing.
+func (s *store) transact(r TxnRequest) (TxnResponse, error) {
+	response := TxnResponse{Succeeded: true}
+	for _, c := range r.Compare {
+		response.Succeeded = response.Succeeded && s.check(c)
+	}
+	ops := r.Success
+	if !response.Succeeded {
+		ops = r.Failure
+	}
+	if err := s.validate(ops); err != nil {
+		return TxnResponse{}, err
+	}
+	for _, op := range ops {
+		response.Responses = append(response.Responses, s.apply(op))
+	}
+	s.publish()
+	return response, nil
+}
+
+func (s *store) apply(op RequestOp) ResponseOp {
+	switch {
+	case op.Put != nil:
+		s.put(*op.Put)
+		return ResponseOp{Put: &PutResponse{}}
+	case op.DeleteRange != nil:
+		return ResponseOp{DeleteRange: &DeleteRangeResponse{Deleted: s.deleteRange(*op.DeleteRange)}}
+	case op.Range != nil:
+		found := s.find(*op.Range)
+		return ResponseOp{Range: &found}
+	}
+	return ResponseOp{}
+}
+
+func (s *store) validate(ops []RequestOp) error {
+	seen := make(map[string]bool)
+	for _, op := range ops {
+		if op.Put == nil {
+			continue
+		}
+		if seen[string(op.Put.Key)] {
+			return errDuplicateKey
+		}
+		seen[string(op.Put.Key)] = true
+		if err := s.validatePut(*op.Put); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *store) validatePut(r PutRequest) error {
+	if len(r.Key) == 0 {
+		return errEmptyKey
+	}
+	if len(r.Value) > maxValueBytes {
+		return errTooLarge
+	}
+	if _, ok := s.leases[int64(r.Lease)]; r.Lease != 0 && !ok {
+		return errLeaseNotFound
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/keeper/watcher.go
@@ -0,0 +1,60 @@
+package keeper
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"samphirewharf/internal/standin/responder"
+)
+
+// A watcher is one waiting watch.
+type watcher struct {
+	keeper  *Keeper
+	request WatchCreateRequest
+	// next is the first revision that was not yet sent.
+	next int64
+}
+
+// serve writes changes until the caller leaves, the keeper stops or goes down.
+func (w *watcher) serve(encoder *json.Encoder, rw http.ResponseWriter, r *http.Request) {
+	controller := http.NewResponseController(rw)
+	created := true
+	for {
+		response, changed, down := w.collect()
+		if down {
+			responder.Drop(rw)
+			return
+		}
+		response.Created = created
+		if created || response.Canceled || len(response.Events) > 0 {
+			if encoder.Encode(WatchResult{response}) != nil || controller.Flush() != nil {
+				return
+			}
+		}
+		created = false
+		if response.Canceled {
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// collect returns the changes not yet sent and a channel that is closed at the next one.
+func (w *watcher) collect() (response WatchResponse, changed <-chan struct{}, down bool) {
+	k := w.keeper
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	response.Header = k.header()
+	if w.next <= k.store.compacted {
+		response.Canceled = true
+		response.CompactRevision = Int64(k.store.compacted + 1)
+		return response, k.store.changed, k.faults.Down
+	}
+	response.Events = k.store.since(w.request.Key, w.request.RangeEnd, w.next)
+	w.next = max(w.next, k.store.revision+1)
+	return response, k.store.changed, k.faults.Down
+}
--- a/internal/standin/responder/message.go
+++ b/internal/standin/responder/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -23,7 +24,11 @@
 
 // ReadJSON decodes the request's body into value. It answers 400 and returns false if it can't.
 func ReadJSON(w http.ResponseWriter, r *http.Request, value any) bool {
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxBodyBytes)).Decode(value)
+	// The whole body is read because the server notices that a caller has left only after its end.
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	if err == nil {
+		err = json.Unmarshal(body, value)
+	}
 	if err != nil {
 		http.Error(w, "malformed body: "+err.Error(), http.StatusBadRequest)
 		return false
