feat: add stand-ins of model engines and plain services

A crash ends the calls in progress too: a call of the dead process neither runs nor is counted later. Connections close before handlers wake, so that a handler which ends with its process never looks like an empty answer.

--- /dev/null
+++ b/internal/standin/inferrer/checkpoints.go
@@ -0,0 +1,62 @@
+package inferrer
+
+import (
+	"slices"
+
+	"samphirewharf/internal/backend/orderer"
+)
+
+// A checkpoint is the weights of one version of a deployment.
+type checkpoint struct {
+	deployment string
+	version    string
+}
+
+// checkpoints are the weights that the server holds near.
+type checkpoints struct {
+	// version grows with each change of what is held.
+	version int64
+	memory  lru[checkpoint]
+	disk    lru[checkpoint]
+}
+
+// keep holds a checkpoint on disk and, if wanted, in memory.
+func (c *checkpoints) keep(cp checkpoint, inMemory bool, memorySize, diskSize int) {
+	if !c.disk.contains(cp) || inMemory && !c.memory.contains(cp) {
+		c.version++
+	}
+	c.disk.touch(cp, diskSize)
+	if inMemory {
+		c.memory.touch(cp, memorySize)
+	}
+}
+
+// loseMemory forgets what was held in memory.
+func (c *checkpoints) loseMemory() {
+	c.memory = lru[checkpoint]{}
+	c.version++
+}
+
+// nearest returns the index into Order.LoadMilliseconds of the nearest place that holds the checkpoint.
+func (c *checkpoints) nearest(cp checkpoint) int {
+	switch {
+	case c.memory.contains(cp):
+		return placeMemory
+	case c.disk.contains(cp):
+		return placeDisk
+	}
+	return placeStore
+}
+
+func (c *checkpoints) report() *orderer.Checkpoints {
+	return &orderer.Checkpoints{Memory: names(c.memory.keys), Disk: names(c.disk.keys)}
+}
+
+func names(checkpoints []checkpoint) []string {
+	var deployments []string
+	for _, cp := range checkpoints {
+		deployments = append(deployments, cp.deployment)
+	}
+	slices.Sort(deployments)
+	return slices.Compact(deployments)
+}
--- /dev/null
+++ b/internal/standin/inferrer/engine.go
@@ -0,0 +1,263 @@
+// Package inferrer is a stand-in for the model engines of backend servers. An Engine takes orders to load
+// models and adapters, reports its state and answers completion requests with text that follows from
+// the prompt alone, so that an answer to another request is noticed.
+package inferrer
+
+import (
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"samphirewharf/internal/backend/orderer"
+	"samphirewharf/internal/standin/loader"
+	"samphirewharf/internal/standin/responder"
+)
+
+const (
+	defaultMemoryCheckpoints = 4
+	defaultDiskCheckpoints   = 16
+	defaultPrefixes          = 256
+	defaultMaxInFlight       = 8
+	restartRetry             = 20 * time.Millisecond
+)
+
+// Indexes of Order.LoadMilliseconds.
+const (
+	placeStore = iota
+	placeDisk
+	placeMemory
+)
+
+// An Engine is the stand-in. The zero value is ready to start; fields must not be changed afterwards.
+type Engine struct {
+	// Server is the name of the backend server.
+	Server string
+	// MemoryBytes is the accelerator memory.
+	MemoryBytes int64
+	// ChecksFencing tells that orders with an old fencing number are refused. Else the number is ignored.
+	ChecksFencing bool
+	// Store is the weight store that engines share; nil means one without limits.
+	Store *loader.Store
+	// TimeScale multiplies load times; zero means 1.
+	TimeScale float64
+	// AdapterLoad is how long an adapter's load takes at full speed, if its order doesn't say.
+	AdapterLoad time.Duration
+	// UnloadTime is how long a replica takes to unload after its last request.
+	UnloadTime time.Duration
+	// PromptTime is how long a prompt takes without cached prefix, TokenInterval each token after it.
+	PromptTime    time.Duration
+	TokenInterval time.Duration
+	// ReportLag is the age of load figures in reports, EventDelay that of the newest cache events.
+	ReportLag  time.Duration
+	EventDelay time.Duration
+	// EventLossShare is the share of cache events that are never reported.
+	EventLossShare float64
+	// RestartAfter is how long the engine stays away after a crash.
+	RestartAfter time.Duration
+	// MemoryCheckpoints and DiskCheckpoints are how many checkpoints are held near, Prefixes how many
+	// prompt prefixes a replica caches. Zero means 4, 16 and 256.
+	MemoryCheckpoints int
+	DiskCheckpoints   int
+	Prefixes          int
+	// Seed seeds the loss of cache events and the names of instances.
+	Seed uint64
+
+	server responder.Server
+
+	mu sync.Mutex
+	// current is the running instance; nil before the start, after the stop and during a restart.
+	current     *instance
+	stopped     chan struct{}
+	faults      Faults
+	replaced    chan struct{}
+	counts      Counts
+	checkpoints checkpoints
+	random      *rand.Rand
+}
+
+// Address returns the IP and port.
+func (e *Engine) Address() string { return e.server.Address() }
+
+// Counts returns what the engine has done.
+func (e *Engine) Counts() Counts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	counts := e.counts
+	counts.Server = e.Server
+	counts.Orders = maps.Clone(counts.Orders)
+	counts.Runs = maps.Clone(counts.Runs)
+	counts.Violations = slices.Clone(counts.Violations)
+	if e.current != nil {
+		counts.Replicas = len(e.current.replicas)
+		counts.UsedBytes = e.current.used
+	}
+	return counts
+}
+
+// Crash ends the running instance: it closes the listener and all connections and loses all replicas.
+// The engine restarts after RestartAfter.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	inst := e.current
+	e.mu.Unlock()
+	if inst != nil {
+		inst.crash()
+	}
+}
+
+// KeepCheckpoint puts a checkpoint on the server's disk and, if wanted, in its memory.
+func (e *Engine) KeepCheckpoint(deployment, version string, inMemory bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.keepCheckpoint(checkpoint{deployment, version}, inMemory)
+}
+
+// SetFaults replaces all faults.
+func (e *Engine) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+	if e.replaced != nil {
+		close(e.replaced)
+	}
+	e.replaced = make(chan struct{})
+}
+
+// Start serves on an IP and port.
+func (e *Engine) Start(address string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.server.Start(address, e.handler()); err != nil {
+		return err
+	}
+	if e.replaced == nil {
+		e.replaced = make(chan struct{})
+	}
+	if e.random == nil {
+		e.random = rand.New(rand.NewPCG(e.Seed, uint64(len(e.Server))))
+		e.counts.Orders = make(map[orderer.Kind]int64)
+		e.counts.Runs = make(map[string]int)
+	}
+	if e.Store == nil {
+		e.Store = &loader.Store{}
+	}
+	e.stopped = make(chan struct{})
+	e.begin()
+	return nil
+}
+
+// Stop closes the listener and all connections. The engine does not restart by itself.
+func (e *Engine) Stop() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stopped != nil {
+		close(e.stopped)
+		e.stopped = nil
+	}
+	e.end()
+}
+
+// begin starts a new instance. The mutex must be held.
+func (e *Engine) begin() {
+	e.counts.Starts++
+	e.checkpoints.loseMemory()
+	e.current = newInstance(e)
+}
+
+// end closes the listener and all connections and ends the current instance, if there is one.
+// Connections go first, so that no handler that ends with the instance seems to have answered.
+// The mutex must be held.
+func (e *Engine) end() {
+	e.server.Stop()
+	if e.current != nil {
+		e.current.cancel()
+		e.current = nil
+	}
+}
+
+func (e *Engine) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /control/state", e.serveState)
+	mux.HandleFunc("POST /control/orders", e.serveOrder)
+	mux.HandleFunc("POST /v1/completions", e.serveCompletion)
+	mux.HandleFunc("POST /v1/chat/completions", e.serveChatCompletion)
+	mux.HandleFunc("GET /stand-in/counts", e.serveCounts)
+	mux.HandleFunc("POST /stand-in/faults", e.serveFaults)
+	return mux
+}
+
+// instance returns the running instance, or nil and closes the connection if there is none.
+func (e *Engine) instance(w http.ResponseWriter) *instance {
+	e.mu.Lock()
+	inst := e.current
+	e.mu.Unlock()
+	if inst == nil {
+		responder.Drop(w)
+	}
+	return inst
+}
+
+func (e *Engine) keepCheckpoint(cp checkpoint, inMemory bool) {
+	e.checkpoints.keep(cp, inMemory,
+		orDefault(e.MemoryCheckpoints, defaultMemoryCheckpoints), orDefault(e.DiskCheckpoints, defaultDiskCheckpoints))
+}
+
+func (e *Engine) scaled(milliseconds int64) time.Duration {
+	d := time.Duration(milliseconds) * time.Millisecond
+	if e.TimeScale == 0 {
+		return d
+	}
+	return time.Duration(float64(d) * e.TimeScale)
+}
+
+func (e *Engine) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	responder.WriteJSON(w, http.StatusOK, e.Counts())
+}
+
+func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if !responder.ReadJSON(w, r, &f) {
+		return
+	}
+	e.SetFaults(f)
+	responder.WriteJSON(w, http.StatusOK, f)
+}
+
+// run restarts the engine at its address after a crash.
+func (e *Engine) run(stopped <-chan struct{}) {
+	wait := e.RestartAfter
+	for responder.Sleep(wait, stopped) {
+		if e.restart(stopped) {
+			return
+		}
+		wait = restartRetry
+	}
+}
+
+func (e *Engine) restart(stopped <-chan struct{}) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-stopped:
+		return true
+	default:
+	}
+	if err := e.server.Start(e.server.Address(), e.handler()); err != nil {
+		log.Warn().Err(err).Str("server", e.Server).Msg("stand-in engine could not restart yet")
+		return false
+	}
+	e.begin()
+	return true
+}
+
+func orDefault(n, standard int) int {
+	if n == 0 {
+		return standard
+	}
+	return n
+}
--- a/internal/standin/responder/server.go
+++ b/internal/standin/responder/server.go
@@ -31,6 +31,13 @@
 	return s.address
 }
 
+// Serving returns whether the server is started.
+func (s *Server) Serving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.server != nil
+}
+
 // Start serves the handler on an IP and port; port 0 takes a free one.
 func (s *Server) Start(address string, handler http.Handler) error {
 	s.mu.Lock()
