--- /dev/null
+++ b/internal/caller/refuser/problem.go
@@ -0,0 +1,75 @@
+package refuser
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// ProblemType is the media type of a refusal's body, after RFC 9457.
+const ProblemType = "application/problem+json"
+
+// A problem is the body of a refusal. The members that RFC 9457 names are in lower case, as it has them.
+type problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail,omitempty"`
+
+	Code                   Code
+	Ran                    string
+	RetryAfterMilliseconds int64 `json:",omitempty"`
+}
+
+// Problem returns the refusal as problem JSON after RFC 9457.
+func (r Refusal) Problem() []byte {
+	body, err := json.Marshal(problem{
+		Type:                   "urn:samphirewharf:result:" + strconv.Itoa(int(r.Code)),
+		Title:                  r.Code.String(),
+		Status:                 r.Code.HTTPStatus(),
+		Detail:                 r.Detail,
+		Code:                   r.Code,
+		Ran:                    r.Ran.String(),
+		RetryAfterMilliseconds: ceil(r.RetryAfter, time.Millisecond),
+	})
+	if err != nil {
+		return nil
+	}
+	return body
+}
+
+// SetHeader sets the header fields that go with the refusal's problem JSON.
+func (r Refusal) SetHeader(header http.Header) {
+	header.Set("Content-Type", ProblemType)
+	header.Set("Cache-Control", "no-store")
+	if r.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatInt(ceil(r.RetryAfter, time.Second), 10))
+	}
+}
+
+// ParseProblem reads what Problem wrote.
+func ParseProblem(body []byte) (Refusal, error) {
+	var p problem
+	if err := json.Unmarshal(body, &p); err != nil {
+		return Refusal{}, fmt.Errorf("parse problem JSON: %w", err)
+	}
+	refusal := Refusal{
+		Code:       p.Code,
+		Ran:        MayHaveRun,
+		RetryAfter: time.Duration(p.RetryAfterMilliseconds) * time.Millisecond,
+		Detail:     p.Detail,
+	}
+	for _, ran := range []Ran{NotRun, DidRun} {
+		if p.Ran == ran.String() {
+			refusal.Ran = ran
+		}
+	}
+	return refusal, nil
+}
+
+func ceil(d, unit time.Duration) int64 {
+	return int64(math.Ceil(float64(d) / float64(unit)))
+}
--- /dev/null
+++ b/internal/entry/acceptor/connection.go
@@ -0,0 +1,243 @@
+package acceptor
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+
+	"samphirewharf/internal/caller/refuser"
+)
+
+const (
+	// readBytes is the size of one read from a caller.
+	readBytes = 4 << 10
+	// lingerBytes is how much of a refused request is read and dropped, so that the caller gets the answer
+	// in place of a reset.
+	lingerBytes = 256 << 10
+)
+
+// A connection reads one caller's requests and hands them to the handler one after the other.
+type connection struct {
+	net.Conn
+	server    *Server
+	parser    *nbhttp.Parser
+	processor *processor
+	// ctx ends when the caller leaves.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// slot is held while a request is handled, so that answers keep the order of the requests.
+	slot chan struct{}
+
+	mu sync.Mutex
+	// handling tells that the handler runs.
+	handling bool
+	// since is when the first byte of a request arrived that isn't complete yet; zero if there is none.
+	since    time.Time
+	stopping bool
+}
+
+func newConnection(server *Server, conn net.Conn) *connection {
+	c := &connection{Conn: conn, server: server, slot: make(chan struct{}, 1)}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.processor = &processor{Processor: nbhttp.NewServerProcessor(), connection: c, limits: server.limits}
+	c.parser = nbhttp.NewParser(c, server.engine, c.processor, false, c.execute)
+	return c
+}
+
+// SetReadDeadline does nothing: nbhttp calls it after an answer, but the connection sets its own deadlines.
+func (c *connection) SetReadDeadline(time.Time) error { return nil }
+
+// Write writes to the caller and waits until the kernel has taken all of it.
+func (c *connection) Write(p []byte) (int, error) {
+	err := c.SetWriteDeadline(time.Now().Add(c.server.limits.WriteTimeout))
+	if err != nil {
+		c.cancel()
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.cancel()
+	}
+	return n, err
+}
+
+// abort closes the connection, so that the caller sees that its answer isn't whole.
+func (c *connection) abort() {
+	c.cancel()
+	_ = c.Close()
+}
+
+// execute starts the handler for a request; the parser calls it. It waits while the last one is handled.
+func (c *connection) execute(handle func()) bool {
+	c.slot <- struct{}{}
+	c.setHandling(true)
+	t := task{connection: c, handle: handle}
+	go t.run()
+	return true
+}
+
+// linger drops what the caller still sends, for a limited time and size.
+func (c *connection) linger() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(refuseTimeout))
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+}
+
+func (c *connection) isHandling() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.handling
+}
+
+// read reads once and parses what came. It returns a refusal for a request that can't be accepted.
+func (c *connection) read(buffer []byte) (*refuser.Refusal, error) {
+	n, err := c.Conn.Read(buffer)
+	if n == 0 && err != nil {
+		return c.readFailed(err), err
+	}
+	c.setSince(time.Now())
+	parseErr := c.processor.count(n)
+	if parseErr == nil {
+		parseErr = c.parser.Parse(buffer[:n])
+	}
+	if c.processor.refusal != nil {
+		return c.processor.refusal, nil
+	}
+	if parseErr != nil {
+		return refusalOf(parseErr), nil
+	}
+	if !c.processor.partial {
+		c.setSince(time.Time{})
+	}
+	return nil, nil
+}
+
+// readFailed returns the refusal for a request that ended before it was complete; nil if there is none.
+func (c *connection) readFailed(err error) *refuser.Refusal {
+	if !c.processor.partial || c.isHandling() {
+		return nil
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &refuser.Refusal{
+			Code:   refuser.CodeRequestTimeout,
+			Detail: fmt.Sprintf("the request was not complete after %s", c.server.limits.SendTimeout),
+		}
+	}
+	if errors.Is(err, io.EOF) {
+		return &refuser.Refusal{Code: refuser.CodeMalformedRequest, Detail: "the request ended before it was complete"}
+	}
+	return nil
+}
+
+// refuse writes the answer to a request that never reaches the handler.
+func (c *connection) refuse(refusal refuser.Refusal) {
+	body := refusal.Problem()
+	response := http.Response{
+		StatusCode:    refusal.Code.HTTPStatus(),
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        http.Header{},
+		Body:          io.NopCloser(bytes.NewReader(body)),
+		ContentLength: int64(len(body)),
+		Close:         true,
+	}
+	refusal.SetHeader(response.Header)
+	var buffer bytes.Buffer
+	if err := response.Write(&buffer); err != nil {
+		return
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(refuseTimeout))
+	if _, err := c.Conn.Write(buffer.Bytes()); err == nil {
+		c.linger()
+	}
+}
+
+// reject answers a connection beyond the limit.
+func (c *connection) reject() {
+	defer c.server.rejecting.Add(-1)
+	c.refuse(c.server.tooManyConnections())
+	c.abort()
+}
+
+// run reads until the caller leaves or sends what can't be accepted.
+func (c *connection) run() {
+	defer c.server.remove(c)
+	defer c.abort()
+	buffer := make([]byte, readBytes)
+	c.updateDeadline()
+	for {
+		refusal, err := c.read(buffer)
+		if refusal == nil && err == nil {
+			continue
+		}
+		if err != nil {
+			c.cancel()
+		}
+		c.slot <- struct{}{}
+		if refusal != nil {
+			c.refuse(*refusal)
+		}
+		c.parser.CloseAndClean(err)
+		return
+	}
+}
+
+func (c *connection) setHandling(handling bool) {
+	c.mu.Lock()
+	c.handling = handling
+	c.mu.Unlock()
+	c.updateDeadline()
+}
+
+// setSince notes when a request began to arrive, unless one is arriving already; zero means that none is.
+func (c *connection) setSince(now time.Time) {
+	c.mu.Lock()
+	if now.IsZero() || c.since.IsZero() {
+		c.since = now
+	}
+	c.mu.Unlock()
+	c.updateDeadline()
+}
+
+// stop closes the connection when it is idle, now or later.
+func (c *connection) stop() {
+	c.mu.Lock()
+	c.stopping = true
+	c.mu.Unlock()
+	c.updateDeadline()
+}
+
+// updateDeadline sets the read deadline after a change of state.
+func (c *connection) updateDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var deadline time.Time
+	switch {
+	case !c.since.IsZero():
+		deadline = c.since.Add(c.server.limits.SendTimeout)
+	case c.handling:
+	case c.stopping:
+		deadline = time.Now()
+	default:
+		deadline = time.Now().Add(c.server.limits.IdleTimeout)
+	}
+	_ = c.Conn.SetReadDeadline(deadline)
+}
+
+func refusalOf(err error) *refuser.Refusal {
+	if errors.Is(err, nbhttp.ErrTooLong) {
+		return &refuser.Refusal{Code: refuser.CodeRequestTooLarge, Detail: "the request is larger than the limit"}
+	}
+	return &refuser.Refusal{Code: refuser.CodeMalformedRequest, Detail: "the request is not well-formed HTTP: " + err.Error()}
+}
--- /dev/null
+++ b/internal/entry/acceptor/processor.go
@@ -0,0 +1,119 @@
+package acceptor
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/lesismal/nbio/nbhttp"
+
+	"samphirewharf/internal/caller/refuser"
+)
+
+// continueAnswer asks a caller for the body of a request with "Expect: 100-continue".
+const continueAnswer = "HTTP/1.1 100 Continue\r\n\r\n"
+
+// A processor checks a request's size and header while nbhttp parses it.
+type processor struct {
+	nbhttp.Processor
+	connection *connection
+	limits     Limits
+
+	// partial tells that a request has begun and isn't complete.
+	partial bool
+	// inBody tells that the header of the partial request is complete.
+	inBody       bool
+	headerBytes  int
+	fieldBytes   int
+	bodyBytes    int
+	lengths      int
+	expectsReply bool
+	// refusal is why the request can't be accepted; nothing that follows is handled.
+	refusal *refuser.Refusal
+}
+
+// OnBody counts the bytes of a body whose length isn't known beforehand.
+func (p *processor) OnBody(parser *nbhttp.Parser, data []byte) error {
+	p.bodyBytes += len(data)
+	if p.bodyBytes > p.limits.BodyBytes {
+		return nbhttp.ErrTooLong
+	}
+	return p.Processor.OnBody(parser, data)
+}
+
+// OnComplete passes the request on unless it was refused.
+func (p *processor) OnComplete(parser *nbhttp.Parser) {
+	if p.refusal != nil {
+		p.Clean(parser)
+		return
+	}
+	p.partial = false
+	p.inBody = false
+	p.headerBytes = 0
+	p.Processor.OnComplete(parser)
+}
+
+// OnContentLength checks the header, which is complete at this point.
+func (p *processor) OnContentLength(parser *nbhttp.Parser, length int) {
+	p.inBody = true
+	switch {
+	case p.lengths > 1:
+		p.refuse(refuser.CodeMalformedRequest, "the request has more than one Content-Length")
+	case length > p.limits.BodyBytes:
+		p.refuse(refuser.CodeRequestTooLarge, fmt.Sprintf("the body has %d bytes; the limit is %d", length, p.limits.BodyBytes))
+	case p.expectsReply && p.refusal == nil:
+		p.askForBody()
+	}
+	p.Processor.OnContentLength(parser, max(length, 0))
+}
+
+// OnHeader checks one header field.
+func (p *processor) OnHeader(parser *nbhttp.Parser, key, value string) {
+	value = strings.TrimRight(value, " \t")
+	p.fieldBytes += len(key) + len(value)
+	if p.fieldBytes > p.limits.HeaderBytes {
+		p.refuse(refuser.CodeRequestTooLarge, fmt.Sprintf("the header is larger than %d bytes", p.limits.HeaderBytes))
+	}
+	switch key {
+	case "Content-Length":
+		p.lengths++
+	case "Expect":
+		p.expectsReply = strings.EqualFold(value, "100-continue")
+	}
+	p.Processor.OnHeader(parser, key, value)
+}
+
+// OnMethod begins a request.
+func (p *processor) OnMethod(parser *nbhttp.Parser, method string) {
+	p.partial = true
+	p.inBody = false
+	p.fieldBytes = 0
+	p.bodyBytes = 0
+	p.lengths = 0
+	p.expectsReply = false
+	p.Processor.OnMethod(parser, method)
+}
+
+// askForBody answers "Expect: 100-continue", unless an answer is being written.
+func (p *processor) askForBody() {
+	if !p.connection.isHandling() {
+		_, _ = p.connection.Write([]byte(continueAnswer))
+	}
+}
+
+// count adds the bytes of one read and fails if they make the header too large.
+func (p *processor) count(n int) error {
+	if p.inBody {
+		return nil
+	}
+	p.headerBytes += n
+	if p.headerBytes > p.limits.HeaderBytes+readBytes {
+		return nbhttp.ErrTooLong
+	}
+	return nil
+}
+
+func (p *processor) refuse(code refuser.Code, detail string) {
+	if p.refusal == nil {
+		p.refusal = &refuser.Refusal{Code: code, Detail: detail}
+	}
+}
--- /dev/null
+++ b/internal/entry/acceptor/server.go
@@ -0,0 +1,199 @@
+package acceptor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/phuslu/log"
+
+	"samphirewharf/internal/caller/refuser"
+)
+
+const (
+	// acceptPause is the time between attempts to accept after an error such as too many open files.
+	acceptPause = 50 * time.Millisecond
+	// stopPoll is the time between looks at the connections left while stopping.
+	stopPoll = 10 * time.Millisecond
+	// refuseTimeout bounds the time for writing an answer to a connection that is refused.
+	refuseTimeout = 2 * time.Second
+	// maxRejecting is how many connections beyond the limit are answered at once; more are closed unanswered.
+	maxRejecting = 128
+)
+
+// A Server accepts connections and passes their requests to a handler. Set the fields before Serve.
+type Server struct {
+	// Handler is called with a context that ends when the caller leaves. Its writer is a *Writer. The body
+	// must not be read after the handler has returned, since nbhttp reuses the buffers.
+	Handler http.Handler
+	Limits  Limits
+	// Logger may be nil for log.DefaultLogger.
+	Logger *log.Logger
+
+	engine *nbhttp.Engine
+	limits Limits
+	// rejecting is how many connections beyond the limit are being answered.
+	rejecting atomic.Int64
+
+	mu          sync.Mutex
+	listener    net.Listener
+	connections map[*connection]struct{}
+	stopping    bool
+}
+
+// Connections returns how many connections are held.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.connections)
+}
+
+// Serve accepts connections until Stop is called, and then returns nil.
+func (s *Server) Serve(listener net.Listener) error {
+	s.start(listener)
+	for {
+		conn, err := listener.Accept()
+		switch {
+		case err == nil:
+			s.accept(conn)
+		case s.isStopping():
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return fmt.Errorf("accept on %s: %w", listener.Addr(), err)
+		default:
+			s.logger().Warn().Err(err).Msg("accept failed; retrying")
+			time.Sleep(acceptPause)
+		}
+	}
+}
+
+// ServeHTTP hands a request that nbhttp has parsed to the handler. Only nbhttp calls it.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	response, ok := w.(*nbhttp.Response)
+	if !ok {
+		return
+	}
+	c, ok := response.Parser.Conn.(*connection)
+	if !ok {
+		return
+	}
+	s.Handler.ServeHTTP(&Writer{response: response, connection: c, head: r.Method == http.MethodHead}, r.WithContext(c.ctx))
+}
+
+// Stop closes the listener and idle connections and waits until the others have finished their request.
+// It closes those that are left when the context ends and returns its error.
+func (s *Server) Stop(ctx context.Context) error {
+	s.closeListener()
+	ticker := time.NewTicker(stopPoll)
+	defer ticker.Stop()
+	for s.Connections() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			s.closeConnections()
+			return fmt.Errorf("stop with %d connections open: %w", s.Connections(), ctx.Err())
+		}
+	}
+	return nil
+}
+
+func (s *Server) accept(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		if err := tcp.SetWriteBuffer(s.limits.SocketBytes); err != nil {
+			s.logger().Debug().Err(err).Msg("set send buffer")
+		}
+	}
+	c := newConnection(s, conn)
+	switch {
+	case s.add(c):
+		go c.run()
+	case s.rejecting.Add(1) <= maxRejecting:
+		go c.reject()
+	default:
+		s.rejecting.Add(-1)
+		c.abort()
+	}
+}
+
+func (s *Server) add(c *connection) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping || len(s.connections) >= s.limits.Connections {
+		return false
+	}
+	s.connections[c] = struct{}{}
+	return true
+}
+
+func (s *Server) closeConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.connections {
+		c.abort()
+	}
+}
+
+func (s *Server) closeListener() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	for c := range s.connections {
+		c.stop()
+	}
+}
+
+func (s *Server) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
+func (s *Server) logger() *log.Logger {
+	if s.Logger == nil {
+		return &log.DefaultLogger
+	}
+	return s.Logger
+}
+
+func (s *Server) remove(c *connection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.connections, c)
+}
+
+// start makes the nbhttp engine, which holds the parser's settings and is never started.
+func (s *Server) start(listener net.Listener) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = s.Limits.withDefaults()
+	s.listener = listener
+	s.connections = make(map[*connection]struct{})
+	s.engine = nbhttp.NewEngine(nbhttp.Config{
+		Handler:           s,
+		ReadLimit:         s.limits.BodyBytes + s.limits.HeaderBytes + readBytes,
+		MaxHTTPBodySize:   s.limits.BodyBytes,
+		ServerExecutor:    func(f func()) { f() },
+		SupportServerOnly: true,
+	})
+	if s.stopping {
+		_ = listener.Close()
+	}
+}
+
+// tooManyConnections is the answer to a connection beyond the limit.
+func (s *Server) tooManyConnections() refuser.Refusal {
+	return refuser.Refusal{
+		Code:       refuser.CodeTooManyConnections,
+		RetryAfter: time.Second,
+		Detail:     fmt.Sprintf("the daemon holds at most %d connections", s.limits.Connections),
+	}
+}
--- /dev/null
+++ b/internal/entry/responder/attempt.go
@@ -0,0 +1,345 @@
+package responder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+	"strconv"
+	"time"
+
+	"samphirewharf/internal/caller/refuser"
+	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/entry/streamer"
+)
+
+const (
+	// copyBytes is the size of the buffer for answers that are passed through.
+	copyBytes = 16 << 10
+	// drainTimeout bounds the wait for the end of a body whose last event has come.
+	drainTimeout = time.Second
+	// forwardGrace is how much longer than its deadline a forwarded request is waited for, so that the refusal of
+	// the other daemon arrives.
+	forwardGrace = 250 * time.Millisecond
+	// maxProblemBytes bounds the refusal of another daemon.
+	maxProblemBytes = 64 << 10
+	// minTimeout is the least time that an attempt gets.
+	minTimeout = time.Millisecond
+	eventType  = "text/event-stream"
+)
+
+var (
+	errServer     = errors.New("server answered with an error")
+	errNotEvents  = errors.New("the rest of a stream came as another type")
+	errPassed     = errors.New("a part of an answer that can't be resumed was sent")
+	errUnfinished = errors.New("the stream ended without [DONE]")
+	errCallerLeft = errors.New("the caller left")
+	errBadRefusal = errors.New("the daemon's refusal can't be read")
+)
+
+// An attempt sends a request to one server or daemon and passes the answer to the caller.
+type attempt struct {
+	exchange *exchange
+	number   int
+	call     streamer.Call
+	// forward tells that the call goes to another daemon.
+	forward bool
+	// resumed tells that the caller has had events of this stream.
+	resumed bool
+	// kept is the answer so far if it is to be kept; it is never longer than reducer.MaxStoredAnswerBytes.
+	kept keeper
+	// ctx bounds the whole attempt.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// ended takes the attempt's end. It has room for one, so that the attempt never waits.
+	ended chan reducer.AttemptEnded
+}
+
+func newAttempt(x *exchange, number int, address string, limit time.Duration) *attempt {
+	a := &attempt{exchange: x, number: number, ended: make(chan reducer.AttemptEnded, 1)}
+	a.ctx, a.cancel = context.WithTimeout(context.Background(), max(limit, minTimeout))
+	in := x.inbound
+	a.call = streamer.Call{
+		Address: address,
+		Method:  in.arrived.Method,
+		Header:  in.header.Clone(),
+		Body:    in.body,
+		ID:      in.arrived.ID,
+	}
+	return a
+}
+
+func newDispatch(x *exchange, e reducer.Dispatch) *attempt {
+	a := newAttempt(x, e.Attempt, e.Address, e.Timeout)
+	a.kept.on = e.KeepAnswer
+	a.call.Path = x.inbound.serverPath
+	a.call.Fresh = e.KeepAnswer
+	header := a.call.Header
+	setOrDelete(header, replicaHeader, e.Replica)
+	setOrDelete(header, adapterHeader, e.Adapter)
+	setOrDelete(header, prefixHeader, lastPrefix(x.inbound.arrived.Prefixes))
+	if header.Get(priorityHeader) == "" {
+		header.Set(priorityHeader, "u="+strconv.Itoa(lastUrgent))
+	}
+	a.resume(max(e.ResumeFrom, x.progress.sent))
+	return a
+}
+
+func newForward(x *exchange, e reducer.Forward) *attempt {
+	a := newAttempt(x, e.Attempt, e.Address, e.Timeout+forwardGrace)
+	a.forward = true
+	a.call.Path = x.inbound.path
+	header := a.call.Header
+	header.Set(forwardedByHeader, x.responder.Daemon)
+	header.Set(timeoutHeader, strconv.FormatInt(max(e.Timeout, minTimeout).Milliseconds(), 10))
+	a.resume(x.progress.sent)
+	return a
+}
+
+// run sends the request, reports the end and then waits a little for the end of the body, so that the connection can
+// be used again.
+func (a *attempt) run() {
+	defer a.cancel()
+	reply, err := a.exchange.responder.Client.Send(a.ctx, a.call)
+	if err != nil {
+		a.ended <- a.failed(err)
+		return
+	}
+	err = a.pass(reply)
+	ended := a.failed(err)
+	if err != nil {
+		reply.Discard()
+		a.ended <- ended
+		return
+	}
+	a.describe(reply, &ended)
+	a.ended <- ended
+	a.drain(reply)
+}
+
+// commit writes the status and header of the answer.
+func (a *attempt) commit(reply *streamer.Reply) {
+	w := a.exchange.writer
+	for name, values := range endToEnd(reply.Header) {
+		switch name {
+		case requestIDHeader, refusalHeader:
+		default:
+			w.Header()[name] = values
+		}
+	}
+	w.WriteHeader(reply.StatusCode)
+}
+
+// copy passes the rest of a body to the caller as it comes.
+func (a *attempt) copy(reply *streamer.Reply) error {
+	buffer := make([]byte, copyBytes)
+	for {
+		n, err := reply.Body.Read(buffer)
+		if n > 0 {
+			if werr := a.write(buffer[:n], true); werr != nil {
+				return werr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return reply.Fail(err)
+		}
+	}
+}
+
+// describe fills in the answer for a request whose answer is kept.
+func (a *attempt) describe(reply *streamer.Reply, ended *reducer.AttemptEnded) {
+	if !a.kept.on {
+		return
+	}
+	ended.Status = reply.StatusCode
+	ended.ContentType = reply.Header.Get("Content-Type")
+	ended.Answer = a.kept.answer()
+}
+
+// drain reads what is left of a body, for a limited time, and ends the reply.
+func (a *attempt) drain(reply *streamer.Reply) {
+	timer := time.AfterFunc(drainTimeout, a.cancel)
+	defer timer.Stop()
+	if _, whole, err := reply.ReadUpTo(0); err != nil || !whole {
+		reply.Discard()
+		return
+	}
+	reply.Finish()
+}
+
+// failed returns the event for the attempt's end; the error is nil if the caller has the whole answer.
+func (a *attempt) failed(err error) reducer.AttemptEnded {
+	ended := reducer.AttemptEnded{Request: a.exchange.id, Attempt: a.number, Tokens: a.exchange.progress.sent}
+	if err == nil {
+		return ended
+	}
+	ended.Outcome = reducer.AttemptFailed
+	var failure *streamer.Failure
+	var refused *refusedError
+	switch {
+	case errors.As(err, &refused):
+		ended.Outcome = reducer.AttemptRefused
+		ended.Refusal = refused.refusal
+		ended.RetryAfter = refused.refusal.RetryAfter
+	case errors.As(err, &failure):
+		ended.Outcome = failure.Outcome
+		ended.ServerDied = failure.Died
+		ended.RetryAfter = failure.RetryAfter
+	case errors.Is(err, errCallerLeft):
+		ended.Outcome = reducer.AttemptCancelled
+	}
+	a.exchange.responder.logger().Debug().Err(err).Str("Request", a.call.ID).Str("Address", a.call.Address).
+		Str("Outcome", outcomeNames[ended.Outcome]).Msg("attempt ended")
+	return ended
+}
+
+// pass reads the answer and passes it to the caller. It returns nil when the caller has all of it.
+func (a *attempt) pass(reply *streamer.Reply) error {
+	x := a.exchange
+	switch {
+	case a.forward && reply.Header.Get(refusalHeader) != "":
+		return readRefusal(reply)
+	case x.passing:
+		return errPassed
+	case !a.forward && !x.inbound.arrived.Plain && reply.StatusCode >= http.StatusInternalServerError:
+		return fmt.Errorf("status %d: %w", reply.StatusCode, errServer)
+	}
+	x.responder.Post(reducer.AttemptStarted{Request: x.id, Attempt: a.number})
+	events := isEvents(reply.Header)
+	switch {
+	case events && !x.inbound.arrived.Plain:
+		return a.passEvents(reply)
+	case x.writer.Started():
+		return errNotEvents
+	case events:
+		return a.passThrough(reply, nil)
+	default:
+		return a.passBuffered(reply)
+	}
+}
+
+// passBuffered holds an answer back until it is whole, so that it can be had from another server if this one fails.
+func (a *attempt) passBuffered(reply *streamer.Reply) error {
+	p, whole, err := reply.ReadUpTo(a.exchange.responder.bufferedBytes())
+	if err != nil {
+		return reply.Fail(err)
+	}
+	if !whole {
+		return a.passThrough(reply, p)
+	}
+	a.commit(reply)
+	if a.call.Method != http.MethodHead {
+		setLength(a.exchange.writer.Header(), len(p))
+	} else if reply.ContentLength >= 0 {
+		setLength(a.exchange.writer.Header(), int(reply.ContentLength))
+	}
+	return a.write(p, true)
+}
+
+// passEvents passes the events of a stream on that the caller hasn't had.
+func (a *attempt) passEvents(reply *streamer.Reply) error {
+	events := streamer.NewEventReader(reply.Body)
+	for {
+		event, err := events.Next()
+		switch {
+		case errors.Is(err, io.EOF):
+			return errUnfinished
+		case err != nil:
+			return reply.Fail(err)
+		case event.Done:
+			return a.writeEvent(reply, event, true)
+		}
+		if err := a.passEvent(reply, event, !events.Buffered()); err != nil {
+			return err
+		}
+	}
+}
+
+func (a *attempt) passEvent(reply *streamer.Reply, event streamer.Event, flush bool) error {
+	progress := &a.exchange.progress
+	next, err := progress.accept(event, a.resumed)
+	if err != nil || !next {
+		return err
+	}
+	if err := a.writeEvent(reply, event, flush); err != nil {
+		return err
+	}
+	progress.sent++
+	return nil
+}
+
+// passThrough passes an answer on as it comes, after the part that was read already. If it breaks off, the caller's
+// connection has to be broken too.
+func (a *attempt) passThrough(reply *streamer.Reply, part []byte) error {
+	a.exchange.passing = true
+	a.commit(reply)
+	if reply.ContentLength >= 0 {
+		setLength(a.exchange.writer.Header(), int(reply.ContentLength))
+	}
+	if err := a.write(part, true); err != nil {
+		return err
+	}
+	return a.copy(reply)
+}
+
+// resume asks the server to go on after the events that the caller has had.
+func (a *attempt) resume(from int) {
+	a.resumed = from > 0
+	if a.resumed {
+		a.call.Header.Set(resumeHeader, strconv.Itoa(from))
+	}
+}
+
+// write writes to the caller, and waits while it doesn't read.
+func (a *attempt) write(p []byte, flush bool) error {
+	a.kept.add(p)
+	w := a.exchange.writer
+	_, err := w.Write(p)
+	if err == nil && flush {
+		err = w.Flush()
+	}
+	if err != nil {
+		return fmt.Errorf("write answer: %w: %w", errCallerLeft, err)
+	}
+	return nil
+}
+
+// writeEvent writes an event, and the status and header before the first one.
+func (a *attempt) writeEvent(reply *streamer.Reply, event streamer.Event, flush bool) error {
+	if !a.exchange.writer.Started() {
+		a.commit(reply)
+	}
+	return a.write(event.Raw, flush)
+}
+
+// A refusedError carries the refusal of another daemon.
+type refusedError struct{ refusal refuser.Refusal }
+
+// Error returns the refusal's code.
+func (e *refusedError) Error() string { return "the daemon refused the request: " + e.refusal.Code.String() }
+
+func isEvents(header http.Header) bool {
+	media, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	return err == nil && media == eventType
+}
+
+// readRefusal returns the refusal of another daemon as an error.
+func readRefusal(reply *streamer.Reply) error {
+	body, whole, err := reply.ReadUpTo(maxProblemBytes)
+	if err != nil {
+		return reply.Fail(err)
+	}
+	if !whole {
+		return errBadRefusal
+	}
+	refusal, err := refuser.ParseProblem(body)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errBadRefusal, err)
+	}
+	return &refusedError{refusal}
+}
--- /dev/null
+++ b/internal/entry/responder/exchange.go
@@ -0,0 +1,174 @@
+package responder
+
+import (
+	"context"
+	"fmt"
+
+	"samphirewharf/internal/caller/refuser"
+	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/entry/acceptor"
+)
+
+// An exchange carries out the effects of one request until its final answer.
+type exchange struct {
+	responder *Responder
+	writer    *acceptor.Writer
+	inbound   *inbound
+	// caller ends when the caller leaves.
+	caller  context.Context
+	id      reducer.RequestID
+	effects <-chan reducer.Effect
+
+	// attempt is the running attempt, nil if there is none. While one runs, only it uses writer, progress and
+	// passing.
+	attempt  *attempt
+	progress progress
+	// passing tells that a part of an answer that can't be resumed was passed on.
+	passing bool
+	// dispatched tells that an attempt was begun.
+	dispatched bool
+}
+
+// run posts the request and carries out effects until the answer is final or the caller has left.
+func (x *exchange) run() {
+	arrived := x.inbound.arrived
+	arrived.Request = x.id
+	x.responder.Post(arrived)
+	for {
+		select {
+		case effect := <-x.effects:
+			if x.apply(effect) {
+				return
+			}
+		case ended := <-x.ended():
+			if x.end(ended) {
+				return
+			}
+		case <-x.caller.Done():
+			x.leave()
+			return
+		}
+	}
+}
+
+// answer writes the answer that was kept from an earlier request.
+func (x *exchange) answer(e reducer.Answer) {
+	if x.writer.Started() {
+		x.writer.Abort()
+		return
+	}
+	setOrDelete(x.writer.Header(), "Content-Type", e.ContentType)
+	if err := writeWhole(x.writer, e.Status, e.Body); err != nil {
+		x.responder.logger().Debug().Err(err).Msg("caller left before its answer")
+	}
+}
+
+// apply carries out one effect. It returns true after the final one.
+func (x *exchange) apply(effect reducer.Effect) bool {
+	switch e := effect.(type) {
+	case reducer.Dispatch:
+		return x.begin(newDispatch(x, e))
+	case reducer.Forward:
+		return x.begin(newForward(x, e))
+	case reducer.Cancel:
+		if x.attempt != nil && x.attempt.number == e.Attempt {
+			x.attempt.cancel()
+		}
+		return false
+	case reducer.Refuse:
+		if !x.stopAttempt() {
+			x.refuse(e.Refusal)
+		}
+		return true
+	case reducer.Answer:
+		if !x.stopAttempt() {
+			x.answer(e)
+		}
+		return true
+	default:
+		x.stopAttempt()
+		x.refuse(x.unanswered(effect))
+		return true
+	}
+}
+
+// begin starts an attempt after the last one has ended. It returns true if that one had answered the caller.
+func (x *exchange) begin(a *attempt) bool {
+	if x.stopAttempt() {
+		return true
+	}
+	x.attempt = a
+	x.dispatched = true
+	go a.run()
+	return false
+}
+
+// end reports the end of the running attempt. It returns true if the caller has the whole answer.
+func (x *exchange) end(ended reducer.AttemptEnded) bool {
+	x.attempt = nil
+	countAttempt(ended.Outcome)
+	x.responder.Post(ended)
+	return ended.Outcome == reducer.AttemptDone
+}
+
+// ended returns the channel that the running attempt's end comes on, nil if none runs.
+func (x *exchange) ended() <-chan reducer.AttemptEnded {
+	if x.attempt == nil {
+		return nil
+	}
+	return x.attempt.ended
+}
+
+// leave cancels the running attempt because the caller has left.
+func (x *exchange) leave() {
+	if x.attempt != nil {
+		x.attempt.cancel()
+	}
+	x.responder.Post(reducer.CallerLeft{Request: x.id})
+	x.stopAttempt()
+}
+
+// refuse ends the answer with a refusal in the form that is still possible.
+func (x *exchange) refuse(refusal refuser.Refusal) {
+	switch {
+	case !x.writer.Started():
+		x.responder.refuse(x.writer, refusal)
+	case x.passing:
+		countRefusal(refusal.Code)
+		x.writer.Abort()
+	default:
+		countRefusal(refusal.Code)
+		x.refuseStream(refusal)
+	}
+}
+
+// refuseStream ends a stream of events with an error event and without [DONE].
+func (x *exchange) refuseStream(refusal refuser.Refusal) {
+	_, err := fmt.Fprintf(x.writer, "event: error\ndata: %s\n\n", refusal.Problem())
+	if err == nil {
+		err = x.writer.Flush()
+	}
+	if err != nil {
+		x.responder.logger().Debug().Err(err).Msg("caller left before the end of its stream")
+	}
+}
+
+// stopAttempt cancels the running attempt, if any, and reports its end. It returns true if the caller has the whole
+// answer nevertheless.
+func (x *exchange) stopAttempt() bool {
+	if x.attempt == nil {
+		return false
+	}
+	x.attempt.cancel()
+	return x.end(<-x.attempt.ended)
+}
+
+// unanswered is the refusal of a request that the reducer gave up without an answer, or with an unexpected effect.
+func (x *exchange) unanswered(effect reducer.Effect) refuser.Refusal {
+	x.responder.logger().Error().Str("Effect", fmt.Sprintf("%T", effect)).Msg("request got no answer")
+	refusal := refuser.Refusal{Code: refuser.CodeDaemonStopping, Detail: "the daemon gave the request up"}
+	if x.dispatched {
+		refusal.Ran = refuser.MayHaveRun
+	}
+	return refusal
+}
--- /dev/null
+++ b/internal/entry/responder/inbound.go
@@ -0,0 +1,158 @@
+package responder
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"samphirewharf/internal/caller/refuser"
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/decision/reducer"
+)
+
+// A readFunc completes an inbound request from its path and body.
+type readFunc func(in *inbound, r *http.Request, catalog *cataloger.Catalog) *refuser.Refusal
+
+// An inbound is a caller's request, checked and copied, since nbhttp reuses its buffers.
+type inbound struct {
+	// arrived is the event to post, but for the request's number.
+	arrived reducer.RequestArrived
+	// path is the caller's path with its query, serverPath the one to send to a backend server.
+	path       string
+	serverPath string
+	// header are the caller's header fields without those of its connection.
+	header http.Header
+	body   []byte
+}
+
+// A modelRequest are the members of a completion request that matter here.
+type modelRequest struct {
+	Model    string          `json:"model"`
+	Stream   bool            `json:"stream"`
+	Prompt   json.RawMessage `json:"prompt"`
+	Messages []modelMessage  `json:"messages"`
+}
+
+type modelMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// newInbound reads what all requests have in common.
+func newInbound(r *http.Request, id string) (*inbound, *refuser.Refusal) {
+	limit, ok := timeout(r.Header)
+	if !ok {
+		refusal := invalidHeader(timeoutHeader)
+		return nil, &refusal
+	}
+	if !r.ProtoAtLeast(1, 1) {
+		return nil, &refuser.Refusal{Code: refuser.CodeMalformedRequest, Detail: "HTTP/1.1 is required"}
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, &refuser.Refusal{Code: refuser.CodeMalformedRequest, Detail: "the body can't be read"}
+	}
+	in := &inbound{path: r.URL.RequestURI(), header: endToEnd(r.Header), body: body}
+	in.serverPath = in.path
+	in.header.Set(requestIDHeader, id)
+	in.arrived = reducer.RequestArrived{
+		ID:          id,
+		Method:      r.Method,
+		Urgent:      isUrgent(r.Header),
+		Timeout:     limit,
+		BodyHash:    bodyHash(r.Method, in.path, body),
+		ForwardedBy: r.Header.Get(forwardedByHeader),
+	}
+	for _, name := range ownHeaders {
+		in.header.Del(name)
+	}
+	return in, nil
+}
+
+func readModelRequest(in *inbound, r *http.Request, catalog *cataloger.Catalog) *refuser.Refusal {
+	if refusal := checkContent(r.Header); refusal != nil {
+		return refusal
+	}
+	var request modelRequest
+	if err := json.Unmarshal(in.body, &request); err != nil {
+		return &refuser.Refusal{Code: refuser.CodeMalformedRequest, Detail: "the body is not the JSON expected: " + err.Error()}
+	}
+	if request.Model == "" {
+		return &refuser.Refusal{Code: refuser.CodeMalformedRequest, Detail: "the body has no member \"model\""}
+	}
+	if _, ok := catalog.Target(request.Model); !ok {
+		return unknownTarget("deployment or adapter", request.Model)
+	}
+	key, refusal := idempotencyKey(r.Header, idempotencyKeyHeader)
+	if refusal != nil {
+		return refusal
+	}
+	in.arrived.Target = request.Model
+	in.arrived.Path = r.URL.Path
+	in.arrived.Stream = request.Stream
+	in.arrived.Key = key
+	in.arrived.Prefixes = prefixes(request)
+	return nil
+}
+
+func readPlainRequest(in *inbound, r *http.Request, catalog *cataloger.Catalog) *refuser.Refusal {
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, servicesPrefix), "/")
+	service, ok := catalog.Service(name)
+	if !ok || service.Kind != cataloger.KindPlain {
+		return unknownTarget("plain service", name)
+	}
+	header := service.IdentityHeader
+	if header == "" {
+		header = idempotencyKeyHeader
+	}
+	key, refusal := idempotencyKey(r.Header, header)
+	if refusal != nil {
+		return refusal
+	}
+	in.serverPath = below(in.path, servicesPrefix+name)
+	in.arrived.Target = name
+	in.arrived.Plain = true
+	in.arrived.Path = below(r.URL.Path, servicesPrefix+name)
+	in.arrived.Key = key
+	return nil
+}
+
+// below returns a path without a prefix, beginning with a slash.
+func below(path, prefix string) string {
+	rest := strings.TrimPrefix(path, prefix)
+	if !strings.HasPrefix(rest, "/") {
+		return "/" + rest
+	}
+	return rest
+}
+
+func bodyHash(method, path string, body []byte) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(method)
+	_, _ = digest.WriteString(" " + path + "\n")
+	_, _ = digest.Write(body)
+	return digest.Sum64()
+}
+
+func checkContent(header http.Header) *refuser.Refusal {
+	if encoding := header.Get("Content-Encoding"); encoding != "" && encoding != "identity" {
+		return &refuser.Refusal{Code: refuser.CodeUnsupportedEncoding, Detail: fmt.Sprintf("the encoding %q is not accepted", encoding)}
+	}
+	kind := header.Get("Content-Type")
+	if kind == "" {
+		return nil
+	}
+	if media, _, err := mime.ParseMediaType(kind); err != nil || media != "application/json" {
+		return &refuser.Refusal{Code: refuser.CodeUnsupportedEncoding, Detail: fmt.Sprintf("the content type %q is not accepted", kind)}
+	}
+	return nil
+}
+
+func unknownTarget(kind, name string) *refuser.Refusal {
+	return &refuser.Refusal{Code: refuser.CodeUnknownDeployment, Detail: fmt.Sprintf("no %s is named %q", kind, name)}
+}
--- /dev/null
+++ b/internal/entry/streamer/client.go
@@ -0,0 +1,152 @@
+// Package streamer sends requests to backend servers and other daemons and reads their answers as they come.
+//
+// It uses net/http's Transport: the client of nbhttp holds an answer back until its body is whole, so that it can
+// neither stream nor hold a server back. The Transport is kept from repeating a request by itself; see body.
+package streamer
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"samphirewharf/internal/decision/reducer"
+)
+
+const (
+	// idleTimeout is how long an unused connection is kept.
+	idleTimeout = 30 * time.Second
+	// maxIdlePerServer is how many unused connections to one server are kept.
+	maxIdlePerServer = 32
+	// maxIdle is how many unused connections are kept.
+	maxIdle = 1024
+	// bufferBytes is the size of the read and write buffers of one connection.
+	bufferBytes = 8 << 10
+	// maxHeaderBytes bounds the header of an answer.
+	maxHeaderBytes = 64 << 10
+	// DefaultDialTimeout bounds the time for a connection.
+	DefaultDialTimeout = time.Second
+)
+
+// A Client sends requests. The zero value works. Connections are reused, except by calls that are Fresh.
+type Client struct {
+	// DialTimeout bounds the time for a connection; zero means DefaultDialTimeout.
+	DialTimeout time.Duration
+
+	once   sync.Once
+	pooled *http.Transport
+	fresh  *http.Transport
+}
+
+// A Call is one request to a server.
+type Call struct {
+	// Address is IP:PORT.
+	Address string
+	Method  string
+	// Path is the escaped path with the query.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// ID is the X-Request-Id; an answer that carries another one is a failure.
+	ID string
+	// Fresh asks for a connection of its own, so that the request can't meet one that the server is just closing.
+	Fresh bool
+}
+
+// Close closes the unused connections.
+func (c *Client) Close() {
+	c.once.Do(c.start)
+	c.pooled.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// Send sends a request once and returns the answer when its header has come. The error is a *Failure. The context
+// bounds the whole call, the reading of the answer included.
+func (c *Client) Send(ctx context.Context, call Call) (*Reply, error) {
+	c.once.Do(c.start)
+	target, err := url.Parse("http://" + call.Address + call.Path)
+	if err != nil {
+		return nil, &Failure{Outcome: reducer.AttemptNotSent, Err: fmt.Errorf("parse path %q: %w", call.Path, err)}
+	}
+	reply := &Reply{}
+	trace := &httptrace.ClientTrace{GotConn: reply.gotConn}
+	request := (&http.Request{
+		Method:        call.Method,
+		URL:           target,
+		Header:        call.Header,
+		Body:          &body{Reader: bytes.NewReader(call.Body)},
+		ContentLength: contentLength(call.Body),
+	}).WithContext(httptrace.WithClientTrace(ctx, trace))
+	response, err := c.transport(call.Fresh).RoundTrip(request)
+	if err != nil {
+		return nil, reply.fail(ctx, err)
+	}
+	reply.Response = response
+	reply.ctx = ctx
+	if err := reply.check(call.ID); err != nil {
+		reply.Discard()
+		return nil, err
+	}
+	return reply, nil
+}
+
+func (c *Client) start() {
+	c.pooled = c.newTransport()
+	c.fresh = c.newTransport()
+	c.fresh.DisableKeepAlives = true
+}
+
+func (c *Client) newTransport() *http.Transport {
+	timeout := c.DialTimeout
+	if timeout <= 0 {
+		timeout = DefaultDialTimeout
+	}
+	return &http.Transport{
+		DialContext:            (&dialer{Dialer: net.Dialer{Timeout: timeout}}).dial,
+		DisableCompression:     true,
+		MaxIdleConns:           maxIdle,
+		MaxIdleConnsPerHost:    maxIdlePerServer,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		ReadBufferSize:         bufferBytes,
+		WriteBufferSize:        bufferBytes,
+	}
+}
+
+func (c *Client) transport(fresh bool) *http.Transport {
+	if fresh {
+		return c.fresh
+	}
+	return c.pooled
+}
+
+// A body is a request's body that can be read once. Since the Transport knows neither its length, if empty, nor how
+// to get it again, it takes no request for repeatable: not one without a body, and not one with an Idempotency-Key.
+type body struct{ io.Reader }
+
+// Close does nothing.
+func (*body) Close() error { return nil }
+
+func contentLength(p []byte) int64 {
+	if len(p) == 0 {
+		return -1
+	}
+	return int64(len(p))
+}
+
+// RetryAfter returns what a header asks for in Retry-After, zero if it asks for nothing in seconds.
+func RetryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.Atoi(strings.TrimSpace(header.Get("Retry-After")))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
--- /dev/null
+++ b/internal/entry/streamer/connection.go
@@ -0,0 +1,32 @@
+package streamer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// A connection notes whether anything was written to it.
+type connection struct {
+	net.Conn
+	// writes is counted before each write, so that a count that hasn't changed when the connection has been
+	// closed proves that nothing was sent.
+	writes atomic.Int64
+}
+
+// Write counts and writes.
+func (c *connection) Write(p []byte) (int, error) {
+	c.writes.Add(1)
+	return c.Conn.Write(p)
+}
+
+// A dialer makes connections that count their writes.
+type dialer struct{ net.Dialer }
+
+func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &connection{Conn: conn}, nil
+}
