feat: read the questionnaire and generate the configuration

The TOML is decoded by go-toml into a tree, and read by typed answers that collect every mistake instead of stopping at the first, as go-toml's own strict decoding does for wrong types. Lines come from the library's AST.

A mistake doesn't cause others: a wrong Memory used to make every Size of the service wrong, and a second service of a name hid the first.

--- /dev/null
+++ b/internal/config/questioner/check.go
@@ -0,0 +1,253 @@
+package questioner
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"samphirewharf/internal/config/cataloger"
+)
+
+// Bounds of answers.
+const (
+	maxOrganisation     = 200
+	maxServers          = 10_000
+	maxModels           = 10_000
+	maxAdapters         = 100_000
+	maxInFlight         = 10_000
+	maxLoadsPerSecond   = 10_000
+	maxFullSpeed        = 10_000
+	minLoadsPerSecond   = 0.001
+	minBytes            = 1_000
+	maxBytes            = 10_000_000_000_000
+	minAnswer           = 100 * time.Millisecond
+	maxUrgent           = 10 * time.Minute
+	maxCanWait          = 24 * time.Hour
+	maxOneWay           = 500 * time.Millisecond
+	minAdapterLoad      = 100 * time.Microsecond
+	maxAdapterLoad      = time.Minute
+	minKeysRemembered   = time.Minute
+	maxKeysRemembered   = 30 * 24 * time.Hour
+	acceptedMethod      = `an HTTP method in upper case, or "*" for all`
+	acceptedPathPrefix  = "a path that starts with '/', below the service's name"
+	acceptedVersion     = "a version of the weights of up to 100 printable characters"
+	whyNotForModels     = "it concerns services of kind Plain"
+	whyNotForPlain      = "it concerns services of kind Model"
+	acceptedUniqueNames = "a name that no other model or adapter has, group numbers included"
+)
+
+// Check returns every mistake of the TOML questionnaire, sorted by line. A document that isn't
+// TOML has one mistake, since nothing behind it can be read.
+func Check(data []byte) []Mistake {
+	_, mistakes := read(data)
+	return mistakes
+}
+
+// Parse reads a TOML questionnaire. If it has mistakes, the error is a *CheckError with all of them.
+func Parse(data []byte) (Questionnaire, error) {
+	q, mistakes := read(data)
+	if len(mistakes) > 0 {
+		return Questionnaire{}, fmt.Errorf("checking questionnaire: %w", &CheckError{Mistakes: mistakes})
+	}
+	return q, nil
+}
+
+func read(data []byte) (Questionnaire, []Mistake) {
+	d := newDocument(data)
+	if len(d.mistakes) > 0 {
+		return Questionnaire{}, d.mistakes
+	}
+	q := readQuestionnaire(newTable(d, "", d.root))
+	sortMistakes(d.mistakes)
+	return q, d.mistakes
+}
+
+func readQuestionnaire(t *table) Questionnaire {
+	q := Questionnaire{
+		Organisation: t.text("Organisation", "a name of up to 200 characters", func(s string) bool {
+			return strings.TrimSpace(s) != "" && len(s) <= maxOrganisation
+		}),
+		WeighsMore: cataloger.Weighting(t.oneOf("WeighsMore",
+			string(cataloger.WeightColdStart), string(cataloger.WeightIdleHours))),
+		UrgentAnswers: t.duration("UrgentAnswers", minAnswer, maxUrgent),
+	}
+	q.CanWaitAnswers = t.duration("CanWaitAnswers", q.UrgentAnswers, maxCanWait)
+	zones := make(map[string]bool)
+	for _, element := range t.tables("Zones", 1) {
+		q.Zones = append(q.Zones, readZone(element, zones))
+	}
+	services := make(map[string]Service)
+	for _, element := range t.tables("Services", 1) {
+		s := readService(element, zones)
+		if _, taken := services[s.Name]; !taken {
+			services[s.Name] = s
+		} else if s.Name != "" {
+			element.wrong("Name", "a name that no other service has")
+		}
+		q.Services = append(q.Services, s)
+	}
+	taken := make(map[string]bool)
+	for _, element := range t.tables("Models", 0) {
+		q.Models = append(q.Models, readModelGroup(element, services, taken))
+	}
+	t.finish()
+	return q
+}
+
+func readZone(t *table, zones map[string]bool) Zone {
+	z := Zone{
+		Name:   t.name("Name"),
+		Region: t.name("Region"),
+		OneWay: t.duration("OneWay", 0, maxOneWay),
+	}
+	if zones[z.Name] && z.Name != "" {
+		t.wrong("Name", "a name that no other zone has")
+	}
+	zones[z.Name] = true
+	t.finish()
+	return z
+}
+
+func readService(t *table, zones map[string]bool) Service {
+	s := Service{
+		Name: t.name("Name"),
+		Kind: cataloger.ServiceKind(t.oneOf("Kind", string(cataloger.KindModel), string(cataloger.KindPlain))),
+		Zones: t.texts("Zones", "the name of a zone in [[Zones]]", func(name string) bool {
+			return name != "" && zones[name]
+		}),
+		Servers: t.whole("Servers", maxServers),
+	}
+	switch s.Kind {
+	case cataloger.KindModel:
+		readModelService(t, &s)
+	case cataloger.KindPlain:
+		readPlainService(t, &s)
+	default:
+		return s
+	}
+	t.finish()
+	return s
+}
+
+func readModelService(t *table, s *Service) {
+	s.Memory = t.size("Memory", maxBytes)
+	s.ChecksFencing = t.boolean("ChecksFencing")
+	for _, name := range []string{"InFlight", "NeverRepeat", "IdentityHeader", "KeysRememberedFor"} {
+		t.forbid(name, whyNotForModels)
+	}
+	store := t.table("WeightStore")
+	if store == nil {
+		return
+	}
+	s.WeightStore = WeightStore{
+		LoadsPerSecond:    store.float("LoadsPerSecond", minLoadsPerSecond, maxLoadsPerSecond),
+		FullSpeedLoads:    store.whole("FullSpeedLoads", maxFullSpeed),
+		LoadSpeed:         store.size("LoadSpeed", maxBytes),
+		FullSpeedAdapters: store.whole("FullSpeedAdapters", maxFullSpeed),
+		AdapterLoad:       store.duration("AdapterLoad", minAdapterLoad, maxAdapterLoad),
+	}
+	store.finish()
+}
+
+func readPlainService(t *table, s *Service) {
+	for _, name := range []string{"Memory", "ChecksFencing", "WeightStore"} {
+		t.forbid(name, whyNotForPlain)
+	}
+	s.InFlight = t.whole("InFlight", maxInFlight)
+	for _, rule := range t.tables("NeverRepeat", 0) {
+		s.NeverRepeat = append(s.NeverRepeat, readRule(rule))
+	}
+	if !t.has("NeverRepeat") {
+		t.forbid("IdentityHeader", "no request is in [[Services.NeverRepeat]]")
+		t.forbid("KeysRememberedFor", "no request is in [[Services.NeverRepeat]]")
+		return
+	}
+	if t.has("IdentityHeader") {
+		s.IdentityHeader = t.text("IdentityHeader", acceptedHeader, headerPattern.MatchString)
+	}
+	t.known["IdentityHeader"] = true
+	s.KeysRememberedFor = t.duration("KeysRememberedFor", minKeysRemembered, maxKeysRemembered)
+}
+
+func readRule(t *table) cataloger.Rule {
+	rule := cataloger.Rule{
+		Method: t.oneOf("Method", "*", http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodGet),
+		PathPrefix: t.text("PathPrefix", acceptedPathPrefix, func(s string) bool {
+			return strings.HasPrefix(s, "/") && !strings.ContainsAny(s, "?# \t\r\n")
+		}),
+	}
+	t.finish()
+	return rule
+}
+
+func readModelGroup(t *table, services map[string]Service, taken map[string]bool) ModelGroup {
+	g := ModelGroup{Name: t.name("Name"), Count: 1, Version: "1"}
+	t.known["Count"], t.known["Version"] = true, true
+	if t.has("Count") {
+		g.Count = t.whole("Count", maxModels)
+	}
+	if t.has("Version") {
+		g.Version = t.text("Version", acceptedVersion, func(s string) bool {
+			return s != "" && len(s) <= maxNameLength && strings.IndexFunc(s, notPrintable) < 0
+		})
+	}
+	g.Service = t.text("Service", "the name of a service of kind Model", func(name string) bool {
+		s, known := services[name]
+		return name != "" && known && s.Kind != cataloger.KindPlain
+	})
+	most := services[g.Service].Memory
+	if most < minBytes {
+		most = maxBytes
+	}
+	g.Size = t.size("Size", most)
+	for _, element := range t.tables("Adapters", 0) {
+		g.Adapters = append(g.Adapters, readAdapterGroup(element, most-g.Size))
+	}
+	t.finish()
+	noteTaken(t, g, taken)
+	return g
+}
+
+func readAdapterGroup(t *table, most int64) AdapterGroup {
+	g := AdapterGroup{Name: t.name("Name"), Count: 1}
+	t.known["Count"] = true
+	if t.has("Count") {
+		g.Count = t.whole("Count", maxAdapters)
+	}
+	g.Size = t.size("Size", most)
+	t.finish()
+	return g
+}
+
+// noteTaken notes the names that the group's models and adapters take, and a mistake if one is taken.
+func noteTaken(t *table, g ModelGroup, taken map[string]bool) {
+	if g.Name == "" {
+		return
+	}
+	adapters := 0
+	for _, a := range g.Adapters {
+		adapters += a.Count
+	}
+	if adapters*g.Count > maxAdapters {
+		t.wrong("Count", fmt.Sprintf("a count that makes at most %d adapters with [[Models.Adapters]]", maxAdapters))
+		return
+	}
+	for _, model := range g.names() {
+		names := []string{model}
+		for _, a := range g.Adapters {
+			if a.Name != "" {
+				names = append(names, a.names(model)...)
+			}
+		}
+		for _, name := range names {
+			if taken[name] {
+				t.wrong("Name", acceptedUniqueNames)
+				return
+			}
+			taken[name] = true
+		}
+	}
+}
+
+func notPrintable(r rune) bool { return r < ' ' || r > '~' }
--- /dev/null
+++ b/internal/config/questioner/generate.go
@@ -0,0 +1,266 @@
+package questioner
+
+import (
+	"fmt"
+	"time"
+
+	"samphirewharf/internal/config/cataloger"
+)
+
+// Limits of the whole system that no answer changes.
+const (
+	retryShare        = 0.1
+	addressTimeToLive = 5 * time.Second
+)
+
+// How a load from near compares with one from the weight store.
+const (
+	diskLoadShare   = 3
+	memoryLoadShare = 10
+)
+
+// How many requests one replica runs at once, by the size of its model.
+const (
+	smallModelBytes    = 8_000_000_000
+	mediumModelBytes   = 32_000_000_000
+	smallModelInFlight = 32
+	mediumInFlight     = 16
+	largeModelInFlight = 8
+)
+
+// Bounds of a deployment's queue at one daemon.
+const (
+	queuePerSlot = 4
+	minQueue     = 32
+	maxQueue     = 1024
+)
+
+// A policy is what a weighting derives.
+type policy struct {
+	// minKeepAliveLoads and maxKeepAlive bound keep-alive; the first counts the longest load.
+	minKeepAliveLoads int
+	maxKeepAlive      time.Duration
+	keepAliveQuantile float64
+	// replicaDivisor divides the servers of a service to bound a deployment's replicas.
+	replicaDivisor int
+	// adapterSlots bounds the adapter slots of a replica.
+	adapterSlots int
+}
+
+var policies = map[cataloger.Weighting]policy{
+	cataloger.WeightColdStart: {
+		minKeepAliveLoads: 60,
+		maxKeepAlive:      4 * time.Hour,
+		keepAliveQuantile: 0.99,
+		replicaDivisor:    2,
+		adapterSlots:      8,
+	},
+	cataloger.WeightIdleHours: {
+		minKeepAliveLoads: 10,
+		maxKeepAlive:      20 * time.Minute,
+		keepAliveQuantile: 0.8,
+		replicaDivisor:    4,
+		adapterSlots:      4,
+	},
+}
+
+// An Explanation tells where a derived value comes from.
+type Explanation struct {
+	// Name is the value's place, such as "Limits.RetryShare" or "Deployments.NAME.Load".
+	Name string
+	// Value is the derived value as text.
+	Value string
+	// Reason names the answers that it was derived from.
+	Reason string
+}
+
+// String returns the explanation as one line of text.
+func (e Explanation) String() string { return e.Name + " = " + e.Value + ": " + e.Reason }
+
+// A generator collects the explanations of one configuration.
+type generator struct {
+	questionnaire Questionnaire
+	policy        policy
+	explanations  []Explanation
+}
+
+// Generate derives the configuration from a checked questionnaire, with one explanation for
+// each derived value; models of one group share theirs. The same questionnaire always gives the
+// same configuration. Version and ChangeID are left for whoever applies it.
+func Generate(q Questionnaire) (cataloger.Configuration, []Explanation) {
+	g := generator{questionnaire: q, policy: policies[q.WeighsMore]}
+	c := cataloger.Configuration{Weighting: q.WeighsMore}
+	for _, z := range q.Zones {
+		c.Zones = append(c.Zones, cataloger.Zone{Name: z.Name, Region: z.Region, OneWay: cataloger.Duration(z.OneWay)})
+	}
+	services := make(map[string]Service, len(q.Services))
+	for _, s := range q.Services {
+		services[s.Name] = s
+		c.Services = append(c.Services, g.service(s))
+	}
+	for _, group := range q.Models {
+		c.Deployments = append(c.Deployments, g.deployments(group, services[group.Service])...)
+	}
+	c.Limits = g.limits(longestLoad(c.Deployments))
+	return c, g.explanations
+}
+
+// adapterSlots returns how many adapters a replica of the group holds at once.
+func (g *generator) adapterSlots(group ModelGroup, s Service) (slots int, slotBytes int64) {
+	count := 0
+	for _, a := range group.Adapters {
+		count += a.Count
+		slotBytes = max(slotBytes, a.Size)
+	}
+	if slotBytes == 0 {
+		return 0, 0
+	}
+	fit := (s.Memory - group.Size) / slotBytes
+	return int(min(int64(count), int64(g.policy.adapterSlots), fit)), slotBytes
+}
+
+func (g *generator) deployments(group ModelGroup, s Service) []cataloger.Deployment {
+	d := g.deployment(group, s)
+	var all []cataloger.Deployment
+	for _, model := range group.names() {
+		d.Name = model
+		d.Adapters = nil
+		for _, a := range group.Adapters {
+			for _, name := range a.names(model) {
+				d.Adapters = append(d.Adapters, cataloger.Adapter{Name: name, Bytes: a.Size})
+			}
+		}
+		all = append(all, d)
+	}
+	return all
+}
+
+// deployment returns what all deployments of a group share.
+func (g *generator) deployment(group ModelGroup, s Service) cataloger.Deployment {
+	load := loadTime(group.Size, s.WeightStore.LoadSpeed)
+	slots, slotBytes := g.adapterSlots(group, s)
+	d := cataloger.Deployment{
+		Service:         s.Name,
+		ModelVersion:    group.Version,
+		Bytes:           group.Size,
+		Load:            cataloger.Duration(load),
+		LoadFromDisk:    cataloger.Duration(load / diskLoadShare),
+		LoadFromMemory:  cataloger.Duration(load / memoryLoadShare),
+		MaxInFlight:     inFlight(group.Size),
+		AdapterSlots:    slots,
+		AdapterBytes:    slotBytes,
+		UrgentDeadline:  cataloger.Duration(g.questionnaire.UrgentAnswers),
+		CanWaitDeadline: cataloger.Duration(g.questionnaire.CanWaitAnswers),
+	}
+	if slots == 0 {
+		d.AdapterBytes = 0
+	}
+	perServer := int(s.Memory / max(d.ReplicaBytes(), 1))
+	share := (s.Servers + g.policy.replicaDivisor - 1) / g.policy.replicaDivisor
+	d.MaxReplicas = min(share, s.Servers*perServer)
+	d.MaxQueue = min(max(queuePerSlot*d.MaxInFlight*d.MaxReplicas, minQueue), maxQueue)
+	g.explainDeployment(group, s, d)
+	return d
+}
+
+func (g *generator) explain(name string, value any, format string, args ...any) {
+	g.explanations = append(g.explanations, Explanation{
+		Name:   name,
+		Value:  fmt.Sprint(value),
+		Reason: fmt.Sprintf(format, args...),
+	})
+}
+
+func (g *generator) explainDeployment(group ModelGroup, s Service, d cataloger.Deployment) {
+	at := func(field string) string { return "Deployments." + group.Name + "." + field }
+	size := formatSize(group.Size)
+	weighs := g.questionnaire.WeighsMore
+	g.explain(at("Load"), d.Load.D(), "Size %s at LoadSpeed %s a second of service %s", size, formatSize(s.WeightStore.LoadSpeed), s.Name)
+	g.explain(at("LoadFromDisk"), d.LoadFromDisk.D(), "1/%d of Load", diskLoadShare)
+	g.explain(at("LoadFromMemory"), d.LoadFromMemory.D(), "1/%d of Load", memoryLoadShare)
+	g.explain(at("MaxInFlight"), d.MaxInFlight, "Size %s: %d below %s, %d below %s, else %d", size,
+		smallModelInFlight, formatSize(smallModelBytes), mediumInFlight, formatSize(mediumModelBytes), largeModelInFlight)
+	g.explain(at("MaxReplicas"), d.MaxReplicas, "1/%d of the %d servers of %s, rounded up, because WeighsMore is %s",
+		g.policy.replicaDivisor, s.Servers, s.Name, weighs)
+	g.explain(at("MaxQueue"), d.MaxQueue, "%d for each request that runs at once on MaxReplicas, from %d to %d",
+		queuePerSlot, minQueue, maxQueue)
+	g.explain(at("UrgentDeadline"), d.UrgentDeadline.D(), "UrgentAnswers")
+	g.explain(at("CanWaitDeadline"), d.CanWaitDeadline.D(), "CanWaitAnswers")
+	if len(group.Adapters) == 0 {
+		return
+	}
+	g.explain(at("AdapterSlots"), d.AdapterSlots, "the adapters of the model, at most %d because WeighsMore is %s, and what Memory %s leaves",
+		g.policy.adapterSlots, weighs, formatSize(s.Memory))
+	g.explain(at("AdapterBytes"), d.AdapterBytes, "the largest adapter of the model")
+}
+
+func (g *generator) limits(longest time.Duration) cataloger.Limits {
+	weighs := g.questionnaire.WeighsMore
+	l := cataloger.Limits{
+		RetryShare:        retryShare,
+		MinKeepAlive:      cataloger.Duration(min(time.Duration(g.policy.minKeepAliveLoads)*longest, g.policy.maxKeepAlive)),
+		MaxKeepAlive:      cataloger.Duration(g.policy.maxKeepAlive),
+		KeepAliveQuantile: g.policy.keepAliveQuantile,
+		AddressTimeToLive: cataloger.Duration(addressTimeToLive),
+	}
+	g.explain("Limits.RetryShare", l.RetryShare, "the same for every organisation")
+	g.explain("Limits.MinKeepAlive", l.MinKeepAlive.D(), "%d times the longest Load, because WeighsMore is %s",
+		g.policy.minKeepAliveLoads, weighs)
+	g.explain("Limits.MaxKeepAlive", l.MaxKeepAlive.D(), "WeighsMore is %s", weighs)
+	g.explain("Limits.KeepAliveQuantile", l.KeepAliveQuantile, "WeighsMore is %s", weighs)
+	g.explain("Limits.AddressTimeToLive", l.AddressTimeToLive.D(), "the same for every organisation")
+	return l
+}
+
+func (g *generator) service(s Service) cataloger.Service {
+	at := func(field string) string { return "Services." + s.Name + "." + field }
+	c := cataloger.Service{Name: s.Name, Kind: s.Kind}
+	if s.Kind == cataloger.KindModel {
+		c.ChecksFencing = s.ChecksFencing
+		c.Store = cataloger.WeightStore{
+			LoadsPerSecond:    s.WeightStore.LoadsPerSecond,
+			FullSpeedLoads:    s.WeightStore.FullSpeedLoads,
+			FullSpeedAdapters: s.WeightStore.FullSpeedAdapters,
+			AdapterLoad:       cataloger.Duration(s.WeightStore.AdapterLoad),
+		}
+		return c
+	}
+	c.NonIdempotent = s.NeverRepeat
+	c.IdentityHeader = s.IdentityHeader
+	c.ClaimRetention = cataloger.Duration(s.KeysRememberedFor)
+	c.MaxInFlight = s.InFlight
+	c.Deadline = cataloger.Duration(g.questionnaire.UrgentAnswers)
+	g.explain(at("Deadline"), c.Deadline.D(), "UrgentAnswers")
+	if len(s.NeverRepeat) > 0 {
+		g.explain(at("ClaimRetention"), c.ClaimRetention.D(), "KeysRememberedFor")
+	}
+	return c
+}
+
+func inFlight(bytes int64) int {
+	switch {
+	case bytes < smallModelBytes:
+		return smallModelInFlight
+	case bytes < mediumModelBytes:
+		return mediumInFlight
+	default:
+		return largeModelInFlight
+	}
+}
+
+// loadTime returns how long bytes take at a speed in bytes a second, in whole milliseconds and at least one.
+func loadTime(bytes, speed int64) time.Duration {
+	if speed <= 0 {
+		return time.Millisecond
+	}
+	milliseconds := int64(float64(bytes) / float64(speed) * 1000)
+	return time.Duration(max(milliseconds, 1)) * time.Millisecond
+}
+
+func longestLoad(deployments []cataloger.Deployment) time.Duration {
+	longest := time.Duration(0)
+	for _, d := range deployments {
+		longest = max(longest, d.Load.D())
+	}
+	return longest
+}
--- /dev/null
+++ b/internal/config/questioner/generate_test.go
@@ -0,0 +1,136 @@
+package questioner
+
+import (
+	"testing"
+	"time"
+
+	"samphirewharf/internal/config/cataloger"
+)
+
+func parsed(t testing.TB, data []byte) Questionnaire {
+	t.Helper()
+	q, err := Parse(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return q
+}
+
+func example(t testing.TB, name string) Questionnaire {
+	t.Helper()
+	data, err := Example(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return parsed(t, data)
+}
+
+// assertSound checks what every generated configuration must fulfil.
+func assertSound(t *testing.T, q Questionnaire, c cataloger.Configuration) {
+	t.Helper()
+	services := make(map[string]Service)
+	for _, s := range q.Services {
+		services[s.Name] = s
+	}
+	names := make(map[string]bool)
+	for _, d := range c.Deployments {
+		s := services[d.Service]
+		if d.ReplicaBytes() > s.Memory || d.MaxReplicas < 1 || d.MaxReplicas > s.Servers {
+			t.Errorf("got %s with %d bytes and %d replicas, want it to fit %d servers of %d bytes",
+				d.Name, d.ReplicaBytes(), d.MaxReplicas, s.Servers, s.Memory)
+		}
+		if d.LoadFromMemory > d.LoadFromDisk || d.LoadFromDisk > d.Load || d.MaxInFlight < 1 || d.MaxQueue < 1 {
+			t.Errorf("got %+v, want ordered load times and bounds", d)
+		}
+		names[d.Name] = true
+		for _, a := range d.Adapters {
+			names[a.Name] = true
+			if d.AdapterSlots < 1 || a.Bytes > d.AdapterBytes {
+				t.Errorf("got %d slots of %d bytes in %s, want room for %d", d.AdapterSlots, d.AdapterBytes, d.Name, a.Bytes)
+			}
+		}
+	}
+	if got, want := len(names), count(c).deployments+count(c).adapters; got != want {
+		t.Errorf("got %d different names, want %d", got, want)
+	}
+	if c.Limits.MinKeepAlive > c.Limits.MaxKeepAlive {
+		t.Errorf("got keep-alive from %v to %v", c.Limits.MinKeepAlive.D(), c.Limits.MaxKeepAlive.D())
+	}
+}
+
+type counts struct{ zones, services, deployments, adapters int }
+
+func count(c cataloger.Configuration) counts {
+	n := counts{zones: len(c.Zones), services: len(c.Services), deployments: len(c.Deployments)}
+	for _, d := range c.Deployments {
+		n.adapters += len(d.Adapters)
+	}
+	return n
+}
+
+func TestGenerateSizes(t *testing.T) {
+	tests := []struct {
+		name string
+		q    Questionnaire
+		want counts
+	}{
+		{"birlik", example(t, "birlik"), counts{4, 2, 40, 80}},
+		{"bellmouth", example(t, "bellmouth"), counts{3, 2, 45, 100}},
+		{"demo", example(t, "demo"), counts{2, 3, 6, 8}},
+		{"template", parsed(t, New()), counts{2, 2, 4, 7}},
+		{"two years", parsed(t, TwoYears()), counts{7, 60, 560, 18_000}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got, explanations := Generate(test.q)
+			assertEqual(t, count(got), test.want)
+			assertSound(t, test.q, got)
+			for _, e := range explanations {
+				if e.Name == "" || e.Value == "" || e.Reason == "" {
+					t.Errorf("got incomplete explanation %+v", e)
+				}
+			}
+		})
+	}
+}
+
+func TestGenerateValues(t *testing.T) {
+	birlik, _ := Generate(example(t, "birlik"))
+	bellmouth, _ := Generate(example(t, "bellmouth"))
+	t.Run("load from size and weight store", func(t *testing.T) {
+		assertEqual(t, birlik.Deployments[0].Load.D(), 1400*time.Millisecond)
+	})
+	t.Run("replicas by weighting", func(t *testing.T) {
+		assertEqual(t, birlik.Deployments[0].MaxReplicas, 6)
+		assertEqual(t, bellmouth.Deployments[0].MaxReplicas, 5)
+	})
+	t.Run("keep-alive by weighting", func(t *testing.T) {
+		assertEqual(t, birlik.Limits.MaxKeepAlive.D(), 4*time.Hour)
+		assertEqual(t, bellmouth.Limits.MaxKeepAlive.D(), 20*time.Minute)
+		assertEqual(t, birlik.Limits.MinKeepAlive.D(), 216*time.Second)
+		assertEqual(t, bellmouth.Limits.MinKeepAlive.D(), 18*time.Second)
+	})
+	t.Run("claims", func(t *testing.T) {
+		want := cataloger.Service{
+			Name: "exchange-desk", Kind: cataloger.KindPlain, IdentityHeader: "Swap-Reference",
+			NonIdempotent:  []cataloger.Rule{{Method: "POST", PathPrefix: "/swaps"}, {Method: "POST", PathPrefix: "/holds"}},
+			ClaimRetention: cataloger.Duration(48 * time.Hour), MaxInFlight: 64, Deadline: cataloger.Duration(15 * time.Second),
+		}
+		assertEqual(t, bellmouth.Services[1], want)
+	})
+	t.Run("names", func(t *testing.T) {
+		assertEqual(t, birlik.Deployments[0].Name, "rate-explanation-01")
+		assertEqual(t, birlik.Deployments[0].Adapters[2].Name, "rate-explanation-01-guild-3")
+	})
+	t.Run("fencing", func(t *testing.T) {
+		demo, _ := Generate(example(t, "demo"))
+		assertEqual(t, []bool{demo.Services[0].ChecksFencing, demo.Services[1].ChecksFencing}, []bool{true, false})
+	})
+}
+
+func BenchmarkGenerateTwoYears(b *testing.B) {
+	data := TwoYears()
+	for b.Loop() {
+		Generate(parsed(b, data))
+	}
+}
--- /dev/null
+++ b/internal/config/questioner/mistake.go
@@ -0,0 +1,68 @@
+package questioner
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// maxPrintedValue is how many bytes of a wrong value are printed.
+const maxPrintedValue = 80
+
+// A Mistake is an answer that is not accepted.
+type Mistake struct {
+	// Line is the line of the answer, or of the table that lacks it, counted from 1.
+	Line int
+	// Name is the path of the answer, such as "Services[0].Kind". Elements are counted from 0.
+	Name string
+	// Value is the value found, as text. It is empty if the answer is missing.
+	Value string
+	// Accepted states what would be accepted.
+	Accepted string
+}
+
+// String returns the mistake as one line of text.
+func (m Mistake) String() string {
+	if m.Value == "" {
+		return fmt.Sprintf("line %d: %s is missing or empty; accepted: %s", m.Line, m.Name, m.Accepted)
+	}
+	return fmt.Sprintf("line %d: %s is %s; accepted: %s", m.Line, m.Name, m.Value, m.Accepted)
+}
+
+// A CheckError holds every mistake of a questionnaire.
+type CheckError struct {
+	// Mistakes are sorted by line, then by name. There is at least one.
+	Mistakes []Mistake
+}
+
+// Error returns one line for each mistake.
+func (e *CheckError) Error() string {
+	lines := make([]string, 0, len(e.Mistakes))
+	for _, m := range e.Mistakes {
+		lines = append(lines, m.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+func printable(value any) string {
+	if value == nil {
+		return ""
+	}
+	text := fmt.Sprint(value)
+	if s, ok := value.(string); ok {
+		text = fmt.Sprintf("%q", s)
+	}
+	if len(text) > maxPrintedValue {
+		text = fmt.Sprintf("%.*q…", maxPrintedValue, text)
+	}
+	return text
+}
+
+func sortMistakes(mistakes []Mistake) {
+	sort.SliceStable(mistakes, func(i, j int) bool {
+		if mistakes[i].Line != mistakes[j].Line {
+			return mistakes[i].Line < mistakes[j].Line
+		}
+		return mistakes[i].Name < mistakes[j].Name
+	})
+}
--- /dev/null
+++ b/internal/config/questioner/table.go
@@ -0,0 +1,250 @@
+package questioner
+
+import (
+	"fmt"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// The names that answers may have.
+const (
+	maxNameLength  = 100
+	acceptedName   = "a name of up to 100 lower-case letters, digits, '-' and '.', with a letter or digit first"
+	acceptedHeader = "an HTTP header name"
+)
+
+var (
+	namePattern   = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]*$`)
+	headerPattern = regexp.MustCompile(`^[A-Za-z0-9!#$%&'*+.^_|~-]{1,64}$`)
+	sizePattern   = regexp.MustCompile(`^([0-9]+(?:\.[0-9]+)?) ?(KB|MB|GB|TB|KiB|MiB|GiB|TiB)$`)
+)
+
+var sizeUnits = map[string]float64{
+	"KB": 1e3, "MB": 1e6, "GB": 1e9, "TB": 1e12,
+	"KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30, "TiB": 1 << 40,
+}
+
+// A table reads the answers of one TOML table and notes the mistakes.
+type table struct {
+	document *document
+	path     string
+	values   map[string]any
+	// known are the names that were asked for.
+	known map[string]bool
+}
+
+func newTable(d *document, path string, values map[string]any) *table {
+	return &table{document: d, path: path, values: values, known: make(map[string]bool)}
+}
+
+// at returns the path of an answer.
+func (t *table) at(name string) string { return join(t.path, name) }
+
+// boolean returns a truth value. It must be answered.
+func (t *table) boolean(name string) bool {
+	value, _ := t.take(name)
+	b, ok := value.(bool)
+	if !ok {
+		t.wrong(name, "true or false")
+	}
+	return b
+}
+
+// duration returns a duration between two bounds.
+func (t *table) duration(name string, least, most time.Duration) time.Duration {
+	value, _ := t.take(name)
+	text, _ := value.(string)
+	d, err := time.ParseDuration(text)
+	if err != nil || d < least || d > most {
+		t.wrong(name, fmt.Sprintf("a duration from %v to %v, such as \"1m30s\"", least, most))
+		return least
+	}
+	return d
+}
+
+// finish notes the answers that no question asks for.
+func (t *table) finish() {
+	var unknown []string
+	for name := range t.values {
+		if !t.known[name] {
+			unknown = append(unknown, name)
+		}
+	}
+	sort.Strings(unknown)
+	var known []string
+	for name := range t.known {
+		known = append(known, name)
+	}
+	sort.Strings(known)
+	for _, name := range unknown {
+		t.wrong(name, "no such answer, but one of "+strings.Join(known, ", "))
+	}
+}
+
+// forbid notes an answer that doesn't go with another one.
+func (t *table) forbid(name, why string) {
+	if _, ok := t.take(name); ok {
+		t.wrong(name, "no answer, because "+why)
+	}
+}
+
+// float returns a number between two bounds.
+func (t *table) float(name string, least, most float64) float64 {
+	value, _ := t.take(name)
+	f, ok := value.(float64)
+	if n, whole := value.(int64); whole {
+		f, ok = float64(n), true
+	}
+	if !ok || !(f >= least && f <= most) {
+		t.wrong(name, fmt.Sprintf("a number from %v to %v", least, most))
+		return least
+	}
+	return f
+}
+
+// has tells whether the name is answered.
+func (t *table) has(name string) bool {
+	_, ok := t.values[name]
+	return ok
+}
+
+// name returns a name that can be part of a URL path.
+func (t *table) name(name string) string {
+	return t.text(name, acceptedName, func(s string) bool {
+		return len(s) <= maxNameLength && namePattern.MatchString(s)
+	})
+}
+
+// oneOf returns one of the given values.
+func (t *table) oneOf(name string, accepted ...string) string {
+	quoted := make([]string, 0, len(accepted))
+	for _, a := range accepted {
+		quoted = append(quoted, strconv.Quote(a))
+	}
+	return t.text(name, strings.Join(quoted, " or "), func(s string) bool {
+		for _, a := range accepted {
+			if s == a {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// size returns a number of bytes from minBytes on, or 0 if the answer is not accepted.
+func (t *table) size(name string, most int64) int64 {
+	value, _ := t.take(name)
+	text, _ := value.(string)
+	parts := sizePattern.FindStringSubmatch(text)
+	bytes := 0.0
+	if parts != nil {
+		number, _ := strconv.ParseFloat(parts[1], 64)
+		bytes = number * sizeUnits[parts[2]]
+	}
+	if bytes < minBytes || bytes > float64(most) {
+		accepted := fmt.Sprintf("a size from %s to %s with a unit (KB, MB, GB, TB, KiB, MiB, GiB, TiB)", formatSize(minBytes), formatSize(most))
+		t.wrong(name, accepted)
+		return 0
+	}
+	return int64(bytes)
+}
+
+// table returns a table, empty if it is missing.
+func (t *table) table(name string) *table {
+	value, _ := t.take(name)
+	values, ok := value.(map[string]any)
+	if !ok {
+		t.wrong(name, "a table ["+t.at(name)+"]")
+		return nil
+	}
+	return newTable(t.document, t.at(name), values)
+}
+
+// tables returns an array of tables with at least the given number of elements.
+func (t *table) tables(name string, least int) []*table {
+	value, ok := t.take(name)
+	elements, isArray := value.([]any)
+	accepted := fmt.Sprintf("at least %d tables [[%s]]", least, t.at(name))
+	if (ok && !isArray) || len(elements) < least {
+		t.wrong(name, accepted)
+		return nil
+	}
+	tables := make([]*table, 0, len(elements))
+	for i, element := range elements {
+		path := fmt.Sprintf("%s[%d]", t.at(name), i)
+		values, isTable := element.(map[string]any)
+		if !isTable {
+			t.document.add(path, element, accepted)
+			continue
+		}
+		tables = append(tables, newTable(t.document, path, values))
+	}
+	return tables
+}
+
+// take returns the value of an answer and notes that its name is known.
+func (t *table) take(name string) (any, bool) {
+	t.known[name] = true
+	value, ok := t.values[name]
+	return value, ok
+}
+
+// text returns a text that the function accepts.
+func (t *table) text(name, accepted string, accepts func(string) bool) string {
+	value, _ := t.take(name)
+	text, ok := value.(string)
+	if !ok || !accepts(text) {
+		t.wrong(name, accepted)
+		return ""
+	}
+	return text
+}
+
+// texts returns a list of texts that is not empty.
+func (t *table) texts(name, accepted string, accepts func(string) bool) []string {
+	value, _ := t.take(name)
+	elements, ok := value.([]any)
+	if !ok || len(elements) == 0 {
+		t.wrong(name, "a list with at least one of: "+accepted)
+		return nil
+	}
+	var texts []string
+	for i, element := range elements {
+		text, isText := element.(string)
+		if !isText || !accepts(text) {
+			t.document.add(fmt.Sprintf("%s[%d]", t.at(name), i), element, accepted)
+			continue
+		}
+		texts = append(texts, text)
+	}
+	return texts
+}
+
+// whole returns a whole number from 1 on.
+func (t *table) whole(name string, most int64) int {
+	value, _ := t.take(name)
+	n, ok := value.(int64)
+	if !ok || n < 1 || n > most {
+		t.wrong(name, fmt.Sprintf("a whole number from 1 to %d", most))
+		return 1
+	}
+	return int(n)
+}
+
+// wrong notes that the answer is not accepted.
+func (t *table) wrong(name, accepted string) {
+	t.document.add(t.at(name), t.values[name], accepted)
+}
+
+// formatSize returns a number of bytes with the largest decimal unit that keeps it at least 1.
+func formatSize(bytes int64) string {
+	for _, unit := range []string{"TB", "GB", "MB", "KB"} {
+		if scaled := float64(bytes) / sizeUnits[unit]; scaled >= 1 {
+			return strconv.FormatFloat(scaled, 'f', -1, 64) + unit
+		}
+	}
+	return strconv.FormatInt(bytes, 10) + "B"
+}
