--- /dev/null
+++ b/internal/daemon/assembler/daemon.go
@@ -0,0 +1,232 @@
+// Package assembler joins a daemon's parts: the reducer with its driver and executor, the callers'
+// interface and the transport between daemons.
+package assembler
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/phuslu/log"
+
+	"samphirewharf/internal/backend/orderer"
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/daemon/driver"
+	"samphirewharf/internal/daemon/executor"
+	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/entry/acceptor"
+	"samphirewharf/internal/entry/responder"
+	"samphirewharf/internal/peer/messenger"
+	"samphirewharf/internal/platform/lister"
+	"samphirewharf/internal/platform/storer"
+)
+
+// Settings are the settings of one daemon.
+type Settings struct {
+	// Daemon is the daemon's ID, unique among those running.
+	Daemon string
+	// Listen is the IP and port to listen on; port 0 takes a free one.
+	Listen string
+	// Advertise is the IP and port that callers and daemons use; empty means the one listened on.
+	Advertise string
+	Zone      string
+	Region    string
+	// StoreAddress and HostsAddress are the IPs and ports of the key-value service and the host list.
+	StoreAddress string
+	HostsAddress string
+	// StoreTimeout bounds a call to the key-value service; zero means its client's default.
+	StoreTimeout time.Duration
+	// DrainTime is how long a stopping daemon takes new requests at least.
+	DrainTime time.Duration
+	// MaxRequests bounds the requests held at once; zero means the reducer's default.
+	MaxRequests int
+	// Seed seeds random choices; zero means a random seed.
+	Seed uint64
+	// Limits bound what callers may send.
+	Limits acceptor.Limits
+	Logger *log.Logger
+	// Observe sees each event with its effects; nil means nobody does.
+	Observe func(now reducer.Moment, event reducer.Event, effects []reducer.Effect)
+}
+
+// A Daemon is one running entry daemon. New makes one.
+type Daemon struct {
+	settings Settings
+	address  string
+	instance string
+	started  time.Time
+
+	ctx      context.Context //nolint:containedctx // It spans the daemon's life.
+	cancel   context.CancelFunc
+	listener net.Listener
+	server   *acceptor.Server
+	driver   driver.Driver
+	executor executor.Executor
+	peers    messenger.Client
+	fetcher  fetcher
+	decided  decisionLog
+
+	catalog atomic.Pointer[cataloger.Catalog]
+	exited  chan struct{}
+}
+
+// New listens and returns a daemon that is ready to start.
+func New(settings Settings) (*Daemon, error) {
+	listener, err := net.Listen("tcp", settings.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", settings.Listen, err)
+	}
+	if settings.Logger == nil {
+		settings.Logger = &log.DefaultLogger
+	}
+	if settings.Seed == 0 {
+		settings.Seed = rand.Uint64()
+	}
+	d := &Daemon{
+		settings: settings,
+		address:  settings.Advertise,
+		instance: uuid.NewString(),
+		started:  time.Now(),
+		listener: listener,
+		exited:   make(chan struct{}),
+	}
+	if d.address == "" {
+		d.address = listener.Addr().String()
+	}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.assemble()
+	return d, nil
+}
+
+// Address returns the IP and port that callers use.
+func (d *Daemon) Address() string { return d.address }
+
+// Exited returns a channel that is closed when the daemon has ended.
+func (d *Daemon) Exited() <-chan struct{} { return d.exited }
+
+// Kill ends the daemon at once, as if its process died.
+func (d *Daemon) Kill() {
+	_ = d.listener.Close()
+	d.cancel()
+	stopped, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = d.server.Stop(stopped)
+	d.driver.Wait()
+}
+
+// Start starts serving.
+func (d *Daemon) Start() {
+	d.driver.Start(d.ctx)
+	go d.runServer()
+}
+
+// Stop starts a planned stop: requests are finished and roles handed over before Exited is closed.
+func (d *Daemon) Stop() { d.driver.Post(reducer.StopRequested{}) }
+
+func (d *Daemon) assemble() {
+	s := d.settings
+	store := &storer.Client{Address: s.StoreAddress, Timeout: s.StoreTimeout}
+	d.fetcher = newFetcher(store, &d.peers)
+	d.decided = decisionLog{logger: s.Logger}
+	d.driver = driver.Driver{
+		Machine: reducer.New(reducer.Settings{
+			Daemon: s.Daemon, Instance: d.instance, Address: d.address, Zone: s.Zone, Region: s.Region,
+			Seed: s.Seed, DrainTime: s.DrainTime, MaxRequests: s.MaxRequests,
+		}),
+		Clock:   d.clock,
+		Execute: d.executor.Execute,
+		Observe: d.observe,
+	}
+	d.executor = executor.Executor{
+		Context: d.ctx, Post: d.driver.Post, Clock: d.clock, Logger: s.Logger,
+		Store:              store,
+		Hosts:              &lister.Client{Address: s.HostsAddress},
+		Engine:             &orderer.Client{},
+		Connect:            connect,
+		SendPeer:           d.sendPeer,
+		FetchConfiguration: d.fetcher.fetch,
+		Exit:               d.exit,
+		Identity: messenger.Message{
+			From: s.Daemon, Instance: d.instance, Address: d.address, Zone: s.Zone, Region: s.Region,
+		},
+	}
+	d.server = &acceptor.Server{Handler: d.responder(), Limits: s.Limits, Logger: s.Logger}
+}
+
+func (d *Daemon) responder() *responder.Responder {
+	return &responder.Responder{
+		Open:         d.driver.Open,
+		Close:        d.driver.Close,
+		Post:         d.driver.Post,
+		Catalog:      d.catalog.Load,
+		Ready:        d.ready,
+		WriteMetrics: d.writeMetrics,
+		Peer:         d.peerHandler(),
+		Daemon:       d.settings.Daemon,
+		Logger:       d.settings.Logger,
+	}
+}
+
+// clock returns the moment now. It goes on while the process is frozen.
+func (d *Daemon) clock() reducer.Moment {
+	return reducer.Moment{Since: time.Since(d.started), Wall: time.Now()}
+}
+
+func (d *Daemon) exit() { go d.runExit() }
+
+// observe keeps the configuration in force for the callers' interface and logs routing decisions.
+func (d *Daemon) observe(now reducer.Moment, event reducer.Event, effects []reducer.Effect) {
+	if e, ok := event.(reducer.ConfigurationLoaded); ok && e.Catalog != nil {
+		current := d.catalog.Load()
+		if current == nil || current.Version() < e.Catalog.Version() {
+			d.catalog.Store(e.Catalog)
+		}
+	}
+	d.decided.observe(event, effects)
+	if d.settings.Observe != nil {
+		d.settings.Observe(now, event, effects)
+	}
+}
+
+func (d *Daemon) ready() bool { return d.catalog.Load() != nil }
+
+// runExit ends the daemon after a planned stop.
+func (d *Daemon) runExit() {
+	ctx, cancel := context.WithTimeout(context.Background(), exitTimeout)
+	defer cancel()
+	if err := d.server.Stop(ctx); err != nil {
+		d.settings.Logger.Warn().Err(err).Msg("connections were open at exit")
+	}
+	d.cancel()
+	d.driver.Wait()
+	close(d.exited)
+}
+
+// runServer accepts connections until the daemon ends.
+func (d *Daemon) runServer() {
+	if err := d.server.Serve(d.listener); err != nil && d.ctx.Err() == nil {
+		d.settings.Logger.Error().Err(err).Msg("listener failed")
+	}
+}
+
+func (d *Daemon) sendPeer(address string, message messenger.Message) {
+	d.peers.Post(address, message)
+}
+
+// connect reports whether a server takes connections.
+func connect(ctx context.Context, address string) bool {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// exitTimeout bounds how long connections may stay open after the last request of a planned stop.
+const exitTimeout = 10 * time.Second
--- /dev/null
+++ b/internal/daemon/assembler/decisionlog.go
@@ -0,0 +1,109 @@
+package assembler
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+
+	"samphirewharf/internal/decision/reducer"
+)
+
+// sampleAbove is the number of routing decisions a second above which only one in sampleEvery is logged.
+const (
+	sampleAbove = 200
+	sampleEvery = 100
+)
+
+// A decisionLog writes a line for each routing decision, sampled under high load.
+type decisionLog struct {
+	logger *log.Logger
+
+	second  int64
+	count   int
+	dropped int
+}
+
+// observe logs the decisions among the effects. Only the driver's loop calls it.
+func (l *decisionLog) observe(_ reducer.Event, effects []reducer.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case reducer.Dispatch:
+			l.dispatch(e)
+		case reducer.Forward:
+			l.forward(e)
+		case reducer.Refuse:
+			l.refuse(e)
+		}
+	}
+}
+
+func (l *decisionLog) dispatch(e reducer.Dispatch) {
+	metrics.GetOrCreateCounter(`samphirewharf_routing_decisions_total{action="dispatch"}`).Inc()
+	if !l.sampled() {
+		return
+	}
+	l.logger.Info().
+		Uint64("Request", uint64(e.Request)).
+		Int("Attempt", e.Attempt).
+		Str("Deployment", e.Decision.Deployment).
+		Str("Server", e.Server).
+		Str("Replica", e.Replica).
+		Str("Adapter", e.Adapter).
+		Str("Reason", e.Decision.Reason).
+		Float64("Score", e.Decision.Score).
+		Str("Other", e.Decision.Other).
+		Float64("OtherScore", e.Decision.OtherScore).
+		Dur("Waited", e.Decision.Waited).
+		Int("Unlogged", l.take()).
+		Msg("request routed")
+}
+
+func (l *decisionLog) forward(e reducer.Forward) {
+	metrics.GetOrCreateCounter(`samphirewharf_routing_decisions_total{action="forward"}`).Inc()
+	if !l.sampled() {
+		return
+	}
+	l.logger.Info().
+		Uint64("Request", uint64(e.Request)).
+		Int("Attempt", e.Attempt).
+		Str("Daemon", e.Daemon).
+		Str("Reason", e.Reason).
+		Msg("request forwarded")
+}
+
+func (l *decisionLog) refuse(e reducer.Refuse) {
+	metrics.GetOrCreateCounter(`samphirewharf_routing_decisions_total{action="refuse"}`).Inc()
+	if !l.sampled() {
+		return
+	}
+	l.logger.Info().
+		Uint64("Request", uint64(e.Request)).
+		Int("Code", int(e.Refusal.Code)).
+		Str("CodeName", e.Refusal.Code.String()).
+		Str("Ran", e.Refusal.Ran.String()).
+		Dur("RetryAfter", e.Refusal.RetryAfter).
+		Str("RefusedFor", e.Refusal.Detail).
+		Msg("request refused")
+}
+
+// sampled reports whether a decision is logged, and counts those that are not.
+func (l *decisionLog) sampled() bool {
+	second := time.Now().Unix()
+	if second != l.second {
+		l.second, l.count = second, 0
+	}
+	l.count++
+	if l.count <= sampleAbove || l.count%sampleEvery == 0 {
+		return true
+	}
+	l.dropped++
+	return false
+}
+
+// take returns how many decisions were not logged since the last call.
+func (l *decisionLog) take() int {
+	dropped := l.dropped
+	l.dropped = 0
+	return dropped
+}
