--- a/internal/standin/inferrer/answer.go
+++ b/internal/standin/inferrer/answer.go
@@ -124,7 +124,7 @@
 		}
 		faults, _ := c.instance.engine.currentFaults()
 		if faults.CutStreamsAfter > 0 && number-c.resumeFrom >= faults.CutStreamsAfter {
-			c.cut = true
+			c.countCut()
 			responder.Drop(w)
 			return false
 		}
--- /dev/null
+++ b/internal/standin/inferrer/engine_test.go
@@ -0,0 +1,228 @@
+package inferrer_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"samphirewharf/internal/backend/orderer"
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/standin/inferrer"
+)
+
+// A rig is an engine with a client for its control interface.
+type rig struct {
+	*inferrer.Engine
+	client orderer.Client
+}
+
+func start(t *testing.T, e *inferrer.Engine) *rig {
+	t.Helper()
+	if err := e.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{Engine: e, client: orderer.Client{Timeout: time.Hour}}
+	t.Cleanup(e.Stop)
+	t.Cleanup(r.client.Close)
+	return r
+}
+
+func load(replica string, bytes int64) orderer.Order {
+	return orderer.Order{
+		OrderID: "load-" + replica, Kind: orderer.KindLoad, Replica: replica, Deployment: "d", ModelVersion: "1",
+		Bytes: bytes, AdapterSlots: 1, MaxInFlight: 1,
+	}
+}
+
+func (r *rig) order(t *testing.T, order orderer.Order, want orderer.Outcome) {
+	t.Helper()
+	if got, _ := r.client.Send(t.Context(), r.Address(), order); got != want {
+		t.Fatalf("got outcome %d of %s, want %d", got, order.Kind, want)
+	}
+}
+
+// report waits until the engine's report fulfils the condition.
+func (r *rig) report(t *testing.T, fulfils func(orderer.Report) bool) orderer.Report {
+	t.Helper()
+	for {
+		report, err := r.client.Poll(t.Context(), r.Address(), 0)
+		if err == nil && fulfils(report) {
+			return report
+		}
+		if t.Context().Err() != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (r *rig) ready(t *testing.T, order orderer.Order) {
+	t.Helper()
+	r.order(t, order, orderer.OutcomeAccepted)
+	r.report(t, func(report orderer.Report) bool {
+		return slices.ContainsFunc(report.Replicas, func(r orderer.ReplicaReport) bool {
+			return r.Replica == order.Replica && r.State == orderer.StateReady
+		})
+	})
+}
+
+func empty(report orderer.Report) bool { return len(report.Replicas) == 0 }
+
+func assertViolations(t *testing.T, r *rig, want ...string) {
+	t.Helper()
+	var got []string
+	for _, v := range r.Counts().Violations {
+		got = append(got, v.Kind)
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("got violations %v, want %v", got, want)
+	}
+}
+
+func TestEngineOrders(t *testing.T) {
+	t.Run("memory is never overcommitted and an attempt is recorded", func(t *testing.T) {
+		r := start(t, &inferrer.Engine{MemoryBytes: 100})
+		r.ready(t, load("a", 60))
+		r.order(t, load("b", 41), orderer.OutcomeRefused)
+		r.ready(t, load("c", 40))
+		assertViolations(t, r, inferrer.ViolationMemory)
+		if got, want := r.Counts().PeakBytes, int64(100); got != want {
+			t.Errorf("got peak %d, want %d", got, want)
+		}
+	})
+	t.Run("a repeated load makes a second replica", func(t *testing.T) {
+		r := start(t, &inferrer.Engine{MemoryBytes: 100})
+		r.ready(t, load("a", 40))
+		r.order(t, load("a", 40), orderer.OutcomeAccepted)
+		report := r.report(t, func(orderer.Report) bool { return true })
+		if got, want := len(report.Replicas), 2; got != want {
+			t.Errorf("got %d replicas, want %d", got, want)
+		}
+		assertViolations(t, r, inferrer.ViolationDuplicate)
+	})
+	t.Run("an unload frees the memory", func(t *testing.T) {
+		r := start(t, &inferrer.Engine{MemoryBytes: 100, UnloadTime: time.Millisecond})
+		unload := orderer.Order{Kind: orderer.KindUnload, Replica: "a"}
+		r.order(t, unload, orderer.OutcomeAccepted)
+		r.ready(t, load("a", 60))
+		r.order(t, unload, orderer.OutcomeAccepted)
+		report := r.report(t, empty)
+		if got := report.UsedBytes; got != 0 {
+			t.Errorf("got %d bytes used, want 0", got)
+		}
+	})
+	t.Run("an unload gives up a load", func(t *testing.T) {
+		r := start(t, &inferrer.Engine{MemoryBytes: 100})
+		endless := load("a", 60)
+		endless.LoadMilliseconds = [3]int64{1e9, 1e9, 1e9}
+		r.order(t, endless, orderer.OutcomeAccepted)
+		r.order(t, orderer.Order{Kind: orderer.KindUnload, Replica: "a"}, orderer.OutcomeAccepted)
+		r.report(t, empty)
+	})
+	t.Run("adapters take slots", func(t *testing.T) {
+		r := start(t, &inferrer.Engine{MemoryBytes: 100})
+		first := orderer.Order{Kind: orderer.KindLoadAdapter, Replica: "a", Adapter: "x"}
+		r.order(t, first, orderer.OutcomeRefused)
+		r.ready(t, load("a", 60))
+		r.order(t, first, orderer.OutcomeAccepted)
+		r.order(t, first, orderer.OutcomeAccepted)
+		r.report(t, func(report orderer.Report) bool { return slices.Equal(report.Replicas[0].Adapters, []string{"x"}) })
+		second := orderer.Order{Kind: orderer.KindLoadAdapter, Replica: "a", Adapter: "y"}
+		r.order(t, second, orderer.OutcomeRefused)
+		r.order(t, orderer.Order{Kind: orderer.KindUnloadAdapter, Replica: "a", Adapter: "x"}, orderer.OutcomeAccepted)
+		r.order(t, second, orderer.OutcomeAccepted)
+		assertViolations(t, r, inferrer.ViolationSlots)
+	})
+	t.Run("a role changes", func(t *testing.T) {
+		r := start(t, &inferrer.Engine{MemoryBytes: 100})
+		r.ready(t, load("a", 60))
+		r.order(t, orderer.Order{Kind: orderer.KindChangeRole, Replica: "a", Role: "Prefill"}, orderer.OutcomeAccepted)
+		r.report(t, func(report orderer.Report) bool { return report.Replicas[0].Role == "Prefill" })
+	})
+}
+
+func TestEngineFencing(t *testing.T) {
+	raise := func(fence int64) orderer.Order { return orderer.Order{Kind: orderer.KindRaiseFence, Fence: fence} }
+	for _, test := range []struct {
+		name      string
+		checks    bool
+		want      orderer.Outcome
+		wantFence int64
+	}{
+		{"checks fencing", true, orderer.OutcomeStaleFence, 7},
+		{"ignores fencing", false, orderer.OutcomeAccepted, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := start(t, &inferrer.Engine{MemoryBytes: 100, ChecksFencing: test.checks})
+			r.order(t, raise(7), orderer.OutcomeAccepted)
+			r.order(t, load("a", 60), test.want)
+			report := r.report(t, func(orderer.Report) bool { return true })
+			if got, want := report.Fence, test.wantFence; got != want {
+				t.Errorf("got fence %d, want %d", got, want)
+			}
+		})
+	}
+}
+
+func TestEngineCheckpoints(t *testing.T) {
+	order := load("a", 60)
+	order.LoadMilliseconds = [3]int64{1, 1, 1}
+	r := start(t, &inferrer.Engine{MemoryBytes: 100, RestartAfter: time.Millisecond})
+	r.ready(t, order)
+	report := r.report(t, func(report orderer.Report) bool { return slices.Equal(report.Checkpoints.Memory, []string{"d"}) })
+	r.Crash()
+	after := r.report(t, empty)
+	if after.Instance == report.Instance {
+		t.Errorf("got instance %s twice, want another", after.Instance)
+	}
+	if got, want := after.Checkpoints.Disk, []string{"d"}; !slices.Equal(got, want) || after.Checkpoints.Memory != nil {
+		t.Errorf("got on disk %v, in memory %v, want %v, none", got, after.Checkpoints.Memory, want)
+	}
+	r.ready(t, order)
+	if got, want := r.Store.Counts().Loads, int64(1); got != want {
+		t.Errorf("got %d loads from the weight store, want %d", got, want)
+	}
+}
+
+func TestEngineFaults(t *testing.T) {
+	t.Run("refuses orders", func(t *testing.T) {
+		r := start(t, &inferrer.Engine{MemoryBytes: 100})
+		r.SetFaults(inferrer.Faults{RefuseOrders: true})
+		r.order(t, load("a", 60), orderer.OutcomeRefused)
+		r.report(t, empty)
+	})
+	t.Run("a frozen engine takes orders once it goes on", func(t *testing.T) {
+		r := start(t, &inferrer.Engine{MemoryBytes: 100})
+		r.SetFaults(inferrer.Faults{Freeze: true})
+		hasty := orderer.Client{Timeout: 20 * time.Millisecond}
+		if _, err := hasty.Poll(t.Context(), r.Address(), 0); err == nil {
+			t.Error("got a report, want an error")
+		}
+		thaw := time.AfterFunc(20*time.Millisecond, func() { r.SetFaults(inferrer.Faults{}) })
+		defer thaw.Stop()
+		r.ready(t, load("a", 60))
+	})
+	t.Run("a crash loses waiting orders", func(t *testing.T) {
+		r := start(t, &inferrer.Engine{MemoryBytes: 100, RestartAfter: time.Millisecond})
+		r.SetFaults(inferrer.Faults{DelayOrders: cataloger.Duration(time.Hour)})
+		crash := &crashOnOrder{r}
+		go crash.run()
+		r.order(t, load("a", 60), orderer.OutcomeUnknown)
+		r.report(t, empty)
+		if got := r.Counts().Loads; got != 0 {
+			t.Errorf("got %d loads, want 0", got)
+		}
+	})
+}
+
+// A crashOnOrder crashes an engine once an order waits.
+type crashOnOrder struct {
+	rig *rig
+}
+
+func (c *crashOnOrder) run() {
+	for c.rig.Counts().OrdersWaiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c.rig.Crash()
+}
--- a/internal/standin/inferrer/faults.go
+++ b/internal/standin/inferrer/faults.go
@@ -41,8 +41,10 @@
 	Server  string
 	Starts  int64
 	Crashes int64
-	// Orders are the orders that arrived, by kind.
+	// Orders are the orders that were carried out or refused, by kind.
 	Orders map[orderer.Kind]int64
+	// OrdersWaiting are the orders that arrived and wait because of faults.
+	OrdersWaiting int64
 	// StaleFences and RefusedOrders are orders refused for their fence or for another reason.
 	StaleFences   int64
 	RefusedOrders int64
--- /dev/null
+++ b/internal/standin/starter/starter.go
@@ -0,0 +1,227 @@
+// Package starter starts the stand-ins of all outside systems in one process: the key-value service,
+// the host list and the backend servers of some services.
+package starter
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/platform/lister"
+	"samphirewharf/internal/standin/announcer"
+	"samphirewharf/internal/standin/booker"
+	"samphirewharf/internal/standin/inferrer"
+	"samphirewharf/internal/standin/keeper"
+	"samphirewharf/internal/standin/loader"
+)
+
+const (
+	defaultHost     = "127.0.0.1"
+	registerTimeout = 5 * time.Second
+)
+
+var errUnknownKind = errors.New("unknown service kind")
+
+// A Starter starts and stops the stand-ins.
+type Starter struct {
+	settings  Settings
+	keeper    *keeper.Keeper
+	announcer *announcer.Announcer
+	store     *loader.Store
+	engines   []*inferrer.Engine
+	bookers   []*booker.Booker
+	addresses Addresses
+	// nextPort is the next port to listen on, 0 if free ports are taken.
+	nextPort int
+}
+
+// New returns a starter for the settings. Nothing is started yet.
+func New(settings Settings) *Starter {
+	return &Starter{
+		settings:  settings,
+		keeper:    &keeper.Keeper{WritesPerSecond: settings.WritesPerSecond, ReadsPerSecond: settings.ReadsPerSecond, Seed: settings.Seed},
+		announcer: &announcer.Announcer{},
+		store: &loader.Store{
+			LoadsPerSecond:    settings.Store.LoadsPerSecond / settings.scale(),
+			FullSpeedLoads:    settings.Store.FullSpeedLoads,
+			FullSpeedAdapters: settings.Store.FullSpeedAdapters,
+		},
+		nextPort: settings.BasePort,
+	}
+}
+
+// Addresses returns where the started parts listen.
+func (s *Starter) Addresses() Addresses { return s.addresses }
+
+// Announcer returns the host list.
+func (s *Starter) Announcer() *announcer.Announcer { return s.announcer }
+
+// Bookers returns the servers of all plain services.
+func (s *Starter) Bookers() []*booker.Booker { return s.bookers }
+
+// Engines returns the servers of all model services.
+func (s *Starter) Engines() []*inferrer.Engine { return s.engines }
+
+// Keeper returns the key-value service.
+func (s *Starter) Keeper() *keeper.Keeper { return s.keeper }
+
+// Start starts all parts. After an error nothing runs. A starter must not be started twice.
+func (s *Starter) Start() error {
+	if err := s.start(); err != nil {
+		s.Stop()
+		return fmt.Errorf("start stand-ins: %w", err)
+	}
+	return nil
+}
+
+// Stop stops all parts.
+func (s *Starter) Stop() {
+	for _, e := range s.engines {
+		e.Stop()
+	}
+	for _, b := range s.bookers {
+		b.Stop()
+	}
+	s.announcer.Stop()
+	s.keeper.Stop()
+}
+
+// Store returns the weight store.
+func (s *Starter) Store() *loader.Store { return s.store }
+
+func (s *Starter) start() error {
+	keeperAddress, announcerAddress := s.next(), s.next()
+	if s.settings.starts(PartKeyValueService) {
+		if err := s.keeper.Start(keeperAddress); err != nil {
+			return err
+		}
+		s.addresses.KeyValueService = s.keeper.Address()
+	}
+	if s.settings.starts(PartHostList) {
+		if err := s.announcer.Start(announcerAddress); err != nil {
+			return err
+		}
+		s.addresses.HostList = s.announcer.Address()
+	}
+	if s.settings.starts(PartServers) {
+		for _, service := range s.settings.Services {
+			if err := s.startService(service); err != nil {
+				return fmt.Errorf("service %s: %w", service.Name, err)
+			}
+		}
+	}
+	return s.register()
+}
+
+// next returns the next address to listen on.
+func (s *Starter) next() string {
+	host := s.settings.Host
+	if host == "" {
+		host = defaultHost
+	}
+	port := s.nextPort
+	if port != 0 {
+		s.nextPort++
+	}
+	return net.JoinHostPort(host, strconv.Itoa(port))
+}
+
+func (s *Starter) startService(service Service) error {
+	for number := range service.Servers {
+		host := lister.Host{
+			Server:      fmt.Sprintf("%s-%02d", service.Name, number+1),
+			Service:     service.Name,
+			Zone:        s.settings.zone(service, number),
+			MemoryBytes: service.MemoryBytes,
+			State:       lister.HostLive,
+		}
+		address, err := s.startServer(service, host.Server)
+		if err != nil {
+			return err
+		}
+		host.Address = address
+		s.addresses.Servers = append(s.addresses.Servers, host)
+	}
+	return nil
+}
+
+// startServer starts one backend server and returns its address.
+func (s *Starter) startServer(service Service, name string) (string, error) {
+	switch service.Kind {
+	case cataloger.KindModel:
+		engine := s.newEngine(service, name)
+		s.engines = append(s.engines, engine)
+		err := engine.Start(s.next())
+		return engine.Address(), err
+	case cataloger.KindPlain:
+		b := &booker.Booker{
+			Server:         name,
+			IdentityHeader: service.IdentityHeader,
+			RunTime:        service.RunTime.D(),
+			RestartAfter:   s.settings.Engine.RestartAfter.D(),
+		}
+		s.bookers = append(s.bookers, b)
+		err := b.Start(s.next())
+		return b.Address(), err
+	}
+	return "", fmt.Errorf("%w %q", errUnknownKind, service.Kind)
+}
+
+func (s *Starter) newEngine(service Service, name string) *inferrer.Engine {
+	e := s.settings.Engine
+	return &inferrer.Engine{
+		Server:            name,
+		MemoryBytes:       service.MemoryBytes,
+		ChecksFencing:     service.ChecksFencing,
+		Store:             s.store,
+		TimeScale:         s.settings.scale(),
+		AdapterLoad:       time.Duration(float64(s.settings.Store.AdapterLoad) * s.settings.scale()),
+		UnloadTime:        e.UnloadTime.D(),
+		PromptTime:        e.PromptTime.D(),
+		TokenInterval:     e.TokenInterval.D(),
+		ReportLag:         e.ReportLag.D(),
+		EventDelay:        e.EventDelay.D(),
+		EventLossShare:    e.EventLossShare,
+		RestartAfter:      e.RestartAfter.D(),
+		MemoryCheckpoints: e.MemoryCheckpoints,
+		DiskCheckpoints:   e.DiskCheckpoints,
+		Seed:              s.settings.Seed + uint64(len(s.engines)),
+	}
+}
+
+// register puts the servers on the host list.
+func (s *Starter) register() error {
+	change := announcer.Change{Add: s.addresses.Servers}
+	s.announcer.Apply(change)
+	s.announcer.SetFaults(announcer.Faults{Lag: s.settings.HostLag})
+	if s.settings.RegisterAt == "" {
+		return nil
+	}
+	body, err := json.Marshal(change)
+	if err != nil {
+		return fmt.Errorf("register at %s: %w", s.settings.RegisterAt, err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
+	defer cancel()
+	target := "http://" + s.settings.RegisterAt + "/stand-in/hosts"
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("register at %s: %w", s.settings.RegisterAt, err)
+	}
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+	if err != nil {
+		return fmt.Errorf("register at %s: %w", s.settings.RegisterAt, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("register at %s: status %d", s.settings.RegisterAt, response.StatusCode)
+	}
+	return nil
+}
