--- a/internal/config/cataloger/configuration.go
+++ b/internal/config/cataloger/configuration.go
@@ -56,6 +56,8 @@
 type Service struct {
 	Name string
 	Kind ServiceKind
+	// Region is the region of the service's servers; only its daemons serve it. Empty means any.
+	Region string `json:",omitempty"`
 	// ChecksFencing tells that the engines refuse an order with an old fencing number.
 	ChecksFencing bool
 	// NonIdempotent are the rules for requests that must never be repeated. Plain services only.
--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -89,7 +89,7 @@
 	d := &Daemon{
 		settings: settings,
 		address:  settings.Advertise,
-		instance: uuid.NewString(),
+		instance: newInstance(),
 		started:  time.Now(),
 		listener: listener,
 		exited:   make(chan struct{}),
@@ -102,6 +102,15 @@
 	return d, nil
 }
 
+// newInstance returns a process identity that carries its time, so that of two instances the later is known.
+func newInstance() string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return uuid.NewString()
+	}
+	return id.String()
+}
+
 // Address returns the IP and port that callers use.
 func (d *Daemon) Address() string { return d.address }
 
--- a/internal/decision/planner/decide.go
+++ b/internal/decision/planner/decide.go
@@ -18,8 +18,8 @@
 
 // A choice is a server for a new replica, or a server where memory must be freed first.
 type choice struct {
-	server  *observer.Server
-	tier    observer.Tier
+	server *observer.Server
+	tier   observer.Tier
 	// full is how long the load takes at full speed, score what it is predicted to take with penalties.
 	full    time.Duration
 	score   time.Duration
--- a/internal/decision/planner/machine.go
+++ b/internal/decision/planner/machine.go
@@ -129,8 +129,8 @@
 	polling bool
 	pollAt  time.Duration
 	// seenAt is when the newest own poll was sent; engine and fence are what it showed.
-	seenAt time.Duration
-	polled bool
+	seenAt   time.Duration
+	polled   bool
 	engine   string
 	sequence int64
 	fence    int64
@@ -259,6 +259,14 @@
 	return m.known && m.record.Placer == m.Daemon && m.record.Instance == m.Instance
 }
 
+// Refresh reads the record because a newer one is known to exist.
+func (m *Machine) Refresh(v View) []Action {
+	m.prepare()
+	m.actions = nil
+	m.read(v)
+	return m.actions
+}
+
 // Renounce takes a daemon's promise never to send the load orders of the replicas.
 func (m *Machine) Renounce(ids []string) {
 	m.prepare()
--- a/internal/decision/reducer/cell.go
+++ b/internal/decision/reducer/cell.go
@@ -8,6 +8,7 @@
 	"samphirewharf/internal/decision/claimer"
 	"samphirewharf/internal/decision/limiter"
 	"samphirewharf/internal/decision/planner"
+	"samphirewharf/internal/decision/tracker"
 )
 
 // A cell is what a daemon keeps of one service whose requests it serves. Today a service is one cell.
@@ -28,6 +29,8 @@
 	// needsAt is when needs are sent next; needsSequence numbers the messages.
 	needsAt       time.Duration
 	needsSequence int64
+	// told tells that the last message had needs.
+	told bool
 	// forecasts are the forecasts last sent, by deployment.
 	forecasts map[string]forecast
 	watching  bool
@@ -57,11 +60,11 @@
 	}
 	for i := range m.catalog.Configuration.Services {
 		service := &m.catalog.Configuration.Services[i]
-		daemons := m.cellDaemons(service.Name)
-		if !slices.Contains(daemons, m.settings.Daemon) {
+		if !m.servesCell(service.Name) {
 			m.dropCell(service.Name)
 			continue
 		}
+		daemons := m.activeDaemons(service.Name)
 		c := m.cells[service.Name]
 		if c == nil {
 			c = m.addCell(service)
@@ -80,6 +83,27 @@
 	}
 }
 
+// servesCell reports whether this daemon serves the cell.
+func (m *Machine) servesCell(name string) bool {
+	return slices.ContainsFunc(m.members.Daemons(name), func(d tracker.Daemon) bool {
+		return d.ID == m.settings.Daemon
+	})
+}
+
+// setCells tells the tracker the cells of a new configuration.
+func (m *Machine) setCells() {
+	c := m.catalog.Configuration
+	cells := make([]tracker.Cell, 0, len(c.Services))
+	for _, s := range c.Services {
+		cells = append(cells, tracker.Cell{Name: s.Name, Region: s.Region})
+	}
+	regions := make(map[string]string, len(c.Zones))
+	for _, z := range c.Zones {
+		regions[z.Name] = z.Region
+	}
+	m.members.SetCells(cells, regions)
+}
+
 func (m *Machine) addCell(service *cataloger.Service) *cell {
 	c := &cell{
 		name:      service.Name,
@@ -114,7 +138,7 @@
 // dropCell gives a cell up. Requests in hand go on with what is known of its servers.
 func (m *Machine) dropCell(name string) {
 	c := m.cells[name]
-	if c == nil {
+	if c == nil || m.stop.requested {
 		return
 	}
 	delete(m.cells, name)
--- a/internal/decision/reducer/configuring.go
+++ b/internal/decision/reducer/configuring.go
@@ -1,9 +1,11 @@
 package reducer
 
 import (
+	"maps"
+	"slices"
 	"time"
 
-	"samphirewharf/internal/decision/tracker"
+	"samphirewharf/internal/caller/refuser"
 )
 
 const (
@@ -38,6 +40,7 @@
 	m.warmer.Limits = e.Catalog.Configuration.Limits
 	m.budget.Share = e.Catalog.Configuration.Limits.RetryShare
 	m.emit(Noted{Message: "configuration in force", Subject: e.Catalog.Configuration.ChangeID})
+	m.setCells()
 	m.updateCells()
 	m.dropRemoved()
 	m.next.heartbeat = m.now.Since
@@ -45,7 +48,7 @@
 
 // loadFromPeers asks the peer with the highest version, if it is higher than the one in force.
 func (m *Machine) loadFromPeers() {
-	best, version, ok := m.members.HighestVersion()
+	version, best, ok := m.members.NewestConfiguration()
 	if ok && version > m.version() {
 		m.loadConfiguration(best.Address)
 	}
@@ -53,14 +56,14 @@
 
 // dropRemoved refuses the waiting requests of deployments that the configuration lacks.
 func (m *Machine) dropRemoved() {
-	for _, name := range sortedNames(m.deployments) {
+	for _, name := range slices.Sorted(maps.Keys(m.deployments)) {
 		q := m.deployments[name]
 		if _, ok := m.catalog.Deployment(name); ok {
 			continue
 		}
 		for _, r := range q.sorted() {
 			q.remove(r)
-			m.refuseUnknown(r)
+			m.refuse(r, refuser.CodeUnknownDeployment, r.ran(), 0, name)
 		}
 		if q.running == 0 {
 			delete(m.deployments, name)
@@ -76,14 +79,6 @@
 	}
 }
 
-// peerVersion notes that a peer has a configuration; a higher one is read.
-func (m *Machine) peerVersion(from tracker.Member, version int64) {
-	if version <= m.version() || m.loading {
-		return
-	}
-	m.loadConfiguration(from.Address)
-}
-
 func (m *Machine) version() int64 {
 	if m.catalog == nil {
 		return 0
--- a/internal/decision/reducer/forwarding.go
+++ b/internal/decision/reducer/forwarding.go
@@ -34,7 +34,7 @@
 	m.forward(r, near[m.rng.IntN(len(near))], "cell is served by another daemon")
 }
 
-func (m *Machine) forward(r *request, to tracker.Member, reason string) {
+func (m *Machine) forward(r *request, to tracker.Daemon, reason string) {
 	r.attempt++
 	r.state = stateForwarded
 	r.avoid = to.ID
--- a/internal/decision/reducer/machine.go
+++ b/internal/decision/reducer/machine.go
@@ -65,7 +65,10 @@
 	headRevision int64
 
 	fleet    observer.Fleet
-	members  tracker.Tracker
+	self     tracker.Daemon
+	members  *tracker.Tracker
+	lease    *tracker.Lease
+	register registration
 	isolator isolator.Isolator
 	budget   limiter.RetryBudget
 	warmer   warmer.Warmer
@@ -127,8 +130,12 @@
 // NextWake returns the Moment.Since at which Step must be called with Ticked at the latest.
 func (m *Machine) NextWake() time.Duration {
 	wake := min(m.next.hosts, m.next.heartbeat, m.next.reports, m.next.uses, m.next.plan)
-	if at, ok := m.members.NextWake(); ok {
-		wake = min(wake, at)
+	wake = min(wake, m.members.NextWake(), m.lease.NextRenewal())
+	if m.loadAt > 0 {
+		wake = min(wake, m.loadAt)
+	}
+	if m.stop.requested {
+		wake = min(wake, m.now.Since+planInterval)
 	}
 	if len(m.deadlines) > 0 {
 		wake = min(wake, m.deadlines[0].wakeAt)
--- a/internal/decision/reducer/placing.go
+++ b/internal/decision/reducer/placing.go
@@ -18,7 +18,7 @@
 		Catalog:    m.catalog,
 		Fleet:      &m.fleet,
 		Lead:       m.leads(c),
-		LeaseValid: m.members.LeaseValid(m.now.Since),
+		LeaseValid: m.lease.Valid(m.now.Since),
 		Alive:      m.placerAlive,
 		DeadSince:  m.deadSince,
 	}
--- a/internal/decision/reducer/storing.go
+++ b/internal/decision/reducer/storing.go
@@ -16,6 +16,7 @@
 	operationClaim
 	operationMembers
 	operationRegister
+	operationRegisterGet
 )
 
 // An operation is a call to the key-value service that has not been answered.
@@ -65,6 +66,8 @@
 		m.membersListed(answer.Result, entries)
 	case operationRegister:
 		m.registered(answer.Result, answer.Revision)
+	case operationRegisterGet:
+		m.registrationRead(answer.Result, answer.Revision)
 	case operationClaim:
 		if c == nil {
 			return
--- a/internal/peer/messenger/message.go
+++ b/internal/peer/messenger/message.go
@@ -14,6 +14,7 @@
 	Instance string
 	Address  string
 	Zone     string
+	Region   string
 
 	Heartbeat *Heartbeat
 	Reports   []ServerReport
