fix: leave gaps inside bursts out of keep-alive

Requests that come within a second of each other share one cold start, so their gaps say nothing on how long to keep a replica, but diluted the quantile to the shortest keep-alive.

--- a/internal/decision/admitter/estimator.go
+++ b/internal/decision/admitter/estimator.go
@@ -52,7 +52,8 @@
 	return start + e.Service()
 }
 
-// RetryAfter returns when a slot should be free for a new request, at least MinRetryAfter.
+// RetryAfter returns how long from now a slot should be free for a new request, at least MinRetryAfter.
+// It is Never without slots.
 func (e *Estimator) RetryAfter(ahead, slots, running int) time.Duration {
 	return max(MinRetryAfter, e.wait(ahead, slots, running))
 }
--- a/internal/decision/limiter/loadshare.go
+++ b/internal/decision/limiter/loadshare.go
@@ -25,7 +25,7 @@
 	// Key is unique among pending and started loads.
 	Key    string
 	Urgent bool
-	// Deadline is when the load must be done for the first request that waits for it.
+	// Deadline is when the load must be done to be of use to a request that waits for it.
 	Deadline time.Duration
 	// Duration is how long the load takes at full speed.
 	Duration time.Duration
--- a/internal/decision/warmer/warmer.go
+++ b/internal/decision/warmer/warmer.go
@@ -17,6 +17,8 @@
 	// Soon is the time in which a use counts for the eviction score.
 	Soon = 10 * time.Minute
 
+	// burstGap is the longest gap between requests of one burst; such gaps don't count.
+	burstGap = time.Second
 	// minGaps is how many gaps must be known before the histogram is used.
 	minGaps = 4
 	// minRegularGaps is how many gaps must be known before a next use is predicted.
@@ -60,11 +62,11 @@
 		w.add(deployment, now)
 		return
 	}
-	if now <= e.last {
-		return
+	gap := now - e.last
+	e.last = max(e.last, now)
+	if gap > burstGap {
+		e.gaps.add(gap)
 	}
-	e.gaps.add(now - e.last)
-	e.last = now
 }
 
 // EvictionScore returns the cost of evicting the deployment's idle replica: seconds of reload, times the
