feat: prewarm by the rhythm of uses and stop holding what keep-alive can't cover

Where the longest keep-alive covers under a tenth of the gaps (half, if idle hours weigh more) the shortest one holds: holding such replicas was most of the idle time. Prewarm now gives a window from the mean gap and its deviation: buckets were too coarse, and a hint without an end held the replica too briefly.

--- a/internal/decision/warmer/warmer.go
+++ b/internal/decision/warmer/warmer.go
@@ -13,7 +13,7 @@
 	// DefaultMaxKeepAlive is the longest keep-alive if nothing is configured.
 	DefaultMaxKeepAlive = 10 * time.Minute
 	// DefaultQuantile is the share of gaps that keep-alive covers if nothing is configured.
-	DefaultQuantile = 0.9
+	DefaultQuantile = 0.999
 	// Soon is the time in which a use counts for the eviction score.
 	Soon = 10 * time.Minute
 
@@ -21,22 +21,17 @@
 	burstGap = time.Second
 	// minGaps is how many gaps must be known before the histogram is used.
 	minGaps = 4
-	// minRegularGaps is how many gaps must be known before a next use is predicted.
-	minRegularGaps = 8
-	// regularBuckets is how many buckets the middle of a regular histogram spans at most.
-	regularBuckets = 2
-	// regularTail is the share of gaps on each side that regularity leaves out.
-	regularTail = 0.1
-	// worthKeeping is the share of gaps within the longest keep-alive from which keeping pays when
-	// idle hours weigh more.
-	worthKeeping = 0.5
+	// worthKeepingIdle and worthKeepingCold are the shares of gaps within the longest keep-alive from
+	// which keeping pays, when idle hours weigh more and when cold starts do.
+	worthKeepingIdle = 0.5
+	worthKeepingCold = 0.1
 	// priorGaps is the weight of the prior in the probability of use.
 	priorGaps = 1.0
 
 	gibibyte = 1 << 30
 )
 
-// A Warmer keeps the gaps between the arrivals of each deployment, in about 100 bytes a deployment.
+// A Warmer keeps the gaps between the arrivals of each deployment, in about 110 bytes a deployment.
 // The zero value is ready to use.
 type Warmer struct {
 	// Weighting tells what weighs more; empty means WeightColdStart.
@@ -50,9 +45,18 @@
 	free    []int32
 }
 
+// A Window is a time in which a replica is loaded for an expected use.
+type Window struct {
+	// Start is when its load starts.
+	Start time.Duration
+	// End is until when it is held if the use does not come.
+	End time.Duration
+}
+
 type entry struct {
-	last time.Duration
-	gaps histogram
+	last   time.Duration
+	gaps   histogram
+	rhythm rhythm
 }
 
 // Arrived notes that a request for the deployment arrived.
@@ -66,6 +70,7 @@
 	e.last = max(e.last, now)
 	if gap > burstGap {
 		e.gaps.add(gap)
+		e.rhythm.add(gap)
 	}
 }
 
@@ -77,7 +82,8 @@
 }
 
 // KeepAlive returns how long the deployment's replica stays loaded after its last use: the configured
-// quantile of the gaps, within the configured bounds.
+// quantile of the gaps, within the configured bounds. Where even the longest keep-alive would cover too few
+// gaps to pay, it is the shortest.
 func (w *Warmer) KeepAlive(deployment string) time.Duration {
 	shortest, longest := w.bounds()
 	e := w.entry(deployment)
@@ -92,29 +98,25 @@
 		return max(shortest, wanted)
 	}
 	covered := e.gaps.below(longest) / float64(e.gaps.total)
-	if w.Weighting == cataloger.WeightIdleHours && covered < worthKeeping {
+	if covered < w.worthKeeping() {
 		return shortest
 	}
 	return longest
 }
 
-// Prewarm returns when to start loading the deployment so that it is ready for its next use, if its
-// gaps are regular and so long that keep-alive does not cover them.
-func (w *Warmer) Prewarm(deployment string, load time.Duration) (at time.Duration, ok bool) {
+// Prewarm returns when to load the deployment for its next use and how long to hold it for that, if its
+// gaps are regular, longer than keep-alive, and the time of use is known well enough.
+func (w *Warmer) Prewarm(deployment string, load time.Duration) (Window, bool) {
 	e := w.entry(deployment)
-	if e == nil || e.gaps.total < minRegularGaps {
-		return 0, false
-	}
-	early := e.gaps.quantile(regularTail)
-	late := e.gaps.quantile(1 - regularTail)
-	if late-early > regularBuckets {
-		return 0, false
+	if e == nil {
+		return Window{}, false
 	}
-	after := lowerEdge(early) - load
-	if after <= w.KeepAlive(deployment) {
-		return 0, false
+	_, longest := w.bounds()
+	early, late := e.rhythm.expected()
+	if late == 0 || late-early > longest || early-load <= w.KeepAlive(deployment) {
+		return Window{}, false
 	}
-	return e.last + after, true
+	return Window{Start: e.last + early - load, End: e.last + late}, true
 }
 
 // Remove forgets a deployment.
@@ -183,3 +185,10 @@
 	}
 	return DefaultQuantile
 }
+
+func (w *Warmer) worthKeeping() float64 {
+	if w.Weighting == cataloger.WeightIdleHours {
+		return worthKeepingIdle
+	}
+	return worthKeepingCold
+}
