feat: list keys with the service's revision, for watches without a gap

A watch from the newest key's revision misses changes when the prefix is empty and is refused as compacted when its keys are old; ListAt gives the revision of the service itself. Prefix hashes are read as the daemons write them, in decimal.

--- /dev/null
+++ b/internal/network/sender/conn_test.go
@@ -0,0 +1,67 @@
+package sender
+
+import (
+	"errors"
+	"net"
+	"net/http/httptrace"
+	"testing"
+)
+
+// A countingConn counts the bytes that reach it.
+type countingConn struct {
+	net.Conn
+	bytes int
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	c.bytes += len(p)
+	return len(p), nil
+}
+
+func assertSealed(t *testing.T, u *connUse, want bool) {
+	t.Helper()
+	if got := u.seal(); got != want {
+		t.Errorf("got nothing written %v, want %v", got, want)
+	}
+}
+
+func TestConnUse(t *testing.T) {
+	t.Run("a write after the end does not leave", func(t *testing.T) {
+		under := &countingConn{}
+		conn := &trackedConn{Conn: under}
+		_, _ = conn.Write([]byte("an earlier request"))
+		before := under.bytes
+		var use connUse
+		use.gotConn(httptrace.GotConnInfo{Conn: conn})
+		assertSealed(t, &use, true)
+		if _, got := conn.Write([]byte("late")); !errors.Is(got, errSealed) {
+			t.Errorf("got %v, want %v", got, errSealed)
+		}
+		if got := under.bytes; got != before {
+			t.Errorf("got %d bytes, want %d", got, before)
+		}
+	})
+	t.Run("a write before the end counts as sent", func(t *testing.T) {
+		conn := &trackedConn{Conn: &countingConn{}}
+		var use connUse
+		use.gotConn(httptrace.GotConnInfo{Conn: conn})
+		_, _ = conn.Write([]byte("x"))
+		assertSealed(t, &use, false)
+	})
+	for _, written := range []bool{true, false} {
+		t.Run("a second connection", func(t *testing.T) {
+			first, second := &trackedConn{Conn: &countingConn{}}, &trackedConn{Conn: &countingConn{}}
+			var use connUse
+			use.gotConn(httptrace.GotConnInfo{Conn: first})
+			if written {
+				_, _ = first.Write([]byte("x"))
+			}
+			use.gotConn(httptrace.GotConnInfo{Conn: second})
+			_, err := second.Write([]byte("x"))
+			if got, want := errors.Is(err, errSealed), written; got != want {
+				t.Errorf("got second connection sealed %v, want %v", got, want)
+			}
+			assertSealed(t, &use, false)
+		})
+	}
+}
--- a/internal/platform/storer/client.go
+++ b/internal/platform/storer/client.go
@@ -87,17 +87,25 @@
 
 // List reads all keys with a prefix, ordered by key.
 func (c *Client) List(ctx context.Context, prefix string) ([]Entry, Result) {
+	entries, _, result := c.ListAt(ctx, prefix)
+	return entries, result
+}
+
+// ListAt is List that also returns the service's revision at the time. A watch from the next revision on
+// reports all later changes. It is never older than the last change, unlike the revisions of the entries,
+// so that the watch meets no ErrCompacted.
+func (c *Client) ListAt(ctx context.Context, prefix string) (entries []Entry, revision int64, result Result) {
 	var response rangeResponse
 	request := rangeRequest{Key: prefixStart(prefix), RangeEnd: prefixEnd(prefix)}
-	result := c.call(ctx, "/v3/kv/range", request, &response)
+	result = c.call(ctx, "/v3/kv/range", request, &response)
 	if result != ResultOK {
-		return nil, result
+		return nil, 0, result
 	}
-	entries := make([]Entry, len(response.KVs))
+	entries = make([]Entry, len(response.KVs))
 	for i, kv := range response.KVs {
 		entries[i] = kv.entry()
 	}
-	return entries, ResultOK
+	return entries, int64(response.Header.Revision), ResultOK
 }
 
 // Revoke ends a lease and deletes its keys. It returns ResultNotFound if the lease does not exist.
--- a/internal/platform/storer/client_test.go
+++ b/internal/platform/storer/client_test.go
@@ -280,6 +280,20 @@
 		client.Delete(t.Context(), "w/a", second)
 		assertChange(t, w.changes, "w/a", "", true)
 	})
+	t.Run("goes on without a gap after a list, also of old keys", func(t *testing.T) {
+		k, client := start(t, &keeper.Keeper{})
+		swap(t, client, "w/a", "1", 0, 0)
+		newest := swap(t, client, "x", "1", 0, 0)
+		k.Compact(newest)
+		entries, revision, result := client.ListAt(t.Context(), "w/")
+		assertResult(t, result, storer.ResultOK)
+		if got, want := revision, newest; got != want || len(entries) != 1 {
+			t.Errorf("got revision %d and %d entries, want %d and 1", got, len(entries), want)
+		}
+		swap(t, client, "w/b", "2", 0, 0)
+		w := startWatch(t, client, "w/", revision+1)
+		assertChange(t, w.changes, "w/b", "2", false)
+	})
 	t.Run("ends when the service goes down", func(t *testing.T) {
 		k, client := start(t, &keeper.Keeper{})
 		first := swap(t, client, "w/a", "1", 0, 0)
@@ -302,3 +316,20 @@
 		}
 	})
 }
+
+func BenchmarkClientSwap(b *testing.B) {
+	k := &keeper.Keeper{}
+	if err := k.Start("127.0.0.1:0"); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(k.Stop)
+	client := &storer.Client{Address: k.Address()}
+	var revision int64
+	for b.Loop() {
+		next, result := client.Swap(b.Context(), "a", []byte("value"), revision, 0)
+		if result != storer.ResultOK {
+			b.Fatalf("got result %d, want %d", result, storer.ResultOK)
+		}
+		revision = next
+	}
+}
--- a/internal/platform/storer/message.go
+++ b/internal/platform/storer/message.go
@@ -54,7 +54,8 @@
 }
 
 type rangeResponse struct {
-	KVs []keyValue `json:"kvs"`
+	Header header     `json:"header"`
+	KVs    []keyValue `json:"kvs"`
 }
 
 type putRequest struct {
--- a/internal/standin/inferrer/completion.go
+++ b/internal/standin/inferrer/completion.go
@@ -176,11 +176,11 @@
 	return c.replica.prompt(prefixes)
 }
 
-// prefixes returns the prefix hashes of a request: hexadecimal, separated by commas, shortest first.
+// prefixes returns the prefix hashes of a request: decimal, separated by commas, shortest first.
 func prefixes(r *http.Request) []uint64 {
 	var hashes []uint64
 	for text := range strings.SplitSeq(r.Header.Get(headerPrefixes), ",") {
-		hash, err := strconv.ParseUint(strings.TrimSpace(text), 16, 64)
+		hash, err := strconv.ParseUint(strings.TrimSpace(text), 10, 64)
 		if err == nil {
 			hashes = append(hashes, hash)
 		}
--- a/internal/standin/inferrer/completion_test.go
+++ b/internal/standin/inferrer/completion_test.go
@@ -257,9 +257,9 @@
 	t.Run("an unload lets requests finish and takes no new ones", func(t *testing.T) {
 		r := startReady(t, &inferrer.Engine{PromptTime: time.Hour})
 		ctx, cancel := context.WithCancel(t.Context())
-		r.call(ctx, "X-Prefix-Hash: a")
+		r.call(ctx, "X-Prefix-Hash: 10")
 		r.report(t, hasLoad(1, 0))
-		waiting := r.call(t.Context(), "X-Prefix-Hash: a")
+		waiting := r.call(t.Context(), "X-Prefix-Hash: 10")
 		r.report(t, hasLoad(1, 1))
 		r.order(t, orderer.Order{Kind: orderer.KindUnload, Replica: "a"}, orderer.OutcomeAccepted)
 		if got, want := r.post(t.Context(), "/v1/completions", `{}`, "X-Replica: a").notRun, "true"; got != want {
@@ -294,7 +294,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			r := startReady(t, test.engine)
-			got := r.post(t.Context(), "/v1/completions", `{"prompt":"p","max_tokens":1}`, "X-Replica: a", "X-Prefix-Hash: a, b")
+			got := r.post(t.Context(), "/v1/completions", `{"prompt":"p","max_tokens":1}`, "X-Replica: a", "X-Prefix-Hash: 10, 11")
 			assertAnswer(t, got, inferrer.Text("d", "", "p", 1))
 			report := r.report(t, func(orderer.Report) bool { return true })
 			if got := fmt.Sprint(report.CacheEvents); got != test.want {
