--- /dev/null
+++ b/internal/command/runner/serve.go
@@ -0,0 +1,81 @@
+package runner
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"samphirewharf/internal/daemon/assembler"
+	"samphirewharf/internal/entry/acceptor"
+)
+
+// A ServeCommand runs an entry daemon until SIGTERM or SIGINT, which start a planned stop.
+type ServeCommand struct {
+	Daemon         string        `help:"Daemon's ID, unique among those running; the host name and port by default." env:"SAMPHIREWHARF_DAEMON"`
+	Listen         string        `help:"IP and port to listen on." default:"127.0.0.1:8080" env:"SAMPHIREWHARF_LISTEN"`
+	Advertise      string        `help:"IP and port that callers and other daemons use; the one listened on by default." env:"SAMPHIREWHARF_ADVERTISE"`
+	Zone           string        `help:"Availability zone of the entry host." required:"" env:"SAMPHIREWHARF_ZONE"`
+	Region         string        `help:"Region of the entry host; empty means that there is one." env:"SAMPHIREWHARF_REGION"`
+	HostsAddress   string        `help:"IP and port of the platform's host list." required:"" env:"SAMPHIREWHARF_HOSTS_ADDRESS"`
+	StoreTimeout   time.Duration `help:"Bound of one call to the key-value service." default:"2s" env:"SAMPHIREWHARF_STORE_TIMEOUT"`
+	DrainTime      time.Duration `help:"How long a planned stop takes new requests at least; it is never shorter than the time to live of address answers." default:"6s" env:"SAMPHIREWHARF_DRAIN_TIME"`
+	MaxRequests    int           `help:"Requests held at once." default:"20000" env:"SAMPHIREWHARF_MAX_REQUESTS"`
+	MaxConnections int           `help:"Connections held at once." default:"10000" env:"SAMPHIREWHARF_MAX_CONNECTIONS"`
+	MaxBodyBytes   int           `help:"Size of the largest request body." default:"4194304" env:"SAMPHIREWHARF_MAX_BODY_BYTES"`
+	LogLevel       string        `help:"Lowest level that is logged." enum:"debug,info,warn,error" default:"info" env:"SAMPHIREWHARF_LOG_LEVEL"`
+}
+
+// Run runs the daemon.
+func (c *ServeCommand) Run(shared *Shared) error {
+	logger := &log.Logger{Level: log.ParseLevel(c.LogLevel), Writer: &log.IOWriter{Writer: os.Stderr}}
+	daemon, err := assembler.New(assembler.Settings{
+		Daemon:       c.daemonID(),
+		Listen:       c.Listen,
+		Advertise:    c.Advertise,
+		Zone:         c.Zone,
+		Region:       c.Region,
+		StoreAddress: shared.StoreAddress,
+		HostsAddress: c.HostsAddress,
+		StoreTimeout: c.StoreTimeout,
+		DrainTime:    c.DrainTime,
+		MaxRequests:  c.MaxRequests,
+		Limits:       acceptor.Limits{Connections: c.MaxConnections, BodyBytes: c.MaxBodyBytes},
+		Logger:       logger,
+	})
+	if err != nil {
+		return fmt.Errorf("start daemon: %w", err)
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	daemon.Start()
+	logger.Info().Str("Daemon", c.daemonID()).Str("Address", daemon.Address()).Msg("serving")
+	select {
+	case <-stop:
+		daemon.Stop()
+	case <-daemon.Exited():
+		return errors.New("daemon ended unexpectedly")
+	}
+	select {
+	case <-stop:
+		return errors.New("stopped before requests were finished")
+	case <-daemon.Exited():
+		logger.Info().Str("Daemon", c.daemonID()).Msg("planned stop done")
+		return nil
+	}
+}
+
+func (c *ServeCommand) daemonID() string {
+	if c.Daemon != "" {
+		return c.Daemon
+	}
+	host, err := os.Hostname()
+	if err != nil {
+		host = "daemon"
+	}
+	return host + "@" + c.Listen
+}
--- /dev/null
+++ b/internal/command/runner/standin.go
@@ -0,0 +1,80 @@
+package runner
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/config/questioner"
+	"samphirewharf/internal/standin/starter"
+)
+
+// A StandinCommand runs stand-ins of the platform and the backend servers until SIGTERM or SIGINT.
+type StandinCommand struct {
+	Questionnaire string        `arg:"" optional:"" help:"Questionnaire whose services are started; the demo's by default." type:"existingfile"`
+	Part          []string      `help:"Part to start (KeyValueService, HostList, Servers); all by default." enum:"KeyValueService,HostList,Servers" env:"SAMPHIREWHARF_STANDIN_PART"`
+	Host          string        `help:"IP to listen on; it must be a loopback address." default:"127.0.0.1" env:"SAMPHIREWHARF_STANDIN_HOST"`
+	BasePort      int           `help:"Port of the key-value service; the host list has the next one and the servers those after it. 0 takes free ports." default:"7300" env:"SAMPHIREWHARF_STANDIN_BASE_PORT"`
+	RegisterAt    string        `help:"IP and port of a host list started elsewhere." env:"SAMPHIREWHARF_STANDIN_REGISTER_AT"`
+	TimeScale     float64       `help:"Factor on load times." default:"1" env:"SAMPHIREWHARF_STANDIN_TIME_SCALE"`
+	TokenInterval time.Duration `help:"Time between two tokens of an engine." default:"10ms" env:"SAMPHIREWHARF_STANDIN_TOKEN_INTERVAL"`
+	RestartAfter  time.Duration `help:"How long a crashed server stays away." default:"2s" env:"SAMPHIREWHARF_STANDIN_RESTART_AFTER"`
+	HostLag       time.Duration `help:"How long changes take to appear in the host list." env:"SAMPHIREWHARF_STANDIN_HOST_LAG"`
+	Seed          uint64        `help:"Seed of random choices." default:"1" env:"SAMPHIREWHARF_STANDIN_SEED"`
+}
+
+// Run runs the stand-ins.
+func (c *StandinCommand) Run(shared *Shared) error {
+	questionnaire, err := c.read()
+	if err != nil {
+		return err
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	parts := starter.New(c.settings(questionnaire))
+	if err := parts.Start(); err != nil {
+		return fmt.Errorf("start stand-ins: %w", err)
+	}
+	defer parts.Stop()
+	addresses := parts.Addresses()
+	fmt.Fprintf(shared.Stdout, "KeyValueService %s\nHostList %s\n", addresses.KeyValueService, addresses.HostList)
+	for _, h := range addresses.Servers {
+		fmt.Fprintf(shared.Stdout, "Server %s %s %s %s\n", h.Server, h.Service, h.Zone, h.Address)
+	}
+	fmt.Fprintln(shared.Stdout, "ready")
+	<-stop
+	return nil
+}
+
+func (c *StandinCommand) read() (questioner.Questionnaire, error) {
+	data, err := questioner.Example("demo")
+	if c.Questionnaire != "" {
+		data, err = os.ReadFile(c.Questionnaire)
+	}
+	if err != nil {
+		return questioner.Questionnaire{}, fmt.Errorf("read questionnaire: %w", err)
+	}
+	return questioner.Parse(data)
+}
+
+func (c *StandinCommand) settings(q questioner.Questionnaire) starter.Settings {
+	settings := starter.Settings{
+		Host:       c.Host,
+		BasePort:   c.BasePort,
+		RegisterAt: c.RegisterAt,
+		Seed:       c.Seed,
+		HostLag:    cataloger.Duration(c.HostLag),
+		TimeScale:  c.TimeScale,
+		Engine: starter.Engine{
+			TokenInterval: cataloger.Duration(c.TokenInterval),
+			RestartAfter:  cataloger.Duration(c.RestartAfter),
+		},
+	}
+	for _, part := range c.Part {
+		settings.Parts = append(settings.Parts, starter.Part(part))
+	}
+	return settings.WithQuestionnaire(q)
+}
--- a/internal/daemon/executor/call.go
+++ b/internal/daemon/executor/call.go
@@ -128,5 +128,8 @@
 		}
 	}
 	revision, result := x.Store.Swap(ctx, e.Key, e.Value, e.Revision, lease)
+	if e.Leased && result == storer.ResultNotFound {
+		x.setLease(0)
+	}
 	x.Post(reducer.StoreSwapped{Op: e.Op, Result: result, Revision: revision})
 }
--- a/internal/daemon/executor/watcher.go
+++ b/internal/daemon/executor/watcher.go
@@ -36,28 +36,23 @@
 
 // refresh reports what changed while no watch was open and returns the revision to watch from.
 func (w *watcher) refresh() (int64, bool) {
-	entries, result := w.executor.Store.List(w.ctx, w.prefix)
-	if result != storer.ResultOK && result != storer.ResultNotFound {
+	entries, revision, result := w.executor.Store.ListAt(w.ctx, w.prefix)
+	if result != storer.ResultOK {
 		return 0, false
 	}
-	var newest int64
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		present[e.Key] = true
-		newest = max(newest, e.Revision)
 		if w.known[e.Key] < e.Revision {
 			w.report(e, false)
 		}
 	}
 	for key := range w.known {
 		if !present[key] {
-			w.report(storer.Entry{Key: key}, true)
+			w.report(storer.Entry{Key: key, Revision: revision}, true)
 		}
 	}
-	if newest == 0 {
-		return 0, true
-	}
-	return newest + 1, true
+	return revision + 1, true
 }
 
 func (w *watcher) report(e storer.Entry, deleted bool) {
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -53,7 +53,7 @@
 			AdapterReady: true,
 		})
 	}
-	choice := m.chooseCandidate(r.arrived.Prefixes)
+	choice := m.chooseCandidate(r.arrived.Prefixes, r.queue.estimator.Service())
 	if choice.Index < 0 {
 		return selection{}, false
 	}
@@ -93,8 +93,8 @@
 	return false
 }
 
-func (m *Machine) chooseCandidate(prefixes []uint64) router.Choice {
-	candidates := router.Candidates{Len: len(m.candidates), At: m.candidateAt}
+func (m *Machine) chooseCandidate(prefixes []uint64, service time.Duration) router.Choice {
+	candidates := router.Candidates{Len: len(m.candidates), At: m.candidateAt, Service: service}
 	return m.router.Choose(candidates, prefixes, m.settings.Zone, m.rng)
 }
 
@@ -132,7 +132,7 @@
 		})
 	}
 	m.preferOthers(r.avoid)
-	choice := m.chooseCandidate(nil)
+	choice := m.chooseCandidate(nil, r.queue.estimator.Service())
 	if choice.Index < 0 {
 		return selection{}, false
 	}
