--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
 
@@ -69,6 +70,7 @@
 	peers    messenger.Client
 	fetcher  fetcher
 	decided  decisionLog
+	gauges   *metrics.Set
 
 	catalog atomic.Pointer[cataloger.Catalog]
 	exited  chan struct{}
@@ -139,7 +141,9 @@
 func (d *Daemon) assemble() {
 	s := d.settings
 	store := &storer.Client{Address: s.StoreAddress, Timeout: s.StoreTimeout}
-	d.fetcher = newFetcher(store, &d.peers)
+	d.registerMetrics()
+	d.fetcher.versioner.Store = newStore(store)
+	d.fetcher.fromPeer = d.peers.FetchConfiguration
 	d.decided = decisionLog{logger: s.Logger}
 	d.driver = driver.Driver{
 		Machine: reducer.New(reducer.Settings{
@@ -196,6 +200,7 @@
 		}
 	}
 	d.decided.observe(event, effects)
+	countPlacement(effects)
 	if d.settings.Observe != nil {
 		d.settings.Observe(now, event, effects)
 	}
--- /dev/null
+++ b/internal/daemon/assembler/fetcher.go
@@ -0,0 +1,67 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/config/versioner"
+	"samphirewharf/internal/platform/storer"
+)
+
+// A fetcher reads the configuration from the key-value service, or from another daemon.
+type fetcher struct {
+	versioner versioner.Versioner
+	// fromPeer reads the configuration of the daemon at an address if it is newer than a version.
+	fromPeer func(ctx context.Context, address string, haveVersion int64) (*cataloger.Configuration, error)
+
+	mu     sync.Mutex
+	shards versioner.Shards
+}
+
+// newStore returns the client's functions as a versioner's store.
+func newStore(store *storer.Client) versioner.Store {
+	return versioner.Store{Get: store.Get, Swap: store.Swap, Delete: store.Delete, List: store.List}
+}
+
+// fetch returns a configuration and the revision of the head key, 0 from a peer. The catalog is nil if
+// no configuration newer than haveVersion is known there.
+func (f *fetcher) fetch(ctx context.Context, peer string, haveVersion int64) (*cataloger.Catalog, int64, error) {
+	if peer != "" {
+		return f.fetchFromPeer(ctx, peer, haveVersion)
+	}
+	fetched, err := f.versioner.Fetch(ctx, f.known())
+	if errors.Is(err, versioner.ErrNoConfiguration) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, fmt.Errorf("fetch configuration: %w", err)
+	}
+	f.remember(fetched.Shards)
+	return cataloger.NewCatalog(fetched.Configuration), fetched.Revision, nil
+}
+
+func (f *fetcher) fetchFromPeer(ctx context.Context, peer string, haveVersion int64) (*cataloger.Catalog, int64, error) {
+	configuration, err := f.fromPeer(ctx, peer, haveVersion)
+	if err != nil {
+		return nil, 0, fmt.Errorf("fetch configuration from %s: %w", peer, err)
+	}
+	if configuration == nil {
+		return nil, 0, nil
+	}
+	return cataloger.NewCatalog(*configuration), 0, nil
+}
+
+func (f *fetcher) known() versioner.Shards {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.shards
+}
+
+func (f *fetcher) remember(shards versioner.Shards) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.shards = shards
+}
--- /dev/null
+++ b/internal/daemon/demonstrator/demonstrator.go
@@ -0,0 +1,207 @@
+// Package demonstrator shows the whole system in one process on loopback: stand-ins of the platform and
+// the backend servers, three daemons, and real requests over TCP.
+package demonstrator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/phuslu/log"
+
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/config/questioner"
+	"samphirewharf/internal/config/versioner"
+	"samphirewharf/internal/daemon/assembler"
+	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/standin/starter"
+)
+
+const (
+	// daemonCount is how many entry daemons the demonstration starts.
+	daemonCount = 3
+	// stepTimeout bounds each step of the demonstration.
+	stepTimeout = 20 * time.Second
+	// pollPause is the time between two looks at a condition.
+	pollPause = 20 * time.Millisecond
+)
+
+// errNotObserved is wrapped by the errors of steps that did not show what they should.
+var errNotObserved = errors.New("not observed")
+
+// A Demonstrator runs the demonstration. Set the fields before Run.
+type Demonstrator struct {
+	// Out is where the lines for people go.
+	Out io.Writer
+	// Stay keeps everything running after the steps, until the context ends.
+	Stay bool
+	// Logger takes the daemons' logs.
+	Logger *log.Logger
+
+	parts   *starter.Starter
+	daemons []*assembler.Daemon
+	client  caller
+}
+
+// A step is one thing that is shown.
+type step struct {
+	title string
+	run   func(ctx context.Context) error
+}
+
+// Run starts everything, shows each step and stops everything. The error names the step that was not observed.
+func (d *Demonstrator) Run(ctx context.Context) error {
+	defer d.stop()
+	if err := d.start(ctx); err != nil {
+		return err
+	}
+	steps := []step{
+		{"Callers ask which daemons to use", d.showAddresses},
+		{"A burst of first requests at all daemons makes one load", d.showBurst},
+		{"A warm streamed answer", d.showStream},
+		{"Requests that can wait stay behind urgent ones", d.showPriority},
+		{"A booking sent twice runs once", d.showBooking},
+		{"Refusals are plain", d.showRefusals},
+		{"A planned stop under load cuts nothing", d.showPlannedStop},
+	}
+	for i, s := range steps {
+		d.printf("%d. %s\n", i+1, s.title)
+		stepCtx, cancel := context.WithTimeout(ctx, stepTimeout)
+		err := s.run(stepCtx)
+		cancel()
+		if err != nil {
+			return fmt.Errorf("%s: %w", s.title, err)
+		}
+	}
+	d.printf("All %d steps were observed.\n", len(steps))
+	if d.Stay {
+		d.stay(ctx)
+	}
+	return nil
+}
+
+// start starts the stand-ins and the daemons and applies the generated configuration.
+func (d *Demonstrator) start(ctx context.Context) error {
+	data, err := questioner.Example("demo")
+	if err != nil {
+		return fmt.Errorf("read sample questionnaire: %w", err)
+	}
+	questionnaire, err := questioner.Parse(data)
+	if err != nil {
+		return fmt.Errorf("parse sample questionnaire: %w", err)
+	}
+	settings := starter.Settings{Seed: 1, Engine: starter.Engine{TokenInterval: cataloger.Duration(10 * time.Millisecond)}}
+	d.parts = starter.New(settings.WithQuestionnaire(questionnaire))
+	if err := d.parts.Start(); err != nil {
+		return fmt.Errorf("start stand-ins: %w", err)
+	}
+	if err := d.startDaemons(questionnaire); err != nil {
+		return err
+	}
+	configuration, explanations := questioner.Generate(questionnaire)
+	if err := d.apply(ctx, configuration); err != nil {
+		return err
+	}
+	d.printf("Stand-ins and %d daemons are running; the questionnaire gave %d deployments and %d derived values.\n",
+		daemonCount, len(configuration.Deployments), len(explanations))
+	return d.waitInForce(ctx)
+}
+
+func (d *Demonstrator) startDaemons(q questioner.Questionnaire) error {
+	addresses := d.parts.Addresses()
+	for i := range daemonCount {
+		daemon, err := assembler.New(assembler.Settings{
+			Daemon:       fmt.Sprintf("daemon-%d", i+1),
+			Listen:       "127.0.0.1:0",
+			Zone:         q.Zones[i%len(q.Zones)].Name,
+			StoreAddress: addresses.KeyValueService,
+			HostsAddress: addresses.HostList,
+			DrainTime:    time.Second,
+			Logger:       d.Logger,
+		})
+		if err != nil {
+			return fmt.Errorf("start daemon %d: %w", i+1, err)
+		}
+		daemon.Start()
+		d.daemons = append(d.daemons, daemon)
+	}
+	return nil
+}
+
+// apply writes the configuration as an operator's command would.
+func (d *Demonstrator) apply(ctx context.Context, c cataloger.Configuration) error {
+	store := &storer.Client{Address: d.parts.Addresses().KeyValueService}
+	defer store.Close()
+	v := versioner.Versioner{Store: versioner.Store{
+		Get: store.Get, Swap: store.Swap, Delete: store.Delete, List: store.List,
+	}}
+	_, err := v.Apply(ctx, c, 0, uuid.NewString(), "demo", "sample questionnaire")
+	if err != nil {
+		return fmt.Errorf("apply configuration: %w", err)
+	}
+	return nil
+}
+
+// waitInForce waits until every daemon has the configuration and sees the backend servers.
+func (d *Demonstrator) waitInForce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
+	started := time.Now()
+	for _, daemon := range d.daemons {
+		err := waitFor(ctx, func() bool {
+			answer, err := d.client.get(ctx, daemon.Address(), "/readyz")
+			return err == nil && answer.status == 200
+		})
+		if err != nil {
+			return fmt.Errorf("configuration at %s: %w", daemon.Address(), err)
+		}
+	}
+	d.printf("The configuration is in force at all daemons after %s.\n", round(time.Since(started)))
+	return nil
+}
+
+func (d *Demonstrator) printf(format string, args ...any) {
+	fmt.Fprintf(d.Out, format, args...)
+}
+
+// stay prints commands to try and waits for the context to end.
+func (d *Demonstrator) stay(ctx context.Context) {
+	a := d.daemons[0].Address()
+	d.printf("Still running; stop with Ctrl-C. Try:\n")
+	d.printf("  curl 'http://%s/v1/addresses?Deployment=rates-1&AvailabilityZone=zone-a'\n", a)
+	d.printf("  curl http://%s/v1/models\n", a)
+	d.printf("  curl http://%s/v1/completions -d '{\"model\":\"rates-2\",\"prompt\":\"Day rate?\",\"max_tokens\":8}'\n", a)
+	d.printf("  curl -N http://%s/v1/completions -d '{\"model\":\"rates-2\",\"prompt\":\"Day rate?\",\"max_tokens\":8,\"stream\":true}'\n", a)
+	d.printf("  curl http://%s/services/bookings/bookings -H 'Idempotency-Key: try-1' -d '{\"performer\":7}'\n", a)
+	<-ctx.Done()
+}
+
+func (d *Demonstrator) stop() {
+	for _, daemon := range d.daemons {
+		select {
+		case <-daemon.Exited():
+		default:
+			daemon.Kill()
+		}
+	}
+	if d.parts != nil {
+		d.parts.Stop()
+	}
+}
+
+func round(t time.Duration) time.Duration { return t.Round(time.Millisecond) }
+
+// waitFor waits until a condition holds.
+func waitFor(ctx context.Context, holds func() bool) error {
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%w in time", errNotObserved)
+		case <-time.After(pollPause):
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/demonstrator/steps.go
@@ -0,0 +1,228 @@
+package demonstrator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	burstRequests   = 30
+	streamTokens    = 20
+	canWaitRequests = 48
+	urgentRequests  = 8
+	stopRequests    = 60
+)
+
+// showAddresses asks for the daemons of a deployment.
+func (d *Demonstrator) showAddresses(ctx context.Context) error {
+	a, err := d.client.get(ctx, d.daemons[0].Address(), "/v1/addresses?Deployment=rates-1&AvailabilityZone=zone-b")
+	if err != nil {
+		return err
+	}
+	var reply struct {
+		Addresses []struct {
+			Address          string
+			AvailabilityZone string
+		}
+		TimeToLiveMilliseconds int64
+	}
+	if err := json.Unmarshal([]byte(a.body), &reply); err != nil {
+		return fmt.Errorf("decode addresses: %w", err)
+	}
+	if len(reply.Addresses) < daemonCount || reply.Addresses[0].AvailabilityZone != "zone-b" {
+		return fmt.Errorf("%w: addresses are %s", errNotObserved, a.body)
+	}
+	d.printf("   %d addresses, the nearest is in %s; the answer may be kept for %d ms.\n",
+		len(reply.Addresses), reply.Addresses[0].AvailabilityZone, reply.TimeToLiveMilliseconds)
+	return nil
+}
+
+// showBurst sends the first requests for a deployment to all daemons at once.
+func (d *Demonstrator) showBurst(ctx context.Context) error {
+	before := d.loads()
+	requests := make([]request, burstRequests)
+	for i := range requests {
+		requests[i] = d.completion(i, "rates-1", 4, false, nil)
+	}
+	answers, err := d.client.all(ctx, requests)
+	if err != nil {
+		return err
+	}
+	var slowest time.Duration
+	for _, a := range answers {
+		if a.status != http.StatusOK {
+			return fmt.Errorf("%w: a request was answered with %d %s", errNotObserved, a.status, a.body)
+		}
+		slowest = max(slowest, a.total)
+	}
+	loads := d.loads() - before
+	d.printf("   %d requests at %d daemons: all served, the slowest in %s; loads begun: %d.\n",
+		burstRequests, len(d.daemons), round(slowest), loads)
+	if loads != 1 {
+		return fmt.Errorf("%w: %d loads", errNotObserved, loads)
+	}
+	return nil
+}
+
+// showStream streams an answer from the deployment that is loaded now.
+func (d *Demonstrator) showStream(ctx context.Context) error {
+	a, err := d.client.post(ctx, d.completion(1, "rates-1", streamTokens, true, nil))
+	if err != nil {
+		return err
+	}
+	if !a.whole() || len(a.events) <= streamTokens {
+		return fmt.Errorf("%w: %d events with status %d", errNotObserved, len(a.events), a.status)
+	}
+	d.printf("   first part after %s, %d events in %s, ended by [DONE].\n", round(a.first), len(a.events)-1, round(a.total))
+	return nil
+}
+
+// showPriority sends many requests that can wait, and then a few urgent ones.
+func (d *Demonstrator) showPriority(ctx context.Context) error {
+	var requests []request
+	for i := range canWaitRequests {
+		requests = append(requests, d.completion(0, "clauses", 24, false, map[string]string{
+			"Priority": "u=7", "X-Request-Id": fmt.Sprintf("can-wait-%d", i),
+		}))
+	}
+	for i := range urgentRequests {
+		requests = append(requests, d.completion(0, "clauses", 24, false, map[string]string{
+			"Priority": "u=0", "X-Request-Id": fmt.Sprintf("urgent-%d", i),
+		}))
+	}
+	answers, err := d.client.all(ctx, requests)
+	if err != nil {
+		return err
+	}
+	var canWait, urgent []time.Duration
+	for i, a := range answers {
+		if a.status != http.StatusOK {
+			return fmt.Errorf("%w: a request was answered with %d %s", errNotObserved, a.status, a.body)
+		}
+		if i < canWaitRequests {
+			canWait = append(canWait, a.total)
+		} else {
+			urgent = append(urgent, a.total)
+		}
+	}
+	d.printf("   the last of %d urgent requests took %s, the last of %d that can wait %s.\n",
+		urgentRequests, round(slices.Max(urgent)), canWaitRequests, round(slices.Max(canWait)))
+	if slices.Max(urgent) >= slices.Max(canWait) {
+		return fmt.Errorf("%w: urgent requests were not first", errNotObserved)
+	}
+	return nil
+}
+
+// showBooking sends the same booking to two daemons.
+func (d *Demonstrator) showBooking(ctx context.Context) error {
+	booking := request{
+		path: "/services/bookings/bookings", body: `{"Performer":7,"DayRate":410}`,
+		header: map[string]string{"Idempotency-Key": "demo-booking-1"},
+	}
+	var bodies []string
+	for i := range 2 {
+		booking.address = d.daemons[i].Address()
+		a, err := d.client.post(ctx, booking)
+		if err != nil {
+			return err
+		}
+		if a.status >= http.StatusMultipleChoices {
+			return fmt.Errorf("%w: booking was answered with %d %s", errNotObserved, a.status, a.body)
+		}
+		bodies = append(bodies, a.body)
+	}
+	runs := 0
+	for _, b := range d.parts.Bookers() {
+		runs += b.Counts().Runs["demo-booking-1"]
+	}
+	d.printf("   sent to two daemons, run %d time, same answer: %t.\n", runs, bodies[0] == bodies[1])
+	if runs != 1 || bodies[0] != bodies[1] {
+		return fmt.Errorf("%w: %d runs", errNotObserved, runs)
+	}
+	return nil
+}
+
+// showRefusals shows refusals of an unknown deployment, a booking without a key and a hopeless cold start.
+func (d *Demonstrator) showRefusals(ctx context.Context) error {
+	unknown := d.completion(0, "no-such-model", 4, false, nil)
+	hopeless := d.completion(1, "summaries-1", 4, false, map[string]string{"X-Request-Timeout-Ms": "5"})
+	keyless := request{address: d.daemons[2].Address(), path: "/services/bookings/bookings", body: "{}"}
+	wanted := []int{1002, 2004, 4001}
+	for i, r := range []request{unknown, hopeless, keyless} {
+		a, err := d.client.post(ctx, r)
+		if err != nil {
+			return err
+		}
+		p := a.problem()
+		d.printf("   code %d, %q, status %d, Retry-After %q, in %s.\n",
+			p.Code, p.Ran, a.status, a.header.Get("Retry-After"), round(a.total))
+		if p.Code != wanted[i] || p.Ran != "not run" {
+			return fmt.Errorf("%w: code %d instead of %d: %s", errNotObserved, p.Code, wanted[i], a.body)
+		}
+	}
+	return nil
+}
+
+// showPlannedStop stops a daemon while it streams answers and takes new requests.
+func (d *Demonstrator) showPlannedStop(ctx context.Context) error {
+	last := len(d.daemons) - 1
+	stopped := d.daemons[last]
+	var requests []request
+	for i := range stopRequests {
+		requests = append(requests, d.completion(last, "rates-1", 40+i*3, true, nil))
+	}
+	time.AfterFunc(100*time.Millisecond, stopped.Stop)
+	answers, err := d.client.all(ctx, requests)
+	if err != nil {
+		return err
+	}
+	whole := 0
+	for _, a := range answers {
+		if a.whole() {
+			whole++
+		}
+	}
+	if whole != stopRequests {
+		return fmt.Errorf("%w: %d of %d streams were whole", errNotObserved, whole, stopRequests)
+	}
+	a, err := d.client.get(ctx, d.daemons[0].Address(), "/v1/addresses?Deployment=rates-1")
+	if err != nil {
+		return err
+	}
+	if strings.Contains(a.body, stopped.Address()) {
+		return fmt.Errorf("%w: a stopping daemon is still named", errNotObserved)
+	}
+	started := time.Now()
+	select {
+	case <-stopped.Exited():
+	case <-ctx.Done():
+		return fmt.Errorf("%w: the daemon has not ended", errNotObserved)
+	}
+	d.printf("   %d of %d streams whole; the daemon ended %s later and is in no answer of the look-up.\n",
+		whole, stopRequests, round(time.Since(started)))
+	return nil
+}
+
+// completion returns a completion request to one of the daemons, taken in turn.
+func (d *Demonstrator) completion(daemon int, model string, tokens int, stream bool, header map[string]string) request {
+	return request{
+		address: d.daemons[daemon%len(d.daemons)].Address(),
+		path:    "/v1/completions",
+		body:    fmt.Sprintf(`{"model":%q,"prompt":"What is the day rate?","max_tokens":%d,"stream":%t}`, model, tokens, stream),
+		header:  header,
+	}
+}
+
+// loads returns how many model loads all engines have begun.
+func (d *Demonstrator) loads() int64 {
+	var loads int64
+	for _, e := range d.parts.Engines() {
+		loads += e.Counts().Loads
+	}
+	return loads
+}
