--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -121,8 +121,8 @@
 
 // Kill ends the daemon at once, as if its process died.
 func (d *Daemon) Kill() {
-	_ = d.listener.Close()
 	d.cancel()
+	_ = d.listener.Close()
 	stopped, cancel := context.WithCancel(context.Background())
 	cancel()
 	_ = d.server.Stop(stopped)
--- a/internal/decision/planner/decide.go
+++ b/internal/decision/planner/decide.go
@@ -292,7 +292,7 @@
 func (m *Machine) load(v View, next Record, w want, d *cataloger.Deployment, best, other choice, report func(Decision)) Record {
 	id := next.nextReplicaID()
 	remote := best.tier == observer.TierRemote
-	if m.Loads.Start != nil && !m.Loads.Start(v.Now, id, best.full, remote, w.urgent > 0, w.deadline) {
+	if m.Loads.Start != nil && !m.Loads.Start(v.Now, id, best.full, remote, w.urgent > 0) {
 		m.act(Forecast{Deployment: d.Name, ReadyIn: m.loadTime(v, d, best.tier)})
 		return next
 	}
--- a/internal/decision/planner/machine.go
+++ b/internal/decision/planner/machine.go
@@ -82,7 +82,7 @@
 	// Predict returns how long a load takes if it starts now.
 	Predict func(now time.Duration, full time.Duration, remote bool) time.Duration
 	// Start takes a place for a load of the given time, or reports that none is free.
-	Start func(now time.Duration, id string, full time.Duration, remote, urgent bool, deadline time.Duration) bool
+	Start func(now time.Duration, id string, full time.Duration, remote, urgent bool) bool
 	// Finish gives the place of a load that is done back, Abandon that of one that came to nothing.
 	Finish  func(now time.Duration, id string)
 	Abandon func(id string)
--- a/internal/decision/reducer/cell.go
+++ b/internal/decision/reducer/cell.go
@@ -163,17 +163,17 @@
 			}
 			return c.loads.Predict(limiter.Pending{Duration: full}, 0, now)
 		},
-		Start: func(now time.Duration, id string, full time.Duration, remote, urgent bool, deadline time.Duration) bool {
+		Start: func(now time.Duration, id string, full time.Duration, remote, urgent bool) bool {
 			if !remote {
 				return true
 			}
-			pending := limiter.Pending{Key: id, Urgent: urgent, Duration: full}
+			pending := limiter.Pending{Key: id, Urgent: urgent, Deadline: now + patience, Duration: full}
 			return c.loads.Take(pending, now) == limiter.VerdictStart
 		},
 		Finish:  func(now time.Duration, id string) { c.loads.Done(id, now) },
 		Abandon: func(id string) { c.loads.Abandon(id) },
 		StartAdapter: func(now time.Duration, id string, full time.Duration) bool {
-			return c.loads.Take(limiter.Pending{Key: id, Duration: full, Adapter: true}, now) == limiter.VerdictStart
+			return c.loads.Take(limiter.Pending{Key: id, Deadline: now + patience, Duration: full, Adapter: true}, now) == limiter.VerdictStart
 		},
 		FinishAdapter: func(now time.Duration, id string) { c.loads.Done(id, now) },
 	}
@@ -187,4 +187,8 @@
 	return m.warmer.EvictionScore(d.Name, d.Load.D(), d.ReplicaBytes(), now)
 }
 
+// patience is how long a load may take at the weight store. Requests that can't wait that long are
+// refused by their own daemons, which the forecast tells.
+const patience = time.Hour
+
 func placementKey(cell string) string { return "cells/" + cell + "/placement" }
