perf: look at servers, needs and claims only when they are due

Cause: every Step scanned all servers and cells of the daemon for due work, so a decision cost as much as the fleet is large.

--- a/internal/decision/reducer/cell.go
+++ b/internal/decision/reducer/cell.go
@@ -41,18 +41,6 @@
 	ready time.Duration
 }
 
-// wake returns when the cell needs a Ticked event at the latest.
-func (c *cell) wake() time.Duration {
-	wake := time.Duration(1<<63 - 1)
-	if len(c.needy) > 0 {
-		wake = c.needsAt
-	}
-	if at, ok := c.claims.NextWake(); ok {
-		wake = min(wake, at)
-	}
-	return wake
-}
-
 // updateCells takes up the cells that this daemon now serves and gives up the others.
 func (m *Machine) updateCells() {
 	if m.catalog == nil {
--- a/internal/decision/reducer/claiming.go
+++ b/internal/decision/reducer/claiming.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -10,7 +11,13 @@
 	"samphirewharf/internal/decision/claimer"
 )
 
-const maxKeyBytes = 255
+const (
+	maxKeyBytes = 255
+	// claimResolution is the least time between two looks at the claimers.
+	claimResolution = time.Millisecond
+	// never is later than any moment of a process.
+	never = time.Duration(math.MaxInt64)
+)
 
 // claim checks the idempotency key of a request that must never be repeated and takes it to the owner
 // of the key's claim partition.
@@ -93,6 +100,7 @@
 			m.replayed(a)
 		}
 	}
+	m.wakeClaims(c)
 }
 
 // granted dispatches a request whose claim is in the key-value service.
@@ -136,12 +144,22 @@
 	m.applyClaims(c, c.claims.Release(m.claimMoment(), uint64(r.id)))
 }
 
+// tickClaims lets time pass for the claimers that are due.
 func (m *Machine) tickClaims() {
+	m.next.claims = never
 	for _, name := range m.cellNames {
 		c := m.cells[name]
 		if at, ok := c.claims.NextWake(); ok && at <= m.now.Since {
 			m.applyClaims(c, c.claims.Tick(m.claimMoment()))
 		}
+		m.wakeClaims(c)
+	}
+}
+
+// wakeClaims plans the next look at a cell's claimer.
+func (m *Machine) wakeClaims(c *cell) {
+	if at, ok := c.claims.NextWake(); ok {
+		m.next.claims = min(m.next.claims, max(at, m.now.Since+claimResolution))
 	}
 }
 
--- a/internal/decision/reducer/machine.go
+++ b/internal/decision/reducer/machine.go
@@ -17,6 +17,8 @@
 const (
 	// pollInterval is how often a server is polled by the daemon that it is assigned to.
 	pollInterval = time.Second
+	// pollResolution is how often it is looked which servers are due for a poll.
+	pollResolution = 100 * time.Millisecond
 	// hostsInterval is how often the host list of a cell is read.
 	hostsInterval = time.Second
 	// needsInterval is how often needs are repeated to a cell's placer while requests wait.
@@ -106,6 +108,9 @@
 	reports   time.Duration
 	uses      time.Duration
 	plan      time.Duration
+	polls     time.Duration
+	needs     time.Duration
+	claims    time.Duration
 }
 
 // New returns a machine for one daemon process. The first event should follow at once.
@@ -129,7 +134,8 @@
 
 // NextWake returns the Moment.Since at which Step must be called with Ticked at the latest.
 func (m *Machine) NextWake() time.Duration {
-	wake := min(m.next.hosts, m.next.heartbeat, m.next.reports, m.next.uses, m.next.plan)
+	wake := min(m.next.hosts, m.next.heartbeat, m.next.reports, m.next.uses, m.next.plan, m.next.polls)
+	wake = min(wake, m.next.needs, m.next.claims)
 	wake = min(wake, m.members.NextWake(), m.lease.NextRenewal())
 	if m.loadAt > 0 {
 		wake = min(wake, m.loadAt)
@@ -140,9 +146,6 @@
 	if len(m.deadlines) > 0 {
 		wake = min(wake, m.deadlines[0].wakeAt)
 	}
-	for _, c := range m.cells {
-		wake = min(wake, c.wake())
-	}
 	return wake
 }
 
@@ -201,15 +204,22 @@
 		m.next.hosts = now + hostsInterval
 		m.listHosts()
 	}
-	m.pollServers()
+	if now >= m.next.polls {
+		m.next.polls = now + pollResolution
+		m.pollServers()
+	}
 	if now >= m.next.reports {
 		m.next.reports = now + pollInterval
 		m.sendReports(false)
 	}
-	m.tickNeeds()
+	if now >= m.next.needs || now >= m.next.uses {
+		m.tickNeeds()
+	}
 	if now >= m.next.plan {
 		m.planCells()
 	}
-	m.tickClaims()
+	if now >= m.next.claims {
+		m.tickClaims()
+	}
 	m.tickStop()
 }
--- a/internal/decision/reducer/placing.go
+++ b/internal/decision/reducer/placing.go
@@ -153,6 +153,7 @@
 	if _, known := c.needy[q.name]; !known {
 		c.needy[q.name] = q
 		c.needsAt = m.now.Since
+		m.next.needs = m.now.Since
 	}
 }
 
@@ -162,6 +163,7 @@
 	if uses {
 		m.next.uses = m.now.Since + usesInterval
 	}
+	m.next.needs = never
 	for _, name := range m.cellNames {
 		c := m.cells[name]
 		if c.kind != cataloger.KindModel {
@@ -170,6 +172,9 @@
 		if len(c.needy) > 0 && m.now.Since >= c.needsAt || uses {
 			m.sendNeeds(c)
 		}
+		if len(c.needy) > 0 {
+			m.next.needs = min(m.next.needs, c.needsAt)
+		}
 	}
 }
 
