--- /dev/null
+++ b/internal/decision/claimer/benchmark_test.go
@@ -0,0 +1,160 @@
+package claimer
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+const (
+	benchmarkStoreDelay = 3 * time.Millisecond
+	benchmarkRun        = 40 * time.Millisecond
+	benchmarkSpan       = 10 * time.Second
+)
+
+// A timedCall is something that happens at a virtual time.
+type timedCall struct {
+	at   time.Duration
+	call func()
+}
+
+type timeline []timedCall
+
+func (l timeline) Len() int           { return len(l) }
+func (l timeline) Less(i, j int) bool { return l[i].at < l[j].at }
+func (l *timeline) Pop() any {
+	last := (*l)[len(*l)-1]
+	*l = (*l)[:len(*l)-1]
+	return last
+}
+func (l *timeline) Push(x any)   { *l = append(*l, x.(timedCall)) }
+func (l timeline) Swap(i, j int) { l[i], l[j] = l[j], l[i] }
+
+// A load sends requests to one Machine over a store that answers after a constant delay.
+type load struct {
+	m       *Machine
+	store   *fakeStore
+	line    timeline
+	now     time.Duration
+	sent    map[uint64]time.Duration
+	delays  []time.Duration
+	writes  int
+	bytes   int
+	refused int
+}
+
+func (l *load) after(d time.Duration, call func()) {
+	heap.Push(&l.line, timedCall{at: l.now + d, call: call})
+}
+
+func (l *load) moment() Moment { return Moment{Since: l.now, Wall: historyStart.Add(l.now)} }
+
+func (l *load) take(actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Granted:
+			l.delays = append(l.delays, l.now-l.sent[a.Request])
+			l.after(benchmarkRun, func() {
+				l.take(l.m.Complete(l.moment(), a.Request, Result{Status: 201, Body: make([]byte, 200)}))
+			})
+		case Denied:
+			l.refused++
+		default:
+			if s, ok := a.(Swap); ok {
+				l.writes++
+				l.bytes += len(s.Value)
+			}
+			answer := l.store.apply(a)
+			l.after(benchmarkStoreDelay, func() { l.take(l.m.StoreAnswer(l.moment(), answer)) })
+		}
+	}
+}
+
+func (l *load) arrive(random *rand.Rand, perSecond float64, id uint64) {
+	if l.now >= benchmarkSpan {
+		return
+	}
+	l.sent[id] = l.now
+	key := fmt.Sprintf("0198c0de-0000-4000-8000-%012x", id)
+	l.take(l.m.Claim(l.moment(), Request{ID: id, Key: key, BodyHash: random.Uint64(), Deadline: l.now + 2*time.Second}))
+	gap := time.Duration(random.ExpFloat64() / perSecond * float64(time.Second))
+	l.after(gap, func() { l.arrive(random, perSecond, id+1) })
+}
+
+// run plays the load to its end, waking the Machine when it asks for it.
+func (l *load) run() {
+	for len(l.line) > 0 {
+		next := heap.Pop(&l.line).(timedCall)
+		for wake, ok := l.m.NextWake(); ok && wake < next.at; wake, ok = l.m.NextWake() {
+			l.now = max(l.now, wake)
+			l.take(l.m.Tick(l.moment()))
+			heap.Push(&l.line, next)
+			next = heap.Pop(&l.line).(timedCall)
+		}
+		l.now = next.at
+		next.call()
+	}
+}
+
+func BenchmarkClaims(b *testing.B) {
+	single := Settings{MaxBatch: 1}
+	grouped := Settings{}
+	delayed := Settings{ResultDelay: 250 * time.Millisecond}
+	paced := Settings{ResultDelay: 250 * time.Millisecond, MinWriteInterval: 50 * time.Millisecond}
+	few := Settings{ResultDelay: 250 * time.Millisecond, Partitions: 2}
+	small := Settings{ResultDelay: 250 * time.Millisecond, SegmentBytes: 8 << 10}
+	for _, c := range []struct {
+		name      string
+		settings  Settings
+		perSecond float64
+	}{
+		{"Single/1", single, 1},
+		{"Grouped/1", grouped, 1},
+		{"Delayed/1", delayed, 1},
+		{"Small/1", small, 1},
+		{"Single/61", single, 61},
+		{"Grouped/61", grouped, 61},
+		{"Delayed/61", delayed, 61},
+		{"Paced/61", paced, 61},
+		{"Few/61", few, 61},
+		{"Small/61", small, 61},
+		{"Single/500", single, 500},
+		{"Grouped/500", grouped, 500},
+		{"Delayed/500", delayed, 500},
+		{"Paced/500", paced, 500},
+		{"Few/500", few, 500},
+		{"Small/500", small, 500},
+		{"Single/4000", single, 4000},
+		{"Grouped/4000", grouped, 4000},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			for b.Loop() {
+				l := &load{store: newFakeStore(), sent: make(map[uint64]time.Duration)}
+				c.settings.Cell, c.settings.Daemon, c.settings.Instance = "cell", "127.0.0.1:10000", "0198c0de-0000-7000-8000-000000000000"
+				l.m = New(c.settings)
+				for number := range l.m.settings.Partitions {
+					l.take(l.m.Own(l.moment(), number))
+				}
+				l.after(time.Second, func() { l.arrive(rand.New(rand.NewPCG(1, 2)), c.perSecond, 1) })
+				l.run()
+				l.report(b)
+			}
+		})
+	}
+}
+
+func (l *load) report(b *testing.B) {
+	b.Helper()
+	seconds := (benchmarkSpan - time.Second).Seconds()
+	slices.Sort(l.delays)
+	claims := len(l.delays)
+	b.ReportMetric(float64(claims)/seconds, "claims/s")
+	b.ReportMetric(float64(l.writes)/seconds, "writes/s")
+	b.ReportMetric(float64(l.bytes)/float64(claims), "B/claim")
+	b.ReportMetric(float64(l.delays[claims/2].Microseconds())/1000, "p50-ms")
+	b.ReportMetric(float64(l.delays[claims*99/100].Microseconds())/1000, "p99-ms")
+	b.ReportMetric(float64(l.refused), "refused")
+}
--- a/internal/decision/claimer/doc.go
+++ b/internal/decision/claimer/doc.go
@@ -16,7 +16,7 @@
 // moved, each claim's unique identifier tells whether it landed.
 //
 // A full active segment is copied to claims/CELL/PARTITION/REVISION, named for the revision that it
-// copies, and then replaced by an empty one that lists the copy. The copy's content is a function
+// copies, with only the last entry of each key, and then replaced by an empty one that lists the copy. The copy's content is a function
 // of its name, so writing it twice is harmless. A copy that is not listed when the active segment's
 // revision has moved past its name can never be listed, and is deleted.
 package claimer
--- a/internal/decision/claimer/entry.go
+++ b/internal/decision/claimer/entry.go
@@ -46,6 +46,28 @@
 	return append(line, '\n'), nil
 }
 
+// compact returns the body with only the last entry of each key, in the same order. It is the body
+// itself if it can't be read.
+func compact(body []byte) []byte {
+	entries, err := decodeBody(body)
+	if err != nil {
+		return body
+	}
+	last := make(map[string]int, len(entries))
+	for i, e := range entries {
+		last[e.Key] = i
+	}
+	kept := make([]byte, 0, len(body))
+	i := 0
+	for line := range bytes.Lines(body) {
+		if last[entries[i].Key] == i {
+			kept = append(kept, line...)
+		}
+		i++
+	}
+	return kept
+}
+
 // encodeActive returns the value of an active segment.
 func encodeActive(sealed []string, body []byte) ([]byte, error) {
 	line, err := json.Marshal(header{Sealed: sealed})
--- a/internal/decision/claimer/history_test.go
+++ b/internal/decision/claimer/history_test.go
@@ -289,6 +289,7 @@
 		Retention:    historyRetention,
 		ClockMargin:  historyMargin,
 		SegmentBytes: 400,
+		ResultDelay:  200 * time.Millisecond,
 	})
 	if h.breaks != nil {
 		h.breaks(m)
--- a/internal/decision/claimer/machine.go
+++ b/internal/decision/claimer/machine.go
@@ -152,6 +152,20 @@
 	return m.end()
 }
 
+// Idle reports whether no request is undecided or running and all entries are written, so that the
+// process may end.
+func (m *Machine) Idle() bool {
+	if len(m.requests) > 0 {
+		return false
+	}
+	for _, p := range m.partitions {
+		if len(p.items) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // NextWake returns the monotonic time at which Tick must be called at the latest.
 func (m *Machine) NextWake() (time.Duration, bool) {
 	var wake time.Duration
@@ -167,7 +181,7 @@
 	}
 	for _, p := range m.partitions {
 		if !p.busy && m.hasWork(p) {
-			earliest(max(p.retryAt, p.nextWriteAt))
+			earliest(m.wakeAt(p))
 		}
 	}
 	return wake, found
@@ -349,6 +363,11 @@
 		// An entry of strings, numbers and bytes always has an encoding.
 		return
 	}
+	due := m.moment.Since
+	if kind == entryResult {
+		due += m.settings.ResultDelay
+	}
+	c.partition.dueAt = min(c.partition.dueAt, due)
 	c.partition.items = append(c.partition.items, &item{claim: c, entry: e, line: line})
 }
 
@@ -443,3 +462,11 @@
 	c.state = StateWaiting
 	p.waiting = append(p.waiting, c)
 }
+
+// wakeAt returns when the next call of a partition that has work may be made.
+func (m *Machine) wakeAt(p *partition) time.Duration {
+	if !p.loaded || p.stale {
+		return p.retryAt
+	}
+	return max(p.retryAt, m.writeAt(p))
+}
--- a/internal/decision/claimer/operation.go
+++ b/internal/decision/claimer/operation.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"samphirewharf/internal/platform/storer"
 )
@@ -80,7 +81,7 @@
 		m.readSegment(p, p.listed[len(p.index.segments)])
 	case !p.loaded || p.stale:
 		m.readActive(p)
-	case m.moment.Since >= p.nextWriteAt:
+	case m.moment.Since >= m.writeAt(p):
 		m.write(p)
 	}
 }
@@ -206,6 +207,7 @@
 		m.onWritten(p, o, a.Revision)
 		return
 	}
+	p.dueAt = m.moment.Since
 	switch a.Result {
 	case storer.ResultNotSent:
 		for _, i := range o.first {
@@ -296,7 +298,10 @@
 			m.settleLanded(i)
 			continue
 		}
-		i.sent = false
+		if i.sent {
+			i.sent = false
+			p.dueAt = m.moment.Since
+		}
 		m.settleMissing(p, i)
 	}
 }
@@ -345,7 +350,7 @@
 		p.busy = true
 		name := p.copyName()
 		op := m.start(operation{kind: operationCopy, partition: p, name: name})
-		m.emit(Swap{Op: op, Key: p.segmentKey(name), Value: p.body})
+		m.emit(Swap{Op: op, Key: p.segmentKey(name), Value: compact(p.body)})
 		return
 	}
 	expired := p.index.expired(m.expiryLimit())
@@ -370,6 +375,10 @@
 		m.fail(p)
 		return
 	}
+	p.dueAt = neverDue
+	if len(items) < len(p.items) {
+		p.dueAt = m.moment.Since
+	}
 	p.busy = true
 	p.nextWriteAt = m.moment.Since + m.settings.MinWriteInterval
 	op := m.start(operation{
@@ -393,7 +402,7 @@
 		if i.entry.Kind == entryClaim && i.claim.abandoned {
 			continue
 		}
-		if len(items) > 0 && size+len(i.line) > m.settings.SegmentBytes {
+		if len(items) > 0 && (size+len(i.line) > m.settings.SegmentBytes || len(items) == m.settings.MaxBatch) {
 			break
 		}
 		items = append(items, i)
@@ -401,3 +410,11 @@
 	}
 	return items, size
 }
+
+// writeAt returns when the partition's items are to be written.
+func (m *Machine) writeAt(p *partition) time.Duration {
+	if p.index.expired(m.expiryLimit()) > 0 {
+		return p.nextWriteAt
+	}
+	return max(p.nextWriteAt, p.dueAt)
+}
--- a/internal/decision/claimer/partition.go
+++ b/internal/decision/claimer/partition.go
@@ -1,10 +1,14 @@
 package claimer
 
 import (
+	"math"
 	"strconv"
 	"time"
 )
 
+// neverDue is later than any time.
+const neverDue = time.Duration(math.MaxInt64)
+
 // A partition is what a Machine knows of one partition that it owns or still has to write to.
 type partition struct {
 	number int
@@ -37,8 +41,11 @@
 	// garbage are sealed segments that are no longer listed and whose deletion failed.
 	garbage []segment
 
+	// retryAt is when the next call may be made, nextWriteAt when the next write may be, and dueAt
+	// when the items must be written.
 	retryAt     time.Duration
 	nextWriteAt time.Duration
+	dueAt       time.Duration
 }
 
 func newPartition(cell string, number int) *partition {
@@ -46,6 +53,7 @@
 		number: number,
 		key:    "claims/" + cell + "/" + strconv.Itoa(number),
 		local:  make(map[string]*claim),
+		dueAt:  neverDue,
 	}
 }
 
--- /dev/null
+++ b/internal/decision/claimer/scenario_test.go
@@ -0,0 +1,309 @@
+package claimer
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"samphirewharf/internal/platform/storer"
+)
+
+var done = Result{Status: 201, ContentType: "application/json", Body: []byte(`{"Booked":true}`)}
+
+// A scenario is a store and the time that the daemons of one test share.
+type scenario struct {
+	t      *testing.T
+	store  *fakeStore
+	now    time.Duration
+	nextID uint64
+}
+
+func newScenario(t *testing.T) *scenario {
+	t.Helper()
+	return &scenario{t: t, store: newFakeStore()}
+}
+
+func (s *scenario) moment() Moment { return Moment{Since: s.now, Wall: historyStart.Add(s.now)} }
+
+// owner returns a new daemon that owns the only partition.
+func (s *scenario) owner(instance string) *Machine {
+	s.t.Helper()
+	m := New(Settings{Cell: "cell", Daemon: "daemon", Instance: instance, Partitions: 1, SegmentBytes: 400})
+	s.run(m, m.Own(s.moment(), 0))
+	return m
+}
+
+// request returns a new request for the key.
+func (s *scenario) request(key string) Request {
+	s.nextID++
+	return Request{ID: s.nextID, Key: key, BodyHash: 1, Deadline: s.now + 10*time.Second}
+}
+
+// claim asks for a claim and answers the store's calls.
+func (s *scenario) claim(m *Machine, key string) []Action {
+	s.t.Helper()
+	return s.run(m, m.Claim(s.moment(), s.request(key)))
+}
+
+// ran lets a new request run to its end.
+func (s *scenario) ran(m *Machine, key string) {
+	s.t.Helper()
+	assertKinds(s.t, s.claim(m, key), "Granted")
+	s.run(m, m.Complete(s.moment(), s.nextID, done))
+}
+
+// run answers the store's calls until there are none and returns the other actions.
+func (s *scenario) run(m *Machine, actions []Action) []Action {
+	s.t.Helper()
+	var decisions []Action
+	for len(actions) > 0 {
+		a := actions[0]
+		actions = actions[1:]
+		if _, ok := opOf(a); !ok {
+			decisions = append(decisions, a)
+			continue
+		}
+		actions = append(actions, m.StoreAnswer(s.moment(), s.store.apply(a))...)
+	}
+	return decisions
+}
+
+// fail answers a single call with a result that tells nothing of its effect.
+func (s *scenario) fail(m *Machine, actions []Action, result storer.Result) []Action {
+	s.t.Helper()
+	if len(actions) != 1 {
+		s.t.Fatalf("got %v, want one call to the store", actions)
+	}
+	op, _ := opOf(actions[0])
+	return m.StoreAnswer(s.moment(), Answer{Op: op, Result: result})
+}
+
+// pass lets time pass.
+func (s *scenario) pass(m *Machine, d time.Duration) []Action {
+	s.t.Helper()
+	s.now += d
+	return s.run(m, m.Tick(s.moment()))
+}
+
+// assertKinds compares the kinds of actions, with the code and Ran of refusals.
+func assertKinds(t *testing.T, actions []Action, want ...string) {
+	t.Helper()
+	var got []string
+	for _, a := range actions {
+		kind := reflect.TypeOf(a).Name()
+		if d, ok := a.(Denied); ok {
+			kind = d.Code.String() + " " + d.Ran.String()
+		}
+		got = append(got, kind)
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+func TestRepeats(t *testing.T) {
+	cases := []struct {
+		name string
+		// before is what happens to the key before the repeat, which the returned daemon gets.
+		before func(*scenario, *Machine) *Machine
+		want   string
+	}{
+		{"finished", func(s *scenario, m *Machine) *Machine {
+			s.ran(m, "k")
+			return m
+		}, "Replayed"},
+		{"finished at a former owner", func(s *scenario, m *Machine) *Machine {
+			s.ran(m, "k")
+			return s.owner("2")
+		}, "Replayed"},
+		{"finished at a former owner after the hand-over", func(s *scenario, m *Machine) *Machine {
+			s.claim(m, "k")
+			next := s.owner("2")
+			s.run(m, m.Disown(s.moment(), 0))
+			s.run(m, m.Complete(s.moment(), s.nextID, done))
+			return next
+		}, "Replayed"},
+		{"finished with a large answer", func(s *scenario, m *Machine) *Machine {
+			s.claim(m, "k")
+			s.run(m, m.Complete(s.moment(), s.nextID, Result{Status: 200, Body: make([]byte, DefaultAnswerBytes+1)}))
+			return m
+		}, "AlreadyRan ran"},
+		{"running", func(s *scenario, m *Machine) *Machine {
+			s.claim(m, "k")
+			return m
+		}, "AlreadyInProgress may have run"},
+		{"failed", func(s *scenario, m *Machine) *Machine {
+			s.claim(m, "k")
+			s.run(m, m.Fail(s.moment(), s.nextID))
+			return m
+		}, "OutcomeUnknown may have run"},
+		{"owner died before its claim was written", func(s *scenario, m *Machine) *Machine {
+			m.Claim(s.moment(), s.request("k"))
+			return s.owner("2")
+		}, "Granted"},
+		{"owner died between its claim and its dispatch", func(s *scenario, m *Machine) *Machine {
+			s.store.apply(m.Claim(s.moment(), s.request("k"))[0])
+			return s.owner("2")
+		}, "OutcomeUnknown may have run"},
+		{"owner died after its dispatch", func(s *scenario, m *Machine) *Machine {
+			s.claim(m, "k")
+			return s.owner("2")
+		}, "OutcomeUnknown may have run"},
+		{"released", func(s *scenario, m *Machine) *Machine {
+			s.claim(m, "k")
+			s.run(m, m.Release(s.moment(), s.nextID))
+			return s.owner("2")
+		}, "Granted"},
+		{"forgotten after the retention", func(s *scenario, m *Machine) *Machine {
+			s.ran(m, "k")
+			s.ran(m, "other")
+			s.pass(m, DefaultRetention+DefaultClockMargin+time.Second)
+			return s.owner("2")
+		}, "Granted"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScenario(t)
+			m := c.before(s, s.owner("1"))
+			got := s.claim(m, "k")
+			assertKinds(t, got, c.want)
+			if replayed, ok := got[0].(Replayed); ok && string(replayed.Body) != string(done.Body) {
+				t.Errorf("got answer %q, want %q", replayed.Body, done.Body)
+			}
+		})
+	}
+	t.Run("another body", func(t *testing.T) {
+		s := newScenario(t)
+		m := s.owner("1")
+		s.ran(m, "k")
+		r := s.request("k")
+		r.BodyHash = 2
+		assertKinds(t, m.Claim(s.moment(), r), "IdempotencyKeyReused not run")
+	})
+	t.Run("a key older than the retention", func(t *testing.T) {
+		s := newScenario(t)
+		m := s.owner("1")
+		at := historyStart.Add(-DefaultRetention - time.Second).UnixMilli()
+		key := fmt.Sprintf("%08x-%04x-7000-8000-000000000000", at>>16, at&0xffff)
+		assertKinds(t, s.claim(m, key), "IdempotencyKeyExpired may have run")
+	})
+}
+
+func TestLostAnswers(t *testing.T) {
+	t.Run("a write that landed is granted after it was read back", func(t *testing.T) {
+		s := newScenario(t)
+		m := s.owner("1")
+		write := m.Claim(s.moment(), s.request("k"))
+		s.store.apply(write[0])
+		assertKinds(t, s.run(m, s.fail(m, write, storer.ResultUnknown)), "Granted")
+	})
+	t.Run("a write that has not landed is replaced and can't land later", func(t *testing.T) {
+		s := newScenario(t)
+		m := s.owner("1")
+		write := m.Claim(s.moment(), s.request("k"))
+		assertKinds(t, s.run(m, s.fail(m, write, storer.ResultUnknown)), "Granted")
+		if got, want := s.store.apply(write[0]).Result, storer.ResultConflict; got != want {
+			t.Errorf("got result %d of the late write, want %d", got, want)
+		}
+	})
+	t.Run("a paused former owner is not granted what the new owner claimed", func(t *testing.T) {
+		s := newScenario(t)
+		former := s.owner("1")
+		write := former.Claim(s.moment(), s.request("k"))
+		next := s.owner("2")
+		assertKinds(t, s.claim(next, "k"), "Granted")
+		assertKinds(t, s.run(former, write), "OutcomeUnknown may have run")
+	})
+	t.Run("a claim that lands after its deadline is released", func(t *testing.T) {
+		s := newScenario(t)
+		m := s.owner("1")
+		write := m.Claim(s.moment(), s.request("k"))
+		s.now += time.Minute
+		assertKinds(t, m.Tick(s.moment()), "DeadlineExpired not run")
+		assertKinds(t, s.run(m, write))
+		assertKinds(t, s.claim(s.owner("2"), "k"), "Granted")
+	})
+}
+
+func TestStoreDown(t *testing.T) {
+	for _, result := range []storer.Result{storer.ResultNotSent, storer.ResultUnknown} {
+		t.Run(fmt.Sprintf("result %d", result), func(t *testing.T) {
+			s := newScenario(t)
+			m := s.owner("1")
+			actions := s.fail(m, m.Claim(s.moment(), s.request("a")), result)
+			if result == storer.ResultUnknown {
+				actions = s.fail(m, actions, result)
+			} else {
+				assertKinds(t, actions, "ClaimUnavailable not run")
+			}
+			assertKinds(t, m.Claim(s.moment(), s.request("b")), "ClaimUnavailable not run")
+			if wake, ok := m.NextWake(); !ok || wake != s.now+DefaultRetryInterval {
+				t.Errorf("got wake at %v, want after %v", wake, DefaultRetryInterval)
+			}
+			s.pass(m, DefaultRetryInterval)
+			assertKinds(t, s.claim(m, "c"), "Granted")
+		})
+	}
+}
+
+func TestSealing(t *testing.T) {
+	t.Run("two owners keep every claim", func(t *testing.T) {
+		s := newScenario(t)
+		owners := []*Machine{s.owner("1"), s.owner("2")}
+		for n := range 20 {
+			s.ran(owners[n/2%2], fmt.Sprint("k", n))
+		}
+		reader := s.owner("3")
+		for n := range 20 {
+			assertKinds(t, s.claim(reader, fmt.Sprint("k", n)), "Replayed")
+		}
+	})
+	t.Run("expired segments are deleted", func(t *testing.T) {
+		s := newScenario(t)
+		m := s.owner("1")
+		for n := range 20 {
+			s.ran(m, fmt.Sprint("k", n))
+		}
+		s.pass(m, DefaultRetention+DefaultClockMargin+time.Second)
+		if got, want := len(s.store.entries), 1; got != want {
+			t.Errorf("got %d keys, want %d", got, want)
+		}
+	})
+	t.Run("the active segment stays near its bound", func(t *testing.T) {
+		s := newScenario(t)
+		m := s.owner("1")
+		for n := range 50 {
+			s.ran(m, fmt.Sprint("k", n))
+		}
+		h, body, err := decodeActive(s.store.entries["claims/cell/0"].Value)
+		if err != nil || len(body) > 800 || len(h.Sealed) < 10 {
+			t.Errorf("got %d bytes and %d sealed segments (%v), want at most 800 and at least 10", len(body), len(h.Sealed), err)
+		}
+	})
+}
+
+func TestEntrySize(t *testing.T) {
+	e := entry{
+		Kind:     entryClaim,
+		Key:      "0198c0de-0000-7000-8000-000000000000",
+		BodyHash: 1<<64 - 1,
+		Claim:    "127.0.0.1:10000/0198c0de-0000-7000-8000-000000000000/123456",
+		At:       historyStart.UnixMilli(),
+	}
+	claimLine, err := e.encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Kind, e.Status, e.ContentType, e.Body = entryResult, 201, "application/json", make([]byte, 200)
+	resultLine, err := e.encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("claim %d bytes, result with an answer of 200 bytes %d bytes", len(claimLine), len(resultLine))
+	var back entry
+	if err := json.Unmarshal(resultLine, &back); err != nil || !reflect.DeepEqual(back, e) {
+		t.Errorf("got %+v (%v), want %+v", back, err, e)
+	}
+}
--- a/internal/decision/claimer/settings.go
+++ b/internal/decision/claimer/settings.go
@@ -32,8 +32,13 @@
 	AnswerBytes int
 	// MaxQueued bounds the requests of one partition that wait for their claims to be written.
 	MaxQueued int
+	// MaxBatch bounds the entries of one write. Zero means that only SegmentBytes does.
+	MaxBatch int
 	// MinWriteInterval is the least time between two writes of a partition's claims.
 	MinWriteInterval time.Duration
+	// ResultDelay is how long a result waits for a claim to be written with. If the process dies
+	// meanwhile, repeats are told that the request may have run.
+	ResultDelay time.Duration
 	// RetryInterval is the time between two attempts to reach a key-value service that is down.
 	RetryInterval time.Duration
 }
