--- a/internal/decision/claimer/partition.go
+++ b/internal/decision/claimer/partition.go
@@ -1,10 +1,14 @@
 package claimer
 
 import (
+	"math"
 	"strconv"
 	"time"
 )
 
+// neverDue is later than any time.
+const neverDue = time.Duration(math.MaxInt64)
+
 // A partition is what a Machine knows of one partition that it owns or still has to write to.
 type partition struct {
 	number int
@@ -17,8 +21,12 @@
 	stale bool
 	// down tells that the last call failed; claims are then refused at once.
 	down bool
-	// busy tells that a call is under way. There is never more than one, deletes aside.
+	// busy tells that a call is under way. There is never more than one, deletes and reads of
+	// sealed segments aside.
 	busy bool
+	// reading is how many sealed segments are being read; fetched are the answers by name.
+	reading int
+	fetched map[string]Answer
 
 	// revision, listed and body are the active segment as last read or written.
 	revision int64
@@ -37,8 +45,11 @@
 	// garbage are sealed segments that are no longer listed and whose deletion failed.
 	garbage []segment
 
+	// retryAt is when the next call may be made, nextWriteAt when the next write may be, and dueAt
+	// when the items must be written.
 	retryAt     time.Duration
 	nextWriteAt time.Duration
+	dueAt       time.Duration
 }
 
 func newPartition(cell string, number int) *partition {
@@ -46,6 +57,7 @@
 		number: number,
 		key:    "claims/" + cell + "/" + strconv.Itoa(number),
 		local:  make(map[string]*claim),
+		dueAt:  neverDue,
 	}
 }
 
@@ -84,3 +96,6 @@
 func (p *partition) unused() bool {
 	return !p.owned && !p.busy && len(p.items) == 0 && len(p.local) == 0 && len(p.waiting) == 0
 }
+
+// unread returns the listed segments that have not been read.
+func (p *partition) unread() []string { return p.listed[len(p.index.segments):] }
