feat: keep the versioned configuration in the key-value service

Content-addressed shards, a history and one head, each written by a single-key compare-and-swap; only the head's swap changes the version. Ruled out: one value (the two-year catalogue would rewrite all of it for each change), shards of a fixed count (an inserted deployment moves all that follow) and deleting unused shards outright (a concurrent change may just be taking one up).

The state machine found that a repeat of a change whose outcome is unknown must not report an outage as 'not made', so Reapply is separate from Apply.

--- /dev/null
+++ b/internal/config/versioner/fetch.go
@@ -0,0 +1,158 @@
+package versioner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/platform/storer"
+)
+
+// A Fetched is a configuration that was read.
+type Fetched struct {
+	Configuration cataloger.Configuration
+	// Change is the change that made it.
+	Change Change
+	// Revision is the revision that the head key was read at.
+	Revision int64
+	// Shards are the shards that it was put together from. Give them to the next Fetch.
+	Shards Shards
+}
+
+// Fetch reads the configuration in force. It reads only the shards that are not in have, which may be nil.
+// The error wraps ErrNoConfiguration, ErrStoreUnavailable or ErrDamaged.
+func (v *Versioner) Fetch(ctx context.Context, have Shards) (Fetched, error) {
+	return v.fetch(ctx, 0, have)
+}
+
+// FetchVersion reads a version that is kept. The error wraps ErrUnknownVersion if it isn't.
+func (v *Versioner) FetchVersion(ctx context.Context, version int64, have Shards) (Fetched, error) {
+	if version < 1 {
+		return Fetched{}, fmt.Errorf("reading version %d: %w", version, ErrUnknownVersion)
+	}
+	return v.fetch(ctx, version, have)
+}
+
+// History returns the changes that are kept, newest first. The first is the one in force.
+func (v *Versioner) History(ctx context.Context) ([]Change, error) {
+	h, err := v.readHead(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if h.Version == 0 {
+		return nil, ErrNoConfiguration
+	}
+	entries, err := v.listHistory(ctx)
+	if err != nil {
+		return nil, err
+	}
+	changes := []Change{h.Change}
+	for i := len(entries) - 1; i >= 0; i-- {
+		if entries[i].change.Version == changes[len(changes)-1].Version-1 {
+			changes = append(changes, entries[i].change)
+		}
+	}
+	return changes, nil
+}
+
+// fetch reads a version, or the one in force if version is 0. A shard that is missing means that
+// the version was pruned while it was read; then the head has changed.
+func (v *Versioner) fetch(ctx context.Context, version int64, have Shards) (Fetched, error) {
+	missing := ""
+	revision := int64(-1)
+	for range maxAttempts {
+		h, err := v.readHead(ctx)
+		if err != nil {
+			return Fetched{}, err
+		}
+		if h.Version == 0 {
+			return Fetched{}, ErrNoConfiguration
+		}
+		if h.revision == revision && version != 0 && version != h.Version {
+			return Fetched{}, fmt.Errorf("reading version %d: %w", version, ErrUnknownVersion)
+		}
+		if h.revision == revision {
+			return Fetched{}, fmt.Errorf("reading %s: %w: missing", missing, ErrDamaged)
+		}
+		revision = h.revision
+		change := h.Change
+		if version != 0 {
+			if change, err = v.readChange(ctx, h, version); err != nil {
+				return Fetched{}, err
+			}
+		}
+		var shards Shards
+		shards, missing, err = v.readShards(ctx, change.Shards, have)
+		if err != nil {
+			return Fetched{}, err
+		}
+		if missing == "" {
+			return Fetched{Configuration: merge(change, shards), Change: change, Revision: h.revision, Shards: shards}, nil
+		}
+	}
+	return Fetched{}, unavailable("reading", missing)
+}
+
+// readShards returns the shards with the hashes, or the key of one that is missing.
+func (v *Versioner) readShards(ctx context.Context, hashes []string, have Shards) (shards Shards, missing string, err error) {
+	shards = make(Shards, len(hashes))
+	for _, hash := range hashes {
+		if known, ok := have[hash]; ok {
+			shards[hash] = known
+			continue
+		}
+		entry, found, err := v.get(ctx, shardPrefix+hash)
+		if err != nil {
+			return nil, "", err
+		}
+		if !found {
+			return nil, shardPrefix + hash, nil
+		}
+		if shards[hash], err = decode(hash, entry.Value); err != nil {
+			return nil, "", err
+		}
+	}
+	return shards, "", nil
+}
+
+// A historyEntry is a change below historyPrefix.
+type historyEntry struct {
+	key      string
+	revision int64
+	change   Change
+}
+
+// listHistory returns the history, oldest first.
+func (v *Versioner) listHistory(ctx context.Context) ([]historyEntry, error) {
+	entries, err := v.list(ctx, historyPrefix)
+	if err != nil {
+		return nil, err
+	}
+	history := make([]historyEntry, 0, len(entries))
+	for _, e := range entries {
+		var c Change
+		if err := json.Unmarshal(e.Value, &c); err != nil {
+			return nil, damaged(e.Key, err)
+		}
+		history = append(history, historyEntry{key: e.Key, revision: e.Revision, change: c})
+	}
+	sort.Slice(history, func(i, j int) bool { return history[i].change.Version < history[j].change.Version })
+	return history, nil
+}
+
+// list reads the keys with a prefix. It repeats a read that was not answered.
+func (v *Versioner) list(ctx context.Context, prefix string) ([]storer.Entry, error) {
+	for range maxAttempts {
+		entries, result := v.Store.List(ctx, prefix)
+		switch result {
+		case storer.ResultOK, storer.ResultNotFound:
+			return entries, nil
+		case storer.ResultNotSent:
+			return nil, unavailable("listing", prefix)
+		}
+		v.pause(ctx)
+	}
+	return nil, unavailable("listing", prefix)
+}
--- /dev/null
+++ b/internal/config/versioner/operator_test.go
@@ -0,0 +1,342 @@
+package versioner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"iter"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
+
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/platform/storer"
+)
+
+const (
+	testOperators = 3
+	maxKept       = 2
+	poolSize      = 2
+	// maxRun is how many calls of one operator may follow each other without a fault.
+	maxRun = 6
+)
+
+// An attempt is one change that an operator tries to apply.
+type attempt struct {
+	expected int64
+	changeID string
+	subset   int
+}
+
+// An applyFunc is Versioner.Apply or Versioner.Reapply.
+type applyFunc func(*Versioner, context.Context, cataloger.Configuration, int64, string, string, string) (Change, error)
+
+// An operator runs one call at a time, as a coroutine that stops before each call to the store.
+type operator struct {
+	name   string
+	fault  fault
+	resume func() (struct{}, bool)
+	stop   func()
+	// unsettled is an attempt whose outcome the operator was told is unknown.
+	unsettled *attempt
+}
+
+func (o *operator) busy() bool { return o.resume != nil }
+
+// start begins a call. The coroutine ends when the call has returned, or when the operator is stopped.
+func (o *operator) start(m *machine, call func(v *Versioner)) {
+	o.resume, o.stop = iter.Pull(func(yield func(struct{}) bool) {
+		stopped := false
+		v := &Versioner{KeepVersions: m.kept, Pause: func(context.Context) {}}
+		v.Store = m.store.store(func() fault {
+			if stopped = stopped || !yield(struct{}{}); stopped {
+				return faultRefused
+			}
+			return o.fault
+		})
+		call(v)
+	})
+	o.step(faultNone)
+}
+
+// step lets the operator's next call to the store happen.
+func (o *operator) step(f fault) {
+	o.fault = f
+	if _, running := o.resume(); !running {
+		o.resume = nil
+	}
+}
+
+// A machine is several operators with the history of what truly happened.
+type machine struct {
+	// kept is how many versions Prune keeps.
+	kept      int
+	store     *fakeStore
+	operators [testOperators]operator
+	pool      []cataloger.Deployment
+	// accepted are the changes that the head took, by version from 1.
+	accepted []Change
+	// subsets are the deployments of each attempt by change ID.
+	subsets map[string]int
+	// refused are attempts that were reported as not made.
+	refused  map[string]bool
+	attempts int
+	problem  string
+}
+
+func newMachine(kept int) *machine {
+	m := &machine{kept: kept, store: newFakeStore(), subsets: make(map[string]int), refused: make(map[string]bool)}
+	for i := range m.operators {
+		m.operators[i].name = fmt.Sprint("operator-", i)
+	}
+	// Each deployment of the pool ends a shard, so that configurations share shards.
+	for i := 0; len(m.pool) < poolSize; i++ {
+		if name := fmt.Sprint("model-", i); xxhash.Sum64String(name)%deploymentsPerShard == 0 {
+			m.pool = append(m.pool, cataloger.Deployment{Name: name})
+		}
+	}
+	m.store.changed = m.noteHead
+	return m
+}
+
+func (m *machine) configuration(subset int) cataloger.Configuration {
+	var c cataloger.Configuration
+	for i, d := range m.pool {
+		if subset&(1<<i) != 0 {
+			c.Deployments = append(c.Deployments, d)
+		}
+	}
+	return c
+}
+
+// noteHead records a written head and checks that the version grows by one or stays.
+func (m *machine) noteHead(e storer.Entry) {
+	if e.Key != HeadKey {
+		return
+	}
+	var h head
+	if err := json.Unmarshal(e.Value, &h); err != nil {
+		m.fail("head is not JSON: %v", err)
+		return
+	}
+	if h.Version == int64(len(m.accepted)) && h.ChangeID == m.accepted[h.Version-1].ChangeID {
+		return
+	}
+	if h.Version != int64(len(m.accepted))+1 {
+		m.fail("version went from %d to %d", len(m.accepted), h.Version)
+	}
+	for _, c := range m.accepted {
+		if c.ChangeID == h.ChangeID {
+			m.fail("change %s was accepted twice", h.ChangeID)
+		}
+	}
+	m.accepted = append(m.accepted, h.Change)
+}
+
+func (m *machine) fail(format string, args ...any) {
+	if m.problem == "" {
+		m.problem = fmt.Sprintf(format, args...)
+	}
+}
+
+// apply starts an attempt and judges what the operator is told in the end.
+func (m *machine) apply(o *operator, a attempt, apply applyFunc) {
+	o.start(m, func(v *Versioner) {
+		o.unsettled = nil
+		change, err := apply(v, context.Background(), m.configuration(a.subset), a.expected, a.changeID, o.name, "")
+		m.judge(o, a, change, err)
+	})
+}
+
+func (m *machine) judge(o *operator, a attempt, change Change, err error) {
+	var conflict *ConflictError
+	var unknown *OutcomeUnknownError
+	switch {
+	case err == nil:
+		if change.Version != a.expected+1 || change.ChangeID != a.changeID ||
+			change.Version > int64(len(m.accepted)) || m.accepted[a.expected].ChangeID != a.changeID {
+			m.fail("%s was told that %+v is version %d", o.name, a, change.Version)
+		}
+	case errors.As(err, &conflict):
+		m.judgeConflict(o, a, conflict)
+	case errors.As(err, &unknown):
+		o.unsettled = &a
+	case errors.Is(err, ErrStoreUnavailable), errors.Is(err, ErrNoConfiguration):
+		m.refused[a.changeID] = true
+	default:
+		m.fail("%s was told %v", o.name, err)
+	}
+}
+
+func (m *machine) judgeConflict(o *operator, a attempt, conflict *ConflictError) {
+	m.refused[a.changeID] = true
+	w := conflict.Winner
+	if w.Version < 1 || w.Version > int64(len(m.accepted)) || m.accepted[w.Version-1].ChangeID != w.ChangeID ||
+		m.accepted[w.Version-1].Operator != w.Operator {
+		m.fail("%s was told that %+v lost to %+v, which was not accepted", o.name, a, w)
+	}
+	if kept := int64(len(m.accepted) - m.kept); a.expected >= kept && w.Version != a.expected+1 {
+		m.fail("%s was told that %+v lost to version %d", o.name, a, w.Version)
+	}
+}
+
+// check checks what must hold after every step.
+func (m *machine) check(t *rapid.T) {
+	if m.problem != "" {
+		t.Fatal(m.problem)
+	}
+	for _, c := range m.accepted {
+		if m.refused[c.ChangeID] {
+			t.Fatalf("change %s was accepted, but reported as not made", c.ChangeID)
+		}
+	}
+	if len(m.accepted) == 0 {
+		return
+	}
+	v := newVersioner(m.store, noFault)
+	changes, err := v.History(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := len(changes), min(m.kept, len(m.accepted)); got < want {
+		t.Fatalf("got %d versions in the history, want at least %d", got, want)
+	}
+	for i, got := range changes {
+		want := m.accepted[len(m.accepted)-1-i]
+		if got.Version != want.Version || got.ChangeID != want.ChangeID || got.Operator != want.Operator {
+			t.Fatalf("got %+v in the history, want %+v", got, want)
+		}
+		if i < m.kept {
+			m.checkVersion(t, v, want)
+		}
+	}
+}
+
+// checkVersion checks that a version can be read as it was applied.
+func (m *machine) checkVersion(t *rapid.T, v *Versioner, change Change) {
+	got, err := v.FetchVersion(t.Context(), change.Version, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := m.configuration(m.subsets[change.ChangeID])
+	if lines, err := Diff(want, got.Configuration); err != nil || len(lines) > 0 {
+		t.Fatalf("version %d differs from what was applied: %v %v", change.Version, lines, err)
+	}
+}
+
+func (m *machine) drawOperator(t *rapid.T, busy bool) *operator {
+	o := &m.operators[rapid.IntRange(0, testOperators-1).Draw(t, "operator")]
+	if o.busy() != busy {
+		t.Skip("operator is in another state")
+	}
+	return o
+}
+
+func (m *machine) drawFault(t *rapid.T) fault {
+	return rapid.SampledFrom([]fault{
+		faultNone, faultNone, faultNone, faultNone, faultNone, faultNone,
+		faultRefused, faultLostCall, faultLostAnswer, faultLate,
+	}).Draw(t, "fault")
+}
+
+// begin starts a new attempt for the version in force or one near it.
+func (m *machine) begin(t *rapid.T) {
+	o := m.drawOperator(t, false)
+	m.attempts++
+	a := attempt{
+		expected: max(0, int64(len(m.accepted))-rapid.SampledFrom([]int64{0, 0, 0, 0, 1, 3}).Draw(t, "behind")),
+		changeID: fmt.Sprint("change-", m.attempts),
+		subset:   rapid.IntRange(0, 1<<poolSize-1).Draw(t, "subset"),
+	}
+	m.subsets[a.changeID] = a.subset
+	m.apply(o, a, (*Versioner).Apply)
+}
+
+// again repeats an attempt whose outcome is unknown.
+func (m *machine) again(t *rapid.T) {
+	o := m.drawOperator(t, false)
+	if o.unsettled == nil {
+		t.Skip("nothing is unsettled")
+	}
+	m.apply(o, *o.unsettled, (*Versioner).Reapply)
+}
+
+func (m *machine) prune(t *rapid.T) {
+	o := m.drawOperator(t, false)
+	sweep := rapid.Bool().Draw(t, "sweep")
+	o.start(m, func(v *Versioner) {
+		call := v.Prune
+		if sweep {
+			call = v.Sweep
+		}
+		if err := call(context.Background()); err != nil && !errors.Is(err, ErrStoreUnavailable) {
+			m.fail("%s was told %v", o.name, err)
+		}
+	})
+}
+
+// run lets several calls of one operator happen, the last one perhaps with a fault.
+func (m *machine) run(t *rapid.T) {
+	o := m.drawOperator(t, true)
+	for range rapid.IntRange(0, maxRun).Draw(t, "calls") {
+		if o.busy() {
+			o.step(faultNone)
+		}
+	}
+	if o.busy() {
+		o.step(m.drawFault(t))
+	}
+}
+
+func (m *machine) deliver(t *rapid.T) {
+	if len(m.store.late) == 0 {
+		t.Skip("nothing is late")
+	}
+	m.store.deliver(rapid.IntRange(0, len(m.store.late)-1).Draw(t, "late"))
+}
+
+// finish lets every operator run to its end without faults.
+func (m *machine) finish() {
+	for i := range m.operators {
+		for m.operators[i].busy() {
+			m.operators[i].step(faultNone)
+		}
+	}
+	for len(m.store.late) > 0 {
+		m.store.deliver(0)
+	}
+}
+
+func TestOperators(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(rapid.IntRange(1, maxKept).Draw(t, "kept"))
+		defer m.stop()
+		t.Repeat(map[string]func(*rapid.T){
+			"":        m.check,
+			"Begin":   m.begin,
+			"Again":   m.again,
+			"Prune":   m.prune,
+			"Deliver": m.deliver,
+			"Run":     m.run,
+			"Run2":    m.run,
+			"Run3":    m.run,
+			"Crash": func(t *rapid.T) {
+				o := m.drawOperator(t, true)
+				o.stop()
+				o.resume = nil
+			},
+		})
+		m.finish()
+		m.check(t)
+	})
+}
+
+func (m *machine) stop() {
+	for i := range m.operators {
+		if m.operators[i].busy() {
+			m.operators[i].stop()
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/versioner/store_test.go
@@ -0,0 +1,126 @@
+package versioner
+
+import (
+	"context"
+	"sort"
+	"strings"
+
+	"samphirewharf/internal/platform/storer"
+)
+
+// A fault is what happens to one call.
+type fault string
+
+const (
+	faultNone fault = "None"
+	// faultRefused: the call does not leave the operator's host.
+	faultRefused fault = "Refused"
+	// faultLostCall: the call takes no effect and is not answered.
+	faultLostCall fault = "LostCall"
+	// faultLostAnswer: the call takes effect and is not answered.
+	faultLostAnswer fault = "LostAnswer"
+	// faultLate: the call is not answered and takes effect when deliver is called.
+	faultLate fault = "Late"
+)
+
+// A fakeStore is a key-value service in memory.
+type fakeStore struct {
+	entries  map[string]storer.Entry
+	revision int64
+	// late are writes that have not taken effect yet.
+	late []func()
+	// changed is called after a key was written.
+	changed func(storer.Entry)
+	calls   int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{entries: make(map[string]storer.Entry), changed: func(storer.Entry) {}}
+}
+
+// store returns the fake's functions. Before each call, next tells what happens to it.
+func (s *fakeStore) store(next func() fault) Store {
+	return Store{
+		Get: func(_ context.Context, key string) (storer.Entry, storer.Result) {
+			var entry storer.Entry
+			result := s.call(next(), func() storer.Result {
+				known, found := s.entries[key]
+				if !found {
+					return storer.ResultNotFound
+				}
+				entry = known
+				return storer.ResultOK
+			})
+			return entry, result
+		},
+		Swap: func(_ context.Context, key string, value []byte, revision, _ int64) (int64, storer.Result) {
+			written := int64(0)
+			result := s.call(next(), func() storer.Result {
+				if s.entries[key].Revision != revision {
+					return storer.ResultConflict
+				}
+				s.revision++
+				written = s.revision
+				s.entries[key] = storer.Entry{Key: key, Value: value, Revision: written}
+				s.changed(s.entries[key])
+				return storer.ResultOK
+			})
+			return written, result
+		},
+		Delete: func(_ context.Context, key string, revision int64) storer.Result {
+			return s.call(next(), func() storer.Result {
+				entry, found := s.entries[key]
+				if !found {
+					return storer.ResultNotFound
+				}
+				if entry.Revision != revision {
+					return storer.ResultConflict
+				}
+				delete(s.entries, key)
+				return storer.ResultOK
+			})
+		},
+		List: func(_ context.Context, prefix string) ([]storer.Entry, storer.Result) {
+			var entries []storer.Entry
+			result := s.call(next(), func() storer.Result {
+				entries = s.below(prefix)
+				return storer.ResultOK
+			})
+			return entries, result
+		},
+	}
+}
+
+func (s *fakeStore) below(prefix string) []storer.Entry {
+	var entries []storer.Entry
+	for key, entry := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			entries = append(entries, entry)
+		}
+	}
+	sort.Slice(entries, func(i, j int) bool { return entries[i].Key < entries[j].Key })
+	return entries
+}
+
+func (s *fakeStore) call(f fault, effect func() storer.Result) storer.Result {
+	s.calls++
+	switch f {
+	case faultRefused:
+		return storer.ResultNotSent
+	case faultLostCall:
+		return storer.ResultUnknown
+	case faultLostAnswer:
+		effect()
+		return storer.ResultUnknown
+	case faultLate:
+		s.late = append(s.late, func() { effect() })
+		return storer.ResultUnknown
+	}
+	return effect()
+}
+
+func (s *fakeStore) deliver(i int) {
+	effect := s.late[i]
+	s.late = append(s.late[:i:i], s.late[i+1:]...)
+	effect()
+}
--- /dev/null
+++ b/internal/config/versioner/versioner_test.go
@@ -0,0 +1,338 @@
+package versioner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/config/questioner"
+	"samphirewharf/internal/platform/storer"
+)
+
+var testTime = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func noFault() fault { return faultNone }
+
+func newVersioner(s *fakeStore, next func() fault) *Versioner {
+	return &Versioner{
+		Store:        s.store(next),
+		KeepVersions: 3,
+		Now:          func() time.Time { return testTime },
+		Pause:        func(context.Context) {},
+	}
+}
+
+func assertEqual[T any](t *testing.T, got, want T) {
+	t.Helper()
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+func assertIs(t *testing.T, got, want error) {
+	t.Helper()
+	if !errors.Is(got, want) {
+		t.Errorf("got error %v, want %v", got, want)
+	}
+}
+
+func assertApplied(t *testing.T, v *Versioner, c cataloger.Configuration, expected int64, changeID string) {
+	t.Helper()
+	change, err := v.Apply(t.Context(), c, expected, changeID, "ayse", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	assertEqual(t, change.Version, expected+1)
+	assertEqual(t, change.ChangeID, changeID)
+}
+
+func generated(t testing.TB, data []byte) cataloger.Configuration {
+	t.Helper()
+	q, err := questioner.Parse(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, _ := questioner.Generate(q)
+	return c
+}
+
+func TestApplyAndFetch(t *testing.T) {
+	s := newFakeStore()
+	v := newVersioner(s, noFault)
+	_, err := v.Fetch(t.Context(), nil)
+	assertIs(t, err, ErrNoConfiguration)
+	c := generated(t, questioner.New())
+	assertApplied(t, v, c, 0, "first")
+	got, err := v.Fetch(t.Context(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Version, c.ChangeID = 1, "first"
+	assertEqual(t, got.Configuration, c)
+	assertEqual(t, got.Revision, s.entries[HeadKey].Revision)
+}
+
+func TestTwoYears(t *testing.T) {
+	s := newFakeStore()
+	v := newVersioner(s, noFault)
+	c := generated(t, questioner.TwoYears())
+	assertApplied(t, v, c, 0, "first")
+	before, err := v.Fetch(t.Context(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Run("values are small", func(t *testing.T) {
+		largest, total := 0, 0
+		for _, e := range s.entries {
+			largest = max(largest, len(e.Value))
+			total += len(e.Value)
+		}
+		t.Logf("%d values, the largest of %d bytes, %d bytes in all", len(s.entries), largest, total)
+		if largest > 128<<10 {
+			t.Errorf("got a value of %d bytes, want at most 128 KiB", largest)
+		}
+	})
+	t.Run("a small change writes one shard", func(t *testing.T) {
+		changed := c
+		changed.Deployments = append([]cataloger.Deployment(nil), c.Deployments...)
+		changed.Deployments[300].MaxReplicas++
+		written := 0
+		s.changed = func(e storer.Entry) {
+			if strings.HasPrefix(e.Key, shardPrefix) {
+				written++
+			}
+		}
+		assertApplied(t, v, changed, 1, "second")
+		assertEqual(t, written, 1)
+		s.calls = 0
+		after, err := v.Fetch(t.Context(), before.Shards)
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertEqual(t, s.calls, 2)
+		assertEqual(t, after.Configuration.Deployments, changed.Deployments)
+	})
+}
+
+func TestConflictNamesTheWinner(t *testing.T) {
+	v := newVersioner(newFakeStore(), noFault)
+	assertApplied(t, v, cataloger.Configuration{}, 0, "first")
+	_, err := v.Apply(t.Context(), cataloger.Configuration{}, 0, "second", "deniz", "")
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) {
+		t.Fatalf("got %v, want a ConflictError", err)
+	}
+	assertEqual(t, conflict.Winner.ChangeID, "first")
+	for _, want := range []string{"version 1", "first", `"ayse"`} {
+		if got := err.Error(); !strings.Contains(got, want) {
+			t.Errorf("got %q, want it to name %q", got, want)
+		}
+	}
+}
+
+// TestApplyFaultAtEachCall lets each single call of a second change fail in each way.
+func TestApplyFaultAtEachCall(t *testing.T) {
+	tests := []struct {
+		fault fault
+		// applied tells whether the change must be reported as made.
+		applied bool
+	}{
+		{faultRefused, false},
+		{faultLostCall, true},
+		{faultLostAnswer, true},
+		{faultLate, true},
+	}
+	for _, test := range tests {
+		for at := 1; at <= 4; at++ {
+			t.Run(fmt.Sprintf("%s at call %d", test.fault, at), func(t *testing.T) {
+				s := newFakeStore()
+				assertApplied(t, newVersioner(s, noFault), generated(t, questioner.New()), 0, "first")
+				calls := 0
+				v := newVersioner(s, func() fault {
+					calls++
+					if calls == at {
+						return test.fault
+					}
+					return faultNone
+				})
+				_, err := v.Apply(t.Context(), cataloger.Configuration{}, 1, "second", "deniz", "")
+				if test.applied != (err == nil) {
+					t.Errorf("got error %v, want success: %t", err, test.applied)
+				}
+				if !test.applied {
+					assertIs(t, err, ErrStoreUnavailable)
+				}
+				for len(s.late) > 0 {
+					s.deliver(0)
+				}
+				assertHistory(t, newVersioner(s, noFault), test.applied)
+			})
+		}
+	}
+}
+
+func assertHistory(t *testing.T, v *Versioner, second bool) {
+	t.Helper()
+	want := []string{"first"}
+	if second {
+		want = []string{"second", "first"}
+	}
+	changes, err := v.History(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, c := range changes {
+		got = append(got, c.ChangeID)
+	}
+	assertEqual(t, got, want)
+}
+
+func TestOutcomeUnknownIsSettledLater(t *testing.T) {
+	s := newFakeStore()
+	faults := []fault{faultNone, faultNone, faultLate, faultRefused}
+	v := newVersioner(s, func() fault {
+		f := faults[0]
+		faults = append(faults[1:], faultRefused)
+		return f
+	})
+	_, err := v.Apply(t.Context(), cataloger.Configuration{}, 0, "first", "ayse", "")
+	var unknown *OutcomeUnknownError
+	if !errors.As(err, &unknown) || errors.Is(err, ErrStoreUnavailable) {
+		t.Fatalf("got %v, want an OutcomeUnknownError", err)
+	}
+	_, err = v.Reapply(t.Context(), cataloger.Configuration{}, 0, "first", "ayse", "")
+	if !errors.As(err, &unknown) {
+		t.Errorf("got %v while the service is down, want an OutcomeUnknownError", err)
+	}
+	s.deliver(0)
+	change, err := newVersioner(s, noFault).Reapply(t.Context(), cataloger.Configuration{}, 0, "first", "ayse", "")
+	assertIs(t, err, nil)
+	assertEqual(t, change.ChangeID, "first")
+	assertEqual(t, len(s.entries), 2)
+}
+
+func TestPrune(t *testing.T) {
+	s := newFakeStore()
+	v := newVersioner(s, noFault)
+	c := generated(t, questioner.New())
+	for i := range int64(6) {
+		c.Limits.RetryShare = float64(i)
+		assertApplied(t, v, c, i, fmt.Sprint("change-", i))
+	}
+	if err := v.Prune(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	changes, err := v.History(t.Context())
+	assertIs(t, err, nil)
+	assertEqual(t, len(changes), 3)
+	_, err = v.FetchVersion(t.Context(), 3, nil)
+	assertIs(t, err, ErrUnknownVersion)
+	kept, err := v.FetchVersion(t.Context(), 4, nil)
+	assertIs(t, err, nil)
+	assertEqual(t, kept.Configuration.Limits.RetryShare, 3)
+	deployments := len(kept.Change.Shards) - 1
+	assertEqual(t, len(s.below(shardPrefix)), 3+deployments)
+	s.store(noFault).Swap(t.Context(), shardPrefix+"orphan", nil, 0, 0)
+	assertIs(t, v.Sweep(t.Context()), nil)
+	assertEqual(t, len(s.below(shardPrefix)), 3+deployments)
+}
+
+// TestLateDelete lets the deletes of a Prune take effect after a later change needs the shard again.
+func TestLateDelete(t *testing.T) {
+	s := newFakeStore()
+	v := newVersioner(s, noFault)
+	v.KeepVersions = 1
+	late := newVersioner(s, noFault)
+	late.KeepVersions = 1
+	late.Store.Delete = s.store(func() fault { return faultLate }).Delete
+	share := func(f float64) cataloger.Configuration {
+		return cataloger.Configuration{Limits: cataloger.Limits{RetryShare: f}}
+	}
+	assertApplied(t, v, share(1), 0, "first")
+	assertApplied(t, v, share(2), 1, "second")
+	assertIs(t, late.Prune(t.Context()), nil)
+	assertIs(t, late.Prune(t.Context()), nil)
+	assertApplied(t, v, share(3), 2, "third")
+	assertApplied(t, v, share(1), 3, "fourth")
+	for len(s.late) > 0 {
+		s.deliver(0)
+	}
+	got, err := v.Fetch(t.Context(), nil)
+	assertIs(t, err, nil)
+	assertEqual(t, got.Configuration.Limits.RetryShare, 1)
+	assertIs(t, v.Prune(t.Context()), nil)
+	assertIs(t, v.Prune(t.Context()), nil)
+	assertEqual(t, len(s.entries), 2)
+}
+
+func TestFetchDamaged(t *testing.T) {
+	s := newFakeStore()
+	v := newVersioner(s, noFault)
+	assertApplied(t, v, generated(t, questioner.New()), 0, "first")
+	for _, e := range s.below(shardPrefix) {
+		other, err := encode(content{})
+		assertIs(t, err, nil)
+		s.entries[e.Key] = storer.Entry{Key: e.Key, Value: other.value, Revision: e.Revision}
+	}
+	_, err := v.Fetch(t.Context(), nil)
+	assertIs(t, err, ErrDamaged)
+	clear(s.entries)
+	s.entries[HeadKey] = storer.Entry{Value: []byte(`{"Version": 1, "Shards": ["x"]}`), Revision: 1}
+	_, err = v.Fetch(t.Context(), nil)
+	assertIs(t, err, ErrDamaged)
+}
+
+func TestDiff(t *testing.T) {
+	a := generated(t, questioner.New())
+	b := a
+	b.Version = 9
+	b.Weighting = cataloger.WeightIdleHours
+	b.Deployments = append([]cataloger.Deployment{{Name: "new"}}, a.Deployments[1:]...)
+	b.Deployments[1].MaxReplicas = 7
+	b.Services = append([]cataloger.Service(nil), a.Services...)
+	b.Services[1].NonIdempotent = nil
+	got, err := Diff(a, b)
+	assertIs(t, err, nil)
+	want := []string{
+		"- Deployments.drafts",
+		"~ Deployments.lookups-1.MaxReplicas: 2 -> 7",
+		"+ Deployments.new",
+		`- Services.bookings.NonIdempotent [{"Method":"POST","PathPrefix":"/bookings"}]`,
+		`~ Weighting: "ColdStart" -> "IdleHours"`,
+	}
+	assertEqual(t, got, want)
+	same, err := Diff(a, a)
+	assertIs(t, err, nil)
+	assertEqual(t, len(same), 0)
+}
+
+func FuzzDecode(f *testing.F) {
+	shards, err := split(generated(f, questioner.New()))
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, s := range shards {
+		f.Add(s.hash, s.value)
+	}
+	f.Add("", []byte(`{"Version": 1, "Retired": [{}]}`))
+	f.Fuzz(func(t *testing.T, hash string, value []byte) {
+		c, err := decode(hash, value)
+		if err != nil {
+			assertIs(t, err, ErrDamaged)
+		} else {
+			merge(Change{Shards: []string{hash}}, Shards{hash: c})
+		}
+		s := newFakeStore()
+		s.entries[HeadKey] = storer.Entry{Key: HeadKey, Value: value, Revision: 1}
+		s.entries[shardPrefix+hash] = storer.Entry{Value: value, Revision: 2}
+		if _, err := newVersioner(s, noFault).Fetch(t.Context(), nil); err == nil {
+			t.Log("fetched")
+		}
+	})
+}
