--- /dev/null
+++ b/internal/command/runner/exit.go
@@ -0,0 +1,88 @@
+package runner
+
+import (
+	"errors"
+	"fmt"
+
+	"samphirewharf/internal/caller/refuser"
+	"samphirewharf/internal/config/questioner"
+	"samphirewharf/internal/config/versioner"
+)
+
+// The exit codes. They are stable.
+const (
+	// ExitOK means that the command did what it was asked to.
+	ExitOK = 0
+	// ExitFailure means that the command failed for a reason without a code of its own.
+	ExitFailure = 1
+	// ExitUsage means that the command line or a setting is not accepted.
+	ExitUsage = 2
+	// ExitMistakes means that the questionnaire has mistakes.
+	ExitMistakes = 3
+	// ExitConflict means that another operator's change came first; nothing was changed.
+	ExitConflict = 4
+	// ExitUnavailable means that the key-value service did not answer; nothing was changed.
+	ExitUnavailable = 5
+	// ExitUnknown means that a change may or may not take effect; repeat it with its change ID.
+	ExitUnknown = 6
+	// ExitNotFound means that the version, deployment or file does not exist.
+	ExitNotFound = 7
+)
+
+var errNotFound = errors.New("not found")
+
+// A SettingError is a setting that is not accepted.
+type SettingError struct {
+	// Name is the flag, such as "--store-address".
+	Name     string
+	Value    string
+	Accepted string
+}
+
+// Error names the setting, its value and what is accepted.
+func (e *SettingError) Error() string {
+	return fmt.Sprintf("%s is %q; accepted: %s", e.Name, e.Value, e.Accepted)
+}
+
+// A failure is the answer to a command that failed, for --output json.
+type failure struct {
+	Error    string
+	ExitCode int
+	// Code is the result code, 0 if there is none. See docs/RESULT-CODES.md.
+	Code     refuser.Code         `json:",omitempty"`
+	Mistakes []questioner.Mistake `json:",omitempty"`
+}
+
+// newFailure classifies an error.
+func newFailure(err error) failure {
+	f := failure{Error: err.Error(), ExitCode: ExitFailure}
+	var setting *SettingError
+	var check *questioner.CheckError
+	var conflict *versioner.ConflictError
+	var unknown *versioner.OutcomeUnknownError
+	switch {
+	case errors.As(err, &setting):
+		f.ExitCode, f.Code = ExitUsage, refuser.CodeInvalidSettings
+	case errors.As(err, &check):
+		f.ExitCode, f.Mistakes = ExitMistakes, check.Mistakes
+	case errors.As(err, &conflict):
+		f.ExitCode, f.Code = ExitConflict, refuser.CodeVersionConflict
+	case errors.As(err, &unknown):
+		f.ExitCode, f.Code = ExitUnknown, refuser.CodeStoreUnavailable
+	case errors.Is(err, versioner.ErrStoreUnavailable):
+		f.ExitCode, f.Code = ExitUnavailable, refuser.CodeStoreUnavailable
+	case errors.Is(err, versioner.ErrNoConfiguration):
+		f.ExitCode, f.Code = ExitNotFound, refuser.CodeNoConfiguration
+	case errors.Is(err, errNotFound), errors.Is(err, versioner.ErrUnknownVersion):
+		f.ExitCode = ExitNotFound
+	}
+	return f
+}
+
+// String returns the failure as text.
+func (f failure) String() string {
+	if f.Code == 0 {
+		return "error: " + f.Error
+	}
+	return fmt.Sprintf("error %d (%s): %s", int(f.Code), f.Code, f.Error)
+}
--- /dev/null
+++ b/internal/command/runner/questionnaire.go
@@ -0,0 +1,82 @@
+package runner
+
+import (
+	"fmt"
+	"strings"
+
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/config/questioner"
+)
+
+// A questionnaireCommand groups the subcommands on questionnaires.
+type questionnaireCommand struct {
+	New      questionnaireNewCommand      `cmd:"" help:"Print a questionnaire with comments, to fill in."`
+	Check    questionnaireCheckCommand    `cmd:"" help:"Report every mistake of a questionnaire."`
+	Generate questionnaireGenerateCommand `cmd:"" help:"Show what a questionnaire generates, and why."`
+}
+
+type questionnaireNewCommand struct{}
+
+// Run prints the template.
+func (questionnaireNewCommand) Run(r *Runner) error {
+	if _, err := r.Stdout.Write(questioner.New()); err != nil {
+		return fmt.Errorf("writing output: %w", err)
+	}
+	return nil
+}
+
+type questionnaireCheckCommand struct {
+	File string `arg:"" help:"The questionnaire; - for standard input."`
+}
+
+// Run checks the questionnaire.
+func (c questionnaireCheckCommand) Run(r *Runner) error {
+	data, err := r.read(c.File)
+	if err != nil {
+		return err
+	}
+	if _, err := questioner.Parse(data); err != nil {
+		return err
+	}
+	return r.print(struct{ Mistakes []questioner.Mistake }{}, func(w *strings.Builder) {
+		fmt.Fprintln(w, "no mistakes")
+	})
+}
+
+type questionnaireGenerateCommand struct {
+	File string `arg:"" help:"The questionnaire; - for standard input."`
+}
+
+// generated is the output of questionnaire generate.
+type generated struct {
+	Configuration cataloger.Configuration
+	Explanations  []questioner.Explanation
+}
+
+// Run prints one line for each derived value; the JSON holds the configuration too.
+func (c questionnaireGenerateCommand) Run(r *Runner) error {
+	configuration, explanations, err := r.generate(c.File)
+	if err != nil {
+		return err
+	}
+	return r.print(generated{configuration, explanations}, func(w *strings.Builder) {
+		fmt.Fprintln(w, "NAME\tVALUE\tREASON")
+		for _, e := range explanations {
+			fmt.Fprintf(w, "%s\t%s\t%s\n", e.Name, e.Value, e.Reason)
+		}
+	})
+}
+
+// generate returns what the questionnaire in a file generates.
+func (r *Runner) generate(file string) (cataloger.Configuration, []questioner.Explanation, error) {
+	data, err := r.read(file)
+	if err != nil {
+		return cataloger.Configuration{}, nil, err
+	}
+	q, err := questioner.Parse(data)
+	if err != nil {
+		return cataloger.Configuration{}, nil, err
+	}
+	configuration, explanations := questioner.Generate(q)
+	return configuration, explanations, nil
+}
--- /dev/null
+++ b/internal/command/runner/runner_test.go
@@ -0,0 +1,172 @@
+package runner
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"samphirewharf/internal/caller/refuser"
+	"samphirewharf/internal/config/questioner"
+	"samphirewharf/internal/standin/keeper"
+)
+
+// A result is what a command line did.
+type result struct {
+	exit           int
+	stdout, stderr string
+}
+
+func run(t *testing.T, args ...string) result {
+	t.Helper()
+	return runWithInput(t, "", args...)
+}
+
+func runWithInput(t *testing.T, input string, args ...string) result {
+	t.Helper()
+	var stdout, stderr bytes.Buffer
+	r := Runner{
+		Stdin:  strings.NewReader(input),
+		Stdout: &stdout,
+		Stderr: &stderr,
+		NewID:  func() string { return "change-of-" + valueOf(args, "--operator") },
+	}
+	exit := r.Run(t.Context(), args)
+	return result{exit, stdout.String(), stderr.String()}
+}
+
+// valueOf returns the argument after a flag.
+func valueOf(args []string, flag string) string {
+	i := slices.Index(args, flag)
+	return args[i+1]
+}
+
+func assertExit(t *testing.T, got result, want int) {
+	t.Helper()
+	if got.exit != want {
+		t.Fatalf("got exit code %d with %q and %q, want %d", got.exit, got.stdout, got.stderr, want)
+	}
+}
+
+func assertContains(t *testing.T, got string, wants ...string) {
+	t.Helper()
+	for _, want := range wants {
+		if !strings.Contains(got, want) {
+			t.Errorf("got %q, want it to contain %q", got, want)
+		}
+	}
+}
+
+func assertEqual[T any](t *testing.T, got, want T) {
+	t.Helper()
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+func assertJSON[T any](t *testing.T, text string) T {
+	t.Helper()
+	var value T
+	if err := json.Unmarshal([]byte(text), &value); err != nil {
+		t.Fatalf("got %q, want JSON: %v", text, err)
+	}
+	return value
+}
+
+func startKeeper(t *testing.T) *keeper.Keeper {
+	t.Helper()
+	k := &keeper.Keeper{}
+	if err := k.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(k.Stop)
+	t.Setenv("SAMPHIREWHARF_STORE_ADDRESS", k.Address())
+	return k
+}
+
+// writeFile writes a questionnaire, with one text replaced.
+func writeFile(t *testing.T, old, replacement string) string {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "questionnaire.toml")
+	data := strings.Replace(string(questioner.New()), old, replacement, 1)
+	if err := os.WriteFile(name, []byte(data), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return name
+}
+
+func TestSettings(t *testing.T) {
+	tests := []struct {
+		name, variable, value string
+		wants                 []string
+	}{
+		{"output", "SAMPHIREWHARF_OUTPUT", "xml", []string{"--output", "xml", `"text","json"`}},
+		{"host name", "SAMPHIREWHARF_STORE_ADDRESS", "host:1", []string{"--store-address", "host:1", "an IP number and port"}},
+		{"no duration", "SAMPHIREWHARF_STORE_TIMEOUT", "soon", []string{"--store-timeout", "soon", "duration"}},
+		{"long duration", "SAMPHIREWHARF_STORE_TIMEOUT", "2m", []string{"--store-timeout", "2m", "from 10ms to 1m"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Setenv(test.variable, test.value)
+			got := run(t, "codes")
+			assertExit(t, got, ExitUsage)
+			assertContains(t, got.stderr, test.wants...)
+		})
+	}
+	t.Run("missing store address", func(t *testing.T) {
+		got := run(t, "config", "history")
+		assertExit(t, got, ExitUsage)
+		assertContains(t, got.stderr, "error 5004 (InvalidSettings)", "--store-address")
+	})
+	t.Run("unknown command", func(t *testing.T) {
+		assertExit(t, run(t, "confgi"), ExitUsage)
+	})
+}
+
+// TestHelp walks all commands: each has help on itself and on every flag, and each flag has a variable.
+func TestHelp(t *testing.T) {
+	for _, command := range []string{
+		"questionnaire new", "questionnaire check", "questionnaire generate", "config show", "config apply",
+		"config diff", "config history", "deployment list", "deployment show", "codes", "version",
+	} {
+		t.Run(command, func(t *testing.T) {
+			got := run(t, append(strings.Fields(command), "--help")...)
+			assertExit(t, got, ExitOK)
+			_, flags, _ := strings.Cut(got.stdout, "Flags:")
+			assertEqual(t, strings.Count(flags, "$SAMPHIREWHARF_"), strings.Count(flags, " --")-1)
+		})
+	}
+}
+
+func TestVersion(t *testing.T) {
+	got := run(t, "version", "--output", "json")
+	assertExit(t, got, ExitOK)
+	assertEqual(t, assertJSON[programVersion](t, got.stdout), newProgramVersion())
+	assertContains(t, run(t, "version").stdout, "samphirewharf ", "go1.")
+}
+
+func TestCodes(t *testing.T) {
+	t.Run("table", func(t *testing.T) {
+		got := run(t, "codes")
+		assertExit(t, got, ExitOK)
+		assertContains(t, got.stdout, "5003  VersionConflict")
+		assertEqual(t, strings.Count(got.stdout, "\n"), len(refuser.Codes())+1)
+	})
+	t.Run("JSON", func(t *testing.T) {
+		got := assertJSON[[]codeRow](t, run(t, "codes", "--output", "json").stdout)
+		assertEqual(t, got, codeRows())
+	})
+	t.Run("docs/RESULT-CODES.md", func(t *testing.T) {
+		want, err := os.ReadFile("../../../docs/RESULT-CODES.md")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := run(t, "codes", "--markdown").stdout; got != string(want) {
+			t.Error("got another table than docs/RESULT-CODES.md; write it by samphirewharf codes --markdown")
+		}
+	})
+}
--- /dev/null
+++ b/internal/command/runner/settings.go
@@ -0,0 +1,40 @@
+package runner
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	outputJSON        = "json"
+	minStoreTimeout   = 10 * time.Millisecond
+	maxStoreTimeout   = time.Minute
+	maxOperatorLength = 100
+	maxCommentLength  = 1000
+)
+
+// Settings are the settings that subcommands share. Each is a flag and an environment variable.
+type Settings struct {
+	Output       string        `default:"text"  enum:"text,json"                                           help:"Format of the output: text or json."`
+	StoreAddress string        `help:"IP number and port of the platform's key-value service."             placeholder:"IP:PORT"`
+	StoreTimeout time.Duration `default:"2s"    help:"How long one call to the key-value service may take, from 10ms to 1m."`
+}
+
+// validate checks the settings that every subcommand has.
+func (s Settings) validate() error {
+	if s.StoreTimeout < minStoreTimeout || s.StoreTimeout > maxStoreTimeout {
+		return &SettingError{Name: "--store-timeout", Value: s.StoreTimeout.String(), Accepted: "a duration from 10ms to 1m"}
+	}
+	if s.StoreAddress == "" {
+		return nil
+	}
+	return validateAddress("--store-address", s.StoreAddress)
+}
+
+// validateAddress checks an address that a process connects to or listens on.
+func validateAddress(name, value string) error {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return &SettingError{Name: name, Value: value, Accepted: "an IP number and port, such as 10.0.0.1:2379"}
+	}
+	return nil
+}
--- a/internal/config/versioner/versioner.go
+++ b/internal/config/versioner/versioner.go
@@ -55,6 +55,11 @@
 	Pause func(ctx context.Context)
 }
 
+// NewStore returns the functions of a client.
+func NewStore(client *storer.Client) Store {
+	return Store{Get: client.Get, Swap: client.Swap, Delete: client.Delete, List: client.List}
+}
+
 func (v *Versioner) keepVersions() int64 {
 	if v.KeepVersions <= 0 {
 		return defaultKeepVersions
