fix: predict the time that a load takes, not when it ends

The planner takes Loads.Predict for a duration, but the weight store's share answers with a moment on the daemon's clock. The older the daemon, the longer every forecast: five seconds after its start an urgent request for a two second load was refused as ColdStartTooSlow, with a Retry-After to match.

--- a/internal/decision/reducer/cell.go
+++ b/internal/decision/reducer/cell.go
@@ -149,7 +149,7 @@
 			if !remote {
 				return full
 			}
-			return c.loads.Predict(limiter.Pending{Duration: full}, 0, now)
+			return c.loads.Predict(limiter.Pending{Duration: full}, 0, now) - now
 		},
 		Start: func(now time.Duration, id string, full time.Duration, remote, urgent bool) bool {
 			if !remote {
