test: drive several reducers in virtual time through scenarios 1 to 6

A world of small fakes (key-value service, host list, engines, plain services, network, callers) joins the daemons' reducers; an oracle checks the users' promises after each event.

--- /dev/null
+++ b/internal/decision/prover/caller_test.go
@@ -0,0 +1,377 @@
+package prover_test
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"samphirewharf/internal/caller/refuser"
+	"samphirewharf/internal/decision/reducer"
+)
+
+const (
+	// answerTokens is the length of a whole answer.
+	answerTokens = 10
+	dialTimeout  = time.Second
+	// forwardGrace is how much longer than its deadline a forwarded request is waited for.
+	forwardGrace = 250 * time.Millisecond
+)
+
+// A call is one request of a caller, sent once to one daemon.
+type call struct {
+	name    string
+	daemon  string
+	target  string
+	plain   bool
+	method  string
+	path    string
+	key     string
+	body    string
+	urgent  bool
+	stream  bool
+	poison  bool
+	timeout time.Duration
+
+	outcome string // "ok", "refused", "broken", "unreachable", "left"; empty while it waits
+	refusal refuser.Refusal
+	sentAt  time.Duration
+	x       *exchange
+}
+
+// An exchange is a request that a daemon holds, from a caller or forwarded by another daemon.
+type exchange struct {
+	p       *process
+	id      reducer.RequestID
+	call    *call
+	from    *attempt
+	attempt *attempt
+	// sent is how many tokens went to the caller.
+	sent     int
+	started  bool
+	deadline time.Duration
+	closed   bool
+}
+
+// An attempt is a request on its way to a server or another daemon.
+type attempt struct {
+	x       *exchange
+	number  int
+	server  *server
+	to      *process
+	inner   *exchange
+	replica string
+	run     *replica
+	// at is when the last message from the other side arrives: they come in order.
+	at    time.Duration
+	ended bool
+}
+
+// send sends a call to its daemon.
+func (w *World) send(c *call) {
+	c.sentAt = w.now
+	w.calls[c.name] = c
+	w.callOrder = append(w.callOrder, c)
+	w.after(w.delay(), func() {
+		p := w.process(c.daemon)
+		if p == nil || p.dead || !w.reaches("caller", c.daemon) {
+			c.end("unreachable", refuser.Refusal{})
+			return
+		}
+		p.deliver(func() { c.x = p.open(c, nil, c.timeout) })
+	})
+}
+
+func (c *call) end(outcome string, refusal refuser.Refusal) {
+	if c.outcome != "" && c.x != nil {
+		c.x.p.w.oracle.fail("two answers for %s: %s and %s", c.name, c.outcome, outcome)
+		return
+	}
+	c.outcome, c.refusal = outcome, refusal
+	if c.x != nil {
+		c.x.p.w.note("%s of %s is %s %s %v, retry after %v", c.name, c.daemon, outcome, refusal.Code, refusal.Ran, refusal.RetryAfter)
+	}
+}
+
+// open takes a request in and tells the reducer.
+func (p *process) open(c *call, from *attempt, timeout time.Duration) *exchange {
+	p.nextID++
+	x := &exchange{p: p, id: p.nextID, call: c, from: from}
+	p.exchanges[x.id] = x
+	arrived := reducer.RequestArrived{
+		Request: x.id, ID: c.name, Target: c.target, Plain: c.plain, Method: c.method, Path: c.path, Urgent: c.urgent,
+		Stream: c.stream, Timeout: timeout, Key: c.key, BodyHash: xxhash.Sum64String(c.body),
+	}
+	if from != nil {
+		arrived.ForwardedBy = from.x.p.name
+	}
+	x.deadline = p.w.now + c.patience(timeout)
+	if from == nil {
+		p.w.oracle.awaits(x)
+	}
+	p.step(arrived)
+	return x
+}
+
+// patience returns the time that the configuration gives a request.
+func (c *call) patience(timeout time.Duration) time.Duration {
+	switch {
+	case timeout > 0:
+		return timeout
+	case c.plain || c.urgent:
+		return 5 * time.Second
+	default:
+		return 20 * time.Second
+	}
+}
+
+// executeRequest carries out an effect that concerns a request.
+func (p *process) executeRequest(effect reducer.Effect) {
+	switch e := effect.(type) {
+	case reducer.Dispatch:
+		if x := p.exchanges[e.Request]; x != nil {
+			x.dispatch(e)
+		}
+	case reducer.Forward:
+		if x := p.exchanges[e.Request]; x != nil {
+			x.forward(e)
+		}
+	case reducer.Cancel:
+		if x := p.exchanges[e.Request]; x != nil && x.attempt != nil && x.attempt.number == e.Attempt {
+			x.attempt.cancel()
+		}
+	case reducer.Refuse:
+		if x := p.exchanges[e.Request]; x != nil {
+			x.stop()
+			x.refuse(e.Refusal)
+		}
+	case reducer.Answer:
+		if x := p.exchanges[e.Request]; x != nil {
+			x.stop()
+			x.done(string(e.Body))
+		}
+	}
+}
+
+func (x *exchange) begin(number int) *attempt {
+	x.stop()
+	x.attempt = &attempt{x: x, number: number}
+	return x.attempt
+}
+
+// stop cancels the running attempt, if any.
+func (x *exchange) stop() {
+	if x.attempt != nil {
+		x.attempt.cancel()
+	}
+}
+
+func (x *exchange) dispatch(e reducer.Dispatch) {
+	w := x.p.w
+	a := x.begin(e.Attempt)
+	a.server, a.replica = w.servers[e.Server], e.Replica
+	if e.ResumeFrom > x.sent {
+		w.oracle.fail("%s resumes at %d, its caller has %d", x.call.name, e.ResumeFrom, x.sent)
+	}
+	x.p.later(max(e.Timeout, time.Millisecond), a.timeOut)
+	if !w.reaches(x.p.name, e.Server) {
+		x.p.later(dialTimeout, func() { a.close(reducer.AttemptEnded{Outcome: reducer.AttemptNotSent}) })
+		return
+	}
+	w.after(w.delay(), func() {
+		switch {
+		case a.ended:
+		case a.server.dead:
+			a.finish(reducer.AttemptEnded{Outcome: reducer.AttemptNotSent})
+		default:
+			a.server.run(a)
+		}
+	})
+}
+
+func (x *exchange) forward(e reducer.Forward) {
+	w := x.p.w
+	a := x.begin(e.Attempt)
+	x.p.later(max(e.Timeout, time.Millisecond)+forwardGrace, a.timeOut)
+	to := w.process(e.Daemon)
+	if !w.reaches(x.p.name, e.Daemon) {
+		x.p.later(dialTimeout, func() { a.close(reducer.AttemptEnded{Outcome: reducer.AttemptNotSent}) })
+		return
+	}
+	w.after(w.delay(), func() {
+		if to.dead {
+			a.finish(reducer.AttemptEnded{Outcome: reducer.AttemptNotSent})
+			return
+		}
+		a.to = to
+		to.deliver(func() {
+			if !a.ended {
+				a.inner = to.open(x.call, a, max(e.Timeout, time.Millisecond))
+			}
+		})
+	})
+}
+
+func (a *attempt) other() string {
+	if a.server != nil {
+		return a.server.name
+	}
+	return a.to.name
+}
+
+// message delivers something from the other side, in order, unless the connection is cut.
+func (a *attempt) message(run func()) {
+	w := a.x.p.w
+	a.at = max(a.at, w.now+w.delay())
+	w.after(a.at-w.now, func() {
+		if (a.server == nil && a.to == nil) || w.reaches(a.x.p.name, a.other()) {
+			a.x.p.deliver(run)
+		}
+	})
+}
+
+// start passes tokens on to the caller.
+func (a *attempt) start(tokens int) {
+	a.message(func() {
+		if a.ended {
+			return
+		}
+		a.x.started = true
+		a.x.sent = max(a.x.sent, tokens)
+		if a.x.from != nil {
+			a.x.from.start(tokens)
+		}
+		a.x.p.step(reducer.AttemptStarted{Request: a.x.id, Attempt: a.number})
+	})
+}
+
+func (a *attempt) finish(ended reducer.AttemptEnded) { a.message(func() { a.close(ended) }) }
+
+// close ends the attempt at the daemon.
+func (a *attempt) close(ended reducer.AttemptEnded) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	x := a.x
+	if x.attempt == a {
+		x.attempt = nil
+	}
+	ended.Request, ended.Attempt, ended.Tokens = x.id, a.number, x.sent
+	if ended.Outcome == reducer.AttemptDone && !x.closed {
+		x.done(string(ended.Answer))
+	}
+	x.p.step(ended)
+}
+
+func (a *attempt) timeOut() {
+	if a.ended {
+		return
+	}
+	a.release()
+	outcome := reducer.AttemptFailed
+	if a.server == nil && a.to == nil {
+		outcome = reducer.AttemptNotSent
+	}
+	a.close(reducer.AttemptEnded{Outcome: outcome})
+}
+
+// cancel ends the attempt here at once, and at the other side after a delay.
+func (a *attempt) cancel() {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.x.attempt = nil
+	a.release()
+	x, ended := a.x, reducer.AttemptEnded{Outcome: reducer.AttemptCancelled, Request: a.x.id, Attempt: a.number, Tokens: a.x.sent}
+	x.p.later(0, func() { x.p.step(ended) })
+}
+
+// release tells the other side that the connection is closed.
+func (a *attempt) release() {
+	w := a.x.p.w
+	w.after(w.delay(), func() {
+		if a.server != nil {
+			a.server.end(a)
+		}
+		if a.to != nil {
+			a.to.deliver(func() {
+				if a.inner != nil {
+					a.inner.left()
+				}
+			})
+		}
+	})
+}
+
+func (x *exchange) close() bool {
+	if x.closed {
+		return false
+	}
+	x.closed = true
+	delete(x.p.exchanges, x.id)
+	return true
+}
+
+func (x *exchange) done(body string) {
+	if !x.close() {
+		return
+	}
+	if x.from != nil {
+		x.from.start(x.sent)
+		x.from.finish(reducer.AttemptEnded{Outcome: reducer.AttemptDone, Status: 200, Answer: []byte(body)})
+		return
+	}
+	x.p.w.oracle.answered(x, body)
+	x.call.end("ok", refuser.Refusal{})
+}
+
+func (x *exchange) refuse(refusal refuser.Refusal) {
+	if !x.close() {
+		return
+	}
+	if x.from != nil {
+		x.from.finish(reducer.AttemptEnded{Outcome: reducer.AttemptRefused, Refusal: refusal, RetryAfter: refusal.RetryAfter})
+		return
+	}
+	x.call.end("refused", refusal)
+	x.p.w.oracle.refused(x.call)
+}
+
+// broken ends the request because its daemon died.
+func (x *exchange) broken() {
+	if x.attempt != nil {
+		x.attempt.ended = true
+		x.attempt.release()
+	}
+	if !x.close() {
+		return
+	}
+	if x.from != nil {
+		x.from.finish(reducer.AttemptEnded{Outcome: reducer.AttemptFailed, ServerDied: true})
+		return
+	}
+	x.call.end("broken", refuser.Refusal{Ran: refuser.MayHaveRun})
+}
+
+// left ends the request because its caller has closed the connection.
+func (x *exchange) left() {
+	if !x.close() {
+		return
+	}
+	if x.from == nil {
+		x.call.end("left", refuser.Refusal{Ran: refuser.MayHaveRun})
+	}
+	x.p.step(reducer.CallerLeft{Request: x.id})
+	x.stop()
+}
+
+func sortedIDs(m map[reducer.RequestID]*exchange) []reducer.RequestID {
+	ids := make([]reducer.RequestID, 0, len(m))
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/decision/prover/command_test.go
@@ -0,0 +1,407 @@
+package prover_test
+
+import (
+	"fmt"
+	"path"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"samphirewharf/internal/caller/refuser"
+	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/platform/lister"
+)
+
+// settleWithin is how long after all faults are healed everything must have come to rest.
+const settleWithin = 3 * time.Minute
+
+// commands are the words of the test language. Scenarios and the fuzzer both use them.
+var commands = map[string]func(w *World, args []string) error{
+	"send":      (*World).doSend,
+	"burst":     (*World).doBurst,
+	"hang-up":   (*World).doHangUp,
+	"pause":     onProcess((*process).pause),
+	"resume":    onProcess((*process).resume),
+	"crash":     onProcess((*process).crash),
+	"shutdown":  onProcess((*process).shutdown),
+	"restart":   (*World).doRestart,
+	"freeze-at": onProcess(func(p *process) { p.pauseAtOrder = true }),
+	"break":     onServer((*server).crash),
+	"mend":      onServer((*server).mend),
+	"leave":     onServer(func(s *server) { s.setState(lister.HostLeaving) }),
+	"stay":      onServer(func(s *server) { s.setState(lister.HostLive) }),
+	"reclaim":   onServer(func(s *server) { s.setState(""); s.crash() }),
+	"cut":       (*World).doCut,
+	"heal":      (*World).doHeal,
+	"store":     (*World).doStore,
+	"hosts":     (*World).doHosts,
+	"set":       (*World).doSet,
+	"configure": (*World).doConfigure,
+	"advance":   (*World).doAdvance,
+	"until":     (*World).doUntil,
+	"settle":    (*World).doSettle,
+	"expect":    (*World).doExpect,
+}
+
+// do carries out one command.
+func (w *World) do(args []string) error {
+	command, ok := commands[args[0]]
+	if !ok {
+		return fmt.Errorf("unknown command %q", args[0])
+	}
+	w.note("# %s", strings.Join(args, " "))
+	if err := command(w, args[1:]); err != nil {
+		return err
+	}
+	w.oracle.check()
+	if w.oracle.failed() {
+		return fmt.Errorf("violated: %s", strings.Join(w.oracle.problems, "; "))
+	}
+	return nil
+}
+
+func onProcess(act func(p *process)) func(w *World, args []string) error {
+	return func(w *World, args []string) error {
+		for _, name := range args {
+			if name == "placer" {
+				name = w.oracle.record.Placer
+			}
+			p := w.process(name)
+			if p == nil {
+				return fmt.Errorf("no daemon %q", name)
+			}
+			if !p.dead {
+				act(p)
+			}
+		}
+		return nil
+	}
+}
+
+func onServer(act func(s *server)) func(w *World, args []string) error {
+	return func(w *World, args []string) error {
+		for _, name := range args {
+			s := w.servers[name]
+			if s == nil {
+				return fmt.Errorf("no server %q", name)
+			}
+			act(s)
+		}
+		return nil
+	}
+}
+
+func (p *process) shutdown() { p.deliver(func() { p.step(reducer.StopRequested{}) }) }
+
+func (s *server) mend() {
+	if s.dead {
+		s.restart()
+	}
+}
+
+func (w *World) doSend(args []string) error {
+	if len(args) < 3 {
+		return fmt.Errorf("usage: send NAME DAEMON TARGET [urgent] [stream] [poison] [key=K] [body=B] [timeout=D]")
+	}
+	c := &call{name: args[0], daemon: args[1], target: args[2], method: "POST", body: args[0]}
+	if service, below, ok := strings.Cut(args[2], "/"); ok {
+		c.plain, c.target, c.path = true, service, "/"+below
+		if below != "bookings" {
+			c.method = "GET"
+		}
+	}
+	for _, arg := range args[3:] {
+		name, value, _ := strings.Cut(arg, "=")
+		switch name {
+		case "urgent":
+			c.urgent = true
+		case "stream":
+			c.stream = true
+		case "poison":
+			c.poison, c.body = true, "poison"
+		case "key":
+			c.key, c.body = value, value
+		case "body":
+			c.body = value
+		case "timeout":
+			c.timeout, _ = time.ParseDuration(value)
+		}
+	}
+	if w.calls[c.name] != nil {
+		return fmt.Errorf("%s was sent before", c.name)
+	}
+	w.send(c)
+	return nil
+}
+
+// doBurst sends many requests to all daemons in turn.
+func (w *World) doBurst(args []string) error {
+	count, err := strconv.Atoi(args[1])
+	for i := range count {
+		daemon := w.daemons[i%len(w.daemons)]
+		if err := w.doSend(append([]string{fmt.Sprintf("%s-%d", args[0], i+1), daemon}, args[2:]...)); err != nil {
+			return err
+		}
+	}
+	return err
+}
+
+func (w *World) doHangUp(args []string) error {
+	if c := w.calls[args[0]]; c != nil && c.x != nil && c.outcome == "" {
+		c.x.p.deliver(c.x.left)
+	}
+	return nil
+}
+
+func (w *World) doRestart(args []string) error {
+	for _, name := range args {
+		if p := w.process(name); p != nil && !p.dead {
+			p.crash()
+		}
+		w.startDaemon(name)
+	}
+	return nil
+}
+
+func (w *World) doCut(args []string) error {
+	w.cut[pair(args[0], args[1])] = true
+	return nil
+}
+
+func (w *World) doHeal(args []string) error {
+	if len(args) == 2 {
+		delete(w.cut, pair(args[0], args[1]))
+		return nil
+	}
+	clear(w.cut)
+	return nil
+}
+
+func (w *World) doStore(args []string) error {
+	s := w.store
+	switch args[0] {
+	case "up":
+		s.down, s.slow = false, 0
+		s.expire()
+	case "down":
+		s.down = true
+		for _, p := range w.live() {
+			for _, prefix := range sortedKeys(p.watches) {
+				p.watches[prefix].breakOff()
+			}
+		}
+	case "slow":
+		s.slow, _ = time.ParseDuration(args[1])
+	case "lose":
+		s.loseAnswer = args[1]
+	default:
+		return fmt.Errorf("usage: store up|down|slow D|lose PREFIX")
+	}
+	return nil
+}
+
+func (w *World) doHosts(args []string) (err error) {
+	switch args[0] {
+	case "up":
+		w.hostsDown = false
+	case "down":
+		w.hostsDown = true
+	case "lag":
+		w.hostLag, err = time.ParseDuration(args[1])
+	}
+	return err
+}
+
+// doSet sets what disturbs the world: set order-delay 5s, set loss 20, and so on.
+func (w *World) doSet(args []string) (err error) {
+	times := map[string]*time.Duration{
+		"order-delay": &w.orderDelay, "lateness": &w.lateness, "load-lag": &w.loadLag, "service-time": &w.serviceTime,
+	}
+	numbers := map[string]*int{"order-loss": &w.orderLoss, "loss": &w.loss, "duplicates": &w.duplicates, "cut-answers": &w.cutAnswers}
+	switch {
+	case times[args[0]] != nil:
+		*times[args[0]], err = time.ParseDuration(args[1])
+	case numbers[args[0]] != nil:
+		*numbers[args[0]], err = strconv.Atoi(args[1])
+	case args[0] == "load-factor":
+		factor, _ := strconv.Atoi(args[1])
+		w.loadFactor = time.Duration(factor)
+	default:
+		return fmt.Errorf("nothing is called %q", args[0])
+	}
+	return err
+}
+
+func (w *World) doConfigure(args []string) error {
+	for _, operator := range args {
+		w.configure(operator)
+	}
+	return nil
+}
+
+func (w *World) doAdvance(args []string) error {
+	d, err := time.ParseDuration(args[0])
+	w.advance(d)
+	return err
+}
+
+// doUntil lets time pass until an expectation holds.
+func (w *World) doUntil(args []string) error {
+	limit, err := time.ParseDuration(args[0])
+	if err != nil {
+		return err
+	}
+	if !w.until(limit, func() bool { return w.doExpect(args[1:]) == nil }) {
+		return fmt.Errorf("not within %v: %w", limit, w.doExpect(args[1:]))
+	}
+	return nil
+}
+
+// troubled reports whether a fault may keep a configuration from a daemon.
+func (w *World) troubled() bool {
+	return w.store.down || w.store.slow > 0 || len(w.cut) > 0 || w.loss > 0
+}
+
+// doSettle heals everything and waits for everything to come to rest.
+func (w *World) doSettle([]string) error {
+	clear(w.cut)
+	_ = w.doStore([]string{"up"})
+	w.hostsDown, w.hostLag = false, 500*time.Millisecond
+	w.orderDelay, w.orderLoss, w.loss, w.duplicates, w.lateness, w.cutAnswers = 0, 0, 0, 0, 0, 0
+	w.loadFactor = 1
+	for _, name := range w.daemons {
+		w.process(name).pauseAtOrder = false
+		w.process(name).resume()
+		if w.process(name).dead {
+			w.startDaemon(name)
+		}
+	}
+	for _, name := range w.names {
+		if s := w.servers[name]; s.listedState(w.now) != "" {
+			s.mend()
+		}
+	}
+	if !w.until(settleWithin, func() bool { return w.unrest() == "" }) && !w.oracle.failed() {
+		return fmt.Errorf("not at rest: %s", w.unrest())
+	}
+	return nil
+}
+
+// unrest returns what has not come to rest, or "".
+func (w *World) unrest() string {
+	for _, c := range w.callOrder {
+		if c.outcome == "" {
+			return c.name + " waits for its answer"
+		}
+	}
+	for _, p := range w.live() {
+		if len(p.exchanges) > 0 {
+			return fmt.Sprintf("%s holds %d requests", p.name, len(p.exchanges))
+		}
+	}
+	for _, name := range w.names {
+		if s := w.servers[name]; len(s.replicas) > 0 {
+			return fmt.Sprintf("%s holds %s", name, s.replicas[0].order.Replica)
+		}
+	}
+	for _, r := range w.oracle.record.Replicas {
+		return fmt.Sprintf("%s is reserved at %s", r.ID, r.Server)
+	}
+	return ""
+}
+
+func (w *World) doExpect(args []string) error {
+	switch args[0] {
+	case "loads":
+		return compare(args, w.oracle.loads[args[1]], args[2])
+	case "runs":
+		return compare(args, w.oracle.runs[args[1]], args[2])
+	case "key":
+		return compare(args, len(w.oracle.keyRuns[args[1]]), args[2])
+	case "writes":
+		return compare(args, w.store.writes[args[1]], args[2])
+	case "crashes":
+		return compare(args, w.oracle.crashes, args[1])
+	case "version":
+		return compare(args, int(w.oracle.versions[args[1]]), args[2])
+	case "holds":
+		return compare(args, w.held(args[1]), args[2])
+	case "retries":
+		return compare(args, w.retries(), args[1])
+	case "placer":
+		if got := w.oracle.record.Placer; got != args[1] {
+			return fmt.Errorf("expect %s: got %q", strings.Join(args, " "), got)
+		}
+		return nil
+	default:
+		return w.expectCalls(args)
+	}
+}
+
+// held counts the replicas of a deployment, or of all with "all", that are ready.
+func (w *World) held(deployment string) (count int) {
+	for _, s := range w.servers {
+		for _, r := range s.replicas {
+			if deployment == "all" || r.order.Deployment == deployment {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// retries counts runs beyond the first of each call, as a percentage of all calls.
+func (w *World) retries() int {
+	extra := 0
+	for _, runs := range w.oracle.runs {
+		extra += max(0, runs-1)
+	}
+	return extra * 100 / max(1, len(w.calls))
+}
+
+// compare checks a number against "3", "<=3" or ">=3".
+func compare(args []string, got int, want string) error {
+	limit, err := strconv.Atoi(strings.TrimLeft(want, "<>="))
+	if err != nil {
+		return err
+	}
+	ok := got == limit
+	switch {
+	case strings.HasPrefix(want, "<="):
+		ok = got <= limit
+	case strings.HasPrefix(want, ">="):
+		ok = got >= limit
+	}
+	if !ok {
+		return fmt.Errorf("expect %s: got %d", strings.Join(args, " "), got)
+	}
+	return nil
+}
+
+// expectCalls checks that all calls whose name matches have one of the outcomes, codes or "not-run".
+func (w *World) expectCalls(args []string) error {
+	matched := false
+	for _, c := range w.callOrder {
+		if ok, _ := path.Match(args[0], c.name); !ok {
+			continue
+		}
+		matched = true
+		words := []string{c.outcome, c.refusal.Code.String()}
+		if c.outcome == "" {
+			words = []string{"waiting"}
+		} else {
+			words = append(words, "answered")
+		}
+		if c.outcome == "refused" && c.refusal.Ran == refuser.NotRun {
+			words = append(words, "not-run")
+		}
+		if !slices.ContainsFunc(args[1:], func(want string) bool { return slices.Contains(words, want) }) {
+			return fmt.Errorf("expect %s: got %s of %s", strings.Join(args, " "), strings.Join(words, " "), c.name)
+		}
+	}
+	if !matched {
+		return fmt.Errorf("expect %s: no such call", strings.Join(args, " "))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/decision/prover/oracle_test.go
@@ -0,0 +1,242 @@
+package prover_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"samphirewharf/internal/backend/orderer"
+	"samphirewharf/internal/caller/refuser"
+	"samphirewharf/internal/decision/planner"
+	"samphirewharf/internal/platform/lister"
+	"samphirewharf/internal/platform/storer"
+)
+
+const (
+	// answerSlack is how long after its deadline an answer may come, streamSlack the end of a begun stream.
+	answerSlack = 100 * time.Millisecond
+	streamSlack = time.Second
+	// leavingGrace is how long after the host list showed it a leaving server may still get work.
+	leavingGrace = 3 * time.Second
+	// forceWithin is how long after its acceptance a configuration must be in force.
+	forceWithin = 5 * time.Second
+	// drainDeletion is how long a server must be off the host list before its replicas count for nothing.
+	drainDeletion = 10 * time.Second
+)
+
+// An oracle checks the users' promises. It knows only what servers ran and hold, what the placement
+// record held, and what callers were told.
+type oracle struct {
+	w        *World
+	problems []string
+	record   planner.Record
+	// decided are all replicas that the record ever held, loads the loads of each deployment.
+	decided map[string]planner.Replica
+	loads   map[string]int
+	// runs count the servers' runs of each call, keyRuns what ran under an idempotency key and when.
+	runs    map[string]int
+	keyRuns map[string][]keyRun
+	// versions are the configuration in force at each process.
+	versions map[string]int64
+	crashes  int
+	quietAt  time.Duration
+}
+
+type keyRun struct {
+	at   time.Duration
+	call string
+}
+
+func newOracle(w *World) oracle {
+	return oracle{
+		w: w, decided: make(map[string]planner.Replica), loads: make(map[string]int), runs: make(map[string]int),
+		keyRuns: make(map[string][]keyRun), versions: make(map[string]int64),
+	}
+}
+
+func (o *oracle) failed() bool { return len(o.problems) > 0 }
+
+func (o *oracle) fail(format string, args ...any) {
+	problem := fmt.Sprintf(format, args...)
+	o.problems = append(o.problems, fmt.Sprintf("%v: %s", o.w.now, problem))
+	o.w.note("VIOLATED %s", problem)
+}
+
+// check looks at all engines: each replica is decided and there once, and memory suffices.
+func (o *oracle) check() {
+	for _, name := range o.w.names {
+		s := o.w.servers[name]
+		if len(s.replicas) == 0 {
+			continue
+		}
+		if s.used() > s.memory {
+			o.fail("memory: %s holds %d of %d bytes", name, s.used(), s.memory)
+		}
+		for i, r := range s.replicas {
+			o.checkReplica(s, r)
+			for _, other := range s.replicas[:i] {
+				if other.order.Replica == r.order.Replica {
+					o.fail("replicas: %s holds %s twice", name, r.order.Replica)
+				}
+			}
+		}
+	}
+}
+
+func (o *oracle) checkReplica(s *server, r *replica) {
+	id := r.order.Replica
+	if d, ok := o.decided[id]; !ok || d.Server != s.name || d.Deployment != r.order.Deployment || d.Bytes < r.order.Bytes {
+		o.fail("replicas: %s holds %s, which was never decided for it", s.name, id)
+		return
+	}
+	if _, ok := o.record.Replica(id); !ok && s.listedState(o.w.now-o.w.hostLag-drainDeletion) != "" && s.listedState(o.w.now) != "" {
+		o.fail("replicas: %s holds %s, which is not decided any more", s.name, id)
+	}
+}
+
+// stored sees each write of the key-value service.
+func (o *oracle) stored(e storer.Entry) {
+	if !strings.HasPrefix(e.Key, "cells/"+modelService+"/") {
+		return
+	}
+	record, err := planner.DecodeRecord(e.Value)
+	if err != nil {
+		o.fail("record: %v", err)
+		return
+	}
+	o.record = record
+	used := make(map[string]int64)
+	for _, r := range record.Replicas {
+		o.decided[r.ID] = r
+		used[r.Server] += r.Bytes
+		if used[r.Server] > o.w.servers[r.Server].memory {
+			o.fail("memory: the record overcommits %s", r.Server)
+		}
+	}
+}
+
+// ordered sees each order as it leaves.
+func (o *oracle) ordered(s *server, order orderer.Order) {
+	if order.Kind == orderer.KindLoad && o.leftLongAgo(s) {
+		o.fail("leaving: %s gets an order to load %s", s.name, order.Replica)
+	}
+}
+
+func (o *oracle) loaded(s *server, order orderer.Order) {
+	o.loads[order.Deployment]++
+	if _, ok := o.record.Replica(order.Replica); !ok {
+		o.fail("replicas: %s is loaded at %s and is not decided", order.Replica, s.name)
+	}
+}
+
+func (o *oracle) leftLongAgo(s *server) bool {
+	return s.listedState(o.w.now-o.w.hostLag-leavingGrace) != lister.HostLive
+}
+
+// ran sees each request that a server begins to run.
+func (o *oracle) ran(s *server, a *attempt) {
+	c := a.x.call
+	o.runs[c.name]++
+	if o.leftLongAgo(s) {
+		o.fail("leaving: %s gets request %s", s.name, c.name)
+	}
+	if c.outcome == "refused" && c.refusal.Ran == refuser.NotRun {
+		o.fail("not run: %s runs at %s after its caller was told that it was not run", c.name, s.name)
+	}
+	if c.key == "" || c.method != "POST" {
+		return
+	}
+	for _, run := range o.keyRuns[c.key] {
+		if o.w.now-run.at < retention {
+			o.fail("at most once: key %s of %s ran before for %s", c.key, c.name, run.call)
+		}
+	}
+	o.keyRuns[c.key] = append(o.keyRuns[c.key], keyRun{o.w.now, c.name})
+}
+
+// answered sees each whole answer that a caller gets.
+func (o *oracle) answered(x *exchange, body string) {
+	c := x.call
+	if c.stream && x.sent != answerTokens {
+		o.fail("answers: %s got %d of %d tokens as a whole answer", c.name, x.sent, answerTokens)
+	}
+	if body == c.name && o.runs[c.name] > 0 {
+		return
+	}
+	for _, run := range o.keyRuns[c.key] {
+		if run.call == body {
+			return
+		}
+	}
+	o.fail("answers: %s got the answer to %q", c.name, body)
+}
+
+// refused sees each refusal that a caller gets.
+func (o *oracle) refused(c *call) {
+	if c.refusal.Ran == refuser.NotRun && o.runs[c.name] > 0 {
+		o.fail("not run: %s was refused as not run (%s) and ran", c.name, c.refusal.Code)
+	}
+	if c.refusal.Code >= 2000 && c.refusal.Code < 3000 && c.refusal.RetryAfter <= 0 {
+		o.fail("refusals: %s was refused with %s and no time to come back", c.name, c.refusal.Code)
+	}
+}
+
+// awaits checks at a request's deadline that it has its answer. A frozen daemon answers when it goes on.
+func (o *oracle) awaits(x *exchange) {
+	at := x.deadline + answerSlack
+	if x.started && x.call.stream {
+		at = x.deadline + streamSlack
+	}
+	at = max(at, x.p.resumedAt+answerSlack)
+	if x.p.paused {
+		at = max(at, o.w.now+answerSlack)
+	}
+	if o.w.now < at {
+		o.w.after(at-o.w.now, func() { o.awaits(x) })
+		return
+	}
+	if !x.closed && !x.p.dead {
+		o.fail("in time: %s has no answer of %s at its deadline", x.call.name, x.p.name)
+	}
+}
+
+// exited sees the end of a planned stop.
+func (o *oracle) exited(p *process) {
+	for _, id := range sortedIDs(p.exchanges) {
+		o.fail("planned stop: %s ends while it holds %s", p.name, p.exchanges[id].call.name)
+	}
+	o.w.note("%s has stopped", p.name)
+}
+
+// inForce sees each configuration that a daemon puts in force.
+func (o *oracle) inForce(p *process, version int64) {
+	if version < o.versions[p.name] {
+		o.fail("configuration: %s goes back from version %d to %d", p.name, o.versions[p.name], version)
+	}
+	o.versions[p.name] = version
+}
+
+// watchConfiguration checks the configuration again and again.
+func (o *oracle) watchConfiguration() {
+	o.checkConfiguration()
+	o.w.after(500*time.Millisecond, o.watchConfiguration)
+}
+
+// checkConfiguration checks that daemons which could learn of it have an accepted configuration in force.
+func (o *oracle) checkConfiguration() {
+	if o.w.troubled() {
+		o.quietAt = o.w.now
+	}
+	for _, a := range o.w.accepted {
+		for _, p := range o.w.live() {
+			since := o.w.now - max(a.at, p.started, p.resumedAt, o.quietAt)
+			if p.paused || since < forceWithin {
+				continue
+			}
+			if p.catalog == nil || p.catalog.Version() < a.version {
+				o.fail("configuration: version %d is not in force at %s", a.version, p.name)
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/decision/prover/script_test.go
@@ -0,0 +1,56 @@
+package prover_test
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// TestScripts runs the scenarios of testdata/scripts in virtual time.
+func TestScripts(t *testing.T) {
+	params := testscript.Params{
+		Dir: "testdata/scripts",
+		Setup: func(env *testscript.Env) error {
+			env.Values["world"] = &holder{}
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"world": makeWorld},
+	}
+	for name := range commands {
+		params.Cmds[name] = func(ts *testscript.TestScript, _ bool, args []string) {
+			w := ts.Value("world").(*holder).world
+			if w == nil {
+				ts.Fatalf("the script has no world")
+			}
+			if err := w.do(append([]string{name}, args...)); err != nil {
+				ts.Logf("%s", strings.Join(w.tail(80), "\n"))
+				ts.Fatalf("%v", err)
+			}
+		}
+	}
+	testscript.Run(t, params)
+}
+
+// A holder holds the world of one script.
+type holder struct{ world *World }
+
+// makeWorld starts the script's world: world [seed=N] [fencing=on] [daemons=N] [engines=N].
+func makeWorld(ts *testscript.TestScript, _ bool, args []string) {
+	numbers := map[string]int{"seed": 1, "daemons": 3, "engines": 3}
+	fencing := false
+	for _, arg := range args {
+		name, value, _ := strings.Cut(arg, "=")
+		if name == "fencing" {
+			fencing = value == "on"
+			continue
+		}
+		n, err := strconv.Atoi(value)
+		ts.Check(err)
+		numbers[name] = n
+	}
+	w := newWorld(uint64(numbers["seed"]), fencing, numbers["daemons"], numbers["engines"])
+	w.advance(startTime)
+	ts.Value("world").(*holder).world = w
+}
--- /dev/null
+++ b/internal/decision/prover/server_test.go
@@ -0,0 +1,306 @@
+package prover_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"samphirewharf/internal/backend/orderer"
+	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/platform/lister"
+)
+
+// A server is a backend server: a model engine, or a plain service.
+type server struct {
+	w        *World
+	name     string
+	service  string
+	memory   int64
+	dead     bool
+	instance int
+	fence    int64
+	sequence int64
+	replicas []*replica
+	disk     map[string]bool
+	changes  int64
+	// states are what the host list says from a moment on.
+	states []hostState
+	runs   []*attempt
+}
+
+type hostState struct {
+	from  time.Duration
+	state lister.HostState // empty once the server is gone
+}
+
+// A replica is one loaded or loading model.
+type replica struct {
+	order    orderer.Order
+	state    orderer.ReplicaState
+	adapters map[string]bool
+	running  int
+	loads    []loadSample
+}
+
+type loadSample struct {
+	at      time.Duration
+	running int
+}
+
+func (w *World) addServer(name, service string, memory int64) {
+	s := &server{w: w, name: name, service: service, memory: memory, instance: 1, disk: make(map[string]bool)}
+	s.states = []hostState{{0, lister.HostLive}}
+	w.servers[name] = s
+	w.names = sortedKeys(w.servers)
+}
+
+// listed returns the host list of a service, which lags.
+func (w *World) listed(service string) []lister.Host {
+	var hosts []lister.Host
+	for _, name := range w.names {
+		s := w.servers[name]
+		if state := s.listedState(w.now - w.hostLag); s.service == service && state != "" {
+			hosts = append(hosts, lister.Host{
+				Server: name, Service: service, Address: name, Zone: zoneOf(name), MemoryBytes: s.memory, State: state,
+			})
+		}
+	}
+	return hosts
+}
+
+func (s *server) listedState(at time.Duration) lister.HostState {
+	state := s.states[0].state
+	for _, change := range s.states {
+		if change.from <= at {
+			state = change.state
+		}
+	}
+	return state
+}
+
+func (s *server) setState(state lister.HostState) {
+	s.states = append(s.states, hostState{s.w.now, state})
+}
+
+// crash ends the server process: connections break and its memory is empty.
+func (s *server) crash() {
+	if s.dead {
+		return
+	}
+	s.dead = true
+	s.w.note("%s dies", s.name)
+	runs := s.runs
+	s.runs, s.replicas, s.fence = nil, nil, 0
+	for _, a := range runs {
+		a.finish(reducer.AttemptEnded{Outcome: reducer.AttemptFailed, ServerDied: true})
+	}
+}
+
+func (s *server) restart() {
+	s.dead = false
+	s.instance++
+	s.sequence = 0
+	s.w.note("%s runs again", s.name)
+}
+
+func (s *server) used() (bytes int64) {
+	for _, r := range s.replicas {
+		bytes += r.order.Bytes
+	}
+	return bytes
+}
+
+func (s *server) find(id string) *replica {
+	for _, r := range s.replicas {
+		if r.order.Replica == id {
+			return r
+		}
+	}
+	return nil
+}
+
+func (s *server) report(known int64) orderer.Report {
+	s.sequence++
+	report := orderer.Report{
+		Instance: fmt.Sprintf("%s#%d", s.name, s.instance), Sequence: s.sequence, Fence: s.fence,
+		MemoryBytes: s.memory, UsedBytes: s.used(), CheckpointsVersion: s.changes + 1,
+	}
+	if known != report.CheckpointsVersion {
+		report.Checkpoints = &orderer.Checkpoints{Disk: sortedKeys(s.disk)}
+	}
+	for _, r := range s.replicas {
+		report.Replicas = append(report.Replicas, orderer.ReplicaReport{
+			Replica: r.order.Replica, Deployment: r.order.Deployment, ModelVersion: r.order.ModelVersion, State: r.state,
+			Bytes: r.order.Bytes, Running: r.loadAt(s.w.now - s.w.loadLag), Adapters: sortedKeys(r.adapters),
+		})
+	}
+	return report
+}
+
+func (r *replica) loadAt(at time.Duration) int {
+	running := 0
+	for _, sample := range r.loads {
+		if sample.at <= at {
+			running = sample.running
+		}
+	}
+	return running
+}
+
+func (r *replica) change(now time.Duration, by int) {
+	r.running += by
+	r.loads = append(r.loads, loadSample{now, r.running})
+	if len(r.loads) > 256 {
+		r.loads = slices.Clone(r.loads[128:])
+	}
+}
+
+// receive takes an order on a connection from a process, carries it out late, and answers if it can.
+func (s *server) receive(p *process, order orderer.Order, ended func(orderer.Outcome, int64)) {
+	w := s.w
+	w.oracle.ordered(s, order)
+	if s.dead || !w.reaches(p.name, s.name) {
+		p.later(w.delay(), func() { ended(orderer.OutcomeNotSent, 0) })
+		return
+	}
+	instance := s.instance
+	delay := w.delay() + w.extra(w.orderDelay)
+	lost := delay > callTimeout || w.chance(w.orderLoss)
+	if lost {
+		p.later(callTimeout, func() { ended(orderer.OutcomeUnknown, 0) })
+	}
+	w.after(delay, func() {
+		outcome, fence := orderer.OutcomeUnknown, int64(0)
+		if !s.dead && s.instance == instance {
+			outcome, fence = s.obey(order)
+			w.note("%s takes %s %s of %s: %s", s.name, order.Kind, order.Replica, p.name, outcome)
+		}
+		if !lost {
+			p.later(w.delay(), func() { ended(outcome, fence) })
+		}
+	})
+}
+
+func (s *server) obey(order orderer.Order) (orderer.Outcome, int64) {
+	if s.w.fencing {
+		if order.Fence < s.fence {
+			return orderer.OutcomeStaleFence, s.fence
+		}
+		s.fence = order.Fence
+	}
+	r := s.find(order.Replica)
+	switch order.Kind {
+	case orderer.KindLoad:
+		return s.load(order), 0
+	case orderer.KindUnload:
+		if r != nil {
+			r.state = orderer.StateUnloading
+			s.finishUnload(r)
+		}
+	case orderer.KindLoadAdapter:
+		if r == nil || len(r.adapters) >= r.order.AdapterSlots {
+			return orderer.OutcomeRefused, 0
+		}
+		s.w.after(10*time.Millisecond, func() {
+			if s.find(order.Replica) == r && len(r.adapters) < r.order.AdapterSlots {
+				r.adapters[order.Adapter] = true
+			}
+		})
+	case orderer.KindUnloadAdapter:
+		if r != nil {
+			delete(r.adapters, order.Adapter)
+		}
+	}
+	return orderer.OutcomeAccepted, 0
+}
+
+// load loads a replica, a second one if the order is repeated.
+func (s *server) load(order orderer.Order) orderer.Outcome {
+	w := s.w
+	if s.used()+order.Bytes > s.memory {
+		w.oracle.fail("memory: %s can't hold %s", s.name, order.Replica)
+		return orderer.OutcomeRefused
+	}
+	r := &replica{order: order, state: orderer.StateLoading, adapters: make(map[string]bool)}
+	s.replicas = append(s.replicas, r)
+	w.oracle.loaded(s, order)
+	took := time.Duration(order.LoadMilliseconds[0]) * time.Millisecond * w.loadFactor
+	if s.disk[order.Deployment] {
+		took = time.Duration(order.LoadMilliseconds[1]) * time.Millisecond
+	}
+	w.after(took, func() {
+		if r.state == orderer.StateLoading && slices.Contains(s.replicas, r) {
+			r.state = orderer.StateReady
+			s.disk[order.Deployment] = true
+			s.changes++
+		}
+	})
+	return orderer.OutcomeAccepted
+}
+
+func (s *server) finishUnload(r *replica) {
+	if r.state == orderer.StateUnloading && r.running == 0 {
+		s.replicas = slices.DeleteFunc(s.replicas, func(other *replica) bool { return other == r })
+	}
+}
+
+// run runs a request and answers it, unless it crashes the server.
+func (s *server) run(a *attempt) {
+	w := s.w
+	var r *replica
+	if s.service == modelService {
+		r = s.find(a.replica)
+		if r == nil || r.state != orderer.StateReady {
+			a.finish(reducer.AttemptEnded{Outcome: reducer.AttemptNotRun})
+			return
+		}
+		r.change(w.now, 1)
+	}
+	a.run = r
+	s.runs = append(s.runs, a)
+	w.oracle.ran(s, a)
+	took := w.serviceTime/2 + w.extra(w.serviceTime)
+	if a.x.call.poison {
+		w.after(took/4, func() {
+			if slices.Contains(s.runs, a) {
+				w.oracle.crashes++
+				s.crash()
+				w.after(3*time.Second, s.restart)
+			}
+		})
+		return
+	}
+	cut := w.chance(w.cutAnswers)
+	if a.x.call.stream {
+		w.after(took/2, func() {
+			if slices.Contains(s.runs, a) {
+				a.start(answerTokens / 2)
+			}
+		})
+	}
+	w.after(took, func() {
+		switch {
+		case !s.end(a):
+		case cut:
+			// The connection breaks, or the answer is another request's or lacks its end.
+			a.finish(reducer.AttemptEnded{Outcome: reducer.AttemptFailed, ServerDied: w.chance(50)})
+		default:
+			a.start(answerTokens)
+			a.finish(reducer.AttemptEnded{Outcome: reducer.AttemptDone, Status: 200, Answer: []byte(a.x.call.name)})
+		}
+	})
+}
+
+// end takes a request off the server and reports whether it was still there.
+func (s *server) end(a *attempt) bool {
+	at := slices.Index(s.runs, a)
+	if at < 0 {
+		return false
+	}
+	s.runs = slices.Delete(s.runs, at, at+1)
+	if a.run != nil {
+		a.run.change(s.w.now, -1)
+		s.finishUnload(a.run)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/decision/prover/store_test.go
@@ -0,0 +1,284 @@
+package prover_test
+
+import (
+	"strings"
+	"time"
+
+	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/platform/storer"
+)
+
+type callKind uint8
+
+const (
+	callGet callKind = iota
+	callSwap
+	callDelete
+	callList
+	callKeepAlive
+	callGrant
+	callRevoke
+)
+
+// A storeCall is one call to the key-value service.
+type storeCall struct {
+	kind     callKind
+	key      string
+	value    []byte
+	revision int64
+	lease    int64
+	ttl      time.Duration
+}
+
+type storeAnswer struct {
+	result  storer.Result
+	entry   storer.Entry
+	entries []storer.Entry
+	lease   int64
+	alive   bool
+	// revision is the service's revision at the time of a list.
+	revision int64
+}
+
+type storedValue struct {
+	entry storer.Entry
+	lease int64
+}
+
+// A store is the key-value service.
+type store struct {
+	w        *World
+	values   map[string]storedValue
+	revision int64
+	leases   map[int64]time.Duration
+	nextID   int64
+	down     bool
+	slow     time.Duration
+	// loseAnswer is a key prefix: the next write below it takes effect and its answer is lost.
+	loseAnswer string
+	// writes count the writes that took effect, by the first part of their key.
+	writes map[string]int
+}
+
+func newStore(w *World) *store {
+	return &store{w: w, values: make(map[string]storedValue), leases: make(map[int64]time.Duration), writes: make(map[string]int)}
+}
+
+// call carries a call out with delays and faults; then is called once, in the caller's time.
+func (s *store) call(from string, c storeCall, then func(storeAnswer)) {
+	w := s.w
+	if !w.reaches(from, "store") || s.down {
+		s.failCall(c, then)
+		return
+	}
+	delay := w.delay()
+	if s.slow > 0 {
+		delay += s.slow/2 + time.Duration(w.rng.Int64N(int64(s.slow)))
+	}
+	lost := s.loseAnswer != "" && c.kind == callSwap && strings.HasPrefix(c.key, s.loseAnswer)
+	if lost {
+		s.loseAnswer = ""
+		w.note("the answer of %s's write of %s will be lost", from, c.key)
+	}
+	back := w.delay()
+	if delay+back > callTimeout || lost {
+		w.after(callTimeout, func() { then(storeAnswer{}) })
+		w.after(delay, func() { s.apply(c) })
+		return
+	}
+	w.after(delay, func() {
+		a := s.apply(c)
+		w.after(back, func() { then(a) })
+	})
+}
+
+// failCall ends a call of an outage: it did not leave, is lost, or takes effect long after.
+func (s *store) failCall(c storeCall, then func(storeAnswer)) {
+	w := s.w
+	result := storer.ResultNotSent
+	wait := w.delay()
+	if w.rng.IntN(2) == 0 {
+		result = storer.ResultUnknown
+		wait = callTimeout
+		if w.rng.IntN(2) == 0 {
+			w.after(time.Duration(w.rng.Int64N(int64(20*time.Second))), func() { s.applyLate(c) })
+		}
+	}
+	w.after(wait, func() { then(storeAnswer{result: result}) })
+}
+
+// applyLate applies a call whose answer nobody waits for, if the service is up.
+func (s *store) applyLate(c storeCall) {
+	if !s.down {
+		s.apply(c)
+	}
+}
+
+// apply lets a call take effect.
+func (s *store) apply(c storeCall) storeAnswer {
+	s.expire()
+	switch c.kind {
+	case callGet:
+		v, ok := s.values[c.key]
+		if !ok {
+			return storeAnswer{result: storer.ResultNotFound}
+		}
+		return storeAnswer{result: storer.ResultOK, entry: v.entry}
+	case callSwap:
+		return s.swap(c)
+	case callDelete:
+		if v, ok := s.values[c.key]; !ok || v.entry.Revision != c.revision {
+			return storeAnswer{result: storer.ResultConflict}
+		}
+		s.remove(c.key)
+		return storeAnswer{result: storer.ResultOK}
+	case callList:
+		a := storeAnswer{result: storer.ResultOK, revision: s.revision}
+		for _, key := range sortedKeys(s.values) {
+			if strings.HasPrefix(key, c.key) {
+				a.entries = append(a.entries, s.values[key].entry)
+			}
+		}
+		return a
+	case callGrant:
+		s.nextID++
+		s.leases[s.nextID] = s.w.now + c.ttl
+		s.w.after(c.ttl, s.expire)
+		return storeAnswer{result: storer.ResultOK, lease: s.nextID}
+	case callKeepAlive:
+		_, alive := s.leases[c.lease]
+		if alive {
+			s.leases[c.lease] = s.w.now + c.ttl
+			s.w.after(c.ttl, s.expire)
+		}
+		return storeAnswer{result: storer.ResultOK, alive: alive}
+	default:
+		delete(s.leases, c.lease)
+		s.expire()
+		return storeAnswer{result: storer.ResultOK}
+	}
+}
+
+func (s *store) swap(c storeCall) storeAnswer {
+	if _, ok := s.leases[c.lease]; c.lease != 0 && !ok {
+		return storeAnswer{result: storer.ResultNotFound}
+	}
+	if s.values[c.key].entry.Revision != c.revision {
+		return storeAnswer{result: storer.ResultConflict}
+	}
+	s.revision++
+	entry := storer.Entry{Key: c.key, Value: c.value, Revision: s.revision}
+	s.values[c.key] = storedValue{entry, c.lease}
+	first, _, _ := strings.Cut(c.key, "/")
+	s.writes[first]++
+	s.w.oracle.stored(entry)
+	s.notify(entry, false)
+	return storeAnswer{result: storer.ResultOK, entry: entry}
+}
+
+func (s *store) remove(key string) {
+	delete(s.values, key)
+	s.revision++
+	s.notify(storer.Entry{Key: key, Revision: s.revision}, true)
+}
+
+// expire deletes the keys of leases that have run out.
+func (s *store) expire() {
+	if s.down {
+		return
+	}
+	for id, until := range s.leases {
+		if until <= s.w.now {
+			delete(s.leases, id)
+		}
+	}
+	for _, key := range sortedKeys(s.values) {
+		lease := s.values[key].lease
+		if _, ok := s.leases[lease]; lease != 0 && !ok {
+			s.remove(key)
+		}
+	}
+}
+
+func (s *store) notify(e storer.Entry, deleted bool) {
+	for _, p := range s.w.live() {
+		for _, prefix := range sortedKeys(p.watches) {
+			if strings.HasPrefix(e.Key, prefix) {
+				p.watches[prefix].changed(e, deleted)
+			}
+		}
+	}
+}
+
+// A watch is one process's watch of a prefix. After a break everything is read anew.
+type watch struct {
+	p      *process
+	prefix string
+	known  map[string]int64
+	// at is when the last change is delivered: changes come in order.
+	at     time.Duration
+	broken bool
+}
+
+func (x *watch) changed(e storer.Entry, deleted bool) {
+	w := x.p.w
+	if w.store.down || !w.reaches(x.p.name, "store") {
+		x.breakOff()
+	}
+	if x.broken {
+		return
+	}
+	delay := w.delay()
+	if w.store.slow > 0 {
+		delay += time.Duration(w.rng.Int64N(int64(w.store.slow)))
+	}
+	x.at = max(x.at, w.now+delay)
+	x.p.later(x.at-w.now, func() { x.report(e, deleted) })
+}
+
+func (x *watch) breakOff() {
+	if x.broken {
+		return
+	}
+	x.broken = true
+	x.retry()
+}
+
+func (x *watch) retry() { x.p.later(500*time.Millisecond, x.refresh) }
+
+// report tells the process of a change.
+func (x *watch) report(e storer.Entry, deleted bool) {
+	if deleted {
+		delete(x.known, e.Key)
+	} else {
+		x.known[e.Key] = e.Revision
+	}
+	x.p.step(reducer.StoreChanged{Entry: e, Deleted: deleted})
+}
+
+// refresh reads the prefix anew and reports what changed.
+func (x *watch) refresh() {
+	x.p.storeCall(storeCall{kind: callList, key: x.prefix}, func(a storeAnswer) {
+		if a.result != storer.ResultOK {
+			x.retry()
+			return
+		}
+		// Changes since the list was made are missed, so that another list is needed.
+		x.broken = a.revision != x.p.w.store.revision
+		if x.broken {
+			x.retry()
+		}
+		present := make(map[string]bool)
+		for _, e := range a.entries {
+			present[e.Key] = true
+			if x.known[e.Key] < e.Revision {
+				x.report(e, false)
+			}
+		}
+		for _, key := range sortedKeys(x.known) {
+			if !present[key] {
+				x.report(storer.Entry{Key: key, Revision: x.p.w.store.revision}, true)
+			}
+		}
+	})
+}
