fix: let a forwarded request's refusal arrive before its deadline

The daemon that a booking was forwarded to refuses it at its deadline as 'not run', but the forwarding daemon gave up at the same moment, a network delay earlier, and could only say 'may have run'. It now gives the other daemon 50 ms less. Ruled out: the claim's state (the owner said 'not run' each time).

--- a/internal/decision/reducer/forwarding.go
+++ b/internal/decision/reducer/forwarding.go
@@ -7,6 +7,9 @@
 	"samphirewharf/internal/decision/tracker"
 )
 
+// forwardMargin is how much earlier than here the deadline of a forwarded request is at the other daemon.
+const forwardMargin = 50 * time.Millisecond
+
 // forwardToCell passes a request to a daemon that serves its cell, one hop at most.
 func (m *Machine) forwardToCell(r *request) {
 	if r.arrived.ForwardedBy != "" {
@@ -43,11 +46,15 @@
 		Attempt: r.attempt,
 		Daemon:  to.ID,
 		Address: to.Address,
-		Timeout: r.deadline - m.now.Since,
+		Timeout: forwardTimeout(r.deadline - m.now.Since),
 		Reason:  reason,
 	})
 }
 
+// forwardTimeout returns the time that another daemon gets, so that its refusal at the deadline, which knows
+// whether the request ran, is here before this daemon gives the request up.
+func forwardTimeout(left time.Duration) time.Duration { return max(left-forwardMargin, left/2) }
+
 // forwardEnded takes the end of a Forward. "Not run" is only passed on if nothing was sent or the
 // other daemon said so.
 func (m *Machine) forwardEnded(r *request, e AttemptEnded) {
