--- a/internal/decision/prover/command_test.go
+++ b/internal/decision/prover/command_test.go
@@ -64,10 +64,7 @@
 func onProcess(act func(p *process)) func(w *World, args []string) error {
 	return func(w *World, args []string) error {
 		for _, name := range args {
-			if name == "placer" {
-				name = w.oracle.record.Placer
-			}
-			p := w.process(name)
+			p := w.process(w.daemon(name))
 			if p == nil {
 				return fmt.Errorf("no daemon %q", name)
 			}
@@ -79,6 +76,21 @@
 	}
 }
 
+// daemon returns the daemon that a word of a script stands for: the placer, another live one, or a name.
+func (w *World) daemon(word string) string {
+	switch placer := w.oracle.record.Placer; word {
+	case "placer":
+		return placer
+	case "other":
+		for _, p := range w.live() {
+			if p.name != placer && !p.paused {
+				return p.name
+			}
+		}
+	}
+	return word
+}
+
 func onServer(act func(s *server)) func(w *World, args []string) error {
 	return func(w *World, args []string) error {
 		for _, name := range args {
@@ -104,7 +116,7 @@
 	if len(args) < 3 {
 		return fmt.Errorf("usage: send NAME DAEMON TARGET [urgent] [stream] [poison] [key=K] [body=B] [timeout=D]")
 	}
-	c := &call{name: args[0], daemon: args[1], target: args[2], method: "POST", body: args[0]}
+	c := &call{name: args[0], daemon: w.daemon(args[1]), target: args[2], method: "POST", body: args[0]}
 	if service, below, ok := strings.Cut(args[2], "/"); ok {
 		c.plain, c.target, c.path = true, service, "/"+below
 		if below != "bookings" {
--- a/internal/decision/prover/script_test.go
+++ b/internal/decision/prover/script_test.go
@@ -1,6 +1,7 @@
 package prover_test
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"testing"
@@ -8,12 +9,21 @@
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
+// scriptSeeds is how many seeds each scenario is run with.
+const scriptSeeds = 10
+
 // TestScripts runs the scenarios of testdata/scripts in virtual time.
 func TestScripts(t *testing.T) {
+	for seed := range scriptSeeds {
+		t.Run(fmt.Sprintf("seed %d", seed+1), func(t *testing.T) { runScripts(t, uint64(seed+1)) })
+	}
+}
+
+func runScripts(t *testing.T, seed uint64) {
 	params := testscript.Params{
 		Dir: "testdata/scripts",
 		Setup: func(env *testscript.Env) error {
-			env.Values["world"] = &holder{}
+			env.Values["world"] = &holder{seed: seed}
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){"world": makeWorld},
@@ -34,11 +44,14 @@
 }
 
 // A holder holds the world of one script.
-type holder struct{ world *World }
+type holder struct {
+	seed  uint64
+	world *World
+}
 
-// makeWorld starts the script's world: world [seed=N] [fencing=on] [daemons=N] [engines=N].
+// makeWorld starts the script's world: world [fencing=on] [daemons=N] [engines=N].
 func makeWorld(ts *testscript.TestScript, _ bool, args []string) {
-	numbers := map[string]int{"seed": 1, "daemons": 3, "engines": 3}
+	numbers := map[string]int{"daemons": 3, "engines": 3}
 	fencing := false
 	for _, arg := range args {
 		name, value, _ := strings.Cut(arg, "=")
@@ -50,7 +63,8 @@
 		ts.Check(err)
 		numbers[name] = n
 	}
-	w := newWorld(uint64(numbers["seed"]), fencing, numbers["daemons"], numbers["engines"])
+	h := ts.Value("world").(*holder)
+	w := newWorld(h.seed, fencing, numbers["daemons"], numbers["engines"])
 	w.advance(startTime)
-	ts.Value("world").(*holder).world = w
+	h.world = w
 }
