--- /dev/null
+++ b/internal/decision/prover/fuzz_test.go
@@ -0,0 +1,160 @@
+package prover_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	// shards run side by side, each with cases of its own.
+	shards = 8
+	// fuzzChecks and fuzzSeed are the cases of each shard in CI; flags change them.
+	fuzzChecks = "250"
+	fuzzSeed   = "20261203"
+	// maxCommands bounds the commands of one case.
+	maxCommands = 30
+)
+
+// TestMain fixes the fuzzer's seed and cases unless flags set them.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := make(map[string]bool)
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	defaults := [][2]string{{"rapid.checks", fuzzChecks}, {"rapid.seed", fuzzSeed}, {"rapid.nofailfile", "true"}}
+	for _, setting := range defaults {
+		if !given[setting[0]] {
+			if err := flag.Set(setting[0], setting[1]); err != nil {
+				fmt.Fprintln(os.Stderr, err)
+				os.Exit(2)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// TestFuzz runs random scenarios. A failing one is printed as a script to keep.
+func TestFuzz(t *testing.T) {
+	for shard := range shards {
+		t.Run(fmt.Sprintf("shard %d", shard), func(t *testing.T) {
+			t.Parallel()
+			rapid.Check(t, func(t *rapid.T) {
+				for range shard {
+					rapid.Bool().Draw(t, "shard")
+				}
+				fuzz(t, mutation{})
+			})
+		})
+	}
+}
+
+// fuzz draws and runs one case.
+func fuzz(t *rapid.T, m mutation) {
+	f := &fuzzer{t: t}
+	seed := rapid.Uint64Range(1, 1000).Draw(t, "seed")
+	fencing := rapid.Bool().Draw(t, "fencing")
+	engines := rapid.IntRange(1, 3).Draw(t, "engines")
+	f.script = []string{fmt.Sprintf("world seed=%d fencing=%s daemons=3 engines=%d", seed, onOff(fencing), engines)}
+	w := newWorld(seed, fencing, 3, engines)
+	w.mutation = m
+	w.advance(startTime)
+	f.engines = engines
+	for range rapid.IntRange(1, maxCommands).Draw(t, "commands") {
+		f.run(w, f.draw())
+	}
+	f.run(w, "settle")
+}
+
+// A fuzzer draws commands of the test language.
+type fuzzer struct {
+	t       *rapid.T
+	script  []string
+	engines int
+	sent    int
+}
+
+func (f *fuzzer) run(w *World, line string) {
+	f.script = append(f.script, line)
+	if err := w.do(strings.Fields(line)); err != nil {
+		f.t.Logf("%s", strings.Join(w.tail(150), "\n"))
+		f.t.Fatalf("%v\nas a script:\n%s\n", err, strings.Join(f.script, "\n"))
+	}
+}
+
+func (f *fuzzer) of(label string, choices ...string) string {
+	return rapid.SampledFrom(choices).Draw(f.t, label)
+}
+
+func (f *fuzzer) daemon() string { return f.of("daemon", "d1", "d2", "d3") }
+
+func (f *fuzzer) engine() string {
+	return fmt.Sprintf("e%d", rapid.IntRange(1, f.engines).Draw(f.t, "engine"))
+}
+
+func (f *fuzzer) server() string {
+	if rapid.IntRange(0, 3).Draw(f.t, "plain") == 0 {
+		return f.of("server", "p1", "p2", "p3")
+	}
+	return f.engine()
+}
+
+func (f *fuzzer) draw() string {
+	switch kind := f.of("kind", "send", "send", "send", "advance", "advance", "advance", "burst", "daemon", "server", "network", "store", "disturb", "other"); kind {
+	case "send":
+		return f.send()
+	case "advance":
+		return "advance " + f.of("time", "1ms", "5ms", "20ms", "100ms", "300ms", "1s", "1s", "3s", "8s", "20s", "40s")
+	case "burst":
+		f.sent++
+		return fmt.Sprintf("burst b%d %s %s", f.sent, f.of("count", "3", "6", "12"), f.target())
+	case "daemon":
+		return f.of("fault", "pause", "pause", "resume", "resume", "crash", "restart", "restart", "shutdown", "freeze-at") + " " + f.of("daemon", "d1", "d2", "d3", "placer", "placer")
+	case "server":
+		return f.of("fault", "break", "mend", "mend", "leave", "stay", "reclaim") + " " + f.server()
+	case "network":
+		if rapid.IntRange(0, 2).Draw(f.t, "heal") == 0 {
+			return "heal"
+		}
+		return "cut " + f.daemon() + " " + f.of("other", "d1", "d2", "d3", "store", "hosts", "p1", f.engine())
+	case "store":
+		return "store " + f.of("store", "up", "up", "down", "slow 1s", "slow 3s", "lose cells/", "lose claims/", "lose configuration/", "lose daemons/")
+	case "disturb":
+		return f.disturb()
+	default:
+		return f.of("other", "configure op1", "configure op1 op2", "hosts lag 5s", "hosts lag 500ms", "hosts down", "hosts up", f.hangUp())
+	}
+}
+
+func (f *fuzzer) hangUp() string {
+	return fmt.Sprintf("hang-up f%d", rapid.IntRange(1, f.sent+1).Draw(f.t, "call"))
+}
+
+func (f *fuzzer) disturb() string {
+	return "set " + f.of("disturb", "order-delay 0s", "order-delay 5s", "order-delay 20s", "order-loss 0", "order-loss 50", "lateness 0s",
+		"lateness 2s", "loss 0", "loss 30", "duplicates 30", "cut-answers 0", "cut-answers 30", "service-time 100ms", "service-time 4s",
+		"load-lag 2s", "load-lag 100ms", "load-factor 10", "load-factor 1")
+}
+
+func (f *fuzzer) target() string {
+	return f.of("target", "m1", "m1", "m2", "m3", "m4", "m1a", "m1b", "m2c", "desk/stock")
+}
+
+func (f *fuzzer) send() string {
+	f.sent++
+	line := fmt.Sprintf("send f%d %s ", f.sent, f.daemon())
+	if rapid.IntRange(0, 2).Draw(f.t, "booking") == 0 {
+		return line + "desk/bookings key=" + f.of("key", "A", "B", "C")
+	}
+	return line + f.target() + f.of("options", "", "", " urgent", " stream", " stream urgent", " timeout=300ms", " timeout=60s", " poison")
+}
+
+func onOff(on bool) string {
+	if on {
+		return "on"
+	}
+	return "off"
+}
--- a/internal/decision/prover/script_test.go
+++ b/internal/decision/prover/script_test.go
@@ -49,7 +49,7 @@
 	world *World
 }
 
-// makeWorld starts the script's world: world [fencing=on] [daemons=N] [engines=N].
+// makeWorld starts the script's world: world [seed=N] [fencing=on] [daemons=N] [engines=N].
 func makeWorld(ts *testscript.TestScript, _ bool, args []string) {
 	numbers := map[string]int{"daemons": 3, "engines": 3}
 	fencing := false
@@ -64,6 +64,9 @@
 		numbers[name] = n
 	}
 	h := ts.Value("world").(*holder)
+	if numbers["seed"] > 0 {
+		h.seed = uint64(numbers["seed"])
+	}
 	w := newWorld(h.seed, fencing, numbers["daemons"], numbers["engines"])
 	w.advance(startTime)
 	h.world = w
--- a/internal/decision/prover/world_test.go
+++ b/internal/decision/prover/world_test.go
@@ -52,6 +52,7 @@
 	hostLag   time.Duration
 	loadLag   time.Duration
 	hostsDown bool
+	listedAt  time.Duration
 	// orderDelay is how late engines take orders; orderLoss is the percentage of lost answers to them.
 	orderDelay time.Duration
 	orderLoss  int
