--- a/internal/command/runner/demo.go
+++ b/internal/command/runner/demo.go
@@ -11,21 +11,21 @@
 	"samphirewharf/internal/daemon/demonstrator"
 )
 
-// A DemoCommand shows the whole system in one process.
-type DemoCommand struct {
+// A demoCommand shows the whole system in one process.
+type demoCommand struct {
 	Stay bool   `help:"Stay up after the steps, for trying it with curl." env:"SAMPHIREWHARF_DEMO_STAY"`
 	Log  string `help:"File for the daemons' logs; none are kept by default." type:"path" env:"SAMPHIREWHARF_DEMO_LOG"`
 }
 
 // Run runs the demonstration. It fails if a step did not show what it should.
-func (c *DemoCommand) Run(shared *Shared) error {
+func (c *demoCommand) Run(r *Runner) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	logger := &log.Logger{Level: log.PanicLevel}
 	if c.Log != "" {
 		logger = &log.Logger{Level: log.InfoLevel, Writer: &log.FileWriter{Filename: c.Log}}
 	}
-	d := demonstrator.Demonstrator{Out: shared.Stdout, Stay: c.Stay, Logger: logger}
+	d := demonstrator.Demonstrator{Out: r.Stdout, Stay: c.Stay, Logger: logger}
 	if err := d.Run(ctx); err != nil {
 		return fmt.Errorf("demonstration: %w", err)
 	}
--- a/internal/command/runner/runner.go
+++ b/internal/command/runner/runner.go
@@ -30,6 +30,9 @@
 type commandLine struct {
 	Settings
 
+	Serve         serveCommand         `cmd:"" help:"Run an entry daemon."`
+	Demo          demoCommand          `cmd:"" help:"Show the whole system in one process."`
+	Standin       standinCommand       `cmd:"" help:"Run stand-ins of the platform and the backend servers."`
 	Questionnaire questionnaireCommand `cmd:"" help:"Write, check and try out a questionnaire."`
 	Config        configCommand        `cmd:"" help:"Show and change the configuration in force."`
 	Deployment    deploymentCommand    `cmd:"" help:"Show deployments of the configuration in force."`
--- a/internal/command/runner/serve.go
+++ b/internal/command/runner/serve.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -14,15 +15,17 @@
 	"samphirewharf/internal/entry/acceptor"
 )
 
-// A ServeCommand runs an entry daemon until SIGTERM or SIGINT, which start a planned stop.
-type ServeCommand struct {
+// maxDrainTime is the longest time that a planned stop may be told to take new requests.
+const maxDrainTime = 10 * time.Minute
+
+// A serveCommand runs an entry daemon until SIGTERM or SIGINT, which start a planned stop.
+type serveCommand struct {
 	Daemon         string        `help:"Daemon's ID, unique among those running; the host name and port by default." env:"SAMPHIREWHARF_DAEMON"`
 	Listen         string        `help:"IP and port to listen on." default:"127.0.0.1:8080" env:"SAMPHIREWHARF_LISTEN"`
 	Advertise      string        `help:"IP and port that callers and other daemons use; the one listened on by default." env:"SAMPHIREWHARF_ADVERTISE"`
 	Zone           string        `help:"Availability zone of the entry host." required:"" env:"SAMPHIREWHARF_ZONE"`
 	Region         string        `help:"Region of the entry host; empty means that there is one." env:"SAMPHIREWHARF_REGION"`
 	HostsAddress   string        `help:"IP and port of the platform's host list." required:"" env:"SAMPHIREWHARF_HOSTS_ADDRESS"`
-	StoreTimeout   time.Duration `help:"Bound of one call to the key-value service." default:"2s" env:"SAMPHIREWHARF_STORE_TIMEOUT"`
 	DrainTime      time.Duration `help:"How long a planned stop takes new requests at least; it is never shorter than the time to live of address answers." default:"6s" env:"SAMPHIREWHARF_DRAIN_TIME"`
 	MaxRequests    int           `help:"Requests held at once." default:"20000" env:"SAMPHIREWHARF_MAX_REQUESTS"`
 	MaxConnections int           `help:"Connections held at once." default:"10000" env:"SAMPHIREWHARF_MAX_CONNECTIONS"`
@@ -31,17 +34,20 @@
 }
 
 // Run runs the daemon.
-func (c *ServeCommand) Run(shared *Shared) error {
-	logger := &log.Logger{Level: log.ParseLevel(c.LogLevel), Writer: &log.IOWriter{Writer: os.Stderr}}
+func (c *serveCommand) Run(r *Runner) error {
+	if err := c.validate(r.settings); err != nil {
+		return err
+	}
+	logger := &log.Logger{Level: log.ParseLevel(c.LogLevel), Writer: &log.IOWriter{Writer: r.Stderr}}
 	daemon, err := assembler.New(assembler.Settings{
 		Daemon:       c.daemonID(),
 		Listen:       c.Listen,
 		Advertise:    c.Advertise,
 		Zone:         c.Zone,
 		Region:       c.Region,
-		StoreAddress: shared.StoreAddress,
+		StoreAddress: r.settings.StoreAddress,
 		HostsAddress: c.HostsAddress,
-		StoreTimeout: c.StoreTimeout,
+		StoreTimeout: r.settings.StoreTimeout,
 		DrainTime:    c.DrainTime,
 		MaxRequests:  c.MaxRequests,
 		Limits:       acceptor.Limits{Connections: c.MaxConnections, BodyBytes: c.MaxBodyBytes},
@@ -69,7 +75,7 @@
 	}
 }
 
-func (c *ServeCommand) daemonID() string {
+func (c *serveCommand) daemonID() string {
 	if c.Daemon != "" {
 		return c.Daemon
 	}
@@ -79,3 +85,42 @@
 	}
 	return host + "@" + c.Listen
 }
+
+// validate checks the settings that only the daemon has.
+func (c *serveCommand) validate(shared Settings) error {
+	if shared.StoreAddress == "" {
+		return &SettingError{Name: "--store-address", Accepted: "an IP number and port, such as 10.0.0.1:2379"}
+	}
+	if err := validateAddress("--listen", c.Listen); err != nil {
+		return err
+	}
+	if err := validateAddress("--hosts-address", c.HostsAddress); err != nil {
+		return err
+	}
+	if c.Advertise != "" {
+		if err := validateAddress("--advertise", c.Advertise); err != nil {
+			return err
+		}
+	}
+	if c.DrainTime < 0 || c.DrainTime > maxDrainTime {
+		return &SettingError{Name: "--drain-time", Value: c.DrainTime.String(), Accepted: "a duration from 0s to 10m"}
+	}
+	return c.validateLimits()
+}
+
+func (c *serveCommand) validateLimits() error {
+	limits := []struct {
+		name  string
+		value int
+	}{
+		{"--max-requests", c.MaxRequests},
+		{"--max-connections", c.MaxConnections},
+		{"--max-body-bytes", c.MaxBodyBytes},
+	}
+	for _, l := range limits {
+		if l.value < 1 {
+			return &SettingError{Name: l.name, Value: strconv.Itoa(l.value), Accepted: "a whole number from 1"}
+		}
+	}
+	return nil
+}
--- a/internal/command/runner/standin.go
+++ b/internal/command/runner/standin.go
@@ -12,8 +12,8 @@
 	"samphirewharf/internal/standin/starter"
 )
 
-// A StandinCommand runs stand-ins of the platform and the backend servers until SIGTERM or SIGINT.
-type StandinCommand struct {
+// A standinCommand runs stand-ins of the platform and the backend servers until SIGTERM or SIGINT.
+type standinCommand struct {
 	Questionnaire string        `arg:"" optional:"" help:"Questionnaire whose services are started; the demo's by default." type:"existingfile"`
 	Part          []string      `help:"Part to start (KeyValueService, HostList, Servers); all by default." enum:"KeyValueService,HostList,Servers" env:"SAMPHIREWHARF_STANDIN_PART"`
 	Host          string        `help:"IP to listen on; it must be a loopback address." default:"127.0.0.1" env:"SAMPHIREWHARF_STANDIN_HOST"`
@@ -27,7 +27,7 @@
 }
 
 // Run runs the stand-ins.
-func (c *StandinCommand) Run(shared *Shared) error {
+func (c *standinCommand) Run(r *Runner) error {
 	questionnaire, err := c.read()
 	if err != nil {
 		return err
@@ -40,16 +40,16 @@
 	}
 	defer parts.Stop()
 	addresses := parts.Addresses()
-	fmt.Fprintf(shared.Stdout, "KeyValueService %s\nHostList %s\n", addresses.KeyValueService, addresses.HostList)
+	fmt.Fprintf(r.Stdout, "KeyValueService %s\nHostList %s\n", addresses.KeyValueService, addresses.HostList)
 	for _, h := range addresses.Servers {
-		fmt.Fprintf(shared.Stdout, "Server %s %s %s %s\n", h.Server, h.Service, h.Zone, h.Address)
+		fmt.Fprintf(r.Stdout, "Server %s %s %s %s\n", h.Server, h.Service, h.Zone, h.Address)
 	}
-	fmt.Fprintln(shared.Stdout, "ready")
+	fmt.Fprintln(r.Stdout, "ready")
 	<-stop
 	return nil
 }
 
-func (c *StandinCommand) read() (questioner.Questionnaire, error) {
+func (c *standinCommand) read() (questioner.Questionnaire, error) {
 	data, err := questioner.Example("demo")
 	if c.Questionnaire != "" {
 		data, err = os.ReadFile(c.Questionnaire)
@@ -60,7 +60,7 @@
 	return questioner.Parse(data)
 }
 
-func (c *StandinCommand) settings(q questioner.Questionnaire) starter.Settings {
+func (c *standinCommand) settings(q questioner.Questionnaire) starter.Settings {
 	settings := starter.Settings{
 		Host:       c.Host,
 		BasePort:   c.BasePort,
--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -16,6 +16,7 @@
 
 	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/config/versioner"
 	"samphirewharf/internal/daemon/driver"
 	"samphirewharf/internal/daemon/executor"
 	"samphirewharf/internal/decision/reducer"
@@ -142,7 +143,7 @@
 	s := d.settings
 	store := &storer.Client{Address: s.StoreAddress, Timeout: s.StoreTimeout}
 	d.registerMetrics()
-	d.fetcher.versioner.Store = newStore(store)
+	d.fetcher.versioner.Store = versioner.NewStore(store)
 	d.fetcher.fromPeer = d.peers.FetchConfiguration
 	d.decided = decisionLog{logger: s.Logger}
 	d.driver = driver.Driver{
--- a/internal/daemon/assembler/fetcher.go
+++ b/internal/daemon/assembler/fetcher.go
@@ -8,7 +8,6 @@
 
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/config/versioner"
-	"samphirewharf/internal/platform/storer"
 )
 
 // A fetcher reads the configuration from the key-value service, or from another daemon.
@@ -21,11 +20,6 @@
 	shards versioner.Shards
 }
 
-// newStore returns the client's functions as a versioner's store.
-func newStore(store *storer.Client) versioner.Store {
-	return versioner.Store{Get: store.Get, Swap: store.Swap, Delete: store.Delete, List: store.List}
-}
-
 // fetch returns a configuration and the revision of the head key, 0 from a peer. The catalog is nil if
 // no configuration newer than haveVersion is known there.
 func (f *fetcher) fetch(ctx context.Context, peer string, haveVersion int64) (*cataloger.Catalog, int64, error) {
--- a/internal/decision/reducer/cell.go
+++ b/internal/decision/reducer/cell.go
@@ -48,12 +48,12 @@
 	}
 	for i := range m.catalog.Configuration.Services {
 		service := &m.catalog.Configuration.Services[i]
-		if !m.servesCell(service.Name) {
+		c := m.cells[service.Name]
+		if !m.servesCell(service.Name) && (c == nil || !m.stop.requested) {
 			m.dropCell(service.Name)
 			continue
 		}
 		daemons := m.activeDaemons(service.Name)
-		c := m.cells[service.Name]
 		if c == nil {
 			c = m.addCell(service)
 		}
@@ -113,6 +113,8 @@
 		Daemon:    m.settings.Daemon,
 		Instance:  m.settings.Instance,
 		Retention: service.ClaimRetention.D(),
+
+		ResultDelay: resultDelay,
 	})
 	m.cells[service.Name] = c
 	at, _ := slices.BinarySearch(m.cellNames, service.Name)
@@ -126,7 +128,7 @@
 // dropCell gives a cell up. Requests in hand go on with what is known of its servers.
 func (m *Machine) dropCell(name string) {
 	c := m.cells[name]
-	if c == nil || m.stop.requested {
+	if c == nil {
 		return
 	}
 	delete(m.cells, name)
@@ -175,6 +177,10 @@
 	return m.warmer.EvictionScore(d.Name, d.Load.D(), d.ReplicaBytes(), now)
 }
 
+// resultDelay is how long results wait to be written together with others. A crash in that time turns
+// the answer to a repeat into "may have run".
+const resultDelay = 250 * time.Millisecond
+
 // patience is how long a load may take at the weight store. Requests that can't wait that long are
 // refused by their own daemons, which the forecast tells.
 const patience = time.Hour
--- a/internal/decision/reducer/stopping.go
+++ b/internal/decision/reducer/stopping.go
@@ -36,13 +36,23 @@
 	m.announceLeaving()
 }
 
+// claimsIdle reports whether every result has been written.
+func (m *Machine) claimsIdle() bool {
+	for _, c := range m.cells {
+		if !c.claims.Idle() {
+			return false
+		}
+	}
+	return true
+}
+
 // tickStop ends the process once kept addresses have expired and every request has its answer.
 func (m *Machine) tickStop() {
 	if !m.stop.requested || m.now.Since < m.stop.drainUntil {
 		return
 	}
 	m.stop.closed = true
-	if len(m.requests) > 0 {
+	if len(m.requests) > 0 || !m.claimsIdle() {
 		return
 	}
 	if !m.stop.revoked {
