--- /dev/null
+++ b/internal/command/runner/addresses.go
@@ -0,0 +1,82 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+)
+
+// addressesTimeout bounds one look-up.
+const addressesTimeout = 5 * time.Second
+
+// An addressesCommand asks a daemon which daemons to use, as callers do.
+type addressesCommand struct {
+	Ask        string `help:"IP and port of any daemon." required:"" env:"SAMPHIREWHARF_ASK"`
+	Zone       string `help:"Availability zone of the caller." env:"SAMPHIREWHARF_ZONE"`
+	Deployment string `arg:"" help:"Deployment, adapter or service."`
+}
+
+// An addressesAnswer is the answer of /v1/addresses.
+type addressesAnswer struct {
+	Addresses []struct {
+		Address          string
+		AvailabilityZone string
+	}
+	TimeToLiveMilliseconds int64
+}
+
+// Run prints the addresses, the nearest first.
+func (c *addressesCommand) Run(ctx context.Context, r *Runner) error {
+	if err := validateAddress("--ask", c.Ask); err != nil {
+		return err
+	}
+	query := url.Values{"Deployment": {c.Deployment}}
+	if c.Zone != "" {
+		query.Set("AvailabilityZone", c.Zone)
+	}
+	answer, err := c.ask(ctx, "http://"+c.Ask+"/v1/addresses?"+query.Encode())
+	if err != nil {
+		return err
+	}
+	return r.print(answer, func(w *strings.Builder) {
+		fmt.Fprintln(w, "ADDRESS\tZONE")
+		for _, a := range answer.Addresses {
+			fmt.Fprintf(w, "%s\t%s\n", a.Address, a.AvailabilityZone)
+		}
+		fmt.Fprintf(w, "\nkeep for %s\n", time.Duration(answer.TimeToLiveMilliseconds)*time.Millisecond)
+	})
+}
+
+func (c *addressesCommand) ask(ctx context.Context, address string) (addressesAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, addressesTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, http.NoBody)
+	if err != nil {
+		return addressesAnswer{}, fmt.Errorf("asking for addresses: %w", err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return addressesAnswer{}, fmt.Errorf("asking for addresses: %w", err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return addressesAnswer{}, fmt.Errorf("reading addresses: %w", err)
+	}
+	if response.StatusCode == http.StatusNotFound {
+		return addressesAnswer{}, fmt.Errorf("%s: %w", c.Deployment, errNotFound)
+	}
+	if response.StatusCode != http.StatusOK {
+		return addressesAnswer{}, fmt.Errorf("daemon answered %s: %s", response.Status, body)
+	}
+	var answer addressesAnswer
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return addressesAnswer{}, fmt.Errorf("decoding addresses: %w", err)
+	}
+	return answer, nil
+}
--- a/internal/command/runner/runner.go
+++ b/internal/command/runner/runner.go
@@ -36,6 +36,9 @@
 	Questionnaire questionnaireCommand `cmd:"" help:"Write, check and try out a questionnaire."`
 	Config        configCommand        `cmd:"" help:"Show and change the configuration in force."`
 	Deployment    deploymentCommand    `cmd:"" help:"Show deployments of the configuration in force."`
+	Status        statusCommand        `cmd:"" help:"Show daemons, placements and the configuration version."`
+	Addresses     addressesCommand     `cmd:"" help:"Ask a daemon which daemons to use, as callers do."`
+	Replay        replayCommand        `cmd:"" help:"Feed recorded events to the reducer and print its decisions."`
 	Codes         codesCommand         `cmd:"" help:"List the result codes."`
 	Version       versionCommand       `cmd:"" help:"Print the program's version."`
 }
--- a/internal/command/runner/serve.go
+++ b/internal/command/runner/serve.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"strconv"
@@ -30,6 +31,7 @@
 	MaxRequests    int           `help:"Requests held at once." default:"20000" env:"SAMPHIREWHARF_MAX_REQUESTS"`
 	MaxConnections int           `help:"Connections held at once." default:"10000" env:"SAMPHIREWHARF_MAX_CONNECTIONS"`
 	MaxBodyBytes   int           `help:"Size of the largest request body." default:"4194304" env:"SAMPHIREWHARF_MAX_BODY_BYTES"`
+	Record         string        `help:"File to write all events to, for the replay command; it holds callers' idempotency keys, not their requests." type:"path" env:"SAMPHIREWHARF_RECORD"`
 	LogLevel       string        `help:"Lowest level that is logged." enum:"debug,info,warn,error" default:"info" env:"SAMPHIREWHARF_LOG_LEVEL"`
 }
 
@@ -39,6 +41,10 @@
 		return err
 	}
 	logger := &log.Logger{Level: log.ParseLevel(c.LogLevel), Writer: &log.IOWriter{Writer: r.Stderr}}
+	record, err := c.openRecord()
+	if err != nil {
+		return err
+	}
 	daemon, err := assembler.New(assembler.Settings{
 		Daemon:       c.daemonID(),
 		Listen:       c.Listen,
@@ -51,6 +57,7 @@
 		DrainTime:    c.DrainTime,
 		MaxRequests:  c.MaxRequests,
 		Limits:       acceptor.Limits{Connections: c.MaxConnections, BodyBytes: c.MaxBodyBytes},
+		Record:       record,
 		Logger:       logger,
 	})
 	if err != nil {
@@ -75,6 +82,18 @@
 	}
 }
 
+// openRecord returns the file to record to, nil if none is wanted.
+func (c *serveCommand) openRecord() (io.Writer, error) {
+	if c.Record == "" {
+		return nil, nil
+	}
+	file, err := os.Create(c.Record)
+	if err != nil {
+		return nil, fmt.Errorf("create recording: %w", err)
+	}
+	return file, nil
+}
+
 func (c *serveCommand) daemonID() string {
 	if c.Daemon != "" {
 		return c.Daemon
--- a/internal/config/cataloger/catalog.go
+++ b/internal/config/cataloger/catalog.go
@@ -1,5 +1,10 @@
 package cataloger
 
+import (
+	"encoding/json"
+	"fmt"
+)
+
 // A Catalog is an immutable index of a configuration. The zero value is an empty configuration.
 type Catalog struct {
 	// Configuration is the indexed configuration. It must not be changed.
@@ -68,3 +73,13 @@
 
 // Version returns the configuration's version.
 func (c *Catalog) Version() int64 { return c.Configuration.Version }
+
+// UnmarshalJSON reads a catalog as encoding/json writes it and indexes it anew.
+func (c *Catalog) UnmarshalJSON(data []byte) error {
+	var stored struct{ Configuration Configuration }
+	if err := json.Unmarshal(data, &stored); err != nil {
+		return fmt.Errorf("decode catalog: %w", err)
+	}
+	*c = *NewCatalog(stored.Configuration)
+	return nil
+}
--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
@@ -19,6 +20,7 @@
 	"samphirewharf/internal/config/versioner"
 	"samphirewharf/internal/daemon/driver"
 	"samphirewharf/internal/daemon/executor"
+	"samphirewharf/internal/daemon/recorder"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/entry/acceptor"
 	"samphirewharf/internal/entry/responder"
@@ -51,8 +53,8 @@
 	// Limits bound what callers may send.
 	Limits acceptor.Limits
 	Logger *log.Logger
-	// Observe sees each event with its effects; nil means nobody does.
-	Observe func(now reducer.Moment, event reducer.Event, effects []reducer.Effect)
+	// Record takes all events, for replays; nil means that they are not kept.
+	Record io.Writer
 }
 
 // A Daemon is one running entry daemon. New makes one.
@@ -72,6 +74,7 @@
 	fetcher  fetcher
 	decided  decisionLog
 	gauges   *metrics.Set
+	recorder *recorder.Recorder
 
 	catalog atomic.Pointer[cataloger.Catalog]
 	exited  chan struct{}
@@ -101,7 +104,10 @@
 		d.address = listener.Addr().String()
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
-	d.assemble()
+	if err := d.assemble(); err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -139,18 +145,26 @@
 // Stop starts a planned stop: requests are finished and roles handed over before Exited is closed.
 func (d *Daemon) Stop() { d.driver.Post(reducer.StopRequested{}) }
 
-func (d *Daemon) assemble() {
+func (d *Daemon) assemble() error {
 	s := d.settings
 	store := &storer.Client{Address: s.StoreAddress, Timeout: s.StoreTimeout}
 	d.registerMetrics()
 	d.fetcher.versioner.Store = versioner.NewStore(store)
 	d.fetcher.fromPeer = d.peers.FetchConfiguration
 	d.decided = decisionLog{logger: s.Logger}
+	decisions := reducer.Settings{
+		Daemon: s.Daemon, Instance: d.instance, Address: d.address, Zone: s.Zone, Region: s.Region,
+		Seed: s.Seed, DrainTime: s.DrainTime, MaxRequests: s.MaxRequests,
+	}
+	if s.Record != nil {
+		r, err := recorder.New(s.Record, decisions)
+		if err != nil {
+			return err
+		}
+		d.recorder = r
+	}
 	d.driver = driver.Driver{
-		Machine: reducer.New(reducer.Settings{
-			Daemon: s.Daemon, Instance: d.instance, Address: d.address, Zone: s.Zone, Region: s.Region,
-			Seed: s.Seed, DrainTime: s.DrainTime, MaxRequests: s.MaxRequests,
-		}),
+		Machine: reducer.New(decisions),
 		Clock:   d.clock,
 		Execute: d.executor.Execute,
 		Observe: d.observe,
@@ -169,6 +183,7 @@
 		},
 	}
 	d.server = &acceptor.Server{Handler: d.responder(), Limits: s.Limits, Logger: s.Logger}
+	return nil
 }
 
 func (d *Daemon) responder() *responder.Responder {
@@ -202,8 +217,8 @@
 	}
 	d.decided.observe(event, effects)
 	countPlacement(effects)
-	if d.settings.Observe != nil {
-		d.settings.Observe(now, event, effects)
+	if d.recorder != nil {
+		d.recorder.Observe(now, event, effects)
 	}
 }
 
--- /dev/null
+++ b/internal/daemon/recorder/recorder.go
@@ -0,0 +1,60 @@
+// Package recorder writes the events that a reducer takes to a file, and replays such a file.
+package recorder
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"samphirewharf/internal/decision/reducer"
+)
+
+// A Header is the first line of a recording.
+type Header struct {
+	// Settings are the settings of the reducer that took the events.
+	Settings reducer.Settings
+}
+
+// A Line is one recorded event.
+type Line struct {
+	Since time.Duration
+	Wall  time.Time
+	// Type is the event's type name, such as "RequestArrived".
+	Type  string
+	Event json.RawMessage
+}
+
+// A Recorder writes a recording. It must only be used by the driver's loop.
+type Recorder struct {
+	encoder *json.Encoder
+	err     error
+}
+
+// New returns a recorder that has written the header.
+func New(w io.Writer, settings reducer.Settings) (*Recorder, error) {
+	r := &Recorder{encoder: json.NewEncoder(w)}
+	if err := r.encoder.Encode(Header{Settings: settings}); err != nil {
+		return nil, fmt.Errorf("write recording header: %w", err)
+	}
+	return r, nil
+}
+
+// Err returns the error that ended the recording, nil if none did.
+func (r *Recorder) Err() error { return r.err }
+
+// Observe writes an event. After an error it writes nothing more.
+func (r *Recorder) Observe(now reducer.Moment, event reducer.Event, _ []reducer.Effect) {
+	if r.err != nil {
+		return
+	}
+	encoded, err := json.Marshal(event)
+	if err != nil {
+		r.err = fmt.Errorf("encode event: %w", err)
+		return
+	}
+	line := Line{Since: now.Since, Wall: now.Wall, Type: typeName(event), Event: encoded}
+	if err := r.encoder.Encode(line); err != nil {
+		r.err = fmt.Errorf("write event: %w", err)
+	}
+}
--- a/internal/decision/reducer/cell.go
+++ b/internal/decision/reducer/cell.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -137,14 +138,23 @@
 		m.cellNames = slices.Delete(m.cellNames, at, at+1)
 	}
 	m.emit(StoreUnwatch{Prefix: placementKey(name)})
-	for _, q := range c.needy {
-		for _, r := range q.byID {
+	for _, q := range c.needyQueues() {
+		for _, r := range q.sorted() {
 			q.remove(r)
 			m.forwardToCell(r)
 		}
 	}
 }
 
+// needyQueues returns the queues with waiting requests, by name.
+func (c *cell) needyQueues() []*deployment {
+	queues := make([]*deployment, 0, len(c.needy))
+	for _, name := range slices.Sorted(maps.Keys(c.needy)) {
+		queues = append(queues, c.needy[name])
+	}
+	return queues
+}
+
 func (m *Machine) loadsOf(c *cell) planner.Loads {
 	return planner.Loads{
 		Predict: func(now, full time.Duration, remote bool) time.Duration {
