--- a/internal/command/runner/addresses.go
+++ b/internal/command/runner/addresses.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return addressesAnswer{}, fmt.Errorf("asking for addresses: %w", err)
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		return addressesAnswer{}, fmt.Errorf("reading addresses: %w", err)
--- a/internal/command/runner/standin.go
+++ b/internal/command/runner/standin.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -40,15 +42,24 @@
 	}
 	defer parts.Stop()
 	addresses := parts.Addresses()
-	fmt.Fprintf(r.Stdout, "KeyValueService %s\nHostList %s\n", addresses.KeyValueService, addresses.HostList)
-	for _, h := range addresses.Servers {
-		fmt.Fprintf(r.Stdout, "Server %s %s %s %s\n", h.Server, h.Service, h.Zone, h.Address)
+	if _, err := io.WriteString(r.Stdout, describeParts(addresses)); err != nil {
+		return fmt.Errorf("writing output: %w", err)
 	}
-	fmt.Fprintln(r.Stdout, "ready")
 	<-stop
 	return nil
 }
 
+// describeParts returns where the parts listen, a line each, and a last line that tells that all are ready.
+func describeParts(addresses starter.Addresses) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "KeyValueService %s\nHostList %s\n", addresses.KeyValueService, addresses.HostList)
+	for _, h := range addresses.Servers {
+		fmt.Fprintf(&b, "Server %s %s %s %s\n", h.Server, h.Service, h.Zone, h.Address)
+	}
+	b.WriteString("ready\n")
+	return b.String()
+}
+
 func (c *standinCommand) read() (questioner.Questionnaire, error) {
 	data, err := questioner.Example("demo")
 	if c.Questionnaire != "" {
--- a/internal/daemon/demonstrator/caller.go
+++ b/internal/daemon/demonstrator/caller.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		return answer{}, fmt.Errorf("send %s: %w", r.URL.Path, err)
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	a := answer{status: response.StatusCode, header: response.Header, first: time.Since(started)}
 	if err := a.read(response.Body); err != nil {
 		return answer{}, fmt.Errorf("read answer of %s: %w", r.URL.Path, err)
--- a/internal/daemon/demonstrator/demonstrator.go
+++ b/internal/daemon/demonstrator/demonstrator.go
@@ -164,7 +164,7 @@
 }
 
 func (d *Demonstrator) printf(format string, args ...any) {
-	fmt.Fprintf(d.Out, format, args...)
+	_, _ = fmt.Fprintf(d.Out, format, args...)
 }
 
 // stay prints commands to try and waits for the context to end.
--- a/internal/decision/planner/machine.go
+++ b/internal/decision/planner/machine.go
@@ -162,7 +162,7 @@
 	m.reading = false
 	switch result {
 	case storer.ResultOK:
-		m.learn(v, entry.Value, entry.Revision)
+		m.learn(entry.Value, entry.Revision)
 		m.known = true
 	case storer.ResultNotFound:
 		m.forgetRevision()
@@ -181,7 +181,7 @@
 		return nil
 	}
 	m.actions = nil
-	m.learn(v, value, revision)
+	m.learn(value, revision)
 	m.known = true
 	m.advance(v)
 	return m.actions
@@ -311,7 +311,7 @@
 	m.write.inCall = false
 	switch result {
 	case storer.ResultOK:
-		m.adopt(v, m.write.next, revision)
+		m.adopt(m.write.next, revision)
 	case storer.ResultConflict:
 		m.known = false
 		m.retryAt = 0
@@ -324,7 +324,7 @@
 
 // adopt takes a record as the newest. It settles the pending write: a write of the same token took
 // effect, any other can't take effect any more because its base revision is gone.
-func (m *Machine) adopt(v View, record Record, revision int64) {
+func (m *Machine) adopt(record Record, revision int64) {
 	if !m.Placing() && record.Placer == m.Daemon && record.Instance == m.Instance {
 		clear(m.servers)
 	}
@@ -373,7 +373,7 @@
 }
 
 // learn takes an encoded record if it is newer than the known one.
-func (m *Machine) learn(v View, value []byte, revision int64) {
+func (m *Machine) learn(value []byte, revision int64) {
 	if revision <= m.revision {
 		return
 	}
@@ -381,7 +381,7 @@
 	if err != nil {
 		return
 	}
-	m.adopt(v, record, revision)
+	m.adopt(record, revision)
 }
 
 func (m *Machine) nextOrderID() string {
--- a/internal/decision/reducer/cell.go
+++ b/internal/decision/reducer/cell.go
@@ -34,7 +34,6 @@
 	told bool
 	// forecasts are the forecasts last sent, by deployment.
 	forecasts map[string]forecast
-	watching  bool
 }
 
 type forecast struct {
--- a/internal/decision/reducer/polling.go
+++ b/internal/decision/reducer/polling.go
@@ -24,7 +24,6 @@
 	at     time.Duration
 	// told is the report that the cell's other daemons were last sent.
 	told       orderer.Report
-	toldAt     time.Duration
 	unreported bool
 }
 
--- a/internal/decision/reducer/step_test.go
+++ b/internal/decision/reducer/step_test.go
@@ -19,8 +19,8 @@
 	names   []string
 }
 
-// newFixture returns a daemon that serves services cells of servers each, with deployments models and
-// adapters adapters in all, of which ready models are loaded.
+// newFixture returns a daemon that serves so many services, with so many servers each, and so many
+// models and adapters in all, of which some models are ready.
 func newFixture(services, servers, models, adapters, ready int) *fixture {
 	f := &fixture{now: Moment{Since: time.Second, Wall: time.Unix(1_800_000_000, 0)}}
 	f.machine = New(Settings{Daemon: "d1", Instance: "i1", Address: "127.0.0.1:1", Zone: "z1", Seed: 1})
