fix: don't send to a replica that has just refused until its next report

A replica that is being unloaded refuses as not run, and the daemon tried it again at once until the attempts were used up. Its report was out of date.

--- a/internal/decision/observer/replica.go
+++ b/internal/decision/observer/replica.go
@@ -30,6 +30,9 @@
 	OwnAtReport int
 	// Draining tells that the placement record marks the replica as unloading.
 	Draining bool
+	// Refused tells that the engine refused a request as not run since the newest report, so that the
+	// report is out of date.
+	Refused bool
 	// Gone tells that the engine's newest report lacks the replica.
 	Gone bool
 }
@@ -45,16 +48,17 @@
 
 // Usable reports whether new requests may be sent to the replica.
 func (r *Replica) Usable() bool {
-	return r.State == orderer.StateReady && !r.Gone && !r.Draining && r.Server.Takes()
+	return r.State == orderer.StateReady && !r.Gone && !r.Draining && !r.Refused && r.Server.Takes()
 }
 
 // update takes the newest report and returns whether more than load figures changed.
 func (r *Replica) update(rr orderer.ReplicaReport, takenAt time.Duration) bool {
 	adapters := slices.Clone(rr.Adapters)
 	slices.Sort(adapters)
-	changed := rr.State != r.State || rr.Role != r.Role || !slices.Equal(adapters, r.Adapters)
+	changed := r.Refused || rr.State != r.State || rr.Role != r.Role || !slices.Equal(adapters, r.Adapters)
 	r.State = rr.State
 	r.Role = rr.Role
+	r.Refused = false
 	r.Running = rr.Running
 	r.Waiting = rr.Waiting
 	r.Adapters = adapters
--- a/internal/decision/reducer/attempt.go
+++ b/internal/decision/reducer/attempt.go
@@ -51,6 +51,10 @@
 	q := r.queue
 	server := r.server.Host.Server
 	m.settleServer(r, e)
+	if e.Outcome == AttemptNotRun && r.replica != nil {
+		r.replica.Refused = true
+		m.pollNow(server)
+	}
 	m.release(r)
 	switch e.Outcome {
 	case AttemptDone:
