--- /dev/null
+++ b/internal/decision/prover/script_test.go
@@ -0,0 +1,70 @@
+package prover_test
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// scriptSeeds is how many seeds each scenario is run with.
+const scriptSeeds = 10
+
+// TestScripts runs the scenarios of testdata/scripts in virtual time.
+func TestScripts(t *testing.T) {
+	for seed := range scriptSeeds {
+		t.Run(fmt.Sprintf("seed %d", seed+1), func(t *testing.T) { runScripts(t, uint64(seed+1)) })
+	}
+}
+
+func runScripts(t *testing.T, seed uint64) {
+	params := testscript.Params{
+		Dir: "testdata/scripts",
+		Setup: func(env *testscript.Env) error {
+			env.Values["world"] = &holder{seed: seed}
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"world": makeWorld},
+	}
+	for name := range commands {
+		params.Cmds[name] = func(ts *testscript.TestScript, _ bool, args []string) {
+			w := ts.Value("world").(*holder).world
+			if w == nil {
+				ts.Fatalf("the script has no world")
+			}
+			if err := w.do(append([]string{name}, args...)); err != nil {
+				ts.Logf("%s", strings.Join(w.tail(80), "\n"))
+				ts.Fatalf("%v", err)
+			}
+		}
+	}
+	testscript.Run(t, params)
+}
+
+// A holder holds the world of one script.
+type holder struct {
+	seed  uint64
+	world *World
+}
+
+// makeWorld starts the script's world: world [fencing=on] [daemons=N] [engines=N].
+func makeWorld(ts *testscript.TestScript, _ bool, args []string) {
+	numbers := map[string]int{"daemons": 3, "engines": 3}
+	fencing := false
+	for _, arg := range args {
+		name, value, _ := strings.Cut(arg, "=")
+		if name == "fencing" {
+			fencing = value == "on"
+			continue
+		}
+		n, err := strconv.Atoi(value)
+		ts.Check(err)
+		numbers[name] = n
+	}
+	h := ts.Value("world").(*holder)
+	w := newWorld(h.seed, fencing, numbers["daemons"], numbers["engines"])
+	w.advance(startTime)
+	h.world = w
+}
