--- a/internal/command/runner/config.go
+++ b/internal/command/runner/config.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/config/versioner"
@@ -88,11 +89,11 @@
 	if c.ExpectVersion < 0 {
 		return &SettingError{Name: "--expect-version", Value: strconv.FormatInt(c.ExpectVersion, 10), Accepted: "a version number, or 0 if there is none yet"}
 	}
-	if strings.TrimSpace(c.Operator) == "" || len(c.Operator) > maxOperatorLength {
+	if strings.TrimSpace(c.Operator) == "" || utf8.RuneCountInString(c.Operator) > maxOperatorLength {
 		return &SettingError{Name: "--operator", Value: c.Operator, Accepted: acceptedOperator}
 	}
-	if len(c.Comment) > maxCommentLength {
-		return &SettingError{Name: "--comment", Value: c.Comment[:maxOperatorLength] + "…", Accepted: "up to 1000 characters"}
+	if n := utf8.RuneCountInString(c.Comment); n > maxCommentLength {
+		return &SettingError{Name: "--comment", Value: fmt.Sprintf("of %d characters", n), Accepted: "up to 1000 characters"}
 	}
 	return nil
 }
--- a/internal/config/questioner/check.go
+++ b/internal/config/questioner/check.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"samphirewharf/internal/config/cataloger"
 )
@@ -66,7 +67,7 @@
 func readQuestionnaire(t *table) Questionnaire {
 	q := Questionnaire{
 		Organisation: t.text("Organisation", "a name of up to 200 characters", func(s string) bool {
-			return strings.TrimSpace(s) != "" && len(s) <= maxOrganisation
+			return strings.TrimSpace(s) != "" && utf8.RuneCountInString(s) <= maxOrganisation
 		}),
 		WeighsMore: cataloger.Weighting(t.oneOf("WeighsMore",
 			string(cataloger.WeightColdStart), string(cataloger.WeightIdleHours))),
--- a/internal/config/versioner/prune.go
+++ b/internal/config/versioner/prune.go
@@ -12,16 +12,18 @@
 // Prune deletes the history of versions that are no longer kept, and the shards that only they
 // refer to. See the package's comment for why no concurrent change is harmed. A Prune that breaks
 // off leaves work to the next. The error wraps ErrStoreUnavailable or ErrDamaged.
-func (v *Versioner) Prune(ctx context.Context) error { return v.prune(ctx, v.candidates) }
+func (v *Versioner) Prune(ctx context.Context) error { return v.prune(ctx, v.findOld) }
 
 // Sweep prunes and also deletes shards that no version refers to, such as those of changes that
 // were broken off. It reads all shards.
-func (v *Versioner) Sweep(ctx context.Context) error { return v.prune(ctx, v.allCandidates) }
+func (v *Versioner) Sweep(ctx context.Context) error { return v.prune(ctx, v.findAll) }
 
-// prune does what Prune and Sweep have in common. The function returns shards that may be retired.
-func (v *Versioner) prune(
-	ctx context.Context, candidates func(context.Context, []historyEntry) ([]retiredShard, error),
-) error {
+// A findFunc returns the existing shards that are to be retired: none that is used, and either
+// those of the old history or all.
+type findFunc func(ctx context.Context, old []historyEntry, used map[string]bool) ([]retiredShard, error)
+
+// prune does what Prune and Sweep have in common.
+func (v *Versioner) prune(ctx context.Context, find findFunc) error {
 	h, err := v.readHead(ctx)
 	if err != nil || h.Version == 0 {
 		return err
@@ -34,13 +36,13 @@
 	for old < len(history) && history[old].change.Version <= h.Version-v.keepVersions() {
 		old++
 	}
-	retire, err := candidates(ctx, history[:old])
+	retire, err := find(ctx, history[:old], usedShards(h, history[old:]))
 	if err != nil {
 		return err
 	}
 	waiting := v.deleteShards(ctx, h.Retired)
 	next := head{Change: h.Change, Retired: append([]retiredShard(nil), waiting...)}
-	next.Retired = append(next.Retired, unused(retire, h, history[old:])...)
+	next.Retired = append(next.Retired, retire...)
 	if swapped, err := v.swapRetired(ctx, h, next); err != nil || !swapped {
 		return err
 	}
@@ -51,26 +53,28 @@
 	return nil
 }
 
-// allCandidates returns all shards that exist.
-func (v *Versioner) allCandidates(ctx context.Context, _ []historyEntry) ([]retiredShard, error) {
+// findAll finds all shards that are not used.
+func (v *Versioner) findAll(ctx context.Context, _ []historyEntry, used map[string]bool) ([]retiredShard, error) {
 	entries, err := v.list(ctx, shardPrefix)
 	if err != nil {
 		return nil, err
 	}
-	shards := make([]retiredShard, 0, len(entries))
+	var shards []retiredShard
 	for _, e := range entries {
-		shards = append(shards, retiredShard{Hash: strings.TrimPrefix(e.Key, shardPrefix), Revision: e.Revision})
+		if hash := strings.TrimPrefix(e.Key, shardPrefix); !used[hash] {
+			shards = append(shards, retiredShard{Hash: hash, Revision: e.Revision})
+		}
 	}
 	return shards, nil
 }
 
-// candidates returns the shards of old versions that exist.
-func (v *Versioner) candidates(ctx context.Context, old []historyEntry) ([]retiredShard, error) {
+// findOld finds the shards that only the old history refers to.
+func (v *Versioner) findOld(ctx context.Context, old []historyEntry, used map[string]bool) ([]retiredShard, error) {
 	var shards []retiredShard
 	seen := make(map[string]bool)
 	for _, e := range old {
 		for _, hash := range e.change.Shards {
-			if seen[hash] {
+			if used[hash] || seen[hash] {
 				continue
 			}
 			seen[hash] = true
@@ -119,8 +123,8 @@
 	}
 }
 
-// unused returns the shards that neither the head nor the kept history refers to and that are not retired yet.
-func unused(shards []retiredShard, h head, kept []historyEntry) []retiredShard {
+// usedShards returns the shards that the head or the kept history refers to, and those that are retired already.
+func usedShards(h head, kept []historyEntry) map[string]bool {
 	used := make(map[string]bool)
 	for _, hash := range h.Shards {
 		used[hash] = true
@@ -133,11 +137,5 @@
 	for _, r := range h.Retired {
 		used[r.Hash] = true
 	}
-	var free []retiredShard
-	for _, s := range shards {
-		if !used[s.Hash] {
-			free = append(free, s)
-		}
-	}
-	return free
+	return used
 }
--- a/internal/config/versioner/versioner_test.go
+++ b/internal/config/versioner/versioner_test.go
@@ -117,6 +117,13 @@
 		assertEqual(t, s.calls, 2)
 		assertEqual(t, after.Configuration.Deployments, changed.Deployments)
 	})
+	t.Run("pruning reads only shards that are not used", func(t *testing.T) {
+		v.KeepVersions = 1
+		s.calls = 0
+		assertIs(t, v.Prune(t.Context()), nil)
+		// Head, history, the replaced shard, the head's swap, the history entry's and the shard's deletion.
+		assertEqual(t, s.calls, 6)
+	})
 }
 
 func TestConflictNamesTheWinner(t *testing.T) {
