--- a/internal/config/versioner/versioner_test.go
+++ b/internal/config/versioner/versioner_test.go
@@ -250,32 +250,38 @@
 	assertEqual(t, len(s.below(shardPrefix)), 3+deployments)
 }
 
-// TestLateDelete lets the deletes of a Prune take effect after a later change needs the shard again.
+// TestLateDelete lets the deletes of two prunes take effect after a later change needs the shard again.
 func TestLateDelete(t *testing.T) {
-	s := newFakeStore()
-	v := newVersioner(s, noFault)
-	v.KeepVersions = 1
-	late := newVersioner(s, noFault)
-	late.KeepVersions = 1
-	late.Store.Delete = s.store(func() fault { return faultLate }).Delete
-	share := func(f float64) cataloger.Configuration {
-		return cataloger.Configuration{Limits: cataloger.Limits{RetryShare: f}}
-	}
-	assertApplied(t, v, share(1), 0, "first")
-	assertApplied(t, v, share(2), 1, "second")
-	assertIs(t, late.Prune(t.Context()), nil)
-	assertIs(t, late.Prune(t.Context()), nil)
-	assertApplied(t, v, share(3), 2, "third")
-	assertApplied(t, v, share(1), 3, "fourth")
-	for len(s.late) > 0 {
-		s.deliver(0)
+	for _, between := range []int64{0, 1} {
+		t.Run(fmt.Sprintf("%d changes between", between), func(t *testing.T) {
+			s := newFakeStore()
+			v := newVersioner(s, noFault)
+			v.KeepVersions = 1
+			late := newVersioner(s, noFault)
+			late.KeepVersions = 1
+			late.Store.Delete = s.store(func() fault { return faultLate }).Delete
+			share := func(f float64) cataloger.Configuration {
+				return cataloger.Configuration{Limits: cataloger.Limits{RetryShare: f}}
+			}
+			assertApplied(t, v, share(1), 0, "first")
+			assertApplied(t, v, share(2), 1, "second")
+			assertIs(t, late.Prune(t.Context()), nil)
+			assertIs(t, late.Prune(t.Context()), nil)
+			for i := range between {
+				assertApplied(t, v, share(3), 2+i, "third")
+			}
+			assertApplied(t, v, share(1), 2+between, "last")
+			for len(s.late) > 0 {
+				s.deliver(0)
+			}
+			got, err := v.Fetch(t.Context(), nil)
+			assertIs(t, err, nil)
+			assertEqual(t, got.Configuration.Limits.RetryShare, 1)
+			assertIs(t, v.Prune(t.Context()), nil)
+			assertIs(t, v.Prune(t.Context()), nil)
+			assertEqual(t, len(s.entries), 2)
+		})
 	}
-	got, err := v.Fetch(t.Context(), nil)
-	assertIs(t, err, nil)
-	assertEqual(t, got.Configuration.Limits.RetryShare, 1)
-	assertIs(t, v.Prune(t.Context()), nil)
-	assertIs(t, v.Prune(t.Context()), nil)
-	assertEqual(t, len(s.entries), 2)
 }
 
 func TestFetchDamaged(t *testing.T) {
