--- a/internal/command/runner/exit.go
+++ b/internal/command/runner/exit.go
@@ -7,6 +7,7 @@
 	"samphirewharf/internal/caller/refuser"
 	"samphirewharf/internal/config/questioner"
 	"samphirewharf/internal/config/versioner"
+	"samphirewharf/internal/load/generator"
 )
 
 // The exit codes. They are stable.
@@ -63,6 +64,8 @@
 	switch {
 	case errors.As(err, &setting):
 		f.ExitCode, f.Code = ExitUsage, refuser.CodeInvalidSettings
+	case errors.Is(err, generator.ErrSettings):
+		f.ExitCode, f.Code = ExitUsage, refuser.CodeInvalidSettings
 	case errors.As(err, &check):
 		f.ExitCode, f.Mistakes = ExitMistakes, check.Mistakes
 	case errors.As(err, &conflict):
--- a/internal/command/runner/runner.go
+++ b/internal/command/runner/runner.go
@@ -30,6 +30,7 @@
 type commandLine struct {
 	Settings
 
+	Load          loadCommand          `cmd:"" help:"Send load to running daemons on loopback and check every answer."`
 	Questionnaire questionnaireCommand `cmd:"" help:"Write, check and try out a questionnaire."`
 	Config        configCommand        `cmd:"" help:"Show and change the configuration in force."`
 	Deployment    deploymentCommand    `cmd:"" help:"Show deployments of the configuration in force."`
