--- a/internal/command/runner/runner_test.go
+++ b/internal/command/runner/runner_test.go
@@ -131,7 +131,7 @@
 func TestHelp(t *testing.T) {
 	for _, command := range []string{
 		"questionnaire new", "questionnaire check", "questionnaire generate", "config show", "config apply",
-		"config diff", "config history", "deployment list", "deployment show", "codes", "version",
+		"config diff", "config history", "deployment list", "deployment show", "codes", "version", "load",
 	} {
 		t.Run(command, func(t *testing.T) {
 			got := run(t, append(strings.Fields(command), "--help")...)
