fix: free what a former placer's ended order reserved

A placer that lost its role while its load order was on the way kept silent about the order's end, and the new placer, whose engines ignore fencing numbers, could free the reservation only once the former process was dead. If that process lived on, the memory stayed reserved for ever. A former placer now renounces every order that can't take effect any more: never sent, ended, or expired. The new placer believes it only after a poll of the engine that was sent later. Ruled out: the host list, the engine's state (polled).

--- a/internal/decision/planner/machine.go
+++ b/internal/decision/planner/machine.go
@@ -62,8 +62,9 @@
 	seen map[string]bool
 	// started are replicas that took a place at the weight store.
 	started map[string]bool
-	// renounced are replicas whose sender has promised never to send their load order.
-	renounced map[string]bool
+	// renounced are replicas whose sender has promised that their load order won't take effect any more,
+	// with the time at which this process learned it.
+	renounced map[string]time.Duration
 	idle      map[string]time.Duration
 	used      map[string]time.Duration
 	unload    map[string]unloading
@@ -112,6 +113,20 @@
 	engine string
 }
 
+// settled reports whether the order can't take effect later than now; nil stands for one never sent.
+func (o *order) settled(now time.Duration) bool {
+	switch {
+	case o == nil:
+		return true
+	case !o.ended:
+		return false
+	case o.outcome == orderer.OutcomeUnknown:
+		return now >= o.endedAt+orderSettle
+	default:
+		return true
+	}
+}
+
 type unloading struct {
 	since   time.Duration
 	sentAt  time.Duration
@@ -267,28 +282,32 @@
 	return m.actions
 }
 
-// Renounce takes a daemon's promise never to send the load orders of the replicas.
-func (m *Machine) Renounce(ids []string) {
+// Renounce takes a daemon's promise that the load orders of the replicas won't take effect any more.
+func (m *Machine) Renounce(now time.Duration, ids []string) {
 	m.prepare()
 	for _, id := range ids {
-		if _, ok := m.record.Replica(id); ok {
-			m.renounced[id] = true
+		_, decided := m.record.Replica(id)
+		if _, known := m.renounced[id]; decided && !known {
+			m.renounced[id] = now
 		}
 	}
 }
 
-// Renounced returns the replicas that this process decided as a former placer and whose order it
-// has not sent and will never send.
-func (m *Machine) Renounced() []string {
+// Renounced returns the replicas that this process decided as a former placer and whose order won't take
+// effect any more: it was not sent and never will be, or has had its effect or lost it.
+func (m *Machine) Renounced(now time.Duration) []string {
 	if m.Placing() || m.write != nil {
 		return nil
 	}
 	var ids []string
 	for _, r := range m.record.Replicas {
-		if r.Instance == m.Instance && m.orders[r.ID] == nil {
-			m.renounced[r.ID] = true
-			ids = append(ids, r.ID)
+		if r.Instance != m.Instance || !m.orders[r.ID].settled(now) {
+			continue
+		}
+		if _, known := m.renounced[r.ID]; !known {
+			m.renounced[r.ID] = now
 		}
+		ids = append(ids, r.ID)
 	}
 	return ids
 }
@@ -404,7 +423,7 @@
 	}
 	m.orders = make(map[string]*order)
 	m.seen = make(map[string]bool)
-	m.renounced = make(map[string]bool)
+	m.renounced = make(map[string]time.Duration)
 	m.started = make(map[string]bool)
 	m.idle = make(map[string]time.Duration)
 	m.used = make(map[string]time.Duration)
--- a/internal/decision/planner/plan.go
+++ b/internal/decision/planner/plan.go
@@ -105,7 +105,8 @@
 		return
 	}
 	for _, r := range m.record.Replicas {
-		if r.State != StateDecided || r.Instance != m.Instance || m.orders[r.ID] != nil || m.renounced[r.ID] {
+		_, renounced := m.renounced[r.ID]
+		if r.State != StateDecided || r.Instance != m.Instance || m.orders[r.ID] != nil || renounced {
 			continue
 		}
 		s, ok := v.Fleet.Server(r.Server)
--- a/internal/decision/planner/release.go
+++ b/internal/decision/planner/release.go
@@ -81,7 +81,7 @@
 	if m.seen[r.ID] {
 		return "engine does not hold the replica any more"
 	}
-	if m.renounced[r.ID] {
+	if since, ok := m.renounced[r.ID]; ok && state.seenAt >= since {
 		return "sender has renounced the order"
 	}
 	if m.checksFencing(v.Catalog) && state.fence > r.Fence {
--- a/internal/decision/reducer/placing.go
+++ b/internal/decision/reducer/placing.go
@@ -181,7 +181,7 @@
 // sendNeeds tells a cell's placer all needs of this daemon.
 func (m *Machine) sendNeeds(c *cell) {
 	needs := m.collectNeeds(c)
-	renounced := c.planner.Renounced()
+	renounced := c.planner.Renounced(m.now.Since)
 	c.needsAt = m.now.Since + needsInterval
 	if len(needs) == 0 && len(renounced) == 0 && c.needsSequence > 0 && len(c.needy) == 0 && !c.told {
 		return
@@ -228,7 +228,7 @@
 	if c == nil {
 		return
 	}
-	c.planner.Renounce(needs.Renounced)
+	c.planner.Renounce(m.now.Since, needs.Renounced)
 	c.planner.Demand(m.now.Since, from, instance, needs.Sequence, planNeeds(needs.Waiting))
 	if c.planner.Placing() {
 		m.applyPlan(c, c.planner.Step(m.view(c)))
