--- a/internal/decision/prover/world_test.go
+++ b/internal/decision/prover/world_test.go
@@ -63,7 +63,9 @@
 	cutAnswers  int
 	serviceTime time.Duration
 	loadFactor  time.Duration
-	log         []string
+	// forgetFences lets engines forget their fencing number when they restart.
+	forgetFences bool
+	log          []string
 }
 
 // An event is a function that is called at a moment.
