--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -194,7 +194,7 @@
 		Catalog:      d.catalog.Load,
 		Ready:        d.ready,
 		WriteMetrics: d.writeMetrics,
-		Peer:         d.peerHandler(),
+		Peer:         (&messenger.Server{Receive: d.receive, Configuration: d.configuration}).Handler(),
 		Daemon:       d.settings.Daemon,
 		Logger:       d.settings.Logger,
 	}
@@ -222,6 +222,17 @@
 	}
 }
 
+// configuration returns the configuration in force, nil if there is none.
+func (d *Daemon) configuration() *cataloger.Configuration {
+	catalog := d.catalog.Load()
+	if catalog == nil {
+		return nil
+	}
+	return &catalog.Configuration
+}
+
+func (d *Daemon) receive(m messenger.Message) { d.driver.Post(reducer.PeerReceived{Message: m}) }
+
 func (d *Daemon) ready() bool { return d.catalog.Load() != nil }
 
 // runExit ends the daemon after a planned stop.
