--- a/internal/entry/responder/attempt.go
+++ b/internal/entry/responder/attempt.go
@@ -321,7 +321,9 @@
 type refusedError struct{ refusal refuser.Refusal }
 
 // Error returns the refusal's code.
-func (e *refusedError) Error() string { return "the daemon refused the request: " + e.refusal.Code.String() }
+func (e *refusedError) Error() string {
+	return "the daemon refused the request: " + e.refusal.Code.String()
+}
 
 func isEvents(header http.Header) bool {
 	media, _, err := mime.ParseMediaType(header.Get("Content-Type"))
--- a/internal/peer/messenger/message.go
+++ b/internal/peer/messenger/message.go
@@ -14,12 +14,14 @@
 	Instance string
 	Address  string
 	Zone     string
+	Region   string
 
 	Heartbeat *Heartbeat
 	Reports   []ServerReport
 	Needs     *Needs
 	Placement *Placement
 	Verdict   *Verdict
+	Forecasts []Forecast
 }
 
 // A Heartbeat tells that the sender is alive.
@@ -50,6 +52,16 @@
 	// Sequence grows with every message of the instance.
 	Sequence int64
 	Waiting  []Need
+	// Renounced are replicas whose load order the sender decided, did not send and will never send.
+	Renounced []string
+}
+
+// A Forecast tells when the placer expects a deployment that requests wait for to be ready.
+type Forecast struct {
+	Deployment string
+	ReadyIn    time.Duration
+	// Impossible tells that no backend server has memory for it; ReadyIn is then when to ask again.
+	Impossible bool
 }
 
 // A Need is one deployment's waiting requests at one daemon.
