feat: carry messages between daemons by twirp

Messages are typed in full; the round trip is checked by rapid. A pure heartbeat replaces one that still waits.

--- a/internal/entry/acceptor/connection.go
+++ b/internal/entry/acceptor/connection.go
@@ -102,7 +102,7 @@
 
 // read reads once and parses what came. It returns a refusal for a request that can't be accepted.
 func (c *connection) read(buffer []byte) (*refuser.Refusal, error) {
-	n, err := c.Conn.Read(buffer)
+	n, err := c.Read(buffer)
 	if n == 0 && err != nil {
 		return c.readFailed(err), err
 	}
--- a/internal/entry/acceptor/limits.go
+++ b/internal/entry/acceptor/limits.go
@@ -24,7 +24,7 @@
 const (
 	DefaultConnections  = 8192
 	DefaultHeaderBytes  = 16 << 10
-	DefaultBodyBytes    = 1 << 20
+	DefaultBodyBytes    = 1<<20 + 64<<10
 	DefaultSendTimeout  = 10 * time.Second
 	DefaultIdleTimeout  = 90 * time.Second
 	DefaultWriteTimeout = 20 * time.Second
--- /dev/null
+++ b/internal/entry/responder/bench_test.go
@@ -0,0 +1,142 @@
+package responder
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/phuslu/log"
+
+	"samphirewharf/internal/decision/reducer"
+)
+
+// benchRate is how many requests are sent a second.
+const benchRate = 1000
+
+// A load sends requests at a fixed rate and notes how long each took.
+type load struct {
+	b       *testing.B
+	address string
+	client  *http.Client
+	wait    sync.WaitGroup
+	mu      sync.Mutex
+	times   *hdrhistogram.Histogram
+}
+
+func newLoad(b *testing.B, address string) *load {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1000}
+	b.Cleanup(transport.CloseIdleConnections)
+	return &load{
+		b: b, address: address, client: &http.Client{Transport: transport},
+		times: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
+	}
+}
+
+func (l *load) run(due time.Time) {
+	defer l.wait.Done()
+	response, err := l.client.Do(newRequest(l.b, l.address, "/v1/completions", completion))
+	if err != nil {
+		l.b.Error(err)
+		return
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	took := time.Since(due)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.times.RecordValue(took.Microseconds())
+}
+
+// send sends n requests, each at its time, so that a slow answer doesn't put off the next request.
+func (l *load) send(n int) {
+	begin := time.Now()
+	for i := range n {
+		due := begin.Add(time.Duration(i) * time.Second / benchRate)
+		time.Sleep(time.Until(due))
+		l.wait.Add(1)
+		go l.run(due)
+	}
+	l.wait.Wait()
+	l.b.ReportMetric(float64(l.times.ValueAtQuantile(50)), "p50-µs")
+	l.b.ReportMetric(float64(l.times.ValueAtQuantile(99)), "p99-µs")
+}
+
+func quiet(b *testing.B) {
+	level := log.DefaultLogger.Level
+	log.DefaultLogger.SetLevel(log.ErrorLevel)
+	b.Cleanup(func() { log.DefaultLogger.SetLevel(level) })
+}
+
+// BenchmarkLatency compares a direct call of an engine with one through the Responder, at benchRate.
+// Run it with -benchtime=10000x.
+func BenchmarkLatency(b *testing.B) {
+	quiet(b)
+	address := engine(b, okEngine)
+	b.Run("direct", func(b *testing.B) { newLoad(b, address).send(b.N) })
+	b.Run("responder", func(b *testing.B) {
+		h := newHarness(b, dispatchWithoutKeeping(address))
+		h.keep = false
+		newLoad(b, h.address).send(b.N)
+	})
+}
+
+// BenchmarkTokens measures the events of one stream, directly from an engine and through the Responder. The engine
+// flushes each.
+func BenchmarkTokens(b *testing.B) {
+	quiet(b)
+	var count atomic.Int64
+	address := engine(b, func(w http.ResponseWriter, _ *http.Request) { streamTokens(w, count.Load()) })
+	h := newHarness(b, dispatchWithoutKeeping(address))
+	h.keep = false
+	targets := []struct{ name, address string }{{"direct", address}, {"responder", h.address}}
+	for _, target := range targets {
+		b.Run(target.name, func(b *testing.B) {
+			count.Store(int64(b.N))
+			b.ResetTimer()
+			assertEqual(b, "tokens", readTokens(b, target.address), int64(b.N))
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "tokens/s")
+		})
+	}
+}
+
+func dispatchWithoutKeeping(address string) func(reducer.Event) []reducer.Effect {
+	return func(event reducer.Event) []reducer.Effect {
+		if _, ok := event.(reducer.RequestArrived); !ok {
+			return nil
+		}
+		return []reducer.Effect{reducer.Dispatch{Request: requestOf(event), Attempt: 1, Address: address, Timeout: waitLimit}}
+	}
+}
+
+func readTokens(b *testing.B, address string) int64 {
+	b.Helper()
+	response, err := http.DefaultClient.Do(newRequest(b, address, "/v1/completions", `{"model":"small","stream":true}`))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	tokens := int64(0)
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if strings.HasPrefix(lines.Text(), "data: {") {
+			tokens++
+		}
+	}
+	return tokens
+}
+
+func streamTokens(w http.ResponseWriter, count int64) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	controller := http.NewResponseController(w)
+	for range count {
+		_, _ = io.WriteString(w, "data: {\"choices\":[{\"text\":\"token\"}]}\n\n")
+		_ = controller.Flush()
+	}
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
--- a/internal/entry/responder/harness_test.go
+++ b/internal/entry/responder/harness_test.go
@@ -1,7 +1,6 @@
 package responder
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -207,7 +206,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
+	_ = listener.Close()
 	return listener.Addr().String()
 }
 
@@ -253,30 +252,25 @@
 	return r
 }
 
-// do sends a request and returns the answer with its body.
-func do(t testing.TB, r *http.Request) (*http.Response, string) {
+// An answer is what a caller got.
+type answer struct {
+	StatusCode int
+	Header     http.Header
+}
+
+// do sends a request and returns the answer and its body.
+func do(t testing.TB, r *http.Request) (answer, string) {
 	t.Helper()
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
 	if err != nil {
 		t.Fatalf("read body: %v", err)
 	}
-	return response, string(body)
-}
-
-// exchangeRaw sends bytes on a connection of its own and returns the answer.
-func exchangeRaw(t testing.TB, conn net.Conn) *http.Response {
-	t.Helper()
-	_ = conn.SetReadDeadline(time.Now().Add(waitLimit))
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		t.Fatalf("read answer: %v", err)
-	}
-	return response
+	return answer{response.StatusCode, response.Header}, string(body)
 }
 
 func assertEqual[T comparable](t testing.TB, what string, got, want T) {
--- a/internal/entry/responder/responder_test.go
+++ b/internal/entry/responder/responder_test.go
@@ -149,7 +149,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	if n, err := io.Copy(io.Discard, response.Body); err == nil {
 		t.Errorf("got %d bytes that look like a whole answer, want an error", n)
 	}
--- a/internal/entry/streamer/client.go
+++ b/internal/entry/streamer/client.go
@@ -52,7 +52,8 @@
 	Address string
 	Method  string
 	// Path is the escaped path with the query.
-	Path   string
+	Path string
+	// Header may be nil.
 	Header http.Header
 	Body   []byte
 	// ID is the X-Request-Id; an answer that carries another one is a failure.
@@ -76,16 +77,20 @@
 	if err != nil {
 		return nil, &Failure{Outcome: reducer.AttemptNotSent, Err: fmt.Errorf("parse path %q: %w", call.Path, err)}
 	}
+	header := call.Header
+	if header == nil {
+		header = make(http.Header)
+	}
 	reply := &Reply{}
 	trace := &httptrace.ClientTrace{GotConn: reply.gotConn}
 	request := (&http.Request{
 		Method:        call.Method,
 		URL:           target,
-		Header:        call.Header,
+		Header:        header,
 		Body:          &body{Reader: bytes.NewReader(call.Body)},
 		ContentLength: contentLength(call.Body),
 	}).WithContext(httptrace.WithClientTrace(ctx, trace))
-	response, err := c.transport(call.Fresh).RoundTrip(request)
+	response, err := c.transport(call.Fresh).RoundTrip(request) //nolint:bodyclose // the reply's Finish or Discard closes it
 	if err != nil {
 		return nil, reply.fail(ctx, err)
 	}
--- /dev/null
+++ b/internal/entry/streamer/client_test.go
@@ -0,0 +1,155 @@
+package streamer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"samphirewharf/internal/decision/reducer"
+)
+
+// A brokenServer answers the first request of each connection and closes the connection when the second has come.
+type brokenServer struct {
+	listener net.Listener
+	requests atomic.Int64
+}
+
+func (s *brokenServer) run() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.serve(conn)
+	}
+}
+
+func (s *brokenServer) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	buffer := make([]byte, 4096)
+	for first := true; ; first = false {
+		if _, err := conn.Read(buffer); err != nil {
+			return
+		}
+		s.requests.Add(1)
+		if !first {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	}
+}
+
+// TestNoSilentRepeat checks that a request that meets a closing connection is sent once and reported as failed.
+func TestNoSilentRepeat(t *testing.T) {
+	tests := []struct {
+		name, method, body string
+		header             http.Header
+	}{
+		{name: "GET", method: http.MethodGet},
+		{name: "DELETE with key", method: http.MethodDelete, header: http.Header{"Idempotency-Key": {"k"}}},
+		{name: "POST without body", method: http.MethodPost, header: http.Header{"Idempotency-Key": {"k"}}},
+		{name: "POST", method: http.MethodPost, body: "x", header: http.Header{"Idempotency-Key": {"k"}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = listener.Close() })
+			server := &brokenServer{listener: listener}
+			go server.run()
+			client := &Client{}
+			t.Cleanup(client.Close)
+			call := Call{Address: listener.Addr().String(), Method: http.MethodGet, Path: "/", Header: http.Header{}}
+			reply, err := client.Send(context.Background(), call)
+			if err != nil {
+				t.Fatal(err)
+			}
+			reply.Finish()
+			call.Method, call.Body = test.method, []byte(test.body)
+			if test.header != nil {
+				call.Header = test.header
+			}
+			_, err = client.Send(context.Background(), call)
+			assertFailure(t, err, Failure{Outcome: reducer.AttemptFailed, Died: true})
+			if got := server.requests.Load(); got != 2 {
+				t.Errorf("got %d requests at the server, want 2", got)
+			}
+		})
+	}
+}
+
+func TestCancelledCall(t *testing.T) {
+	entered := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(entered)
+		<-r.Context().Done()
+	}))
+	t.Cleanup(server.Close)
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &canceller{entered: entered, cancel: cancel}
+	go c.run()
+	client := &Client{}
+	_, err := client.Send(ctx, Call{Address: strings.TrimPrefix(server.URL, "http://"), Method: http.MethodGet, Path: "/"})
+	assertFailure(t, err, Failure{Outcome: reducer.AttemptCancelled})
+}
+
+type canceller struct {
+	entered chan struct{}
+	cancel  context.CancelFunc
+}
+
+func (c *canceller) run() {
+	<-c.entered
+	c.cancel()
+}
+
+func TestEvents(t *testing.T) {
+	tests := []struct {
+		name, text string
+		want       []Event
+		err        error
+	}{
+		{name: "empty", err: io.EOF},
+		{name: "events", text: "id: 3\ndata: a\n\n\nid:4\r\ndata:b\r\n\r\n", want: []Event{{ID: 3, HasID: true}, {ID: 4, HasID: true}}, err: io.EOF},
+		{name: "done", text: "data: [DONE]\n\n", want: []Event{{Done: true}}, err: io.EOF},
+		{name: "cut off", text: "data: a\n\ndata: b\n", want: []Event{{}}, err: io.ErrUnexpectedEOF},
+		{name: "cut off within a line", text: "data: [DONE", err: io.ErrUnexpectedEOF},
+		{name: "too large", text: "data: " + strings.Repeat("x", MaxEventBytes), err: ErrEventTooLarge},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			reader := NewEventReader(strings.NewReader(test.text))
+			for i := 0; ; i++ {
+				event, err := reader.Next()
+				if err != nil {
+					if !errors.Is(err, test.err) || i != len(test.want) {
+						t.Errorf("got error %v after %d events, want %v after %d", err, i, test.err, len(test.want))
+					}
+					return
+				}
+				if want := test.want[i]; event.ID != want.ID || event.HasID != want.HasID || event.Done != want.Done {
+					t.Errorf("got event %+v, want %+v", event, want)
+				}
+			}
+		})
+	}
+}
+
+func assertFailure(t *testing.T, err error, want Failure) {
+	t.Helper()
+	var got *Failure
+	if !errors.As(err, &got) {
+		t.Fatalf("got error %v, want a Failure", err)
+	}
+	if got.Outcome != want.Outcome || got.Died != want.Died {
+		t.Errorf("got outcome %d, died %t (%v), want %d, %t", got.Outcome, got.Died, got, want.Outcome, want.Died)
+	}
+}
--- /dev/null
+++ b/internal/peer/messenger/client.go
@@ -0,0 +1,114 @@
+package messenger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/twitchtv/twirp"
+)
+
+const (
+	// DefaultTimeout bounds the delivery of one message.
+	DefaultTimeout = 500 * time.Millisecond
+	// DefaultQueue is how many messages wait for one daemon.
+	DefaultQueue = 32
+)
+
+// ErrQueueFull means that a daemon takes messages more slowly than they are sent to it.
+var ErrQueueFull = errors.New("queue of messages is full")
+
+// A Client sends messages to other daemons, each from its own queue. The zero value works.
+type Client struct {
+	// Timeout bounds the delivery of one message; zero means DefaultTimeout.
+	Timeout time.Duration
+	// Queue is how many messages wait for one daemon; zero means DefaultQueue.
+	Queue int
+	// Logger may be nil for log.DefaultLogger.
+	Logger *log.Logger
+
+	once      sync.Once
+	transport *http.Transport
+
+	mu sync.Mutex
+	// peers are the daemons with messages waiting or on their way, by address.
+	peers map[string]*peer
+}
+
+// Do sends a request without the header fields that daemons don't need. Only the twirp client calls it.
+func (c *Client) Do(r *http.Request) (*http.Response, error) {
+	c.once.Do(c.start)
+	r.Header.Set("User-Agent", "")
+	r.Header.Del("Accept")
+	return c.transport.RoundTrip(r)
+}
+
+// FetchConfiguration returns the configuration in force at a daemon: its version, and its chunks if it is newer.
+func (c *Client) FetchConfiguration(ctx context.Context, address string, haveVersion int64) (int64, [][]byte, error) {
+	reply, err := c.messenger(address).FetchConfiguration(ctx, &ConfigurationRequest{HaveVersion: haveVersion})
+	if err != nil {
+		return 0, nil, fmt.Errorf("fetch configuration from %s: %w", address, err)
+	}
+	return reply.GetVersion(), reply.GetChunks(), nil
+}
+
+// Send queues a message for the daemon at the address. A heartbeat takes the place of one that still waits. The error
+// is ErrQueueFull, or the context's. A message whose context ends while it waits is dropped; losses are logged.
+func (c *Client) Send(ctx context.Context, address string, m Message) error {
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("send message to %s: %w", address, err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.peers[address]
+	if ok && p.replaceHeartbeat(ctx, m) {
+		return nil
+	}
+	if ok && len(p.queue) >= c.queueLimit() {
+		return fmt.Errorf("send message to %s: %w", address, ErrQueueFull)
+	}
+	if ok {
+		p.queue = append(p.queue, queued{ctx, m})
+		return nil
+	}
+	if c.peers == nil {
+		c.peers = make(map[string]*peer)
+	}
+	p = &peer{client: c, address: address, queue: []queued{{ctx, m}}}
+	c.peers[address] = p
+	go p.run()
+	return nil
+}
+
+func (c *Client) logger() *log.Logger {
+	if c.Logger == nil {
+		return &log.DefaultLogger
+	}
+	return c.Logger
+}
+
+func (c *Client) messenger(address string) Messenger {
+	return NewMessengerProtobufClient("http://"+address, c, twirp.WithClientPathPrefix(PathPrefix))
+}
+
+func (c *Client) queueLimit() int {
+	if c.Queue > 0 {
+		return c.Queue
+	}
+	return DefaultQueue
+}
+
+func (c *Client) start() {
+	c.transport = &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
+}
+
+func (c *Client) timeout() time.Duration {
+	if c.Timeout > 0 {
+		return c.Timeout
+	}
+	return DefaultTimeout
+}
--- /dev/null
+++ b/internal/peer/messenger/client_test.go
@@ -0,0 +1,175 @@
+package messenger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"samphirewharf/internal/backend/orderer"
+)
+
+// A countingListener counts the bytes of all its connections, both ways.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &countingConn{conn, &l.bytes}, err
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	c.bytes.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+func startServer(t testing.TB, s *Server) (string, *countingListener) {
+	t.Helper()
+	server := httptest.NewUnstartedServer(s.Handler())
+	listener := &countingListener{Listener: server.Listener}
+	server.Listener = listener
+	server.Start()
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), listener
+}
+
+func heartbeat(inFlight int) Message {
+	return Message{
+		From: "marmara-a-1", Instance: "0190b5c4-7c1e-7a53", Address: "10.20.30.40:8080", Zone: "marmara-a",
+		Heartbeat: &Heartbeat{ConfigurationVersion: 8500, Placements: map[string]int64{"dil-sunucu": 123456}, InFlight: inFlight},
+	}
+}
+
+func digest(servers int) Message {
+	m := heartbeat(1)
+	m.Heartbeat = nil
+	for i := range servers {
+		report := orderer.Report{Instance: "0190b5c4", Sequence: 5000, Fence: 17, MemoryBytes: 80 << 30, UsedBytes: 60 << 30, CheckpointsVersion: 40}
+		for j := range 3 {
+			report.Replicas = append(report.Replicas, orderer.ReplicaReport{
+				Replica: fmt.Sprintf("r-%d", 100*i+j), Deployment: fmt.Sprintf("model-%d", j), ModelVersion: "3",
+				State: orderer.StateReady, Bytes: 20 << 30, Running: 4, Waiting: 1, Adapters: []string{"dizi", "film"},
+			})
+		}
+		m.Reports = append(m.Reports, ServerReport{Server: fmt.Sprintf("server-%d", i), Age: time.Second, Report: report})
+	}
+	return m
+}
+
+func TestSend(t *testing.T) {
+	received := make(chan Message)
+	address, _ := startServer(t, &Server{Receive: func(m Message) { received <- m }})
+	client := &Client{Timeout: time.Minute, Queue: 2}
+	ctx := context.Background()
+	assertSent(t, client.Send(ctx, address, digest(1)))
+	awaitQueue(t, client, address, 0)
+	assertSent(t, client.Send(ctx, address, heartbeat(1)))
+	assertSent(t, client.Send(ctx, address, digest(2)))
+	assertSent(t, client.Send(ctx, address, heartbeat(2)))
+	if err := client.Send(ctx, address, digest(3)); !errors.Is(err, ErrQueueFull) {
+		t.Errorf("got error %v, want %v", err, ErrQueueFull)
+	}
+	assertReports(t, <-received, 1)
+	if got := (<-received).Heartbeat.InFlight; got != 2 {
+		t.Errorf("got heartbeat %d, want the newest, 2", got)
+	}
+	assertReports(t, <-received, 2)
+}
+
+func TestSendToDeadDaemon(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	address := strings.TrimPrefix(server.URL, "http://")
+	server.Close()
+	client := &Client{}
+	assertSent(t, client.Send(context.Background(), address, heartbeat(1)))
+	for known := true; known; time.Sleep(time.Millisecond) {
+		client.mu.Lock()
+		_, known = client.peers[address]
+		client.mu.Unlock()
+	}
+}
+
+func TestFetchConfiguration(t *testing.T) {
+	address, _ := startServer(t, &Server{Configuration: func(have int64) (int64, [][]byte) {
+		if have >= 7 {
+			return 7, nil
+		}
+		return 7, [][]byte{[]byte("a"), []byte("b")}
+	}})
+	tests := []struct {
+		have int64
+		want string
+	}{{have: 6, want: "[a b]"}, {have: 7, want: "[]"}}
+	for _, test := range tests {
+		version, chunks, err := (&Client{}).FetchConfiguration(context.Background(), address, test.have)
+		if err != nil || version != 7 {
+			t.Errorf("got version %d, error %v, want 7", version, err)
+		}
+		if got := fmt.Sprintf("%s", chunks); got != test.want {
+			t.Errorf("got chunks %s, want %s", got, test.want)
+		}
+	}
+}
+
+// BenchmarkWire reports the bytes of one message on the wire, HTTP and the answer included, but for TCP/IP.
+func BenchmarkWire(b *testing.B) {
+	tests := []struct {
+		name    string
+		message Message
+	}{{"heartbeat", heartbeat(40)}, {"digest of 7 servers", digest(7)}}
+	for _, test := range tests {
+		b.Run(test.name, func(b *testing.B) {
+			address, listener := startServer(b, &Server{Receive: func(Message) {}})
+			messenger := (&Client{}).messenger(address)
+			for b.Loop() {
+				if _, err := messenger.Deliver(context.Background(), test.message.Envelope()); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(listener.bytes.Load())/float64(b.N), "wire-B/op")
+		})
+	}
+}
+
+func assertReports(t *testing.T, m Message, want int) {
+	t.Helper()
+	if got := len(m.Reports); got != want {
+		t.Errorf("got %d reports, want %d", got, want)
+	}
+}
+
+func assertSent(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Errorf("got error %v, want none", err)
+	}
+}
+
+// awaitQueue waits until the peer's queue has the length.
+func awaitQueue(t *testing.T, c *Client, address string, want int) {
+	t.Helper()
+	for got := -1; got != want; time.Sleep(time.Millisecond) {
+		c.mu.Lock()
+		got = len(c.peers[address].queue)
+		c.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/peer/messenger/message_test.go
@@ -0,0 +1,124 @@
+package messenger
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"samphirewharf/internal/backend/orderer"
+)
+
+// drawDuration draws a duration, also a negative one.
+func drawDuration(t *rapid.T) time.Duration { return time.Duration(rapid.Int64().Draw(t, "duration")) }
+
+// drawList draws nil or a list that isn't empty, since an empty one travels as nil.
+func drawList[T any](t *rapid.T, draw func(*rapid.T) T) []T {
+	return optionalList(rapid.SliceOfN(rapid.Custom(draw), 0, 3).Draw(t, "list"))
+}
+
+func optionalList[T any](list []T) []T {
+	if len(list) == 0 {
+		return nil
+	}
+	return list
+}
+
+func drawOptional[T any](t *rapid.T, draw func(*rapid.T) T) *T {
+	if !rapid.Bool().Draw(t, "present") {
+		return nil
+	}
+	value := draw(t)
+	return &value
+}
+
+func drawText(t *rapid.T) string    { return rapid.String().Draw(t, "text") }
+func drawNumber(t *rapid.T) int64   { return rapid.Int64().Draw(t, "number") }
+func drawHash(t *rapid.T) uint64    { return rapid.Uint64().Draw(t, "hash") }
+func drawBool(t *rapid.T) bool      { return rapid.Bool().Draw(t, "bool") }
+func drawCount(t *rapid.T) int      { return rapid.Int().Draw(t, "count") }
+func drawTexts(t *rapid.T) []string { return drawList(t, drawText) }
+
+func drawReplica(t *rapid.T) orderer.ReplicaReport {
+	return orderer.ReplicaReport{
+		Replica: drawText(t), Deployment: drawText(t), ModelVersion: drawText(t), Role: drawText(t),
+		State: orderer.ReplicaState(drawText(t)), Bytes: drawNumber(t), Running: drawCount(t), Waiting: drawCount(t),
+		Adapters: drawTexts(t),
+	}
+}
+
+func drawCacheEvent(t *rapid.T) orderer.CacheEvent {
+	return orderer.CacheEvent{Sequence: drawNumber(t), Replica: drawText(t), Prefix: drawHash(t), Stored: drawBool(t)}
+}
+
+func drawCheckpoints(t *rapid.T) orderer.Checkpoints {
+	return orderer.Checkpoints{Memory: drawTexts(t), Disk: drawTexts(t)}
+}
+
+func drawReport(t *rapid.T) ServerReport {
+	return ServerReport{
+		Server: drawText(t), Age: drawDuration(t), Unreachable: drawBool(t),
+		Report: orderer.Report{
+			Instance: drawText(t), Sequence: drawNumber(t), Fence: drawNumber(t), MemoryBytes: drawNumber(t),
+			UsedBytes: drawNumber(t), Replicas: drawList(t, drawReplica), CheckpointsVersion: drawNumber(t),
+			Checkpoints: drawOptional(t, drawCheckpoints), CacheEvents: drawList(t, drawCacheEvent),
+		},
+	}
+}
+
+func drawNeed(t *rapid.T) Need {
+	return Need{
+		Deployment: drawText(t), Adapter: drawText(t), Urgent: drawCount(t), CanWait: drawCount(t),
+		Slack: drawDuration(t), Used: drawBool(t), Running: drawCount(t),
+	}
+}
+
+func drawHeartbeat(t *rapid.T) Heartbeat {
+	h := Heartbeat{ConfigurationVersion: drawNumber(t), Leaving: drawBool(t), InFlight: drawCount(t)}
+	if placements := rapid.MapOfN(rapid.String(), rapid.Int64(), 0, 3).Draw(t, "placements"); len(placements) > 0 {
+		h.Placements = placements
+	}
+	return h
+}
+
+func drawNeeds(t *rapid.T) Needs {
+	return Needs{Cell: drawText(t), Sequence: drawNumber(t), Waiting: drawList(t, drawNeed)}
+}
+
+func drawPlacement(t *rapid.T) Placement {
+	record := optionalList(rapid.SliceOfN(rapid.Byte(), 0, 64).Draw(t, "record"))
+	return Placement{Cell: drawText(t), Revision: drawNumber(t), Record: record}
+}
+
+func drawVerdict(t *rapid.T) Verdict {
+	return Verdict{
+		Cell: drawText(t), Hashes: drawList(t, drawHash), Expires: drawDuration(t), Suspects: drawList(t, drawHash),
+	}
+}
+
+func drawMessage(t *rapid.T) Message {
+	return Message{
+		From: drawText(t), Instance: drawText(t), Address: drawText(t), Zone: drawText(t),
+		Heartbeat: drawOptional(t, drawHeartbeat), Reports: drawList(t, drawReport), Needs: drawOptional(t, drawNeeds),
+		Placement: drawOptional(t, drawPlacement), Verdict: drawOptional(t, drawVerdict),
+	}
+}
+
+func TestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := drawMessage(t)
+		bytes, err := proto.Marshal(want.Envelope())
+		if err != nil {
+			t.Fatal(err)
+		}
+		var envelope Envelope
+		if err := proto.Unmarshal(bytes, &envelope); err != nil {
+			t.Fatal(err)
+		}
+		if got := envelope.Message(); !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %+v, want %+v", got, want)
+		}
+	})
+}
--- /dev/null
+++ b/internal/peer/messenger/peer.go
@@ -0,0 +1,68 @@
+package messenger
+
+import "context"
+
+// A peer sends the messages for one daemon in order, one at a time. Client.mu guards the queue.
+type peer struct {
+	client  *Client
+	address string
+	queue   []queued
+}
+
+// A queued message waits to be sent.
+type queued struct {
+	ctx     context.Context
+	message Message
+}
+
+// run sends until the queue is empty.
+func (p *peer) run() {
+	sender := p.client.messenger(p.address)
+	for {
+		next, ok := p.next()
+		if !ok {
+			return
+		}
+		p.deliver(sender, next)
+	}
+}
+
+func (p *peer) deliver(sender Messenger, next queued) {
+	ctx, cancel := context.WithTimeout(next.ctx, p.client.timeout())
+	defer cancel()
+	if _, err := sender.Deliver(ctx, next.message.Envelope()); err != nil {
+		p.client.logger().Debug().Err(err).Str("Address", p.address).Msg("message to daemon lost")
+	}
+}
+
+// next takes the oldest message. It returns false and forgets the peer if there is none.
+func (p *peer) next() (queued, bool) {
+	p.client.mu.Lock()
+	defer p.client.mu.Unlock()
+	if len(p.queue) == 0 {
+		delete(p.client.peers, p.address)
+		return queued{}, false
+	}
+	next := p.queue[0]
+	p.queue = p.queue[1:]
+	return next, true
+}
+
+// replaceHeartbeat puts a message that is only a heartbeat in the place of a waiting one, if there is one.
+func (p *peer) replaceHeartbeat(ctx context.Context, m Message) bool {
+	if !m.isHeartbeat() {
+		return false
+	}
+	for i := range p.queue {
+		if p.queue[i].message.isHeartbeat() {
+			p.queue[i] = queued{ctx, m}
+			return true
+		}
+	}
+	return false
+}
+
+// isHeartbeat tells that the message has no other part.
+func (m Message) isHeartbeat() bool {
+	return m.Heartbeat != nil && len(m.Reports) == 0 && m.Needs == nil && m.Placement == nil && m.Verdict == nil
+}
