--- a/internal/peer/messenger/client.go
+++ b/internal/peer/messenger/client.go
@@ -1,125 +1,114 @@
 package messenger
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"time"
 
-	"samphirewharf/internal/config/cataloger"
+	"github.com/phuslu/log"
+	"github.com/twitchtv/twirp"
 )
 
 const (
-	// queueLength bounds the messages that wait for one daemon; more are dropped.
-	queueLength = 256
-	// deliverTimeout bounds one delivery.
-	deliverTimeout = time.Second
-	// fetchTimeout bounds the reading of a configuration.
-	fetchTimeout = 10 * time.Second
-	// senderLife is how long a sender without messages is kept.
-	senderLife = time.Minute
-	// maxConfigurationBytes bounds the configuration that a peer may send.
-	maxConfigurationBytes = 64 << 20
+	// DefaultTimeout bounds the delivery of one message.
+	DefaultTimeout = 500 * time.Millisecond
+	// DefaultQueue is how many messages wait for one daemon.
+	DefaultQueue = 32
 )
 
-// A Client sends messages to other daemons. The zero value is ready to use.
+// ErrQueueFull means that a daemon takes messages more slowly than they are sent to it.
+var ErrQueueFull = errors.New("queue of messages is full")
+
+// A Client sends messages to other daemons, each from its own queue. The zero value works.
 type Client struct {
-	mu      sync.Mutex
-	senders map[string]*sender
-	http    http.Client
+	// Timeout bounds the delivery of one message; zero means DefaultTimeout.
+	Timeout time.Duration
+	// Queue is how many messages wait for one daemon; zero means DefaultQueue.
+	Queue int
+	// Logger may be nil for log.DefaultLogger.
+	Logger *log.Logger
+
+	once      sync.Once
+	transport *http.Transport
+
+	mu sync.Mutex
+	// peers are the daemons with messages waiting or on their way, by address.
+	peers map[string]*peer
 }
 
-// FetchConfiguration returns the configuration of the daemon at an address, nil if it is not newer than haveVersion.
-func (c *Client) FetchConfiguration(ctx context.Context, address string, haveVersion int64) (*cataloger.Configuration, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	client := NewMessengerProtobufClient("http://"+address, &c.http)
-	reply, err := client.FetchConfiguration(ctx, &ConfigurationRequest{HaveVersion: haveVersion})
+// Do sends a request without the header fields that daemons don't need. Only the twirp client calls it.
+func (c *Client) Do(r *http.Request) (*http.Response, error) {
+	c.once.Do(c.start)
+	r.Header.Set("User-Agent", "")
+	r.Header.Del("Accept")
+	return c.transport.RoundTrip(r)
+}
+
+// FetchConfiguration returns the configuration in force at a daemon: its version, and its chunks if it is newer.
+func (c *Client) FetchConfiguration(ctx context.Context, address string, haveVersion int64) (int64, [][]byte, error) {
+	reply, err := c.messenger(address).FetchConfiguration(ctx, &ConfigurationRequest{HaveVersion: haveVersion})
 	if err != nil {
-		return nil, fmt.Errorf("ask for configuration: %w", err)
-	}
-	if reply.GetVersion() <= haveVersion {
-		return nil, nil //nolint:nilnil // No newer configuration is no error.
+		return 0, nil, fmt.Errorf("fetch configuration from %s: %w", address, err)
 	}
-	return decodeConfiguration(reply.GetGzipJson())
+	return reply.GetVersion(), reply.GetChunks(), nil
 }
 
-// Post queues a message for the daemon at an address. It does not block; a message may be lost.
-func (c *Client) Post(address string, m Message) {
+// Send queues a message for the daemon at the address. A heartbeat takes the place of one that still waits. The error
+// is ErrQueueFull, or the context's. A message whose context ends while it waits is dropped; losses are logged.
+func (c *Client) Send(ctx context.Context, address string, m Message) error {
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("send message to %s: %w", address, err)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s, ok := c.senders[address]
-	if !ok {
-		s = &sender{owner: c, address: address, queue: make(chan Message, queueLength)}
-		if c.senders == nil {
-			c.senders = make(map[string]*sender)
-		}
-		c.senders[address] = s
-		go s.run()
+	p, ok := c.peers[address]
+	if ok && p.replaceHeartbeat(ctx, m) {
+		return nil
 	}
-	select {
-	case s.queue <- m:
-	default:
+	if ok && len(p.queue) >= c.queueLimit() {
+		return fmt.Errorf("send message to %s: %w", address, ErrQueueFull)
 	}
+	if ok {
+		p.queue = append(p.queue, queued{ctx, m})
+		return nil
+	}
+	if c.peers == nil {
+		c.peers = make(map[string]*peer)
+	}
+	p = &peer{client: c, address: address, queue: []queued{{ctx, m}}}
+	c.peers[address] = p
+	go p.run()
+	return nil
 }
 
-// retire forgets a sender unless a message came in the meantime.
-func (c *Client) retire(s *sender) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(s.queue) > 0 {
-		return false
+func (c *Client) logger() *log.Logger {
+	if c.Logger == nil {
+		return &log.DefaultLogger
 	}
-	delete(c.senders, s.address)
-	return true
+	return c.Logger
 }
 
-// A sender delivers the messages for one daemon in order.
-type sender struct {
-	owner   *Client
-	address string
-	queue   chan Message
+func (c *Client) messenger(address string) Messenger {
+	return NewMessengerProtobufClient("http://"+address, c, twirp.WithClientPathPrefix(PathPrefix))
 }
 
-// run delivers messages until none came for senderLife.
-func (s *sender) run() {
-	client := NewMessengerProtobufClient("http://"+s.address, &s.owner.http)
-	idle := time.NewTimer(senderLife)
-	defer idle.Stop()
-	for {
-		select {
-		case m := <-s.queue:
-			s.deliver(client, m)
-			idle.Reset(senderLife)
-		case <-idle.C:
-			if s.owner.retire(s) {
-				return
-			}
-			idle.Reset(senderLife)
-		}
+func (c *Client) queueLimit() int {
+	if c.Queue > 0 {
+		return c.Queue
 	}
+	return DefaultQueue
 }
 
-// deliver hands one message over; a message that fails is lost.
-func (s *sender) deliver(client Messenger, m Message) {
-	ctx, cancel := context.WithTimeout(context.Background(), deliverTimeout)
-	defer cancel()
-	_, _ = client.Deliver(ctx, newEnvelope(m))
+func (c *Client) start() {
+	c.transport = &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
 }
 
-func decodeConfiguration(data []byte) (*cataloger.Configuration, error) {
-	reader, err := gzip.NewReader(bytes.NewReader(data))
-	if err != nil {
-		return nil, fmt.Errorf("decompress configuration: %w", err)
-	}
-	var configuration cataloger.Configuration
-	if err := json.NewDecoder(io.LimitReader(reader, maxConfigurationBytes)).Decode(&configuration); err != nil {
-		return nil, fmt.Errorf("decode configuration: %w", err)
+func (c *Client) timeout() time.Duration {
+	if c.Timeout > 0 {
+		return c.Timeout
 	}
-	return &configuration, nil
+	return DefaultTimeout
 }
--- a/internal/peer/messenger/server.go
+++ b/internal/peer/messenger/server.go
@@ -1,54 +1,37 @@
 package messenger
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
-	"encoding/json"
-	"fmt"
 	"net/http"
 
-	"samphirewharf/internal/config/cataloger"
+	"github.com/twitchtv/twirp"
 )
 
-// A Server takes messages from other daemons. Set the fields before Handler.
+// PathPrefix is the path below which daemons take messages.
+const PathPrefix = "/twirp"
+
+// A Server takes the messages of other daemons.
 type Server struct {
-	// Receive takes each message.
+	// Receive is called with each message, by many goroutines at once.
 	Receive func(Message)
-	// Configuration returns the configuration in force, nil if there is none.
-	Configuration func() *cataloger.Configuration
+	// Configuration returns the version in force and, if it is newer than the given one, the chunks of the
+	// configuration; version 0 means that there is none.
+	Configuration func(haveVersion int64) (version int64, chunks [][]byte)
 }
 
-// Deliver takes a message.
-func (s *Server) Deliver(_ context.Context, e *Envelope) (*Delivered, error) {
-	s.Receive(e.message())
-	return &Delivered{}, nil
+// Deliver takes one message.
+func (s *Server) Deliver(_ context.Context, envelope *Envelope) (*Empty, error) {
+	s.Receive(envelope.Message())
+	return &Empty{}, nil
 }
 
-// FetchConfiguration returns the configuration in force if it is newer than the asker's.
-func (s *Server) FetchConfiguration(_ context.Context, r *ConfigurationRequest) (*ConfigurationReply, error) {
-	configuration := s.Configuration()
-	if configuration == nil || configuration.Version <= r.GetHaveVersion() {
-		return &ConfigurationReply{}, nil
-	}
-	data, err := encodeConfiguration(configuration)
-	if err != nil {
-		return nil, err
-	}
-	return &ConfigurationReply{Version: configuration.Version, GzipJson: data}, nil
+// FetchConfiguration returns the configuration in force.
+func (s *Server) FetchConfiguration(_ context.Context, request *ConfigurationRequest) (*ConfigurationReply, error) {
+	version, chunks := s.Configuration(request.GetHaveVersion())
+	return &ConfigurationReply{Version: version, Chunks: chunks}, nil
 }
 
-// Handler returns the handler of requests below /twirp/.
-func (s *Server) Handler() http.Handler { return NewMessengerServer(s) }
-
-func encodeConfiguration(c *cataloger.Configuration) ([]byte, error) {
-	var buffer bytes.Buffer
-	writer := gzip.NewWriter(&buffer)
-	if err := json.NewEncoder(writer).Encode(c); err != nil {
-		return nil, fmt.Errorf("encode configuration: %w", err)
-	}
-	if err := writer.Close(); err != nil {
-		return nil, fmt.Errorf("compress configuration: %w", err)
-	}
-	return buffer.Bytes(), nil
+// Handler returns the HTTP handler to mount at PathPrefix.
+func (s *Server) Handler() http.Handler {
+	return NewMessengerServer(s, twirp.WithServerPathPrefix(PathPrefix))
 }
