--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -150,7 +150,7 @@
 	store := &storer.Client{Address: s.StoreAddress, Timeout: s.StoreTimeout}
 	d.registerMetrics()
 	d.fetcher.versioner.Store = versioner.NewStore(store)
-	d.fetcher.fromPeer = d.peers.FetchConfiguration
+	d.fetcher.fromPeer = d.exchanger().fetch
 	d.decided = decisionLog{logger: s.Logger}
 	decisions := reducer.Settings{
 		Daemon: s.Daemon, Instance: d.instance, Address: d.address, Zone: s.Zone, Region: s.Region,
@@ -194,7 +194,7 @@
 		Catalog:      d.catalog.Load,
 		Ready:        d.ready,
 		WriteMetrics: d.writeMetrics,
-		Peer:         (&messenger.Server{Receive: d.receive, Configuration: d.configuration}).Handler(),
+		Peer:         (&messenger.Server{Receive: d.receive, Configuration: d.exchanger().configuration}).Handler(),
 		Daemon:       d.settings.Daemon,
 		Logger:       d.settings.Logger,
 	}
@@ -205,6 +205,8 @@
 	return reducer.Moment{Since: time.Since(d.started), Wall: time.Now()}
 }
 
+func (d *Daemon) exchanger() exchanger { return exchanger{client: &d.peers, inForce: d.catalog.Load} }
+
 func (d *Daemon) exit() { go d.runExit() }
 
 // observe keeps the configuration in force for the callers' interface and logs routing decisions.
@@ -222,15 +224,6 @@
 	}
 }
 
-// configuration returns the configuration in force, nil if there is none.
-func (d *Daemon) configuration() *cataloger.Configuration {
-	catalog := d.catalog.Load()
-	if catalog == nil {
-		return nil
-	}
-	return &catalog.Configuration
-}
-
 func (d *Daemon) receive(m messenger.Message) { d.driver.Post(reducer.PeerReceived{Message: m}) }
 
 func (d *Daemon) ready() bool { return d.catalog.Load() != nil }
@@ -255,7 +248,9 @@
 }
 
 func (d *Daemon) sendPeer(address string, message messenger.Message) {
-	d.peers.Post(address, message)
+	if err := d.peers.Send(d.ctx, address, message); err != nil && d.ctx.Err() == nil {
+		d.settings.Logger.Warn().Err(err).Str("Address", address).Msg("message to another daemon was dropped")
+	}
 }
 
 // connect reports whether a server takes connections.
--- a/internal/daemon/demonstrator/demonstrator.go
+++ b/internal/daemon/demonstrator/demonstrator.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -160,6 +161,20 @@
 		}
 	}
 	d.printf("The configuration is in force at all daemons after %s.\n", round(time.Since(started)))
+	return d.waitForMembers(ctx)
+}
+
+// waitForMembers waits until every daemon knows the others.
+func (d *Demonstrator) waitForMembers(ctx context.Context) error {
+	for _, daemon := range d.daemons {
+		err := waitFor(ctx, func() bool {
+			answer, err := d.client.get(ctx, daemon.Address(), "/v1/addresses?Deployment=rates-1")
+			return err == nil && strings.Count(answer.body, `"Address":`) == daemonCount
+		})
+		if err != nil {
+			return fmt.Errorf("members known at %s: %w", daemon.Address(), err)
+		}
+	}
 	return nil
 }
 
--- a/internal/peer/messenger/decode.go
+++ b/internal/peer/messenger/decode.go
@@ -13,6 +13,8 @@
 		Instance:  x.GetInstance(),
 		Address:   x.GetAddress(),
 		Zone:      x.GetZone(),
+		Region:    x.GetRegion(),
+		Forecasts: convert(x.GetForecasts(), decodeForecast),
 		Heartbeat: decodeHeartbeat(x.GetHeartbeat()),
 		Reports:   convert(x.GetReports(), decodeServerReport),
 		Needs:     decodeNeeds(x.GetNeeds()),
@@ -56,11 +58,17 @@
 	}
 }
 
+func decodeForecast(f *ForecastPart) Forecast {
+	return Forecast{
+		Deployment: f.GetDeployment(), ReadyIn: time.Duration(f.GetReadyInNanoseconds()), Impossible: f.GetImpossible(),
+	}
+}
+
 func decodeNeeds(n *NeedsPart) *Needs {
 	if n == nil {
 		return nil
 	}
-	return &Needs{Cell: n.GetCell(), Sequence: n.GetSequence(), Waiting: convert(n.GetWaiting(), decodeNeed)}
+	return &Needs{Cell: n.GetCell(), Sequence: n.GetSequence(), Waiting: convert(n.GetWaiting(), decodeNeed), Renounced: n.GetRenounced()}
 }
 
 func decodePlacement(p *PlacementPart) *Placement {
--- a/internal/peer/messenger/encode.go
+++ b/internal/peer/messenger/encode.go
@@ -14,6 +14,8 @@
 		Needs:     encodeNeeds(m.Needs),
 		Placement: encodePlacement(m.Placement),
 		Verdict:   encodeVerdict(m.Verdict),
+		Region:    m.Region,
+		Forecasts: convert(m.Forecasts, encodeForecast),
 	}
 }
 
@@ -40,6 +42,10 @@
 	return &EngineCheckpoints{Memory: c.Memory, Disk: c.Disk}
 }
 
+func encodeForecast(f Forecast) *ForecastPart {
+	return &ForecastPart{Deployment: f.Deployment, ReadyInNanoseconds: int64(f.ReadyIn), Impossible: f.Impossible}
+}
+
 func encodeHeartbeat(h *Heartbeat) *HeartbeatPart {
 	if h == nil {
 		return nil
@@ -68,7 +74,7 @@
 	if n == nil {
 		return nil
 	}
-	return &NeedsPart{Cell: n.Cell, Sequence: n.Sequence, Waiting: convert(n.Waiting, encodeNeed)}
+	return &NeedsPart{Cell: n.Cell, Sequence: n.Sequence, Waiting: convert(n.Waiting, encodeNeed), Renounced: n.Renounced}
 }
 
 func encodePlacement(p *Placement) *PlacementPart {
--- a/internal/peer/messenger/message_test.go
+++ b/internal/peer/messenger/message_test.go
@@ -83,8 +83,14 @@
 	return h
 }
 
+func drawForecast(t *rapid.T) Forecast {
+	return Forecast{Deployment: drawText(t), ReadyIn: drawDuration(t), Impossible: drawBool(t)}
+}
+
 func drawNeeds(t *rapid.T) Needs {
-	return Needs{Cell: drawText(t), Sequence: drawNumber(t), Waiting: drawList(t, drawNeed)}
+	return Needs{
+		Cell: drawText(t), Sequence: drawNumber(t), Waiting: drawList(t, drawNeed), Renounced: drawTexts(t),
+	}
 }
 
 func drawPlacement(t *rapid.T) Placement {
@@ -103,6 +109,7 @@
 		From: drawText(t), Instance: drawText(t), Address: drawText(t), Zone: drawText(t),
 		Heartbeat: drawOptional(t, drawHeartbeat), Reports: drawList(t, drawReport), Needs: drawOptional(t, drawNeeds),
 		Placement: drawOptional(t, drawPlacement), Verdict: drawOptional(t, drawVerdict),
+		Region: drawText(t), Forecasts: drawList(t, drawForecast),
 	}
 }
 
