fix: send no load order for a replica that a pending write gives up

When its server stopped taking work before the order was sent, the planner wrote the record without the replica ('order was not sent'). If the server came back while that write was in flight, the order was sent from the old record: the engine then held a replica that was not decided, and its memory was free for others. Found by the fuzzer with a slow store and a restarted engine. Ruled out: a write repeated late (one token).

--- a/internal/decision/planner/plan.go
+++ b/internal/decision/planner/plan.go
@@ -106,7 +106,7 @@
 	}
 	for _, r := range m.record.Replicas {
 		_, renounced := m.renounced[r.ID]
-		if r.State != StateDecided || r.Instance != m.Instance || m.orders[r.ID] != nil || renounced {
+		if r.State != StateDecided || r.Instance != m.Instance || m.orders[r.ID] != nil || renounced || m.givesUp(r.ID) {
 			continue
 		}
 		s, ok := v.Fleet.Server(r.Server)
@@ -120,6 +120,15 @@
 	}
 }
 
+// givesUp reports whether the pending write frees the replica or marks it as unloading.
+func (m *Machine) givesUp(id string) bool {
+	if m.write == nil {
+		return false
+	}
+	r, ok := m.write.next.Replica(id)
+	return !ok || r.State != StateDecided
+}
+
 func (m *Machine) loadOrder(id string, r Replica, d *cataloger.Deployment) orderer.Order {
 	return orderer.Order{
 		OrderID:      id,
