fix: hold no server absent before the host list was read

A daemon that started while the host list did not answer and became placer took all servers for absent: ten seconds later it freed the reservations of replicas that engines held ('server left the host list'). Ruled out: the list's lag, which delays but does not empty it.

--- a/internal/decision/observer/fleet.go
+++ b/internal/decision/observer/fleet.go
@@ -21,6 +21,8 @@
 	// byDeployment lists the replicas of a deployment ordered by ID, in any state.
 	byDeployment map[string][]*Replica
 	replicas     map[string]*Replica
+	// listed are the services whose host list has been taken.
+	listed map[string]bool
 }
 
 // A Change tells what a report or host list changed.
@@ -35,6 +37,9 @@
 	Differs bool
 }
 
+// Listed reports whether the host list of the service has been taken.
+func (f *Fleet) Listed(service string) bool { return f.listed[service] }
+
 // Replica returns the replica with the ID.
 func (f *Fleet) Replica(id string) (*Replica, bool) {
 	r, ok := f.replicas[id]
@@ -76,6 +81,7 @@
 // SetHosts takes the host list of a service and returns what it changed.
 func (f *Fleet) SetHosts(service string, hosts []lister.Host) Change {
 	f.prepare()
+	f.listed[service] = true
 	var change Change
 	listed := make(map[string]bool, len(hosts))
 	for _, host := range hosts {
@@ -122,6 +128,7 @@
 	f.byService = make(map[string][]*Server)
 	f.byDeployment = make(map[string][]*Replica)
 	f.replicas = make(map[string]*Replica)
+	f.listed = make(map[string]bool)
 }
 
 func (f *Fleet) removeReplica(r *Replica) {
--- a/internal/decision/planner/release.go
+++ b/internal/decision/planner/release.go
@@ -25,7 +25,7 @@
 func (m *Machine) releaseReason(v View, r Replica) string {
 	s, listed := v.Fleet.Server(r.Server)
 	if !listed {
-		return m.absentReason(v.Now, r)
+		return m.absentReason(v, r)
 	}
 	delete(m.absent, r.Server)
 	o := m.orders[r.ID]
@@ -42,13 +42,16 @@
 }
 
 // absentReason frees replicas of servers that the host list has not shown for some time.
-func (m *Machine) absentReason(now time.Duration, r Replica) string {
+func (m *Machine) absentReason(v View, r Replica) string {
+	if !v.Fleet.Listed(m.Cell) {
+		return ""
+	}
 	since, ok := m.absent[r.Server]
 	if !ok {
-		m.absent[r.Server] = now
+		m.absent[r.Server] = v.Now
 		return ""
 	}
-	if now-since < absentAfter {
+	if v.Now-since < absentAfter {
 		return ""
 	}
 	return "server left the host list"
