fix: tell when to come back after a claim's deadline

A request whose deadline passed while it waited for its claim was refused with DeadlineExpired and no Retry-After. Found by the fuzzer (a daemon frozen for 40 s).

--- a/internal/decision/reducer/claiming.go
+++ b/internal/decision/reducer/claiming.go
@@ -122,7 +122,11 @@
 	if !ok {
 		return
 	}
-	m.refuse(r, a.Code, a.Ran, a.RetryAfter, "")
+	after := a.RetryAfter
+	if a.Code == refuser.CodeDeadlineExpired && after == 0 {
+		after = m.retryAfter(r)
+	}
+	m.refuse(r, a.Code, a.Ran, after, "")
 }
 
 func (m *Machine) replayed(a claimer.Replayed) {
