fix: know a former placer dead by its daemon's later process

A reservation whose order was sent and whose replica was never seen is freed once the sender is proved dead. The proof needed a daemon that had seen both the sender's registration and its successor's: after all daemons had restarted, none had, and the memory stayed reserved for ever. The record now names the daemon beside the process, and a later process registered under that ID is proof too. Left: a sender whose ID and address never come back is not proved dead.

--- a/internal/decision/planner/action.go
+++ b/internal/decision/planner/action.go
@@ -20,7 +20,7 @@
 	// Alive reports whether a daemon process is live and not leaving.
 	Alive func(daemon, instance string) bool
 	// DeadSince returns when a daemon process was proved dead.
-	DeadSince func(instance string) (time.Duration, bool)
+	DeadSince func(daemon, instance string) (time.Duration, bool)
 }
 
 // An Action is one output of a Machine.
--- a/internal/decision/planner/decide.go
+++ b/internal/decision/planner/decide.go
@@ -307,6 +307,7 @@
 		Bytes:        d.ReplicaBytes(),
 		AdapterSlots: d.AdapterSlots,
 		State:        StateDecided,
+		Daemon:       m.Daemon,
 		Instance:     m.Instance,
 		Fence:        m.record.Fence,
 	})
--- a/internal/decision/planner/record.go
+++ b/internal/decision/planner/record.go
@@ -36,7 +36,8 @@
 	Bytes        int64
 	AdapterSlots int `json:",omitempty"`
 	State        ReplicaState
-	// Instance is the daemon process that alone may send the load order.
+	// Daemon decided it; Instance is its process, which alone may send the load order.
+	Daemon   string `json:",omitempty"`
 	Instance string
 	// Fence is the fencing number that the order carries.
 	Fence int64
--- a/internal/decision/planner/release.go
+++ b/internal/decision/planner/release.go
@@ -1,8 +1,6 @@
 package planner
 
 import (
-	"time"
-
 	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/decision/observer"
@@ -96,7 +94,7 @@
 	if r.Instance == m.Instance || v.DeadSince == nil {
 		return ""
 	}
-	since, dead := v.DeadSince(r.Instance)
+	since, dead := v.DeadSince(r.Daemon, r.Instance)
 	if !dead || state.seenAt < since+orderSettle {
 		return ""
 	}
--- a/internal/decision/reducer/membership.go
+++ b/internal/decision/reducer/membership.go
@@ -299,8 +299,8 @@
 }
 
 // deadSince returns when a daemon process was found to be proved dead.
-func (m *Machine) deadSince(instance string) (time.Duration, bool) {
-	if !m.members.KnownDead(instance) {
+func (m *Machine) deadSince(daemon, instance string) (time.Duration, bool) {
+	if !m.members.KnownDead(instance) && !m.members.Replaced(daemon, instance) {
 		return 0, false
 	}
 	since, ok := m.register.dead[instance]
--- a/internal/decision/tracker/tracker.go
+++ b/internal/decision/tracker/tracker.go
@@ -191,6 +191,13 @@
 	return t.heartbeatAt
 }
 
+// Replaced reports whether a process that started later than the instance has registered under the daemon's
+// ID. Unlike KnownDead it needs no sight of the instance's own registration.
+func (t *Tracker) Replaced(id, instance string) bool {
+	last, ok := t.byID.get(id)
+	return ok && last.instance != instance && startedBefore(instance, last.instance)
+}
+
 // SetCells replaces the cells, and the regions of the availability zones.
 func (t *Tracker) SetCells(cells []Cell, regions map[string]string) {
 	t.regions = make(map[string]string, len(regions))
