fix: count a connection that the transport closed under a write as broken

Cause: when the server closes an idle connection, the transport closes its side on reading the end, and a write in progress meets net.ErrClosed instead of EPIPE. Also takes curl's default content type for JSON bodies.

--- a/internal/entry/responder/inbound.go
+++ b/internal/entry/responder/inbound.go
@@ -139,6 +139,9 @@
 	return digest.Sum64()
 }
 
+// curlDefaultType is what curl -d sends if nobody says otherwise. The body must be JSON all the same.
+const curlDefaultType = "application/x-www-form-urlencoded"
+
 func checkContent(header http.Header) *refuser.Refusal {
 	if encoding := header.Get("Content-Encoding"); encoding != "" && encoding != "identity" {
 		return &refuser.Refusal{Code: refuser.CodeUnsupportedEncoding, Detail: fmt.Sprintf("the encoding %q is not accepted", encoding)}
@@ -147,7 +150,8 @@
 	if kind == "" {
 		return nil
 	}
-	if media, _, err := mime.ParseMediaType(kind); err != nil || media != "application/json" {
+	media, _, err := mime.ParseMediaType(kind)
+	if err != nil || media != "application/json" && media != curlDefaultType {
 		return &refuser.Refusal{Code: refuser.CodeUnsupportedEncoding, Detail: fmt.Sprintf("the content type %q is not accepted", kind)}
 	}
 	return nil
--- a/internal/entry/streamer/failure.go
+++ b/internal/entry/streamer/failure.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"strings"
 	"syscall"
 	"time"
@@ -48,11 +49,12 @@
 }
 
 // isBroken tells that an error means that the server closed the connection, which it does when it dies.
+// The transport closes its side as soon as it reads the end, so that a write then meets net.ErrClosed.
 func isBroken(err error) bool {
 	if strings.Contains(err.Error(), idleClosed) {
 		return false
 	}
-	for _, broken := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+	for _, broken := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, net.ErrClosed} {
 		if errors.Is(err, broken) {
 			return true
 		}
