--- a/internal/load/generator/generator.go
+++ b/internal/load/generator/generator.go
@@ -156,7 +156,8 @@
 // serve sends one copy until its final answer and records that.
 func (s *sender) serve(ctx context.Context, copyNumber int) {
 	g := s.generator
-	sent := time.Now()
+	first := time.Now()
+	sent := first
 	var a answer
 	for sending := 0; ; sending++ {
 		g.recorder.sending(sending > 0)
@@ -171,7 +172,7 @@
 		}
 		sent = time.Now()
 	}
-	g.recorder.finish(result{&s.request, s.due, sent, a, s.measured})
+	g.recorder.finish(result{&s.request, s.due, first, sent, a, s.measured})
 }
 
 // send sends the request once. An address that takes no connection is passed over for the next one.
--- a/internal/load/generator/recorder.go
+++ b/internal/load/generator/recorder.go
@@ -30,8 +30,10 @@
 
 // A result is the final answer to a request.
 type result struct {
-	request  *request
-	due      time.Time
+	request *request
+	due     time.Time
+	// first is when it was sent first, sent when it was sent for the last time.
+	first    time.Time
 	sent     time.Time
 	answer   answer
 	measured bool
@@ -77,7 +79,7 @@
 	if !r.measured {
 		return
 	}
-	record(c.sendDelay, r.sent.Sub(r.due))
+	record(c.sendDelay, r.first.Sub(r.due))
 	if r.request.timeout > 0 && a.end.Sub(r.sent) > r.request.timeout+deadlineTolerance {
 		c.report.MissedDeadlines++
 	}
@@ -87,7 +89,7 @@
 	case a.refused:
 		c.report.Refused++
 		c.codes[CodeCount{Code: int(a.refusal.Code), Name: a.refusal.Code.String(), Ran: a.refusal.Ran.String()}]++
-		record(c.refusals, a.end.Sub(r.due))
+		record(c.refusals, a.end.Sub(r.first))
 	}
 }
 
@@ -96,14 +98,14 @@
 	c.report.Served++
 	c.codes[CodeCount{Code: int(refuser.CodeOK), Name: refuser.CodeOK.String()}]++
 	if !r.request.stream {
-		record(c.latency, r.answer.end.Sub(r.due))
+		record(c.latency, r.answer.end.Sub(r.first))
 		if r.request.booking {
-			record(c.bookings, r.answer.end.Sub(r.due))
+			record(c.bookings, r.answer.end.Sub(r.first))
 		}
 		return
 	}
 	c.tokens += 1 + len(r.answer.gaps)
-	record(c.firstToken, r.answer.first.Sub(r.due))
+	record(c.firstToken, r.answer.first.Sub(r.first))
 	for _, gap := range r.answer.gaps {
 		record(c.betweenTokens, gap)
 	}
--- a/internal/load/generator/report.go
+++ b/internal/load/generator/report.go
@@ -32,15 +32,16 @@
 	Lookups Distribution
 	// SendDelay is how much later than due requests were sent, which is the generator's own lag.
 	SendDelay Distribution
-	// Latency is the time from when served requests that are not streamed were due to their whole answer.
+	// Latency is the time from when served requests that are not streamed were first sent to their whole answer.
+	// Sending never waits for answers, so slow answers are not measured less often than fast ones.
 	Latency Distribution
 	// Bookings is the part of Latency that concerns plain services.
 	Bookings Distribution
-	// FirstToken is the time from when served streams were due to their first token.
+	// FirstToken is the time from when served streams were first sent to their first token.
 	FirstToken Distribution
 	// BetweenTokens is the time between two tokens of a stream.
 	BetweenTokens Distribution
-	// RefusalLatency is the time from when refused requests were due to their refusal.
+	// RefusalLatency is the time from when refused requests were first sent to their refusal.
 	RefusalLatency Distribution
 	// BookingsCounted are the bookings whose runs were read from Settings.Counters.
 	BookingsCounted int
