--- a/internal/command/runner/load.go
+++ b/internal/command/runner/load.go
@@ -21,7 +21,7 @@
 type loadCommand struct {
 	Questionnaire string        `arg:"" optional:"" help:"Questionnaire that names deployments, adapters and services; the demo's by default." type:"existingfile"`
 	Daemon        []string      `help:"IP and port of entry daemons that callers ask for addresses; loopback only." env:"SAMPHIREWHARF_LOAD_DAEMON"`
-	Engine        string        `help:"IP and port of a model engine to send to straight, for comparison; loopback only." env:"SAMPHIREWHARF_LOAD_ENGINE"`
+	Engine        string        `help:"IP and port of a model engine to send to straight; every second completion goes there if daemons are given too. Loopback only." env:"SAMPHIREWHARF_LOAD_ENGINE"`
 	Counter       []string      `help:"IP and port of stand-in servers whose counts are compared with the answers." env:"SAMPHIREWHARF_LOAD_COUNTER"`
 	Model         []string      `help:"Deployments and adapters to ask for; all by default." env:"SAMPHIREWHARF_LOAD_MODEL"`
 	CallerZone    string        `help:"Availability zone that callers name." env:"SAMPHIREWHARF_LOAD_CALLER_ZONE"`
@@ -111,6 +111,8 @@
 		{"Whole answer", r.Latency},
 		{"Booking", r.Bookings},
 		{"First token", r.FirstToken},
+		{"Whole answer, straight", r.Direct},
+		{"First token, straight", r.DirectFirstToken},
 		{"Between tokens", r.BetweenTokens},
 		{"Refusal", r.RefusalLatency},
 	} {
--- a/internal/load/generator/generator.go
+++ b/internal/load/generator/generator.go
@@ -179,7 +179,7 @@
 func (s *sender) send(ctx context.Context, id string, copyNumber int) answer {
 	g := s.generator
 	addresses := []string{g.settings.Engine}
-	if g.settings.Engine == "" {
+	if !s.request.direct {
 		caller := (s.request.caller + copyNumber) % len(g.directories)
 		var err error
 		addresses, err = g.directories[caller].addresses(ctx, s.request.lookup())
@@ -242,7 +242,7 @@
 	if g.settings.Timeout > 0 {
 		header.Set("X-Request-Timeout-Ms", fmt.Sprint(g.settings.Timeout.Milliseconds()))
 	}
-	if g.settings.Engine != "" {
+	if s.request.direct {
 		header.Set("X-Replica", g.ready[s.request.target.deployment].Replica)
 		header.Set("X-Adapter", s.request.target.adapter)
 	}
--- a/internal/load/generator/generator_test.go
+++ b/internal/load/generator/generator_test.go
@@ -257,9 +257,17 @@
 	}
 	report := runLoad(t, s)
 	assertFaults(t, report)
-	if got, want := report.Served, s.Requests; got != want {
+	if got, want := report.ServedDirect, s.Requests; got != want {
 		t.Errorf("got %d served, want %d", got, want)
 	}
+	t.Run("beside a daemon", func(t *testing.T) {
+		s.Daemons = []string{startFake(t, &fakeDaemon{}).address()}
+		report := runLoad(t, s)
+		assertFaults(t, report)
+		if got, want := report.ServedDirect, s.Requests/2; got != want || report.Served != s.Requests {
+			t.Errorf("got %d of %d served straight, want %d of %d", got, report.Served, want, s.Requests)
+		}
+	})
 }
 
 // load orders the engine to load the deployment m.
--- a/internal/load/generator/mix.go
+++ b/internal/load/generator/mix.go
@@ -38,6 +38,8 @@
 type request struct {
 	number int
 	caller int
+	// direct tells that it goes straight to the engine.
+	direct bool
 	// booking tells that it must not be repeated, and goes to a plain service.
 	booking bool
 	target  target
@@ -126,6 +128,7 @@
 }
 
 func (m *mix) drawCompletion(r *request, random *rand.Rand) {
+	r.direct = m.settings.Engine != "" && (len(m.settings.Daemons) == 0 || r.number%2 == 0)
 	r.target = m.drawTarget(random)
 	r.stream = random.Float64() < m.settings.Streams
 	r.chat = random.Float64() < m.settings.Chats
--- a/internal/load/generator/recorder.go
+++ b/internal/load/generator/recorder.go
@@ -25,7 +25,7 @@
 	faults map[Fault]*FaultCount
 	tokens int
 
-	lookups, sendDelay, latency, bookings, firstToken, betweenTokens, refusals *hdrhistogram.Histogram
+	lookups, sendDelay, latency, bookings, firstToken, betweenTokens, refusals, direct, directFirstToken *hdrhistogram.Histogram
 }
 
 // A result is the final answer to a request.
@@ -41,15 +41,17 @@
 
 func newRecorder() *recorder {
 	return &recorder{
-		codes:         make(map[CodeCount]int),
-		faults:        make(map[Fault]*FaultCount),
-		lookups:       newHistogram(),
-		sendDelay:     newHistogram(),
-		latency:       newHistogram(),
-		bookings:      newHistogram(),
-		firstToken:    newHistogram(),
-		betweenTokens: newHistogram(),
-		refusals:      newHistogram(),
+		codes:            make(map[CodeCount]int),
+		faults:           make(map[Fault]*FaultCount),
+		lookups:          newHistogram(),
+		sendDelay:        newHistogram(),
+		latency:          newHistogram(),
+		bookings:         newHistogram(),
+		firstToken:       newHistogram(),
+		betweenTokens:    newHistogram(),
+		refusals:         newHistogram(),
+		direct:           newHistogram(),
+		directFirstToken: newHistogram(),
 	}
 }
 
@@ -96,6 +98,10 @@
 // served counts a right answer. The mutex must be held.
 func (c *recorder) served(r result) {
 	c.report.Served++
+	if r.request.direct {
+		c.servedDirect(r)
+		return
+	}
 	c.codes[CodeCount{Code: int(refuser.CodeOK), Name: refuser.CodeOK.String()}]++
 	if !r.request.stream {
 		record(c.latency, r.answer.end.Sub(r.first))
@@ -111,6 +117,18 @@
 	}
 }
 
+// servedDirect counts a right answer that came straight from the engine. The mutex must be held.
+func (c *recorder) servedDirect(r result) {
+	c.report.ServedDirect++
+	h := c.direct
+	end := r.answer.end
+	if r.request.stream {
+		h = c.directFirstToken
+		end = r.answer.first
+	}
+	record(h, end.Sub(r.first))
+}
+
 func (c *recorder) lookup(took time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -154,6 +172,8 @@
 	r.Bookings = newDistribution(c.bookings)
 	r.FirstToken = newDistribution(c.firstToken)
 	r.BetweenTokens = newDistribution(c.betweenTokens)
+	r.Direct = newDistribution(c.direct)
+	r.DirectFirstToken = newDistribution(c.directFirstToken)
 	r.RefusalLatency = newDistribution(c.refusals)
 	return r
 }
--- a/internal/load/generator/report.go
+++ b/internal/load/generator/report.go
@@ -16,10 +16,12 @@
 	Due     int
 	Skipped int
 	// Served and Refused are final answers of requests; Sent counts each sending.
-	Served  int
-	Refused int
-	Sent    int
-	Retried int
+	Served int
+	// ServedDirect is the part of Served that went straight to the engine.
+	ServedDirect int
+	Refused      int
+	Sent         int
+	Retried      int
 	// Codes counts final answers by result code and the statement whether the request ran.
 	Codes []CodeCount
 	// Faults counts answers that are wrong. A correct system causes none.
@@ -43,6 +45,10 @@
 	BetweenTokens Distribution
 	// RefusalLatency is the time from when refused requests were first sent to their refusal.
 	RefusalLatency Distribution
+	// Direct and DirectFirstToken are Latency and FirstToken of the requests that went straight to the engine,
+	// which the others don't contain.
+	Direct           Distribution
+	DirectFirstToken Distribution
 	// BookingsCounted are the bookings whose runs were read from Settings.Counters.
 	BookingsCounted int
 	// BookingsRunTwice are those that ran more than once.
--- a/internal/load/generator/settings.go
+++ b/internal/load/generator/settings.go
@@ -25,7 +25,8 @@
 type Settings struct {
 	// Daemons are entry daemons that callers know, by IP and port. Callers ask them for addresses.
 	Daemons []string
-	// Engine is the address of a model engine. If it is given, requests go straight to it and Daemons is not used.
+	// Engine is the address of a model engine that requests go straight to. If Daemons are given too, every
+	// second completion goes to the engine and the others to the daemons, so that both meet the same noise.
 	Engine string
 	// Counters are stand-in servers whose counts are compared with the answers at the end.
 	Counters []string
