--- a/internal/config/questioner/check.go
+++ b/internal/config/questioner/check.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"samphirewharf/internal/config/cataloger"
 )
@@ -24,6 +25,7 @@
 	minAnswer           = 100 * time.Millisecond
 	maxUrgent           = 10 * time.Minute
 	maxCanWait          = 24 * time.Hour
+	maxLoad             = time.Hour
 	maxOneWay           = 500 * time.Millisecond
 	minAdapterLoad      = 100 * time.Microsecond
 	maxAdapterLoad      = time.Minute
@@ -66,7 +68,7 @@
 func readQuestionnaire(t *table) Questionnaire {
 	q := Questionnaire{
 		Organisation: t.text("Organisation", "a name of up to 200 characters", func(s string) bool {
-			return strings.TrimSpace(s) != "" && len(s) <= maxOrganisation
+			return strings.TrimSpace(s) != "" && utf8.RuneCountInString(s) <= maxOrganisation
 		}),
 		WeighsMore: cataloger.Weighting(t.oneOf("WeighsMore",
 			string(cataloger.WeightColdStart), string(cataloger.WeightIdleHours))),
@@ -201,6 +203,9 @@
 		most = maxBytes
 	}
 	g.Size = t.size("Size", most)
+	if speed := services[g.Service].WeightStore.LoadSpeed; speed > 0 && g.Size/speed >= int64(maxLoad/time.Second) {
+		t.wrong("Size", fmt.Sprintf("a size that loads in less than %v at LoadSpeed %s", maxLoad, formatSize(speed)))
+	}
 	for _, element := range t.tables("Adapters", 0) {
 		g.Adapters = append(g.Adapters, readAdapterGroup(element, most-g.Size))
 	}
