--- a/internal/load/generator/generator.go
+++ b/internal/load/generator/generator.go
@@ -156,7 +156,8 @@
 // serve sends one copy until its final answer and records that.
 func (s *sender) serve(ctx context.Context, copyNumber int) {
 	g := s.generator
-	sent := time.Now()
+	first := time.Now()
+	sent := first
 	var a answer
 	for sending := 0; ; sending++ {
 		g.recorder.sending(sending > 0)
@@ -171,14 +172,14 @@
 		}
 		sent = time.Now()
 	}
-	g.recorder.finish(result{&s.request, s.due, sent, a, s.measured})
+	g.recorder.finish(result{&s.request, s.due, first, sent, a, s.measured})
 }
 
 // send sends the request once. An address that takes no connection is passed over for the next one.
 func (s *sender) send(ctx context.Context, id string, copyNumber int) answer {
 	g := s.generator
 	addresses := []string{g.settings.Engine}
-	if g.settings.Engine == "" {
+	if !s.request.direct {
 		caller := (s.request.caller + copyNumber) % len(g.directories)
 		var err error
 		addresses, err = g.directories[caller].addresses(ctx, s.request.lookup())
@@ -241,7 +242,7 @@
 	if g.settings.Timeout > 0 {
 		header.Set("X-Request-Timeout-Ms", fmt.Sprint(g.settings.Timeout.Milliseconds()))
 	}
-	if g.settings.Engine != "" {
+	if s.request.direct {
 		header.Set("X-Replica", g.ready[s.request.target.deployment].Replica)
 		header.Set("X-Adapter", s.request.target.adapter)
 	}
--- a/internal/load/generator/report.go
+++ b/internal/load/generator/report.go
@@ -16,10 +16,12 @@
 	Due     int
 	Skipped int
 	// Served and Refused are final answers of requests; Sent counts each sending.
-	Served  int
-	Refused int
-	Sent    int
-	Retried int
+	Served int
+	// ServedDirect is the part of Served that went straight to the engine.
+	ServedDirect int
+	Refused      int
+	Sent         int
+	Retried      int
 	// Codes counts final answers by result code and the statement whether the request ran.
 	Codes []CodeCount
 	// Faults counts answers that are wrong. A correct system causes none.
@@ -32,16 +34,21 @@
 	Lookups Distribution
 	// SendDelay is how much later than due requests were sent, which is the generator's own lag.
 	SendDelay Distribution
-	// Latency is the time from when served requests that are not streamed were due to their whole answer.
+	// Latency is the time from when served requests that are not streamed were first sent to their whole answer.
+	// Sending never waits for answers, so slow answers are not measured less often than fast ones.
 	Latency Distribution
 	// Bookings is the part of Latency that concerns plain services.
 	Bookings Distribution
-	// FirstToken is the time from when served streams were due to their first token.
+	// FirstToken is the time from when served streams were first sent to their first token.
 	FirstToken Distribution
 	// BetweenTokens is the time between two tokens of a stream.
 	BetweenTokens Distribution
-	// RefusalLatency is the time from when refused requests were due to their refusal.
+	// RefusalLatency is the time from when refused requests were first sent to their refusal.
 	RefusalLatency Distribution
+	// Direct and DirectFirstToken are Latency and FirstToken of the requests that went straight to the engine,
+	// which the others don't contain.
+	Direct           Distribution
+	DirectFirstToken Distribution
 	// BookingsCounted are the bookings whose runs were read from Settings.Counters.
 	BookingsCounted int
 	// BookingsRunTwice are those that ran more than once.
