feat: drain connections, give up writes of cancelled answers, take peers' messages

A write to a caller that doesn't read held a cancelled attempt for the whole write limit. A closed idle connection could cut a request on its way while stopping, so idle ones have a short grace. The Transport may report a server's close as its own; that counts as a broken connection too (seen as a flaky outcome in TestNoSilentRepeat).

--- a/internal/entry/acceptor/connection.go
+++ b/internal/entry/acceptor/connection.go
@@ -23,6 +23,10 @@
 	// lingerBytes is how much of a refused request is read and dropped, so that the caller gets the answer
 	// in place of a reset.
 	lingerBytes = 256 << 10
+	// stopGrace is how long an idle connection stays open while stopping, for a request that is on its way.
+	stopGrace = 250 * time.Millisecond
+	// hurryTimeout is how long a write may still take once its answer is given up.
+	hurryTimeout = 500 * time.Millisecond
 )
 
 // A connection reads one caller's requests and hands them to the handler one after the other.
@@ -85,6 +89,9 @@
 	return true
 }
 
+// hurry bounds a write that is waiting for the caller. Later writes have their full time.
+func (c *connection) hurry() { _ = c.SetWriteDeadline(time.Now().Add(hurryTimeout)) }
+
 // linger drops what the caller still sends, for a limited time and size.
 func (c *connection) linger() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
@@ -228,7 +235,7 @@
 		deadline = c.since.Add(c.server.limits.SendTimeout)
 	case c.handling:
 	case c.stopping:
-		deadline = time.Now()
+		deadline = time.Now().Add(stopGrace)
 	default:
 		deadline = time.Now().Add(c.server.limits.IdleTimeout)
 	}
--- a/internal/entry/acceptor/logger.go
+++ b/internal/entry/acceptor/logger.go
@@ -1,13 +1,19 @@
 package acceptor
 
-import "github.com/phuslu/log"
+import (
+	"github.com/lesismal/nbio/logging"
+	"github.com/phuslu/log"
+)
 
-// A Logger passes the log lines of nbio and nbhttp to phuslu/log. Give it to nbio's logging.SetLogger.
+// A Logger passes the log lines of nbio and nbhttp to phuslu/log. See RouteLogs.
 type Logger struct {
 	// Logger is where the lines go; nil means log.DefaultLogger.
 	Logger *log.Logger
 }
 
+// RouteLogs makes all of nbio and nbhttp log to the logger. Call it once, before the first Server.
+func RouteLogs(logger *log.Logger) { logging.SetLogger(&Logger{Logger: logger}) }
+
 // Debug logs at debug level.
 func (l *Logger) Debug(format string, v ...any) { l.logger().Debug().Msgf(format, v...) }
 
--- a/internal/entry/acceptor/server.go
+++ b/internal/entry/acceptor/server.go
@@ -38,6 +38,8 @@
 
 	engine *nbhttp.Engine
 	limits Limits
+	// draining tells that answers ask callers to close their connections.
+	draining atomic.Bool
 	// rejecting is how many connections beyond the limit are being answered.
 	rejecting atomic.Int64
 
@@ -54,6 +56,9 @@
 	return len(s.connections)
 }
 
+// Drain makes each answer from now on the last of its connection, so that callers look for another daemon.
+func (s *Server) Drain() { s.draining.Store(true) }
+
 // Serve accepts connections until Stop is called, and then returns nil.
 func (s *Server) Serve(listener net.Listener) error {
 	s.start(listener)
@@ -83,12 +88,17 @@
 	if !ok {
 		return
 	}
+	if s.draining.Load() {
+		r.Close = true
+		w.Header().Set("Connection", "close")
+	}
 	s.Handler.ServeHTTP(&Writer{response: response, connection: c, head: r.Method == http.MethodHead}, r.WithContext(c.ctx))
 }
 
-// Stop closes the listener and idle connections and waits until the others have finished their request.
+// Stop drains, closes the listener and idle connections and waits until the others have finished their request.
 // It closes those that are left when the context ends and returns its error.
 func (s *Server) Stop(ctx context.Context) error {
+	s.Drain()
 	s.closeListener()
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
--- a/internal/entry/responder/exchange.go
+++ b/internal/entry/responder/exchange.go
@@ -72,7 +72,7 @@
 		return x.begin(newForward(x, e))
 	case reducer.Cancel:
 		if x.attempt != nil && x.attempt.number == e.Attempt {
-			x.attempt.cancel()
+			x.cancelAttempt()
 		}
 		return false
 	case reducer.Refuse:
@@ -103,6 +103,12 @@
 	return false
 }
 
+// cancelAttempt closes the running attempt's connection to the server and doesn't wait long for the caller to read.
+func (x *exchange) cancelAttempt() {
+	x.attempt.cancel()
+	x.writer.Hurry()
+}
+
 // end reports the end of the running attempt. It returns true if the caller has the whole answer.
 func (x *exchange) end(ended reducer.AttemptEnded) bool {
 	x.attempt = nil
@@ -122,7 +128,7 @@
 // leave cancels the running attempt because the caller has left.
 func (x *exchange) leave() {
 	if x.attempt != nil {
-		x.attempt.cancel()
+		x.cancelAttempt()
 	}
 	x.responder.Post(reducer.CallerLeft{Request: x.id})
 	x.stopAttempt()
@@ -159,7 +165,7 @@
 	if x.attempt == nil {
 		return false
 	}
-	x.attempt.cancel()
+	x.cancelAttempt()
 	return x.end(<-x.attempt.ended)
 }
 
--- a/internal/entry/responder/harness_test.go
+++ b/internal/entry/responder/harness_test.go
@@ -83,6 +83,7 @@
 }
 
 func (s *serving) stop() {
+	http.DefaultClient.CloseIdleConnections()
 	ctx, cancel := contextWithLimit()
 	defer cancel()
 	_ = s.server.Stop(ctx)
--- a/internal/entry/responder/inbound.go
+++ b/internal/entry/responder/inbound.go
@@ -92,6 +92,8 @@
 	if refusal != nil {
 		return refusal
 	}
+	// Events are read on their way, so they must come as they are.
+	in.header.Del("Accept-Encoding")
 	in.arrived.Target = request.Model
 	in.arrived.Path = r.URL.Path
 	in.arrived.Stream = request.Stream
--- a/internal/entry/responder/responder_test.go
+++ b/internal/entry/responder/responder_test.go
@@ -1,18 +1,21 @@
 package responder
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"samphirewharf/internal/caller/refuser"
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/peer/messenger"
 )
 
 const completion = `{"model":"small","prompt":"hi"}`
@@ -288,6 +291,105 @@
 	assertEqual(t, "has timeout", arrivals[1].Timeout > 0 && arrivals[1].Timeout <= waitLimit, true)
 }
 
+// TestCancelForCallerThatDoesNotRead checks that an attempt ends soon after its Cancel though the caller doesn't read.
+func TestCancelForCallerThatDoesNotRead(t *testing.T) {
+	full := make(chan struct{})
+	address := engine(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		event := []byte("data: " + strings.Repeat("x", 1<<10) + "\n\n")
+		for range 16 << 10 {
+			if _, err := w.Write(event); err != nil {
+				break
+			}
+		}
+		close(full)
+	})
+	h := newHarness(t, dispatchTo(failed, address))
+	h.responder.Open = func() (reducer.RequestID, <-chan reducer.Effect) {
+		id, effects := h.open()
+		go (&lateCancel{h: h, id: id}).run()
+		return id, effects
+	}
+	conn := dial(t, h.address)
+	send(t, conn, request("/v1/completions", `{"model":"small","stream":true}`))
+	assertEqual(t, "outcome", h.awaitEnd(1).Outcome, reducer.AttemptCancelled)
+	<-full
+}
+
+// A lateCancel cancels a request's first attempt after its first byte.
+type lateCancel struct {
+	h  *harness
+	id reducer.RequestID
+}
+
+func (c *lateCancel) run() {
+	c.h.await("first byte", hasStarted)
+	c.h.mu.Lock()
+	defer c.h.mu.Unlock()
+	c.h.channels[c.id] <- reducer.Cancel{Request: c.id, Attempt: 1}
+	c.h.channels[c.id] <- reducer.Refuse{Request: c.id, Refusal: refuser.Refusal{Code: refuser.CodeDeadlineExpired}}
+}
+
+// TestManyStreams checks that streams that last don't keep others from being served.
+func TestManyStreams(t *testing.T) {
+	const streams = 400
+	var open sync.WaitGroup
+	open.Add(streams)
+	release := make(chan struct{})
+	address := engine(t, func(w http.ResponseWriter, r *http.Request) {
+		open.Done()
+		<-release
+		streamEvents(3, false)(w, r)
+	})
+	h := newHarness(t, dispatchTo(failed, address))
+	conns := make([]net.Conn, 0, streams)
+	for range streams {
+		conn := dial(t, h.address)
+		send(t, conn, request("/v1/completions", `{"model":"small","stream":true}`))
+		conns = append(conns, conn)
+	}
+	open.Wait()
+	_, body := do(t, newRequest(t, h.address, "/healthz", ""))
+	assertEqual(t, "body", body, "ok\n")
+	close(release)
+	want := eventOf(0) + eventOf(1) + eventOf(2) + "data: [DONE]\n\n"
+	for _, conn := range conns {
+		assertEqual(t, "stream", readStream(t, conn), want)
+	}
+}
+
+func readStream(t *testing.T, conn net.Conn) string {
+	t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(body)
+}
+
+// TestPeers checks that messages between daemons arrive, also the largest.
+func TestPeers(t *testing.T) {
+	received := make(chan messenger.Message, 1)
+	server := &messenger.Server{Receive: func(m messenger.Message) { received <- m }}
+	h := newHarness(t, func(reducer.Event) []reducer.Effect { return nil })
+	h.responder.Peer = server.Handler()
+	client := &messenger.Client{Timeout: waitLimit}
+	for _, size := range []int{0, 1 << 20} {
+		want := messenger.Message{From: "daemon-2", Placement: &messenger.Placement{Record: make([]byte, size)}}
+		if err := client.Send(context.Background(), h.address, want); err != nil {
+			t.Fatal(err)
+		}
+		got := <-received
+		assertEqual(t, "sender", got.From, want.From)
+		assertEqual(t, "record length", len(got.Placement.Record), size)
+	}
+}
+
 func TestRefusedAtOnce(t *testing.T) {
 	h := newHarness(t, func(reducer.Event) []reducer.Effect { return []reducer.Effect{failed} })
 	tests := []struct {
--- a/internal/entry/streamer/failure.go
+++ b/internal/entry/streamer/failure.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"strings"
 	"syscall"
 	"time"
@@ -47,12 +48,13 @@
 	}
 }
 
-// isBroken tells that an error means that the server closed the connection, which it does when it dies.
+// isBroken tells that an error means that the server closed the connection, which it does when it dies. The Transport
+// closes its side too when it sees that, so that a write may fail for a closed connection.
 func isBroken(err error) bool {
 	if strings.Contains(err.Error(), idleClosed) {
 		return false
 	}
-	for _, broken := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+	for _, broken := range []error{io.EOF, io.ErrUnexpectedEOF, net.ErrClosed, syscall.ECONNRESET, syscall.EPIPE} {
 		if errors.Is(err, broken) {
 			return true
 		}
