fix: refuse plain paths that servers may resolve otherwise

A dot segment or an empty one could lead a request past the rule that it must not be repeated. Forwarded requests with a key get a connection of their own, as claimed ones do, so that no idle connection being closed makes them "may have run".

--- a/internal/entry/responder/attempt.go
+++ b/internal/entry/responder/attempt.go
@@ -91,6 +91,7 @@
 	a := newAttempt(x, e.Attempt, e.Address, e.Timeout+forwardGrace)
 	a.forward = true
 	a.call.Path = x.inbound.path
+	a.call.Fresh = x.inbound.arrived.Key != ""
 	header := a.call.Header
 	header.Set(forwardedByHeader, x.responder.Daemon)
 	header.Set(timeoutHeader, strconv.FormatInt(max(e.Timeout, minTimeout).Milliseconds(), 10))
--- a/internal/entry/responder/inbound.go
+++ b/internal/entry/responder/inbound.go
@@ -6,6 +6,8 @@
 	"io"
 	"mime"
 	"net/http"
+	"net/url"
+	"path"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -108,6 +110,9 @@
 	if !ok || service.Kind != cataloger.KindPlain {
 		return unknownTarget("plain service", name)
 	}
+	if !isCanonical(r.URL, servicesPrefix+name) {
+		return &refuser.Refusal{Code: refuser.CodeMalformedRequest, Detail: "the path has dot segments, empty segments or an escaped service name"}
+	}
 	header := service.IdentityHeader
 	if header == "" {
 		header = idempotencyKeyHeader
@@ -155,6 +160,14 @@
 	return nil
 }
 
+// isCanonical tells that a path below the prefix means the same to the rules for requests that must not be repeated
+// as to any backend server, some of which resolve dot segments and empty ones.
+func isCanonical(u *url.URL, prefix string) bool {
+	rest := below(u.Path, prefix)
+	clean := path.Clean(rest)
+	return strings.HasPrefix(u.EscapedPath(), prefix) && (rest == clean || rest == clean+"/")
+}
+
 func unknownTarget(kind, name string) *refuser.Refusal {
 	return &refuser.Refusal{Code: refuser.CodeUnknownDeployment, Detail: fmt.Sprintf("no %s is named %q", kind, name)}
 }
--- a/internal/entry/responder/responder_test.go
+++ b/internal/entry/responder/responder_test.go
@@ -410,6 +410,10 @@
 		{name: "encoding", path: "/v1/completions", body: completion, header: []string{"Content-Encoding", "gzip"}, want: refuser.CodeUnsupportedEncoding},
 		{name: "timeout", path: "/v1/completions", body: completion, header: []string{"X-Request-Timeout-Ms", "-1"}, want: refuser.CodeInvalidHeader},
 		{name: "key", path: "/services/rezervasyon/", body: "x", header: []string{"Idempotency-Key", `"open`}, want: refuser.CodeIdempotencyKeyInvalid},
+		{name: "dot segment", path: "/services/rezervasyon/./book", body: "x", want: refuser.CodeMalformedRequest},
+		{name: "escaped dot segment", path: "/services/rezervasyon/a/%2e%2e/book", body: "x", want: refuser.CodeMalformedRequest},
+		{name: "empty segment", path: "/services/rezervasyon//book", body: "x", want: refuser.CodeMalformedRequest},
+		{name: "escaped name", path: "/services/%72ezervasyon/book", body: "x", want: refuser.CodeMalformedRequest},
 		{name: "no deployment named", path: "/v1/addresses", want: refuser.CodeMalformedRequest},
 		{name: "addresses refused", path: "/v1/addresses?Deployment=small", want: refuser.CodeServerFailed},
 	}
