--- a/internal/decision/planner/release.go
+++ b/internal/decision/planner/release.go
@@ -1,8 +1,6 @@
 package planner
 
 import (
-	"time"
-
 	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/decision/observer"
