fix: read the host list before anything else after a freeze

A daemon that was frozen while a server left sent it, when it went on, what it had in hand: requests that waited in its sockets, and load orders whose swap had been answered meanwhile, by a host list from before the freeze. Step now notices the gap (it is woken at least once a second), keeps events back for at most 50 ms and handles them once the host list has been read anew. HostsListed carries SentAt, as polls do. Ruled out: checking only the servers' age at dispatch, which would stop all work while the host list does not answer.

--- a/internal/daemon/executor/call.go
+++ b/internal/daemon/executor/call.go
@@ -53,13 +53,14 @@
 
 func (c *call) listHosts(ctx context.Context, e reducer.ListHosts) {
 	x := c.executor
+	sentAt := x.since()
 	hosts, etag, unchanged, err := x.Hosts.List(ctx, e.Service, x.etag(e.Service))
 	if err != nil {
-		x.Post(reducer.HostsListed{Service: e.Service})
+		x.Post(reducer.HostsListed{Service: e.Service, SentAt: sentAt})
 		return
 	}
 	x.setEtag(e.Service, etag)
-	x.Post(reducer.HostsListed{Service: e.Service, OK: true, Unchanged: unchanged, Hosts: hosts})
+	x.Post(reducer.HostsListed{Service: e.Service, SentAt: sentAt, OK: true, Unchanged: unchanged, Hosts: hosts})
 }
 
 func (c *call) loadConfiguration(ctx context.Context, e reducer.LoadConfiguration) {
--- a/internal/decision/prover/process_test.go
+++ b/internal/decision/prover/process_test.go
@@ -264,12 +264,13 @@
 
 func (p *process) listHosts(service string) {
 	w := p.w
+	sent := p.moment().Since
 	if w.hostsDown || !w.reaches(p.name, "hosts") {
-		p.later(callTimeout, func() { p.step(reducer.HostsListed{Service: service}) })
+		p.later(callTimeout, func() { p.step(reducer.HostsListed{Service: service, SentAt: sent}) })
 		return
 	}
 	p.later(w.delay(), func() {
-		p.step(reducer.HostsListed{Service: service, OK: true, Hosts: w.listed(service)})
+		p.step(reducer.HostsListed{Service: service, SentAt: sent, OK: true, Hosts: w.listed(service)})
 	})
 }
 
--- a/internal/decision/reducer/event.go
+++ b/internal/decision/reducer/event.go
@@ -148,7 +148,9 @@
 // A HostsListed event answers ListHosts.
 type HostsListed struct {
 	Service string
-	OK      bool
+	// SentAt is Moment.Since before the call was sent.
+	SentAt time.Duration
+	OK     bool
 	// Unchanged tells that the list is as it was at the last answer; Hosts is then nil.
 	Unchanged bool
 	Hosts     []lister.Host
--- a/internal/decision/reducer/machine.go
+++ b/internal/decision/reducer/machine.go
@@ -98,6 +98,7 @@
 	verifying map[string][]*request
 
 	stop stopping
+	hold hold
 	next schedule
 }
 
@@ -134,6 +135,9 @@
 
 // NextWake returns the Moment.Since at which Step must be called with Ticked at the latest.
 func (m *Machine) NextWake() time.Duration {
+	if m.hold.until > 0 {
+		return m.hold.until
+	}
 	wake := min(m.next.hosts, m.next.heartbeat, m.next.reports, m.next.uses, m.next.plan, m.next.polls)
 	wake = min(wake, m.next.needs, m.next.claims)
 	wake = min(wake, m.members.NextWake(), m.lease.NextRenewal())
@@ -151,8 +155,13 @@
 
 // Step takes one event and returns the effects to carry out, in order. The slice is valid until the next Step.
 func (m *Machine) Step(now Moment, event Event) []Effect {
+	last := m.now.Since
 	m.now = now
 	m.out = m.out[:0]
+	m.startHold(last)
+	if m.held(event) {
+		return m.out
+	}
 	m.handle(event)
 	m.expireRequests()
 	m.tick()
