fix: end attempts whose handler is gone

Cause: a Dispatch or Cancel that reached a request after its handler had left was dropped, so the replica's slot stayed taken and a planned stop waited for ever.

--- a/internal/daemon/driver/driver.go
+++ b/internal/daemon/driver/driver.go
@@ -34,6 +34,15 @@
 	nextID atomic.Uint64
 	calls  sync.Map
 	done   chan struct{}
+	// ended are the ends of attempts that no handler could begin. Only the loop uses it.
+	ended []reducer.Event
+}
+
+// A call is a request whose handler follows its effects.
+type call struct {
+	mu      sync.Mutex
+	effects chan reducer.Effect
+	closed  bool
 }
 
 // Start starts the loop, which ends when the context does.
@@ -43,15 +52,29 @@
 	go d.loop(ctx)
 }
 
-// Close forgets a request; effects that come for it later are dropped.
-func (d *Driver) Close(id reducer.RequestID) { d.calls.Delete(id) }
+// Close forgets a request. Attempts that its handler was told of too late end as not sent.
+func (d *Driver) Close(id reducer.RequestID) {
+	found, ok := d.calls.LoadAndDelete(id)
+	if !ok {
+		return
+	}
+	c, ok := found.(*call)
+	if !ok {
+		return
+	}
+	for _, effect := range c.close() {
+		if event, ok := unstarted(effect); ok {
+			d.Post(event)
+		}
+	}
+}
 
 // Open returns a new request's ID and the channel that its effects come on.
 func (d *Driver) Open() (reducer.RequestID, <-chan reducer.Effect) {
 	id := reducer.RequestID(d.nextID.Add(1))
-	effects := make(chan reducer.Effect, effectBuffer)
-	d.calls.Store(id, effects)
-	return id, effects
+	c := &call{effects: make(chan reducer.Effect, effectBuffer)}
+	d.calls.Store(id, c)
+	return id, c.effects
 }
 
 // Post hands an event to the reducer. It blocks while too many events wait, and drops the event once
@@ -80,15 +103,24 @@
 		case <-timer.C:
 			event = reducer.Ticked{}
 		}
-		now := d.Clock()
-		effects := d.Machine.Step(now, event)
-		if d.Observe != nil {
-			d.Observe(now, event, effects)
-		}
-		for _, effect := range effects {
-			d.deliver(effect)
+		d.step(event)
+		for len(d.ended) > 0 {
+			event, d.ended = d.ended[0], d.ended[1:]
+			d.step(event)
 		}
-		timer.Reset(max(minSleep, d.Machine.NextWake()-now.Since))
+		timer.Reset(max(minSleep, d.Machine.NextWake()-d.Clock().Since))
+	}
+}
+
+// step feeds one event to the reducer and hands its effects out.
+func (d *Driver) step(event reducer.Event) {
+	now := d.Clock()
+	effects := d.Machine.Step(now, event)
+	if d.Observe != nil {
+		d.Observe(now, event, effects)
+	}
+	for _, effect := range effects {
+		d.deliver(effect)
 	}
 }
 
@@ -99,17 +131,58 @@
 		d.Execute(effect)
 		return
 	}
-	call, ok := d.calls.Load(id)
-	if !ok {
+	found, _ := d.calls.Load(id)
+	if c, ok := found.(*call); ok && c.send(effect) {
 		return
 	}
-	effects, ok := call.(chan reducer.Effect)
-	if !ok {
-		return
+	if event, ok := unstarted(effect); ok {
+		d.ended = append(d.ended, event)
+	}
+}
+
+// close ends the call and returns the effects that its handler has not taken.
+func (c *call) close() []reducer.Effect {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	var left []reducer.Effect
+	for {
+		select {
+		case effect := <-c.effects:
+			left = append(left, effect)
+		default:
+			return left
+		}
+	}
+}
+
+// send hands an effect to the call's handler and returns whether it can take it.
+func (c *call) send(effect reducer.Effect) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
 	}
 	select {
-	case effects <- effect:
+	case c.effects <- effect:
+		return true
+	default:
+		return false
+	}
+}
+
+// unstarted returns the event that ends an attempt whose handler is gone. A handler ends every attempt
+// that it has begun before it goes, so a Cancel for it only meets attempts that were never begun.
+func unstarted(effect reducer.Effect) (reducer.Event, bool) {
+	switch e := effect.(type) {
+	case reducer.Dispatch:
+		return reducer.AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: reducer.AttemptNotSent}, true
+	case reducer.Forward:
+		return reducer.AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: reducer.AttemptNotSent}, true
+	case reducer.Cancel:
+		return reducer.AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: reducer.AttemptCancelled}, true
 	default:
+		return nil, false
 	}
 }
 
--- a/internal/decision/reducer/polling.go
+++ b/internal/decision/reducer/polling.go
@@ -268,9 +268,9 @@
 	if c == nil || !e.OK || e.Unchanged {
 		return
 	}
-	before := make(map[string]bool)
+	var before []string
 	for _, s := range m.fleet.Servers(e.Service) {
-		before[s.Host.Server] = true
+		before = append(before, s.Host.Server)
 	}
 	change := m.fleet.SetHosts(e.Service, e.Hosts)
 	for _, r := range change.Lost {
@@ -279,7 +279,7 @@
 	if !change.Differs {
 		return
 	}
-	for name := range before {
+	for _, name := range before {
 		if _, ok := m.fleet.Server(name); !ok {
 			m.serverGone(name)
 		}
