feat: measure processor time, memory and bytes of running processes

Bytes are read from the kernel's counters of the process's own read and write calls, so that no proxy stands between the daemons and what they talk to.

--- /dev/null
+++ b/internal/load/sampler/sampler.go
@@ -0,0 +1,174 @@
+// Package sampler measures what running processes use, from the kernel's counters below /proc.
+package sampler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// ticksPerSecond is the unit of processor times in /proc/PID/stat, which is the same on all Linux platforms that Go supports.
+	ticksPerSecond = 100
+	// Fields of /proc/PID/stat after the command's name.
+	fieldUserTime   = 11
+	fieldSystemTime = 12
+	bytesPerKiB     = 1024
+)
+
+// errMissing tells that a counter is not where it should be.
+var errMissing = errors.New("missing counter")
+
+// A Sampler reads counters. The zero value reads those of the machine it runs on.
+type Sampler struct {
+	// Root is where process directories are; empty means /proc.
+	Root string
+	// Sleep waits between two readings; nil means the wall clock.
+	Sleep func(ctx context.Context, d time.Duration)
+}
+
+// A Counters is what one process has used since it started.
+type Counters struct {
+	// Processor is user and system time.
+	Processor time.Duration
+	// ReadBytes and WrittenBytes are what it read and wrote by system calls, on sockets and files alike.
+	ReadBytes    int64
+	WrittenBytes int64
+	// ResidentBytes is the memory it holds now, PeakResidentBytes the most it held.
+	ResidentBytes     int64
+	PeakResidentBytes int64
+}
+
+// A Usage is what one process used in a time.
+type Usage struct {
+	PID int
+	// Cores is processor time divided by time.
+	Cores             float64
+	ReadPerSecond     float64
+	WrittenPerSecond  float64
+	ResidentBytes     int64
+	PeakResidentBytes int64
+}
+
+// Read returns the counters of a process.
+func (s *Sampler) Read(pid int) (Counters, error) {
+	var c Counters
+	stat, err := s.file(pid, "stat")
+	if err != nil {
+		return Counters{}, err
+	}
+	// The command's name is in parentheses and may contain anything.
+	fields := strings.Fields(stat[strings.LastIndex(stat, ")")+1:])
+	if len(fields) <= fieldSystemTime {
+		return Counters{}, fmt.Errorf("process %d: processor time: %w", pid, errMissing)
+	}
+	ticks := int64(0)
+	for _, field := range []int{fieldUserTime, fieldSystemTime} {
+		n, err := strconv.ParseInt(fields[field], 10, 64)
+		if err != nil {
+			return Counters{}, fmt.Errorf("process %d: processor time: %w", pid, err)
+		}
+		ticks += n
+	}
+	c.Processor = time.Duration(ticks) * time.Second / ticksPerSecond
+	for _, counter := range []struct {
+		file, name string
+		unit       int64
+		value      *int64
+	}{
+		{"io", "rchar:", 1, &c.ReadBytes},
+		{"io", "wchar:", 1, &c.WrittenBytes},
+		{"status", "VmRSS:", bytesPerKiB, &c.ResidentBytes},
+		{"status", "VmHWM:", bytesPerKiB, &c.PeakResidentBytes},
+	} {
+		n, err := s.line(pid, counter.file, counter.name)
+		if err != nil {
+			return Counters{}, err
+		}
+		*counter.value = n * counter.unit
+	}
+	return c, nil
+}
+
+// Sample returns what processes use in a time.
+func (s *Sampler) Sample(ctx context.Context, pids []int, over time.Duration) ([]Usage, error) {
+	before := make([]Counters, len(pids))
+	for i, pid := range pids {
+		var err error
+		if before[i], err = s.Read(pid); err != nil {
+			return nil, err
+		}
+	}
+	started := time.Now()
+	s.sleep(ctx, over)
+	seconds := time.Since(started).Seconds()
+	if s.Sleep != nil {
+		seconds = over.Seconds()
+	}
+	usages := make([]Usage, len(pids))
+	for i, pid := range pids {
+		after, err := s.Read(pid)
+		if err != nil {
+			return nil, err
+		}
+		usages[i] = Usage{
+			PID:               pid,
+			Cores:             (after.Processor - before[i].Processor).Seconds() / seconds,
+			ReadPerSecond:     float64(after.ReadBytes-before[i].ReadBytes) / seconds,
+			WrittenPerSecond:  float64(after.WrittenBytes-before[i].WrittenBytes) / seconds,
+			ResidentBytes:     after.ResidentBytes,
+			PeakResidentBytes: after.PeakResidentBytes,
+		}
+	}
+	return usages, nil
+}
+
+func (s *Sampler) file(pid int, name string) (string, error) {
+	root := s.Root
+	if root == "" {
+		root = "/proc"
+	}
+	data, err := os.ReadFile(filepath.Join(root, strconv.Itoa(pid), name))
+	if err != nil {
+		return "", fmt.Errorf("process %d: %w", pid, err)
+	}
+	return string(data), nil
+}
+
+// line returns the number after a name at the start of a line.
+func (s *Sampler) line(pid int, file, name string) (int64, error) {
+	text, err := s.file(pid, file)
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.SplitSeq(text, "\n") {
+		fields := strings.Fields(line)
+		if len(fields) < 2 || fields[0] != name {
+			continue
+		}
+		n, err := strconv.ParseInt(fields[1], 10, 64)
+		if err != nil {
+			return 0, fmt.Errorf("process %d: %s %w", pid, name, err)
+		}
+		return n, nil
+	}
+	return 0, fmt.Errorf("process %d: %s %w", pid, name, errMissing)
+}
+
+func (s *Sampler) sleep(ctx context.Context, d time.Duration) {
+	if s.Sleep != nil {
+		s.Sleep(ctx, d)
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
