--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,6 @@
 
 generate:
 	go generate ./...
+
+capacity:
+	CGO_ENABLED=1 go run . capacity
--- /dev/null
+++ b/internal/command/runner/capacity.go
@@ -0,0 +1,46 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"samphirewharf/internal/load/surveyor"
+)
+
+// A capacityCommand measures how a daemon's costs grow with the size of the system.
+type capacityCommand struct{}
+
+// Run makes the surveys and prints each quantity's line with its residual and points.
+func (capacityCommand) Run(ctx context.Context, r *Runner) error {
+	surveys, err := surveyor.Run(ctx)
+	if err != nil {
+		return fmt.Errorf("capacity: %w", err)
+	}
+	return r.print(surveys, func(w *strings.Builder) { writeCapacity(w, surveys) })
+}
+
+// writeCapacity leaves out quantities that are always zero.
+func writeCapacity(w *strings.Builder, surveys []surveyor.Survey) {
+	fmt.Fprintln(w, "SURVEY\tAGAINST\tQUANTITY\tUNIT\tAT 0\tSLOPE\tRESIDUAL\tPOINTS")
+	for _, s := range surveys {
+		for _, q := range s.Quantities {
+			points, used := formatPoints(q.Points)
+			if !used {
+				continue
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.4g\t%.4g\t%.3g\t%s\n",
+				s.Name, s.Against, q.Name, q.Unit, q.Fit.Intercept, q.Fit.Slope, q.Fit.Residual, points)
+		}
+	}
+}
+
+// formatPoints also reports whether any point is not zero.
+func formatPoints(points []surveyor.Point) (text string, used bool) {
+	var parts []string
+	for _, p := range points {
+		parts = append(parts, fmt.Sprintf("%g:%.4g", p.X, p.Y))
+		used = used || p.Y != 0
+	}
+	return strings.Join(parts, " "), used
+}
