--- a/internal/load/surveyor/daemon.go
+++ b/internal/load/surveyor/daemon.go
@@ -98,21 +98,23 @@
 	}
 }
 
-// pickSelf returns the number of the first daemon that serves the fewest cells above none, or of a placer.
+// pickSelf returns the number of the first daemon that serves the fewest cells above none, and that is a placer
+// of one or of none, as the size says.
 func (d *daemon) pickSelf() int {
 	served := make(map[string]int)
+	placing := make(map[string]bool)
 	for i := range d.size.Services {
-		for rank, id := range d.members(serviceName(i)) {
-			if (rank == 0) == d.size.Placer || d.size.Daemons == 1 {
-				served[id]++
-			}
+		members := d.members(serviceName(i))
+		placing[members[0]] = true
+		for _, id := range members {
+			served[id]++
 		}
 	}
-	best := 0
+	best, fewest := 0, d.size.Services+1
 	for i := range d.size.Daemons {
-		n := served[newPeer(i).ID]
-		if n > 0 && (served[newPeer(best).ID] == 0 || n < served[newPeer(best).ID]) {
-			best = i
+		id := newPeer(i).ID
+		if n := served[id]; n > 0 && n < fewest && (placing[id] == d.size.Placer || d.size.Daemons == 1) {
+			best, fewest = i, n
 		}
 	}
 	return best
