feat: emulate placement policies on seeded traces in virtual time

Baselines are function fields of one Policy; the planner gets Rank for random and round-robin placement.

--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,10 @@
 
 generate:
 	go generate ./...
+
+measure: build
+	./samphirewharf emulate birlik
+	./samphirewharf emulate bellmouth
+	go test -run TestChooseDoesNotHerd -v ./internal/decision/router
+	go test -run TestPrefixAffinity -v ./internal/decision/router
+	go test -run '^$$' -bench BenchmarkClaims -benchtime 1x ./internal/decision/claimer
--- /dev/null
+++ b/internal/command/runner/emulate.go
@@ -0,0 +1,67 @@
+package runner
+
+import (
+	"fmt"
+	"strings"
+
+	"samphirewharf/internal/config/questioner"
+	"samphirewharf/internal/emulation/emulator"
+	"samphirewharf/internal/emulation/tracer"
+)
+
+const maxEmulatedDays = 60
+
+// An emulateCommand measures placement policies on a seeded trace.
+type emulateCommand struct {
+	File    string   `arg:""        help:"The questionnaire, or the name of an example: birlik or bellmouth."`
+	Policy  []string `help:"Policies to run, all by default; keep-DURATION is a fixed keep-alive."`
+	Seed    []uint64 `default:"1,2,3" help:"Seeds of the traces."`
+	Days    int      `default:"2"     help:"Days of each trace, from 1 to 60."`
+	Workers int      `default:"2"     help:"Runs at once."`
+}
+
+// Run prints one line for each policy, the means over the seeds, and for each run.
+func (c emulateCommand) Run(r *Runner) error {
+	if c.Days < 1 || c.Days > maxEmulatedDays {
+		return &SettingError{Name: "--days", Value: fmt.Sprint(c.Days), Accepted: "a number from 1 to 60"}
+	}
+	policies, err := emulator.ParsePolicies(c.Policy)
+	if err != nil {
+		return &SettingError{Name: "--policy", Value: strings.Join(c.Policy, ","), Accepted: policyNames()}
+	}
+	q, err := r.questionnaireOf(c.File)
+	if err != nil {
+		return err
+	}
+	t := tracer.Default()
+	t.Days = c.Days
+	m := emulator.Measurement{
+		Emulator: emulator.Emulator{Questionnaire: q, Tracer: t},
+		Policies: policies, Seeds: c.Seed, Workers: c.Workers,
+	}
+	report, err := m.Run()
+	if err != nil {
+		return err
+	}
+	return r.print(report, report.Write)
+}
+
+// questionnaireOf reads an example or a file.
+func (r *Runner) questionnaireOf(file string) (questioner.Questionnaire, error) {
+	data, err := questioner.Example(file)
+	if err != nil {
+		data, err = r.read(file)
+	}
+	if err != nil {
+		return questioner.Questionnaire{}, err
+	}
+	return questioner.Parse(data)
+}
+
+func policyNames() string {
+	var names []string
+	for _, p := range emulator.Policies() {
+		names = append(names, p.Name)
+	}
+	return strings.Join(names, ", ") + ", keep-DURATION"
+}
--- a/internal/command/runner/runner.go
+++ b/internal/command/runner/runner.go
@@ -34,6 +34,7 @@
 	Config        configCommand        `cmd:"" help:"Show and change the configuration in force."`
 	Deployment    deploymentCommand    `cmd:"" help:"Show deployments of the configuration in force."`
 	Codes         codesCommand         `cmd:"" help:"List the result codes."`
+	Emulate       emulateCommand       `cmd:"" help:"Measure placement policies on a seeded trace."`
 	Version       versionCommand       `cmd:"" help:"Print the program's version."`
 }
 
--- a/internal/decision/planner/decide.go
+++ b/internal/decision/planner/decide.go
@@ -21,8 +21,10 @@
 	server *observer.Server
 	tier   observer.Tier
 	// full is how long the load takes at full speed, score what it is predicted to take with penalties.
-	full    time.Duration
-	score   time.Duration
+	full  time.Duration
+	score time.Duration
+	// rank orders servers with free memory.
+	rank    time.Duration
 	victims []Replica
 	lost    float64
 }
@@ -131,6 +133,10 @@
 		c := choice{server: s, tier: s.Tier(d.Name)}
 		c.full = fullLoadTime(d, c.tier)
 		c.score = m.loadTime(v, d, c.tier) + sameZonePenalty*time.Duration(m.inZone(v, next, d, s.Host.Zone))
+		c.rank = c.score
+		if m.Rank != nil {
+			c.rank = m.Rank(s.Host.Server, c.score)
+		}
 		if free >= d.ReplicaBytes() {
 			fits = append(fits, c)
 			continue
@@ -140,7 +146,7 @@
 			evicts = append(evicts, c)
 		}
 	}
-	slices.SortStableFunc(fits, func(a, b choice) int { return cmp.Compare(a.score, b.score) })
+	slices.SortStableFunc(fits, func(a, b choice) int { return cmp.Compare(a.rank, b.rank) })
 	slices.SortStableFunc(evicts, func(a, b choice) int { return cmp.Compare(a.lost, b.lost) })
 	ranked := slices.Concat(fits, evicts)
 	if len(ranked) > 0 {
--- a/internal/decision/planner/machine.go
+++ b/internal/decision/planner/machine.go
@@ -43,6 +43,9 @@
 	KeepAlive func(d *cataloger.Deployment) time.Duration
 	// EvictionScore returns what is lost when an idle replica is unloaded; the lowest goes first.
 	EvictionScore func(now time.Duration, d *cataloger.Deployment) float64
+	// Rank replaces a server's predicted load time, with penalties, in the choice of a server with free
+	// memory; the lowest is chosen. Nil means the prediction itself.
+	Rank func(server string, predicted time.Duration) time.Duration
 	// Loads shares the weight store.
 	Loads Loads
 
