--- a/internal/config/questioner/generate_test.go
+++ b/internal/config/questioner/generate_test.go
@@ -1,6 +1,9 @@
 package questioner
 
 import (
+	"os"
+	"regexp"
+	"strings"
 	"testing"
 	"time"
 
@@ -94,11 +97,33 @@
 	}
 }
 
+// TestDocumentation checks that docs/CONFIGURATION.md names each derived value and each answer.
+func TestDocumentation(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/CONFIGURATION.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	_, explanations := Generate(example(t, "demo"))
+	for _, e := range explanations {
+		names = append(names, e.Name[strings.LastIndex(e.Name, ".")+1:])
+	}
+	for _, answer := range regexp.MustCompile(`(?m)^[A-Z]\w+`).FindAll(New(), -1) {
+		names = append(names, string(answer))
+	}
+	for _, want := range names {
+		if !strings.Contains(string(page), want+"`") {
+			t.Errorf("the page doesn't name `%s`", want)
+		}
+	}
+}
+
 func TestGenerateValues(t *testing.T) {
 	birlik, _ := Generate(example(t, "birlik"))
 	bellmouth, _ := Generate(example(t, "bellmouth"))
 	t.Run("load from size and weight store", func(t *testing.T) {
 		assertEqual(t, birlik.Deployments[0].Load.D(), 1400*time.Millisecond)
+		assertEqual(t, birlik.Deployments[0].LoadFromDisk.D(), 466*time.Millisecond)
 	})
 	t.Run("replicas by weighting", func(t *testing.T) {
 		assertEqual(t, birlik.Deployments[0].MaxReplicas, 6)
--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
@@ -16,8 +17,10 @@
 
 	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/config/versioner"
 	"samphirewharf/internal/daemon/driver"
 	"samphirewharf/internal/daemon/executor"
+	"samphirewharf/internal/daemon/recorder"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/entry/acceptor"
 	"samphirewharf/internal/entry/responder"
@@ -50,8 +53,8 @@
 	// Limits bound what callers may send.
 	Limits acceptor.Limits
 	Logger *log.Logger
-	// Observe sees each event with its effects; nil means nobody does.
-	Observe func(now reducer.Moment, event reducer.Event, effects []reducer.Effect)
+	// Record takes all events, for replays; nil means that they are not kept.
+	Record io.Writer
 }
 
 // A Daemon is one running entry daemon. New makes one.
@@ -71,6 +74,7 @@
 	fetcher  fetcher
 	decided  decisionLog
 	gauges   *metrics.Set
+	recorder *recorder.Recorder
 
 	catalog atomic.Pointer[cataloger.Catalog]
 	exited  chan struct{}
@@ -100,7 +104,10 @@
 		d.address = listener.Addr().String()
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
-	d.assemble()
+	if err := d.assemble(); err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -138,18 +145,26 @@
 // Stop starts a planned stop: requests are finished and roles handed over before Exited is closed.
 func (d *Daemon) Stop() { d.driver.Post(reducer.StopRequested{}) }
 
-func (d *Daemon) assemble() {
+func (d *Daemon) assemble() error {
 	s := d.settings
 	store := &storer.Client{Address: s.StoreAddress, Timeout: s.StoreTimeout}
 	d.registerMetrics()
-	d.fetcher.versioner.Store = newStore(store)
-	d.fetcher.fromPeer = d.peers.FetchConfiguration
+	d.fetcher.versioner.Store = versioner.NewStore(store)
+	d.fetcher.fromPeer = d.exchanger().fetch
 	d.decided = decisionLog{logger: s.Logger}
+	decisions := reducer.Settings{
+		Daemon: s.Daemon, Instance: d.instance, Address: d.address, Zone: s.Zone, Region: s.Region,
+		Seed: s.Seed, DrainTime: s.DrainTime, MaxRequests: s.MaxRequests,
+	}
+	if s.Record != nil {
+		r, err := recorder.New(s.Record, decisions)
+		if err != nil {
+			return err
+		}
+		d.recorder = r
+	}
 	d.driver = driver.Driver{
-		Machine: reducer.New(reducer.Settings{
-			Daemon: s.Daemon, Instance: d.instance, Address: d.address, Zone: s.Zone, Region: s.Region,
-			Seed: s.Seed, DrainTime: s.DrainTime, MaxRequests: s.MaxRequests,
-		}),
+		Machine: reducer.New(decisions),
 		Clock:   d.clock,
 		Execute: d.executor.Execute,
 		Observe: d.observe,
@@ -168,6 +183,7 @@
 		},
 	}
 	d.server = &acceptor.Server{Handler: d.responder(), Limits: s.Limits, Logger: s.Logger}
+	return nil
 }
 
 func (d *Daemon) responder() *responder.Responder {
@@ -178,7 +194,7 @@
 		Catalog:      d.catalog.Load,
 		Ready:        d.ready,
 		WriteMetrics: d.writeMetrics,
-		Peer:         d.peerHandler(),
+		Peer:         (&messenger.Server{Receive: d.receive, Configuration: d.exchanger().configuration}).Handler(),
 		Daemon:       d.settings.Daemon,
 		Logger:       d.settings.Logger,
 	}
@@ -189,6 +205,8 @@
 	return reducer.Moment{Since: time.Since(d.started), Wall: time.Now()}
 }
 
+func (d *Daemon) exchanger() exchanger { return exchanger{client: &d.peers, inForce: d.catalog.Load} }
+
 func (d *Daemon) exit() { go d.runExit() }
 
 // observe keeps the configuration in force for the callers' interface and logs routing decisions.
@@ -201,11 +219,13 @@
 	}
 	d.decided.observe(event, effects)
 	countPlacement(effects)
-	if d.settings.Observe != nil {
-		d.settings.Observe(now, event, effects)
+	if d.recorder != nil {
+		d.recorder.Observe(now, event, effects)
 	}
 }
 
+func (d *Daemon) receive(m messenger.Message) { d.driver.Post(reducer.PeerReceived{Message: m}) }
+
 func (d *Daemon) ready() bool { return d.catalog.Load() != nil }
 
 // runExit ends the daemon after a planned stop.
@@ -228,7 +248,9 @@
 }
 
 func (d *Daemon) sendPeer(address string, message messenger.Message) {
-	d.peers.Post(address, message)
+	if err := d.peers.Send(d.ctx, address, message); err != nil && d.ctx.Err() == nil {
+		d.settings.Logger.Warn().Err(err).Str("Address", address).Msg("message to another daemon was dropped")
+	}
 }
 
 // connect reports whether a server takes connections.
--- a/internal/daemon/demonstrator/demonstrator.go
+++ b/internal/daemon/demonstrator/demonstrator.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -160,11 +161,25 @@
 		}
 	}
 	d.printf("The configuration is in force at all daemons after %s.\n", round(time.Since(started)))
+	return d.waitForMembers(ctx)
+}
+
+// waitForMembers waits until every daemon knows the others.
+func (d *Demonstrator) waitForMembers(ctx context.Context) error {
+	for _, daemon := range d.daemons {
+		err := waitFor(ctx, func() bool {
+			answer, err := d.client.get(ctx, daemon.Address(), "/v1/addresses?Deployment=rates-1")
+			return err == nil && strings.Count(answer.body, `"Address":`) == daemonCount
+		})
+		if err != nil {
+			return fmt.Errorf("members known at %s: %w", daemon.Address(), err)
+		}
+	}
 	return nil
 }
 
 func (d *Demonstrator) printf(format string, args ...any) {
-	fmt.Fprintf(d.Out, format, args...)
+	_, _ = fmt.Fprintf(d.Out, format, args...)
 }
 
 // stay prints commands to try and waits for the context to end.
--- a/internal/decision/planner/release.go
+++ b/internal/decision/planner/release.go
@@ -1,8 +1,6 @@
 package planner
 
 import (
-	"time"
-
 	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/decision/observer"
@@ -25,7 +23,7 @@
 func (m *Machine) releaseReason(v View, r Replica) string {
 	s, listed := v.Fleet.Server(r.Server)
 	if !listed {
-		return m.absentReason(v.Now, r)
+		return m.absentReason(v, r)
 	}
 	delete(m.absent, r.Server)
 	o := m.orders[r.ID]
@@ -42,13 +40,16 @@
 }
 
 // absentReason frees replicas of servers that the host list has not shown for some time.
-func (m *Machine) absentReason(now time.Duration, r Replica) string {
+func (m *Machine) absentReason(v View, r Replica) string {
+	if !v.Fleet.Listed(m.Cell) {
+		return ""
+	}
 	since, ok := m.absent[r.Server]
 	if !ok {
-		m.absent[r.Server] = now
+		m.absent[r.Server] = v.Now
 		return ""
 	}
-	if now-since < absentAfter {
+	if v.Now-since < absentAfter {
 		return ""
 	}
 	return "server left the host list"
@@ -81,7 +82,7 @@
 	if m.seen[r.ID] {
 		return "engine does not hold the replica any more"
 	}
-	if m.renounced[r.ID] {
+	if since, ok := m.renounced[r.ID]; ok && state.seenAt >= since {
 		return "sender has renounced the order"
 	}
 	if m.checksFencing(v.Catalog) && state.fence > r.Fence {
--- a/internal/entry/responder/attempt.go
+++ b/internal/entry/responder/attempt.go
@@ -91,6 +91,7 @@
 	a := newAttempt(x, e.Attempt, e.Address, e.Timeout+forwardGrace)
 	a.forward = true
 	a.call.Path = x.inbound.path
+	a.call.Fresh = x.inbound.arrived.Key != ""
 	header := a.call.Header
 	header.Set(forwardedByHeader, x.responder.Daemon)
 	header.Set(timeoutHeader, strconv.FormatInt(max(e.Timeout, minTimeout).Milliseconds(), 10))
@@ -321,7 +322,9 @@
 type refusedError struct{ refusal refuser.Refusal }
 
 // Error returns the refusal's code.
-func (e *refusedError) Error() string { return "the daemon refused the request: " + e.refusal.Code.String() }
+func (e *refusedError) Error() string {
+	return "the daemon refused the request: " + e.refusal.Code.String()
+}
 
 func isEvents(header http.Header) bool {
 	media, _, err := mime.ParseMediaType(header.Get("Content-Type"))
