fix: keep members that a watch reported after a list was made

A daemon's first list of the members may be answered after the watch has reported a newer key. The list lacked that key, so the member counted as gone, and no later event brought it back: two daemons that started together never saw each other, sent each other no needs and no reports. The list now carries the service's revision, and keys written later stay. The new subtest of TestMembership fails without it.

--- a/internal/daemon/executor/call.go
+++ b/internal/daemon/executor/call.go
@@ -32,8 +32,8 @@
 		result := x.Store.Delete(ctx, e.Key, e.Revision)
 		x.Post(reducer.StoreSwapped{Op: e.Op, Result: result})
 	case reducer.StoreList:
-		entries, result := x.Store.List(ctx, e.Prefix)
-		x.Post(reducer.StoreListed{Op: e.Op, Result: result, Entries: entries})
+		entries, revision, result := x.Store.ListAt(ctx, e.Prefix)
+		x.Post(reducer.StoreListed{Op: e.Op, Result: result, Entries: entries, Revision: revision})
 	case reducer.LeaseRenew:
 		c.renew(ctx, e)
 	case reducer.LeaseRevoke:
--- a/internal/decision/prover/process_test.go
+++ b/internal/decision/prover/process_test.go
@@ -172,7 +172,7 @@
 		})
 	case reducer.StoreList:
 		p.storeCall(storeCall{kind: callList, key: e.Prefix}, func(a storeAnswer) {
-			p.step(reducer.StoreListed{Op: e.Op, Result: a.result, Entries: a.entries})
+			p.step(reducer.StoreListed{Op: e.Op, Result: a.result, Entries: a.entries, Revision: a.revision})
 		})
 	case reducer.StoreWatch:
 		if p.watches[e.Prefix] == nil {
--- a/internal/decision/reducer/event.go
+++ b/internal/decision/reducer/event.go
@@ -128,6 +128,8 @@
 	Op      OpID
 	Result  storer.Result
 	Entries []storer.Entry
+	// Revision is the service's revision at which the list was made.
+	Revision int64
 }
 
 // A StoreChanged event reports a change below a watched prefix. Changes may be missed.
--- a/internal/decision/reducer/membership.go
+++ b/internal/decision/reducer/membership.go
@@ -103,7 +103,7 @@
 	m.emit(StoreList{Op: m.op(operation{kind: operationMembers}), Prefix: membersPrefix})
 }
 
-func (m *Machine) membersListed(result storer.Result, entries []storer.Entry) {
+func (m *Machine) membersListed(result storer.Result, entries []storer.Entry, revision int64) {
 	m.register.listing = false
 	if result != storer.ResultOK && result != storer.ResultNotFound {
 		m.members.StoreLost(m.now.Since)
@@ -111,7 +111,7 @@
 		return
 	}
 	m.register.listAt = 0
-	if err := m.members.Listed(m.now.Since, entries); err != nil {
+	if err := m.members.Listed(m.now.Since, entries, revision); err != nil {
 		m.emit(Noted{Message: "members could not be read", Detail: err.Error(), Warning: true})
 	}
 }
--- a/internal/decision/reducer/storing.go
+++ b/internal/decision/reducer/storing.go
@@ -49,7 +49,7 @@
 		answer.Result, answer.Revision = e.Result, e.Revision
 	case StoreListed:
 		id = e.Op
-		answer.Result, entries = e.Result, e.Entries
+		answer.Result, answer.Revision, entries = e.Result, e.Revision, e.Entries
 	}
 	o, ok := m.ops[id]
 	if !ok {
@@ -63,7 +63,7 @@
 	c := m.cells[o.cell]
 	switch o.kind {
 	case operationMembers:
-		m.membersListed(answer.Result, entries)
+		m.membersListed(answer.Result, entries, answer.Revision)
 	case operationRegister:
 		m.registered(answer.Result, answer.Revision)
 	case operationRegisterGet:
--- a/internal/decision/tracker/tracker.go
+++ b/internal/decision/tracker/tracker.go
@@ -151,8 +151,9 @@
 // are not such UUIDs prove it only under the same ID. The last 4096 are remembered.
 func (t *Tracker) KnownDead(instance string) bool { return t.dead.has(instance) }
 
-// Listed takes all entries below KeyPrefix. The store is then taken to be reachable.
-func (t *Tracker) Listed(now time.Duration, entries []storer.Entry) error {
+// Listed takes all entries below KeyPrefix, as they were at the store's revision: keys that a later change
+// reported stay. The store is then taken to be reachable.
+func (t *Tracker) Listed(now time.Duration, entries []storer.Entry, revision int64) error {
 	t.storeLost = false
 	listed := make(map[string]bool, len(entries))
 	var errs []error
@@ -162,7 +163,7 @@
 	}
 	for _, id := range t.sortedIDs() {
 		m := t.members[id]
-		if m.keyed && !listed[m.daemon.Key()] {
+		if m.keyed && m.revision <= revision && !listed[m.daemon.Key()] {
 			m.keyed = false
 		}
 		t.refresh(m, now)
--- a/internal/decision/tracker/tracker_test.go
+++ b/internal/decision/tracker/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -52,7 +53,7 @@
 	for n := range daemons {
 		entries = append(entries, testEntry(t, testDaemon(n), int64(n+1)))
 	}
-	if err := tracker.Listed(0, entries); err != nil {
+	if err := tracker.Listed(0, entries, math.MaxInt64); err != nil {
 		t.Fatal(err)
 	}
 	return tracker
@@ -126,11 +127,19 @@
 	})
 	t.Run("a key that is missing in a new list is gone", func(t *testing.T) {
 		tracker := newFleet(t, 3, 1)
-		if err := tracker.Listed(time.Second, []storer.Entry{testEntry(t, d2, 3)}); err != nil {
+		if err := tracker.Listed(time.Second, []storer.Entry{testEntry(t, d2, 3)}, 3); err != nil {
 			t.Fatal(err)
 		}
 		assertLive(t, tracker, 0, 2)
 	})
+	t.Run("a key that was written after the list was made stays", func(t *testing.T) {
+		tracker := newFleet(t, 3, 1)
+		change(t, tracker, 0, testEntry(t, testDaemon(3), 9), false)
+		if err := tracker.Listed(time.Second, []storer.Entry{testEntry(t, d2, 3)}, 8); err != nil {
+			t.Fatal(err)
+		}
+		assertLive(t, tracker, 0, 2, 3)
+	})
 	t.Run("an old change after a new one is ignored", func(t *testing.T) {
 		tracker := newFleet(t, 3, 1)
 		change(t, tracker, 0, testEntry(t, d1, 1), true)
