perf: bring far checkpoints into servers' memory before requests need them

First loads from the weight store make the tail of cold starts. While no request waits, the placer loads one deployment at a time whose checkpoint no server holds in memory, on the server whose memory holds the fewest checkpoint bytes, and unloads it as soon as it is ready.

--- a/internal/decision/observer/server.go
+++ b/internal/decision/observer/server.go
@@ -48,6 +48,9 @@
 	failures           int
 }
 
+// Checkpoints returns the deployments whose checkpoints the server holds. The map must not be changed.
+func (s *Server) Checkpoints() map[string]Tier { return s.checkpoints }
+
 // CheckpointsVersion returns the version of the checkpoints known.
 func (s *Server) CheckpointsVersion() int64 { return s.checkpointsVersion }
 
--- a/internal/decision/planner/decide.go
+++ b/internal/decision/planner/decide.go
@@ -297,25 +297,12 @@
 // load decides one replica within the limits of the weight store.
 func (m *Machine) load(v View, next Record, w want, d *cataloger.Deployment, best, other choice, report func(Decision)) Record {
 	id := next.nextReplicaID()
-	remote := best.tier == observer.TierRemote
-	if m.Loads.Start != nil && !m.Loads.Start(v.Now, id, best.full, remote, w.urgent > 0) {
+	if !m.startLoad(v.Now, id, best.full, best.tier, w.urgent > 0) {
 		m.act(Forecast{Deployment: d.Name, ReadyIn: m.loadTime(v, d, best.tier)})
 		return next
 	}
-	m.started[id] = true
 	delete(m.evict, d.Name)
-	next.Next++
-	next = next.WithReplica(Replica{
-		ID:           id,
-		Deployment:   d.Name,
-		ModelVersion: d.ModelVersion,
-		Server:       best.server.Host.Server,
-		Bytes:        d.ReplicaBytes(),
-		AdapterSlots: d.AdapterSlots,
-		State:        StateDecided,
-		Instance:     m.Instance,
-		Fence:        m.record.Fence,
-	})
+	next = m.withLoad(next, d, best.server)
 	decision := Decision{
 		Action: "Load", Deployment: d.Name, Replica: id, Server: best.server.Host.Server,
 		Reason:  fmt.Sprintf("checkpoint is in %s", best.tier),
@@ -331,6 +318,32 @@
 	return next
 }
 
+// startLoad takes a place at the weight store for the load of a replica, or reports that none is free.
+func (m *Machine) startLoad(now time.Duration, id string, full time.Duration, tier observer.Tier, urgent bool) bool {
+	if m.Loads.Start != nil && !m.Loads.Start(now, id, full, tier == observer.TierRemote, urgent) {
+		return false
+	}
+	m.started[id] = true
+	return true
+}
+
+// withLoad returns the record with the next replica decided for a server.
+func (m *Machine) withLoad(next Record, d *cataloger.Deployment, s *observer.Server) Record {
+	id := next.nextReplicaID()
+	next.Next++
+	return next.WithReplica(Replica{
+		ID:           id,
+		Deployment:   d.Name,
+		ModelVersion: d.ModelVersion,
+		Server:       s.Host.Server,
+		Bytes:        d.ReplicaBytes(),
+		AdapterSlots: d.AdapterSlots,
+		State:        StateDecided,
+		Instance:     m.Instance,
+		Fence:        m.record.Fence,
+	})
+}
+
 func (m *Machine) expireEvictions(now time.Duration) {
 	for name, e := range m.evict {
 		if now-e.at > evictionLife {
--- a/internal/decision/planner/machine.go
+++ b/internal/decision/planner/machine.go
@@ -46,6 +46,8 @@
 	// Rank replaces a server's predicted load time, with penalties, in the choice of a server with free
 	// memory; the lowest is chosen. Nil means the prediction itself.
 	Rank func(server string, predicted time.Duration) time.Duration
+	// Preload tells that far checkpoints are brought into servers' memory before requests need them.
+	Preload bool
 	// Loads shares the weight store.
 	Loads Loads
 
@@ -75,6 +77,7 @@
 	absent    map[string]time.Duration
 	servers   map[string]*serverState
 	slots     map[string]*slotOrder
+	preloads  preloading
 
 	fenceOut bool
 	orderNo  int64
@@ -435,6 +438,8 @@
 	m.absent = make(map[string]time.Duration)
 	m.servers = make(map[string]*serverState)
 	m.slots = make(map[string]*slotOrder)
+	m.preloads.last = make(map[string]time.Duration)
+	m.preloads.replicas = make(map[string]time.Duration)
 }
 
 func (m *Machine) read(v View) {
--- a/internal/decision/planner/plan.go
+++ b/internal/decision/planner/plan.go
@@ -29,6 +29,7 @@
 	next := m.release(v, m.record, report)
 	next = m.retire(v, next, report)
 	next = m.decide(v, next, report)
+	next = m.preload(v, next, report)
 	if m.fenceOut {
 		next = next.WithFence(m.record.Fence + 1)
 		report(Decision{Action: "RaiseFence", Reason: "an order's outcome is unknown"})
@@ -70,6 +71,9 @@
 	if view.Running+view.Waiting+view.InFlight > 0 {
 		return ""
 	}
+	if m.unused(r) {
+		return "its checkpoint is near now"
+	}
 	idle := m.idleTime(v.Now, r)
 	if idle < m.keepAlive(d) {
 		return ""
--- /dev/null
+++ b/internal/decision/planner/preload.go
@@ -0,0 +1,131 @@
+package planner
+
+import (
+	"fmt"
+	"time"
+
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/decision/observer"
+)
+
+const (
+	// preloadInterval is the time between two looks for a checkpoint to bring near.
+	preloadInterval = time.Second
+	// preloadScan is how many deployments one look goes through.
+	preloadScan = 16
+	// preloadAgain is how long after a preload the same deployment may be preloaded again.
+	preloadAgain = 6 * time.Hour
+)
+
+// A preloading is the state of bringing checkpoints near before requests need them: a deployment that no
+// server has in memory is loaded once, one at a time while no request waits, and unloaded as soon as it
+// is ready. Its checkpoint stays in the server's memory.
+type preloading struct {
+	// next is the place of the next deployment to look at in the configuration.
+	next int
+	// lookAt is when the next look is due.
+	lookAt time.Duration
+	// last is when a deployment was preloaded.
+	last map[string]time.Duration
+	// replicas are the preloaded replicas that have not been used, and when they were decided.
+	replicas map[string]time.Duration
+}
+
+// preload decides to load one deployment whose checkpoint is far from all servers.
+func (m *Machine) preload(v View, next Record, report func(Decision)) Record {
+	if !m.Preload || v.Now < m.preloads.lookAt || len(m.preloads.replicas) > 0 || m.demand.waiting() {
+		return next
+	}
+	m.preloads.lookAt = v.Now + preloadInterval
+	deployments := v.Catalog.Configuration.Deployments
+	for range min(preloadScan, len(deployments)) {
+		d := &deployments[m.preloads.next%len(deployments)]
+		m.preloads.next = (m.preloads.next + 1) % len(deployments)
+		if d.Service != m.Cell || !m.farAway(v, next, d) {
+			continue
+		}
+		if s := m.preloadServer(v, next, d); s != nil {
+			return m.preloadTo(v, next, d, s, report)
+		}
+	}
+	return next
+}
+
+// farAway reports whether a checkpoint is worth bringing near: no server has it in memory, and it was not
+// tried lately. A checkpoint on a disk is brought nearer once only.
+func (m *Machine) farAway(v View, next Record, d *cataloger.Deployment) bool {
+	last, tried := m.preloads.last[d.Name]
+	if tried && v.Now < last+preloadAgain {
+		return false
+	}
+	for _, r := range next.Replicas {
+		if r.Deployment == d.Name {
+			return false
+		}
+	}
+	for _, s := range v.Fleet.Servers(m.Cell) {
+		if !s.Takes() {
+			continue
+		}
+		if !s.Known {
+			return false
+		}
+		tier := s.Tier(d.Name)
+		if tier == observer.TierMemory || tried && tier == observer.TierDisk {
+			return false
+		}
+	}
+	return true
+}
+
+// preloadServer returns the server with free accelerator memory whose memory holds the fewest bytes of
+// checkpoints, so that these spread evenly.
+func (m *Machine) preloadServer(v View, next Record, d *cataloger.Deployment) *observer.Server {
+	var best *observer.Server
+	var least int64
+	for _, s := range v.Fleet.Servers(m.Cell) {
+		if !m.usableForLoad(v, s) || m.freeBytes(next, s, d.Name) < d.ReplicaBytes() {
+			continue
+		}
+		if held := heldBytes(v, s); best == nil || held < least {
+			best, least = s, held
+		}
+	}
+	return best
+}
+
+func (m *Machine) preloadTo(v View, next Record, d *cataloger.Deployment, s *observer.Server, report func(Decision)) Record {
+	id := next.nextReplicaID()
+	tier := s.Tier(d.Name)
+	if !m.startLoad(v.Now, id, fullLoadTime(d, tier), tier, false) {
+		return next
+	}
+	m.preloads.last[d.Name] = v.Now
+	m.preloads.replicas[id] = v.Now
+	report(Decision{
+		Action: "Preload", Deployment: d.Name, Replica: id, Server: s.Host.Server,
+		Reason: fmt.Sprintf("nearest checkpoint is in %s", tier),
+	})
+	return m.withLoad(next, d, s)
+}
+
+// unused reports whether a replica was preloaded and no request has asked for its deployment since.
+func (m *Machine) unused(r Replica) bool {
+	decided, ok := m.preloads.replicas[r.ID]
+	if ok && m.used[r.Deployment] > decided {
+		delete(m.preloads.replicas, r.ID)
+		return false
+	}
+	return ok
+}
+
+// heldBytes returns the bytes of the checkpoints in a server's memory.
+func heldBytes(v View, s *observer.Server) int64 {
+	sum := int64(0)
+	for name, tier := range s.Checkpoints() {
+		if d, ok := v.Catalog.Deployment(name); ok && tier == observer.TierMemory {
+			sum += d.Bytes
+		}
+	}
+	return sum
+}
--- a/internal/decision/planner/release.go
+++ b/internal/decision/planner/release.go
@@ -142,6 +142,7 @@
 	pruneMap(m.record, m.idle)
 	pruneMap(m.record, m.unload)
 	pruneMap(m.record, m.renounced)
+	pruneMap(m.record, m.preloads.replicas)
 }
 
 func pruneMap[V any](record Record, byReplica map[string]V) {
--- a/internal/decision/reducer/cell.go
+++ b/internal/decision/reducer/cell.go
@@ -106,6 +106,7 @@
 		Instance:      m.settings.Instance,
 		KeepAlive:     m.keepAlive,
 		EvictionScore: m.evictionScore,
+		Preload:       true,
 		Loads:         m.loadsOf(c),
 	}
 	c.claims = claimer.New(claimer.Settings{
--- a/internal/emulation/emulator/placing.go
+++ b/internal/emulation/emulator/placing.go
@@ -49,7 +49,8 @@
 			}
 			return e.warmer.EvictionScore(d.Name, d.Load.D(), d.ReplicaBytes(), now)
 		},
-		Loads: e.planLoads(),
+		Preload: e.policy.Preload,
+		Loads:   e.planLoads(),
 	}
 	if e.policy.Rank != nil {
 		m.Rank = e.rank
--- a/internal/emulation/emulator/policy.go
+++ b/internal/emulation/emulator/policy.go
@@ -19,6 +19,8 @@
 	Weighting cataloger.Weighting
 	// Baseline tells that the policy is compared against.
 	Baseline bool
+	// Preload tells that far checkpoints are brought near ahead of use.
+	Preload bool
 	// KeepAlive returns how long an idle replica stays loaded.
 	KeepAlive func(w *warmer.Warmer, d *cataloger.Deployment) time.Duration
 	// EvictionScore returns what is lost with an idle replica of a deployment that was last used at a time.
@@ -47,8 +49,8 @@
 		{Name: "keep-30m", Baseline: true, KeepAlive: keep(30 * time.Minute), EvictionScore: leastRecent},
 		{Name: "random-10m", Baseline: true, KeepAlive: keep(10 * time.Minute), EvictionScore: leastRecent, Rank: randomly},
 		{Name: "round-robin-10m", Baseline: true, KeepAlive: keep(10 * time.Minute), EvictionScore: leastRecent, Rank: inTurn},
-		{Name: "cold-start", Weighting: cataloger.WeightColdStart},
-		{Name: "idle-hours", Weighting: cataloger.WeightIdleHours},
+		{Name: "cold-start", Weighting: cataloger.WeightColdStart, Preload: true},
+		{Name: "idle-hours", Weighting: cataloger.WeightIdleHours, Preload: true},
 	}
 }
 
