--- a/internal/command/runner/runner.go
+++ b/internal/command/runner/runner.go
@@ -43,6 +43,7 @@
 	Addresses     addressesCommand     `cmd:"" help:"Ask a daemon which daemons to use, as callers do."`
 	Replay        replayCommand        `cmd:"" help:"Feed recorded events to the reducer and print its decisions."`
 	Codes         codesCommand         `cmd:"" help:"List the result codes."`
+	Emulate       emulateCommand       `cmd:"" help:"Measure placement policies on a seeded trace."`
 	Version       versionCommand       `cmd:"" help:"Print the program's version."`
 }
 
