--- /dev/null
+++ b/internal/command/prover/platform_test.go
@@ -0,0 +1,257 @@
+package prover_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os/exec"
+	"slices"
+	"sort"
+	"strings"
+
+	"samphirewharf/internal/decision/planner"
+	"samphirewharf/internal/standin/inferrer"
+)
+
+// A platformStatus is the part of the output of samphirewharf status that scripts use.
+type platformStatus struct {
+	ConfigurationVersion int64
+	Daemons              []struct{ Daemon, Address string }
+	Cells                []planner.Record
+}
+
+// matching returns the names of the stand-ins that have or begin with the name, in order.
+func (s *stage) matching(name string) []string {
+	var names []string
+	for server := range s.servers {
+		if server == name || strings.HasPrefix(server, name+"-") {
+			names = append(names, server)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// setFaults replaces the faults of a stand-in, or of all of a service: faults NAME JSON.
+func (s *stage) setFaults(args []string) error {
+	if len(args) != 2 || len(s.matching(args[0])) == 0 {
+		return errors.New("usage: faults NAME JSON, with the name of a stand-in or service")
+	}
+	for _, name := range s.matching(args[0]) {
+		if err := s.ask([]string{name, "POST", "/stand-in/faults", "-d", args[1]}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// compareCounts fails unless a count, summed up over a service's stand-ins, has a value: counts NAME FIELD VALUE.
+// The value may be >VALUE. A field of a table is named TABLE/KEY; lists count their elements.
+func (s *stage) compareCounts(args []string) error {
+	if len(args) != 3 || len(s.matching(args[0])) == 0 {
+		return errors.New("usage: counts NAME FIELD VALUE, with the name of a stand-in or service")
+	}
+	var got float64
+	for _, name := range s.matching(args[0]) {
+		n, err := s.count(name, args[1])
+		if err != nil {
+			return err
+		}
+		got += n
+	}
+	var want float64
+	text, more := strings.CutPrefix(args[2], ">")
+	if _, err := fmt.Sscan(text, &want); err != nil {
+		return fmt.Errorf("value %s: %w", args[2], err)
+	}
+	if more && got > want || !more && got == want {
+		return nil
+	}
+	return fmt.Errorf("got %s of %s %v, want %s", args[1], args[0], got, args[2])
+}
+
+func (s *stage) count(name, field string) (float64, error) {
+	var counts map[string]any
+	if err := s.readCounts(name, &counts); err != nil {
+		return 0, err
+	}
+	table, key, nested := strings.Cut(field, "/")
+	value, ok := counts[table]
+	if !ok {
+		return 0, fmt.Errorf("%s counts no %s", name, table)
+	}
+	if nested {
+		value = value.(map[string]any)[key]
+	}
+	switch v := value.(type) {
+	case nil:
+		return 0, nil
+	case []any:
+		return float64(len(v)), nil
+	case float64:
+		return v, nil
+	}
+	return 0, fmt.Errorf("%s of %s is no number", field, name)
+}
+
+func (s *stage) readCounts(name string, counts any) error {
+	request, err := http.NewRequestWithContext(s.ctx, http.MethodGet, "http://"+s.servers[name]+"/stand-in/counts", http.NoBody)
+	if err != nil {
+		return err
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return fmt.Errorf("counts of %s: %w", name, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return fmt.Errorf("counts of %s: %w", name, err)
+	}
+	return json.Unmarshal(body, counts)
+}
+
+// status returns what samphirewharf status says.
+func (s *stage) status() (platformStatus, error) {
+	cmd := exec.CommandContext(s.ctx, "samphirewharf", "status", "--output", "json")
+	cmd.Env = slices.Clone(s.vars)
+	out, err := cmd.Output()
+	if err != nil {
+		return platformStatus{}, fmt.Errorf("samphirewharf status: %w", err)
+	}
+	var status platformStatus
+	return status, json.Unmarshal(out, &status)
+}
+
+func (s *stage) record(cell string) (planner.Record, error) {
+	status, err := s.status()
+	if err != nil {
+		return planner.Record{}, err
+	}
+	for _, record := range status.Cells {
+		if record.Cell == cell {
+			return record, nil
+		}
+	}
+	return planner.Record{}, fmt.Errorf("cell %s has no record", cell)
+}
+
+// findPlacer sets $PLACER to the daemon that places in a cell, $PLACER_ADDRESS to its address and $OTHERS to the
+// other daemons that run: placer CELL [not DAEMON]. It fails if there is none that runs, or it is the daemon excluded.
+func (s *stage) findPlacer(args []string) error {
+	if len(args) != 1 && (len(args) != 3 || args[1] != "not") {
+		return errors.New("usage: placer CELL [not DAEMON]")
+	}
+	record, err := s.record(args[0])
+	if err != nil {
+		return err
+	}
+	if len(args) == 3 && args[2] == record.Placer {
+		return fmt.Errorf("the placer is still %s", record.Placer)
+	}
+	if p, ok := s.processes[record.Placer]; !ok || !p.running() {
+		return fmt.Errorf("the placer %q does not run", record.Placer)
+	}
+	s.setenv("PLACER", record.Placer)
+	s.setenv("PLACER_ADDRESS", s.script.Getenv(record.Placer))
+	s.setenv("OTHERS", strings.Join(s.daemonsExcept(record.Placer), ","))
+	return nil
+}
+
+// daemonsExcept returns the daemons that run, but for one, in order.
+func (s *stage) daemonsExcept(excluded string) []string {
+	var names []string
+	for name, p := range s.processes {
+		if p.running() && name != excluded && s.script.Getenv(name) != "" {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// registered fails unless just the daemons given are registered in the key-value service: registered NAME[,NAME]...
+func (s *stage) registered(args []string) error {
+	status, err := s.status()
+	if err != nil {
+		return err
+	}
+	var got []string
+	for _, d := range status.Daemons {
+		got = append(got, d.Daemon)
+	}
+	sort.Strings(got)
+	want := strings.Split(strings.Join(args, ","), ",")
+	sort.Strings(want)
+	if !slices.Equal(got, want) {
+		return fmt.Errorf("got the daemons %v, want %v", got, want)
+	}
+	return nil
+}
+
+// agree fails unless each engine of a cell holds as many replicas as are decided for it, no engine
+// ever was ordered what a correct placer never orders, and no deployment has more than its limit: agree CELL.
+func (s *stage) agree(args []string) error {
+	if len(args) != 1 {
+		return errors.New("usage: agree CELL")
+	}
+	record, err := s.record(args[0])
+	if err != nil {
+		return err
+	}
+	decided, replicas := make(map[string]int), make(map[string]int)
+	for _, r := range record.Replicas {
+		decided[r.Server]++
+		replicas[r.Deployment]++
+	}
+	for name, n := range replicas {
+		if d, ok := s.catalog.Deployment(name); !ok || n > d.MaxReplicas {
+			return fmt.Errorf("%d replicas of %s are decided, which is more than its limit", n, name)
+		}
+	}
+	for _, name := range s.matching(args[0]) {
+		var counts inferrer.Counts
+		if err := s.readCounts(name, &counts); err != nil {
+			return err
+		}
+		if len(counts.Violations) > 0 {
+			return fmt.Errorf("%s was given wrong orders: %v", name, counts.Violations)
+		}
+		if counts.Replicas != decided[name] {
+			return fmt.Errorf("%s holds %d replicas, %d are decided", name, counts.Replicas, decided[name])
+		}
+	}
+	return nil
+}
+
+// lookup fails unless a daemon's look-up of a deployment names just the daemons given: lookup DAEMON DEPLOYMENT NAME...
+func (s *stage) lookup(args []string) error {
+	if len(args) < 2 {
+		return errors.New("usage: lookup DAEMON DEPLOYMENT NAME...")
+	}
+	cmd := exec.CommandContext(s.ctx, "samphirewharf", "addresses", args[1], "--ask", s.script.Getenv(args[0]), "--output", "json")
+	out, err := cmd.Output()
+	if err != nil {
+		return fmt.Errorf("samphirewharf addresses: %w", err)
+	}
+	var list struct{ Addresses []struct{ Address string } }
+	if err := json.Unmarshal(out, &list); err != nil {
+		return err
+	}
+	var got, want []string
+	for _, a := range list.Addresses {
+		got = append(got, a.Address)
+	}
+	for _, name := range args[2:] {
+		want = append(want, s.script.Getenv(name))
+	}
+	sort.Strings(got)
+	sort.Strings(want)
+	if !slices.Equal(got, want) {
+		return fmt.Errorf("got the addresses %v, want %v", got, want)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/command/prover/process_test.go
@@ -0,0 +1,307 @@
+package prover_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// logTail is how many bytes of a process's output are shown if its script fails.
+const logTail = 6000
+
+// A process is one started process of the program.
+type process struct {
+	name   string
+	cmd    *exec.Cmd
+	stdout output
+	stderr output
+	// exited is closed when the process has ended; err is set before.
+	exited chan struct{}
+	err    error
+}
+
+// An output collects what a process writes.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// String returns what was written so far.
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
+}
+
+// Write collects data.
+func (o *output) Write(data []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(data)
+}
+
+func (p *process) run() {
+	p.err = p.cmd.Wait()
+	close(p.exited)
+}
+
+func (p *process) running() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// tail returns the end of what the process wrote.
+func (p *process) tail() string {
+	text := p.stdout.String() + p.stderr.String()
+	return text[max(0, len(text)-logTail):]
+}
+
+// start starts a process and waits until it says that it is ready: start NAME ARGUMENT...
+// It sets $NAME to a daemon's address, $STORE and $HOSTS and the program's own variables to those of stand-ins.
+func (s *stage) start(args []string) error {
+	if len(args) < 2 {
+		return errors.New("usage: start NAME ARGUMENT...")
+	}
+	if old, ok := s.processes[args[0]]; ok && old.running() {
+		return fmt.Errorf("%s runs already", args[0])
+	}
+	p := &process{name: args[0], cmd: exec.Command("samphirewharf", args[1:]...), exited: make(chan struct{})}
+	p.cmd.Dir = s.workDir
+	p.cmd.Env = slices.Clone(s.vars)
+	p.cmd.Stdout, p.cmd.Stderr = &p.stdout, &p.stderr
+	if err := p.cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", p.name, err)
+	}
+	s.processes[p.name] = p
+	go p.run()
+	if args[1] == "standin" {
+		return s.awaitStandIns(p)
+	}
+	return s.awaitDaemon(p)
+}
+
+func (s *stage) awaitDaemon(p *process) error {
+	return s.await("ready line of "+p.name, func() error {
+		for line := range strings.SplitSeq(p.stderr.String(), "\n") {
+			var entry struct{ Address, Message string }
+			if json.Unmarshal([]byte(line), &entry) == nil && entry.Message == "serving" {
+				s.setenv(p.name, entry.Address)
+				return nil
+			}
+		}
+		return p.notReady()
+	})
+}
+
+func (s *stage) awaitStandIns(p *process) error {
+	err := s.await("ready line of "+p.name, func() error {
+		if strings.HasSuffix(p.stdout.String(), "ready\n") {
+			return nil
+		}
+		return p.notReady()
+	})
+	for line := range strings.SplitSeq(p.stdout.String(), "\n") {
+		switch f := strings.Fields(line); {
+		case len(f) == 2 && f[0] == "KeyValueService":
+			s.setenv("STORE", f[1])
+			s.setenv("SAMPHIREWHARF_STORE_ADDRESS", f[1])
+			s.servers["store"] = f[1]
+		case len(f) == 2 && f[0] == "HostList":
+			s.setenv("HOSTS", f[1])
+			s.setenv("SAMPHIREWHARF_HOSTS_ADDRESS", f[1])
+			s.servers["hosts"] = f[1]
+		case len(f) == 5 && f[0] == "Server":
+			s.servers[f[1]] = f[4]
+		}
+	}
+	return err
+}
+
+func (p *process) notReady() error {
+	if !p.running() {
+		return errEnded
+	}
+	return errors.New("not ready yet")
+}
+
+// errEnded means that waiting on is useless.
+var errEnded = errors.New("process ended")
+
+// await polls a condition until it holds or the script's time is up.
+func (s *stage) await(subject string, holds func() error) error {
+	for {
+		err := holds()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-s.ctx.Done():
+			return fmt.Errorf("wait for %s: %w", subject, err)
+		case <-time.After(pollInterval):
+		}
+		if errors.Is(err, errEnded) {
+			return fmt.Errorf("wait for %s: %w", subject, err)
+		}
+	}
+}
+
+// until repeats a command until it succeeds: until COMMAND ARGUMENT... Behind "!", until it fails.
+func (s *stage) until(args []string) error {
+	fails := len(args) > 0 && args[0] == "!"
+	if fails {
+		args = args[1:]
+	}
+	if len(args) == 0 || commands()[args[0]] == nil {
+		return errors.New("usage: until [!] COMMAND ARGUMENT...")
+	}
+	command := commands()[args[0]]
+	return s.await(strings.Join(args, " "), func() error {
+		err := command(s, args[1:])
+		if fails && err == nil {
+			return errors.New("it still succeeds")
+		}
+		if fails {
+			return nil
+		}
+		return err
+	})
+}
+
+// freeze pauses processes: freeze NAME...
+func (s *stage) freeze(args []string) error { return s.signal(args, syscall.SIGSTOP) }
+
+// thaw lets paused processes go on: thaw NAME...
+func (s *stage) thaw(args []string) error { return s.signal(args, syscall.SIGCONT) }
+
+// sigkill ends processes at once: sigkill NAME...
+func (s *stage) sigkill(args []string) error {
+	if err := s.signal(args, syscall.SIGKILL); err != nil {
+		return err
+	}
+	for _, name := range args {
+		<-s.processes[name].exited
+	}
+	return nil
+}
+
+// shutdown starts a planned stop and waits for exit code 0: shutdown NAME...
+func (s *stage) shutdown(args []string) error {
+	if err := s.signal(args, syscall.SIGTERM); err != nil {
+		return err
+	}
+	for _, name := range args {
+		p := s.processes[name]
+		select {
+		case <-p.exited:
+		case <-s.ctx.Done():
+			return fmt.Errorf("wait for the end of %s: %w", name, s.ctx.Err())
+		}
+		if p.err != nil {
+			return fmt.Errorf("end of %s: %w", name, p.err)
+		}
+	}
+	return nil
+}
+
+func (s *stage) signal(names []string, signal syscall.Signal) error {
+	if len(names) == 0 {
+		return errors.New("usage: freeze|thaw|sigkill|shutdown NAME...")
+	}
+	for _, name := range names {
+		p, ok := s.processes[name]
+		if !ok || !p.running() {
+			return fmt.Errorf("%s does not run", name)
+		}
+		if err := p.cmd.Process.Signal(signal); err != nil {
+			return fmt.Errorf("signal %s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+// logged fails unless a process wrote a text: logged NAME TEXT.
+func (s *stage) logged(args []string) error {
+	if len(args) != 2 || s.processes[args[0]] == nil {
+		return errors.New("usage: logged NAME TEXT")
+	}
+	p := s.processes[args[0]]
+	if !strings.Contains(p.stdout.String()+p.stderr.String(), args[1]) {
+		return fmt.Errorf("%s did not write %q", args[0], args[1])
+	}
+	return nil
+}
+
+// which sets a variable to the one process that wrote a text: which VARIABLE TEXT.
+func (s *stage) which(args []string) error {
+	if len(args) != 2 {
+		return errors.New("usage: which VARIABLE TEXT")
+	}
+	var names []string
+	for name := range s.processes {
+		if s.logged([]string{name, args[1]}) == nil {
+			names = append(names, name)
+		}
+	}
+	if len(names) != 1 {
+		return fmt.Errorf("%v wrote %q, want one process", names, args[1])
+	}
+	s.setenv(args[0], names[0])
+	return nil
+}
+
+// exits runs the program and fails unless it ends with an exit code: exits CODE ARGUMENT...
+// Its standard output and standard error are in the files stdout.txt and stderr.txt.
+func (s *stage) exits(args []string) error {
+	if len(args) < 2 {
+		return errors.New("usage: exits CODE ARGUMENT...")
+	}
+	var stdout, stderr bytes.Buffer
+	cmd := exec.CommandContext(s.ctx, "samphirewharf", args[1:]...)
+	cmd.Dir, cmd.Env, cmd.Stdout, cmd.Stderr = s.workDir, slices.Clone(s.vars), &stdout, &stderr
+	// The exit code tells how it ended.
+	_ = cmd.Run()
+	if got := fmt.Sprint(cmd.ProcessState.ExitCode()); got != args[0] {
+		return fmt.Errorf("got exit code %s with %q and %q, want %s", got, stdout.String(), stderr.String(), args[0])
+	}
+	if err := os.WriteFile(s.workDir+"/stdout.txt", stdout.Bytes(), 0o600); err != nil {
+		return err
+	}
+	return os.WriteFile(s.workDir+"/stderr.txt", stderr.Bytes(), 0o600)
+}
+
+// endProcesses ends what still runs. It reports processes that ended by themselves and data races.
+func (s *stage) endProcesses(report func(...any)) {
+	var faults []string
+	for _, p := range s.processes {
+		if p.running() {
+			_ = p.cmd.Process.Kill()
+			<-p.exited
+		} else if code := p.cmd.ProcessState.ExitCode(); code > 0 {
+			faults = append(faults, fmt.Sprintf("%s ended with code %d:\n%s", p.name, code, p.tail()))
+		}
+		if strings.Contains(p.stderr.String(), "DATA RACE") {
+			faults = append(faults, fmt.Sprintf("%s has a data race:\n%s", p.name, p.tail()))
+		}
+	}
+	if len(faults) > 0 {
+		report(strings.Join(faults, "\n"))
+	}
+}
+
+func (s *stage) logProcesses(logf func(string, ...any)) {
+	for _, p := range s.processes {
+		logf("-- end of the output of %s --\n%s", p.name, p.tail())
+	}
+}
--- /dev/null
+++ b/internal/command/prover/script_test.go
@@ -0,0 +1,133 @@
+// Package prover_test runs the program as separate processes, by scripts.
+//
+// Each script of testdata/scripts starts the stand-ins in one process and daemons in others, on
+// loopback with free ports. Scripts wait for conditions, never for times. Besides the commands of
+// testscript they have those that commands returns.
+package prover_test
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"samphirewharf/internal/command/runner"
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/config/questioner"
+)
+
+const (
+	// scriptLimit bounds each script, so that a condition that never holds fails it.
+	scriptLimit = 3 * time.Minute
+	// scriptsAtOnce is how many scripts run at once.
+	scriptsAtOnce = 3
+	pollInterval  = 20 * time.Millisecond
+)
+
+// A stage is what one script has started.
+type stage struct {
+	// script is the script that runs the command.
+	script *testscript.TestScript
+	// workDir is the script's directory, vars the environment of the processes that it starts.
+	workDir string
+	vars    []string
+	// ctx ends with the script or its time limit.
+	ctx       context.Context //nolint:containedctx // It spans the script.
+	processes map[string]*process
+	// servers are the addresses of the stand-ins of the backend servers, by name.
+	servers map[string]string
+	// loads are the requests that run in the background, by label.
+	loads   map[string]*load
+	catalog *cataloger.Catalog
+}
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"samphirewharf": runProgram})
+}
+
+// runProgram is the program's main function.
+func runProgram() {
+	r := runner.Runner{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr}
+	os.Exit(r.Run(context.Background(), os.Args[1:]))
+}
+
+func TestScripts(t *testing.T) {
+	questionnaire, err := questioner.Example("demo")
+	if err != nil {
+		t.Fatal(err)
+	}
+	slots := make(chan struct{}, scriptsAtOnce)
+	params := testscript.Params{
+		Dir: "testdata/scripts",
+		Setup: func(env *testscript.Env) error {
+			slots <- struct{}{}
+			env.Defer(func() { <-slots })
+			return newStage(env, questionnaire)
+		},
+		Cmds: make(map[string]func(*testscript.TestScript, bool, []string)),
+	}
+	for name, command := range commands() {
+		params.Cmds[name] = func(ts *testscript.TestScript, negated bool, args []string) {
+			if negated {
+				ts.Fatalf("! is not accepted before %s", name)
+			}
+			s := ts.Value("stage").(*stage)
+			s.script = ts
+			if err := command(s, args); err != nil {
+				s.logProcesses(ts.Logf)
+				ts.Fatalf("%v", err)
+			}
+		}
+	}
+	testscript.Run(t, params)
+}
+
+// newStage sets a script's environment up and writes the questionnaire that it uses to demo.toml.
+func newStage(env *testscript.Env, questionnaire []byte) error {
+	q, err := questioner.Parse(questionnaire)
+	if err != nil {
+		return err
+	}
+	configuration, _ := questioner.Generate(q)
+	ctx, cancel := context.WithTimeout(context.Background(), scriptLimit)
+	s := &stage{
+		workDir: env.WorkDir, vars: env.Vars, ctx: ctx, catalog: cataloger.NewCatalog(configuration),
+		processes: make(map[string]*process), servers: make(map[string]string), loads: make(map[string]*load),
+	}
+	env.Defer(cancel)
+	env.Defer(func() { s.endProcesses(env.T().Fatal) })
+	env.Values["stage"] = s
+	return os.WriteFile(env.WorkDir+"/demo.toml", questionnaire, 0o600)
+}
+
+// setenv sets a variable of the script and of the processes that it starts.
+func (s *stage) setenv(name, value string) {
+	s.script.Setenv(name, value)
+	s.vars = append(s.vars, name+"="+value)
+}
+
+// commands returns the commands of scripts. A "!" before a command is not accepted, except by until.
+func commands() map[string]func(*stage, []string) error {
+	return map[string]func(*stage, []string) error{
+		"agree":      (*stage).agree,
+		"ask":        (*stage).ask,
+		"begin":      (*stage).begin,
+		"counts":     (*stage).compareCounts,
+		"end":        (*stage).end,
+		"exits":      (*stage).exits,
+		"faults":     (*stage).setFaults,
+		"freeze":     (*stage).freeze,
+		"sigkill":       (*stage).sigkill,
+		"logged":     (*stage).logged,
+		"lookup":     (*stage).lookup,
+		"placer":     (*stage).findPlacer,
+		"registered": (*stage).registered,
+		"start":      (*stage).start,
+		"shutdown":   (*stage).shutdown,
+		"thaw":       (*stage).thaw,
+		"until":      (*stage).until,
+		"which":      (*stage).which,
+	}
+}
