--- a/internal/decision/prover/server_test.go
+++ b/internal/decision/prover/server_test.go
@@ -25,7 +25,9 @@
 	changes  int64
 	// states are what the host list says from a moment on.
 	states []hostState
-	runs   []*attempt
+	// shownAt is since when the list has shown the server as not live, -1 if it does not.
+	shownAt time.Duration
+	runs    []*attempt
 }
 
 type hostState struct {
@@ -48,7 +50,7 @@
 }
 
 func (w *World) addServer(name, service string, memory int64) {
-	s := &server{w: w, name: name, service: service, memory: memory, instance: 1, disk: make(map[string]bool)}
+	s := &server{w: w, name: name, service: service, memory: memory, instance: 1, shownAt: -1, disk: make(map[string]bool)}
 	s.states = []hostState{{0, lister.HostLive}}
 	w.servers[name] = s
 	w.names = sortedKeys(w.servers)
@@ -59,7 +61,7 @@
 	var hosts []lister.Host
 	for _, name := range w.names {
 		s := w.servers[name]
-		if state := s.listedState(w.now - w.hostLag); s.service == service && state != "" {
+		if state := s.listedState(w.listTime()); s.service == service && state != "" {
 			hosts = append(hosts, lister.Host{
 				Server: name, Service: service, Address: name, Zone: zoneOf(name), MemoryBytes: s.memory, State: state,
 			})
@@ -68,6 +70,34 @@
 	return hosts
 }
 
+// listTime returns the moment whose truth the host list shows. It never goes back.
+func (w *World) listTime() time.Duration {
+	w.listedAt = max(w.listedAt, w.now-w.hostLag)
+	return w.listedAt
+}
+
+// gone reports whether the host was reclaimed.
+func (s *server) gone() bool { return s.states[len(s.states)-1].state == "" }
+
+// show notes since when the host list has shown the server as leaving or not at all.
+func (s *server) show() {
+	switch {
+	case s.w.hostsDown:
+	case s.listedState(s.w.listTime()) == lister.HostLive:
+		s.shownAt = -1
+	case s.shownAt < 0:
+		s.shownAt = s.w.now
+	}
+}
+
+// leftFor returns how long the host list has shown the server as leaving or not at all.
+func (s *server) leftFor() time.Duration {
+	if s.shownAt < 0 {
+		return 0
+	}
+	return s.w.now - s.shownAt
+}
+
 func (s *server) listedState(at time.Duration) lister.HostState {
 	state := s.states[0].state
 	for _, change := range s.states {
@@ -90,13 +120,20 @@
 	s.dead = true
 	s.w.note("%s dies", s.name)
 	runs := s.runs
-	s.runs, s.replicas, s.fence = nil, nil, 0
+	s.runs, s.replicas = nil, nil
+	if s.w.forgetFences {
+		s.fence = 0
+	}
 	for _, a := range runs {
 		a.finish(reducer.AttemptEnded{Outcome: reducer.AttemptFailed, ServerDied: true})
 	}
 }
 
+// restart starts the server process again, unless its host was reclaimed.
 func (s *server) restart() {
+	if !s.dead || s.gone() {
+		return
+	}
 	s.dead = false
 	s.instance++
 	s.sequence = 0
@@ -158,7 +195,6 @@
 // receive takes an order on a connection from a process, carries it out late, and answers if it can.
 func (s *server) receive(p *process, order orderer.Order, ended func(orderer.Outcome, int64)) {
 	w := s.w
-	w.oracle.ordered(s, order)
 	if s.dead || !w.reaches(p.name, s.name) {
 		p.later(w.delay(), func() { ended(orderer.OutcomeNotSent, 0) })
 		return
--- a/internal/decision/prover/world_test.go
+++ b/internal/decision/prover/world_test.go
@@ -52,6 +52,7 @@
 	hostLag   time.Duration
 	loadLag   time.Duration
 	hostsDown bool
+	listedAt  time.Duration
 	// orderDelay is how late engines take orders; orderLoss is the percentage of lost answers to them.
 	orderDelay time.Duration
 	orderLoss  int
@@ -62,7 +63,9 @@
 	cutAnswers  int
 	serviceTime time.Duration
 	loadFactor  time.Duration
-	log         []string
+	// forgetFences lets engines forget their fencing number when they restart.
+	forgetFences bool
+	log          []string
 }
 
 // An event is a function that is called at a moment.
--- a/internal/load/generator/recorder.go
+++ b/internal/load/generator/recorder.go
@@ -25,13 +25,15 @@
 	faults map[Fault]*FaultCount
 	tokens int
 
-	lookups, sendDelay, latency, bookings, firstToken, betweenTokens, refusals *hdrhistogram.Histogram
+	lookups, sendDelay, latency, bookings, firstToken, betweenTokens, refusals, direct, directFirstToken *hdrhistogram.Histogram
 }
 
 // A result is the final answer to a request.
 type result struct {
-	request  *request
-	due      time.Time
+	request *request
+	due     time.Time
+	// first is when it was sent first, sent when it was sent for the last time.
+	first    time.Time
 	sent     time.Time
 	answer   answer
 	measured bool
@@ -39,15 +41,17 @@
 
 func newRecorder() *recorder {
 	return &recorder{
-		codes:         make(map[CodeCount]int),
-		faults:        make(map[Fault]*FaultCount),
-		lookups:       newHistogram(),
-		sendDelay:     newHistogram(),
-		latency:       newHistogram(),
-		bookings:      newHistogram(),
-		firstToken:    newHistogram(),
-		betweenTokens: newHistogram(),
-		refusals:      newHistogram(),
+		codes:            make(map[CodeCount]int),
+		faults:           make(map[Fault]*FaultCount),
+		lookups:          newHistogram(),
+		sendDelay:        newHistogram(),
+		latency:          newHistogram(),
+		bookings:         newHistogram(),
+		firstToken:       newHistogram(),
+		betweenTokens:    newHistogram(),
+		refusals:         newHistogram(),
+		direct:           newHistogram(),
+		directFirstToken: newHistogram(),
 	}
 }
 
@@ -77,7 +81,7 @@
 	if !r.measured {
 		return
 	}
-	record(c.sendDelay, r.sent.Sub(r.due))
+	record(c.sendDelay, r.first.Sub(r.due))
 	if r.request.timeout > 0 && a.end.Sub(r.sent) > r.request.timeout+deadlineTolerance {
 		c.report.MissedDeadlines++
 	}
@@ -87,28 +91,44 @@
 	case a.refused:
 		c.report.Refused++
 		c.codes[CodeCount{Code: int(a.refusal.Code), Name: a.refusal.Code.String(), Ran: a.refusal.Ran.String()}]++
-		record(c.refusals, a.end.Sub(r.due))
+		record(c.refusals, a.end.Sub(r.first))
 	}
 }
 
 // served counts a right answer. The mutex must be held.
 func (c *recorder) served(r result) {
 	c.report.Served++
+	if r.request.direct {
+		c.servedDirect(r)
+		return
+	}
 	c.codes[CodeCount{Code: int(refuser.CodeOK), Name: refuser.CodeOK.String()}]++
 	if !r.request.stream {
-		record(c.latency, r.answer.end.Sub(r.due))
+		record(c.latency, r.answer.end.Sub(r.first))
 		if r.request.booking {
-			record(c.bookings, r.answer.end.Sub(r.due))
+			record(c.bookings, r.answer.end.Sub(r.first))
 		}
 		return
 	}
 	c.tokens += 1 + len(r.answer.gaps)
-	record(c.firstToken, r.answer.first.Sub(r.due))
+	record(c.firstToken, r.answer.first.Sub(r.first))
 	for _, gap := range r.answer.gaps {
 		record(c.betweenTokens, gap)
 	}
 }
 
+// servedDirect counts a right answer that came straight from the engine. The mutex must be held.
+func (c *recorder) servedDirect(r result) {
+	c.report.ServedDirect++
+	h := c.direct
+	end := r.answer.end
+	if r.request.stream {
+		h = c.directFirstToken
+		end = r.answer.first
+	}
+	record(h, end.Sub(r.first))
+}
+
 func (c *recorder) lookup(took time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -152,6 +172,8 @@
 	r.Bookings = newDistribution(c.bookings)
 	r.FirstToken = newDistribution(c.firstToken)
 	r.BetweenTokens = newDistribution(c.betweenTokens)
+	r.Direct = newDistribution(c.direct)
+	r.DirectFirstToken = newDistribution(c.directFirstToken)
 	r.RefusalLatency = newDistribution(c.refusals)
 	return r
 }
--- a/internal/peer/messenger/generate.go
+++ b/internal/peer/messenger/generate.go
@@ -1,4 +1,4 @@
 package messenger
 
-// The plugins are tools of go.mod; build them into a folder on the PATH first: see CONTRIBUTING.md.
+// The plugins are tools of go.mod; put them on PATH by "go build -o DIR" with their import paths.
 //go:generate protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative messenger.proto
