--- a/internal/decision/planner/decide.go
+++ b/internal/decision/planner/decide.go
@@ -21,8 +21,10 @@
 	server *observer.Server
 	tier   observer.Tier
 	// full is how long the load takes at full speed, score what it is predicted to take with penalties.
-	full    time.Duration
-	score   time.Duration
+	full  time.Duration
+	score time.Duration
+	// rank orders servers with free memory.
+	rank    time.Duration
 	victims []Replica
 	lost    float64
 }
@@ -131,6 +133,10 @@
 		c := choice{server: s, tier: s.Tier(d.Name)}
 		c.full = fullLoadTime(d, c.tier)
 		c.score = m.loadTime(v, d, c.tier) + sameZonePenalty*time.Duration(m.inZone(v, next, d, s.Host.Zone))
+		c.rank = c.score
+		if m.Rank != nil {
+			c.rank = m.Rank(s.Host.Server, c.score)
+		}
 		if free >= d.ReplicaBytes() {
 			fits = append(fits, c)
 			continue
@@ -140,7 +146,7 @@
 			evicts = append(evicts, c)
 		}
 	}
-	slices.SortStableFunc(fits, func(a, b choice) int { return cmp.Compare(a.score, b.score) })
+	slices.SortStableFunc(fits, func(a, b choice) int { return cmp.Compare(a.rank, b.rank) })
 	slices.SortStableFunc(evicts, func(a, b choice) int { return cmp.Compare(a.lost, b.lost) })
 	ranked := slices.Concat(fits, evicts)
 	if len(ranked) > 0 {
@@ -291,26 +297,12 @@
 // load decides one replica within the limits of the weight store.
 func (m *Machine) load(v View, next Record, w want, d *cataloger.Deployment, best, other choice, report func(Decision)) Record {
 	id := next.nextReplicaID()
-	remote := best.tier == observer.TierRemote
-	if m.Loads.Start != nil && !m.Loads.Start(v.Now, id, best.full, remote, w.urgent > 0) {
+	if !m.startLoad(v.Now, id, best.full, best.tier, w.urgent > 0) {
 		m.act(Forecast{Deployment: d.Name, ReadyIn: m.loadTime(v, d, best.tier)})
 		return next
 	}
-	m.started[id] = true
 	delete(m.evict, d.Name)
-	next.Next++
-	next = next.WithReplica(Replica{
-		ID:           id,
-		Deployment:   d.Name,
-		ModelVersion: d.ModelVersion,
-		Server:       best.server.Host.Server,
-		Bytes:        d.ReplicaBytes(),
-		AdapterSlots: d.AdapterSlots,
-		State:        StateDecided,
-		Daemon:       m.Daemon,
-		Instance:     m.Instance,
-		Fence:        m.record.Fence,
-	})
+	next = m.withLoad(next, d, best.server)
 	decision := Decision{
 		Action: "Load", Deployment: d.Name, Replica: id, Server: best.server.Host.Server,
 		Reason:  fmt.Sprintf("checkpoint is in %s", best.tier),
@@ -326,6 +318,33 @@
 	return next
 }
 
+// startLoad takes a place at the weight store for the load of a replica, or reports that none is free.
+func (m *Machine) startLoad(now time.Duration, id string, full time.Duration, tier observer.Tier, urgent bool) bool {
+	if m.Loads.Start != nil && !m.Loads.Start(now, id, full, tier == observer.TierRemote, urgent) {
+		return false
+	}
+	m.started[id] = true
+	return true
+}
+
+// withLoad returns the record with the next replica decided for a server.
+func (m *Machine) withLoad(next Record, d *cataloger.Deployment, s *observer.Server) Record {
+	id := next.nextReplicaID()
+	next.Next++
+	return next.WithReplica(Replica{
+		ID:           id,
+		Deployment:   d.Name,
+		ModelVersion: d.ModelVersion,
+		Server:       s.Host.Server,
+		Bytes:        d.ReplicaBytes(),
+		AdapterSlots: d.AdapterSlots,
+		State:        StateDecided,
+		Daemon:       m.Daemon,
+		Instance:     m.Instance,
+		Fence:        m.record.Fence,
+	})
+}
+
 func (m *Machine) expireEvictions(now time.Duration) {
 	for name, e := range m.evict {
 		if now-e.at > evictionLife {
