fix: count an engine's restart only from after the order's end

An order whose answer was lost was taken for dead when the engine's process differed from the one in the placer's last report at sending. That report may be of an earlier process: the order was on its way at the later one, its reservation was freed, and the load took effect ('ai.1.2 is loaded at e1 and is not decided'). The process is now the first that is seen by a poll sent after the order's end.

--- a/internal/decision/planner/machine.go
+++ b/internal/decision/planner/machine.go
@@ -115,7 +115,8 @@
 	outcome orderer.Outcome
 	sentAt  time.Duration
 	endedAt time.Duration
-	// engine is the engine's instance when the order was sent.
+	// engine is the first instance of the engine that was seen after the order had ended. The order may still
+	// take effect there, but not at a later one.
 	engine string
 }
 
--- a/internal/decision/planner/plan.go
+++ b/internal/decision/planner/plan.go
@@ -118,7 +118,7 @@
 		if !ok || !known || !s.Takes() {
 			continue
 		}
-		o := &order{id: m.nextOrderID(), server: r.Server, sentAt: v.Now, engine: s.Report.Instance}
+		o := &order{id: m.nextOrderID(), server: r.Server, sentAt: v.Now}
 		m.orders[r.ID] = o
 		m.act(Send{Server: s, Order: m.loadOrder(o.id, r, d), Expires: v.Now + orderLife})
 	}
--- a/internal/decision/planner/release.go
+++ b/internal/decision/planner/release.go
@@ -115,7 +115,13 @@
 		m.fenceOut = m.fenceOut || m.record.Fence <= r.Fence
 		return ""
 	}
-	if o.engine != state.engine && state.seenAt > o.endedAt {
+	if state.seenAt < o.endedAt {
+		return ""
+	}
+	if o.engine == "" {
+		o.engine = state.engine
+	}
+	if o.engine != state.engine {
 		return "engine restarted after the order"
 	}
 	if state.seenAt >= o.endedAt+orderSettle {
--- a/internal/decision/prover/command_test.go
+++ b/internal/decision/prover/command_test.go
@@ -345,6 +345,8 @@
 		return compare(args, len(w.oracle.keyRuns[args[1]]), args[2])
 	case "writes":
 		return compare(args, w.store.writes[args[1]], args[2])
+	case "peak":
+		return compare(args, w.peak(args[1]), args[2])
 	case "crashes":
 		return compare(args, w.oracle.crashes, args[1])
 	case "version":
@@ -353,6 +355,11 @@
 		return compare(args, w.held(args[1]), args[2])
 	case "retries":
 		return compare(args, w.retries(), args[1])
+	case "stopped":
+		if p := w.process(args[1]); p == nil || !p.dead {
+			return fmt.Errorf("expect %s: it runs", strings.Join(args, " "))
+		}
+		return nil
 	case "placer":
 		if got := w.oracle.record.Placer; got != args[1] {
 			return fmt.Errorf("expect %s: got %q", strings.Join(args, " "), got)
@@ -375,6 +382,19 @@
 	return count
 }
 
+// peak returns the most requests that ran at once at one replica of a deployment since it was last asked.
+func (w *World) peak(deployment string) (peak int) {
+	for _, s := range w.servers {
+		for _, r := range s.replicas {
+			if r.order.Deployment == deployment {
+				peak = max(peak, r.peak)
+				r.peak = 0
+			}
+		}
+	}
+	return peak
+}
+
 // retries counts runs beyond the first of each call, as a percentage of all calls.
 func (w *World) retries() int {
 	extra := 0
--- a/internal/decision/prover/server_test.go
+++ b/internal/decision/prover/server_test.go
@@ -41,6 +41,7 @@
 	state    orderer.ReplicaState
 	adapters map[string]bool
 	running  int
+	peak     int
 	loads    []loadSample
 }
 
@@ -187,6 +188,7 @@
 
 func (r *replica) change(now time.Duration, by int) {
 	r.running += by
+	r.peak = max(r.peak, r.running)
 	r.loads = append(r.loads, loadSample{now, r.running})
 	if len(r.loads) > 256 {
 		r.loads = slices.Clone(r.loads[128:])
