fix: serve the other requests beside suspects that wait

After a request had crashed two servers, nothing was served any more: suspects at the head of a queue waited for a server that their daemon may run them on, and new requests queued behind them with no event to pump the queue; a daemon that owned no server with a replica held its innocent suspects until their deadline; and a convicted request that waited elsewhere was not told. A model request whose forward failed was taken to the claimer; it goes to its queue now.

--- a/internal/decision/isolator/isolator.go
+++ b/internal/decision/isolator/isolator.go
@@ -38,6 +38,9 @@
 	byHash map[uint64]int
 }
 
+// Any reports whether there are suspects or convicted requests, expired ones included.
+func (i *Isolator) Any() bool { return len(i.suspects.byHash)+len(i.convicted.byHash) > 0 }
+
 // Convicted reports whether the request must be refused.
 func (i *Isolator) Convicted(hash uint64, now time.Duration) bool { return i.convicted.has(hash, now) }
 
--- a/internal/decision/prover/caller_test.go
+++ b/internal/decision/prover/caller_test.go
@@ -174,6 +174,7 @@
 	w := x.p.w
 	a := x.begin(e.Attempt)
 	a.server, a.replica = w.servers[e.Server], e.Replica
+	w.note("%s sends %s to %s", x.p.name, x.call.name, e.Server)
 	if e.ResumeFrom > x.sent {
 		w.oracle.fail("%s resumes at %d, its caller has %d", x.call.name, e.ResumeFrom, x.sent)
 	}
@@ -198,6 +199,7 @@
 	a := x.begin(e.Attempt)
 	x.p.later(max(e.Timeout, time.Millisecond)+forwardGrace, a.timeOut)
 	to := w.process(e.Daemon)
+	w.note("%s forwards %s to %s: %s", x.p.name, x.call.name, e.Daemon, e.Reason)
 	if !w.reaches(x.p.name, e.Daemon) {
 		x.p.later(dialTimeout, func() { a.close(reducer.AttemptEnded{Outcome: reducer.AttemptNotSent}) })
 		return
--- a/internal/decision/reducer/arrival.go
+++ b/internal/decision/reducer/arrival.go
@@ -167,6 +167,10 @@
 	r.queue.add(r)
 	m.wakeRequest(r, r.deadline)
 	m.needSoon(r.queue)
+	if m.isolator.Any() {
+		// Suspects at the head of the queue may wait for something that this request need not wait for.
+		m.pump(r.queue)
+	}
 	if displaced == nil {
 		return
 	}
--- a/internal/decision/reducer/forwarding.go
+++ b/internal/decision/reducer/forwarding.go
@@ -101,9 +101,14 @@
 		m.refuse(r, refuser.CodeForwardFailed, r.ran(), time.Second, "")
 		return
 	}
-	if m.cells[r.service.Name] == nil {
+	switch {
+	case m.cells[r.service.Name] == nil:
 		m.forwardToCell(r)
-		return
+	case !r.arrived.Plain:
+		m.arriveModel(r)
+	case m.needsClaim(r):
+		m.claimHere(r)
+	default:
+		m.arrivePlain(r)
 	}
-	m.claimHere(r)
 }
--- a/internal/decision/reducer/membership.go
+++ b/internal/decision/reducer/membership.go
@@ -216,6 +216,9 @@
 	}
 	if v := message.Verdict; v != nil {
 		m.isolator.Merge(v.Hashes, v.Suspects, m.now.Since+v.Expires, m.now.Since)
+		if len(v.Hashes) > 0 {
+			m.refuseConvicted()
+		}
 	}
 	for _, f := range message.Forecasts {
 		m.takeForecast(f)
--- a/internal/decision/reducer/routing.go
+++ b/internal/decision/reducer/routing.go
@@ -220,12 +220,15 @@
 			return found
 		})
 		if !ok {
-			return
+			break
 		}
 		r := q.byID[item.ID]
 		q.forget(r)
 		m.dispatch(r, chosen)
 	}
+	if q.waiting.Len() > 0 && !q.plain && m.isolator.Any() {
+		m.forwardSuspects(q)
+	}
 }
 
 // pumpDeployments pumps the queues of deployments that gained a replica or adapter.
--- a/internal/decision/reducer/verifying.go
+++ b/internal/decision/reducer/verifying.go
@@ -1,7 +1,13 @@
 package reducer
 
 import (
+	"maps"
+	"slices"
+	"time"
+
+	"samphirewharf/internal/caller/refuser"
 	"samphirewharf/internal/decision/assigner"
+	"samphirewharf/internal/decision/tracker"
 	"samphirewharf/internal/peer/messenger"
 )
 
@@ -48,6 +54,9 @@
 	if len(suspects)+len(convicted) > 0 {
 		m.sendVerdict(server, suspects, convicted)
 	}
+	if len(convicted) > 0 {
+		m.refuseConvicted()
+	}
 	waiting := m.verifying[server]
 	delete(m.verifying, server)
 	m.retryVerified(waiting)
@@ -89,3 +98,67 @@
 	owner := assigner.Pick(server, c.daemons, 1)
 	return len(owner) == 1 && owner[0] == m.settings.Daemon
 }
+
+// forwardSuspects passes waiting suspects on to the daemon that may run them, if this one may run them nowhere.
+func (m *Machine) forwardSuspects(q *deployment) {
+	owner, ok := m.suspectOwner(q)
+	if !ok {
+		return
+	}
+	for _, r := range q.sorted() {
+		if r.attempt >= maxAttempts-1 || !m.isolator.Suspected(r.hash, m.now.Since) {
+			continue
+		}
+		q.remove(r)
+		if r.arrived.ForwardedBy != "" {
+			m.refuse(r, refuser.CodeForwardFailed, r.ran(), time.Second, "suspects of the server are run by another daemon")
+			continue
+		}
+		m.forward(r, owner, "suspects of the server are run by another daemon")
+	}
+}
+
+// suspectOwner returns the daemon that owns a server with a usable replica; ok is false if this daemon owns one.
+func (m *Machine) suspectOwner(q *deployment) (owner tracker.Daemon, ok bool) {
+	c := m.cells[q.service]
+	if c == nil {
+		return tracker.Daemon{}, false
+	}
+	for _, replica := range m.fleet.Replicas(q.name) {
+		server := replica.Server.Host.Server
+		if !replica.Usable() {
+			continue
+		}
+		if m.ownsServer(server) {
+			return tracker.Daemon{}, false
+		}
+		if picked := assigner.Pick(server, c.daemons, 1); !ok && len(picked) == 1 {
+			owner, ok = m.cellMember(c, picked[0])
+		}
+	}
+	return owner, ok
+}
+
+// cellMember returns the daemon of a cell with the ID.
+func (m *Machine) cellMember(c *cell, id string) (tracker.Daemon, bool) {
+	for _, d := range m.cellMembers(c.name) {
+		if d.ID == id {
+			return d, true
+		}
+	}
+	return tracker.Daemon{}, false
+}
+
+// refuseConvicted refuses the waiting requests that a verdict of another daemon convicts.
+func (m *Machine) refuseConvicted() {
+	for _, name := range slices.Sorted(maps.Keys(m.deployments)) {
+		q := m.deployments[name]
+		for _, r := range q.sorted() {
+			if m.isolator.Convicted(r.hash, m.now.Since) {
+				q.remove(r)
+				m.refuse(r, refuser.CodePoisonRequest, r.ran(), 0, "")
+			}
+		}
+		m.pump(q)
+	}
+}
