fix: end a stopping daemon once

The reducer repeats its Exit effect on each tick until the process is gone. Each one started another runExit, and the second of them closed the exited channel again: a panic after a planned stop, with exit code 2, whenever connections were still open for longer than a tick. Ruled out: leaving it to the reducer alone, as the channel's owner has to hold whatever it is asked.

--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -77,6 +77,8 @@
 	recorder *recorder.Recorder
 
 	catalog atomic.Pointer[cataloger.Catalog]
+	// exiting tells that the daemon is ending; exited is closed at its end.
+	exiting atomic.Bool
 	exited  chan struct{}
 }
 
@@ -207,7 +209,12 @@
 
 func (d *Daemon) exchanger() exchanger { return exchanger{client: &d.peers, inForce: d.catalog.Load} }
 
-func (d *Daemon) exit() { go d.runExit() }
+// exit ends the daemon once, however often the reducer asks for it until then.
+func (d *Daemon) exit() {
+	if d.exiting.CompareAndSwap(false, true) {
+		go d.runExit()
+	}
+}
 
 // observe keeps the configuration in force for the callers' interface and logs routing decisions.
 func (d *Daemon) observe(now reducer.Moment, event reducer.Event, effects []reducer.Effect) {
