--- a/internal/command/runner/runner.go
+++ b/internal/command/runner/runner.go
@@ -34,6 +34,8 @@
 	Demo          demoCommand          `cmd:"" help:"Show the whole system in one process."`
 	Standin       standinCommand       `cmd:"" help:"Run stand-ins of the platform and the backend servers."`
 	Load          loadCommand          `cmd:"" help:"Send load to running daemons on loopback and check every answer."`
+	Measure       measureCommand       `cmd:"" help:"Measure the processor time, memory and bytes of running processes."`
+	Capacity      capacityCommand      `cmd:"" help:"Measure how a daemon's costs grow with the size of the system."`
 	Questionnaire questionnaireCommand `cmd:"" help:"Write, check and try out a questionnaire."`
 	Config        configCommand        `cmd:"" help:"Show and change the configuration in force."`
 	Deployment    deploymentCommand    `cmd:"" help:"Show deployments of the configuration in force."`
@@ -41,6 +43,7 @@
 	Addresses     addressesCommand     `cmd:"" help:"Ask a daemon which daemons to use, as callers do."`
 	Replay        replayCommand        `cmd:"" help:"Feed recorded events to the reducer and print its decisions."`
 	Codes         codesCommand         `cmd:"" help:"List the result codes."`
+	Emulate       emulateCommand       `cmd:"" help:"Measure placement policies on a seeded trace."`
 	Version       versionCommand       `cmd:"" help:"Print the program's version."`
 }
 
--- a/internal/decision/planner/release.go
+++ b/internal/decision/planner/release.go
@@ -94,7 +94,7 @@
 	if r.Instance == m.Instance || v.DeadSince == nil {
 		return ""
 	}
-	since, dead := v.DeadSince(r.Instance)
+	since, dead := v.DeadSince(r.Daemon, r.Instance)
 	if !dead || state.seenAt < since+orderSettle {
 		return ""
 	}
@@ -142,6 +142,7 @@
 	pruneMap(m.record, m.idle)
 	pruneMap(m.record, m.unload)
 	pruneMap(m.record, m.renounced)
+	pruneMap(m.record, m.preloads.replicas)
 }
 
 func pruneMap[V any](record Record, byReplica map[string]V) {
