fix: refuse wrong settings of serve, standin and config show

serve took an empty or odd zone, an address that nobody can connect to and a path that can't be written; standin took a host that is not loopback (and looked names up), negative times and ports out of range. They failed later, without the setting's name or at all. Now each ends with exit code 2 and names setting, value and what is accepted.

--- a/internal/command/prover/process_test.go
+++ b/internal/command/prover/process_test.go
@@ -262,23 +262,35 @@
 }
 
 // exits runs the program and fails unless it ends with an exit code: exits CODE ARGUMENT...
-// Its standard output and standard error are in the files stdout.txt and stderr.txt.
 func (s *stage) exits(args []string) error {
 	if len(args) < 2 {
 		return errors.New("usage: exits CODE ARGUMENT...")
 	}
-	var stdout, stderr bytes.Buffer
-	cmd := exec.CommandContext(s.ctx, "samphirewharf", args[1:]...)
-	cmd.Dir, cmd.Env, cmd.Stdout, cmd.Stderr = s.workDir, slices.Clone(s.vars), &stdout, &stderr
-	// The exit code tells how it ended.
-	_ = cmd.Run()
-	if got := fmt.Sprint(cmd.ProcessState.ExitCode()); got != args[0] {
-		return fmt.Errorf("got exit code %s with %q and %q, want %s", got, stdout.String(), stderr.String(), args[0])
+	got := 0
+	if err := s.script.Exec("samphirewharf", args[1:]...); err != nil {
+		var exit *exec.ExitError
+		if !errors.As(err, &exit) {
+			return err
+		}
+		got = exit.ExitCode()
 	}
-	if err := os.WriteFile(s.workDir+"/stdout.txt", stdout.Bytes(), 0o600); err != nil {
-		return err
+	if fmt.Sprint(got) != args[0] {
+		return fmt.Errorf("got exit code %d, want %s", got, args[0])
+	}
+	return nil
+}
+
+// edit copies a file with one text replaced: edit FILE OLD NEW COPY.
+func (s *stage) edit(args []string) error {
+	if len(args) != 4 {
+		return errors.New("usage: edit FILE OLD NEW COPY")
+	}
+	text := s.script.ReadFile(args[0])
+	if !strings.Contains(text, args[1]) {
+		return fmt.Errorf("%s does not contain %q", args[0], args[1])
 	}
-	return os.WriteFile(s.workDir+"/stderr.txt", stderr.Bytes(), 0o600)
+	text = strings.Replace(text, args[1], args[2], 1)
+	return os.WriteFile(s.script.MkAbs(args[3]), []byte(text), 0o600)
 }
 
 // endProcesses ends what still runs. It reports processes that ended by themselves and data races.
--- a/internal/command/prover/script_test.go
+++ b/internal/command/prover/script_test.go
@@ -20,7 +20,7 @@
 
 const (
 	// scriptLimit bounds each script, so that a condition that never holds fails it.
-	scriptLimit = 3 * time.Minute
+	scriptLimit = 2 * time.Minute
 	// scriptsAtOnce is how many scripts run at once.
 	scriptsAtOnce = 3
 	pollInterval  = 20 * time.Millisecond
@@ -115,11 +115,12 @@
 		"ask":        (*stage).ask,
 		"begin":      (*stage).begin,
 		"counts":     (*stage).compareCounts,
+		"edit":       (*stage).edit,
 		"end":        (*stage).end,
 		"exits":      (*stage).exits,
 		"faults":     (*stage).setFaults,
 		"freeze":     (*stage).freeze,
-		"sigkill":       (*stage).sigkill,
+		"sigkill":    (*stage).sigkill,
 		"logged":     (*stage).logged,
 		"lookup":     (*stage).lookup,
 		"placer":     (*stage).findPlacer,
--- a/internal/command/runner/config.go
+++ b/internal/command/runner/config.go
@@ -28,6 +28,9 @@
 
 // Run prints a summary of a version; the JSON holds all of it.
 func (c configShowCommand) Run(ctx context.Context, r *Runner) error {
+	if c.ShowVersion < 0 {
+		return &SettingError{Name: "--show-version", Value: strconv.FormatInt(c.ShowVersion, 10), Accepted: "a version number, or 0 for the one in force"}
+	}
 	fetched, err := r.fetch(ctx, c.ShowVersion)
 	if err != nil {
 		return err
--- a/internal/command/runner/runner.go
+++ b/internal/command/runner/runner.go
@@ -159,7 +159,7 @@
 // versioner returns the access to the configuration, and a function that closes it.
 func (r *Runner) versioner() (v *versioner.Versioner, closeStore func(), err error) {
 	if r.settings.StoreAddress == "" {
-		return nil, nil, &SettingError{Name: "--store-address", Accepted: "an IP number and port, such as 10.0.0.1:2379"}
+		return nil, nil, &SettingError{Name: "--store-address", Accepted: acceptedAddress}
 	}
 	client := &storer.Client{Address: r.settings.StoreAddress, Timeout: r.settings.StoreTimeout}
 	return &versioner.Versioner{Store: versioner.NewStore(client)}, client.Close, nil
--- a/internal/command/runner/serve.go
+++ b/internal/command/runner/serve.go
@@ -4,8 +4,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
 	"os/signal"
+	"regexp"
 	"strconv"
 	"syscall"
 	"time"
@@ -19,6 +21,9 @@
 // maxDrainTime is the longest time that a planned stop may be told to take new requests.
 const maxDrainTime = 10 * time.Minute
 
+// daemonPattern matches the IDs that a daemon may have in the key-value service.
+var daemonPattern = regexp.MustCompile(`^[!-.0-~]{1,100}$`)
+
 // A serveCommand runs an entry daemon until SIGTERM or SIGINT, which start a planned stop.
 type serveCommand struct {
 	Daemon         string        `help:"Daemon's ID, unique among those running; the host name and port by default." env:"SAMPHIREWHARF_DAEMON"`
@@ -89,7 +94,7 @@
 	}
 	file, err := os.Create(c.Record)
 	if err != nil {
-		return nil, fmt.Errorf("create recording: %w", err)
+		return nil, &SettingError{Name: "--record", Value: c.Record, Accepted: "a file that can be written: " + err.Error()}
 	}
 	return file, nil
 }
@@ -108,25 +113,46 @@
 // validate checks the settings that only the daemon has.
 func (c *serveCommand) validate(shared Settings) error {
 	if shared.StoreAddress == "" {
-		return &SettingError{Name: "--store-address", Accepted: "an IP number and port, such as 10.0.0.1:2379"}
+		return &SettingError{Name: "--store-address", Accepted: acceptedAddress}
 	}
-	if err := validateAddress("--listen", c.Listen); err != nil {
+	if err := c.validateAddresses(); err != nil {
 		return err
 	}
-	if err := validateAddress("--hosts-address", c.HostsAddress); err != nil {
+	if err := validateZone("--zone", c.Zone); err != nil {
 		return err
 	}
-	if c.Advertise != "" {
-		if err := validateAddress("--advertise", c.Advertise); err != nil {
+	if c.Region != "" {
+		if err := validateZone("--region", c.Region); err != nil {
 			return err
 		}
 	}
+	if !daemonPattern.MatchString(c.daemonID()) {
+		return &SettingError{Name: "--daemon", Value: c.Daemon, Accepted: "a name of up to 100 letters, digits and other printable characters, but no space or '/'"}
+	}
 	if c.DrainTime < 0 || c.DrainTime > maxDrainTime {
 		return &SettingError{Name: "--drain-time", Value: c.DrainTime.String(), Accepted: "a duration from 0s to 10m"}
 	}
 	return c.validateLimits()
 }
 
+// validateAddresses checks the addresses. Callers can't use one that is listened on at all interfaces.
+func (c *serveCommand) validateAddresses() error {
+	if err := validateAddress("--listen", c.Listen); err != nil {
+		return err
+	}
+	if err := validateReachable("--hosts-address", c.HostsAddress); err != nil {
+		return err
+	}
+	if c.Advertise != "" {
+		return validateReachable("--advertise", c.Advertise)
+	}
+	listen, err := netip.ParseAddrPort(c.Listen)
+	if err != nil || listen.Addr().IsUnspecified() {
+		return &SettingError{Name: "--advertise", Accepted: acceptedAddress + ", as --listen " + c.Listen + " names none that others can connect to"}
+	}
+	return nil
+}
+
 func (c *serveCommand) validateLimits() error {
 	limits := []struct {
 		name  string
--- a/internal/command/runner/settings.go
+++ b/internal/command/runner/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"regexp"
 	"time"
 )
 
@@ -11,8 +12,15 @@
 	maxStoreTimeout   = time.Minute
 	maxOperatorLength = 100
 	maxCommentLength  = 1000
+	maxNameLength     = 100
+	maxPort           = 65535
+
+	acceptedAddress = "an IP number and port, such as 10.0.0.1:2379"
+	acceptedZone    = "a name as in the questionnaire: up to 100 lower-case letters, digits, '-' and '.'"
 )
 
+var zonePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]*$`)
+
 // Settings are the settings that subcommands share. Each is a flag and an environment variable.
 type Settings struct {
 	Output       string        `default:"text"  enum:"text,json"                                           help:"Format of the output: text or json."`
@@ -34,7 +42,24 @@
 // validateAddress checks an address that a process connects to or listens on.
 func validateAddress(name, value string) error {
 	if _, err := netip.ParseAddrPort(value); err != nil {
-		return &SettingError{Name: name, Value: value, Accepted: "an IP number and port, such as 10.0.0.1:2379"}
+		return &SettingError{Name: name, Value: value, Accepted: acceptedAddress}
+	}
+	return nil
+}
+
+// validateReachable checks an address that others connect to.
+func validateReachable(name, value string) error {
+	address, err := netip.ParseAddrPort(value)
+	if err != nil || address.Addr().IsUnspecified() || address.Port() == 0 {
+		return &SettingError{Name: name, Value: value, Accepted: acceptedAddress + ", that others can connect to"}
+	}
+	return nil
+}
+
+// validateZone checks the name of an availability zone or region.
+func validateZone(name, value string) error {
+	if len(value) > maxNameLength || !zonePattern.MatchString(value) {
+		return &SettingError{Name: name, Value: value, Accepted: acceptedZone}
 	}
 	return nil
 }
--- a/internal/command/runner/standin.go
+++ b/internal/command/runner/standin.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"math"
+	"net/netip"
 	"os"
 	"os/signal"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -14,6 +17,9 @@
 	"samphirewharf/internal/standin/starter"
 )
 
+// maxTimeScale is the largest factor on load times.
+const maxTimeScale = 1000
+
 // A standinCommand runs stand-ins of the platform and the backend servers until SIGTERM or SIGINT.
 type standinCommand struct {
 	Questionnaire string        `arg:"" optional:"" help:"Questionnaire whose services are started; the demo's by default." type:"existingfile"`
@@ -34,6 +40,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.validate(questionnaire); err != nil {
+		return err
+	}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	parts := starter.New(c.settings(questionnaire))
@@ -89,3 +98,42 @@
 	}
 	return settings.WithQuestionnaire(q)
 }
+
+func (c *standinCommand) validate(q questioner.Questionnaire) error {
+	if host, err := netip.ParseAddr(c.Host); err != nil || !host.IsLoopback() {
+		return &SettingError{Name: "--host", Value: c.Host, Accepted: "a loopback address, such as 127.0.0.1"}
+	}
+	ports := 2
+	for _, service := range q.Services {
+		ports += service.Servers
+	}
+	if last := maxPort + 1 - ports; c.BasePort < 0 || c.BasePort > last {
+		return &SettingError{Name: "--base-port", Value: strconv.Itoa(c.BasePort), Accepted: fmt.Sprintf("0 or a port up to %d, for %d ports", last, ports)}
+	}
+	if c.RegisterAt != "" {
+		if err := validateReachable("--register-at", c.RegisterAt); err != nil {
+			return err
+		}
+	}
+	if math.IsNaN(c.TimeScale) || c.TimeScale <= 0 || c.TimeScale > maxTimeScale {
+		return &SettingError{Name: "--time-scale", Value: fmt.Sprint(c.TimeScale), Accepted: fmt.Sprintf("a number above 0, up to %d", maxTimeScale)}
+	}
+	return c.validateDurations()
+}
+
+func (c *standinCommand) validateDurations() error {
+	durations := []struct {
+		name  string
+		value time.Duration
+	}{
+		{"--token-interval", c.TokenInterval},
+		{"--restart-after", c.RestartAfter},
+		{"--host-lag", c.HostLag},
+	}
+	for _, d := range durations {
+		if d.value < 0 {
+			return &SettingError{Name: d.name, Value: d.value.String(), Accepted: "a duration from 0s"}
+		}
+	}
+	return nil
+}
