--- a/internal/decision/prover/command_test.go
+++ b/internal/decision/prover/command_test.go
@@ -345,6 +345,8 @@
 		return compare(args, len(w.oracle.keyRuns[args[1]]), args[2])
 	case "writes":
 		return compare(args, w.store.writes[args[1]], args[2])
+	case "take-overs":
+		return compare(args, w.oracle.takeOvers, args[1])
 	case "peak":
 		return compare(args, w.peak(args[1]), args[2])
 	case "crashes":
--- a/internal/decision/prover/oracle_test.go
+++ b/internal/decision/prover/oracle_test.go
@@ -36,7 +36,9 @@
 	// versions are the configuration in force at each process.
 	versions map[string]int64
 	crashes  int
-	quietAt  time.Duration
+	// takeOvers count the changes of the placer.
+	takeOvers int
+	quietAt   time.Duration
 }
 
 type keyRun struct {
@@ -102,6 +104,9 @@
 		o.fail("record: %v", err)
 		return
 	}
+	if record.Instance != o.record.Instance {
+		o.takeOvers++
+	}
 	o.record = record
 	used := make(map[string]int64)
 	for _, r := range record.Replicas {
