--- a/internal/command/prover/platform_test.go
+++ b/internal/command/prover/platform_test.go
@@ -22,6 +22,9 @@
 	Cells                []planner.Record
 }
 
+// A decision is the part of a placement decision's log line that scripts use.
+type decision struct{ Message, Cell, Action, Deployment string }
+
 // matching returns the names of the stand-ins that have or begin with the name, in order.
 func (s *stage) matching(name string) []string {
 	var names []string
@@ -192,8 +195,9 @@
 	return nil
 }
 
-// agree fails unless each engine of a cell holds as many replicas as are decided for it, no engine
-// ever was ordered what a correct placer never orders, and no deployment has more than its limit: agree CELL.
+// agree fails unless each engine of a cell holds as many replicas as are decided for it, no more loads were begun
+// than the daemons say to have decided, no engine ever was ordered what a correct placer never orders, and no
+// deployment has more replicas than its limit: agree CELL.
 func (s *stage) agree(args []string) error {
 	if len(args) != 1 {
 		return errors.New("usage: agree CELL")
@@ -212,6 +216,12 @@
 			return fmt.Errorf("%d replicas of %s are decided, which is more than its limit", n, name)
 		}
 	}
+	loads := 0
+	for _, d := range s.decisions() {
+		if d.Cell == args[0] && (d.Action == "Load" || d.Action == "Preload") {
+			loads++
+		}
+	}
 	for _, name := range s.matching(args[0]) {
 		var counts inferrer.Counts
 		if err := s.readCounts(name, &counts); err != nil {
@@ -223,10 +233,46 @@
 		if counts.Replicas != decided[name] {
 			return fmt.Errorf("%s holds %d replicas, %d are decided", name, counts.Replicas, decided[name])
 		}
+		loads -= int(counts.Loads)
+	}
+	if loads < 0 {
+		return fmt.Errorf("%d loads more were begun than decided", -loads)
+	}
+	return nil
+}
+
+// decided fails unless the daemons have logged so many decisions of an action on a deployment:
+// decided ACTION DEPLOYMENT NUMBER.
+func (s *stage) decided(args []string) error {
+	if len(args) != 3 {
+		return errors.New("usage: decided ACTION DEPLOYMENT NUMBER")
+	}
+	got := 0
+	for _, d := range s.decisions() {
+		if d.Action == args[0] && d.Deployment == args[1] {
+			got++
+		}
+	}
+	if fmt.Sprint(got) != args[2] {
+		return fmt.Errorf("got %d decisions, want %s", got, args[2])
 	}
 	return nil
 }
 
+// decisions returns the placement decisions that all daemons have logged, those of ended processes included.
+func (s *stage) decisions() []decision {
+	var decisions []decision
+	for _, p := range s.started {
+		for line := range strings.SplitSeq(p.stderr.String(), "\n") {
+			var d decision
+			if json.Unmarshal([]byte(line), &d) == nil && d.Message == "placement decided" {
+				decisions = append(decisions, d)
+			}
+		}
+	}
+	return decisions
+}
+
 // lookup fails unless a daemon's look-up of a deployment names just the daemons given: lookup DAEMON DEPLOYMENT NAME...
 func (s *stage) lookup(args []string) error {
 	if len(args) < 2 {
--- a/internal/command/prover/process_test.go
+++ b/internal/command/prover/process_test.go
@@ -85,6 +85,7 @@
 		return fmt.Errorf("start %s: %w", p.name, err)
 	}
 	s.processes[p.name] = p
+	s.started = append(s.started, p)
 	go p.run()
 	if args[1] == "standin" {
 		return s.awaitStandIns(p)
@@ -296,7 +297,7 @@
 // endProcesses ends what still runs. It reports processes that ended by themselves and data races.
 func (s *stage) endProcesses(report func(...any)) {
 	var faults []string
-	for _, p := range s.processes {
+	for _, p := range s.started {
 		if p.running() {
 			_ = p.cmd.Process.Kill()
 			<-p.exited
@@ -312,8 +313,17 @@
 	}
 }
 
+// logProcesses logs the end of what each process wrote, and all placement decisions.
 func (s *stage) logProcesses(logf func(string, ...any)) {
-	for _, p := range s.processes {
+	var decisions []string
+	for _, p := range s.started {
 		logf("-- end of the output of %s --\n%s", p.name, p.tail())
+		for line := range strings.SplitSeq(p.stderr.String(), "\n") {
+			if strings.Contains(line, `"placement decided"`) {
+				decisions = append(decisions, line)
+			}
+		}
 	}
+	slices.Sort(decisions)
+	logf("-- placement decisions --\n%s", strings.Join(decisions, "\n"))
 }
--- a/internal/command/prover/script_test.go
+++ b/internal/command/prover/script_test.go
@@ -36,6 +36,8 @@
 	// ctx ends with the script or its time limit.
 	ctx       context.Context //nolint:containedctx // It spans the script.
 	processes map[string]*process
+	// started are all processes that were started, those of an earlier one's name included.
+	started []*process
 	// servers are the addresses of the stand-ins of the backend servers, by name.
 	servers map[string]string
 	// loads are the requests that run in the background, by label.
@@ -115,6 +117,7 @@
 		"ask":        (*stage).ask,
 		"begin":      (*stage).begin,
 		"counts":     (*stage).compareCounts,
+		"decided":    (*stage).decided,
 		"edit":       (*stage).edit,
 		"end":        (*stage).end,
 		"exits":      (*stage).exits,
