fix: refuse no request for want of memory before all engines were seen with the new fence

A placer that had just taken over counted engines as polled whose report was older than the fencing number that it had raised, found none usable, and refused waiting requests as NoCapacity with the keep-alive of four hours as Retry-After. Now it forecasts that only when each engine that takes work is usable. Ruled out: using engines before their fence is seen, which the fencing rule forbids.

--- a/internal/decision/planner/decide.go
+++ b/internal/decision/planner/decide.go
@@ -374,7 +374,7 @@
 }
 
 func (m *Machine) forecastImpossible(v View, d *cataloger.Deployment, serving int) {
-	if serving > 0 || !m.allPolled(v) {
+	if serving > 0 || !m.allUsable(v) {
 		return
 	}
 	if _, waiting := m.evict[d.Name]; waiting {
@@ -383,10 +383,11 @@
 	m.act(Forecast{Deployment: d.Name, ReadyIn: m.keepAlive(d), Impossible: true})
 }
 
-func (m *Machine) allPolled(v View) bool {
+// allUsable reports whether the placer has seen the state of each server that takes work, with its own fencing number.
+func (m *Machine) allUsable(v View) bool {
 	servers := v.Fleet.Servers(m.Cell)
 	for _, s := range servers {
-		if s.Takes() && !m.server(s.Host.Server).polled {
+		if s.Takes() && !m.usableForLoad(v, s) {
 			return false
 		}
 	}
