test: break each promise's decisions and find it

Eighteen mutations between the reducer and its shell, each found by a random case or a scenario; without a mutation the same cases find nothing.

--- a/internal/decision/prover/command_test.go
+++ b/internal/decision/prover/command_test.go
@@ -18,30 +18,31 @@
 
 // commands are the words of the test language. Scenarios and the fuzzer both use them.
 var commands = map[string]func(w *World, args []string) error{
-	"send":      (*World).doSend,
-	"burst":     (*World).doBurst,
-	"hang-up":   (*World).doHangUp,
-	"pause":     onProcess((*process).pause),
-	"resume":    onProcess((*process).resume),
-	"crash":     onProcess((*process).crash),
-	"shutdown":  onProcess((*process).shutdown),
-	"restart":   (*World).doRestart,
-	"freeze-at": onProcess(func(p *process) { p.pauseAtOrder = true }),
-	"break":     onServer((*server).crash),
-	"mend":      onServer((*server).restart),
-	"leave":     onServer(func(s *server) { s.setState(lister.HostLeaving) }),
-	"stay":      onServer((*server).stay),
-	"reclaim":   onServer(func(s *server) { s.setState(""); s.crash() }),
-	"cut":       (*World).doCut,
-	"heal":      (*World).doHeal,
-	"store":     (*World).doStore,
-	"hosts":     (*World).doHosts,
-	"set":       (*World).doSet,
-	"configure": (*World).doConfigure,
-	"advance":   (*World).doAdvance,
-	"until":     (*World).doUntil,
-	"settle":    (*World).doSettle,
-	"expect":    (*World).doExpect,
+	"send":          (*World).doSend,
+	"burst":         (*World).doBurst,
+	"hang-up":       (*World).doHangUp,
+	"pause":         onProcess((*process).pause),
+	"resume":        onProcess((*process).resume),
+	"crash":         onProcess((*process).crash),
+	"shutdown":      onProcess((*process).shutdown),
+	"restart":       (*World).doRestart,
+	"freeze-at":     onProcess(func(p *process) { p.pauseAtOrder = true }),
+	"freeze-before": onProcess(func(p *process) { p.pauseBefore = true }),
+	"break":         onServer((*server).crash),
+	"mend":          onServer((*server).restart),
+	"leave":         onServer(func(s *server) { s.setState(lister.HostLeaving) }),
+	"stay":          onServer((*server).stay),
+	"reclaim":       onServer(func(s *server) { s.setState(""); s.crash() }),
+	"cut":           (*World).doCut,
+	"heal":          (*World).doHeal,
+	"store":         (*World).doStore,
+	"hosts":         (*World).doHosts,
+	"set":           (*World).doSet,
+	"configure":     (*World).doConfigure,
+	"advance":       (*World).doAdvance,
+	"until":         (*World).doUntil,
+	"settle":        (*World).doSettle,
+	"expect":        (*World).doExpect,
 }
 
 // do carries out one command.
@@ -288,6 +289,7 @@
 	w.loadFactor = 1
 	for _, name := range w.daemons {
 		w.process(name).pauseAtOrder = false
+		w.process(name).pauseBefore = false
 		w.process(name).resume()
 	}
 	for _, name := range w.names {
--- a/internal/decision/prover/fuzz_test.go
+++ b/internal/decision/prover/fuzz_test.go
@@ -46,45 +46,51 @@
 				for range shard {
 					rapid.Bool().Draw(t, "shard")
 				}
-				fuzz(t, mutation{})
+				script := drawScript(t)
+				if log, err := runScript(script, mutation{}); err != nil {
+					t.Logf("%s", strings.Join(log, "\n"))
+					t.Fatalf("%v\nas a script:\n%s\n", err, strings.Join(script, "\n"))
+				}
 			})
 		})
 	}
 }
 
-// fuzz draws and runs one case.
-func fuzz(t *rapid.T, m mutation) {
-	f := &fuzzer{t: t}
-	seed := rapid.Uint64Range(1, 1000).Draw(t, "seed")
-	fencing := rapid.Bool().Draw(t, "fencing")
-	engines := rapid.IntRange(1, 3).Draw(t, "engines")
-	f.script = []string{fmt.Sprintf("world seed=%d fencing=%s daemons=3 engines=%d", seed, onOff(fencing), engines)}
-	w := newWorld(seed, fencing, 3, engines)
+// runScript runs the lines of a script with a mutation and returns the end of the log and what was violated.
+func runScript(script []string, m mutation) ([]string, error) {
+	w, err := parseWorld(1, strings.Fields(script[0])[1:])
+	if err != nil {
+		return nil, err
+	}
 	w.mutation = m
 	w.advance(startTime)
-	f.engines = engines
+	for _, line := range script[1:] {
+		if err := w.do(strings.Fields(line)); err != nil {
+			return w.tail(150), err
+		}
+	}
+	return nil, nil
+}
+
+// drawScript draws one case.
+func drawScript(t *rapid.T) []string {
+	f := &fuzzer{t: t, engines: rapid.IntRange(1, 3).Draw(t, "engines")}
+	seed := rapid.Uint64Range(1, 1000).Draw(t, "seed")
+	fencing := f.of("fencing", "on", "off")
+	script := []string{fmt.Sprintf("world seed=%d fencing=%s daemons=3 engines=%d", seed, fencing, f.engines)}
 	for range rapid.IntRange(1, maxCommands).Draw(t, "commands") {
-		f.run(w, f.draw())
+		script = append(script, f.draw())
 	}
-	f.run(w, "settle")
+	return append(script, "settle")
 }
 
 // A fuzzer draws commands of the test language.
 type fuzzer struct {
 	t       *rapid.T
-	script  []string
 	engines int
 	sent    int
 }
 
-func (f *fuzzer) run(w *World, line string) {
-	f.script = append(f.script, line)
-	if err := w.do(strings.Fields(line)); err != nil {
-		f.t.Logf("%s", strings.Join(w.tail(150), "\n"))
-		f.t.Fatalf("%v\nas a script:\n%s\n", err, strings.Join(f.script, "\n"))
-	}
-}
-
 func (f *fuzzer) of(label string, choices ...string) string {
 	return rapid.SampledFrom(choices).Draw(f.t, label)
 }
@@ -151,10 +157,3 @@
 	}
 	return line + f.target() + f.of("options", "", "", " urgent", " stream", " stream urgent", " timeout=300ms", " timeout=60s", " poison")
 }
-
-func onOff(on bool) string {
-	if on {
-		return "on"
-	}
-	return "off"
-}
--- a/internal/decision/prover/mutation_test.go
+++ b/internal/decision/prover/mutation_test.go
@@ -1,10 +1,27 @@
 package prover_test
 
-import "samphirewharf/internal/decision/reducer"
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"samphirewharf/internal/backend/orderer"
+	"samphirewharf/internal/caller/refuser"
+	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/platform/lister"
+	"samphirewharf/internal/platform/storer"
+)
+
+// mutationCases bounds the cases in which a mutation must be found.
+const mutationCases = 250
 
 // A mutation breaks decisions between the reducer and its shell. The zero value breaks nothing.
 type mutation struct {
-	name string
 	// event may change or drop an event, effects may change effects.
 	event   func(p *process, event reducer.Event) (reducer.Event, bool)
 	effects func(p *process, effects []reducer.Effect) []reducer.Effect
@@ -25,3 +42,234 @@
 	}
 	return m.effects(p, effects)
 }
+
+// TestMutations breaks the decisions behind each promise and lets the fuzzer find it.
+func TestMutations(t *testing.T) {
+	tests := []struct {
+		promise, name string
+		m             mutation
+	}{
+		{"replicas", "a load order is sent twice", mutation{effects: sendLoadTwice}},
+		{"replicas", "a placement write with an unknown outcome counts as done", mutation{event: unknownIsDone("cells/")}},
+		{"replicas", "an engine's report without its replicas is believed", mutation{event: reportNoReplicas}},
+		{"memory", "an engine is taken to have twice its memory", mutation{event: doubleMemory}},
+		{"in time", "a request is not refused at its deadline", mutation{effects: dropDeadlineRefusals}},
+		{"in time", "a refusal names no time to come back", mutation{effects: dropRetryAfter}},
+		{"whole answers", "a stream is resumed too late", mutation{effects: resumeTooLate}},
+		{"whole answers", "a repeat gets another request's answer", mutation{effects: crossAnswers}},
+		{"not run", "a request that was sent is refused as not run", mutation{effects: refuseNotRun}},
+		{"at most once", "a claim with an unknown outcome counts as written", mutation{event: unknownIsDone("claims/")}},
+		{"at most once", "a claim that lost its swap counts as written", mutation{event: conflictIsDone("claims/")}},
+		{"at most once", "a failed attempt counts as not sent", mutation{event: failedIsNotSent}},
+		{"leaving servers", "leaving servers count as live", mutation{event: leavingIsLive}},
+		{"leaving servers", "an order is sent after its time has passed", mutation{ignoreExpiry: true}},
+		{"planned stop", "a daemon exits at once", mutation{effects: exitAtOnce}},
+		{"configuration", "a newer configuration is ignored", mutation{event: ignoreNewer}},
+		{"at rest", "a former placer does not renounce", mutation{effects: dropRenounced}},
+		{"at rest", "no replica is unloaded", mutation{effects: dropUnloads}},
+	}
+	for _, test := range tests {
+		t.Run(test.promise+"/"+test.name, func(t *testing.T) {
+			t.Parallel()
+			found, what := findByFuzzing(test.m)
+			if found == "" {
+				found, what = findByScenarios(t, test.m)
+			}
+			if found == "" {
+				t.Fatalf("got no violation in %d cases and all scenarios", mutationCases)
+			}
+			t.Logf("found by %s: %s", found, what)
+		})
+	}
+	t.Run("none", func(t *testing.T) {
+		t.Parallel()
+		if found, what := findByFuzzing(mutation{}); found != "" {
+			t.Errorf("got a violation without a mutation, by %s: %s", found, what)
+		}
+	})
+}
+
+// findByFuzzing returns the first random case that finds a mutation and what it finds.
+func findByFuzzing(m mutation) (found, what string) {
+	script := rapid.Custom(drawScript)
+	for i := range mutationCases {
+		if _, err := runScript(script.Example(i), m); err != nil {
+			what, _, _ = strings.Cut(err.Error(), ";")
+			return fmt.Sprintf("case %d", i+1), what
+		}
+	}
+	return "", ""
+}
+
+// findByScenarios returns the first scenario that finds a mutation and what it finds.
+func findByScenarios(t *testing.T, m mutation) (found, what string) {
+	files, err := filepath.Glob("testdata/scripts/*.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		script := slices.DeleteFunc(strings.Split(string(text), "\n"), func(line string) bool {
+			return line == "" || strings.HasPrefix(line, "#")
+		})
+		if _, err := runScript(script, m); err != nil {
+			what, _, _ = strings.Cut(err.Error(), ";")
+			return filepath.Base(file), what
+		}
+	}
+	return "", ""
+}
+
+func sendLoadTwice(_ *process, effects []reducer.Effect) []reducer.Effect {
+	for _, effect := range effects {
+		if e, ok := effect.(reducer.SendOrder); ok && e.Order.Kind == orderer.KindLoad {
+			effects = append(effects, e)
+		}
+	}
+	return effects
+}
+
+func unknownIsDone(prefix string) func(*process, reducer.Event) (reducer.Event, bool) {
+	return resultIsDone(prefix, storer.ResultUnknown)
+}
+
+func conflictIsDone(prefix string) func(*process, reducer.Event) (reducer.Event, bool) {
+	return resultIsDone(prefix, storer.ResultConflict)
+}
+
+func resultIsDone(prefix string, result storer.Result) func(*process, reducer.Event) (reducer.Event, bool) {
+	return func(p *process, event reducer.Event) (reducer.Event, bool) {
+		e, ok := event.(reducer.StoreSwapped)
+		if ok && e.Result == result && strings.HasPrefix(p.swaps[e.Op], prefix) {
+			e.Result = storer.ResultOK
+			e.Revision = p.w.store.revision
+			return e, true
+		}
+		return event, true
+	}
+}
+
+func reportNoReplicas(p *process, event reducer.Event) (reducer.Event, bool) {
+	if e, ok := event.(reducer.ServerPolled); ok && p.w.chance(5) {
+		e.Report.Replicas = nil
+		return e, true
+	}
+	return event, true
+}
+
+func doubleMemory(_ *process, event reducer.Event) (reducer.Event, bool) {
+	switch e := event.(type) {
+	case reducer.HostsListed:
+		e.Hosts = slices.Clone(e.Hosts)
+		for i := range e.Hosts {
+			e.Hosts[i].MemoryBytes *= 2
+		}
+		return e, true
+	case reducer.ServerPolled:
+		e.Report.MemoryBytes *= 2
+		return e, true
+	default:
+		return event, true
+	}
+}
+
+func dropDeadlineRefusals(_ *process, effects []reducer.Effect) []reducer.Effect {
+	return slices.DeleteFunc(effects, func(effect reducer.Effect) bool {
+		e, ok := effect.(reducer.Refuse)
+		return ok && e.Refusal.Code == refuser.CodeDeadlineExpired
+	})
+}
+
+func changeRefusals(effects []reducer.Effect, change func(r *refuser.Refusal)) []reducer.Effect {
+	for i, effect := range effects {
+		if e, ok := effect.(reducer.Refuse); ok {
+			change(&e.Refusal)
+			effects[i] = e
+		}
+	}
+	return effects
+}
+
+func dropRetryAfter(_ *process, effects []reducer.Effect) []reducer.Effect {
+	return changeRefusals(effects, func(r *refuser.Refusal) { r.RetryAfter = 0 })
+}
+
+func refuseNotRun(_ *process, effects []reducer.Effect) []reducer.Effect {
+	return changeRefusals(effects, func(r *refuser.Refusal) { r.Ran = refuser.NotRun })
+}
+
+func resumeTooLate(_ *process, effects []reducer.Effect) []reducer.Effect {
+	for i, effect := range effects {
+		if e, ok := effect.(reducer.Dispatch); ok && e.ResumeFrom > 0 {
+			e.ResumeFrom++
+			effects[i] = e
+		}
+	}
+	return effects
+}
+
+func crossAnswers(_ *process, effects []reducer.Effect) []reducer.Effect {
+	for i, effect := range effects {
+		if e, ok := effect.(reducer.Answer); ok {
+			e.Body = append(slices.Clone(e.Body), "-other"...)
+			effects[i] = e
+		}
+	}
+	return effects
+}
+
+func failedIsNotSent(_ *process, event reducer.Event) (reducer.Event, bool) {
+	if e, ok := event.(reducer.AttemptEnded); ok && e.Outcome == reducer.AttemptFailed {
+		e.Outcome = reducer.AttemptNotSent
+		return e, true
+	}
+	return event, true
+}
+
+func leavingIsLive(_ *process, event reducer.Event) (reducer.Event, bool) {
+	e, ok := event.(reducer.HostsListed)
+	if !ok {
+		return event, true
+	}
+	e.Hosts = slices.Clone(e.Hosts)
+	for i := range e.Hosts {
+		e.Hosts[i].State = lister.HostLive
+	}
+	return e, true
+}
+
+func exitAtOnce(_ *process, effects []reducer.Effect) []reducer.Effect {
+	for _, effect := range effects {
+		if e, ok := effect.(reducer.Noted); ok && e.Message == "planned stop started" {
+			return append(effects, reducer.Exit{})
+		}
+	}
+	return effects
+}
+
+func ignoreNewer(p *process, event reducer.Event) (reducer.Event, bool) {
+	e, ok := event.(reducer.ConfigurationLoaded)
+	return event, !ok || p.catalog == nil || e.Catalog == nil
+}
+
+func dropRenounced(_ *process, effects []reducer.Effect) []reducer.Effect {
+	for i, effect := range effects {
+		if e, ok := effect.(reducer.SendPeer); ok && e.Message.Needs != nil {
+			needs := *e.Message.Needs
+			needs.Renounced = nil
+			e.Message.Needs = &needs
+			effects[i] = e
+		}
+	}
+	return effects
+}
+
+func dropUnloads(_ *process, effects []reducer.Effect) []reducer.Effect {
+	return slices.DeleteFunc(effects, func(effect reducer.Effect) bool {
+		e, ok := effect.(reducer.SendOrder)
+		return ok && e.Order.Kind == orderer.KindUnload
+	})
+}
--- a/internal/decision/prover/process_test.go
+++ b/internal/decision/prover/process_test.go
@@ -26,7 +26,6 @@
 	started  time.Duration
 	paused   bool
 	dead     bool
-	stopping bool
 	// pausedFor is how long it was frozen in all, resumedAt when it last went on.
 	resumedAt time.Duration
 	// inbox holds what came while the process was frozen.
@@ -35,18 +34,22 @@
 	backlog []*call
 	// pauseAtOrder freezes the process between the check of the next load order and its sending.
 	pauseAtOrder bool
-	wake         int
-	wakeAt       time.Duration
-	lease        int64
-	watches      map[string]*watch
-	catalog      *cataloger.Catalog
-	nextID       reducer.RequestID
-	exchanges    map[reducer.RequestID]*exchange
+	// pauseBefore freezes it before that check.
+	pauseBefore bool
+	wake        int
+	wakeAt      time.Duration
+	lease       int64
+	// swaps are the keys of the writes in flight.
+	swaps     map[reducer.OpID]string
+	watches   map[string]*watch
+	catalog   *cataloger.Catalog
+	nextID    reducer.RequestID
+	exchanges map[reducer.RequestID]*exchange
 }
 
 // startDaemon starts a process. A later process has a greater instance, a UUID of version 7.
 func (w *World) startDaemon(name string) {
-	p := &process{w: w, name: name, started: w.now, resumedAt: w.now, watches: make(map[string]*watch), exchanges: make(map[reducer.RequestID]*exchange)}
+	p := &process{w: w, name: name, started: w.now, resumedAt: w.now, watches: make(map[string]*watch), swaps: make(map[reducer.OpID]string), exchanges: make(map[reducer.RequestID]*exchange)}
 	var id uuid.UUID
 	milliseconds := epoch.Add(w.now).UnixMilli()
 	for i := range 6 {
@@ -222,6 +225,7 @@
 }
 
 func (p *process) swap(e reducer.StoreSwap) {
+	p.swaps[e.Op] = e.Key
 	c := storeCall{kind: callSwap, key: e.Key, value: e.Value, revision: e.Revision}
 	if e.Leased {
 		c.lease = p.lease
@@ -301,6 +305,10 @@
 	ended := func(o orderer.Outcome, fence int64) {
 		p.step(reducer.OrderEnded{OrderID: e.Order.OrderID, Server: e.Server, Outcome: o, Fence: fence})
 	}
+	if p.pauseBefore && e.Order.Kind == orderer.KindLoad {
+		p.pauseBefore = false
+		p.pause()
+	}
 	p.later(orderGap, func() {
 		if p.moment().Since > e.Expires && !p.w.mutation.ignoreExpiry {
 			ended(orderer.OutcomeNotSent, 0)
--- a/internal/decision/prover/script_test.go
+++ b/internal/decision/prover/script_test.go
@@ -51,6 +51,14 @@
 
 // makeWorld starts the script's world: world [seed=N] [fencing=on] [daemons=N] [engines=N].
 func makeWorld(ts *testscript.TestScript, _ bool, args []string) {
+	h := ts.Value("world").(*holder)
+	w, err := parseWorld(h.seed, args)
+	ts.Check(err)
+	w.advance(startTime)
+	h.world = w
+}
+
+func parseWorld(seed uint64, args []string) (*World, error) {
 	numbers := map[string]int{"daemons": 3, "engines": 3}
 	fencing := false
 	for _, arg := range args {
@@ -60,14 +68,13 @@
 			continue
 		}
 		n, err := strconv.Atoi(value)
-		ts.Check(err)
+		if err != nil {
+			return nil, err
+		}
 		numbers[name] = n
 	}
-	h := ts.Value("world").(*holder)
 	if numbers["seed"] > 0 {
-		h.seed = uint64(numbers["seed"])
+		seed = uint64(numbers["seed"])
 	}
-	w := newWorld(h.seed, fencing, numbers["daemons"], numbers["engines"])
-	w.advance(startTime)
-	h.world = w
+	return newWorld(seed, fencing, numbers["daemons"], numbers["engines"]), nil
 }
