--- a/internal/command/runner/questionnaire.go
+++ b/internal/command/runner/questionnaire.go
@@ -15,11 +15,17 @@
 	Generate questionnaireGenerateCommand `cmd:"" help:"Show what a questionnaire generates, and why."`
 }
 
-type questionnaireNewCommand struct{}
+type questionnaireNewCommand struct {
+	TwoYears bool `help:"Print one of the size expected in two years, without comments, for measurements." env:"SAMPHIREWHARF_TWO_YEARS"`
+}
 
 // Run prints the template.
-func (questionnaireNewCommand) Run(r *Runner) error {
-	if _, err := r.Stdout.Write(questioner.New()); err != nil {
+func (c questionnaireNewCommand) Run(r *Runner) error {
+	data := questioner.New()
+	if c.TwoYears {
+		data = questioner.TwoYears()
+	}
+	if _, err := r.Stdout.Write(data); err != nil {
 		return fmt.Errorf("writing output: %w", err)
 	}
 	return nil
