--- a/internal/load/surveyor/survey.go
+++ b/internal/load/surveyor/survey.go
@@ -22,6 +22,9 @@
 // The time over which a daemon is surveyed, in virtual time.
 const surveyTime = 30 * time.Second
 
+// lookups is how many look-ups are made to measure the cost of one.
+const lookups = 2000
+
 // routingRate is how many requests a second come while the cost of one is measured.
 const routingRate = 2000
 
@@ -108,7 +111,9 @@
 	d.run(2 * time.Second)
 	d.reset()
 	before, _ := d.store.bytes(claimsPrefix)
+	heap := measureHeap()
 	d.run(surveyTime)
+	grown := float64(measureHeap()) - float64(heap)
 	after, largest := d.store.bytes(claimsPrefix)
 	if d.refused > 0 || d.dispatched == 0 {
 		return sample{}, fmt.Errorf("%w: %d of %d", errRefused, d.refused, d.refused+d.dispatched)
@@ -122,9 +127,27 @@
 		{"StoreWrittenBytes", "B/s", float64(d.traffic[PartyStoreWrites].Bytes) / seconds},
 		{"StoredBytes", "B/s", float64(after-before) / seconds},
 		{"LargestValue", "B", float64(largest)},
+		{"DaemonHeap", "B/s", (grown - float64(after-before)) / seconds},
 	}}, nil
 }
 
+// lookup measures what one look-up of addresses costs.
+func lookup(size Size, x float64) (sample, error) {
+	d := newDaemon(size)
+	best := time.Duration(0)
+	for range 5 {
+		d.reset()
+		for i := range lookups {
+			d.requests++
+			d.step(reducer.AddressesAsked{Request: d.requests, Target: d.models[i%len(d.models)], Zone: zoneName})
+		}
+		if each := d.spent / lookups; best == 0 || each < best {
+			best = each
+		}
+	}
+	return sample{x: x, values: []value{{"ProcessorTime", "µs", float64(best.Nanoseconds()) / 1000}}}, nil
+}
+
 // joining measures what a daemon spends on another one's registration, heartbeat and end.
 func joining(size Size, x float64) (sample, error) {
 	d := newDaemon(size)
--- a/internal/load/surveyor/surveyor.go
+++ b/internal/load/surveyor/surveyor.go
@@ -70,6 +70,8 @@
 	return []plan{
 		{"Request", "names in the catalogue", full, names, withNames, routing},
 		{"Request", "servers in the cell", cell, []float64{12, 25, 50, 100}, withServers, routing},
+		{"Lookup", "names in the catalogue", full, names, withNames, lookup},
+		{"Lookup", "daemons in the cell", cell, []float64{2, 3, 4, 5, 6, 7}, withDaemons, lookup},
 		{"Control", "names in the catalogue", full, names, withNames, control},
 		{"Control", "servers in the cell", cell, []float64{12, 25, 50, 75, 100}, withServers, control},
 		{"Control", "daemons in the cell", cell, []float64{2, 3, 4, 5, 6, 7}, withDaemons, control},
