--- a/internal/load/surveyor/daemon.go
+++ b/internal/load/surveyor/daemon.go
@@ -261,7 +261,7 @@
 	case reducer.ListHosts:
 		d.listHosts(e, soon)
 	case reducer.PollServer:
-		d.events.add(soon, reducer.ServerPolled{Server: e.Server, OK: true, SentAt: d.now, Report: d.report(e.Server)})
+		d.poll(e, soon)
 	case reducer.Dispatch:
 		d.dispatched++
 		d.events.add(soon, reducer.AttemptStarted{Request: e.Request, Attempt: e.Attempt})
@@ -286,6 +286,15 @@
 	d.events.add(at, reducer.HostsListed{Service: e.Service, OK: true, Hosts: hosts})
 }
 
+// poll answers a poll. All checkpoints are in the servers' memory, so that the placer brings none there.
+func (d *daemon) poll(e reducer.PollServer, at time.Duration) {
+	report := d.report(e.Server)
+	if e.Checkpoints != report.CheckpointsVersion {
+		report.Checkpoints = &orderer.Checkpoints{Memory: d.models}
+	}
+	d.events.add(at, reducer.ServerPolled{Server: e.Server, OK: true, SentAt: d.now, Report: report})
+}
+
 // report returns what a server reports now. Its load varies from report to report.
 func (d *daemon) report(server string) orderer.Report {
 	d.sequence++
