--- a/internal/command/runner/runner_test.go
+++ b/internal/command/runner/runner_test.go
@@ -138,7 +138,7 @@
 	}
 	for _, command := range []string{
 		"questionnaire new", "questionnaire check", "questionnaire generate", "config show", "config apply",
-		"config diff", "config history", "deployment list", "deployment show", "codes", "version", "load",
+		"config diff", "config history", "deployment list", "deployment show", "codes", "version", "load", "emulate",
 	} {
 		t.Run(command, func(t *testing.T) {
 			got := run(t, append(strings.Fields(command), "--help")...)
--- a/internal/config/questioner/generate.go
+++ b/internal/config/questioner/generate.go
@@ -37,7 +37,9 @@
 
 // A policy is what a weighting derives.
 type policy struct {
-	// minKeepAliveLoads and maxKeepAlive bound keep-alive; the first counts the longest load.
+	// minKeepAlive and maxKeepAlive bound keep-alive, minKeepAliveLoads counts the longest load and
+	// raises the lower bound.
+	minKeepAlive      time.Duration
 	minKeepAliveLoads int
 	maxKeepAlive      time.Duration
 	keepAliveQuantile float64
@@ -49,15 +51,15 @@
 
 var policies = map[cataloger.Weighting]policy{
 	cataloger.WeightColdStart: {
-		minKeepAliveLoads: 60,
-		maxKeepAlive:      4 * time.Hour,
-		keepAliveQuantile: 0.99,
+		minKeepAlive:      5 * time.Hour,
+		maxKeepAlive:      12 * time.Hour,
+		keepAliveQuantile: 0.999,
 		replicaDivisor:    2,
 		adapterSlots:      8,
 	},
 	cataloger.WeightIdleHours: {
-		minKeepAliveLoads: 10,
-		maxKeepAlive:      20 * time.Minute,
+		minKeepAliveLoads: 40,
+		maxKeepAlive:      2 * time.Minute,
 		keepAliveQuantile: 0.8,
 		replicaDivisor:    4,
 		adapterSlots:      4,
@@ -196,16 +198,17 @@
 
 func (g *generator) limits(longest time.Duration) cataloger.Limits {
 	weighs := g.questionnaire.WeighsMore
+	shortest := max(g.policy.minKeepAlive, time.Duration(g.policy.minKeepAliveLoads)*longest)
 	l := cataloger.Limits{
 		RetryShare:        retryShare,
-		MinKeepAlive:      cataloger.Duration(min(time.Duration(g.policy.minKeepAliveLoads)*longest, g.policy.maxKeepAlive)),
+		MinKeepAlive:      cataloger.Duration(min(shortest, g.policy.maxKeepAlive)),
 		MaxKeepAlive:      cataloger.Duration(g.policy.maxKeepAlive),
 		KeepAliveQuantile: g.policy.keepAliveQuantile,
 		AddressTimeToLive: cataloger.Duration(addressTimeToLive),
 	}
 	g.explain("Limits.RetryShare", l.RetryShare, "the same for every organisation")
-	g.explain("Limits.MinKeepAlive", l.MinKeepAlive.D(), "%d times the longest Load, because WeighsMore is %s",
-		g.policy.minKeepAliveLoads, weighs)
+	g.explain("Limits.MinKeepAlive", l.MinKeepAlive.D(), "the longer of %v and %d times the longest Load, at most MaxKeepAlive, because WeighsMore is %s",
+		g.policy.minKeepAlive, g.policy.minKeepAliveLoads, weighs)
 	g.explain("Limits.MaxKeepAlive", l.MaxKeepAlive.D(), "WeighsMore is %s", weighs)
 	g.explain("Limits.KeepAliveQuantile", l.KeepAliveQuantile, "WeighsMore is %s", weighs)
 	g.explain("Limits.AddressTimeToLive", l.AddressTimeToLive.D(), "the same for every organisation")
--- a/internal/config/questioner/generate_test.go
+++ b/internal/config/questioner/generate_test.go
@@ -130,10 +130,10 @@
 		assertEqual(t, bellmouth.Deployments[0].MaxReplicas, 5)
 	})
 	t.Run("keep-alive by weighting", func(t *testing.T) {
-		assertEqual(t, birlik.Limits.MaxKeepAlive.D(), 4*time.Hour)
-		assertEqual(t, bellmouth.Limits.MaxKeepAlive.D(), 20*time.Minute)
-		assertEqual(t, birlik.Limits.MinKeepAlive.D(), 216*time.Second)
-		assertEqual(t, bellmouth.Limits.MinKeepAlive.D(), 18*time.Second)
+		assertEqual(t, birlik.Limits.MaxKeepAlive.D(), 12*time.Hour)
+		assertEqual(t, bellmouth.Limits.MaxKeepAlive.D(), 2*time.Minute)
+		assertEqual(t, birlik.Limits.MinKeepAlive.D(), 5*time.Hour)
+		assertEqual(t, bellmouth.Limits.MinKeepAlive.D(), 72*time.Second)
 	})
 	t.Run("claims", func(t *testing.T) {
 		want := cataloger.Service{
--- a/internal/decision/planner/machine.go
+++ b/internal/decision/planner/machine.go
@@ -48,6 +48,8 @@
 	Rank func(server string, predicted time.Duration) time.Duration
 	// Preload tells that far checkpoints are brought into servers' memory before requests need them.
 	Preload bool
+	// HoldPreloaded tells that preloaded replicas have the keep-alive of used ones, and are not unloaded at once.
+	HoldPreloaded bool
 	// Loads shares the weight store.
 	Loads Loads
 
--- a/internal/decision/planner/plan.go
+++ b/internal/decision/planner/plan.go
@@ -71,7 +71,7 @@
 	if view.Running+view.Waiting+view.InFlight > 0 {
 		return ""
 	}
-	if m.unused(r) {
+	if m.unused(r) && !m.HoldPreloaded {
 		return "its checkpoint is near now"
 	}
 	idle := m.idleTime(v.Now, r)
--- a/internal/decision/planner/preload.go
+++ b/internal/decision/planner/preload.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/decision/observer"
 )
@@ -18,8 +19,8 @@
 )
 
 // A preloading is the state of bringing checkpoints near before requests need them: a deployment that no
-// server has in memory is loaded once, one at a time while no request waits, and unloaded as soon as it
-// is ready. Its checkpoint stays in the server's memory.
+// server has in memory is loaded once, one at a time while no request waits. It is unloaded as soon as it
+// is ready, unless the machine holds preloaded replicas; its checkpoint stays in the server's memory.
 type preloading struct {
 	// next is the place of the next deployment to look at in the configuration.
 	next int
@@ -33,7 +34,7 @@
 
 // preload decides to load one deployment whose checkpoint is far from all servers.
 func (m *Machine) preload(v View, next Record, report func(Decision)) Record {
-	if !m.Preload || v.Now < m.preloads.lookAt || len(m.preloads.replicas) > 0 || m.demand.waiting() {
+	if !m.Preload || v.Now < m.preloads.lookAt || m.demand.waiting() || m.preloadPending(v) {
 		return next
 	}
 	m.preloads.lookAt = v.Now + preloadInterval
@@ -109,6 +110,17 @@
 	return m.withLoad(next, d, s)
 }
 
+// preloadPending reports whether a preloaded replica is not ready yet, or still to be unloaded.
+func (m *Machine) preloadPending(v View) bool {
+	for id := range m.preloads.replicas {
+		view, ok := v.Fleet.Replica(id)
+		if !m.HoldPreloaded || !ok || view.State != orderer.StateReady {
+			return true
+		}
+	}
+	return false
+}
+
 // unused reports whether a replica was preloaded and no request has asked for its deployment since.
 func (m *Machine) unused(r Replica) bool {
 	decided, ok := m.preloads.replicas[r.ID]
--- a/internal/decision/reducer/cell.go
+++ b/internal/decision/reducer/cell.go
@@ -58,6 +58,7 @@
 			c = m.addCell(service)
 		}
 		c.loads.Configure(service.Store, m.now.Since)
+		c.planner.HoldPreloaded = m.catalog.Configuration.Weighting == cataloger.WeightColdStart
 		if !slices.Equal(c.daemons, daemons) {
 			c.daemons = daemons
 			m.assignPolls(c)
--- a/internal/emulation/emulator/placing.go
+++ b/internal/emulation/emulator/placing.go
@@ -49,8 +49,9 @@
 			}
 			return e.warmer.EvictionScore(d.Name, d.Load.D(), d.ReplicaBytes(), now)
 		},
-		Preload: e.policy.Preload,
-		Loads:   e.planLoads(),
+		Preload:       e.policy.Preload,
+		HoldPreloaded: e.policy.HoldPreloaded,
+		Loads:         e.planLoads(),
 	}
 	if e.policy.Rank != nil {
 		m.Rank = e.rank
--- a/internal/emulation/emulator/policy.go
+++ b/internal/emulation/emulator/policy.go
@@ -21,6 +21,8 @@
 	Baseline bool
 	// Preload tells that far checkpoints are brought near ahead of use.
 	Preload bool
+	// HoldPreloaded tells that these loads are kept like used ones.
+	HoldPreloaded bool
 	// KeepAlive returns how long an idle replica stays loaded.
 	KeepAlive func(w *warmer.Warmer, d *cataloger.Deployment) time.Duration
 	// EvictionScore returns what is lost with an idle replica of a deployment that was last used at a time.
@@ -49,7 +51,7 @@
 		{Name: "keep-30m", Baseline: true, KeepAlive: keep(30 * time.Minute), EvictionScore: leastRecent},
 		{Name: "random-10m", Baseline: true, KeepAlive: keep(10 * time.Minute), EvictionScore: leastRecent, Rank: randomly},
 		{Name: "round-robin-10m", Baseline: true, KeepAlive: keep(10 * time.Minute), EvictionScore: leastRecent, Rank: inTurn},
-		{Name: "cold-start", Weighting: cataloger.WeightColdStart, Preload: true},
+		{Name: "cold-start", Weighting: cataloger.WeightColdStart, Preload: true, HoldPreloaded: true},
 		{Name: "idle-hours", Weighting: cataloger.WeightIdleHours, Preload: true},
 	}
 }
