--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,8 @@
 generate:
 	go generate ./...
 
+capacity:
+	CGO_ENABLED=1 go run . capacity
 measure: build
 	./samphirewharf emulate birlik
 	./samphirewharf emulate bellmouth
--- a/internal/command/runner/runner.go
+++ b/internal/command/runner/runner.go
@@ -34,6 +34,8 @@
 	Demo          demoCommand          `cmd:"" help:"Show the whole system in one process."`
 	Standin       standinCommand       `cmd:"" help:"Run stand-ins of the platform and the backend servers."`
 	Load          loadCommand          `cmd:"" help:"Send load to running daemons on loopback and check every answer."`
+	Measure       measureCommand       `cmd:"" help:"Measure the processor time, memory and bytes of running processes."`
+	Capacity      capacityCommand      `cmd:"" help:"Measure how a daemon's costs grow with the size of the system."`
 	Questionnaire questionnaireCommand `cmd:"" help:"Write, check and try out a questionnaire."`
 	Config        configCommand        `cmd:"" help:"Show and change the configuration in force."`
 	Deployment    deploymentCommand    `cmd:"" help:"Show deployments of the configuration in force."`
@@ -157,7 +159,7 @@
 // versioner returns the access to the configuration, and a function that closes it.
 func (r *Runner) versioner() (v *versioner.Versioner, closeStore func(), err error) {
 	if r.settings.StoreAddress == "" {
-		return nil, nil, &SettingError{Name: "--store-address", Accepted: "an IP number and port, such as 10.0.0.1:2379"}
+		return nil, nil, &SettingError{Name: "--store-address", Accepted: acceptedAddress}
 	}
 	client := &storer.Client{Address: r.settings.StoreAddress, Timeout: r.settings.StoreTimeout}
 	return &versioner.Versioner{Store: versioner.NewStore(client)}, client.Close, nil
--- a/internal/decision/planner/decide.go
+++ b/internal/decision/planner/decide.go
@@ -339,6 +339,7 @@
 		Bytes:        d.ReplicaBytes(),
 		AdapterSlots: d.AdapterSlots,
 		State:        StateDecided,
+		Daemon:       m.Daemon,
 		Instance:     m.Instance,
 		Fence:        m.record.Fence,
 	})
--- a/internal/decision/planner/release.go
+++ b/internal/decision/planner/release.go
@@ -94,7 +94,7 @@
 	if r.Instance == m.Instance || v.DeadSince == nil {
 		return ""
 	}
-	since, dead := v.DeadSince(r.Instance)
+	since, dead := v.DeadSince(r.Daemon, r.Instance)
 	if !dead || state.seenAt < since+orderSettle {
 		return ""
 	}
@@ -115,7 +115,13 @@
 		m.fenceOut = m.fenceOut || m.record.Fence <= r.Fence
 		return ""
 	}
-	if o.engine != state.engine && state.seenAt > o.endedAt {
+	if state.seenAt < o.endedAt {
+		return ""
+	}
+	if o.engine == "" {
+		o.engine = state.engine
+	}
+	if o.engine != state.engine {
 		return "engine restarted after the order"
 	}
 	if state.seenAt >= o.endedAt+orderSettle {
--- a/internal/decision/prover/command_test.go
+++ b/internal/decision/prover/command_test.go
@@ -289,19 +289,29 @@
 	for _, name := range w.daemons {
 		w.process(name).pauseAtOrder = false
 		w.process(name).resume()
-		if w.process(name).dead {
-			w.startDaemon(name)
-		}
 	}
 	for _, name := range w.names {
 		w.servers[name].restart()
 	}
+	w.replaceDead()
+	w.until(settleWithin/6, func() bool { return w.unrest() == "" })
+	// Planned stops have ended by now.
+	w.replaceDead()
 	if !w.until(settleWithin, func() bool { return w.unrest() == "" }) && !w.oracle.failed() {
 		return fmt.Errorf("not at rest: %s", w.unrest())
 	}
 	return nil
 }
 
+// replaceDead starts a daemon for each one that has ended.
+func (w *World) replaceDead() {
+	for _, name := range w.daemons {
+		if w.process(name).dead {
+			w.startDaemon(name)
+		}
+	}
+}
+
 // unrest returns what has not come to rest, or "".
 func (w *World) unrest() string {
 	for _, c := range w.callOrder {
@@ -335,6 +345,10 @@
 		return compare(args, len(w.oracle.keyRuns[args[1]]), args[2])
 	case "writes":
 		return compare(args, w.store.writes[args[1]], args[2])
+	case "take-overs":
+		return compare(args, w.oracle.takeOvers, args[1])
+	case "peak":
+		return compare(args, w.peak(args[1]), args[2])
 	case "crashes":
 		return compare(args, w.oracle.crashes, args[1])
 	case "version":
@@ -343,6 +357,11 @@
 		return compare(args, w.held(args[1]), args[2])
 	case "retries":
 		return compare(args, w.retries(), args[1])
+	case "stopped":
+		if p := w.process(args[1]); p == nil || !p.dead {
+			return fmt.Errorf("expect %s: it runs", strings.Join(args, " "))
+		}
+		return nil
 	case "placer":
 		if got := w.oracle.record.Placer; got != args[1] {
 			return fmt.Errorf("expect %s: got %q", strings.Join(args, " "), got)
@@ -365,6 +384,19 @@
 	return count
 }
 
+// peak returns the most requests that ran at once at one replica of a deployment since it was last asked.
+func (w *World) peak(deployment string) (peak int) {
+	for _, s := range w.servers {
+		for _, r := range s.replicas {
+			if r.order.Deployment == deployment {
+				peak = max(peak, r.peak)
+				r.peak = 0
+			}
+		}
+	}
+	return peak
+}
+
 // retries counts runs beyond the first of each call, as a percentage of all calls.
 func (w *World) retries() int {
 	extra := 0
--- a/internal/decision/prover/server_test.go
+++ b/internal/decision/prover/server_test.go
@@ -41,6 +41,7 @@
 	state    orderer.ReplicaState
 	adapters map[string]bool
 	running  int
+	peak     int
 	loads    []loadSample
 }
 
@@ -83,6 +84,7 @@
 func (s *server) show() {
 	switch {
 	case s.w.hostsDown:
+		s.shownAt = -1
 	case s.listedState(s.w.listTime()) == lister.HostLive:
 		s.shownAt = -1
 	case s.shownAt < 0:
@@ -186,6 +188,7 @@
 
 func (r *replica) change(now time.Duration, by int) {
 	r.running += by
+	r.peak = max(r.peak, r.running)
 	r.loads = append(r.loads, loadSample{now, r.running})
 	if len(r.loads) > 256 {
 		r.loads = slices.Clone(r.loads[128:])
--- a/internal/decision/reducer/membership.go
+++ b/internal/decision/reducer/membership.go
@@ -216,6 +216,9 @@
 	}
 	if v := message.Verdict; v != nil {
 		m.isolator.Merge(v.Hashes, v.Suspects, m.now.Since+v.Expires, m.now.Since)
+		if len(v.Hashes) > 0 {
+			m.refuseConvicted()
+		}
 	}
 	for _, f := range message.Forecasts {
 		m.takeForecast(f)
@@ -299,8 +302,8 @@
 }
 
 // deadSince returns when a daemon process was found to be proved dead.
-func (m *Machine) deadSince(instance string) (time.Duration, bool) {
-	if !m.members.KnownDead(instance) {
+func (m *Machine) deadSince(daemon, instance string) (time.Duration, bool) {
+	if !m.members.KnownDead(instance) && !m.members.Replaced(daemon, instance) {
 		return 0, false
 	}
 	since, ok := m.register.dead[instance]
--- a/internal/emulation/emulator/placing.go
+++ b/internal/emulation/emulator/placing.go
@@ -90,7 +90,7 @@
 	return planner.View{
 		Now: e.now, Catalog: e.catalog, Fleet: &e.fleet, Lead: true, LeaseValid: true,
 		Alive:     func(string, string) bool { return true },
-		DeadSince: func(string) (time.Duration, bool) { return 0, false },
+		DeadSince: func(_, _ string) (time.Duration, bool) { return 0, false },
 	}
 }
 
