--- a/internal/standin/inferrer/faults.go
+++ b/internal/standin/inferrer/faults.go
@@ -52,7 +52,7 @@
 	Loads        int64
 	AdapterLoads int64
 	// LoadsOf are the loads begun, by deployment.
-	LoadsOf map[string]int64
+	LoadsOf      map[string]int64
 	Replicas     int
 	PeakReplicas int
 	UsedBytes    int64
