perf: send other daemons load figures only, and none of idle servers

Now a report goes in full when it differs in more than load, three times with heartbeats since messages may be lost, and every 15 s; else only IDs and load, and nothing of servers that stay idle. Reports ride on heartbeats. The placer plans after a poll only if it shows something. The record is no longer pushed to the peers that watch it.

--- a/internal/command/prover/platform_test.go
+++ b/internal/command/prover/platform_test.go
@@ -40,7 +40,7 @@
 // setFaults replaces the faults of a stand-in, or of all of a service: faults NAME JSON.
 func (s *stage) setFaults(args []string) error {
 	if len(args) != 2 || len(s.matching(args[0])) == 0 {
-		return errors.New("usage: faults NAME JSON, with the name of a stand-in or service")
+		return errors.New("the form is: faults NAME JSON, with the name of a stand-in or service")
 	}
 	for _, name := range s.matching(args[0]) {
 		if err := s.ask([]string{name, "POST", "/stand-in/faults", "-d", args[1]}); err != nil {
@@ -54,7 +54,7 @@
 // The value may be >VALUE. A field of a table is named TABLE/KEY; lists count their elements.
 func (s *stage) compareCounts(args []string) error {
 	if len(args) != 3 || len(s.matching(args[0])) == 0 {
-		return errors.New("usage: counts NAME FIELD VALUE, with the name of a stand-in or service")
+		return errors.New("the form is: counts NAME FIELD VALUE, with the name of a stand-in or service")
 	}
 	var got float64
 	for _, name := range s.matching(args[0]) {
@@ -146,7 +146,7 @@
 // other daemons that run: placer CELL [not DAEMON]. It fails if there is none that runs, or it is the daemon excluded.
 func (s *stage) findPlacer(args []string) error {
 	if len(args) != 1 && (len(args) != 3 || args[1] != "not") {
-		return errors.New("usage: placer CELL [not DAEMON]")
+		return errors.New("the form is: placer CELL [not DAEMON]")
 	}
 	record, err := s.record(args[0])
 	if err != nil {
@@ -200,7 +200,7 @@
 // deployment has more replicas than its limit: agree CELL.
 func (s *stage) agree(args []string) error {
 	if len(args) != 1 {
-		return errors.New("usage: agree CELL")
+		return errors.New("the form is: agree CELL")
 	}
 	record, err := s.record(args[0])
 	if err != nil {
@@ -245,7 +245,7 @@
 // decided ACTION DEPLOYMENT NUMBER.
 func (s *stage) decided(args []string) error {
 	if len(args) != 3 {
-		return errors.New("usage: decided ACTION DEPLOYMENT NUMBER")
+		return errors.New("the form is: decided ACTION DEPLOYMENT NUMBER")
 	}
 	got := 0
 	for _, d := range s.decisions() {
@@ -276,7 +276,7 @@
 // lookup fails unless a daemon's look-up of a deployment names just the daemons given: lookup DAEMON DEPLOYMENT NAME...
 func (s *stage) lookup(args []string) error {
 	if len(args) < 2 {
-		return errors.New("usage: lookup DAEMON DEPLOYMENT NAME...")
+		return errors.New("the form is: lookup DAEMON DEPLOYMENT NAME...")
 	}
 	cmd := exec.CommandContext(s.ctx, "samphirewharf", "addresses", args[1], "--ask", s.script.Getenv(args[0]), "--output", "json")
 	out, err := cmd.Output()
--- a/internal/command/prover/process_test.go
+++ b/internal/command/prover/process_test.go
@@ -72,7 +72,7 @@
 // It sets $NAME to a daemon's address, $STORE and $HOSTS and the program's own variables to those of stand-ins.
 func (s *stage) start(args []string) error {
 	if len(args) < 2 {
-		return errors.New("usage: start NAME ARGUMENT...")
+		return errors.New("the form is: start NAME ARGUMENT...")
 	}
 	if old, ok := s.processes[args[0]]; ok && old.running() {
 		return fmt.Errorf("%s runs already", args[0])
@@ -165,7 +165,7 @@
 		args = args[1:]
 	}
 	if len(args) == 0 || commands()[args[0]] == nil {
-		return errors.New("usage: until [!] COMMAND ARGUMENT...")
+		return errors.New("the form is: until [!] COMMAND ARGUMENT...")
 	}
 	command := commands()[args[0]]
 	return s.await(strings.Join(args, " "), func() error {
@@ -218,7 +218,7 @@
 
 func (s *stage) signal(names []string, signal syscall.Signal) error {
 	if len(names) == 0 {
-		return errors.New("usage: freeze|thaw|sigkill|shutdown NAME...")
+		return errors.New("the form is: freeze|thaw|sigkill|shutdown NAME...")
 	}
 	for _, name := range names {
 		p, ok := s.processes[name]
@@ -235,7 +235,7 @@
 // logged fails unless a process wrote a text: logged NAME TEXT.
 func (s *stage) logged(args []string) error {
 	if len(args) != 2 || s.processes[args[0]] == nil {
-		return errors.New("usage: logged NAME TEXT")
+		return errors.New("the form is: logged NAME TEXT")
 	}
 	p := s.processes[args[0]]
 	if !strings.Contains(p.stdout.String()+p.stderr.String(), args[1]) {
@@ -247,7 +247,7 @@
 // which sets a variable to the one process that wrote a text: which VARIABLE TEXT.
 func (s *stage) which(args []string) error {
 	if len(args) != 2 {
-		return errors.New("usage: which VARIABLE TEXT")
+		return errors.New("the form is: which VARIABLE TEXT")
 	}
 	var names []string
 	for name := range s.processes {
@@ -265,7 +265,7 @@
 // exits runs the program and fails unless it ends with an exit code: exits CODE ARGUMENT...
 func (s *stage) exits(args []string) error {
 	if len(args) < 2 {
-		return errors.New("usage: exits CODE ARGUMENT...")
+		return errors.New("the form is: exits CODE ARGUMENT...")
 	}
 	got := 0
 	if err := s.script.Exec("samphirewharf", args[1:]...); err != nil {
@@ -284,7 +284,7 @@
 // edit copies a file with one text replaced: edit FILE OLD NEW COPY.
 func (s *stage) edit(args []string) error {
 	if len(args) != 4 {
-		return errors.New("usage: edit FILE OLD NEW COPY")
+		return errors.New("the form is: edit FILE OLD NEW COPY")
 	}
 	text := s.script.ReadFile(args[0])
 	if !strings.Contains(text, args[1]) {
--- a/internal/decision/observer/fleet.go
+++ b/internal/decision/observer/fleet.go
@@ -69,6 +69,22 @@
 	return change
 }
 
+// ReportLoad takes the load figures of a report; everything else is as it was in the last full one.
+func (f *Fleet) ReportLoad(server string, report orderer.Report, takenAt time.Duration) {
+	s, ok := f.servers[server]
+	if !ok || !s.Known || report.Sequence <= s.Report.Sequence {
+		return
+	}
+	s.failures = 0
+	s.Report.Sequence = report.Sequence
+	s.TakenAt = takenAt
+	for _, rr := range report.Replicas {
+		if r, ok := f.replicas[rr.Replica]; ok && r.Server == s {
+			r.updateLoad(rr, takenAt)
+		}
+	}
+}
+
 // Server returns the server with the name.
 func (f *Fleet) Server(name string) (*Server, bool) {
 	s, ok := f.servers[name]
--- a/internal/decision/observer/replica.go
+++ b/internal/decision/observer/replica.go
@@ -59,11 +59,16 @@
 	r.State = rr.State
 	r.Role = rr.Role
 	r.Refused = false
+	r.Adapters = adapters
+	r.updateLoad(rr, takenAt)
+	return changed
+}
+
+// updateLoad takes the load figures of the newest report.
+func (r *Replica) updateLoad(rr orderer.ReplicaReport, takenAt time.Duration) {
 	r.Running = rr.Running
 	r.Waiting = rr.Waiting
-	r.Adapters = adapters
 	r.ReportedAt = takenAt
 	r.OwnAtReport = r.InFlight
 	r.SentSinceReport = 0
-	return changed
 }
--- a/internal/decision/planner/action.go
+++ b/internal/decision/planner/action.go
@@ -47,11 +47,8 @@
 // A Poll reads a server's state.
 type Poll struct{ Server *observer.Server }
 
-// A Push gives the record to the cell's other daemons.
-type Push struct {
-	Revision int64
-	Value    []byte
-}
+// A Written tells that the record has changed. The other daemons learn it from their watches.
+type Written struct{}
 
 // A Forecast tells the cell's daemons when a deployment that requests wait for will be ready.
 type Forecast struct {
@@ -78,6 +75,6 @@
 func (Get) action()      {}
 func (Send) action()     {}
 func (Poll) action()     {}
-func (Push) action()     {}
+func (Written) action()  {}
 func (Forecast) action() {}
 func (Decision) action() {}
--- a/internal/decision/planner/machine.go
+++ b/internal/decision/planner/machine.go
@@ -247,8 +247,10 @@
 	s := m.server(server)
 	s.polling = false
 	s.pollAt = v.Now + busyPoll
+	changed := !ok
 	stale := s.engine == report.Instance && report.Sequence <= s.sequence
 	if ok && sentAt >= s.seenAt && !stale {
+		changed = !s.polled || s.engine != report.Instance || s.fence != report.Fence || m.presentDiffers(s, report)
 		s.seenAt = sentAt
 		s.sequence = report.Sequence
 		s.polled = true
@@ -256,9 +258,25 @@
 		s.fence = report.Fence
 		m.see(v, s, report)
 	}
+	if !changed && !m.Busy() {
+		return nil
+	}
 	return m.Step(v)
 }
 
+// presentDiffers reports whether a report shows other replicas than the last own poll.
+func (m *Machine) presentDiffers(s *serverState, report orderer.Report) bool {
+	if len(report.Replicas) != len(s.present) {
+		return true
+	}
+	for _, r := range report.Replicas {
+		if !s.present[r.Replica] {
+			return true
+		}
+	}
+	return false
+}
+
 // Record returns the newest record known and its revision, 0 if none exists.
 func (m *Machine) Record() (Record, int64) { return m.record, m.revision }
 
@@ -364,7 +382,7 @@
 	}
 	if m.write.next.Token == record.Token {
 		m.actions = append(m.actions, m.write.decisions...)
-		m.act(Push{Revision: revision, Value: record.Encode()})
+		m.act(Written{})
 	}
 	m.write = nil
 }
--- a/internal/decision/reducer/cell.go
+++ b/internal/decision/reducer/cell.go
@@ -64,6 +64,7 @@
 		if !slices.Equal(c.daemons, daemons) {
 			c.daemons = daemons
 			m.assignPolls(c)
+			m.shareAll(c)
 			m.assignClaims(c)
 		}
 	}
--- a/internal/decision/reducer/machine.go
+++ b/internal/decision/reducer/machine.go
@@ -106,7 +106,6 @@
 type schedule struct {
 	hosts     time.Duration
 	heartbeat time.Duration
-	reports   time.Duration
 	uses      time.Duration
 	plan      time.Duration
 	polls     time.Duration
@@ -138,7 +137,7 @@
 	if m.hold.until > 0 {
 		return m.hold.until
 	}
-	wake := min(m.next.hosts, m.next.heartbeat, m.next.reports, m.next.uses, m.next.plan, m.next.polls)
+	wake := min(m.next.hosts, m.next.heartbeat, m.next.uses, m.next.plan, m.next.polls)
 	wake = min(wake, m.next.needs, m.next.claims)
 	wake = min(wake, m.members.NextWake(), m.lease.NextRenewal())
 	if m.loadAt > 0 {
@@ -217,10 +216,6 @@
 		m.next.polls = now + pollResolution
 		m.pollServers()
 	}
-	if now >= m.next.reports {
-		m.next.reports = now + pollInterval
-		m.sendReports(false)
-	}
 	if now >= m.next.needs || now >= m.next.uses {
 		m.tickNeeds()
 	}
--- a/internal/decision/reducer/membership.go
+++ b/internal/decision/reducer/membership.go
@@ -59,9 +59,7 @@
 	m.listMembers()
 	m.registerSelf()
 	m.members.Tick(now)
-	for _, d := range m.members.HeartbeatTargets(now) {
-		m.emit(SendPeer{Daemon: d.ID, Address: d.Address, Message: messenger.Message{Heartbeat: m.heartbeat()}})
-	}
+	m.sendHeartbeats()
 	if now >= m.next.heartbeat || m.register.version != m.members.Version() {
 		m.next.heartbeat = now + tracker.HeartbeatInterval
 		m.register.version = m.members.Version()
--- a/internal/decision/reducer/placing.go
+++ b/internal/decision/reducer/placing.go
@@ -57,9 +57,7 @@
 			})
 		case planner.Poll:
 			m.pollNow(a.Server.Host.Server)
-		case planner.Push:
-			placement := &messenger.Placement{Cell: c.name, Revision: a.Revision, Record: a.Value}
-			m.sendCell(c.name, messenger.Message{Placement: placement})
+		case planner.Written:
 			m.markDraining(c)
 		case planner.Forecast:
 			m.forecast(c, a)
--- a/internal/decision/reducer/polling.go
+++ b/internal/decision/reducer/polling.go
@@ -9,7 +9,6 @@
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/decision/assigner"
 	"samphirewharf/internal/decision/observer"
-	"samphirewharf/internal/peer/messenger"
 )
 
 // A poll is this daemon's reading of one server's state.
@@ -23,8 +22,12 @@
 	verify bool
 	at     time.Duration
 	// told is the report that the cell's other daemons were last sent.
-	told       orderer.Report
+	told orderer.Report
+	// unreported tells that a report was taken that the others have not been sent.
 	unreported bool
+	// repeats is how often the full report still goes with a heartbeat, refreshAt when it does so anyway.
+	repeats   int
+	refreshAt time.Duration
 }
 
 // poll returns the poll of a server, made on first use.
@@ -134,7 +137,7 @@
 		p.verify = false
 		m.serverDied(name)
 		p.unreported = true
-		m.sendReports(true)
+		m.shareChange(s, p)
 	}
 }
 
@@ -156,8 +159,8 @@
 	p.unreported = true
 	if change.Differs || !wasReachable {
 		m.pumpService(s)
-		m.sendReports(true)
 	}
+	m.shareChange(s, p)
 }
 
 // takeReport takes a report from an own poll or another daemon.
@@ -166,9 +169,7 @@
 	for _, r := range change.Lost {
 		m.router.Prefixes.RemoveReplica(r.ID)
 	}
-	for _, event := range report.CacheEvents {
-		m.router.Prefixes.Event(event)
-	}
+	m.takeCacheEvents(report.CacheEvents)
 	if change.Differs {
 		if s, ok := m.fleet.Server(server); ok {
 			if c := m.cells[s.Host.Service]; c != nil {
@@ -194,67 +195,6 @@
 	}
 }
 
-// sendReports gives the cell's other daemons the reports of the servers polled here: at once those
-// that changed in more than load, and every poll interval all that were taken since.
-func (m *Machine) sendReports(changed bool) {
-	for _, name := range m.cellNames {
-		var reports []messenger.ServerReport
-		for _, s := range m.fleet.Servers(name) {
-			p := m.polls[s.Host.Server]
-			if p == nil || !p.unreported || changed && !m.reportDiffers(s, p) {
-				continue
-			}
-			p.unreported = false
-			p.told = s.Report
-			reports = append(reports, m.serverReport(s))
-		}
-		if len(reports) > 0 {
-			m.sendCell(name, messenger.Message{Reports: reports})
-		}
-	}
-}
-
-func (m *Machine) reportDiffers(s *observer.Server, p *poll) bool {
-	if !s.Reachable() || s.Report.Instance != p.told.Instance || len(s.Report.Replicas) != len(p.told.Replicas) {
-		return true
-	}
-	for i, r := range s.Report.Replicas {
-		old := p.told.Replicas[i]
-		if r.Replica != old.Replica || r.State != old.State || len(r.Adapters) != len(old.Adapters) {
-			return true
-		}
-	}
-	return false
-}
-
-func (m *Machine) serverReport(s *observer.Server) messenger.ServerReport {
-	report := s.Report
-	report.Checkpoints = nil
-	return messenger.ServerReport{
-		Server:      s.Host.Server,
-		Age:         m.now.Since - s.TakenAt,
-		Report:      report,
-		Unreachable: !s.Reachable(),
-	}
-}
-
-// takeReports takes another daemon's reports.
-func (m *Machine) takeReports(reports []messenger.ServerReport) {
-	for _, r := range reports {
-		s, ok := m.fleet.Server(r.Server)
-		if !ok {
-			continue
-		}
-		if r.Unreachable {
-			if s.Reachable() && m.now.Since-s.TakenAt > pollInterval {
-				m.pollNow(r.Server)
-			}
-			continue
-		}
-		m.takeReport(r.Server, r.Report, m.now.Since-r.Age)
-	}
-}
-
 // listHosts reads the host list of each cell.
 func (m *Machine) listHosts() {
 	for _, name := range m.cellNames {
--- /dev/null
+++ b/internal/decision/reducer/reporting.go
@@ -0,0 +1,162 @@
+package reducer
+
+import (
+	"slices"
+	"time"
+
+	"samphirewharf/internal/backend/orderer"
+	"samphirewharf/internal/decision/observer"
+	"samphirewharf/internal/peer/messenger"
+)
+
+const (
+	// reportRepeats is how many heartbeats repeat a report that differs, since messages may be lost.
+	reportRepeats = 3
+	// reportRefresh is how often a report goes in full though nothing but its load has changed.
+	reportRefresh = 15 * time.Second
+)
+
+// shareChange gives the cell's other daemons a report that differs in more than load at once.
+func (m *Machine) shareChange(s *observer.Server, p *poll) {
+	if !p.mine || !reportDiffers(s, p) {
+		return
+	}
+	p.repeats = reportRepeats
+	m.sendCell(s.Host.Service, messenger.Message{Reports: []messenger.ServerReport{m.fullReport(s, p)}})
+}
+
+// shareAll makes the next heartbeats bring all reports in full, because a daemon has joined the cell.
+func (m *Machine) shareAll(c *cell) {
+	for _, s := range m.fleet.Servers(c.name) {
+		if p := m.polls[s.Host.Server]; p != nil && s.Known {
+			p.repeats = reportRepeats
+		}
+	}
+}
+
+// sendHeartbeats sends heartbeats to the daemons whose turn it is, with the reports that those who share
+// a cell have not had.
+func (m *Machine) sendHeartbeats() {
+	targets := m.members.HeartbeatTargets(m.now.Since)
+	if len(targets) == 0 {
+		return
+	}
+	heartbeat := m.heartbeat()
+	reports := make([][]messenger.ServerReport, len(m.cellNames))
+	for i, name := range m.cellNames {
+		reports[i] = m.dueReports(name)
+	}
+	for _, d := range targets {
+		message := messenger.Message{Heartbeat: heartbeat}
+		for i, name := range m.cellNames {
+			if len(reports[i]) > 0 && slices.Contains(m.cells[name].daemons, d.ID) {
+				message.Reports = append(message.Reports, reports[i]...)
+			}
+		}
+		m.emit(SendPeer{Daemon: d.ID, Address: d.Address, Message: message})
+	}
+}
+
+// dueReports returns the reports of a cell that go with the next heartbeat: in full while they are
+// repeated or when they are due, only the load while requests run, and none of servers that stay idle.
+func (m *Machine) dueReports(name string) []messenger.ServerReport {
+	var reports []messenger.ServerReport
+	for _, s := range m.fleet.Servers(name) {
+		p := m.polls[s.Host.Server]
+		if p == nil || !p.mine || !p.unreported {
+			continue
+		}
+		switch {
+		case p.repeats > 0:
+			p.repeats--
+			reports = append(reports, m.fullReport(s, p))
+		case m.now.Since >= p.refreshAt || reportDiffers(s, p):
+			reports = append(reports, m.fullReport(s, p))
+		case !idleAsTold(s, p):
+			reports = append(reports, m.loadReport(s, p))
+		}
+	}
+	return reports
+}
+
+func (m *Machine) fullReport(s *observer.Server, p *poll) messenger.ServerReport {
+	p.unreported = false
+	p.told = s.Report
+	p.refreshAt = m.now.Since + reportRefresh
+	report := s.Report
+	report.Checkpoints = nil
+	return messenger.ServerReport{
+		Server:      s.Host.Server,
+		Age:         m.now.Since - s.TakenAt,
+		Report:      report,
+		Unreachable: !s.Reachable(),
+	}
+}
+
+func (m *Machine) loadReport(s *observer.Server, p *poll) messenger.ServerReport {
+	p.unreported = false
+	p.told = s.Report
+	load := orderer.Report{Sequence: s.Report.Sequence, CacheEvents: s.Report.CacheEvents}
+	for _, r := range s.Report.Replicas {
+		load.Replicas = append(load.Replicas, orderer.ReplicaReport{
+			Replica: r.Replica, Running: r.Running, Waiting: r.Waiting,
+		})
+	}
+	return messenger.ServerReport{Server: s.Host.Server, Age: m.now.Since - s.TakenAt, Report: load, LoadOnly: true}
+}
+
+// idleAsTold reports whether a server runs nothing and the others know it. The report must not differ
+// from the told one in more than load.
+func idleAsTold(s *observer.Server, p *poll) bool {
+	if len(s.Report.CacheEvents) > 0 {
+		return false
+	}
+	for i, r := range s.Report.Replicas {
+		if r.Running+r.Waiting > 0 || p.told.Replicas[i].Running+p.told.Replicas[i].Waiting > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// reportDiffers reports whether a report differs in more than load from what the others were told.
+func reportDiffers(s *observer.Server, p *poll) bool {
+	if !s.Reachable() || s.Report.Instance != p.told.Instance || len(s.Report.Replicas) != len(p.told.Replicas) {
+		return true
+	}
+	for i, r := range s.Report.Replicas {
+		old := p.told.Replicas[i]
+		if r.Replica != old.Replica || r.State != old.State || !slices.Equal(r.Adapters, old.Adapters) {
+			return true
+		}
+	}
+	return false
+}
+
+// takeReports takes another daemon's reports.
+func (m *Machine) takeReports(reports []messenger.ServerReport) {
+	for _, r := range reports {
+		s, ok := m.fleet.Server(r.Server)
+		if !ok {
+			continue
+		}
+		takenAt := m.now.Since - r.Age
+		switch {
+		case r.Unreachable:
+			if s.Reachable() && m.now.Since-s.TakenAt > pollInterval {
+				m.pollNow(r.Server)
+			}
+		case r.LoadOnly:
+			m.fleet.ReportLoad(r.Server, r.Report, takenAt)
+			m.takeCacheEvents(r.Report.CacheEvents)
+		default:
+			m.takeReport(r.Server, r.Report, takenAt)
+		}
+	}
+}
+
+func (m *Machine) takeCacheEvents(events []orderer.CacheEvent) {
+	for _, event := range events {
+		m.router.Prefixes.Event(event)
+	}
+}
--- a/internal/emulation/emulator/placing.go
+++ b/internal/emulation/emulator/placing.go
@@ -113,7 +113,7 @@
 		case planner.Poll:
 			server := a.Server.Host.Server
 			e.after(oneWay, func() { e.poll(server) })
-		case planner.Push:
+		case planner.Written:
 			e.markDraining()
 		case planner.Forecast:
 			e.forecast(a)
--- a/internal/peer/messenger/decode.go
+++ b/internal/peer/messenger/decode.go
@@ -112,6 +112,7 @@
 		Age:         time.Duration(r.GetAgeNanoseconds()),
 		Report:      decodeReport(r.GetReport()),
 		Unreachable: r.GetUnreachable(),
+		LoadOnly:    r.GetLoadOnly(),
 	}
 }
 
--- a/internal/peer/messenger/encode.go
+++ b/internal/peer/messenger/encode.go
@@ -118,6 +118,7 @@
 		AgeNanoseconds: int64(r.Age),
 		Report:         encodeReport(r.Report),
 		Unreachable:    r.Unreachable,
+		LoadOnly:       r.LoadOnly,
 	}
 }
 
--- a/internal/peer/messenger/message.go
+++ b/internal/peer/messenger/message.go
@@ -42,6 +42,9 @@
 	// Age is how old the report is at sending.
 	Age    time.Duration
 	Report orderer.Report
+	// LoadOnly tells that of the report only Sequence, CacheEvents, and each replica's ID and load are set;
+	// all else is as the sender told before.
+	LoadOnly bool
 	// Unreachable tells that the server did not answer the last polls.
 	Unreachable bool
 }
--- a/internal/peer/messenger/message_test.go
+++ b/internal/peer/messenger/message_test.go
@@ -59,7 +59,7 @@
 
 func drawReport(t *rapid.T) ServerReport {
 	return ServerReport{
-		Server: drawText(t), Age: drawDuration(t), Unreachable: drawBool(t),
+		Server: drawText(t), Age: drawDuration(t), Unreachable: drawBool(t), LoadOnly: drawBool(t),
 		Report: orderer.Report{
 			Instance: drawText(t), Sequence: drawNumber(t), Fence: drawNumber(t), MemoryBytes: drawNumber(t),
 			UsedBytes: drawNumber(t), Replicas: drawList(t, drawReplica), CheckpointsVersion: drawNumber(t),
--- a/internal/peer/messenger/peer.go
+++ b/internal/peer/messenger/peer.go
@@ -64,5 +64,6 @@
 
 // isHeartbeat tells that the message has no other part.
 func (m Message) isHeartbeat() bool {
-	return m.Heartbeat != nil && len(m.Reports) == 0 && m.Needs == nil && m.Placement == nil && m.Verdict == nil
+	return m.Heartbeat != nil && len(m.Reports) == 0 && m.Needs == nil && m.Placement == nil && m.Verdict == nil &&
+		len(m.Forecasts) == 0
 }
