fix: back off with jitter when a watch of the key-value service breaks

420 daemons with 3 watches each would have listed 2,520 times a second through an outage, more than the 2,000 reads a second that the service takes when it comes back.

--- a/internal/daemon/executor/watcher.go
+++ b/internal/daemon/executor/watcher.go
@@ -8,9 +8,6 @@
 	"samphirewharf/internal/platform/storer"
 )
 
-// watchRetry is how long after a broken watch the next one is made.
-const watchRetry = 500 * time.Millisecond
-
 // A watcher reports changes below a prefix until its context ends. After each break it reads the
 // prefix anew, so that the newest value of each key is reported even if changes were missed.
 type watcher struct {
@@ -22,14 +19,16 @@
 
 // loop watches, and reconnects after breaks.
 func (w *watcher) loop() {
+	var retry backoff
 	for w.ctx.Err() == nil {
 		from, ok := w.refresh()
 		if ok {
+			retry = backoff{}
 			_ = w.executor.Store.Watch(w.ctx, w.prefix, from, w.report)
 		}
 		select {
 		case <-w.ctx.Done():
-		case <-time.After(watchRetry):
+		case <-time.After(retry.next()):
 		}
 	}
 }
