fix: join waiting reports to the same daemon into one message

Three daemons that started before 3,000 servers dropped messages: each first report was a message of its own, and 32 may wait. TestSend filled the queue with reports, which now join; it fills it with another message in their place, checks that the joined reports arrive, and that reports beyond the bound don't join.

--- a/internal/peer/messenger/client.go
+++ b/internal/peer/messenger/client.go
@@ -56,8 +56,9 @@
 	return reply.GetVersion(), reply.GetChunks(), nil
 }
 
-// Send queues a message for the daemon at the address. A heartbeat takes the place of one that still waits. The error
-// is ErrQueueFull, or the context's. A message whose context ends while it waits is dropped; losses are logged.
+// Send queues a message for the daemon at the address. A heartbeat takes the place of one that still waits, and
+// reports join those that wait. The error is ErrQueueFull, or the context's. A message whose context ends while it
+// waits is dropped; losses are logged.
 func (c *Client) Send(ctx context.Context, address string, m Message) error {
 	if err := ctx.Err(); err != nil {
 		return fmt.Errorf("send message to %s: %w", address, err)
@@ -68,6 +69,9 @@
 	if ok && p.replaceHeartbeat(ctx, m) {
 		return nil
 	}
+	if ok && p.joinReports(m) {
+		return nil
+	}
 	if ok && len(p.queue) >= c.queueLimit() {
 		return fmt.Errorf("send message to %s: %w", address, ErrQueueFull)
 	}
--- a/internal/peer/messenger/client_test.go
+++ b/internal/peer/messenger/client_test.go
@@ -85,14 +85,35 @@
 	assertSent(t, client.Send(ctx, address, heartbeat(1)))
 	assertSent(t, client.Send(ctx, address, digest(2)))
 	assertSent(t, client.Send(ctx, address, heartbeat(2)))
-	if err := client.Send(ctx, address, digest(3)); !errors.Is(err, ErrQueueFull) {
+	assertSent(t, client.Send(ctx, address, digest(3)))
+	placement := Message{Placement: &Placement{Cell: "dil-sunucu", Revision: 1}}
+	if err := client.Send(ctx, address, placement); !errors.Is(err, ErrQueueFull) {
 		t.Errorf("got error %v, want %v", err, ErrQueueFull)
 	}
+	if err := client.Send(ctx, address, digest(maxJoinedReports)); !errors.Is(err, ErrQueueFull) {
+		t.Errorf("got error %v for reports that don't fit into the last message, want %v", err, ErrQueueFull)
+	}
 	assertReports(t, <-received, 1)
 	if got := (<-received).Heartbeat.InFlight; got != 2 {
 		t.Errorf("got heartbeat %d, want the newest, 2", got)
 	}
-	assertReports(t, <-received, 2)
+	assertReports(t, <-received, 2+3)
+}
+
+func TestSendJoinsOnlyReports(t *testing.T) {
+	received := make(chan Message)
+	address, _ := startServer(t, &Server{Receive: func(m Message) { received <- m }})
+	client := &Client{Timeout: time.Minute}
+	ctx := context.Background()
+	assertSent(t, client.Send(ctx, address, digest(1)))
+	awaitQueue(t, client, address, 0)
+	needs := digest(2)
+	needs.Needs = &Needs{Cell: "dil-sunucu"}
+	assertSent(t, client.Send(ctx, address, needs))
+	assertSent(t, client.Send(ctx, address, digest(3)))
+	for _, want := range []int{1, 2, 3} {
+		assertReports(t, <-received, want)
+	}
 }
 
 func TestSendToDeadDaemon(t *testing.T) {
--- a/internal/peer/messenger/peer.go
+++ b/internal/peer/messenger/peer.go
@@ -1,6 +1,12 @@
 package messenger
 
-import "context"
+import (
+	"context"
+	"slices"
+)
+
+// maxJoinedReports bounds the reports in one message.
+const maxJoinedReports = 64
 
 // A peer sends the messages for one daemon in order, one at a time. Client.mu guards the queue.
 type peer struct {
@@ -48,6 +54,20 @@
 	return next, true
 }
 
+// joinReports adds the reports of a message that is nothing else to the last message that waits, if that is nothing
+// else either. A daemon that starts learns of many servers at once and sends a message for each.
+func (p *peer) joinReports(m Message) bool {
+	if !m.isReports() || len(p.queue) == 0 {
+		return false
+	}
+	last := &p.queue[len(p.queue)-1].message
+	if !last.isReports() || len(last.Reports)+len(m.Reports) > maxJoinedReports {
+		return false
+	}
+	last.Reports = append(slices.Clip(last.Reports), m.Reports...)
+	return true
+}
+
 // replaceHeartbeat puts a message that is only a heartbeat in the place of a waiting one, if there is one.
 func (p *peer) replaceHeartbeat(ctx context.Context, m Message) bool {
 	if !m.isHeartbeat() {
@@ -62,6 +82,11 @@
 	return false
 }
 
+// isReports tells that the message has reports and no other part.
+func (m Message) isReports() bool {
+	return m.Heartbeat == nil && len(m.Reports) > 0 && m.Needs == nil && m.Placement == nil && m.Verdict == nil && len(m.Forecasts) == 0
+}
+
 // isHeartbeat tells that the message has no other part.
 func (m Message) isHeartbeat() bool {
 	return m.Heartbeat != nil && len(m.Reports) == 0 && m.Needs == nil && m.Placement == nil && m.Verdict == nil
