--- a/internal/command/prover/script_test.go
+++ b/internal/command/prover/script_test.go
@@ -20,7 +20,7 @@
 
 const (
 	// scriptLimit bounds each script, so that a condition that never holds fails it.
-	scriptLimit = 3 * time.Minute
+	scriptLimit = 2 * time.Minute
 	// scriptsAtOnce is how many scripts run at once.
 	scriptsAtOnce = 3
 	pollInterval  = 20 * time.Millisecond
@@ -36,6 +36,8 @@
 	// ctx ends with the script or its time limit.
 	ctx       context.Context //nolint:containedctx // It spans the script.
 	processes map[string]*process
+	// started are all processes that were started, those of an earlier one's name included.
+	started []*process
 	// servers are the addresses of the stand-ins of the backend servers, by name.
 	servers map[string]string
 	// loads are the requests that run in the background, by label.
@@ -115,11 +117,13 @@
 		"ask":        (*stage).ask,
 		"begin":      (*stage).begin,
 		"counts":     (*stage).compareCounts,
+		"decided":    (*stage).decided,
+		"edit":       (*stage).edit,
 		"end":        (*stage).end,
 		"exits":      (*stage).exits,
 		"faults":     (*stage).setFaults,
 		"freeze":     (*stage).freeze,
-		"sigkill":       (*stage).sigkill,
+		"sigkill":    (*stage).sigkill,
 		"logged":     (*stage).logged,
 		"lookup":     (*stage).lookup,
 		"placer":     (*stage).findPlacer,
--- a/internal/decision/planner/machine.go
+++ b/internal/decision/planner/machine.go
@@ -48,6 +48,8 @@
 	Rank func(server string, predicted time.Duration) time.Duration
 	// Preload tells that far checkpoints are brought into servers' memory before requests need them.
 	Preload bool
+	// HoldPreloaded tells that preloaded replicas have the keep-alive of used ones, and are not unloaded at once.
+	HoldPreloaded bool
 	// Loads shares the weight store.
 	Loads Loads
 
@@ -115,7 +117,8 @@
 	outcome orderer.Outcome
 	sentAt  time.Duration
 	endedAt time.Duration
-	// engine is the engine's instance when the order was sent.
+	// engine is the first instance of the engine that was seen after the order had ended. The order may still
+	// take effect there, but not at a later one.
 	engine string
 }
 
--- a/internal/decision/planner/plan.go
+++ b/internal/decision/planner/plan.go
@@ -71,7 +71,7 @@
 	if view.Running+view.Waiting+view.InFlight > 0 {
 		return ""
 	}
-	if m.unused(r) {
+	if m.unused(r) && !m.HoldPreloaded {
 		return "its checkpoint is near now"
 	}
 	idle := m.idleTime(v.Now, r)
@@ -118,7 +118,7 @@
 		if !ok || !known || !s.Takes() {
 			continue
 		}
-		o := &order{id: m.nextOrderID(), server: r.Server, sentAt: v.Now, engine: s.Report.Instance}
+		o := &order{id: m.nextOrderID(), server: r.Server, sentAt: v.Now}
 		m.orders[r.ID] = o
 		m.act(Send{Server: s, Order: m.loadOrder(o.id, r, d), Expires: v.Now + orderLife})
 	}
--- a/internal/decision/prover/command_test.go
+++ b/internal/decision/prover/command_test.go
@@ -18,30 +18,31 @@
 
 // commands are the words of the test language. Scenarios and the fuzzer both use them.
 var commands = map[string]func(w *World, args []string) error{
-	"send":      (*World).doSend,
-	"burst":     (*World).doBurst,
-	"hang-up":   (*World).doHangUp,
-	"pause":     onProcess((*process).pause),
-	"resume":    onProcess((*process).resume),
-	"crash":     onProcess((*process).crash),
-	"shutdown":  onProcess((*process).shutdown),
-	"restart":   (*World).doRestart,
-	"freeze-at": onProcess(func(p *process) { p.pauseAtOrder = true }),
-	"break":     onServer((*server).crash),
-	"mend":      onServer((*server).restart),
-	"leave":     onServer(func(s *server) { s.setState(lister.HostLeaving) }),
-	"stay":      onServer((*server).stay),
-	"reclaim":   onServer(func(s *server) { s.setState(""); s.crash() }),
-	"cut":       (*World).doCut,
-	"heal":      (*World).doHeal,
-	"store":     (*World).doStore,
-	"hosts":     (*World).doHosts,
-	"set":       (*World).doSet,
-	"configure": (*World).doConfigure,
-	"advance":   (*World).doAdvance,
-	"until":     (*World).doUntil,
-	"settle":    (*World).doSettle,
-	"expect":    (*World).doExpect,
+	"send":          (*World).doSend,
+	"burst":         (*World).doBurst,
+	"hang-up":       (*World).doHangUp,
+	"pause":         onProcess((*process).pause),
+	"resume":        onProcess((*process).resume),
+	"crash":         onProcess((*process).crash),
+	"shutdown":      onProcess((*process).shutdown),
+	"restart":       (*World).doRestart,
+	"freeze-at":     onProcess(func(p *process) { p.pauseAtOrder = true }),
+	"freeze-before": onProcess(func(p *process) { p.pauseBefore = true }),
+	"break":         onServer((*server).crash),
+	"mend":          onServer((*server).restart),
+	"leave":         onServer(func(s *server) { s.setState(lister.HostLeaving) }),
+	"stay":          onServer((*server).stay),
+	"reclaim":       onServer(func(s *server) { s.setState(""); s.crash() }),
+	"cut":           (*World).doCut,
+	"heal":          (*World).doHeal,
+	"store":         (*World).doStore,
+	"hosts":         (*World).doHosts,
+	"set":           (*World).doSet,
+	"configure":     (*World).doConfigure,
+	"advance":       (*World).doAdvance,
+	"until":         (*World).doUntil,
+	"settle":        (*World).doSettle,
+	"expect":        (*World).doExpect,
 }
 
 // do carries out one command.
@@ -288,6 +289,7 @@
 	w.loadFactor = 1
 	for _, name := range w.daemons {
 		w.process(name).pauseAtOrder = false
+		w.process(name).pauseBefore = false
 		w.process(name).resume()
 	}
 	for _, name := range w.names {
@@ -345,6 +347,10 @@
 		return compare(args, len(w.oracle.keyRuns[args[1]]), args[2])
 	case "writes":
 		return compare(args, w.store.writes[args[1]], args[2])
+	case "take-overs":
+		return compare(args, w.oracle.takeOvers, args[1])
+	case "peak":
+		return compare(args, w.peak(args[1]), args[2])
 	case "crashes":
 		return compare(args, w.oracle.crashes, args[1])
 	case "version":
@@ -353,6 +359,11 @@
 		return compare(args, w.held(args[1]), args[2])
 	case "retries":
 		return compare(args, w.retries(), args[1])
+	case "stopped":
+		if p := w.process(args[1]); p == nil || !p.dead {
+			return fmt.Errorf("expect %s: it runs", strings.Join(args, " "))
+		}
+		return nil
 	case "placer":
 		if got := w.oracle.record.Placer; got != args[1] {
 			return fmt.Errorf("expect %s: got %q", strings.Join(args, " "), got)
@@ -375,6 +386,19 @@
 	return count
 }
 
+// peak returns the most requests that ran at once at one replica of a deployment since it was last asked.
+func (w *World) peak(deployment string) (peak int) {
+	for _, s := range w.servers {
+		for _, r := range s.replicas {
+			if r.order.Deployment == deployment {
+				peak = max(peak, r.peak)
+				r.peak = 0
+			}
+		}
+	}
+	return peak
+}
+
 // retries counts runs beyond the first of each call, as a percentage of all calls.
 func (w *World) retries() int {
 	extra := 0
