fix: take unwritten claims to the new owner of their partition

When a claim partition changed its owner, as in each planned stop, the former owner refused the requests whose claim was in no write yet as ClaimUnavailable, not run. A planned stop is to cut no request, so these go to the new owner now. Ruled out: claiming them at the former owner, which would contend with the new one for the segment.

--- a/internal/decision/reducer/claiming.go
+++ b/internal/decision/reducer/claiming.go
@@ -74,8 +74,27 @@
 			c.owned[p] = true
 			m.applyClaims(c, c.claims.Own(m.claimMoment(), p))
 		case !mine && c.owned[p]:
-			delete(c.owned, p)
-			m.applyClaims(c, c.claims.Disown(m.claimMoment(), p))
+			m.disownClaims(c, p)
+		}
+	}
+}
+
+// disownClaims gives a claim partition up. Requests whose claim was in no write go to its new owner.
+func (m *Machine) disownClaims(c *cell, partition int) {
+	delete(c.owned, partition)
+	var kept []claimer.Action
+	var moved []RequestID
+	for _, action := range c.claims.Disown(m.claimMoment(), partition) {
+		if d, ok := action.(claimer.Denied); ok && d.Code == refuser.CodeClaimUnavailable {
+			moved = append(moved, RequestID(d.Request))
+			continue
+		}
+		kept = append(kept, action)
+	}
+	m.applyClaims(c, kept)
+	for _, id := range moved {
+		if r, ok := m.requests[id]; ok {
+			m.claim(r)
 		}
 	}
 }
