fix: hear all peers before a restarted daemon takes a configuration from one

A daemon that was restarted while it did not reach the key-value service took the configuration of the first peer that it heard. If that peer had just been frozen for long, the host's version went back, until the next heartbeat. It now hears its peers for 1.5 s and asks the one with the highest version. Cost: a daemon that starts in an outage serves 1.5 s later.

--- a/internal/decision/reducer/configuring.go
+++ b/internal/decision/reducer/configuring.go
@@ -12,6 +12,8 @@
 	configurationHeadKey = "configuration/head"
 	// configurationRetry is how long after a failed read the configuration is read again.
 	configurationRetry = time.Second
+	// gatherTime is how long a daemon without a configuration hears its peers: longer than between two heartbeats.
+	gatherTime = 1500 * time.Millisecond
 )
 
 // loadConfiguration reads the configuration from the key-value service, or from a peer if an address is given.
@@ -46,8 +48,16 @@
 	m.next.heartbeat = m.now.Since
 }
 
-// loadFromPeers asks the peer with the highest version, if it is higher than the one in force.
+// loadFromPeers asks the peer with the highest version, if it is higher than the one in force. A daemon without
+// any configuration asks at the end of gatherTime.
 func (m *Machine) loadFromPeers() {
+	if m.catalog != nil {
+		m.loadFromPeersNow()
+	}
+}
+
+// loadFromPeersNow asks also if no configuration is in force.
+func (m *Machine) loadFromPeersNow() {
 	version, best, ok := m.members.NewestConfiguration()
 	if ok && version > m.version() {
 		m.loadConfiguration(best.Address)
@@ -72,7 +82,25 @@
 	}
 }
 
+// heardVersion reads the configuration of a peer that has a newer one. A daemon without any first hears all its
+// peers for a while: the first one heard may itself be behind, and the version must not go back by a restart.
+func (m *Machine) heardVersion(address string, version int64) {
+	switch {
+	case version <= m.version():
+	case m.catalog == nil:
+		if m.gatherUntil == 0 {
+			m.gatherUntil = m.now.Since + gatherTime
+		}
+	case !m.loading:
+		m.loadConfiguration(address)
+	}
+}
+
 func (m *Machine) tickConfiguration() {
+	if m.catalog == nil && m.gatherUntil > 0 && m.now.Since >= m.gatherUntil && !m.loading {
+		m.gatherUntil = m.now.Since + configurationRetry
+		m.loadFromPeersNow()
+	}
 	if m.loadAt > 0 && m.now.Since >= m.loadAt && !m.loading {
 		m.loadAt = 0
 		m.loadConfiguration("")
--- a/internal/decision/reducer/machine.go
+++ b/internal/decision/reducer/machine.go
@@ -65,6 +65,8 @@
 	loading      bool
 	loadAt       time.Duration
 	headRevision int64
+	// gatherUntil is until when a daemon without a configuration hears its peers' versions, 0 before the first.
+	gatherUntil time.Duration
 
 	fleet    observer.Fleet
 	self     tracker.Daemon
@@ -144,6 +146,9 @@
 	if m.loadAt > 0 {
 		wake = min(wake, m.loadAt)
 	}
+	if m.catalog == nil && m.gatherUntil > 0 && !m.loading {
+		wake = min(wake, m.gatherUntil)
+	}
 	if m.stop.requested {
 		wake = min(wake, m.now.Since+planInterval)
 	}
--- a/internal/decision/reducer/membership.go
+++ b/internal/decision/reducer/membership.go
@@ -230,9 +230,7 @@
 	if h.Leaving {
 		m.register.leaving[message.Instance] = true
 	}
-	if h.ConfigurationVersion > m.version() && !m.loading {
-		m.loadConfiguration(message.Address)
-	}
+	m.heardVersion(message.Address, h.ConfigurationVersion)
 	for _, name := range m.cellNames {
 		c := m.cells[name]
 		if _, revision := c.planner.Record(); h.Placements[name] > revision {
