fix: preload only after a minute as placer

A placer that has just taken over has requests to serve first. Preloads right after the start also took the weight store's places from cold starts: 6 process scripts that count loads or expect cold deployments failed.

--- a/internal/command/prover/ask_test.go
+++ b/internal/command/prover/ask_test.go
@@ -82,7 +82,7 @@
 
 func (s *stage) newQuestion(args []string) (question, error) {
 	if len(args) < 3 {
-		return question{}, errors.New("the form is: ask NAME METHOD PATH [FLAG]...")
+		return question{}, errors.New("usage: ask NAME METHOD PATH [FLAG ...]")
 	}
 	q := question{method: args[1], path: args[2], header: make(http.Header), count: 1}
 	for name := range strings.SplitSeq(args[0], ",") {
@@ -185,7 +185,7 @@
 // begin sends requests in the background: begin LABEL ARGUMENT..., with the arguments of ask and -repeat.
 func (s *stage) begin(args []string) error {
 	if len(args) < 4 {
-		return errors.New("the form is: begin LABEL NAME METHOD PATH [FLAG]...")
+		return errors.New("usage: begin LABEL NAME METHOD PATH [FLAG ...]")
 	}
 	q, err := s.newQuestion(args[1:])
 	if err != nil {
--- a/internal/command/prover/platform_test.go
+++ b/internal/command/prover/platform_test.go
@@ -276,7 +276,7 @@
 // lookup fails unless a daemon's look-up of a deployment names just the daemons given: lookup DAEMON DEPLOYMENT NAME...
 func (s *stage) lookup(args []string) error {
 	if len(args) < 2 {
-		return errors.New("the form is: lookup DAEMON DEPLOYMENT NAME...")
+		return errors.New("usage: lookup DAEMON DEPLOYMENT [NAME ...]")
 	}
 	cmd := exec.CommandContext(s.ctx, "samphirewharf", "addresses", args[1], "--ask", s.script.Getenv(args[0]), "--output", "json")
 	out, err := cmd.Output()
--- a/internal/command/prover/process_test.go
+++ b/internal/command/prover/process_test.go
@@ -72,7 +72,7 @@
 // It sets $NAME to a daemon's address, $STORE and $HOSTS and the program's own variables to those of stand-ins.
 func (s *stage) start(args []string) error {
 	if len(args) < 2 {
-		return errors.New("the form is: start NAME ARGUMENT...")
+		return errors.New("usage: start NAME [ARGUMENT ...]")
 	}
 	if old, ok := s.processes[args[0]]; ok && old.running() {
 		return fmt.Errorf("%s runs already", args[0])
@@ -165,7 +165,7 @@
 		args = args[1:]
 	}
 	if len(args) == 0 || commands()[args[0]] == nil {
-		return errors.New("the form is: until [!] COMMAND ARGUMENT...")
+		return errors.New("usage: until [!] COMMAND [ARGUMENT ...]")
 	}
 	command := commands()[args[0]]
 	return s.await(strings.Join(args, " "), func() error {
@@ -218,7 +218,7 @@
 
 func (s *stage) signal(names []string, signal syscall.Signal) error {
 	if len(names) == 0 {
-		return errors.New("the form is: freeze|thaw|sigkill|shutdown NAME...")
+		return errors.New("usage: freeze|thaw|sigkill|shutdown [NAME ...]")
 	}
 	for _, name := range names {
 		p, ok := s.processes[name]
@@ -265,7 +265,7 @@
 // exits runs the program and fails unless it ends with an exit code: exits CODE ARGUMENT...
 func (s *stage) exits(args []string) error {
 	if len(args) < 2 {
-		return errors.New("the form is: exits CODE ARGUMENT...")
+		return errors.New("usage: exits CODE [ARGUMENT ...]")
 	}
 	got := 0
 	if err := s.script.Exec("samphirewharf", args[1:]...); err != nil {
--- a/internal/command/runner/demo.go
+++ b/internal/command/runner/demo.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"samphirewharf/internal/daemon/demonstrator"
+	"samphirewharf/internal/entry/acceptor"
 )
 
 // A demoCommand shows the whole system in one process.
@@ -25,6 +26,7 @@
 	if c.Log != "" {
 		logger = &log.Logger{Level: log.InfoLevel, Writer: &log.FileWriter{Filename: c.Log}}
 	}
+	acceptor.RouteLogs(logger)
 	d := demonstrator.Demonstrator{Out: r.Stdout, Stay: c.Stay, Logger: logger}
 	if err := d.Run(ctx); err != nil {
 		return fmt.Errorf("demonstration: %w", err)
--- a/internal/command/runner/serve.go
+++ b/internal/command/runner/serve.go
@@ -46,6 +46,7 @@
 		return err
 	}
 	logger := &log.Logger{Level: log.ParseLevel(c.LogLevel), Writer: &log.IOWriter{Writer: r.Stderr}}
+	acceptor.RouteLogs(logger)
 	record, err := c.openRecord()
 	if err != nil {
 		return err
--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -150,6 +150,7 @@
 func (d *Daemon) assemble() error {
 	s := d.settings
 	store := &storer.Client{Address: s.StoreAddress, Timeout: s.StoreTimeout}
+	d.peers.Logger = s.Logger
 	d.registerMetrics()
 	d.fetcher.versioner.Store = versioner.NewStore(store)
 	d.fetcher.fromPeer = d.exchanger().fetch
--- a/internal/decision/planner/machine.go
+++ b/internal/decision/planner/machine.go
@@ -373,6 +373,7 @@
 func (m *Machine) adopt(record Record, revision int64) {
 	if !m.Placing() && record.Placer == m.Daemon && record.Instance == m.Instance {
 		clear(m.servers)
+		m.preloads.delayed = false
 	}
 	m.record = record
 	m.revision = revision
--- a/internal/decision/planner/preload.go
+++ b/internal/decision/planner/preload.go
@@ -10,6 +10,8 @@
 )
 
 const (
+	// preloadDelay is how long after becoming placer a daemon starts to preload, so that requests come first.
+	preloadDelay = time.Minute
 	// preloadInterval is the time between two looks for a checkpoint to bring near.
 	preloadInterval = time.Second
 	// preloadScan is how many deployments one look goes through.
@@ -24,6 +26,8 @@
 type preloading struct {
 	// next is the place of the next deployment to look at in the configuration.
 	next int
+	// delayed tells that preloadDelay has been counted since this daemon became placer.
+	delayed bool
 	// lookAt is when the next look is due.
 	lookAt time.Duration
 	// last is when a deployment was preloaded.
@@ -37,6 +41,11 @@
 	if !m.Preload || v.Now < m.preloads.lookAt || m.demand.waiting() || m.preloadPending(v) {
 		return next
 	}
+	if !m.preloads.delayed {
+		m.preloads.delayed = true
+		m.preloads.lookAt = v.Now + preloadDelay
+		return next
+	}
 	m.preloads.lookAt = v.Now + preloadInterval
 	deployments := v.Catalog.Configuration.Deployments
 	for range min(preloadScan, len(deployments)) {
