--- a/internal/command/prover/script_test.go
+++ b/internal/command/prover/script_test.go
@@ -129,6 +129,7 @@
 		"placer":     (*stage).findPlacer,
 		"registered": (*stage).registered,
 		"start":      (*stage).start,
+		"session":    (*stage).session,
 		"shutdown":   (*stage).shutdown,
 		"thaw":       (*stage).thaw,
 		"until":      (*stage).until,
