--- a/internal/decision/reducer/machine.go
+++ b/internal/decision/reducer/machine.go
@@ -65,6 +65,8 @@
 	loading      bool
 	loadAt       time.Duration
 	headRevision int64
+	// gatherUntil is until when a daemon without a configuration hears its peers' versions, 0 before the first.
+	gatherUntil time.Duration
 
 	fleet    observer.Fleet
 	self     tracker.Daemon
@@ -106,7 +108,6 @@
 type schedule struct {
 	hosts     time.Duration
 	heartbeat time.Duration
-	reports   time.Duration
 	uses      time.Duration
 	plan      time.Duration
 	polls     time.Duration
@@ -138,12 +139,15 @@
 	if m.hold.until > 0 {
 		return m.hold.until
 	}
-	wake := min(m.next.hosts, m.next.heartbeat, m.next.reports, m.next.uses, m.next.plan, m.next.polls)
+	wake := min(m.next.hosts, m.next.heartbeat, m.next.uses, m.next.plan, m.next.polls)
 	wake = min(wake, m.next.needs, m.next.claims)
 	wake = min(wake, m.members.NextWake(), m.lease.NextRenewal())
 	if m.loadAt > 0 {
 		wake = min(wake, m.loadAt)
 	}
+	if m.catalog == nil && m.gatherUntil > 0 && !m.loading {
+		wake = min(wake, m.gatherUntil)
+	}
 	if m.stop.requested {
 		wake = min(wake, m.now.Since+planInterval)
 	}
@@ -217,10 +221,6 @@
 		m.next.polls = now + pollResolution
 		m.pollServers()
 	}
-	if now >= m.next.reports {
-		m.next.reports = now + pollInterval
-		m.sendReports(false)
-	}
 	if now >= m.next.needs || now >= m.next.uses {
 		m.tickNeeds()
 	}
--- a/internal/decision/reducer/membership.go
+++ b/internal/decision/reducer/membership.go
@@ -59,9 +59,7 @@
 	m.listMembers()
 	m.registerSelf()
 	m.members.Tick(now)
-	for _, d := range m.members.HeartbeatTargets(now) {
-		m.emit(SendPeer{Daemon: d.ID, Address: d.Address, Message: messenger.Message{Heartbeat: m.heartbeat()}})
-	}
+	m.sendHeartbeats()
 	if now >= m.next.heartbeat || m.register.version != m.members.Version() {
 		m.next.heartbeat = now + tracker.HeartbeatInterval
 		m.register.version = m.members.Version()
@@ -230,9 +228,7 @@
 	if h.Leaving {
 		m.register.leaving[message.Instance] = true
 	}
-	if h.ConfigurationVersion > m.version() && !m.loading {
-		m.loadConfiguration(message.Address)
-	}
+	m.heardVersion(message.Address, h.ConfigurationVersion)
 	for _, name := range m.cellNames {
 		c := m.cells[name]
 		if _, revision := c.planner.Record(); h.Placements[name] > revision {
