--- a/Makefile
+++ b/Makefile
@@ -34,4 +34,4 @@
 
 # Runs random scenarios until one fails or the run is interrupted; SEED repeats a run.
 fuzz:
-	go test -run TestFuzz -timeout 0 -rapid.checks 1000000 -rapid.seed $${SEED:-$$(date +%s)} ./internal/decision/prover
+	go test ./internal/decision/prover -run TestFuzz -timeout 0 -rapid.checks=1000000 -rapid.seed=$${SEED:-$$(date +%s)}
