--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,6 @@
 	go test -run TestPrefixAffinity -v ./internal/decision/router
 	go test -run '^$$' -bench BenchmarkClaims -benchtime 1x ./internal/decision/claimer
 
-# Runs random scenarios until one fails or the run is interrupted; SEED repeats a run.
+# Runs random scenarios until interrupted and prints those that fail; SEED repeats a run.
 fuzz:
-	go test ./internal/decision/prover -run TestFuzz -timeout 0 -rapid.checks=1000000 -rapid.seed=$${SEED:-$$(date +%s)}
+	go test ./internal/decision/prover -v -run TestFuzz -timeout 0 -rapid.checks=1000000 -rapid.seed=$${SEED:-$$(date +%s)}
