fix: spread cells, servers and claim partitions evenly over daemons

Rendezvous hashing of each cell on its own left the load to chance: with the tracker at 420 daemons and 60 cells of 7, 152 daemons served no cell, 166 one, 67 two, 24 three, 7 four and 4 five, and those with two or more do not fit the control budget. assigner.Spread now picks for all keys together: no member gets more than ceil(keys * n / members). It fills in rounds of one key a member, the heaviest pairs first (a stable matching, so the order of events does not matter), and completes the last keys by one exchange where needed. One matching with the bound as capacity was ruled out: the bound jumps from 1 to 2 between 420 and 419 daemons, which would reshuffle the cells; rounds change smoothly there.

The tracker spreads the cells of each region together over the region's daemons and, new, those without a region. It does so once for changes that come together, when the result is asked for. Each cell keeps one table of its servers' owners, which polls and suspects share, and one of its claim partitions.

The tracker's test compared with assigner.Pick, which is no longer the rule; it now compares with assigner.Spread from scratch, in the same places, and checks the bound as well.

--- a/internal/decision/assigner/assigner.go
+++ b/internal/decision/assigner/assigner.go
@@ -1,4 +1,4 @@
-// Package assigner assigns keys to members by rendezvous hashing.
+// Package assigner assigns keys to members by rendezvous hashing: each key on its own, or all keys evenly.
 package assigner
 
 import "github.com/cespare/xxhash/v2"
@@ -49,8 +49,11 @@
 	return member < other
 }
 
-func weigh(key uint64, member string) uint64 {
-	z := key + xxhash.Sum64String(member)*mixIncrement
+func weigh(key uint64, member string) uint64 { return mix(key, xxhash.Sum64String(member)) }
+
+// mix returns the weight of a member for a key, both given as hashes.
+func mix(key, member uint64) uint64 {
+	z := key + member*mixIncrement
 	z = (z ^ z>>30) * mixFirst
 	z = (z ^ z>>27) * mixSecond
 	return z ^ z>>31
--- a/internal/decision/reducer/cell.go
+++ b/internal/decision/reducer/cell.go
@@ -18,6 +18,10 @@
 	kind cataloger.ServiceKind
 	// daemons are the IDs of the daemons that serve the cell, ordered by name.
 	daemons []string
+	// servers are the owners of the cell's servers: the daemons that poll them and may run suspects at them.
+	servers map[string]string
+	// partitions are the owners of the claim partitions.
+	partitions map[string]string
 
 	planner *planner.Machine
 	loads   limiter.LoadShare
@@ -63,6 +67,7 @@
 		c.planner.HoldPreloaded = m.catalog.Configuration.Weighting == cataloger.WeightColdStart
 		if !slices.Equal(c.daemons, daemons) {
 			c.daemons = daemons
+			c.spreadPartitions()
 			m.assignPolls(c)
 			m.assignClaims(c)
 		}
--- a/internal/decision/reducer/claiming.go
+++ b/internal/decision/reducer/claiming.go
@@ -2,12 +2,10 @@
 
 import (
 	"math"
-	"strconv"
 	"time"
 
 	"samphirewharf/internal/caller/refuser"
 	"samphirewharf/internal/config/cataloger"
-	"samphirewharf/internal/decision/assigner"
 	"samphirewharf/internal/decision/claimer"
 )
 
@@ -32,7 +30,7 @@
 		return
 	}
 	c := m.cells[r.service.Name]
-	owner := claimOwner(c, claimer.Partition(key, claimer.DefaultPartitions))
+	owner := c.claimOwner(claimer.Partition(key, claimer.DefaultPartitions))
 	if owner == m.settings.Daemon || r.arrived.ForwardedBy != "" {
 		m.claimHere(r)
 		return
@@ -68,7 +66,7 @@
 		return
 	}
 	for p := range claimer.DefaultPartitions {
-		mine := claimOwner(c, p) == m.settings.Daemon
+		mine := c.claimOwner(p) == m.settings.Daemon
 		switch {
 		case mine && !c.owned[p]:
 			c.owned[p] = true
@@ -198,14 +196,6 @@
 	return claimer.Moment{Since: m.now.Since, Wall: m.now.Wall}
 }
 
-func claimOwner(c *cell, partition int) string {
-	owner := assigner.Pick("claims/"+c.name+"/"+strconv.Itoa(partition), c.daemons, 1)
-	if len(owner) == 0 {
-		return ""
-	}
-	return owner[0]
-}
-
 func identityHeader(s *cataloger.Service) string {
 	if s.IdentityHeader != "" {
 		return s.IdentityHeader
--- a/internal/decision/reducer/polling.go
+++ b/internal/decision/reducer/polling.go
@@ -7,7 +7,6 @@
 
 	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/config/cataloger"
-	"samphirewharf/internal/decision/assigner"
 	"samphirewharf/internal/decision/observer"
 	"samphirewharf/internal/peer/messenger"
 )
@@ -39,11 +38,12 @@
 
 // assignPolls shares the cell's servers among its daemons.
 func (m *Machine) assignPolls(c *cell) {
-	for _, s := range m.fleet.Servers(c.name) {
+	servers := m.fleet.Servers(c.name)
+	c.spreadServers(servers)
+	for _, s := range servers {
 		name := s.Host.Server
-		owner := assigner.Pick(name, c.daemons, 1)
 		p := m.poll(name)
-		mine := len(owner) == 1 && owner[0] == m.settings.Daemon
+		mine := c.servers[name] == m.settings.Daemon
 		if mine && !p.mine {
 			p.at = m.now.Since + time.Duration(xxhash.Sum64String(name)%uint64(pollInterval/8))
 		}
--- a/internal/decision/reducer/verifying.go
+++ b/internal/decision/reducer/verifying.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"samphirewharf/internal/caller/refuser"
-	"samphirewharf/internal/decision/assigner"
 	"samphirewharf/internal/decision/tracker"
 	"samphirewharf/internal/peer/messenger"
 )
@@ -95,8 +94,7 @@
 	if c == nil {
 		return false
 	}
-	owner := assigner.Pick(server, c.daemons, 1)
-	return len(owner) == 1 && owner[0] == m.settings.Daemon
+	return c.servers[server] == m.settings.Daemon
 }
 
 // forwardSuspects passes waiting suspects on to the daemon that may run them, if this one may run them nowhere.
@@ -132,8 +130,8 @@
 		if m.ownsServer(server) {
 			return tracker.Daemon{}, false
 		}
-		if picked := assigner.Pick(server, c.daemons, 1); !ok && len(picked) == 1 {
-			owner, ok = m.cellMember(c, picked[0])
+		if !ok {
+			owner, ok = m.cellMember(c, c.servers[server])
 		}
 	}
 	return owner, ok
--- a/internal/decision/tracker/cells.go
+++ b/internal/decision/tracker/cells.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"maps"
 	"slices"
 
 	"samphirewharf/internal/decision/assigner"
@@ -12,53 +13,33 @@
 // A Cell is a group of backend servers that some of the daemons follow.
 type Cell struct {
 	Name string
-	// Region restricts the cell to daemons of the region, unless it is empty.
+	// Region restricts the cell to daemons of the region and those without one, unless it is empty.
 	Region string
 }
 
-// A cellTable holds the daemons that serve each cell: the live ones of the cell's region that are
-// not leaving, chosen by rendezvous hashing. If all are leaving, all are candidates.
+// A cellTable holds the daemons that serve each cell: of the live ones in the cell's region that are
+// not leaving, or of all if all are leaving, evenly chosen by assigner.Spread. Cells of one region are
+// spread together. It depends on the cells and the live daemons alone, not on the order of events.
 type cellTable struct {
 	cells []Cell
-	// picks are the IDs for each cell, the heaviest first.
+	// picks are the IDs for each cell, the heaviest first, unless stale.
 	picks map[string][]string
+	stale bool
 }
 
-// join adds a live daemon. It costs O(cells), not O(daemons).
-func (t *cellTable) join(d Daemon, leaving func(id string) bool, candidates func(region string) []string) {
-	for _, c := range t.cells {
-		if c.Region != "" && c.Region != d.Region {
-			continue
-		}
-		picks := t.picks[c.Name]
-		switch {
-		case len(picks) < DaemonsPerCell || leaving(picks[0]):
-			t.pick(c, candidates)
-		case !d.Leaving:
-			t.picks[c.Name] = assigner.Pick(c.Name, append(slices.Clone(picks), d.ID), DaemonsPerCell)
-		}
+// settle picks anew if that is due.
+func (t *cellTable) settle(candidates func(region string) []string) {
+	if !t.stale {
+		return
 	}
-}
-
-// leave removes a daemon that is no candidate any more. Only cells that it served are picked anew.
-func (t *cellTable) leave(id string, candidates func(region string) []string) {
+	t.stale = false
+	names := make(map[string][]string)
 	for _, c := range t.cells {
-		if slices.Contains(t.picks[c.Name], id) {
-			t.pick(c, candidates)
-		}
+		names[c.Region] = append(names[c.Region], c.Name)
 	}
-}
-
-func (t *cellTable) pick(c Cell, candidates func(region string) []string) {
-	t.picks[c.Name] = assigner.Pick(c.Name, candidates(c.Region), DaemonsPerCell)
-}
-
-// reset replaces the cells.
-func (t *cellTable) reset(cells []Cell, candidates func(region string) []string) {
-	t.cells = slices.Clone(cells)
-	t.picks = make(map[string][]string, len(cells))
-	for _, c := range t.cells {
-		t.pick(c, candidates)
+	t.picks = make(map[string][]string, len(t.cells))
+	for region, cells := range names {
+		maps.Copy(t.picks, assigner.Spread(cells, candidates(region), DaemonsPerCell))
 	}
 }
 
--- a/internal/decision/tracker/tracker.go
+++ b/internal/decision/tracker/tracker.go
@@ -43,7 +43,7 @@
 	live    []string
 	version uint64
 	cells   cellTable
-	// peers are the daemons that share a cell with this one, sorted.
+	// peers are the daemons that share a cell with this one, sorted, unless the cells are stale.
 	peers []string
 	// nextPeer is where the next round of heartbeats starts if there are more than MaxSharedPeers.
 	nextPeer    int
@@ -86,7 +86,10 @@
 }
 
 // Daemons returns the daemons that serve a cell, the first choice first.
-func (t *Tracker) Daemons(cell string) []Daemon { return t.describe(t.cells.picks[cell]) }
+func (t *Tracker) Daemons(cell string) []Daemon {
+	t.settle()
+	return t.describe(t.cells.picks[cell])
+}
 
 // Heard takes a heartbeat. It costs O(log n) of the members unless the membership changes.
 func (t *Tracker) Heard(now time.Duration, m messenger.Message) {
@@ -128,6 +131,7 @@
 	if now < t.heartbeatAt {
 		return nil
 	}
+	t.settle()
 	t.heartbeatAt = now + jitter(t.random, HeartbeatInterval)
 	targets := make([]string, 0, min(len(t.peers), MaxSharedPeers)+RandomPeers)
 	for i := range min(len(t.peers), MaxSharedPeers) {
@@ -210,7 +214,7 @@
 			m.daemon.Region = region
 		}
 	}
-	t.cells.reset(cells, t.candidates)
+	t.cells.cells = slices.Clone(cells)
 	t.changed()
 }
 
@@ -254,13 +258,14 @@
 // Version returns a number that grows with each change of the live daemons or the cells.
 func (t *Tracker) Version() uint64 { return t.version }
 
-// candidates returns the IDs of the live daemons of a region that may serve cells.
+// candidates returns the IDs of the live daemons that may serve cells of a region: its own, and those
+// without a region.
 func (t *Tracker) candidates(region string) []string {
 	var staying, leaving []string
 	for _, id := range t.live {
 		d := t.members[id].daemon
 		switch {
-		case region != "" && d.Region != region:
+		case region != "" && d.Region != "" && d.Region != region:
 		case d.Leaving:
 			leaving = append(leaving, id)
 		default:
@@ -273,9 +278,11 @@
 	return staying
 }
 
+// changed notes that the cells are to be spread anew. That is done when the result is asked for, once
+// for changes that come together.
 func (t *Tracker) changed() {
 	t.version++
-	t.peers = t.cells.shared(t.self.ID)
+	t.cells.stale = true
 }
 
 // check plans a check of the member, unless one is planned already.
@@ -302,13 +309,9 @@
 	m.daemon = d
 	switch {
 	case !m.live || before == d:
-	case before.Region == d.Region && d.Leaving:
-		t.cells.leave(d.ID, t.candidates)
-		t.changed()
 	case before.Region == d.Region && before.Leaving == d.Leaving:
 		t.version++
 	default:
-		t.cells.reset(t.cells.cells, t.candidates)
 		t.changed()
 	}
 	t.refresh(m, now)
@@ -316,12 +319,11 @@
 
 // expected reports whether heartbeats of the member are due here.
 func (t *Tracker) expected(m *member) bool {
+	t.settle()
 	_, shares := slices.BinarySearch(t.peers, m.daemon.ID)
 	return shares && m.heard
 }
 
-func (t *Tracker) isLeaving(id string) bool { return t.members[id].daemon.Leaving }
-
 // key notes a daemon's key.
 func (t *Tracker) key(now time.Duration, d Daemon, revision int64) {
 	last, known := t.byID.get(d.ID)
@@ -380,15 +382,21 @@
 	at, _ := slices.BinarySearch(t.live, m.daemon.ID)
 	if live {
 		t.live = slices.Insert(t.live, at, m.daemon.ID)
-		t.cells.join(m.daemon, t.isLeaving, t.candidates)
 	} else {
 		t.live = slices.Delete(t.live, at, at+1)
-		t.cells.leave(m.daemon.ID, t.candidates)
 	}
 	t.changed()
 	t.tidy(m)
 }
 
+// settle spreads the cells anew if that is due.
+func (t *Tracker) settle() {
+	if t.cells.stale {
+		t.cells.settle(t.candidates)
+		t.peers = t.cells.shared(t.self.ID)
+	}
+}
+
 func (t *Tracker) sortedIDs() []string {
 	ids := make([]string, 0, len(t.members))
 	for id := range t.members {
--- a/internal/decision/tracker/tracker_test.go
+++ b/internal/decision/tracker/tracker_test.go
@@ -90,14 +90,31 @@
 	}
 }
 
-// assertCells checks the incremental picks against picks made from scratch.
+// assertCells checks the picks, made as events came, against picks made from scratch, and that no daemon
+// has more cells than the bound.
 func assertCells(t *testing.T, tracker *Tracker) {
 	t.Helper()
+	var names []string
 	for _, c := range tracker.cells.cells {
-		got := tracker.cells.picks[c.Name]
-		want := assigner.Pick(c.Name, tracker.candidates(c.Region), DaemonsPerCell)
-		if !slices.Equal(got, want) {
-			t.Errorf("%s: got %v, want %v", c.Name, got, want)
+		names = append(names, c.Name)
+	}
+	candidates := tracker.candidates(testRegion)
+	table := assigner.Spread(names, candidates, DaemonsPerCell)
+	load := make(map[string]int)
+	for _, name := range names {
+		var got []string
+		for _, d := range tracker.Daemons(name) {
+			got = append(got, d.ID)
+			load[d.ID]++
+		}
+		if want := table[name]; !slices.Equal(got, want) {
+			t.Errorf("%s: got %v, want %v", name, got, want)
+		}
+	}
+	want := (len(names)*min(DaemonsPerCell, len(candidates)) + len(candidates) - 1) / len(candidates)
+	for id, got := range load {
+		if got > want {
+			t.Errorf("%s: got %d cells, want at most %d", id, got, want)
 		}
 	}
 }
@@ -286,6 +303,19 @@
 			t.Errorf("got %d daemons, want %d", got, want)
 		}
 	})
+	t.Run("a daemon without a region serves every cell", func(t *testing.T) {
+		tracker := newFleet(t, 2, 1)
+		other := testDaemon(2)
+		other.Zone, other.Region = "kgn-a", ""
+		change(t, tracker, 0, testEntry(t, other, 9), false)
+		if got, want := len(tracker.Daemons("cell-0")), 3; got != want {
+			t.Errorf("got %d daemons, want %d", got, want)
+		}
+	})
+	t.Run("420 daemons serve one of 60 cells each", func(t *testing.T) {
+		tracker := newFleet(t, 420, 60)
+		assertCells(t, tracker)
+	})
 	t.Run("changes at 420 daemons give the same as from scratch", func(t *testing.T) {
 		tracker := newFleet(t, 420, 60)
 		random := rand.New(rand.NewPCG(3, 4))
@@ -312,6 +342,7 @@
 		tracker := newFleet(t, 420, 60)
 		total := 0
 		for n := range 420 {
+			tracker.settle()
 			shared := len(tracker.cells.shared(testDaemon(n).ID))
 			total += min(shared, MaxSharedPeers) + RandomPeers
 		}
@@ -377,6 +408,7 @@
 			for i := 0; b.Loop(); i++ {
 				entry.Revision++
 				change(b, tracker, 0, entry, i%2 == 0)
+				tracker.Daemons("cell-0")
 			}
 		})
 	}
