fix: survey daemons whose cells are spread evenly

The surveyor chose cells and polled servers by assigner.Pick, which the daemon no longer does. The test of shared polls asks the same of the new table.

--- a/internal/load/surveyor/daemon.go
+++ b/internal/load/surveyor/daemon.go
@@ -44,7 +44,10 @@
 	// peers are the other daemons.
 	peers []tracker.Daemon
 	// cells are the services that the surveyed daemon serves.
-	cells    []string
+	cells []string
+	// table holds the daemons of each service, owners the daemon that polls each server, once they were asked for.
+	table    map[string][]string
+	owners   map[string]string
 	hosts    map[string][]lister.Host
 	replicas map[string][]orderer.ReplicaReport
 	sequence int64
@@ -133,11 +136,18 @@
 
 // members returns the IDs of the daemons that serve a cell, the first choice first.
 func (d *daemon) members(cell string) []string {
-	ids := make([]string, 0, d.size.Daemons)
-	for i := range d.size.Daemons {
-		ids = append(ids, newPeer(i).ID)
+	if d.table == nil {
+		ids := make([]string, 0, d.size.Daemons)
+		for i := range d.size.Daemons {
+			ids = append(ids, newPeer(i).ID)
+		}
+		names := make([]string, 0, d.size.Services)
+		for i := range d.size.Services {
+			names = append(names, serviceName(i))
+		}
+		d.table = assigner.Spread(names, ids, tracker.DaemonsPerCell)
 	}
-	return assigner.Pick(cell, ids, tracker.DaemonsPerCell)
+	return d.table[cell]
 }
 
 // place writes the placement records of the daemon's cells, and makes the engines hold what they say.
@@ -329,7 +339,7 @@
 		}
 		reports := m
 		for _, h := range d.hosts[cell] {
-			if pickOwner(h.Server, members) == peer.ID {
+			if d.owner(cell, h.Server) == peer.ID {
 				reports.Reports = append(reports.Reports, messenger.ServerReport{Server: h.Server, Age: 10 * time.Millisecond, Report: d.report(h.Server)})
 			}
 		}
@@ -339,8 +349,22 @@
 	}
 }
 
-// pickOwner returns the daemon that polls a server.
-func pickOwner(server string, members []string) string { return assigner.Pick(server, members, 1)[0] }
+// owner returns the daemon that polls a server of a cell.
+func (d *daemon) owner(cell, server string) string {
+	if d.owners == nil {
+		d.owners = make(map[string]string)
+	}
+	if _, ok := d.owners[server]; !ok {
+		var servers []string
+		for _, h := range d.size.hosts(cell) {
+			servers = append(servers, h.Server)
+		}
+		for name, picked := range assigner.Spread(servers, d.members(cell), 1) {
+			d.owners[name] = picked[0]
+		}
+	}
+	return d.owners[server]
+}
 
 func (d *daemon) receive(m messenger.Message) {
 	d.traffic.add(PartyPeersIn, messageBytes(m, m))
--- a/internal/load/surveyor/surveyor_test.go
+++ b/internal/load/surveyor/surveyor_test.go
@@ -72,7 +72,7 @@
 	for number := range small.Daemons {
 		d := &daemon{size: small}
 		for _, h := range small.hosts(serviceName(0)) {
-			if pickOwner(h.Server, d.members(serviceName(0))) == newPeer(number).ID {
+			if d.owner(serviceName(0), h.Server) == newPeer(number).ID {
 				polls++
 			}
 		}
