fix: back off from a key-value service that is out

Every daemon repeated failed calls at fixed intervals of 200 ms (placer) to 1 s (members, registration, configuration, each claim partition) all through an outage, and 420 of them would meet the service that comes back. A pacer.Pacer now doubles the delay to 8 s, with a quarter of jitter from the daemon's seeded source, and starts anew after a success. A failed lease renewal plans a reading of the members only if none is planned; it put the planned one off before. The first delays are as before but for the jitter, and so is the planner's wait between orders that raise a fence, which are no calls to the service.

By arithmetic from the intervals, not measured, calls a second of 420 daemons and 60 cells late in an outage, if each call fails at once: members 420 before, 52.5 after; claims, if all 60 x 16 partitions are in use, 960 and 120; placers with a record to write, 60 x 5 = 300 and 7.5; leases 127 and 127; in all 1,807 and 307. Daemons that start in the outage read the configuration too: 420 and 52.5.

Run: TestOutage (20 seeds, virtual time): a daemon that started in an outage of 11 minutes has read the members and the configuration and registered within 10.1 s of its end.

--- a/internal/decision/claimer/load.go
+++ b/internal/decision/claimer/load.go
@@ -26,7 +26,7 @@
 		m.fail(p)
 		return false
 	}
-	p.down = false
+	p.reached()
 	p.index.addSegment(name, a.Revision, entries)
 	return true
 }
@@ -55,7 +55,7 @@
 		m.fail(p)
 		return
 	}
-	p.down = false
+	p.reached()
 	p.stale = false
 	if p.loaded && a.Revision == p.revision {
 		m.decideWaiting(p)
--- a/internal/decision/claimer/machine.go
+++ b/internal/decision/claimer/machine.go
@@ -189,7 +189,7 @@
 	m.begin(now)
 	p := m.partitions[number]
 	if p == nil {
-		p = newPartition(m.settings.Cell, number)
+		p = newPartition(m.settings.Cell, number, m.settings.RetryInterval)
 		m.partitions[number] = p
 	}
 	p.owned = true
--- a/internal/decision/claimer/partition.go
+++ b/internal/decision/claimer/partition.go
@@ -4,6 +4,8 @@
 	"math"
 	"strconv"
 	"time"
+
+	"samphirewharf/internal/decision/pacer"
 )
 
 // neverDue is later than any time.
@@ -21,6 +23,8 @@
 	stale bool
 	// down tells that the last call failed; claims are then refused at once.
 	down bool
+	// pace is the pace of retries while calls fail.
+	pace pacer.Pacer
 	// busy tells that a call is under way. There is never more than one, deletes and reads of
 	// sealed segments aside.
 	busy bool
@@ -52,9 +56,10 @@
 	dueAt       time.Duration
 }
 
-func newPartition(cell string, number int) *partition {
+func newPartition(cell string, number int, retry time.Duration) *partition {
 	return &partition{
 		number: number,
+		pace:   pacer.Pacer{First: retry, Max: MaxRetryInterval},
 		key:    "claims/" + cell + "/" + strconv.Itoa(number),
 		local:  make(map[string]*claim),
 		dueAt:  neverDue,
@@ -79,6 +84,12 @@
 	}
 }
 
+// reached notes that the key-value service answered.
+func (p *partition) reached() {
+	p.down = false
+	p.pace.Succeeded()
+}
+
 // segmentKey returns the key of a sealed segment.
 func (p *partition) segmentKey(name string) string { return p.key + "/" + name }
 
--- a/internal/decision/claimer/scenario_test.go
+++ b/internal/decision/claimer/scenario_test.go
@@ -250,6 +250,23 @@
 	}
 }
 
+func TestStoreDownForLong(t *testing.T) {
+	s := newScenario(t)
+	m := s.owner("1")
+	actions := s.fail(m, m.Claim(s.moment(), s.request("a")), storer.ResultNotSent)
+	assertKinds(t, actions, "ClaimUnavailable not run")
+	for _, want := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, MaxRetryInterval, MaxRetryInterval} {
+		wake, ok := m.NextWake()
+		if got := wake - s.now; !ok || got != want {
+			t.Errorf("got %v until the next try, want %v", got, want)
+		}
+		s.now = wake
+		s.fail(m, m.Tick(s.moment()), storer.ResultNotSent)
+	}
+	assertKinds(t, s.pass(m, MaxRetryInterval))
+	assertKinds(t, s.claim(m, "b"), "Granted")
+}
+
 func TestSealing(t *testing.T) {
 	t.Run("two owners keep every claim", func(t *testing.T) {
 		s := newScenario(t)
--- a/internal/decision/claimer/settings.go
+++ b/internal/decision/claimer/settings.go
@@ -1,6 +1,9 @@
 package claimer
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // The defaults of Settings.
 const (
@@ -12,6 +15,8 @@
 	DefaultRetention     = 24 * time.Hour
 	DefaultClockMargin   = 5 * time.Minute
 	DefaultRetryInterval = time.Second
+	// MaxRetryInterval bounds the time between two attempts to reach a key-value service that is down, before jitter.
+	MaxRetryInterval = 8 * time.Second
 )
 
 // Settings configure a Machine. Zero fields take the defaults.
@@ -43,8 +48,11 @@
 	// ResultDelay is how long a result waits for a claim to be written with. If the process dies
 	// meanwhile, repeats are told that the request may have run.
 	ResultDelay time.Duration
-	// RetryInterval is the time between two attempts to reach a key-value service that is down.
+	// RetryInterval is the time after which a key-value service that is down is tried again, and callers that
+	// are refused should try again. It doubles with each failure up to MaxRetryInterval.
 	RetryInterval time.Duration
+	// Random gives the jitter of retries. Nil means none.
+	Random *rand.Rand
 }
 
 func (s Settings) withDefaults() Settings {
--- a/internal/decision/claimer/write.go
+++ b/internal/decision/claimer/write.go
@@ -39,7 +39,7 @@
 func (m *Machine) onCopy(p *partition, o operation, a Answer) {
 	switch a.Result {
 	case storer.ResultOK:
-		p.down = false
+		p.reached()
 		p.copied = a.Revision
 	case storer.ResultNotSent:
 		m.fail(p)
@@ -58,7 +58,7 @@
 func (m *Machine) onReadCopy(p *partition, a Answer) {
 	switch a.Result {
 	case storer.ResultOK:
-		p.down = false
+		p.reached()
 		p.copied = a.Revision
 	case storer.ResultNotFound:
 		// Written again by the next write, after the active segment has been read.
@@ -87,7 +87,7 @@
 
 // onWritten takes over the active segment that was written.
 func (m *Machine) onWritten(p *partition, o operation, revision int64) {
-	p.down = false
+	p.reached()
 	if o.seals {
 		p.index.sealActive(p.copyName(), p.copied)
 	}
--- /dev/null
+++ b/internal/decision/pacer/pacer.go
@@ -0,0 +1,34 @@
+// Package pacer paces the retries of a call that fails: the delay doubles with each failure, with jitter, so that
+// many daemons don't press a service that is out or has just come back.
+package pacer
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// jitterShare is the part of a delay by which it is shortened or lengthened at most.
+const jitterShare = 4
+
+// A Pacer gives the delays between the tries of one call. It is not safe for concurrent use.
+type Pacer struct {
+	// First is the delay after the first failure, Max the longest one, both before jitter.
+	First time.Duration
+	Max   time.Duration
+
+	// last is the delay after the latest failure before jitter, 0 if none came since the last success.
+	last time.Duration
+}
+
+// Failed takes a failure and returns how long to wait before the next try. A nil random leaves out the jitter.
+func (p *Pacer) Failed(random *rand.Rand) time.Duration {
+	p.last = min(max(p.First, 2*p.last), max(p.First, p.Max))
+	spread := int64(p.last / jitterShare)
+	if random == nil || spread == 0 {
+		return p.last
+	}
+	return p.last + time.Duration(random.Int64N(2*spread+1)-spread)
+}
+
+// Succeeded takes a success: the next failure counts as the first.
+func (p *Pacer) Succeeded() { p.last = 0 }
--- a/internal/decision/planner/machine.go
+++ b/internal/decision/planner/machine.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/decision/observer"
+	"samphirewharf/internal/decision/pacer"
 	"samphirewharf/internal/platform/storer"
 )
 
@@ -22,8 +24,11 @@
 	busyPoll = 50 * time.Millisecond
 	// unloadRepeat is how long after an unload order it is sent again if the replica is still there.
 	unloadRepeat = 2 * time.Second
-	// storeRetry is how long after a failed call to the key-value service the next one is made.
+	// storeRetry is about how long after the first failed call to the key-value service the next one is made,
+	// and how long after an order to raise a fence another may be sent.
 	storeRetry = 200 * time.Millisecond
+	// maxStoreRetry is about how long after a failed call at most the next one is made.
+	maxStoreRetry = 8 * time.Second
 	// absentAfter is how long a server must be missing in the host list before its replicas are given up.
 	absentAfter = 10 * time.Second
 	// minIdle is how long a replica must be idle before it may be evicted for another.
@@ -39,6 +44,8 @@
 	// Daemon and Instance are this daemon and its process.
 	Daemon   string
 	Instance string
+	// Random gives the jitter of retries. Nil means none.
+	Random *rand.Rand
 	// KeepAlive returns how long an idle replica of the deployment stays loaded.
 	KeepAlive func(d *cataloger.Deployment) time.Duration
 	// EvictionScore returns what is lost when an idle replica is unloaded; the lowest goes first.
@@ -61,7 +68,9 @@
 	write   *write
 	reading bool
 	retryAt time.Duration
-	tokens  int64
+	// pace is the pace of retries of calls to the key-value service.
+	pace   pacer.Pacer
+	tokens int64
 
 	demand demand
 	orders map[string]*order
@@ -186,13 +195,15 @@
 	m.reading = false
 	switch result {
 	case storer.ResultOK:
+		m.pace.Succeeded()
 		m.learn(entry.Value, entry.Revision)
 		m.known = true
 	case storer.ResultNotFound:
+		m.pace.Succeeded()
 		m.forgetRevision()
 		m.known = true
 	default:
-		m.retryAt = v.Now + storeRetry
+		m.retryAt = v.Now + m.pace.Failed(m.Random)
 	}
 	m.advance(v)
 	return m.actions
@@ -339,12 +350,14 @@
 	m.write.inCall = false
 	switch result {
 	case storer.ResultOK:
+		m.pace.Succeeded()
 		m.adopt(m.write.next, revision)
 	case storer.ResultConflict:
+		m.pace.Succeeded()
 		m.known = false
 		m.retryAt = 0
 	default:
-		m.write.retryAt = v.Now + storeRetry
+		m.write.retryAt = v.Now + m.pace.Failed(m.Random)
 	}
 	m.advance(v)
 	return m.actions
@@ -430,6 +443,7 @@
 	if m.orders != nil {
 		return
 	}
+	m.pace = pacer.Pacer{First: storeRetry, Max: maxStoreRetry}
 	m.orders = make(map[string]*order)
 	m.seen = make(map[string]bool)
 	m.renounced = make(map[string]time.Duration)
--- a/internal/decision/reducer/cell.go
+++ b/internal/decision/reducer/cell.go
@@ -113,6 +113,7 @@
 		Cell:          service.Name,
 		Daemon:        m.settings.Daemon,
 		Instance:      m.settings.Instance,
+		Random:        m.rng,
 		KeepAlive:     m.keepAlive,
 		EvictionScore: m.evictionScore,
 		Preload:       true,
@@ -122,6 +123,7 @@
 		Cell:      service.Name,
 		Daemon:    m.settings.Daemon,
 		Instance:  m.settings.Instance,
+		Random:    m.rng,
 		Retention: service.ClaimRetention.D(),
 
 		ResultDelay: resultDelay,
--- a/internal/decision/reducer/configuring.go
+++ b/internal/decision/reducer/configuring.go
@@ -10,7 +10,7 @@
 
 const (
 	configurationHeadKey = "configuration/head"
-	// configurationRetry is how long after a failed read the configuration is read again.
+	// configurationRetry is how long after it was asked for during another read the configuration is read again.
 	configurationRetry = time.Second
 )
 
@@ -28,10 +28,11 @@
 func (m *Machine) configurationLoaded(e ConfigurationLoaded) {
 	m.loading = false
 	if e.Catalog == nil {
-		m.loadAt = m.now.Since + configurationRetry
+		m.loadAt = m.now.Since + m.pacing.configuration.Failed(m.rng)
 		m.loadFromPeers()
 		return
 	}
+	m.pacing.configuration.Succeeded()
 	if e.Catalog.Version() <= m.version() {
 		return
 	}
--- a/internal/decision/reducer/machine.go
+++ b/internal/decision/reducer/machine.go
@@ -71,6 +71,7 @@
 	members  *tracker.Tracker
 	lease    *tracker.Lease
 	register registration
+	pacing   pacing
 	isolator isolator.Isolator
 	budget   limiter.RetryBudget
 	warmer   warmer.Warmer
@@ -124,6 +125,7 @@
 		deployments: make(map[string]*deployment),
 		plains:      make(map[string]*deployment),
 		ops:         make(map[OpID]operation),
+		pacing:      newPacing(),
 		polls:       make(map[string]*poll),
 		verifying:   make(map[string][]*request),
 	}
--- a/internal/decision/reducer/membership.go
+++ b/internal/decision/reducer/membership.go
@@ -9,13 +9,7 @@
 	"samphirewharf/internal/platform/storer"
 )
 
-const (
-	membersPrefix = tracker.KeyPrefix
-	// registerRetry is how long after a failed registration the next one is made.
-	registerRetry = time.Second
-	// membersRetry is how long after a failed reading of the members the next one is made.
-	membersRetry = time.Second
-)
+const membersPrefix = tracker.KeyPrefix
 
 // A registration is the daemon's own key below membersPrefix.
 type registration struct {
@@ -107,9 +101,10 @@
 	m.register.listing = false
 	if result != storer.ResultOK && result != storer.ResultNotFound {
 		m.members.StoreLost(m.now.Since)
-		m.register.listAt = m.now.Since + membersRetry
+		m.register.listAt = m.now.Since + m.pacing.members.Failed(m.rng)
 		return
 	}
+	m.pacing.members.Succeeded()
 	m.register.listAt = 0
 	if err := m.members.Listed(m.now.Since, entries, revision); err != nil {
 		m.emit(Noted{Message: "members could not be read", Detail: err.Error(), Warning: true})
@@ -130,7 +125,9 @@
 	m.lease.Renewed(e.SentAt, e.Result, e.Lost)
 	if e.Result != storer.ResultOK {
 		m.members.StoreLost(m.now.Since)
-		m.register.listAt = m.now.Since + membersRetry
+		if m.register.listAt == 0 {
+			m.register.listAt = m.now.Since + m.pacing.members.Failed(m.rng)
+		}
 		return
 	}
 	if e.Lost {
@@ -161,6 +158,7 @@
 	r.inCall = false
 	switch result {
 	case storer.ResultOK:
+		m.pacing.registration.Succeeded()
 		r.revision = revision
 	case storer.ResultConflict, storer.ResultUnknown:
 		r.wanted = true
@@ -168,7 +166,7 @@
 		m.emit(StoreGet{Op: m.op(operation{kind: operationRegisterGet}), Key: m.self.Key()})
 	default:
 		r.wanted = true
-		r.retryAt = m.now.Since + registerRetry
+		r.retryAt = m.now.Since + m.pacing.registration.Failed(m.rng)
 	}
 }
 
@@ -182,7 +180,7 @@
 	case storer.ResultNotFound:
 		r.revision = 0
 	default:
-		r.retryAt = m.now.Since + registerRetry
+		r.retryAt = m.now.Since + m.pacing.registration.Failed(m.rng)
 	}
 }
 
--- /dev/null
+++ b/internal/decision/reducer/pacing.go
@@ -0,0 +1,27 @@
+package reducer
+
+import (
+	"time"
+
+	"samphirewharf/internal/decision/pacer"
+)
+
+const (
+	// storeRetry is about how long after the first failure a call to the key-value service is made again.
+	storeRetry = time.Second
+	// maxStoreRetry is about how long after it at most.
+	maxStoreRetry = 8 * time.Second
+)
+
+// A pacing holds the retry delays of the daemon's own calls to the key-value service.
+type pacing struct {
+	// members paces the reading of the members, registration the writing and reading of the daemon's own key.
+	members       pacer.Pacer
+	registration  pacer.Pacer
+	configuration pacer.Pacer
+}
+
+func newPacing() pacing {
+	p := pacer.Pacer{First: storeRetry, Max: maxStoreRetry}
+	return pacing{members: p, registration: p, configuration: p}
+}
--- /dev/null
+++ b/internal/decision/reducer/pacing_test.go
@@ -0,0 +1,95 @@
+package reducer
+
+import (
+	"testing"
+	"time"
+
+	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/platform/storer"
+)
+
+// recoveryTime is how long after the key-value service is back a daemon may take to work.
+const recoveryTime = maxStoreRetry + maxStoreRetry/4
+
+// An outage is a daemon that starts while the key-value service is out.
+type outage struct {
+	fixture
+	over bool
+	// lists and loads count the calls for members and configuration.
+	lists, loads int
+	pending      []Effect
+}
+
+func newOutage(seed uint64) *outage {
+	o := &outage{fixture: fixture{now: Moment{Since: time.Second, Wall: time.Unix(1_800_000_000, 0)}}}
+	o.machine = New(Settings{Daemon: "d1", Instance: "i1", Address: "127.0.0.1:1", Zone: "z1", Seed: seed})
+	return o
+}
+
+// answer answers one call as the key-value service is.
+func (o *outage) answer(e Effect) {
+	result := storer.ResultNotSent
+	if o.over {
+		result = storer.ResultOK
+	}
+	switch e := e.(type) {
+	case StoreList:
+		o.lists++
+		o.take(StoreListed{Op: e.Op, Result: result})
+	case StoreSwap:
+		o.take(StoreSwapped{Op: e.Op, Result: result, Revision: 1})
+	case LeaseRenew:
+		o.take(LeaseRenewed{SentAt: o.now.Since, Result: result, Lost: o.over && o.machine.lease.Epoch() == 0})
+	case LoadConfiguration:
+		o.loads++
+		loaded := ConfigurationLoaded{}
+		if o.over {
+			loaded.Catalog = cataloger.NewCatalog(o.configuration(1, 1, 0))
+		}
+		o.take(loaded)
+	}
+}
+
+// pass lets time pass until the moment.
+func (o *outage) pass(until time.Duration) {
+	for o.now.Since < until {
+		o.take(Ticked{})
+		for len(o.pending) > 0 {
+			e := o.pending[0]
+			o.pending = o.pending[1:]
+			o.answer(e)
+		}
+		o.now.Since = min(until, max(o.now.Since+time.Millisecond, o.machine.NextWake()))
+	}
+}
+
+func (o *outage) take(e Event) { o.pending = append(o.pending, o.machine.Step(o.now, e)...) }
+
+func TestOutage(t *testing.T) {
+	const minutes = 10
+	for seed := range uint64(20) {
+		o := newOutage(seed)
+		o.pass(time.Minute)
+		o.lists, o.loads = 0, 0
+		o.pass((1 + minutes) * time.Minute)
+		assertPaced(t, "lists", o.lists, minutes)
+		assertPaced(t, "loads", o.loads, minutes)
+		o.over = true
+		o.pass(o.now.Since + recoveryTime + time.Second/10)
+		if got := o.machine.register; got.listAt != 0 || got.revision == 0 {
+			t.Errorf("seed %d: got members due at %v and registration at revision %d, want both read and written", seed, got.listAt, got.revision)
+		}
+		if got, want := o.machine.version(), int64(1); got != want {
+			t.Errorf("seed %d: got configuration %d, want %d", seed, got, want)
+		}
+	}
+}
+
+// assertPaced checks that calls came neither faster nor slower than the longest delay allows.
+func assertPaced(t *testing.T, name string, got, minutes int) {
+	t.Helper()
+	least, most := minutes*int(time.Minute/recoveryTime)-1, minutes*int(time.Minute/(maxStoreRetry-maxStoreRetry/4))+1
+	if got < least || got > most {
+		t.Errorf("%s in %d minutes: got %d, want %d to %d", name, minutes, got, least, most)
+	}
+}
