refactor: leave out a case of the spread that can't arise

A member with room after all rounds has asked every key, and a key that refused it is full for good, so the completion never finds a free member that the key lacks: coverage showed the branch unused over all sizes up to 24 x 24.

--- a/internal/decision/assigner/spreader.go
+++ b/internal/decision/assigner/spreader.go
@@ -90,8 +90,7 @@
 	return s
 }
 
-// complete gives each key that lacks members the ones that have fewer keys than the bound. Where the key has
-// all of these already, another key gives it one of its own and takes one with room instead.
+// complete gives each key that lacks members after all rounds the rest.
 func (s *spreader) complete(bound int) {
 	for k := range s.keys {
 		for len(s.held[k]) < s.each {
@@ -100,28 +99,24 @@
 	}
 }
 
-// completeOne gives a key one more member. One with room exists, as the bound leaves room for all pairs. If
-// the key has it, every member that the key lacks is full and so has a key that the one with room lacks.
+// completeOne gives a key one more member. A member with room exists, as the bound leaves room for all pairs, and
+// the key has every such member, as it refused none. So every member that it lacks is full and has a key that
+// lacks the one with room: that key gives its member up and takes the one with room instead.
 func (s *spreader) completeOne(k, bound int) {
-	ranked := s.ranked(k)
-	for _, p := range ranked {
-		if s.load[p.member] < bound && !s.holds(k, p.member) {
-			s.hold(p)
-			return
-		}
-	}
 	room := slices.IndexFunc(s.load, func(load int) bool { return load < bound })
-	for _, p := range ranked {
+	for _, p := range s.ranked(k) {
 		if s.holds(k, p.member) {
 			continue
 		}
-		if giver, ok := s.giver(p.member, room); ok {
-			s.held[giver] = slices.DeleteFunc(s.held[giver], func(h pair) bool { return h.member == p.member })
-			s.load[p.member]--
-			s.hold(s.pair(giver, room))
-			s.hold(p)
-			return
+		giver, ok := s.giver(p.member, room)
+		if !ok {
+			continue
 		}
+		s.held[giver] = slices.DeleteFunc(s.held[giver], func(h pair) bool { return h.member == p.member })
+		s.load[p.member]--
+		s.hold(s.pair(giver, room))
+		s.hold(p)
+		return
 	}
 }
 
