fix: raise the fence of an engine that another daemon has seen restart

A report of a new engine process now makes the placer poll it and raise the number, and nothing is placed there before.

fix: don't ask a failing peer for its configuration at once again

--- a/internal/decision/planner/decide.go
+++ b/internal/decision/planner/decide.go
@@ -164,7 +164,7 @@
 		return false
 	}
 	state, polled := m.evidence(s)
-	if !polled {
+	if !polled || m.restarted(s, state) {
 		return false
 	}
 	return !m.checksFencing(v.Catalog) || state.fence >= m.record.Fence
--- a/internal/decision/planner/plan.go
+++ b/internal/decision/planner/plan.go
@@ -223,7 +223,7 @@
 		if state.raising != "" || v.Now < state.retryAt || !s.Reachable() {
 			continue
 		}
-		if state.polled && state.fence >= m.record.Fence {
+		if state.polled && state.fence >= m.record.Fence && !m.restarted(s, state) {
 			continue
 		}
 		state.raising = m.nextOrderID()
@@ -251,6 +251,9 @@
 }
 
 func (m *Machine) busy(v View, s *observer.Server, state *serverState) bool {
+	if m.restarted(s, state) {
+		return true
+	}
 	if m.checksFencing(v.Catalog) && state.fence < m.record.Fence {
 		return true
 	}
@@ -264,6 +267,11 @@
 	}) || m.slotPending(s)
 }
 
+// restarted reports whether another daemon's report shows a later engine process than the placer has seen.
+func (m *Machine) restarted(s *observer.Server, state *serverState) bool {
+	return s.Known && s.Report.Instance != state.engine
+}
+
 // unsettled reports whether a replica's next state has to be seen at its engine.
 func (m *Machine) unsettled(v View, r Replica) bool {
 	if r.State == StateUnloading {
--- a/internal/decision/reducer/configuring.go
+++ b/internal/decision/reducer/configuring.go
@@ -23,6 +23,7 @@
 		return
 	}
 	m.loading = true
+	m.loadingFrom = peer
 	m.emit(LoadConfiguration{PeerAddress: peer, HaveVersion: m.version()})
 }
 
@@ -31,7 +32,9 @@
 	m.loading = false
 	if e.Catalog == nil {
 		m.loadAt = m.now.Since + m.pacing.configuration.Failed(m.rng)
-		m.loadFromPeers()
+		if m.loadingFrom == "" {
+			m.loadFromPeers()
+		}
 		return
 	}
 	m.pacing.configuration.Succeeded()
--- a/internal/decision/reducer/machine.go
+++ b/internal/decision/reducer/machine.go
@@ -61,8 +61,10 @@
 	now      Moment
 	out      []Effect
 
-	catalog      *cataloger.Catalog
-	loading      bool
+	catalog *cataloger.Catalog
+	loading bool
+	// loadingFrom is the peer that the last read asked, empty for the key-value service.
+	loadingFrom  string
 	loadAt       time.Duration
 	headRevision int64
 	// gatherUntil is until when a daemon without a configuration hears its peers' versions, 0 before the first.
