fix: look for memory again soon after there was none

A deployment that no server had memory for was forecast as impossible for its keep-alive, 12 hours for the demo's, and its requests were refused meanwhile without the placer hearing of them, although idle replicas may be evicted after a second. Now the forecast holds two seconds, which callers get as Retry-After, and a refused request keeps asking for ten. Script 11-no-memory-for-a-while never came to its end before (40 s limit) and takes 11 s after.

--- a/internal/decision/planner/decide.go
+++ b/internal/decision/planner/decide.go
@@ -380,7 +380,7 @@
 	if _, waiting := m.evict[d.Name]; waiting {
 		return
 	}
-	m.act(Forecast{Deployment: d.Name, ReadyIn: m.keepAlive(d), Impossible: true})
+	m.act(Forecast{Deployment: d.Name, ReadyIn: impossibleFor, Impossible: true})
 }
 
 // allUsable reports whether the placer has seen the state of each server that takes work, with its own fencing number.
--- a/internal/decision/planner/machine.go
+++ b/internal/decision/planner/machine.go
@@ -30,6 +30,8 @@
 	minIdle = time.Second
 	// evictionLife is how long memory that was freed for a deployment is kept for it.
 	evictionLife = 30 * time.Second
+	// impossibleFor is how long requests are refused for want of memory until it is looked for again.
+	impossibleFor = 2 * time.Second
 )
 
 // A Machine plans one cell. One reducer drives it; it is not safe for concurrent use.
--- a/internal/decision/reducer/arrival.go
+++ b/internal/decision/reducer/arrival.go
@@ -206,6 +206,8 @@
 func (m *Machine) hopelessCold(r *request, left time.Duration) (refuser.Code, time.Duration) {
 	q := r.queue
 	if q.impossible && q.readyAt > m.now.Since {
+		q.coldUntil = m.now.Since + coldInterest
+		m.needSoon(q)
 		return refuser.CodeNoCapacity, max(admitter.MinRetryAfter, q.readyAt-m.now.Since)
 	}
 	ready := r.target.Deployment.LoadFromMemory.D()
