--- a/internal/decision/reducer/membership.go
+++ b/internal/decision/reducer/membership.go
@@ -27,6 +27,8 @@
 	version uint64
 	// dead are the processes known to be dead and since when.
 	dead map[string]time.Duration
+	// heard are the processes of the daemons that heartbeats came from, by daemon.
+	heard map[string]string
 	// leaving are daemons that said in a heartbeat that they are in a planned stop, by instance.
 	leaving map[string]bool
 }
@@ -41,6 +43,7 @@
 	m.register.listAt = 1
 	m.register.dead = make(map[string]time.Duration)
 	m.register.leaving = make(map[string]bool)
+	m.register.heard = make(map[string]string)
 }
 
 // tickMembership renews the lease, sends heartbeats, and adapts the cells to the membership.
@@ -223,6 +226,10 @@
 
 func (m *Machine) heard(message messenger.Message, h *messenger.Heartbeat) {
 	m.members.Heard(m.now.Since, message)
+	if m.register.heard[message.From] != message.Instance {
+		m.register.heard[message.From] = message.Instance
+		m.shareWith(message.From)
+	}
 	if h.Leaving {
 		m.register.leaving[message.Instance] = true
 	}
--- a/internal/decision/reducer/reporting.go
+++ b/internal/decision/reducer/reporting.go
@@ -34,6 +34,15 @@
 	}
 }
 
+// shareWith makes the next heartbeats bring all reports of the cells that a new process serves.
+func (m *Machine) shareWith(daemon string) {
+	for _, name := range m.cellNames {
+		if c := m.cells[name]; slices.Contains(c.daemons, daemon) {
+			m.shareAll(c)
+		}
+	}
+}
+
 // sendHeartbeats sends heartbeats to the daemons whose turn it is, with the reports that those who share
 // a cell have not had.
 func (m *Machine) sendHeartbeats() {
