--- a/internal/emulation/emulator/emulator_test.go
+++ b/internal/emulation/emulator/emulator_test.go
@@ -154,3 +154,20 @@
 	e.Length = testLength
 	return e
 }
+
+func TestPreloadBringsCheckpointsNear(t *testing.T) {
+	e := newEmulator(t, "bellmouth", 0)
+	with, err := e.Run(mustFind(t, "idle-hours"), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	policy := mustFind(t, "idle-hours")
+	policy.Preload = false
+	without, _ := e.Run(policy, 1)
+	if got, want := with.Waited.P95, without.Waited.P95; got >= want {
+		t.Errorf("cold-start time at p95: got %g s, want less than the %g s without preloading", got, want)
+	}
+	if got, want := with.IdleHours, 1.1*without.IdleHours; got > want {
+		t.Errorf("idle hours: got %g, want at most %g", got, want)
+	}
+}
