--- a/internal/command/prover/process_test.go
+++ b/internal/command/prover/process_test.go
@@ -72,7 +72,7 @@
 // It sets $NAME to a daemon's address, $STORE and $HOSTS and the program's own variables to those of stand-ins.
 func (s *stage) start(args []string) error {
 	if len(args) < 2 {
-		return errors.New("the form is: start NAME ARGUMENT...")
+		return errors.New("usage: start NAME [ARGUMENT ...]")
 	}
 	if old, ok := s.processes[args[0]]; ok && old.running() {
 		return fmt.Errorf("%s runs already", args[0])
@@ -165,7 +165,7 @@
 		args = args[1:]
 	}
 	if len(args) == 0 || commands()[args[0]] == nil {
-		return errors.New("the form is: until [!] COMMAND ARGUMENT...")
+		return errors.New("usage: until [!] COMMAND [ARGUMENT ...]")
 	}
 	command := commands()[args[0]]
 	return s.await(strings.Join(args, " "), func() error {
@@ -218,7 +218,7 @@
 
 func (s *stage) signal(names []string, signal syscall.Signal) error {
 	if len(names) == 0 {
-		return errors.New("the form is: freeze|thaw|sigkill|shutdown NAME...")
+		return errors.New("usage: freeze|thaw|sigkill|shutdown [NAME ...]")
 	}
 	for _, name := range names {
 		p, ok := s.processes[name]
@@ -265,7 +265,7 @@
 // exits runs the program and fails unless it ends with an exit code: exits CODE ARGUMENT...
 func (s *stage) exits(args []string) error {
 	if len(args) < 2 {
-		return errors.New("the form is: exits CODE ARGUMENT...")
+		return errors.New("usage: exits CODE [ARGUMENT ...]")
 	}
 	got := 0
 	if err := s.script.Exec("samphirewharf", args[1:]...); err != nil {
@@ -281,16 +281,17 @@
 	return nil
 }
 
-// edit copies a file with one text replaced: edit FILE OLD NEW COPY.
+// edit copies a file with the first place of a text replaced: edit FILE OLD NEW COPY. \n stands for a line's end.
 func (s *stage) edit(args []string) error {
 	if len(args) != 4 {
 		return errors.New("the form is: edit FILE OLD NEW COPY")
 	}
 	text := s.script.ReadFile(args[0])
-	if !strings.Contains(text, args[1]) {
-		return fmt.Errorf("%s does not contain %q", args[0], args[1])
+	old, replacement := strings.ReplaceAll(args[1], `\n`, "\n"), strings.ReplaceAll(args[2], `\n`, "\n")
+	if !strings.Contains(text, old) {
+		return fmt.Errorf("%s does not contain %q", args[0], old)
 	}
-	text = strings.Replace(text, args[1], args[2], 1)
+	text = strings.Replace(text, old, replacement, 1)
 	return os.WriteFile(s.script.MkAbs(args[3]), []byte(text), 0o600)
 }
 
--- a/internal/decision/reducer/machine.go
+++ b/internal/decision/reducer/machine.go
@@ -61,8 +61,10 @@
 	now      Moment
 	out      []Effect
 
-	catalog      *cataloger.Catalog
-	loading      bool
+	catalog *cataloger.Catalog
+	loading bool
+	// loadingFrom is the peer that the last read asked, empty for the key-value service.
+	loadingFrom  string
 	loadAt       time.Duration
 	headRevision int64
 	// gatherUntil is until when a daemon without a configuration hears its peers' versions, 0 before the first.
@@ -73,6 +75,7 @@
 	members  *tracker.Tracker
 	lease    *tracker.Lease
 	register registration
+	pacing   pacing
 	isolator isolator.Isolator
 	budget   limiter.RetryBudget
 	warmer   warmer.Warmer
@@ -125,6 +128,7 @@
 		deployments: make(map[string]*deployment),
 		plains:      make(map[string]*deployment),
 		ops:         make(map[OpID]operation),
+		pacing:      newPacing(),
 		polls:       make(map[string]*poll),
 		verifying:   make(map[string][]*request),
 	}
