--- a/internal/command/prover/script_test.go
+++ b/internal/command/prover/script_test.go
@@ -22,7 +22,7 @@
 	// scriptLimit bounds each script, so that a condition that never holds fails it.
 	scriptLimit = 2 * time.Minute
 	// scriptsAtOnce is how many scripts run at once.
-	scriptsAtOnce = 3
+	scriptsAtOnce = 4
 	pollInterval  = 20 * time.Millisecond
 )
 
