fix: see an engine's restart in any daemon's report

A placer asks an engine itself only while it waits for something there. If an idle engine restarted and forgot its fencing number, the placer did not notice and did not raise it again: a frozen placer's old order was taken five seconds later. Any report of another process than the one asked now voids what was seen of it.

--- a/internal/decision/planner/plan.go
+++ b/internal/decision/planner/plan.go
@@ -242,6 +242,10 @@
 		if state.polling || v.Now < state.pollAt {
 			continue
 		}
+		if state.polled && s.Known && s.Report.Instance != state.engine {
+			// The engine has restarted: what was seen of it, its fencing number too, is void.
+			state.polled = false
+		}
 		if state.polled && !m.busy(v, s, state) {
 			continue
 		}
