--- a/internal/decision/planner/machine.go
+++ b/internal/decision/planner/machine.go
@@ -97,85 +97,6 @@
 	actions  []Action
 }
 
-// Loads are the limits of the weight store, as function fields.
-type Loads struct {
-	// Predict returns how long a load takes if it starts now.
-	Predict func(now time.Duration, full time.Duration, remote bool) time.Duration
-	// Start takes a place for a load of the given time, or reports that none is free.
-	Start func(now time.Duration, id string, full time.Duration, remote, urgent bool) bool
-	// Finish gives the place of a load that is done back, Abandon that of one that came to nothing.
-	Finish  func(now time.Duration, id string)
-	Abandon func(id string)
-	// StartAdapter and FinishAdapter do the same for adapters.
-	StartAdapter  func(now time.Duration, id string, full time.Duration) bool
-	FinishAdapter func(now time.Duration, id string)
-}
-
-// A write is a swap of the record that has not been settled.
-type write struct {
-	next Record
-	// decisions are reported once the write is known to have taken effect.
-	decisions []Action
-	inCall    bool
-	retryAt   time.Duration
-}
-
-// An order is what this process knows of a load order that it sent.
-type order struct {
-	id      string
-	server  string
-	ended   bool
-	outcome orderer.Outcome
-	sentAt  time.Duration
-	endedAt time.Duration
-	// engine is the first instance of the engine that was seen after the order had ended. The order may still
-	// take effect there, but not at a later one.
-	engine string
-}
-
-// settled reports whether the order can't take effect later than now; nil stands for one never sent.
-func (o *order) settled(now time.Duration) bool {
-	switch {
-	case o == nil:
-		return true
-	case !o.ended:
-		return false
-	case o.outcome == orderer.OutcomeUnknown:
-		return now >= o.endedAt+orderSettle
-	default:
-		return true
-	}
-}
-
-type unloading struct {
-	since   time.Duration
-	sentAt  time.Duration
-	orderID string
-}
-
-type eviction struct {
-	server string
-	bytes  int64
-	at     time.Duration
-}
-
-// A serverState is what the placer itself has seen of a server.
-type serverState struct {
-	polling bool
-	pollAt  time.Duration
-	// seenAt is when the newest own poll was sent; engine and fence are what it showed.
-	seenAt   time.Duration
-	polled   bool
-	engine   string
-	sequence int64
-	fence    int64
-	// present are the replicas that it showed.
-	present map[string]bool
-	// raising is the order that raises the fence, empty if none is on its way.
-	raising string
-	retryAt time.Duration
-}
-
 // Demand takes the needs of one daemon of the cell.
 func (m *Machine) Demand(now time.Duration, daemon, instance string, sequence int64, needs []Need) {
 	m.prepare()
@@ -538,18 +459,6 @@
 	m.swap(v, next, []Action{Decision{Action: "TakeOver", Server: m.Daemon, Reason: reason}})
 }
 
-func (l Loads) abandon(id string) {
-	if l.Abandon != nil {
-		l.Abandon(id)
-	}
-}
-
-func (l Loads) finish(now time.Duration, id string) {
-	if l.Finish != nil {
-		l.Finish(now, id)
-	}
-}
-
 // evidence returns the placer's own view of a server; ok is false before the first own poll.
 func (m *Machine) evidence(s *observer.Server) (*serverState, bool) {
 	state := m.server(s.Host.Server)
