fix: let a stream that has begun outlast its deadline

The limit now holds until the first event; after it a stream may stay 30 s without one. An answer that is held back is no longer reported as started, so that it can be retried.

--- a/internal/entry/responder/attempt.go
+++ b/internal/entry/responder/attempt.go
@@ -25,6 +25,8 @@
 	forwardGrace = 250 * time.Millisecond
 	// maxProblemBytes bounds the refusal of another daemon.
 	maxProblemBytes = 64 << 10
+	// streamStall is how long a stream that has begun may stay without an event.
+	streamStall = 30 * time.Second
 	// minTimeout is the least time that an attempt gets.
 	minTimeout = time.Millisecond
 	eventType  = "text/event-stream"
@@ -50,16 +52,20 @@
 	resumed bool
 	// kept is the answer so far if it is to be kept; it is never longer than reducer.MaxStoredAnswerBytes.
 	kept keeper
-	// ctx bounds the whole attempt.
+	// ctx bounds the attempt. Its time is up when limit fires, which a stream that has begun puts off with each event.
 	ctx    context.Context
 	cancel context.CancelFunc
+	limit  *time.Timer
 	// ended takes the attempt's end. It has room for one, so that the attempt never waits.
 	ended chan reducer.AttemptEnded
 }
 
 func newAttempt(x *exchange, number int, address string, limit time.Duration) *attempt {
 	a := &attempt{exchange: x, number: number, ended: make(chan reducer.AttemptEnded, 1)}
-	a.ctx, a.cancel = context.WithTimeout(context.Background(), max(limit, minTimeout))
+	ctx, cancel := context.WithCancelCause(context.Background())
+	a.ctx = ctx
+	a.cancel = func() { cancel(context.Canceled) }
+	a.limit = time.AfterFunc(max(limit, minTimeout), func() { cancel(context.DeadlineExceeded) })
 	in := x.inbound
 	a.call = streamer.Call{
 		Address: address,
@@ -102,6 +108,7 @@
 // run sends the request, reports the end and then waits a little for the end of the body, so that the connection can
 // be used again.
 func (a *attempt) run() {
+	defer a.limit.Stop()
 	defer a.cancel()
 	reply, err := a.exchange.responder.Client.Send(a.ctx, a.call)
 	if err != nil {
@@ -210,7 +217,6 @@
 	case !a.forward && !x.inbound.arrived.Plain && reply.StatusCode >= http.StatusInternalServerError:
 		return fmt.Errorf("status %d: %w", reply.StatusCode, errServer)
 	}
-	x.responder.Post(reducer.AttemptStarted{Request: x.id, Attempt: a.number})
 	events := isEvents(reply.Header)
 	switch {
 	case events && !x.inbound.arrived.Plain:
@@ -244,9 +250,11 @@
 
 // passEvents passes the events of a stream on that the caller hasn't had.
 func (a *attempt) passEvents(reply *streamer.Reply) error {
+	a.started()
 	events := streamer.NewEventReader(reply.Body)
 	for {
 		event, err := events.Next()
+		a.limit.Reset(streamStall)
 		switch {
 		case errors.Is(err, io.EOF):
 			return errUnfinished
@@ -278,6 +286,7 @@
 // connection has to be broken too.
 func (a *attempt) passThrough(reply *streamer.Reply, part []byte) error {
 	a.exchange.passing = true
+	a.started()
 	a.commit(reply)
 	if reply.ContentLength >= 0 {
 		setLength(a.exchange.writer.Header(), int(reply.ContentLength))
@@ -288,6 +297,12 @@
 	return a.copy(reply)
 }
 
+// started reports that the caller gets the start of an answer that is not whole.
+func (a *attempt) started() {
+	x := a.exchange
+	x.responder.Post(reducer.AttemptStarted{Request: x.id, Attempt: a.number})
+}
+
 // resume asks the server to go on after the events that the caller has had.
 func (a *attempt) resume(from int) {
 	a.resumed = from > 0
