--- a/internal/load/generator/answer.go
+++ b/internal/load/generator/answer.go
@@ -88,6 +88,8 @@
 		a.readWhole(r, body)
 	}
 	a.end = time.Now()
+	// Callers that stop at the last byte they need close the connection; most read to its end and use it again.
+	_, _ = io.Copy(io.Discard, body)
 	if a.first.IsZero() {
 		a.first = a.end
 	}
