fix: send waiting requests when a report shows free slots

Cause: a queue was pumped only when an own request ended or a replica became usable. A daemon with nothing running whose requests waited for a replica filled by other daemons kept them until their deadline: 5 of 2,991 requests of a load over 7 daemons were refused as DeadlineExpired after 20 to 300 s. Ruled out: lost reports (refreshed every 15 s). TestSlotFreedByOthers fails without the change and passes with it.

--- a/internal/decision/reducer/polling.go
+++ b/internal/decision/reducer/polling.go
@@ -160,6 +160,7 @@
 	if change.Differs || !wasReachable {
 		m.pumpService(s)
 	}
+	m.pumpServer(s)
 	m.shareChange(s, p)
 }
 
--- a/internal/decision/reducer/reporting.go
+++ b/internal/decision/reducer/reporting.go
@@ -161,6 +161,17 @@
 		default:
 			m.takeReport(r.Server, r.Report, takenAt)
 		}
+		m.pumpServer(s)
+	}
+}
+
+// pumpServer pumps the queues that wait for a server's replicas, since other daemons' requests may have
+// left slots there.
+func (m *Machine) pumpServer(s *observer.Server) {
+	for _, r := range s.Replicas() {
+		if q, ok := m.deployments[r.Deployment]; ok && q.waiting.Len() > 0 {
+			m.pump(q)
+		}
 	}
 }
 
