--- a/internal/caller/refuser/code.go
+++ b/internal/caller/refuser/code.go
@@ -36,6 +36,7 @@
 	CodeNoServer         Code = 3006
 	CodeServerRefused    Code = 3007
 	CodeCallerLeft       Code = 3008
+	CodePoisonHeldBack   Code = 3009
 
 	CodeIdempotencyKeyMissing Code = 4001
 	CodeIdempotencyKeyReused  Code = 4002
@@ -86,6 +87,7 @@
 	{CodeNoServer, "NoServer", http.StatusServiceUnavailable, "No backend server of the service is live."},
 	{CodeServerRefused, "ServerRefused", http.StatusServiceUnavailable, "Every backend server tried refused the request before running it."},
 	{CodeCallerLeft, "CallerLeft", 499, "The caller closed its connection."},
+	{CodePoisonHeldBack, "PoisonHeldBack", http.StatusServiceUnavailable, "Earlier requests like this one crashed the backend servers that ran them; this one was not run."},
 	{CodeIdempotencyKeyMissing, "IdempotencyKeyMissing", http.StatusBadRequest, "A request that must not be repeated carries no Idempotency-Key."},
 	{CodeIdempotencyKeyReused, "IdempotencyKeyReused", http.StatusUnprocessableEntity, "The Idempotency-Key was used before for another request."},
 	{CodeAlreadyInProgress, "AlreadyInProgress", http.StatusConflict, "A request with this Idempotency-Key is being run."},
--- a/internal/command/runner/runner.go
+++ b/internal/command/runner/runner.go
@@ -15,7 +15,7 @@
 	"github.com/google/uuid"
 
 	"samphirewharf/internal/config/versioner"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 const (
@@ -31,6 +31,7 @@
 	Settings
 
 	Serve         serveCommand         `cmd:"" help:"Run an entry daemon."`
+	Edge          edgeCommand          `cmd:"" help:"Run a daemon on a host of the users' platform."`
 	Demo          demoCommand          `cmd:"" help:"Show the whole system in one process."`
 	Standin       standinCommand       `cmd:"" help:"Run stand-ins of the platform and the backend servers."`
 	Load          loadCommand          `cmd:"" help:"Send load to running daemons on loopback and check every answer."`
--- a/internal/command/runner/status.go
+++ b/internal/command/runner/status.go
@@ -9,7 +9,7 @@
 	"samphirewharf/internal/config/versioner"
 	"samphirewharf/internal/decision/planner"
 	"samphirewharf/internal/decision/tracker"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 // placementsPrefix is the start of the keys of all placement records.
--- a/internal/config/versioner/apply.go
+++ b/internal/config/versioner/apply.go
@@ -7,7 +7,7 @@
 	"fmt"
 
 	"samphirewharf/internal/config/cataloger"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 // An application is one call of Apply.
--- a/internal/config/versioner/fetch.go
+++ b/internal/config/versioner/fetch.go
@@ -7,7 +7,7 @@
 	"sort"
 
 	"samphirewharf/internal/config/cataloger"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 // A Fetched is a configuration that was read.
--- a/internal/config/versioner/operator_test.go
+++ b/internal/config/versioner/operator_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	"samphirewharf/internal/config/cataloger"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 const (
--- a/internal/config/versioner/prune.go
+++ b/internal/config/versioner/prune.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"strings"
 
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 // Prune deletes the history of versions that are no longer kept, and the shards that only they
--- a/internal/config/versioner/store_test.go
+++ b/internal/config/versioner/store_test.go
@@ -5,7 +5,7 @@
 	"sort"
 	"strings"
 
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 // A fault is what happens to one call.
--- a/internal/config/versioner/versioner.go
+++ b/internal/config/versioner/versioner.go
@@ -26,7 +26,7 @@
 	"context"
 	"time"
 
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 const (
--- a/internal/config/versioner/versioner_test.go
+++ b/internal/config/versioner/versioner_test.go
@@ -11,7 +11,7 @@
 
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/config/questioner"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 var testTime = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -24,9 +24,9 @@
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/entry/acceptor"
 	"samphirewharf/internal/entry/responder"
+	"samphirewharf/internal/external/lister"
+	"samphirewharf/internal/external/storer"
 	"samphirewharf/internal/peer/messenger"
-	"samphirewharf/internal/platform/lister"
-	"samphirewharf/internal/platform/storer"
 )
 
 // Settings are the settings of one daemon.
@@ -68,7 +68,8 @@
 	cancel   context.CancelFunc
 	listener net.Listener
 	server   *acceptor.Server
-	driver   driver.Driver
+	machine  *reducer.Machine
+	driver   driver.Driver[reducer.Event, reducer.Effect]
 	executor executor.Executor
 	peers    messenger.Client
 	fetcher  fetcher
@@ -166,11 +167,14 @@
 		}
 		d.recorder = r
 	}
-	d.driver = driver.Driver{
-		Machine: reducer.New(decisions),
-		Clock:   d.clock,
-		Execute: d.executor.Execute,
-		Observe: d.observe,
+	d.machine = reducer.New(decisions)
+	d.driver = driver.Driver[reducer.Event, reducer.Effect]{
+		Step:      d.step,
+		Sleep:     d.sleep,
+		Tick:      reducer.Ticked{},
+		RequestOf: requestOf,
+		Unstarted: unstarted,
+		Execute:   d.executor.Execute,
 	}
 	d.executor = executor.Executor{
 		Context: d.ctx, Post: d.driver.Post, Clock: d.clock, Logger: s.Logger,
@@ -232,6 +236,17 @@
 	}
 }
 
+// sleep returns how long the reducer can go without an event.
+func (d *Daemon) sleep() time.Duration { return d.machine.NextWake() - d.clock().Since }
+
+// step feeds one event to the reducer.
+func (d *Daemon) step(event reducer.Event) []reducer.Effect {
+	now := d.clock()
+	effects := d.machine.Step(now, event)
+	d.observe(now, event, effects)
+	return effects
+}
+
 func (d *Daemon) receive(m messenger.Message) { d.driver.Post(reducer.PeerReceived{Message: m}) }
 
 func (d *Daemon) ready() bool { return d.catalog.Load() != nil }
--- /dev/null
+++ b/internal/daemon/assembler/effects.go
@@ -0,0 +1,38 @@
+package assembler
+
+import "samphirewharf/internal/decision/reducer"
+
+// unstarted returns the event that ends an attempt whose handler is gone. A handler ends every attempt
+// that it has begun before it goes, so a Cancel for it only meets attempts that were never begun.
+func unstarted(effect reducer.Effect) (reducer.Event, bool) {
+	switch e := effect.(type) {
+	case reducer.Dispatch:
+		return reducer.AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: reducer.AttemptNotSent}, true
+	case reducer.Forward:
+		return reducer.AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: reducer.AttemptNotSent}, true
+	case reducer.Cancel:
+		return reducer.AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: reducer.AttemptCancelled}, true
+	default:
+		return nil, false
+	}
+}
+
+// requestOf returns the request that an effect concerns.
+func requestOf(effect reducer.Effect) (reducer.RequestID, bool) {
+	switch e := effect.(type) {
+	case reducer.Dispatch:
+		return e.Request, true
+	case reducer.Forward:
+		return e.Request, true
+	case reducer.Refuse:
+		return e.Request, true
+	case reducer.Answer:
+		return e.Request, true
+	case reducer.Addresses:
+		return e.Request, true
+	case reducer.Cancel:
+		return e.Request, true
+	default:
+		return 0, false
+	}
+}
--- a/internal/daemon/demonstrator/demonstrator.go
+++ b/internal/daemon/demonstrator/demonstrator.go
@@ -17,7 +17,7 @@
 	"samphirewharf/internal/config/questioner"
 	"samphirewharf/internal/config/versioner"
 	"samphirewharf/internal/daemon/assembler"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 	"samphirewharf/internal/standin/starter"
 )
 
--- a/internal/daemon/driver/driver.go
+++ b/internal/daemon/driver/driver.go
@@ -20,66 +20,71 @@
 	minSleep = time.Millisecond
 )
 
-// A Driver runs one reducer. Set the fields, then call Start.
-type Driver struct {
-	Machine *reducer.Machine
-	// Clock returns the moment of an event. It must be monotonic.
-	Clock func() reducer.Moment
+// A Driver runs one reducer, whose events are of type E and whose effects are of type F. Set the fields, then call Start.
+type Driver[E, F any] struct {
+	// Step feeds an event to the reducer and returns its effects.
+	Step func(event E) []F
+	// Sleep returns how long the reducer can go without an event.
+	Sleep func() time.Duration
+	// Tick is the event that lets time pass.
+	Tick E
+	// RequestOf returns the request that an effect concerns, if any.
+	RequestOf func(effect F) (reducer.RequestID, bool)
+	// Unstarted returns the event that ends an attempt whose handler is gone, if the effect begins or ends one.
+	Unstarted func(effect F) (E, bool)
 	// Execute carries out an effect that concerns no request in hand. It must not block.
-	Execute func(reducer.Effect)
-	// Observe sees each event before the reducer and its effects afterwards; nil means nobody does.
-	Observe func(now reducer.Moment, event reducer.Event, effects []reducer.Effect)
+	Execute func(effect F)
 
-	events chan reducer.Event
+	events chan E
 	nextID atomic.Uint64
 	calls  sync.Map
 	done   chan struct{}
 	// ended are the ends of attempts that no handler could begin. Only the loop uses it.
-	ended []reducer.Event
+	ended []E
 }
 
 // A call is a request whose handler follows its effects.
-type call struct {
+type call[F any] struct {
 	mu      sync.Mutex
-	effects chan reducer.Effect
+	effects chan F
 	closed  bool
 }
 
 // Start starts the loop, which ends when the context does.
-func (d *Driver) Start(ctx context.Context) {
-	d.events = make(chan reducer.Event, eventBuffer)
+func (d *Driver[E, F]) Start(ctx context.Context) {
+	d.events = make(chan E, eventBuffer)
 	d.done = make(chan struct{})
 	go d.loop(ctx)
 }
 
 // Close forgets a request. Attempts that its handler was told of too late end as not sent.
-func (d *Driver) Close(id reducer.RequestID) {
+func (d *Driver[E, F]) Close(id reducer.RequestID) {
 	found, ok := d.calls.LoadAndDelete(id)
 	if !ok {
 		return
 	}
-	c, ok := found.(*call)
+	c, ok := found.(*call[F])
 	if !ok {
 		return
 	}
 	for _, effect := range c.close() {
-		if event, ok := unstarted(effect); ok {
+		if event, ok := d.Unstarted(effect); ok {
 			d.Post(event)
 		}
 	}
 }
 
 // Open returns a new request's ID and the channel that its effects come on.
-func (d *Driver) Open() (reducer.RequestID, <-chan reducer.Effect) {
+func (d *Driver[E, F]) Open() (reducer.RequestID, <-chan F) {
 	id := reducer.RequestID(d.nextID.Add(1))
-	c := &call{effects: make(chan reducer.Effect, effectBuffer)}
+	c := &call[F]{effects: make(chan F, effectBuffer)}
 	d.calls.Store(id, c)
 	return id, c.effects
 }
 
 // Post hands an event to the reducer. It blocks while too many events wait, and drops the event once
 // the loop has ended.
-func (d *Driver) Post(event reducer.Event) {
+func (d *Driver[E, F]) Post(event E) {
 	select {
 	case d.events <- event:
 	case <-d.done:
@@ -87,65 +92,60 @@
 }
 
 // Wait returns when the loop has ended.
-func (d *Driver) Wait() { <-d.done }
+func (d *Driver[E, F]) Wait() { <-d.done }
 
 // loop feeds events to the reducer, and a Ticked event when the reducer asks to be woken.
-func (d *Driver) loop(ctx context.Context) {
+func (d *Driver[E, F]) loop(ctx context.Context) {
 	defer close(d.done)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		var event reducer.Event
+		var event E
 		select {
 		case <-ctx.Done():
 			return
 		case event = <-d.events:
 		case <-timer.C:
-			event = reducer.Ticked{}
+			event = d.Tick
 		}
 		d.step(event)
 		for len(d.ended) > 0 {
 			event, d.ended = d.ended[0], d.ended[1:]
 			d.step(event)
 		}
-		timer.Reset(max(minSleep, d.Machine.NextWake()-d.Clock().Since))
+		timer.Reset(max(minSleep, d.Sleep()))
 	}
 }
 
 // step feeds one event to the reducer and hands its effects out.
-func (d *Driver) step(event reducer.Event) {
-	now := d.Clock()
-	effects := d.Machine.Step(now, event)
-	if d.Observe != nil {
-		d.Observe(now, event, effects)
-	}
-	for _, effect := range effects {
+func (d *Driver[E, F]) step(event E) {
+	for _, effect := range d.Step(event) {
 		d.deliver(effect)
 	}
 }
 
 // deliver hands an effect to the handler of its request, or to Execute.
-func (d *Driver) deliver(effect reducer.Effect) {
-	id, concerns := requestOf(effect)
+func (d *Driver[E, F]) deliver(effect F) {
+	id, concerns := d.RequestOf(effect)
 	if !concerns {
 		d.Execute(effect)
 		return
 	}
 	found, _ := d.calls.Load(id)
-	if c, ok := found.(*call); ok && c.send(effect) {
+	if c, ok := found.(*call[F]); ok && c.send(effect) {
 		return
 	}
-	if event, ok := unstarted(effect); ok {
+	if event, ok := d.Unstarted(effect); ok {
 		d.ended = append(d.ended, event)
 	}
 }
 
 // close ends the call and returns the effects that its handler has not taken.
-func (c *call) close() []reducer.Effect {
+func (c *call[F]) close() []F {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
-	var left []reducer.Effect
+	var left []F
 	for {
 		select {
 		case effect := <-c.effects:
@@ -157,7 +157,7 @@
 }
 
 // send hands an effect to the call's handler and returns whether it can take it.
-func (c *call) send(effect reducer.Effect) bool {
+func (c *call[F]) send(effect F) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -170,38 +170,3 @@
 		return false
 	}
 }
-
-// unstarted returns the event that ends an attempt whose handler is gone. A handler ends every attempt
-// that it has begun before it goes, so a Cancel for it only meets attempts that were never begun.
-func unstarted(effect reducer.Effect) (reducer.Event, bool) {
-	switch e := effect.(type) {
-	case reducer.Dispatch:
-		return reducer.AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: reducer.AttemptNotSent}, true
-	case reducer.Forward:
-		return reducer.AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: reducer.AttemptNotSent}, true
-	case reducer.Cancel:
-		return reducer.AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: reducer.AttemptCancelled}, true
-	default:
-		return nil, false
-	}
-}
-
-// requestOf returns the request that an effect concerns.
-func requestOf(effect reducer.Effect) (reducer.RequestID, bool) {
-	switch e := effect.(type) {
-	case reducer.Dispatch:
-		return e.Request, true
-	case reducer.Forward:
-		return e.Request, true
-	case reducer.Refuse:
-		return e.Request, true
-	case reducer.Answer:
-		return e.Request, true
-	case reducer.Addresses:
-		return e.Request, true
-	case reducer.Cancel:
-		return e.Request, true
-	default:
-		return 0, false
-	}
-}
--- a/internal/daemon/executor/call.go
+++ b/internal/daemon/executor/call.go
@@ -6,7 +6,7 @@
 
 	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/decision/reducer"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 // connectTimeout bounds a test whether a server takes connections.
--- a/internal/daemon/executor/executor.go
+++ b/internal/daemon/executor/executor.go
@@ -12,9 +12,9 @@
 	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/external/lister"
+	"samphirewharf/internal/external/storer"
 	"samphirewharf/internal/peer/messenger"
-	"samphirewharf/internal/platform/lister"
-	"samphirewharf/internal/platform/storer"
 )
 
 // An Executor carries out effects. Set the fields before its first use.
--- a/internal/daemon/executor/watcher.go
+++ b/internal/daemon/executor/watcher.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"samphirewharf/internal/decision/reducer"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 // A watcher reports changes below a prefix until its context ends. After each break it reads the
--- /dev/null
+++ b/internal/decision/allotter/budget_test.go
@@ -0,0 +1,72 @@
+package allotter
+
+import (
+	"testing"
+	"time"
+)
+
+const window = 10 * time.Second
+
+func spendAll(b *Budget, now time.Duration, daemons int) int {
+	n := 0
+	for b.Spend(now, daemons) {
+		n++
+	}
+	return n
+}
+
+func assertSpent(t *testing.T, got, want int) {
+	t.Helper()
+	if got != want {
+		t.Errorf("got %d repeats, want %d", got, want)
+	}
+}
+
+func TestBudget(t *testing.T) {
+	t.Run("the zero value allows nothing", func(t *testing.T) {
+		assertSpent(t, spendAll(&Budget{}, time.Second, 1), 0)
+	})
+	t.Run("slack is shared between daemons", func(t *testing.T) {
+		b := Budget{Window: window, Ratio: 0.2, Slack: 50}
+		assertSpent(t, spendAll(&b, time.Second, 5), 8)
+	})
+	t.Run("requests add to it", func(t *testing.T) {
+		b := Budget{Window: window, Ratio: 0.2, Slack: 50}
+		for range 100 {
+			b.Request(time.Second)
+		}
+		assertSpent(t, spendAll(&b, time.Second, 5), 24)
+	})
+	t.Run("it comes back after the window only", func(t *testing.T) {
+		b := Budget{Window: window, Slack: 50}
+		spendAll(&b, 5*time.Second, 5)
+		assertSpent(t, spendAll(&b, 14*time.Second, 5), 0)
+		assertSpent(t, spendAll(&b, 16*time.Second, 5), 8)
+	})
+	t.Run("all daemons together stay within the whole budget in every window", func(t *testing.T) {
+		const daemons = 6
+		budgets := make([]Budget, daemons)
+		var sent []time.Duration
+		for i := range budgets {
+			budgets[i] = Budget{Window: window, Ratio: 0.2, Slack: 52}
+		}
+		for now := time.Duration(0); now < 60*time.Second; now += 20 * time.Millisecond {
+			b := &budgets[int(now/time.Millisecond)%daemons]
+			b.Request(now)
+			for b.Spend(now, daemons) {
+				sent = append(sent, now)
+			}
+		}
+		for i, from := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at < from+window {
+					n++
+				}
+			}
+			if got, want := float64(n), 0.2*500+52; got > want {
+				t.Fatalf("got %v repeats in the window from %v, want at most %v", got, from, want)
+			}
+		}
+	})
+}
--- a/internal/decision/claimer/history_test.go
+++ b/internal/decision/claimer/history_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"samphirewharf/internal/caller/refuser"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 const (
--- a/internal/decision/claimer/load.go
+++ b/internal/decision/claimer/load.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 // maxSegmentReads is how many sealed segments of a partition are read at once.
--- a/internal/decision/claimer/machine.go
+++ b/internal/decision/claimer/machine.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"samphirewharf/internal/caller/refuser"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 // A Moment is when a call is made.
--- a/internal/decision/claimer/machine_rapid_test.go
+++ b/internal/decision/claimer/machine_rapid_test.go
@@ -5,7 +5,7 @@
 
 	"pgregory.net/rapid"
 
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 // historySteps generates the choices of one history.
--- a/internal/decision/claimer/scenario_test.go
+++ b/internal/decision/claimer/scenario_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 var done = Result{Status: 201, ContentType: "application/json", Body: []byte(`{"Booked":true}`)}
--- a/internal/decision/claimer/store_test.go
+++ b/internal/decision/claimer/store_test.go
@@ -1,6 +1,6 @@
 package claimer
 
-import "samphirewharf/internal/platform/storer"
+import "samphirewharf/internal/external/storer"
 
 // A fakeStore is a key-value service with single-key compare-and-swap.
 type fakeStore struct {
--- a/internal/decision/claimer/write.go
+++ b/internal/decision/claimer/write.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 // batch returns the entries that go into the next write, and their size. Claims that were abandoned
--- /dev/null
+++ b/internal/decision/conductor/lease.go
@@ -0,0 +1,71 @@
+package conductor
+
+import "time"
+
+// A leaseState is the daemon's lease in the key-value service, which its records live under.
+type leaseState struct {
+	// validUntil is when the lease may have ended at the service at the earliest, with a margin.
+	validUntil time.Duration
+	renewAt    time.Duration
+	renewing   bool
+	// registered tells that the daemon's record is written, registering that it is being written.
+	registered  bool
+	registering bool
+	// ended tells that the lease was given up for good.
+	ended bool
+	// serviceGone tells that the service answered that the lease has ended; it is false in an outage.
+	serviceGone bool
+}
+
+func (l *leaseState) valid(now time.Duration) bool { return now < l.validUntil }
+
+func (l *leaseState) nextAt() time.Duration {
+	if l.renewing || l.ended {
+		return never
+	}
+	return l.renewAt
+}
+
+// never is later than any moment.
+const never = time.Duration(1<<63 - 1)
+
+func (m *Machine) passLease() {
+	l := &m.lease
+	if l.ended {
+		return
+	}
+	if !l.renewing && m.now >= l.renewAt {
+		l.renewing = true
+		m.emit(RenewLease{TimeToLive: m.settings.LeaseTime})
+	}
+	if l.valid(m.now) && !l.registered && !l.registering && m.configuration != nil && m.serversKnown && !m.stop.requested {
+		l.registering = true
+		m.emit(Register{Daemon: m.settings.Self})
+	}
+}
+
+func (m *Machine) leaseRenewed(e LeaseRenewed) {
+	l := &m.lease
+	l.renewing = false
+	if !e.OK {
+		l.renewAt = m.now + leaseRetry
+		return
+	}
+	l.validUntil = e.SentAt + m.settings.LeaseTime - leaseMargin
+	l.renewAt = e.SentAt + m.settings.LeaseTime/leaseRenewals
+	if e.Lost {
+		l.registered = false
+		m.leaseLost()
+	}
+}
+
+func (m *Machine) registerEnded(e RegisterEnded) {
+	l := &m.lease
+	l.registering = false
+	l.registered = e.OK
+	if e.OK {
+		m.emit(Believed{Subject: "Daemon " + m.settings.Self.Name, Change: "Registered"})
+		return
+	}
+	l.renewAt = min(l.renewAt, m.now+leaseRetry)
+}
--- /dev/null
+++ b/internal/decision/conductor/request.go
@@ -0,0 +1,228 @@
+package conductor
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+
+	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/fleet/matcher"
+)
+
+// A requestState tells what a request waits for.
+type requestState uint8
+
+const (
+	// stateQueued: the request waits for a server.
+	stateQueued requestState = iota
+	// stateRunning: a server has the request.
+	stateRunning
+	// stateAnswered: the caller has its final answer or is gone; the attempt's end is awaited.
+	stateAnswered
+)
+
+// A request is one caller's request at this daemon.
+type request struct {
+	RequestArrived
+	at    time.Duration
+	state requestState
+	// giveUpAt is when the request must have its final answer.
+	giveUpAt time.Duration
+	// firstBy is when a stream's caller stops waiting for its first event; giveUpAt for other requests.
+	firstBy time.Duration
+
+	attempt int
+	server  *server
+	sentAt  time.Duration
+	// sends counts the sends that may have reached a server, runs those that a server may have run.
+	sends int
+	runs  int
+	// tried are the servers that the request was sent to.
+	tried []string
+	// started tells that the caller has had the start of an answer.
+	started bool
+	// held tells that the shell keeps an answer that reports an error.
+	held bool
+
+	// wakeAt is the request's time in the heap, heapIndex its place, -1 if it is not in it.
+	wakeAt    time.Duration
+	heapIndex int
+}
+
+func newRequest(e RequestArrived, now time.Duration) *request {
+	r := &request{RequestArrived: e, at: now, heapIndex: -1}
+	r.giveUpAt = now + max(min(e.Patience, e.Route.Timeout)-giveUpMargin, giveUpMargin)
+	r.firstBy = r.giveUpAt
+	if e.Route.Kind == matcher.KindStream {
+		patience := max(streamPatience, patienceObjectives*e.Route.Objective, patienceGaps*e.Route.EventGap)
+		r.firstBy = min(r.giveUpAt, now+patience-patienceMargin)
+	}
+	return r
+}
+
+// engagesModel tells that the request needs a model.
+func (r *request) engagesModel() bool { return r.Model != "" }
+
+// mayRunAgain tells that another server may run the request after one may have run it.
+func (r *request) mayRunAgain() bool {
+	return r.Route.Repeatable() && r.runs < max(r.Route.MaxServers, 1)
+}
+
+// A wakeHeap orders requests by the time at which they must be looked at.
+type wakeHeap []*request
+
+// Len returns the number of requests.
+func (h wakeHeap) Len() int { return len(h) }
+
+// Less reports whether request i is due before request j.
+func (h wakeHeap) Less(i, j int) bool {
+	if h[i].wakeAt != h[j].wakeAt {
+		return h[i].wakeAt < h[j].wakeAt
+	}
+	return h[i].Request < h[j].Request
+}
+
+// Pop removes the last request.
+func (h *wakeHeap) Pop() any {
+	old := *h
+	r := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	r.heapIndex = -1
+	return r
+}
+
+// Push adds a request.
+func (h *wakeHeap) Push(x any) {
+	r, ok := x.(*request)
+	if !ok {
+		return
+	}
+	r.heapIndex = len(*h)
+	*h = append(*h, r)
+}
+
+// Swap swaps two requests.
+func (h wakeHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapIndex = i
+	h[j].heapIndex = j
+}
+
+// wakeRequest sets when the request is looked at next.
+func (m *Machine) wakeRequest(r *request, at time.Duration) {
+	r.wakeAt = at
+	if r.heapIndex < 0 {
+		heap.Push(&m.wakes, r)
+		return
+	}
+	heap.Fix(&m.wakes, r.heapIndex)
+}
+
+func (m *Machine) unwakeRequest(r *request) {
+	if r.heapIndex >= 0 {
+		heap.Remove(&m.wakes, r.heapIndex)
+	}
+}
+
+// expireRequests looks at the requests that are due.
+func (m *Machine) expireRequests() {
+	for len(m.wakes) > 0 && m.wakes[0].wakeAt <= m.now {
+		r := m.wakes[0]
+		m.unwakeRequest(r)
+		switch r.state {
+		case stateQueued:
+			m.dequeue(r)
+			m.route(r)
+		case stateRunning:
+			m.expireRunning(r)
+		case stateAnswered:
+		}
+	}
+}
+
+// expireRunning gives up a request that a server has. A stream that has begun is ended too: its time is up as well.
+func (m *Machine) expireRunning(r *request) {
+	m.emit(Cancel{Request: r.Request, Attempt: r.attempt})
+	m.refuse(r, RefusedTimeout, 0)
+}
+
+// enqueue lets a request wait until the given time at the latest.
+func (m *Machine) enqueue(r *request, until time.Duration) {
+	r.state = stateQueued
+	p := m.pool(r.Service)
+	at, _ := slices.BinarySearchFunc(p.queue, r, compareUrgency)
+	p.queue = slices.Insert(p.queue, at, r)
+	m.wakeRequest(r, until)
+}
+
+func (m *Machine) dequeue(r *request) {
+	m.unwakeRequest(r)
+	p := m.pool(r.Service)
+	if i := slices.Index(p.queue, r); i >= 0 {
+		p.queue = slices.Delete(p.queue, i, i+1)
+	}
+}
+
+// compareUrgency orders requests by rank, objective and arrival.
+func compareUrgency(a, b *request) int {
+	return cmp.Or(
+		cmp.Compare(a.Route.Rank, b.Route.Rank),
+		cmp.Compare(a.Route.Objective, b.Route.Objective),
+		cmp.Compare(a.at, b.at),
+		cmp.Compare(a.Request, b.Request),
+	)
+}
+
+// refuse gives a request its final answer.
+func (m *Machine) refuse(r *request, reason RefusalReason, after time.Duration) {
+	m.decided(r, Decided{Action: "Refuse", Reason: reason.String()})
+	m.emit(Refuse{Request: r.Request, Reason: reason, MayHaveRun: r.runs > 0, RetryAfter: after})
+	m.answered(r)
+}
+
+// answered notes that the caller has its final answer. The request is kept until its attempt has ended.
+func (m *Machine) answered(r *request) {
+	m.unwakeRequest(r)
+	if r.state == stateRunning {
+		r.state = stateAnswered
+		return
+	}
+	m.forget(r)
+}
+
+func (m *Machine) forget(r *request) {
+	m.unwakeRequest(r)
+	m.leaveServer(r)
+	r.state = stateAnswered
+	delete(m.requests, r.Request)
+	m.stop.lastEnd = m.now
+}
+
+// decided logs a decision about a request.
+func (m *Machine) decided(r *request, d Decided) {
+	d.ID = r.ID
+	d.Service = r.Service
+	d.Model = modelName(r.Model, r.Adapter)
+	d.Attempt = r.attempt
+	d.Waited = m.now - r.at
+	d.Left = r.giveUpAt - m.now
+	d.Version = r.Version
+	if d.Server == "" && r.server != nil {
+		d.Server = r.server.entry.ID
+	}
+	m.emit(d)
+}
+
+func modelName(model, adapter string) string {
+	if adapter == "" {
+		return model
+	}
+	return model + "/" + adapter
+}
+
+var _ heap.Interface = (*wakeHeap)(nil)
+
+// requestOf returns a request in hand, nil if it is not.
+func (m *Machine) requestOf(id reducer.RequestID) *request { return m.requests[id] }
--- /dev/null
+++ b/internal/decision/conductor/role.go
@@ -0,0 +1,182 @@
+package conductor
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// A roleState is what the daemon knows of the role of giving orders. One daemon has it at a time: the one whose record
+// stands in the key-value service. Its fencing number is the record's revision, so that it rises with each change.
+type roleState struct {
+	// known tells that the record's presence or absence was read once.
+	known  bool
+	holder *Holder
+	// last is the holder before, if any was seen.
+	last Holder
+	// takeAt is when the daemon tries to take the free role; taking tells that it is doing so.
+	takeAt time.Duration
+	taking bool
+	// ordersFrom is when this daemon, as the holder, may give its first order.
+	ordersFrom time.Duration
+	// deposed is the fencing number that was lost for good, by a refusal or the lease's end.
+	deposed int64
+}
+
+func (s *roleState) nextAt(now time.Duration) time.Duration {
+	if s.holder != nil || s.taking || s.takeAt <= now {
+		return never
+	}
+	return s.takeAt
+}
+
+// holdsRole tells that this process has the role, as far as it knows.
+func (m *Machine) holdsRole() bool {
+	h := m.role.holder
+	return h != nil && h.Instance == m.settings.Self.Instance && h.Fence > m.role.deposed
+}
+
+// mayOrder tells that this process may give orders now: it has the role, the orders of the one before lie far enough
+// back, and nobody else can have it. Where engines check fencing numbers, an outage of the key-value service, in
+// which nobody can take the role, doesn't end it.
+func (m *Machine) mayOrder() bool {
+	if !m.holdsRole() || m.now < m.role.ordersFrom {
+		return false
+	}
+	if m.lease.valid(m.now) {
+		return true
+	}
+	return m.settings.EnginesCheckFences && m.store.lost && m.now < m.store.lostAt+outageLead
+}
+
+func (m *Machine) passRole() {
+	r := &m.role
+	if r.holder != nil || !r.known || r.taking || m.stop.requested || !m.lease.registered || !m.lease.valid(m.now) {
+		return
+	}
+	if r.takeAt == 0 {
+		r.takeAt = m.now + m.rank()*roleStagger
+	}
+	if m.now < r.takeAt {
+		return
+	}
+	r.taking = true
+	m.emit(TakeRole{Holder: Holder{Name: m.settings.Self.Name, Instance: m.settings.Self.Instance}})
+}
+
+// rank returns how many live daemons come before this one.
+func (m *Machine) rank() time.Duration {
+	var names []string
+	for name := range m.daemons {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	at, _ := slices.BinarySearchFunc(names, m.settings.Self.Name, cmp.Compare)
+	return time.Duration(at)
+}
+
+func (m *Machine) roleAnswered(e RoleAnswered) {
+	m.role.taking = false
+	if e.Fence == 0 {
+		m.role.takeAt = m.now + roleRetry
+		return
+	}
+	m.holderSeen(Holder{Name: m.settings.Self.Name, Instance: m.settings.Self.Instance, Fence: e.Fence})
+}
+
+func (m *Machine) holderSeen(h Holder) {
+	r := &m.role
+	r.known = true
+	if r.holder != nil && h.Fence <= r.holder.Fence {
+		return
+	}
+	before := r.last
+	if r.holder != nil {
+		before = *r.holder
+	}
+	r.holder = &h
+	r.last = h
+	r.takeAt = 0
+	m.emit(Believed{Subject: "Role", Change: "HeldBy", Reason: h.Name, Version: h.Fence})
+	m.demand.tellAll()
+	if h.Instance != m.settings.Self.Instance {
+		m.placing.stop()
+		return
+	}
+	r.ordersFrom = m.now + m.settings.TurnPause + turnMargin
+	if before.Name == m.settings.Self.Name {
+		// Orders of one host are those of one holder.
+		r.ordersFrom = m.now
+	}
+	m.startPlacing()
+}
+
+func (m *Machine) holderGone() {
+	r := &m.role
+	r.known = true
+	if r.holder == nil {
+		return
+	}
+	m.emit(Believed{Subject: "Role", Change: "Free", Reason: r.holder.Name, Version: r.holder.Fence})
+	r.last = *r.holder
+	r.holder = nil
+	r.takeAt = 0
+	m.placing.stop()
+}
+
+// leaseLost ends the role, whose record has gone with the lease.
+func (m *Machine) leaseLost() {
+	if !m.holdsRole() {
+		return
+	}
+	m.depose("lease ended")
+}
+
+// depose ends the role for this fencing number, whatever the record says.
+func (m *Machine) depose(reason string) {
+	r := &m.role
+	m.emit(Believed{Subject: "Role", Change: "Lost", Reason: reason, Version: r.holder.Fence, Warning: true})
+	r.deposed = r.holder.Fence
+	r.last = *r.holder
+	r.holder = nil
+	r.takeAt = m.now + roleRetry
+	m.placing.stop()
+}
+
+func (m *Machine) daemonsListed(e DaemonsListed) {
+	present := make(map[string]bool, len(e.Daemons))
+	for _, d := range e.Daemons {
+		present[d.Name] = true
+		m.daemonSeen(d)
+	}
+	for name := range m.daemons {
+		if !present[name] {
+			m.daemonGone(name)
+		}
+	}
+	if e.Holder != nil {
+		m.holderSeen(*e.Holder)
+	} else {
+		m.holderGone()
+	}
+}
+
+func (m *Machine) daemonSeen(d Daemon) {
+	if known, ok := m.daemons[d.Name]; ok && known == d {
+		return
+	}
+	m.daemons[d.Name] = d
+	m.emit(Believed{Subject: "Daemon " + d.Name, Change: "Seen", Detail: d.Peer + " " + d.Zone})
+}
+
+func (m *Machine) daemonGone(name string) {
+	if _, ok := m.daemons[name]; !ok {
+		return
+	}
+	delete(m.daemons, name)
+	delete(m.demand.byDaemon, name)
+	m.emit(Believed{Subject: "Daemon " + name, Change: "Gone"})
+	if name == m.settings.Self.Name && !m.stop.requested {
+		m.lease.registered = false
+	}
+}
--- /dev/null
+++ b/internal/decision/conductor/server.go
@@ -0,0 +1,249 @@
+package conductor
+
+import (
+	"time"
+
+	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/fleet/registrar"
+)
+
+// A server is what the daemon believes of one backend server.
+type server struct {
+	entry registrar.Entry
+	// seenAt is when the entry's last change arrived.
+	seenAt time.Duration
+	// doubtUntil is until when the server is used though its entry was removed in an outage; zero if it is there.
+	doubtUntil time.Duration
+
+	// runs are this daemon's requests at the server.
+	runs map[reducer.RequestID]*request
+	// others is how many requests of other daemons the server has, as the holder said.
+	others int
+	// absent are models and adapters that the server refused to have, until when.
+	absent map[string]time.Duration
+
+	// failures counts failures in a row; the server is avoided until avoidUntil.
+	failures   int
+	avoidUntil time.Duration
+	fullUntil  time.Duration
+	// errors is the share of answers that were errors, latency the smoothed time to the first part of an answer.
+	errors  float64
+	latency time.Duration
+	kept    keptParts
+}
+
+// A keptParts remembers which parts of prompts a server has read lately.
+type keptParts struct {
+	at    map[uint64]int64
+	clock int64
+}
+
+func newServer(e registrar.Entry) *server {
+	return &server{entry: e, runs: make(map[reducer.RequestID]*request), absent: make(map[string]time.Duration)}
+}
+
+// usable tells that the server takes new requests.
+func (s *server) usable() bool { return s.entry.State == registrar.StateReady }
+
+// load returns how many requests the server has for each of its slots.
+func (s *server) load() float64 {
+	return float64(len(s.runs)+s.others) / float64(max(s.entry.Slots, 1))
+}
+
+// share returns how much of the prompt the server has read, from 0 to 1.
+func (k *keptParts) share(parts []PromptPart) float64 {
+	total, kept := 0, 0
+	whole := true
+	for _, p := range parts {
+		total += p.Tokens
+		if _, ok := k.at[p.ID]; ok && whole {
+			kept += p.Tokens
+		} else {
+			whole = false
+		}
+	}
+	if total == 0 {
+		return 0
+	}
+	return float64(kept) / float64(total)
+}
+
+func (k *keptParts) add(parts []PromptPart) {
+	if k.at == nil {
+		k.at = make(map[uint64]int64)
+	}
+	for _, p := range parts {
+		k.clock++
+		k.at[p.ID] = k.clock
+	}
+	if len(k.at) <= maxKeptParts {
+		return
+	}
+	for id, at := range k.at {
+		if at < k.clock-maxKeptParts/2 {
+			delete(k.at, id)
+		}
+	}
+}
+
+// serversListed takes a complete list. Servers that it lacks are gone.
+func (m *Machine) serversListed(e ServersListed) {
+	first := !m.serversKnown
+	m.serversKnown = true
+	present := make(map[string]bool, len(e.Entries))
+	for _, entry := range e.Entries {
+		present[entry.ID] = true
+		m.serverChanged(entry)
+	}
+	for _, id := range m.serverIDs() {
+		if !present[id] {
+			m.serverRemoved(id, 0)
+		}
+	}
+	if first {
+		m.emit(Believed{Subject: "Servers", Change: "Listed", Version: int64(len(e.Entries))})
+	}
+	m.pumpAll()
+}
+
+// serverChanged takes an entry. One of an earlier incarnation, or older than the one known, is left out.
+func (m *Machine) serverChanged(e registrar.Entry) {
+	s, ok := m.servers[e.ID]
+	if ok && (e.StartedAt < s.entry.StartedAt || e.Revision <= s.entry.Revision && s.doubtUntil == 0) {
+		return
+	}
+	switch {
+	case !ok:
+		s = newServer(e)
+		m.servers[e.ID] = s
+		m.emit(Believed{Subject: "Server " + e.ID, Change: "Seen", Reason: e.Service, Version: e.Revision, Detail: e.Address + " " + e.Zone})
+	case e.StartedAt > s.entry.StartedAt || e.Address != s.entry.Address:
+		m.serverEnded(s)
+		s = newServer(e)
+		m.servers[e.ID] = s
+		m.placing.forget(e.ID)
+		m.emit(Believed{Subject: "Server " + e.ID, Change: "Restarted", Version: e.Revision, Detail: e.Address})
+	default:
+		m.serverUpdated(s, e)
+	}
+	s.seenAt = m.now
+	s.doubtUntil = 0
+	m.engineChanged(s)
+	m.pump(e.Service)
+}
+
+// serverUpdated takes news of a known incarnation. A server that was draining stays so.
+func (m *Machine) serverUpdated(s *server, e registrar.Entry) {
+	if s.entry.State == registrar.StateDraining {
+		e.State = registrar.StateDraining
+	}
+	if e.State != s.entry.State {
+		m.emit(Believed{Subject: "Server " + e.ID, Change: "Draining", Version: e.Revision})
+	}
+	s.entry = e
+	clear(s.absent)
+}
+
+// serverRemoved takes the end of an entry. Near an outage of the key-value service it may be back soon.
+func (m *Machine) serverRemoved(id string, revision int64) {
+	s, ok := m.servers[id]
+	if !ok || s.doubtUntil > 0 || revision != 0 && revision < s.entry.Revision {
+		return
+	}
+	if s.usable() && m.storeDoubtful() {
+		s.doubtUntil = max(m.now, m.store.backAt) + storeRecovery
+		if m.store.lost {
+			s.doubtUntil = m.now + time.Hour
+		}
+		m.emit(Believed{Subject: "Server " + id, Change: "Doubted", Reason: "entry removed near an outage", Version: revision})
+		return
+	}
+	m.dropServer(s, revision)
+}
+
+func (m *Machine) dropServer(s *server, revision int64) {
+	m.emit(Believed{Subject: "Server " + s.entry.ID, Change: "Gone", Version: revision})
+	m.serverEnded(s)
+	delete(m.servers, s.entry.ID)
+	m.placing.forget(s.entry.ID)
+	m.pump(s.entry.Service)
+}
+
+// storeDoubtful tells that the key-value service is out, or was a short time ago.
+func (m *Machine) storeDoubtful() bool {
+	return m.store.lost || m.store.backAt > 0 && m.now < m.store.backAt+storeShadow
+}
+
+// expireServers drops the servers whose entries have not come back after an outage.
+func (m *Machine) expireServers() {
+	for _, id := range m.serverIDs() {
+		if s := m.servers[id]; s.doubtUntil > 0 && m.now >= s.doubtUntil {
+			m.dropServer(s, 0)
+		}
+	}
+}
+
+// serverEnded notes the end of an incarnation: what ran there as its connection broke may have crashed it.
+func (m *Machine) serverEnded(s *server) { m.crashed(s.entry.ID) }
+
+func (m *Machine) storeReached() {
+	if !m.store.lost {
+		return
+	}
+	m.store.lost = false
+	m.store.backAt = m.now
+	for _, s := range m.servers {
+		if s.doubtUntil > 0 {
+			s.doubtUntil = m.now + storeRecovery
+		}
+	}
+	m.emit(Believed{Subject: "Store", Change: "Reached", Age: m.now - m.store.lostAt})
+}
+
+func (m *Machine) storeLost(e StoreLost) {
+	if m.store.lost {
+		return
+	}
+	m.store.lost = true
+	m.store.lostAt = m.now
+	m.emit(Believed{Subject: "Store", Change: "Lost", Reason: e.Reason, Warning: true})
+}
+
+// leaveServer ends a request's stay at its server.
+func (m *Machine) leaveServer(r *request) {
+	if r.server != nil {
+		delete(r.server.runs, r.Request)
+		r.server = nil
+	}
+}
+
+// serverFailed notes a failure of a server, which is avoided for a time that doubles with each failure in a row.
+func (m *Machine) serverFailed(s *server, cause Cause) {
+	s.failures++
+	s.errors += errorWeight * (1 - s.errors)
+	pause := min(avoidFirst<<min(s.failures-1, 8), avoidMost)
+	s.avoidUntil = m.now + pause
+	m.emit(Believed{
+		Subject: "Server " + s.entry.ID, Change: "Suspected", Reason: cause.String(), Version: int64(s.failures),
+		Age: m.now - s.seenAt, Detail: "avoided for " + pause.String(),
+	})
+}
+
+// worked notes an answer of a server.
+func (s *server) worked(latency time.Duration, isError bool) {
+	s.failures = 0
+	s.avoidUntil = 0
+	outcome := 0.0
+	if isError {
+		outcome = 1
+	}
+	s.errors += errorWeight * (outcome - s.errors)
+	if latency <= 0 {
+		return
+	}
+	if s.latency == 0 {
+		s.latency = latency
+		return
+	}
+	s.latency += time.Duration(errorWeight * float64(latency-s.latency))
+}
--- /dev/null
+++ b/internal/decision/conductor/stopping.go
@@ -0,0 +1,70 @@
+package conductor
+
+import (
+	"time"
+
+	"samphirewharf/internal/fleet/matcher"
+)
+
+// stopPoll is how often it is looked whether a planned stop is done.
+const stopPoll = 50 * time.Millisecond
+
+// addressKeepings is for how many lives of an address answer some callers keep it.
+const addressKeepings = 3
+
+// A stopState is the progress of a planned stop: the daemon stops being named to callers at once, serves those that
+// come all the same, and ends when kept answers have expired and its requests are done.
+type stopState struct {
+	requested bool
+	at        time.Duration
+	// quietFrom is when callers have forgotten the address, endBy when the process ends in any case.
+	quietFrom time.Duration
+	endBy     time.Duration
+	exited    bool
+	// lastEnd is when the last request ended.
+	lastEnd time.Duration
+}
+
+func (s *stopState) nextAt(now time.Duration) time.Duration {
+	if !s.requested || s.exited {
+		return never
+	}
+	return now + stopPoll
+}
+
+// refuses tells that a request comes too late for this daemon: a stream might not end in time.
+func (s *stopState) refuses(r *request, now time.Duration) bool {
+	return s.requested && r.Route.Kind == matcher.KindStream && now > s.at+stopStreams
+}
+
+func (m *Machine) stopRequested() {
+	s := &m.stop
+	if s.requested {
+		return
+	}
+	s.requested = true
+	s.at = m.now
+	s.quietFrom = m.now + addressKeepings*m.settings.AddressLife + stopQuiet
+	s.endBy = m.now + m.settings.StopTime - stopMargin
+	m.emit(Believed{Subject: "Daemon " + m.settings.Self.Name, Change: "Stopping", Detail: "ends within " + (s.endBy - s.at).String()})
+	m.emit(Accept{KeepAlive: false})
+	if m.holdsRole() {
+		m.emit(ReleaseRole{Fence: m.role.holder.Fence})
+		m.depose("planned stop")
+	}
+	m.lease.ended = true
+	m.emit(EndLease{})
+}
+
+func (m *Machine) passStop() {
+	s := &m.stop
+	if !s.requested || s.exited {
+		return
+	}
+	quiet := m.now >= s.quietFrom && len(m.requests) == 0 && m.now >= s.lastEnd+stopQuiet
+	if quiet || m.now >= s.endBy {
+		s.exited = true
+		m.emit(Believed{Subject: "Daemon " + m.settings.Self.Name, Change: "Stopped", Version: int64(len(m.requests))})
+		m.emit(Exit{})
+	}
+}
--- a/internal/decision/observer/fleet.go
+++ b/internal/decision/observer/fleet.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"samphirewharf/internal/backend/orderer"
-	"samphirewharf/internal/platform/lister"
+	"samphirewharf/internal/external/lister"
 )
 
 // UnreachableAfter is how many polls in a row must fail before a server counts as unreachable.
--- a/internal/decision/observer/server.go
+++ b/internal/decision/observer/server.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"samphirewharf/internal/backend/orderer"
-	"samphirewharf/internal/platform/lister"
+	"samphirewharf/internal/external/lister"
 )
 
 // A Tier tells how near to a server's accelerators a checkpoint is.
--- /dev/null
+++ b/internal/decision/placer/adapter.go
@@ -0,0 +1,112 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+
+	"samphirewharf/internal/fleet/registrar"
+)
+
+// placeAdapters gives each adapter that requests wait for a place at a server that holds its model.
+func (p *planner) placeAdapters() {
+	taken := make(map[string]bool)
+	for _, s := range p.steps {
+		// An order for a model moves the count of orders, which an adapter's order names.
+		if s.Model != "" {
+			taken[s.Server] = true
+		}
+	}
+	for _, d := range p.wantedAdapters() {
+		candidates := slices.DeleteFunc(slices.Clone(p.in.Servers), func(s Server) bool {
+			return !s.FreeForAdapter || taken[s.ID] || s.Goal != "" || !s.holds(d.Model)
+		})
+		slices.SortFunc(candidates, func(a, b Server) int {
+			return cmp.Or(cmp.Compare(a.adapterCost(), b.adapterCost()), cmp.Compare(a.running(), b.running()), cmp.Compare(a.ID, b.ID))
+		})
+		for _, s := range candidates {
+			if p.placeAdapter(s, d) {
+				taken[s.ID] = true
+				break
+			}
+		}
+	}
+}
+
+// wantedAdapters returns the demands for adapters that no server has, the most waited for first.
+func (p *planner) wantedAdapters() []Demand {
+	var list []Demand
+	for _, d := range p.in.Demands {
+		if d.Adapter != "" && d.Waiting+d.Refused > 0 && !p.adapterHeld(d) {
+			list = append(list, d)
+		}
+	}
+	slices.SortFunc(list, func(a, b Demand) int {
+		return cmp.Or(
+			cmp.Compare(b.Waiting, a.Waiting), cmp.Compare(b.Refused, a.Refused),
+			cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter),
+		)
+	})
+	return list
+}
+
+func (p *planner) adapterHeld(d Demand) bool {
+	for _, s := range p.in.Servers {
+		for _, m := range s.Models {
+			if m.Name == d.Model && slices.ContainsFunc(m.Adapters, func(a Adapter) bool { return a.Name == d.Adapter }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// placeAdapter loads an adapter at a server, or drops the one there that was unused for longest. It returns false if
+// neither can be done.
+func (p *planner) placeAdapter(s Server, d Demand) bool {
+	step := Step{Server: s.ID, Goal: s.Goal, Operation: registrar.OperationLoad, Model: d.Model, Adapter: d.Adapter, Reason: "AdapterWanted"}
+	model := p.in.Engine.Models[d.Model]
+	if s.adapters()+s.AdaptersComing < p.in.Engine.AdapterSlots && p.room(s) >= model.AdapterMegabytes {
+		p.steps = append(p.steps, step)
+		return true
+	}
+	victim, of, ok := s.unusedAdapter()
+	if !ok {
+		return false
+	}
+	step.Operation = registrar.OperationUnload
+	step.Model, step.Adapter, step.Reason = of, victim.Name, "AdapterMakesWay"
+	p.steps = append(p.steps, step)
+	return true
+}
+
+// unusedAdapter returns the adapter without requests that was unused for longest.
+func (s Server) unusedAdapter() (Adapter, string, bool) {
+	var best Adapter
+	of, found := "", false
+	for _, m := range s.Models {
+		for _, a := range m.Adapters {
+			if !a.Busy && (!found || a.UsedAt < best.UsedAt) {
+				best, of, found = a, m.Name, true
+			}
+		}
+	}
+	return best, of, found
+}
+
+func (s Server) adapters() int {
+	n := 0
+	for _, m := range s.Models {
+		n += len(m.Adapters)
+	}
+	return n
+}
+
+func (s Server) adapterCost() int { return s.adapters() + s.AdaptersComing }
+
+func (s Server) running() int {
+	n := 0
+	for _, m := range s.Models {
+		n += m.Running
+	}
+	return n
+}
--- a/internal/decision/planner/machine.go
+++ b/internal/decision/planner/machine.go
@@ -9,7 +9,7 @@
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/decision/observer"
 	"samphirewharf/internal/decision/pacer"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 // The planner's own times.
--- a/internal/decision/prover/command_test.go
+++ b/internal/decision/prover/command_test.go
@@ -10,7 +10,7 @@
 
 	"samphirewharf/internal/caller/refuser"
 	"samphirewharf/internal/decision/reducer"
-	"samphirewharf/internal/platform/lister"
+	"samphirewharf/internal/external/lister"
 )
 
 // settleWithin is how long after all faults are healed everything must have come to rest.
--- a/internal/decision/prover/configuration_test.go
+++ b/internal/decision/prover/configuration_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"samphirewharf/internal/config/cataloger"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 const (
--- a/internal/decision/prover/mutation_test.go
+++ b/internal/decision/prover/mutation_test.go
@@ -12,8 +12,8 @@
 	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/caller/refuser"
 	"samphirewharf/internal/decision/reducer"
-	"samphirewharf/internal/platform/lister"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/lister"
+	"samphirewharf/internal/external/storer"
 )
 
 // mutationCases bounds the cases in which a mutation must be found.
--- a/internal/decision/prover/oracle_test.go
+++ b/internal/decision/prover/oracle_test.go
@@ -8,7 +8,7 @@
 	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/caller/refuser"
 	"samphirewharf/internal/decision/planner"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 const (
--- a/internal/decision/prover/process_test.go
+++ b/internal/decision/prover/process_test.go
@@ -10,8 +10,8 @@
 	"samphirewharf/internal/caller/refuser"
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/external/storer"
 	"samphirewharf/internal/peer/messenger"
-	"samphirewharf/internal/platform/storer"
 )
 
 // orderGap is the time between an order's last check and its sending.
--- a/internal/decision/prover/server_test.go
+++ b/internal/decision/prover/server_test.go
@@ -7,7 +7,7 @@
 
 	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/decision/reducer"
-	"samphirewharf/internal/platform/lister"
+	"samphirewharf/internal/external/lister"
 )
 
 // A server is a backend server: a model engine, or a plain service.
--- a/internal/decision/prover/store_test.go
+++ b/internal/decision/prover/store_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"samphirewharf/internal/decision/reducer"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 type callKind uint8
--- a/internal/decision/reducer/event.go
+++ b/internal/decision/reducer/event.go
@@ -6,9 +6,9 @@
 	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/caller/refuser"
 	"samphirewharf/internal/config/cataloger"
+	"samphirewharf/internal/external/lister"
+	"samphirewharf/internal/external/storer"
 	"samphirewharf/internal/peer/messenger"
-	"samphirewharf/internal/platform/lister"
-	"samphirewharf/internal/platform/storer"
 )
 
 // A RequestID numbers a request within one daemon process.
--- a/internal/decision/reducer/membership.go
+++ b/internal/decision/reducer/membership.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"samphirewharf/internal/decision/tracker"
+	"samphirewharf/internal/external/storer"
 	"samphirewharf/internal/peer/messenger"
-	"samphirewharf/internal/platform/storer"
 )
 
 const membersPrefix = tracker.KeyPrefix
--- a/internal/decision/reducer/pacing_test.go
+++ b/internal/decision/reducer/pacing_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"samphirewharf/internal/config/cataloger"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 // recoveryTime is how long after the key-value service is back a daemon may take to work.
--- a/internal/decision/reducer/step_test.go
+++ b/internal/decision/reducer/step_test.go
@@ -8,7 +8,7 @@
 
 	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/config/cataloger"
-	"samphirewharf/internal/platform/lister"
+	"samphirewharf/internal/external/lister"
 )
 
 // A fixture is a daemon alone in its cells, with every deployment of the first service ready on two servers.
--- a/internal/decision/reducer/storing.go
+++ b/internal/decision/reducer/storing.go
@@ -4,7 +4,7 @@
 	"strings"
 
 	"samphirewharf/internal/decision/claimer"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 // An operationKind tells who asked for a call to the key-value service.
--- a/internal/decision/tracker/lease.go
+++ b/internal/decision/tracker/lease.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 // The times of a daemon's lease.
--- a/internal/decision/tracker/lease_test.go
+++ b/internal/decision/tracker/lease_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 func TestLease(t *testing.T) {
--- a/internal/decision/tracker/tracker.go
+++ b/internal/decision/tracker/tracker.go
@@ -15,8 +15,8 @@
 	"slices"
 	"time"
 
+	"samphirewharf/internal/external/storer"
 	"samphirewharf/internal/peer/messenger"
-	"samphirewharf/internal/platform/storer"
 )
 
 // The times and numbers of heartbeats.
--- a/internal/decision/tracker/tracker_test.go
+++ b/internal/decision/tracker/tracker_test.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"samphirewharf/internal/decision/assigner"
+	"samphirewharf/internal/external/storer"
 	"samphirewharf/internal/peer/messenger"
-	"samphirewharf/internal/platform/storer"
 )
 
 const testRegion = "marmara"
--- /dev/null
+++ b/internal/edge/follower/follower.go
@@ -0,0 +1,92 @@
+// Package follower keeps a daemon's view of the key-value service up to date: it lists a prefix, watches it, and lists
+// it anew when the service has forgotten the changes in between.
+package follower
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"samphirewharf/internal/external/storer"
+)
+
+const (
+	// firstPause and mostPause are the pauses after the first failure in a row, and at most.
+	firstPause = 100 * time.Millisecond
+	mostPause  = 600 * time.Millisecond
+)
+
+// A Follower follows one prefix. Set the fields, then start Loop.
+type Follower struct {
+	Prefix string
+	// List reads all entries and a revision from which a watch reports all later changes.
+	List func(ctx context.Context, prefix string) ([]storer.Entry, int64, storer.Result)
+	// Watch reports changes until it fails, and returns the revision to go on from.
+	Watch func(ctx context.Context, prefix string, from int64, report func(storer.Entry, bool)) (int64, error)
+	// Listed takes a complete list.
+	Listed func(entries []storer.Entry)
+	// Changed takes a written entry, Removed the key of one that is gone.
+	Changed func(e storer.Entry)
+	Removed func(key string, revision int64)
+	Logger  *log.Logger
+}
+
+// Loop follows the prefix until the context ends.
+func (f *Follower) Loop(ctx context.Context) {
+	pause := firstPause
+	from := int64(0)
+	for ctx.Err() == nil {
+		if from == 0 {
+			revision, ok := f.list(ctx)
+			if !ok {
+				pause = f.wait(ctx, pause)
+				continue
+			}
+			from = revision + 1
+			pause = firstPause
+		}
+		next, err := f.Watch(ctx, f.Prefix, from, f.report)
+		if next > from {
+			pause = firstPause
+		}
+		from = next
+		if errors.Is(err, storer.ErrCompacted) {
+			f.Logger.Info().Str("Prefix", f.Prefix).Int64("From", from).Msg("changes were forgotten; listing anew")
+			from = 0
+			continue
+		}
+		if ctx.Err() == nil {
+			f.Logger.Debug().Err(err).Str("Prefix", f.Prefix).Msg("watch broke off")
+			pause = f.wait(ctx, pause)
+		}
+	}
+}
+
+func (f *Follower) list(ctx context.Context) (int64, bool) {
+	entries, revision, result := f.List(ctx, f.Prefix)
+	if result != storer.ResultOK {
+		return 0, false
+	}
+	f.Listed(entries)
+	return revision, true
+}
+
+func (f *Follower) report(e storer.Entry, deleted bool) {
+	if deleted {
+		f.Removed(e.Key, e.Revision)
+		return
+	}
+	f.Changed(e)
+}
+
+// wait pauses with jitter, so that daemons don't return to the service in step, and returns the next pause.
+func (f *Follower) wait(ctx context.Context, pause time.Duration) time.Duration {
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause/2 + rand.N(pause)):
+	}
+	return min(2*pause, mostPause)
+}
--- /dev/null
+++ b/internal/edge/follower/follower_test.go
@@ -0,0 +1,122 @@
+package follower
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"samphirewharf/internal/decision/conductor"
+	"samphirewharf/internal/external/storer"
+)
+
+// A script is a key-value service that answers each list and watch in turn.
+type script struct {
+	mu      sync.Mutex
+	lists   [][]storer.Entry
+	watches []func(from int64, report func(storer.Entry, bool)) (int64, error)
+	seen    []string
+	cancel  context.CancelFunc
+}
+
+func (s *script) list(context.Context, string) ([]storer.Entry, int64, storer.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.lists) == 0 {
+		s.cancel()
+		return nil, 0, storer.ResultUnknown
+	}
+	entries := s.lists[0]
+	s.lists = s.lists[1:]
+	return entries, 10, storer.ResultOK
+}
+
+func (s *script) watch(ctx context.Context, _ string, from int64, report func(storer.Entry, bool)) (int64, error) {
+	s.mu.Lock()
+	if len(s.watches) == 0 {
+		s.mu.Unlock()
+		s.cancel()
+		return from, ctx.Err()
+	}
+	next := s.watches[0]
+	s.watches = s.watches[1:]
+	s.mu.Unlock()
+	return next(from, report)
+}
+
+func (s *script) note(what string) { s.seen = append(s.seen, what) }
+
+func (s *script) run(t *testing.T) []string {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	s.cancel = cancel
+	f := Follower{
+		Prefix: "p/", List: s.list, Watch: s.watch,
+		Listed:  func(entries []storer.Entry) { s.note("listed " + string(rune('0'+len(entries)))) },
+		Changed: func(e storer.Entry) { s.note("changed " + e.Key) },
+		Removed: func(key string, _ int64) { s.note("removed " + key) },
+		Logger:  &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+	}
+	f.Loop(ctx)
+	return s.seen
+}
+
+func assertSeen(t *testing.T, got []string, want ...string) {
+	t.Helper()
+	if !slices.Equal(got, want) {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+func TestFollower(t *testing.T) {
+	cut := func(from int64, _ func(storer.Entry, bool)) (int64, error) { return from, io.ErrUnexpectedEOF }
+	change := func(from int64, report func(storer.Entry, bool)) (int64, error) {
+		report(storer.Entry{Key: "p/a"}, false)
+		report(storer.Entry{Key: "p/b"}, true)
+		return from + 2, io.ErrUnexpectedEOF
+	}
+	t.Run("a watch that is cut goes on where it was", func(t *testing.T) {
+		resumed := int64(0)
+		s := &script{lists: [][]storer.Entry{{{Key: "p/a"}}}}
+		s.watches = append(s.watches, change, cut, func(from int64, _ func(storer.Entry, bool)) (int64, error) {
+			resumed = from
+			return from, io.ErrUnexpectedEOF
+		})
+		assertSeen(t, s.run(t), "listed 1", "changed p/a", "removed p/b")
+		if got, want := resumed, int64(13); got != want {
+			t.Errorf("got watch from %d, want %d", got, want)
+		}
+	})
+	t.Run("forgotten changes make it list anew", func(t *testing.T) {
+		s := &script{lists: [][]storer.Entry{{}, {{Key: "p/a"}, {Key: "p/c"}}}}
+		s.watches = append(s.watches, func(from int64, _ func(storer.Entry, bool)) (int64, error) {
+			return from, storer.ErrCompacted
+		})
+		assertSeen(t, s.run(t), "listed 0", "listed 2")
+	})
+}
+
+func TestRecords(t *testing.T) {
+	want := conductor.Daemon{Name: "a", Instance: "i", Front: "10.0.0.1:1", Peer: "10.0.0.1:2", Zone: "z"}
+	value, err := EncodeDaemon(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := decodeDaemon(storer.Entry{Key: DaemonKey("a"), Value: value})
+	if err != nil || got != want {
+		t.Errorf("got %+v, %v, want %+v", got, err, want)
+	}
+	role, err := EncodeRole(conductor.Holder{Name: "a", Instance: "i"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	holder, err := decodeRole(storer.Entry{Key: RoleKey, Value: role, Revision: 41})
+	if want := (conductor.Holder{Name: "a", Instance: "i", Fence: 41}); err != nil || holder != want {
+		t.Errorf("got %+v, %v, want %+v", holder, err, want)
+	}
+}
--- /dev/null
+++ b/internal/edge/follower/record.go
@@ -0,0 +1,74 @@
+package follower
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"samphirewharf/internal/decision/conductor"
+	"samphirewharf/internal/external/storer"
+)
+
+const (
+	// OwnPrefix is where the daemons keep what they share.
+	OwnPrefix = "samphirewharf/"
+	// daemonsPrefix holds a record for each daemon, under the daemon's lease.
+	daemonsPrefix = OwnPrefix + "daemons/"
+	// RoleKey names the daemon that gives orders, under that daemon's lease.
+	RoleKey = OwnPrefix + "role"
+)
+
+// A daemonRecord is a daemon's record in the key-value service.
+type daemonRecord struct {
+	Name     string
+	Instance string
+	Front    string
+	Peer     string
+	Zone     string
+}
+
+// A roleRecord is the record of the daemon that gives orders.
+type roleRecord struct {
+	Name     string
+	Instance string
+}
+
+// DaemonKey returns the key of a daemon's record.
+func DaemonKey(name string) string { return daemonsPrefix + name }
+
+// EncodeDaemon returns a daemon's record.
+func EncodeDaemon(d conductor.Daemon) ([]byte, error) {
+	value, err := json.Marshal(daemonRecord{Name: d.Name, Instance: d.Instance, Front: d.Front, Peer: d.Peer, Zone: d.Zone})
+	if err != nil {
+		return nil, fmt.Errorf("encode record of daemon %s: %w", d.Name, err)
+	}
+	return value, nil
+}
+
+// EncodeRole returns the role's record.
+func EncodeRole(h conductor.Holder) ([]byte, error) {
+	value, err := json.Marshal(roleRecord{Name: h.Name, Instance: h.Instance})
+	if err != nil {
+		return nil, fmt.Errorf("encode record of role: %w", err)
+	}
+	return value, nil
+}
+
+func decodeDaemon(e storer.Entry) (conductor.Daemon, error) {
+	var r daemonRecord
+	if err := json.Unmarshal(e.Value, &r); err != nil {
+		return conductor.Daemon{}, fmt.Errorf("decode %s: %w", e.Key, err)
+	}
+	return conductor.Daemon{Name: r.Name, Instance: r.Instance, Front: r.Front, Peer: r.Peer, Zone: r.Zone}, nil
+}
+
+func decodeRole(e storer.Entry) (conductor.Holder, error) {
+	var r roleRecord
+	if err := json.Unmarshal(e.Value, &r); err != nil {
+		return conductor.Holder{}, fmt.Errorf("decode %s: %w", e.Key, err)
+	}
+	// The revision rises with each change of holder, so that it serves as the fencing number.
+	return conductor.Holder{Name: r.Name, Instance: r.Instance, Fence: e.Revision}, nil
+}
+
+func isDaemon(key string) bool { return strings.HasPrefix(key, daemonsPrefix) }
--- /dev/null
+++ b/internal/edge/launcher/daemon.go
@@ -0,0 +1,263 @@
+package launcher
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/phuslu/log"
+	"golang.org/x/sys/unix"
+
+	"samphirewharf/internal/daemon/driver"
+	"samphirewharf/internal/daemon/scribe"
+	"samphirewharf/internal/decision/conductor"
+	"samphirewharf/internal/edge/follower"
+	"samphirewharf/internal/edge/gateway"
+	"samphirewharf/internal/entry/acceptor"
+	"samphirewharf/internal/entry/streamer"
+	"samphirewharf/internal/fleet/matcher"
+	"samphirewharf/internal/peer/messenger"
+)
+
+const (
+	// exitTimeout bounds how long connections may stay open after the last request of a planned stop.
+	exitTimeout = 300 * time.Millisecond
+	// reservedDescriptors are left for files, servers, daemons and the key-value service.
+	reservedDescriptors = 1200
+	// minConnections is the least number of callers' connections, however few descriptors there are.
+	minConnections = 256
+	// idleMargin is how much longer than callers are told an idle connection is kept, so that a request which comes
+	// at the last moment is still read.
+	idleMargin = 5 * time.Second
+	// callerIdle is how long an idle connection is kept before a configuration tells.
+	callerIdle = 60 * time.Second
+)
+
+// A Daemon is one running daemon. New makes one.
+type Daemon struct {
+	settings Settings
+	platform Platform
+	logger   *log.Logger
+	sampler  scribe.Sampler
+
+	ctx      context.Context //nolint:containedctx // It spans the daemon's life.
+	cancel   context.CancelFunc
+	machine  *conductor.Machine
+	driver   driver.Driver[conductor.Event, conductor.Effect]
+	client   streamer.Client
+	peers    messenger.Client
+	servers  []*endpoint
+	front    *endpoint
+	metrics  edgeMetrics
+	reach    reach
+	startAt  time.Duration
+	stopping sync.Once
+
+	configuration atomic.Pointer[matcher.Configuration]
+	published     atomic.Pointer[conductor.Publish]
+	lease         atomic.Int64
+	exited        chan struct{}
+}
+
+// An endpoint is one address that the daemon listens on.
+type endpoint struct {
+	name     string
+	listener net.Listener
+	server   *acceptor.Server
+	logger   *log.Logger
+}
+
+// New listens and returns a daemon that is ready to start.
+func New(settings Settings, platform Platform, logger *log.Logger) (*Daemon, error) {
+	d := &Daemon{settings: settings, platform: platform, logger: logger, exited: make(chan struct{})}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	now, err := bootTime()
+	if err != nil {
+		return nil, err
+	}
+	d.startAt = now
+	d.prepare()
+	if err := d.listen(); err != nil {
+		d.closeAll()
+		return nil, err
+	}
+	return d, nil
+}
+
+// Exited returns a channel that is closed when the daemon has ended.
+func (d *Daemon) Exited() <-chan struct{} { return d.exited }
+
+// Start starts serving.
+func (d *Daemon) Start() {
+	d.driver.Start(d.ctx)
+	for _, e := range d.servers {
+		go e.run()
+	}
+	for _, f := range d.followers() {
+		go f.Loop(d.ctx)
+	}
+	d.driver.Post(conductor.Ticked{})
+}
+
+// Stop starts a planned stop: requests are finished and the role handed over before Exited is closed.
+func (d *Daemon) Stop() { d.driver.Post(conductor.StopRequested{}) }
+
+// prepare makes the parts that need no network.
+func (d *Daemon) prepare() {
+	s := &d.settings.Conductor
+	s.Self.Instance = uuid.NewString()
+	s.Self.Front, s.Self.Peer = d.settings.Front, d.settings.Peer
+	if s.Seed == 0 {
+		s.Seed = rand.Uint64()
+	}
+	d.metrics.register(d)
+	d.peers.Logger = d.logger
+	d.client.IdentityHeader = d.platform.Translator.IdentityHeader
+	d.client.NotRun = d.platform.Translator.NotRun
+	d.reach = reach{post: d.post, count: d.metrics.countStoreCall}
+	d.platform.Observe(d.reach.observe)
+	d.machine = conductor.New(*s)
+	d.driver = driver.Driver[conductor.Event, conductor.Effect]{
+		Step: d.step, Sleep: d.sleep, Tick: conductor.Ticked{}, RequestOf: requestOf, Unstarted: unstarted, Execute: d.execute,
+	}
+}
+
+// listen opens all of the daemon's addresses.
+func (d *Daemon) listen() error {
+	connections := max(d.settings.Descriptors-reservedDescriptors, minConnections)
+	limits := acceptor.Limits{Connections: connections, IdleTimeout: callerIdle, BodyBytes: defaultBodyBytes}
+	inner := acceptor.Limits{Connections: minConnections}
+	for _, e := range []struct {
+		name    string
+		address string
+		handler http.Handler
+		limits  acceptor.Limits
+	}{
+		{"Front", d.settings.Front, d.gateway(), limits},
+		{"Peer", d.settings.Peer, d.peerHandler(), inner},
+		{"Ready", d.settings.Ready, d.platform.Ready(d.ready), inner},
+		{"Directory", d.settings.Directory, d.platform.Directory(d.addresses), inner},
+	} {
+		listener, err := net.Listen("tcp", e.address)
+		if err != nil {
+			return fmt.Errorf("listen for %s on %s: %w", e.name, e.address, err)
+		}
+		server := &acceptor.Server{Handler: e.handler, Limits: e.limits, Logger: d.logger}
+		d.servers = append(d.servers, &endpoint{name: e.name, listener: listener, server: server, logger: d.logger})
+	}
+	d.front = d.servers[0]
+	return nil
+}
+
+// defaultBodyBytes is the largest body before a configuration tells.
+const defaultBodyBytes = 4 << 20
+
+func (d *Daemon) gateway() http.Handler {
+	return &gateway.Gateway{
+		Open: d.driver.Open, Close: d.driver.Close, Post: d.post, Configuration: d.configuration.Load, Draw: rand.Float64,
+		Count: d.metrics.countRequest, Translator: d.platform.Translator, Client: &d.client, Logger: d.logger,
+	}
+}
+
+// peerHandler takes the other daemons' messages and serves the metrics.
+func (d *Daemon) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	peer := &messenger.Server{Receive: d.receive, Configuration: d.noConfiguration}
+	mux.Handle(messenger.PathPrefix+"/", peer.Handler())
+	mux.HandleFunc("/metrics", d.metrics.serve)
+	return mux
+}
+
+func (d *Daemon) receive(m messenger.Message) { d.post(conductor.PeerReceived{Message: m}) }
+
+// noConfiguration answers daemons that ask for a configuration of the product's own, of which there is none here.
+func (d *Daemon) noConfiguration(int64) (version int64, chunks [][]byte) { return 0, nil }
+
+func (d *Daemon) followers() []*follower.Follower {
+	views := &follower.Views{
+		Post: d.post, DecodeServer: d.platform.Entries.DecodeServer, DecodeConfiguration: d.platform.Entries.DecodeConfiguration,
+		Configured: d.configured, ConfigurationKey: d.platform.Entries.ConfigurationKey, ServerID: d.platform.Entries.ServerID,
+		Logger: d.logger,
+	}
+	list := []*follower.Follower{
+		{Prefix: d.platform.Entries.ConfigurationPrefix, Listed: views.ConfigurationListed, Changed: views.ConfigurationChanged, Removed: views.ConfigurationRemoved},
+		{Prefix: d.platform.Entries.ServersPrefix, Listed: views.ServersListed, Changed: views.ServerChanged, Removed: views.ServerRemoved},
+		{Prefix: follower.OwnPrefix, Listed: views.DaemonsListed, Changed: views.DaemonChanged, Removed: views.DaemonRemoved},
+	}
+	for _, f := range list {
+		f.List, f.Watch, f.Logger = d.platform.Store.List, d.platform.Store.Watch, d.logger
+	}
+	return list
+}
+
+// configured puts a configuration in force for new requests unless it is older than the one that is.
+func (d *Daemon) configured(c *matcher.Configuration) {
+	for {
+		current := d.configuration.Load()
+		if current != nil && current.Version >= c.Version {
+			return
+		}
+		if d.configuration.CompareAndSwap(current, c) {
+			return
+		}
+	}
+}
+
+func (d *Daemon) post(event conductor.Event) { d.driver.Post(event) }
+
+func (d *Daemon) step(event conductor.Event) []conductor.Effect {
+	return d.machine.Step(d.now(), event)
+}
+
+func (d *Daemon) sleep() time.Duration { return d.machine.NextWake() - d.now() }
+
+// now returns the time since the daemon started, including time for which the host stood still, which the monotonic
+// clock of the runtime leaves out.
+func (d *Daemon) now() time.Duration {
+	now, err := bootTime()
+	if err != nil {
+		d.logger.Error().Err(err).Msg("clock can't be read")
+	}
+	return now - d.startAt
+}
+
+func bootTime() (time.Duration, error) {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return 0, fmt.Errorf("read clock: %w", err)
+	}
+	return time.Duration(ts.Nano()), nil
+}
+
+func (d *Daemon) ready() bool {
+	p := d.published.Load()
+	return p != nil && p.Ready
+}
+
+// addresses returns where callers in a zone connect, and how long they may keep that.
+func (d *Daemon) addresses(zone string) ([]string, time.Duration) {
+	p := d.published.Load()
+	if p == nil {
+		return nil, 0
+	}
+	return conductor.Addresses(p.Daemons, zone), d.settings.Conductor.AddressLife
+}
+
+func (d *Daemon) closeAll() {
+	for _, e := range d.servers {
+		_ = e.listener.Close()
+	}
+}
+
+// run accepts connections until the endpoint is stopped.
+func (e *endpoint) run() {
+	if err := e.server.Serve(e.listener); err != nil {
+		e.logger.Error().Err(err).Str("Endpoint", e.name).Msg("listener failed")
+	}
+}
--- /dev/null
+++ b/internal/edge/launcher/effects.go
@@ -0,0 +1,186 @@
+package launcher
+
+import (
+	"context"
+	"time"
+
+	"samphirewharf/internal/decision/conductor"
+	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/edge/follower"
+	"samphirewharf/internal/external/storer"
+	"samphirewharf/internal/fleet/registrar"
+)
+
+// A task is one effect on its way.
+type task struct {
+	daemon *Daemon
+	effect conductor.Effect
+}
+
+// execute carries out an effect that concerns no request in hand, without waiting.
+func (d *Daemon) execute(effect conductor.Effect) {
+	switch e := effect.(type) {
+	case conductor.Decided:
+		d.logDecision(e)
+	case conductor.Believed:
+		d.logBelief(e)
+	case conductor.Publish:
+		d.published.Store(&e)
+	case conductor.Accept:
+		if !e.KeepAlive {
+			d.front.server.Drain()
+		}
+	case conductor.SendPeer:
+		if err := d.peers.Send(d.ctx, e.Address, e.Message); err != nil && d.ctx.Err() == nil {
+			d.logger.Warn().Err(err).Str("Address", e.Address).Msg("message to another daemon was dropped")
+		}
+	case conductor.Exit:
+		d.stopping.Do(d.beginExit)
+	default:
+		t := task{daemon: d, effect: effect}
+		go t.run()
+	}
+}
+
+// run carries the effect out and posts the event that it ends in.
+func (t task) run() {
+	d := t.daemon
+	switch e := t.effect.(type) {
+	case conductor.RenewLease:
+		d.renewLease(e)
+	case conductor.Register:
+		d.register(e)
+	case conductor.EndLease:
+		if id := d.lease.Swap(0); id != 0 {
+			d.platform.Store.Revoke(d.ctx, id)
+		}
+	case conductor.TakeRole:
+		d.takeRole(e)
+	case conductor.ReleaseRole:
+		d.platform.Store.Delete(d.ctx, follower.RoleKey, e.Fence)
+	case conductor.SendOrder:
+		d.sendOrder(e)
+	case conductor.PollServer:
+		d.pollServer(e)
+	}
+}
+
+// renewLease renews the lease, or makes a new one if there is none or it has ended.
+func (d *Daemon) renewLease(e conductor.RenewLease) {
+	sentAt := d.now()
+	if id := d.lease.Load(); id != 0 {
+		alive, result := d.platform.Store.KeepAlive(d.ctx, id)
+		if result != storer.ResultOK || alive {
+			d.post(conductor.LeaseRenewed{SentAt: sentAt, OK: result == storer.ResultOK})
+			return
+		}
+		sentAt = d.now()
+	}
+	id, result := d.platform.Store.Grant(d.ctx, e.TimeToLive)
+	if result == storer.ResultOK {
+		d.lease.Store(id)
+	}
+	d.post(conductor.LeaseRenewed{SentAt: sentAt, OK: result == storer.ResultOK, Lost: true})
+}
+
+func (d *Daemon) register(e conductor.Register) {
+	value, err := follower.EncodeDaemon(e.Daemon)
+	if err != nil {
+		d.logger.Error().Err(err).Msg("daemon can't be registered")
+		d.post(conductor.RegisterEnded{})
+		return
+	}
+	result := d.platform.Store.Put(d.ctx, follower.DaemonKey(e.Daemon.Name), value, d.lease.Load())
+	d.post(conductor.RegisterEnded{OK: result == storer.ResultOK})
+}
+
+// takeRole takes the role if nobody has it. Of an unknown outcome the view of the key-value service tells.
+func (d *Daemon) takeRole(e conductor.TakeRole) {
+	value, err := follower.EncodeRole(e.Holder)
+	lease := d.lease.Load()
+	if err != nil || lease == 0 {
+		d.post(conductor.RoleAnswered{})
+		return
+	}
+	fence, result := d.platform.Store.Swap(d.ctx, follower.RoleKey, value, 0, lease)
+	if result != storer.ResultOK {
+		fence = 0
+	}
+	d.post(conductor.RoleAnswered{Fence: fence})
+}
+
+// sendOrder sends an order unless its time has passed, which it checks last.
+func (d *Daemon) sendOrder(e conductor.SendOrder) {
+	if d.now() > e.Expires {
+		d.post(conductor.OrderEnded{Order: e.Order, Result: registrar.OrderNotSent})
+		return
+	}
+	result := d.platform.Engines.Order(d.ctx, e.Order)
+	d.metrics.countOrder(e.Order, result)
+	d.post(conductor.OrderEnded{Order: e.Order, Result: result})
+}
+
+func (d *Daemon) pollServer(e conductor.PollServer) {
+	sentAt := d.now()
+	report, startedAt, err := d.platform.Engines.Report(d.ctx, e.Server, e.Address)
+	if err != nil {
+		d.logger.Info().Err(err).Str("Server", e.Server).Msg("report could not be had")
+	}
+	d.post(conductor.ServerReported{Server: e.Server, StartedAt: startedAt, SentAt: sentAt, OK: err == nil, Report: report})
+}
+
+// beginExit ends the daemon after a planned stop.
+func (d *Daemon) beginExit() { go d.runExit() }
+
+func (d *Daemon) runExit() {
+	ctx, cancel := context.WithTimeout(context.Background(), exitTimeout)
+	defer cancel()
+	if err := d.front.server.Stop(ctx); err != nil {
+		d.logger.Info().Err(err).Msg("connections were open at exit")
+	}
+	d.cancel()
+	d.driver.Wait()
+	d.closeAll()
+	close(d.exited)
+}
+
+// requestOf returns the request that an effect concerns.
+func requestOf(effect conductor.Effect) (reducer.RequestID, bool) {
+	switch e := effect.(type) {
+	case conductor.Send:
+		return e.Request, true
+	case conductor.Deliver:
+		return e.Request, true
+	case conductor.Refuse:
+		return e.Request, true
+	case conductor.Cancel:
+		return e.Request, true
+	default:
+		return 0, false
+	}
+}
+
+// unstarted returns the event that ends an attempt whose handler is gone.
+func unstarted(effect conductor.Effect) (conductor.Event, bool) {
+	switch e := effect.(type) {
+	case conductor.Send:
+		return conductor.AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: reducer.AttemptCancelled}, true
+	case conductor.Cancel:
+		return conductor.AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: reducer.AttemptCancelled}, true
+	default:
+		return nil, false
+	}
+}
+
+// A reach turns the outcomes of calls to the key-value service into its loss and return.
+type reach struct {
+	post  func(conductor.Event)
+	count func(call string, err error)
+	state reachState
+}
+
+// lossFailures is after how many failures in a row, over all calls, the service counts as lost. A single watch may be cut.
+const lossFailures = 2
+
+// lossAfter is the pause between the first and the last of them, so that calls cut together count once.
+const lossAfter = 50 * time.Millisecond
--- /dev/null
+++ b/internal/edge/launcher/logging.go
@@ -0,0 +1,46 @@
+package launcher
+
+import (
+	"time"
+
+	"samphirewharf/internal/decision/conductor"
+)
+
+// logDecision writes the line of a decision about a request. Routine ones are sampled.
+func (d *Daemon) logDecision(e conductor.Decided) {
+	d.metrics.countDecision(e)
+	omitted := 0
+	if e.Routine {
+		var ok bool
+		if omitted, ok = d.sampler.Admit(e.Action, time.Now()); !ok {
+			return
+		}
+	}
+	line := d.logger.Info().Str("Request", e.ID).Str("Action", e.Action).Str("Service", e.Service).Str("Model", e.Model).
+		Str("Server", e.Server).Int("Attempt", e.Attempt).Str("Reason", e.Reason).
+		Int64("WaitedMs", e.Waited.Milliseconds()).Int64("LeftMs", e.Left.Milliseconds()).
+		Int64("BeliefAgeMs", e.Age.Milliseconds()).Int64("Configuration", e.Version)
+	if e.Other != "" {
+		line = line.Str("Other", e.Other).Float64("OtherScore", e.OtherScore)
+	}
+	if e.Action == "Send" {
+		line = line.Float64("Score", e.Score)
+	}
+	if e.Status != 0 {
+		line = line.Int("Status", e.Status)
+	}
+	if omitted > 0 {
+		line = line.Int("Omitted", omitted)
+	}
+	line.Msg("request")
+}
+
+// logBelief writes the line of a change of what the daemon believes.
+func (d *Daemon) logBelief(e conductor.Believed) {
+	line := d.logger.Info()
+	if e.Warning {
+		line = d.logger.Warn()
+	}
+	line.Str("Subject", e.Subject).Str("Change", e.Change).Str("Reason", e.Reason).Int64("Version", e.Version).
+		Int64("AgeMs", e.Age.Milliseconds()).Str("Detail", e.Detail).Msg("belief")
+}
--- a/internal/emulation/emulator/emulator.go
+++ b/internal/emulation/emulator/emulator.go
@@ -20,8 +20,8 @@
 	"samphirewharf/internal/decision/planner"
 	"samphirewharf/internal/decision/warmer"
 	"samphirewharf/internal/emulation/tracer"
-	"samphirewharf/internal/platform/lister"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/lister"
+	"samphirewharf/internal/external/storer"
 )
 
 // Sizes of a server's tiers if the Emulator does not state them.
--- a/internal/emulation/emulator/engine.go
+++ b/internal/emulation/emulator/engine.go
@@ -8,7 +8,7 @@
 	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/decision/observer"
-	"samphirewharf/internal/platform/lister"
+	"samphirewharf/internal/external/lister"
 )
 
 // An engine is a backend server that carries out orders and holds checkpoints near.
--- a/internal/emulation/emulator/placing.go
+++ b/internal/emulation/emulator/placing.go
@@ -9,7 +9,7 @@
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/decision/limiter"
 	"samphirewharf/internal/decision/planner"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 // Times of the one placer daemon and its platform.
--- a/internal/entry/responder/attempt.go
+++ b/internal/entry/responder/attempt.go
@@ -13,6 +13,7 @@
 	"samphirewharf/internal/caller/refuser"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/entry/streamer"
+	"samphirewharf/internal/network/filter"
 )
 
 const (
@@ -130,7 +131,7 @@
 // commit writes the status and header of the answer.
 func (a *attempt) commit(reply *streamer.Reply) {
 	w := a.exchange.writer
-	for name, values := range endToEnd(reply.Header) {
+	for name, values := range filter.EndToEnd(reply.Header) {
 		switch name {
 		case requestIDHeader, refusalHeader:
 		default:
--- a/internal/entry/responder/header.go
+++ b/internal/entry/responder/header.go
@@ -33,26 +33,6 @@
 // ownHeaders are set by daemons and removed from what callers send.
 var ownHeaders = []string{replicaHeader, adapterHeader, resumeHeader, prefixHeader, forwardedByHeader, refusalHeader, timeoutHeader}
 
-// hopHeaders concern one connection only (RFC 9110, section 7.6.1), or are set anew.
-var hopHeaders = []string{
-	"Connection", "Content-Length", "Expect", "Host", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// endToEnd returns the header fields that are passed on.
-func endToEnd(header http.Header) http.Header {
-	kept := header.Clone()
-	for _, named := range header["Connection"] {
-		for name := range strings.SplitSeq(named, ",") {
-			kept.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		kept.Del(name)
-	}
-	return kept
-}
-
 // idempotencyKey returns the key in a header, which is quoted as in the Idempotency-Key draft, or bare.
 func idempotencyKey(header http.Header, name string) (string, *refuser.Refusal) {
 	values := header[http.CanonicalHeaderKey(name)]
--- a/internal/entry/responder/inbound.go
+++ b/internal/entry/responder/inbound.go
@@ -15,6 +15,7 @@
 	"samphirewharf/internal/caller/refuser"
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/network/filter"
 )
 
 // A readFunc completes an inbound request from its path and body.
@@ -59,7 +60,7 @@
 	if err != nil {
 		return nil, &refuser.Refusal{Code: refuser.CodeMalformedRequest, Detail: "the body can't be read"}
 	}
-	in := &inbound{path: r.URL.RequestURI(), header: endToEnd(r.Header), body: body}
+	in := &inbound{path: r.URL.RequestURI(), header: filter.EndToEnd(r.Header), body: body}
 	in.serverPath = in.path
 	in.header.Set(requestIDHeader, id)
 	in.arrived = reducer.RequestArrived{
--- a/internal/entry/streamer/client.go
+++ b/internal/entry/streamer/client.go
@@ -9,7 +9,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -19,6 +18,7 @@
 	"time"
 
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/network/dialer"
 )
 
 const (
@@ -32,6 +32,8 @@
 	bufferBytes = 8 << 10
 	// maxHeaderBytes bounds the header of an answer.
 	maxHeaderBytes = 64 << 10
+	// maxRetryAfter is the longest Retry-After that is believed.
+	maxRetryAfter = 24 * time.Hour
 	// DefaultDialTimeout bounds the time for a connection.
 	DefaultDialTimeout = time.Second
 )
@@ -40,6 +42,10 @@
 type Client struct {
 	// DialTimeout bounds the time for a connection; zero means DefaultDialTimeout.
 	DialTimeout time.Duration
+	// IdentityHeader is the field in which servers name the request that they answer; empty means X-Request-Id.
+	IdentityHeader string
+	// NotRun tells from an answer that the server did not run the request; nil means a 503 with X-Not-Run.
+	NotRun func(status int, header http.Header) bool
 
 	once   sync.Once
 	pooled *http.Transport
@@ -50,7 +56,9 @@
 type Call struct {
 	// Address is IP:PORT.
 	Address string
-	Method  string
+	// Host is the Host field; empty means Address.
+	Host   string
+	Method string
 	// Path is the escaped path with the query.
 	Path string
 	// Header may be nil.
@@ -81,10 +89,11 @@
 	if header == nil {
 		header = make(http.Header)
 	}
-	reply := &Reply{}
+	reply := &Reply{client: c}
 	trace := &httptrace.ClientTrace{GotConn: reply.gotConn}
 	request := (&http.Request{
 		Method:        call.Method,
+		Host:          call.Host,
 		URL:           target,
 		Header:        header,
 		Body:          &body{Reader: bytes.NewReader(call.Body)},
@@ -115,7 +124,7 @@
 		timeout = DefaultDialTimeout
 	}
 	return &http.Transport{
-		DialContext:            (&dialer{Dialer: net.Dialer{Timeout: timeout}}).dial,
+		DialContext:            (&counter{dialer: dialer.Dialer{Timeout: timeout}}).dial,
 		DisableCompression:     true,
 		MaxIdleConns:           maxIdle,
 		MaxIdleConnsPerHost:    maxIdlePerServer,
@@ -149,9 +158,23 @@
 
 // RetryAfter returns what a header asks for in Retry-After, zero if it asks for nothing in seconds.
 func RetryAfter(header http.Header) time.Duration {
-	seconds, err := strconv.Atoi(strings.TrimSpace(header.Get("Retry-After")))
-	if err != nil || seconds < 0 {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(header.Get("Retry-After")), 64)
+	if err != nil || !(seconds >= 0 && seconds < maxRetryAfter.Seconds()) {
 		return 0
 	}
-	return time.Duration(seconds) * time.Second
+	return time.Duration(seconds * float64(time.Second))
+}
+
+func (c *Client) identityHeader() string {
+	if c.IdentityHeader == "" {
+		return "X-Request-Id"
+	}
+	return c.IdentityHeader
+}
+
+func (c *Client) notRun(status int, header http.Header) bool {
+	if c.NotRun == nil {
+		return status == http.StatusServiceUnavailable && header.Get("X-Not-Run") == "true"
+	}
+	return c.NotRun(status, header)
 }
--- a/internal/entry/streamer/connection.go
+++ b/internal/entry/streamer/connection.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"sync/atomic"
+
+	"samphirewharf/internal/network/dialer"
 )
 
 // A connection notes whether anything was written to it.
@@ -20,11 +22,11 @@
 	return c.Conn.Write(p)
 }
 
-// A dialer makes connections that count their writes.
-type dialer struct{ net.Dialer }
+// A counter makes connections that count their writes.
+type counter struct{ dialer dialer.Dialer }
 
-func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := d.DialContext(ctx, network, address)
+func (c *counter) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := c.dialer.Dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/streamer/failure.go
+++ b/internal/entry/streamer/failure.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"time"
@@ -24,6 +25,9 @@
 	Outcome reducer.AttemptOutcome
 	// Died tells that the server broke the connection off while it had the request.
 	Died bool
+	// Status and Header are the server's, if it answered that it did not run the request.
+	Status int
+	Header http.Header
 	// RetryAfter is what the server asked for.
 	RetryAfter time.Duration
 	Err        error
--- a/internal/entry/streamer/reply.go
+++ b/internal/entry/streamer/reply.go
@@ -16,7 +16,8 @@
 type Reply struct {
 	*http.Response
 
-	ctx context.Context
+	client *Client
+	ctx    context.Context
 
 	mu sync.Mutex
 	// conn is the connection that the call was given; nil while it waits for one.
@@ -45,15 +46,17 @@
 
 // check finds answers that belong to another request or say that the request wasn't run.
 func (r *Reply) check(id string) error {
-	if echoed := r.Header.Get("X-Request-Id"); echoed != "" && id != "" && echoed != id {
+	if echoed := r.Header.Get(r.client.identityHeader()); echoed != "" && id != "" && echoed != id {
 		return &Failure{
 			Outcome: reducer.AttemptFailed,
 			Err:     fmt.Errorf("request %q got the answer to %q: %w", id, echoed, ErrOtherRequest),
 		}
 	}
-	if r.StatusCode == http.StatusServiceUnavailable && r.Header.Get("X-Not-Run") == "true" {
+	if r.client.notRun(r.StatusCode, r.Header) {
 		return &Failure{
 			Outcome:    reducer.AttemptNotRun,
+			Status:     r.StatusCode,
+			Header:     r.Header,
 			RetryAfter: RetryAfter(r.Header),
 			Err:        fmt.Errorf("server refused request %q before running it", id),
 		}
--- a/internal/platform/lister/client_test.go
+++ b/internal/external/lister/client_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"samphirewharf/internal/config/cataloger"
-	"samphirewharf/internal/platform/lister"
+	"samphirewharf/internal/external/lister"
 	"samphirewharf/internal/standin/announcer"
 )
 
--- a/internal/platform/storer/client_test.go
+++ b/internal/external/storer/client_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"samphirewharf/internal/config/cataloger"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 	"samphirewharf/internal/standin/keeper"
 )
 
--- /dev/null
+++ b/internal/fleet/matcher/matcher.go
@@ -0,0 +1,64 @@
+package matcher
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// ErrInvalid is wrapped by errors about routes that can't be used.
+var ErrInvalid = errors.New("route is invalid")
+
+// New returns a configuration. Routes must have a prefix that begins and ends with a slash, and a known service.
+func New(version int64, routes []Route, services []Service, limits Limits) (*Configuration, error) {
+	c := &Configuration{Version: version, Limits: limits, Services: make(map[string]Service, len(services)), routes: make(map[string][]Route)}
+	for _, s := range services {
+		c.Services[s.Name] = s
+	}
+	for _, r := range routes {
+		if err := c.check(r); err != nil {
+			return nil, fmt.Errorf("configuration %d, route %q: %w", version, r.Name, err)
+		}
+		c.routes[r.Host] = append(c.routes[r.Host], r)
+	}
+	for _, list := range c.routes {
+		slices.SortStableFunc(list, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return c, nil
+}
+
+// Match returns the route of a request, the one with the longest prefix of the path among those of the host.
+func (c *Configuration) Match(host, path string) (Route, bool) {
+	for _, r := range c.routes[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// RouteCount returns how many routes there are.
+func (c *Configuration) RouteCount() int {
+	n := 0
+	for _, list := range c.routes {
+		n += len(list)
+	}
+	return n
+}
+
+func (c *Configuration) check(r Route) error {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return fmt.Errorf("prefix %q: %w", r.Prefix, ErrInvalid)
+	}
+	if len(r.Shares) == 0 {
+		return fmt.Errorf("no service: %w", ErrInvalid)
+	}
+	for _, s := range r.Shares {
+		if _, ok := c.Services[s.Service]; !ok {
+			return fmt.Errorf("service %q: %w", s.Service, ErrInvalid)
+		}
+	}
+	return nil
+}
--- a/internal/load/surveyor/configuration.go
+++ b/internal/load/surveyor/configuration.go
@@ -8,8 +8,8 @@
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/config/versioner"
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/external/storer"
 	"samphirewharf/internal/peer/messenger"
-	"samphirewharf/internal/platform/storer"
 )
 
 // A countedStore is a key-value service in memory that counts what a versioner does with it.
--- a/internal/load/surveyor/daemon.go
+++ b/internal/load/surveyor/daemon.go
@@ -11,9 +11,9 @@
 	"samphirewharf/internal/decision/planner"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/decision/tracker"
+	"samphirewharf/internal/external/lister"
+	"samphirewharf/internal/external/storer"
 	"samphirewharf/internal/peer/messenger"
-	"samphirewharf/internal/platform/lister"
-	"samphirewharf/internal/platform/storer"
 )
 
 const (
--- a/internal/load/surveyor/fleet.go
+++ b/internal/load/surveyor/fleet.go
@@ -6,7 +6,7 @@
 
 	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/config/cataloger"
-	"samphirewharf/internal/platform/lister"
+	"samphirewharf/internal/external/lister"
 )
 
 // Sizes that don't vary in a survey.
--- a/internal/load/surveyor/store.go
+++ b/internal/load/surveyor/store.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"samphirewharf/internal/decision/reducer"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 // A store is a key-value service in memory that answers at once.
--- a/internal/load/surveyor/survey.go
+++ b/internal/load/surveyor/survey.go
@@ -11,7 +11,7 @@
 
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/decision/tracker"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/storer"
 )
 
 const claimsPrefix = "claims/"
--- a/internal/load/surveyor/traffic.go
+++ b/internal/load/surveyor/traffic.go
@@ -7,8 +7,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/external/storer"
 	"samphirewharf/internal/peer/messenger"
-	"samphirewharf/internal/platform/storer"
 )
 
 // A Party is whom a daemon exchanges calls with.
--- /dev/null
+++ b/internal/network/dialer/dialer.go
@@ -0,0 +1,71 @@
+// Package dialer opens connections that notice when their peer has fallen silent for good.
+package dialer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// DefaultTimeout bounds connecting.
+	DefaultTimeout = time.Second
+	// DefaultSilence is how long sent data may stay unacknowledged, or an idle peer leave probes unanswered, until the
+	// connection breaks. It covers several retransmissions on a lossy link.
+	DefaultSilence = 2500 * time.Millisecond
+	// probeIdle, probeInterval and probeCount are the keep-alive probes of an idle connection.
+	probeIdle     = 2 * time.Second
+	probeInterval = time.Second
+	probeCount    = 2
+)
+
+// A Dialer opens TCP connections. The zero value works.
+type Dialer struct {
+	// Timeout bounds connecting; zero means DefaultTimeout.
+	Timeout time.Duration
+	// Silence is how long a silent peer is waited for; zero means DefaultSilence.
+	Silence time.Duration
+}
+
+// Dial connects to an address.
+func (d Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	under := net.Dialer{
+		Timeout: orDefault(d.Timeout, DefaultTimeout),
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+		},
+		Control: d.control,
+	}
+	conn, err := under.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", address, err)
+	}
+	return conn, nil
+}
+
+// control sets the time after which unacknowledged data breaks the connection.
+func (d Dialer) control(_, _ string, raw syscall.RawConn) error {
+	silence := orDefault(d.Silence, DefaultSilence)
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
+	})
+	if err != nil {
+		return fmt.Errorf("set socket option: %w", err)
+	}
+	if failed != nil {
+		return fmt.Errorf("set TCP user timeout: %w", failed)
+	}
+	return nil
+}
+
+func orDefault(d, standard time.Duration) time.Duration {
+	if d <= 0 {
+		return standard
+	}
+	return d
+}
--- a/internal/network/sender/conn.go
+++ b/internal/network/sender/conn.go
@@ -6,17 +6,19 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+
+	"samphirewharf/internal/network/dialer"
 )
 
 var errSealed = errors.New("connection is sealed")
 
 // A tracker dials connections that count their writes.
 type tracker struct {
-	dialer net.Dialer
+	dialer dialer.Dialer
 }
 
 func (t *tracker) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := t.dialer.DialContext(ctx, network, address)
+	conn, err := t.dialer.Dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/network/sender/sender.go
+++ b/internal/network/sender/sender.go
@@ -6,11 +6,12 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"samphirewharf/internal/network/dialer"
 )
 
 const (
@@ -63,9 +64,9 @@
 }
 
 func (s *Sender) start() {
-	dialer := tracker{dialer: net.Dialer{Timeout: orDefault(s.DialTimeout, defaultDialTimeout)}}
+	tracker := tracker{dialer: dialer.Dialer{Timeout: orDefault(s.DialTimeout, defaultDialTimeout)}}
 	s.transport = &http.Transport{
-		DialContext:         dialer.dial,
+		DialContext:         tracker.dial,
 		DisableCompression:  true,
 		IdleConnTimeout:     orDefault(s.IdleTimeout, defaultIdleTimeout),
 		MaxIdleConnsPerHost: maxIdlePerAddress,
--- a/internal/peer/messenger/client.go
+++ b/internal/peer/messenger/client.go
@@ -10,6 +10,8 @@
 
 	"github.com/phuslu/log"
 	"github.com/twitchtv/twirp"
+
+	"samphirewharf/internal/network/dialer"
 )
 
 const (
@@ -107,7 +109,7 @@
 }
 
 func (c *Client) start() {
-	c.transport = &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
+	c.transport = &http.Transport{DialContext: dialer.Dialer{}.Dial, DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
 }
 
 func (c *Client) timeout() time.Duration {
--- a/internal/peer/messenger/decode.go
+++ b/internal/peer/messenger/decode.go
@@ -20,6 +20,8 @@
 		Needs:     decodeNeeds(x.GetNeeds()),
 		Placement: decodePlacement(x.GetPlacement()),
 		Verdict:   decodeVerdict(x.GetVerdict()),
+		Demand:    decodeDemand(x.GetDemand()),
+		Fleet:     decodeFleet(x.GetFleet()),
 	}
 }
 
--- a/internal/peer/messenger/encode.go
+++ b/internal/peer/messenger/encode.go
@@ -16,6 +16,8 @@
 		Verdict:   encodeVerdict(m.Verdict),
 		Region:    m.Region,
 		Forecasts: convert(m.Forecasts, encodeForecast),
+		Demand:    encodeDemand(m.Demand),
+		Fleet:     encodeFleet(m.Fleet),
 	}
 }
 
--- /dev/null
+++ b/internal/peer/messenger/fleet.go
@@ -0,0 +1,185 @@
+package messenger
+
+import (
+	"time"
+
+	"samphirewharf/internal/fleet/registrar"
+)
+
+// A Demand tells the daemon that gives orders what the sender's callers ask for.
+type Demand struct {
+	// ConfigurationVersion is the version in force at the sender.
+	ConfigurationVersion int64
+	Models               []ModelDemand
+	// InFlight are the sender's running requests by server.
+	InFlight map[string]int
+	Suspects []Suspect
+	Absences []Absence
+}
+
+// A ModelDemand is one daemon's demand for a model, or for an adapter of it.
+type ModelDemand struct {
+	Service string
+	Model   string
+	Adapter string
+	// Waiting and Running are requests at the moment, Arrived and Refused those since the last message.
+	Waiting int
+	Running int
+	Arrived int
+	Refused int
+	// Slack is the time until the first waiting request gives up.
+	Slack time.Duration
+}
+
+// A Suspect is a request that ran at servers as they crashed.
+type Suspect struct {
+	Fingerprint uint64
+	Crashes     int
+}
+
+// An Absence is a model or adapter that a server turned out not to have.
+type Absence struct {
+	Server    string
+	StartedAt int64
+	Model     string
+	Adapter   string
+}
+
+// A Fleet is what the daemon that gives orders says of the servers. Servers that it leaves out hold what they say
+// themselves.
+type Fleet struct {
+	// Fence is the sender's fencing number. A message with a lower number than one seen is out of date.
+	Fence int64
+	// Sequence grows with each message of a fencing number.
+	Sequence int64
+	Servers  []FleetServer
+	Loading  []Loading
+	Suspects []Suspect
+	// ConfigurationVersion is the version in force at the sender.
+	ConfigurationVersion int64
+}
+
+// A FleetServer is what one server holds.
+type FleetServer struct {
+	Server    string
+	StartedAt int64
+	Models    []registrar.HeldModel
+	// InFlight is how many requests of all daemons the server has.
+	InFlight int
+}
+
+// A Loading is a model or adapter that is being loaded.
+type Loading struct {
+	Service string
+	Model   string
+	Adapter string
+	ReadyIn time.Duration
+}
+
+func encodeDemand(d *Demand) *DemandPart {
+	if d == nil {
+		return nil
+	}
+	part := &DemandPart{
+		ConfigurationVersion: d.ConfigurationVersion,
+		Suspects:             convert(d.Suspects, encodeSuspect),
+		InFlight:             make(map[string]int64, len(d.InFlight)),
+		Models: convert(d.Models, func(m ModelDemand) *ModelDemandPart {
+			return &ModelDemandPart{
+				Service: m.Service, Model: m.Model, Adapter: m.Adapter, Waiting: int64(m.Waiting), Running: int64(m.Running),
+				Arrived: int64(m.Arrived), Refused: int64(m.Refused), SlackNanoseconds: int64(m.Slack),
+			}
+		}),
+		Absences: convert(d.Absences, func(a Absence) *AbsencePart {
+			return &AbsencePart{Server: a.Server, StartedAt: a.StartedAt, Model: a.Model, Adapter: a.Adapter}
+		}),
+	}
+	for server, n := range d.InFlight {
+		part.InFlight[server] = int64(n)
+	}
+	return part
+}
+
+func decodeDemand(p *DemandPart) *Demand {
+	if p == nil {
+		return nil
+	}
+	d := &Demand{
+		ConfigurationVersion: p.GetConfigurationVersion(),
+		Suspects:             convert(p.GetSuspects(), decodeSuspect),
+		Models: convert(p.GetModels(), func(m *ModelDemandPart) ModelDemand {
+			return ModelDemand{
+				Service: m.GetService(), Model: m.GetModel(), Adapter: m.GetAdapter(), Waiting: int(m.GetWaiting()),
+				Running: int(m.GetRunning()), Arrived: int(m.GetArrived()), Refused: int(m.GetRefused()),
+				Slack: time.Duration(m.GetSlackNanoseconds()),
+			}
+		}),
+		Absences: convert(p.GetAbsences(), func(a *AbsencePart) Absence {
+			return Absence{Server: a.GetServer(), StartedAt: a.GetStartedAt(), Model: a.GetModel(), Adapter: a.GetAdapter()}
+		}),
+	}
+	if len(p.GetInFlight()) > 0 {
+		d.InFlight = make(map[string]int, len(p.GetInFlight()))
+	}
+	for server, n := range p.GetInFlight() {
+		d.InFlight[server] = int(n)
+	}
+	return d
+}
+
+func encodeFleet(f *Fleet) *FleetPart {
+	if f == nil {
+		return nil
+	}
+	return &FleetPart{
+		Fence: f.Fence, Sequence: f.Sequence, ConfigurationVersion: f.ConfigurationVersion,
+		Suspects: convert(f.Suspects, encodeSuspect),
+		Servers:  convert(f.Servers, encodeFleetServer),
+		Loading: convert(f.Loading, func(l Loading) *LoadingPart {
+			return &LoadingPart{Service: l.Service, Model: l.Model, Adapter: l.Adapter, ReadyInNanoseconds: int64(l.ReadyIn)}
+		}),
+	}
+}
+
+func decodeFleet(p *FleetPart) *Fleet {
+	if p == nil {
+		return nil
+	}
+	return &Fleet{
+		Fence: p.GetFence(), Sequence: p.GetSequence(), ConfigurationVersion: p.GetConfigurationVersion(),
+		Suspects: convert(p.GetSuspects(), decodeSuspect),
+		Servers:  convert(p.GetServers(), decodeFleetServer),
+		Loading: convert(p.GetLoading(), func(l *LoadingPart) Loading {
+			return Loading{
+				Service: l.GetService(), Model: l.GetModel(), Adapter: l.GetAdapter(),
+				ReadyIn: time.Duration(l.GetReadyInNanoseconds()),
+			}
+		}),
+	}
+}
+
+func encodeFleetServer(s FleetServer) *ServerPart {
+	return &ServerPart{
+		Server: s.Server, StartedAt: s.StartedAt, InFlight: int64(s.InFlight),
+		Models: convert(s.Models, func(m registrar.HeldModel) *HeldModelPart {
+			return &HeldModelPart{Name: m.Name, Version: int64(m.Version), Adapters: m.Adapters}
+		}),
+	}
+}
+
+func decodeFleetServer(s *ServerPart) FleetServer {
+	return FleetServer{
+		Server: s.GetServer(), StartedAt: s.GetStartedAt(), InFlight: int(s.GetInFlight()),
+		Models: convert(s.GetModels(), func(m *HeldModelPart) registrar.HeldModel {
+			return registrar.HeldModel{Name: m.GetName(), Version: int(m.GetVersion()), Adapters: m.GetAdapters()}
+		}),
+	}
+}
+
+func encodeSuspect(s Suspect) *SuspectPart {
+	return &SuspectPart{Fingerprint: s.Fingerprint, Crashes: int64(s.Crashes)}
+}
+
+func decodeSuspect(s *SuspectPart) Suspect {
+	return Suspect{Fingerprint: s.GetFingerprint(), Crashes: int(s.GetCrashes())}
+}
--- /dev/null
+++ b/internal/peer/messenger/fleet_test.go
@@ -0,0 +1,41 @@
+package messenger
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"samphirewharf/internal/fleet/registrar"
+)
+
+func TestFleetMessagesTravelWhole(t *testing.T) {
+	want := Message{
+		From: "a", Address: "10.0.0.1:7",
+		Demand: &Demand{
+			ConfigurationVersion: 3,
+			Models:               []ModelDemand{{Service: "s", Model: "m", Adapter: "a1", Waiting: 2, Running: 1, Arrived: 4, Refused: 5, Slack: -time.Second}},
+			InFlight:             map[string]int{"i-1": 7},
+			Suspects:             []Suspect{{Fingerprint: 1 << 63, Crashes: 2}},
+			Absences:             []Absence{{Server: "i-1", StartedAt: 9, Model: "m", Adapter: "a1"}},
+		},
+		Fleet: &Fleet{
+			Fence: 41, Sequence: 2, ConfigurationVersion: 3,
+			Servers:  []FleetServer{{Server: "i-1", StartedAt: 9, InFlight: 3, Models: []registrar.HeldModel{{Name: "m", Version: 1, Adapters: []string{"a1"}}}}},
+			Loading:  []Loading{{Service: "s", Model: "n", ReadyIn: time.Second}},
+			Suspects: []Suspect{{Fingerprint: 5, Crashes: 3}},
+		},
+	}
+	bytes, err := proto.Marshal(want.Envelope())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var envelope Envelope
+	if err := proto.Unmarshal(bytes, &envelope); err != nil {
+		t.Fatal(err)
+	}
+	if got := envelope.Message(); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- a/internal/peer/messenger/message.go
+++ b/internal/peer/messenger/message.go
@@ -22,6 +22,8 @@
 	Placement *Placement
 	Verdict   *Verdict
 	Forecasts []Forecast
+	Demand    *Demand
+	Fleet     *Fleet
 }
 
 // A Heartbeat tells that the sender is alive.
--- a/internal/standin/announcer/announcer.go
+++ b/internal/standin/announcer/announcer.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"samphirewharf/internal/config/cataloger"
-	"samphirewharf/internal/platform/lister"
+	"samphirewharf/internal/external/lister"
 	"samphirewharf/internal/standin/responder"
 )
 
--- a/internal/standin/starter/settings.go
+++ b/internal/standin/starter/settings.go
@@ -2,7 +2,7 @@
 
 import (
 	"samphirewharf/internal/config/cataloger"
-	"samphirewharf/internal/platform/lister"
+	"samphirewharf/internal/external/lister"
 )
 
 // A Part is one of the outside systems that a Starter starts.
--- a/internal/standin/starter/starter.go
+++ b/internal/standin/starter/starter.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"samphirewharf/internal/config/cataloger"
-	"samphirewharf/internal/platform/lister"
+	"samphirewharf/internal/external/lister"
 	"samphirewharf/internal/standin/announcer"
 	"samphirewharf/internal/standin/booker"
 	"samphirewharf/internal/standin/inferrer"
--- a/internal/standin/starter/starter_test.go
+++ b/internal/standin/starter/starter_test.go
@@ -7,8 +7,8 @@
 
 	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/config/cataloger"
-	"samphirewharf/internal/platform/lister"
-	"samphirewharf/internal/platform/storer"
+	"samphirewharf/internal/external/lister"
+	"samphirewharf/internal/external/storer"
 	"samphirewharf/internal/standin/starter"
 )
 
