--- a/internal/decision/conductor/attempt.go
+++ b/internal/decision/conductor/attempt.go
@@ -60,6 +60,8 @@
 		m.suspect(r, s)
 	case CauseConnect:
 		m.serverFailed(s, e.Cause)
+		m.serverDown(s)
+		m.noteDown(s, r)
 		m.crashed(s.entry.ID)
 	case CauseSilent, CauseInvalid, CauseError:
 		m.serverFailed(s, e.Cause)
@@ -79,6 +81,7 @@
 		m.done(r, server, e)
 	case reducer.AttemptNotSent:
 		r.sends--
+		r.connects++
 		m.decided(r, Decided{Action: "Failed", Reason: e.Cause.String(), Server: server})
 		m.route(r)
 	case reducer.AttemptNotRun:
--- a/internal/decision/conductor/demand.go
+++ b/internal/decision/conductor/demand.go
@@ -116,6 +116,12 @@
 	m.noteWaiting(r)
 }
 
+// noteDown has the holder told that a server takes no connections.
+func (m *Machine) noteDown(s *server, r *request) {
+	m.demand.absences = append(m.demand.absences, messenger.Absence{Server: s.entry.ID, StartedAt: s.entry.StartedAt})
+	m.noteWaiting(r)
+}
+
 // passDemand tells the holder what is asked for. The holder tells itself.
 func (m *Machine) passDemand() {
 	d := &m.demand
--- a/internal/decision/conductor/fleet.go
+++ b/internal/decision/conductor/fleet.go
@@ -54,7 +54,7 @@
 func (m *Machine) holdings(s *server) registrar.Holdings {
 	if m.holdsRole() {
 		if c, ok := m.placing.controls[s.entry.ID]; ok && c.startedAt == s.entry.StartedAt {
-			return c.holdings
+			return c.serving(m.now)
 		}
 		return s.entry.Holdings
 	}
@@ -89,11 +89,8 @@
 	inFlight := m.sumInFlight()
 	for _, id := range m.placing.ids() {
 		c := m.placing.controls[id]
-		if !c.known {
-			continue
-		}
 		fleet.Servers = append(fleet.Servers, messenger.FleetServer{
-			Server: id, StartedAt: c.startedAt, Models: c.holdings.Models, InFlight: inFlight[id],
+			Server: id, StartedAt: c.startedAt, Models: c.serving(m.now).Models, InFlight: inFlight[id],
 		})
 	}
 	for _, s := range m.servers {
@@ -138,7 +135,6 @@
 		m.fleet.servers[s.Server] = statement{at: m.now, startedAt: s.StartedAt, holdings: registrar.Holdings{Models: s.Models}}
 		if known, ok := m.servers[s.Server]; ok {
 			known.others = max(0, s.InFlight-len(known.runs))
-			m.forgetAbsences(known, s.Models)
 		}
 	}
 	clear(f.loading)
@@ -149,16 +145,6 @@
 	m.pumpAll()
 }
 
-// forgetAbsences drops doubts about models that the holder has placed since.
-func (m *Machine) forgetAbsences(s *server, models []registrar.HeldModel) {
-	for name, until := range s.absent {
-		if m.now > until {
-			delete(s.absent, name)
-		}
-	}
-	_ = models
-}
-
 // readyIn predicts when what the request needs is loaded somewhere.
 func (m *Machine) readyIn(r *request) time.Duration {
 	k := keyOf(r)
@@ -215,7 +201,7 @@
 
 func (m *Machine) heldAnywhere(r *request) bool {
 	for _, s := range m.servers {
-		if s.entry.Service == r.Service && s.usable() && m.holds(s, r.Model, "") {
+		if s.entry.Service == r.Service && s.usable() && s.downUntil <= m.now && m.holds(s, r.Model, "") {
 			return true
 		}
 	}
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -30,6 +30,10 @@
 	// avoidFirst and avoidMost are how long a server is avoided after its first failure in a row, and at most.
 	avoidFirst = 300 * time.Millisecond
 	avoidMost  = 4 * time.Second
+	// downPause is how long a server that took no connection counts as not there.
+	downPause = 1500 * time.Millisecond
+	// maxConnects bounds the servers that take no connection for one request.
+	maxConnects = 6
 	// errorWeight is the weight of the latest answer in a server's share of errors and in its latency.
 	errorWeight = 0.1
 	// crossZoneScore is what a server in another zone costs against one in the daemon's, in units of its full load.
@@ -81,7 +85,7 @@
 	// orderLife is how long an order may wait to be sent.
 	orderLife = 500 * time.Millisecond
 	// reportLag is how old the values of a report may be.
-	reportLag = 700 * time.Millisecond
+	reportLag = 500 * time.Millisecond
 	// reportInterval is how often the holder reads the report of a server at which something is open.
 	reportInterval = 500 * time.Millisecond
 	// idleReportInterval is how often it reads the others'.
--- a/internal/decision/conductor/placing.go
+++ b/internal/decision/conductor/placing.go
@@ -21,23 +21,34 @@
 	storeLoads map[string][]time.Duration
 }
 
+// conflictPause is how long an engine that refused an order is left alone before its report is read.
+const conflictPause = 300 * time.Millisecond
+
+// maxAdaptersComing is how many adapters a server takes at the same time.
+const maxAdaptersComing = 4
+
 // planInterval is how often a plan is made while nothing new is known.
 const planInterval = 200 * time.Millisecond
 
 // A control is what the holder knows of one engine.
 type control struct {
 	startedAt int64
-	// holdings is what the engine has; known tells that it said so itself.
+	// holdings is what takes the engine's memory. It loses only what the engine says is gone.
 	holdings registrar.Holdings
-	known    bool
+	// hidden are models and adapters that requests found missing, until when they are doubted.
+	hidden map[string]time.Duration
 	// accepted is the engine's count of accepted orders, if countKnown.
 	accepted   int64
 	countKnown bool
 	// changedAt is when an order may have changed the engine last.
 	changedAt time.Duration
-	reportAt  time.Duration
-	polling   bool
+	// saidAt is when the engine's entry changed last. Reports lag behind it.
+	saidAt   time.Duration
+	reportAt time.Duration
+	polling  bool
 
+	// busy tells that the engine said that it works on an order, whoever gave it.
+	busy bool
 	// order is on its way; doubtful tells that an order's outcome is not known.
 	order    *registrar.Order
 	doubtful bool
@@ -70,12 +81,26 @@
 
 func newControl(s *server) *control {
 	return &control{
-		startedAt: s.entry.StartedAt, holdings: s.entry.Holdings, known: true,
+		startedAt: s.entry.StartedAt, holdings: s.entry.Holdings, hidden: make(map[string]time.Duration),
 		added: make(map[string]time.Duration), dropped: make(map[string]time.Duration),
 		loadedAt: make(map[string]time.Duration), usedAt: make(map[string]time.Duration),
 	}
 }
 
+// serving returns what requests find at the engine.
+func (c *control) serving(now time.Duration) registrar.Holdings {
+	h := c.holdings
+	for name, until := range c.hidden {
+		if now > until {
+			delete(c.hidden, name)
+			continue
+		}
+		model, adapter := splitName(name)
+		h = h.WithoutModel(model, adapter)
+	}
+	return h
+}
+
 func (p *placingState) forget(id string) { delete(p.controls, id) }
 
 func (p *placingState) stop() {
@@ -167,6 +192,7 @@
 		c.reportAt = m.now
 		m.placing.controls[s.entry.ID] = c
 	}
+	c.saidAt = s.seenAt
 	m.takeHoldings(s, c, s.entry.Holdings, true)
 	m.placing.dirty = true
 	m.fleet.changedAt = m.now
@@ -181,6 +207,7 @@
 	if c.loading != "" && said.Has(c.loading, "") {
 		m.emit(Believed{Subject: "Server " + s.entry.ID, Change: "Loaded", Reason: c.loading, Age: m.now - c.changedAt})
 		c.loadedAt[c.loading] = m.now
+		delete(c.hidden, c.loading)
 		c.loading = ""
 	}
 	if c.unloading != "" && !said.Has(c.unloading, "") {
@@ -245,6 +272,8 @@
 		}
 		c.holdings = c.holdings.WithModel(a.model, a.adapter)
 		c.added[modelName(a.model, a.adapter)] = m.now
+		delete(c.dropped, modelName(a.model, a.adapter))
+		delete(c.hidden, modelName(a.model, a.adapter))
 		c.usedAt[modelName(a.model, a.adapter)] = m.now
 		m.fleet.changedAt = m.now
 		m.pump(s.entry.Service)
@@ -274,7 +303,7 @@
 	running := m.runningByServer(service)
 	for _, s := range m.sortedServers(service) {
 		c, ok := m.placing.controls[s.entry.ID]
-		if !ok || !s.usable() || s.doubtUntil > 0 {
+		if !ok || !s.usable() || s.doubtUntil > 0 || s.downUntil > m.now {
 			continue
 		}
 		if c.loading != "" && c.tier == placer.TierStore {
@@ -316,14 +345,17 @@
 // plannerServer returns what the planner needs of a server. A model counts as running there if any daemon has requests
 // for it.
 func plannerServer(s *server, c *control, running map[string]map[string]int, demands []placer.Demand) placer.Server {
-	settled := c.countKnown && c.order == nil && !c.doubtful
+	idle := c.countKnown && c.order == nil && !c.doubtful && !c.busy && c.loading == "" && c.unloading == ""
 	ps := placer.Server{
 		ID: s.entry.ID, Zone: s.entry.Zone, Slots: s.entry.Slots,
-		Free:           settled && c.loading == "" && c.unloading == "",
-		FreeForAdapter: settled,
+		Free:           idle,
+		FreeForAdapter: idle && len(c.coming) < maxAdaptersComing,
 		Loading:        c.loading,
 		InMemory:       s.entry.Holdings.InMemory, OnDisk: s.entry.Holdings.OnDisk,
-		Goal: c.goal, GoalAt: c.goalAt, AdaptersComing: len(c.coming),
+		Goal: c.goal, GoalAt: c.goalAt,
+	}
+	for _, a := range c.coming {
+		ps.Coming = append(ps.Coming, modelName(a.model, a.adapter))
 	}
 	asked := make(map[string]placer.Demand, len(demands))
 	for _, d := range demands {
@@ -373,7 +405,6 @@
 		After: c.accepted, Holder: m.settings.Self.Name, Fence: m.role.holder.Fence,
 	}
 	c.order = &order
-	c.changedAt = m.now
 	name := modelName(step.Model, step.Adapter)
 	if step.Operation == registrar.OperationUnload {
 		// The daemons stop sending before the server stops taking.
@@ -409,7 +440,6 @@
 	}
 	s := m.servers[e.Order.Server]
 	c.order = nil
-	c.changedAt = m.now
 	m.placing.dirty = true
 	m.emit(Believed{
 		Subject: "Server " + e.Order.Server, Change: "OrderEnded", Reason: e.Result.String(), Version: e.Order.Fence,
@@ -417,6 +447,7 @@
 	})
 	switch e.Result {
 	case registrar.OrderAccepted:
+		c.changedAt = m.now
 		c.accepted++
 		m.orderAccepted(s, c, e.Order)
 	case registrar.OrderHeld:
@@ -424,6 +455,7 @@
 	case registrar.OrderFenced:
 		m.depose("an engine has seen a higher fencing number")
 	case registrar.OrderUnknown:
+		c.changedAt = m.now
 		c.doubtful = true
 		c.reportAt = m.now + reportLag
 	case registrar.OrderNotSent:
@@ -432,7 +464,7 @@
 		m.undo(c, e.Order)
 		c.countKnown = false
 		c.goal = ""
-		c.reportAt = m.now
+		c.reportAt = max(m.now+conflictPause, c.changedAt+reportLag)
 	}
 }
 
@@ -452,6 +484,7 @@
 	case o.Operation == registrar.OperationLoad:
 		c.loading = o.Model
 		c.goal = ""
+		delete(c.dropped, o.Model)
 		c.loadEnds = m.now + m.loadTime(s, c.tier, o.Model)
 		c.reportAt = c.loadEnds + loadSlack
 	case o.Adapter == "":
@@ -463,6 +496,7 @@
 
 // orderHeld takes the answer that nothing had to wait. An adapter without requests is dropped at once with it.
 func (m *Machine) orderHeld(s *server, c *control, o registrar.Order) {
+	c.changedAt = m.now
 	if o.Adapter != "" && o.Operation == registrar.OperationUnload {
 		c.accepted++
 		return
@@ -474,7 +508,7 @@
 		m.pump(s.entry.Service)
 	}
 	c.countKnown = false
-	c.reportAt = m.now
+	c.reportAt = m.now + reportLag
 }
 
 func (m *Machine) loadTime(s *server, tier placer.Tier, name string) time.Duration {
@@ -508,23 +542,24 @@
 		c.reportAt = m.now + reportInterval
 		return
 	}
-	stale := c.changedAt > 0 && e.SentAt < c.changedAt+reportLag
-	if stale && c.countKnown && !c.doubtful && c.loading == "" && c.unloading == "" {
-		c.reportAt = m.now + idleReportInterval
+	if c.order != nil || c.changedAt > 0 && e.SentAt < c.changedAt+reportLag {
+		c.reportAt = max(m.now, c.changedAt) + reportLag
+		if c.countKnown && !c.doubtful && !c.busy && c.loading == "" && c.unloading == "" {
+			c.reportAt = m.now + idleReportInterval
+		}
 		return
 	}
-	if c.order != nil || stale && (c.countKnown || c.doubtful) {
-		c.reportAt = max(m.now+reportInterval/5, c.changedAt+reportLag)
+	if e.SentAt < c.saidAt+reportLag {
+		// The entry is newer than the report may be.
+		c.reportAt = c.saidAt + reportLag
 		return
 	}
-	c.accepted, c.countKnown, c.doubtful = e.Report.OrdersAccepted, true, false
+	c.accepted, c.countKnown, c.doubtful, c.busy = e.Report.OrdersAccepted, true, false, e.Report.Busy
 	m.takeHoldings(s, c, e.Report.Holdings, len(c.coming) > 0)
+	c.reportAt = m.now + reportInterval
 	if !e.Report.Busy {
 		m.endWork(s, c, e.Report)
-	}
-	c.reportAt = m.now + idleReportInterval
-	if c.loading != "" || c.unloading != "" {
-		c.reportAt = m.now + reportInterval
+		c.reportAt = m.now + idleReportInterval
 	}
 	m.placing.dirty = true
 	m.fleet.changedAt = m.now
@@ -546,14 +581,17 @@
 // absenceReported takes a daemon's word that an engine lacks what it was believed to have.
 func (m *Machine) absenceReported(a messenger.Absence) {
 	c, ok := m.placing.controls[a.Server]
+	if ok && c.startedAt == a.StartedAt && a.Model == "" {
+		m.serverDown(m.servers[a.Server])
+		return
+	}
 	if !ok || c.startedAt != a.StartedAt || !c.holdings.Has(a.Model, a.Adapter) {
 		return
 	}
 	if at, added := c.added[modelName(a.Model, a.Adapter)]; added && m.now < at+reportLag {
 		return
 	}
-	delete(c.added, modelName(a.Model, a.Adapter))
-	c.holdings = c.holdings.WithoutModel(a.Model, a.Adapter)
+	c.hidden[modelName(a.Model, a.Adapter)] = m.now + absentPause
 	c.reportAt = min(c.reportAt, max(m.now, c.changedAt+reportLag))
 	m.placing.dirty = true
 	m.fleet.changedAt = m.now
--- a/internal/decision/conductor/request.go
+++ b/internal/decision/conductor/request.go
@@ -38,6 +38,8 @@
 	// sends counts the sends that may have reached a server, runs those that a server may have run.
 	sends int
 	runs  int
+	// connects counts the servers that took no connection.
+	connects int
 	// tried are the servers that the request was sent to.
 	tried []string
 	// started tells that the caller has had the start of an answer.
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -48,7 +48,7 @@
 		m.giveUp(r, RefusedExpired, m.retryAfter(r))
 		return
 	}
-	if r.sends >= maxSends {
+	if r.sends >= maxSends || r.connects >= maxConnects {
 		m.giveUp(r, RefusedFull, fullRetry)
 		return
 	}
@@ -118,6 +118,10 @@
 			continue
 		}
 		switch {
+		case s.downUntil > m.now:
+			if r.engagesModel() {
+				why = max(why, verdictCold)
+			}
 		case !m.holds(s, r.Model, r.Adapter):
 			why = max(why, verdictCold)
 		case s.fullUntil > m.now || m.atCapacity(s, r):
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -26,6 +26,8 @@
 	failures   int
 	avoidUntil time.Duration
 	fullUntil  time.Duration
+	// downUntil is until when the server counts as not there, since it took no connection.
+	downUntil time.Duration
 	// errors is the share of answers that were errors, latency the smoothed time to the first part of an answer.
 	errors  float64
 	latency time.Duration
@@ -219,8 +221,12 @@
 
 // serverFailed notes a failure of a server, which is avoided for a time that doubles with each failure in a row.
 func (m *Machine) serverFailed(s *server, cause Cause) {
-	s.failures++
 	s.errors += errorWeight * (1 - s.errors)
+	if m.now < s.avoidUntil {
+		// Requests that failed together count once.
+		return
+	}
+	s.failures++
 	pause := min(avoidFirst<<min(s.failures-1, 8), avoidMost)
 	s.avoidUntil = m.now + pause
 	m.emit(Believed{
@@ -233,6 +239,7 @@
 func (s *server) worked(latency time.Duration, isError bool) {
 	s.failures = 0
 	s.avoidUntil = 0
+	s.downUntil = 0
 	outcome := 0.0
 	if isError {
 		outcome = 1
@@ -247,3 +254,15 @@
 	}
 	s.latency += time.Duration(errorWeight * float64(latency-s.latency))
 }
+
+// serverDown notes that a server took no connection. What it holds has to be loaded elsewhere.
+func (m *Machine) serverDown(s *server) {
+	if s == nil {
+		return
+	}
+	if s.downUntil <= m.now {
+		m.emit(Believed{Subject: "Server " + s.entry.ID, Change: "Down", Age: m.now - s.seenAt})
+		m.placing.dirty = true
+	}
+	s.downUntil = m.now + downPause
+}
--- a/internal/decision/placer/adapter.go
+++ b/internal/decision/placer/adapter.go
@@ -51,6 +51,9 @@
 
 func (p *planner) adapterHeld(d Demand) bool {
 	for _, s := range p.in.Servers {
+		if slices.Contains(s.Coming, d.Model+"/"+d.Adapter) {
+			return true
+		}
 		for _, m := range s.Models {
 			if m.Name == d.Model && slices.ContainsFunc(m.Adapters, func(a Adapter) bool { return a.Name == d.Adapter }) {
 				return true
@@ -65,7 +68,7 @@
 func (p *planner) placeAdapter(s Server, d Demand) bool {
 	step := Step{Server: s.ID, Goal: s.Goal, Operation: registrar.OperationLoad, Model: d.Model, Adapter: d.Adapter, Reason: "AdapterWanted"}
 	model := p.in.Engine.Models[d.Model]
-	if s.adapters()+s.AdaptersComing < p.in.Engine.AdapterSlots && p.room(s) >= model.AdapterMegabytes {
+	if s.adapters()+len(s.Coming) < p.in.Engine.AdapterSlots && p.room(s) >= model.AdapterMegabytes {
 		p.steps = append(p.steps, step)
 		return true
 	}
@@ -101,7 +104,7 @@
 	return n
 }
 
-func (s Server) adapterCost() int { return s.adapters() + s.AdaptersComing }
+func (s Server) adapterCost() int { return s.adapters() + len(s.Coming) }
 
 func (s Server) running() int {
 	n := 0
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -63,8 +63,8 @@
 	// Goal is the model that the server makes room for, since GoalAt.
 	Goal   string
 	GoalAt time.Duration
-	// AdaptersComing is how many adapters are on their way.
-	AdaptersComing int
+	// Coming are adapters on their way, as MODEL/ADAPTER. Their places are taken.
+	Coming []string
 }
 
 // A Model is a model that a server holds.
@@ -366,7 +366,7 @@
 	for _, m := range p.in.Engine.Models {
 		largest = max(largest, m.AdapterMegabytes)
 	}
-	return room - largest*float64(s.AdaptersComing)
+	return room - largest*float64(len(s.Coming))
 }
 
 // megabytes returns the memory of a model with its adapters.
--- a/internal/peer/messenger/fleet.go
+++ b/internal/peer/messenger/fleet.go
@@ -37,7 +37,8 @@
 	Crashes     int
 }
 
-// An Absence is a model or adapter that a server turned out not to have.
+// An Absence is a model or adapter that a server turned out not to have. Without a model the server takes no
+// connections.
 type Absence struct {
 	Server    string
 	StartedAt int64
