--- a/internal/edge/follower/follower.go
+++ b/internal/edge/follower/follower.go
@@ -34,32 +34,25 @@
 	Logger  *log.Logger
 }
 
-// Loop follows the prefix until the context ends.
+// Loop follows the prefix until the context ends. After each break it lists the prefix anew: a service that is about to
+// forget changes may cut its watches first, and take up new ones without telling them what they have missed.
 func (f *Follower) Loop(ctx context.Context) {
 	pause := firstPause
-	from := int64(0)
 	for ctx.Err() == nil {
-		if from == 0 {
-			revision, ok := f.list(ctx)
-			if !ok {
-				pause = f.wait(ctx, pause)
-				continue
-			}
-			from = revision + 1
-			pause = firstPause
+		revision, ok := f.list(ctx)
+		if !ok {
+			pause = f.wait(ctx, pause)
+			continue
 		}
-		next, err := f.Watch(ctx, f.Prefix, from, f.report)
-		if next > from {
+		next, err := f.Watch(ctx, f.Prefix, revision+1, f.report)
+		if next > revision+1 {
 			pause = firstPause
 		}
-		from = next
-		if errors.Is(err, storer.ErrCompacted) {
-			f.Logger.Info().Str("Prefix", f.Prefix).Int64("From", from).Msg("changes were forgotten; listing anew")
-			from = 0
-			continue
-		}
-		if ctx.Err() == nil {
-			f.Logger.Debug().Err(err).Str("Prefix", f.Prefix).Msg("watch broke off")
+		switch {
+		case errors.Is(err, storer.ErrCompacted):
+			f.Logger.Info().Str("Prefix", f.Prefix).Int64("From", next).Msg("changes were forgotten; listing anew")
+		case ctx.Err() == nil:
+			f.Logger.Info().Err(err).Str("Prefix", f.Prefix).Msg("watch broke off; listing anew")
 			pause = f.wait(ctx, pause)
 		}
 	}
