--- a/internal/decision/conductor/event.go
+++ b/internal/decision/conductor/event.go
@@ -105,8 +105,11 @@
 	RetryAfter time.Duration
 }
 
-// A ServersListed event brings all servers' entries at one moment.
-type ServersListed struct{ Entries []registrar.Entry }
+// A ServersListed event brings all servers' entries as of a revision.
+type ServersListed struct {
+	Entries  []registrar.Entry
+	Revision int64
+}
 
 // A ServerChanged event brings a server's entry that was written.
 type ServerChanged struct{ Entry registrar.Entry }
@@ -125,21 +128,30 @@
 
 // A DaemonsListed event brings all daemons and the holder of the role, if there is one, at one moment.
 type DaemonsListed struct {
-	Daemons []Daemon
+	Daemons []DaemonSeen
 	Holder  *Holder
+	// Revision is that of the list.
+	Revision int64
 }
 
 // A DaemonSeen event brings a daemon's record that was written.
-type DaemonSeen struct{ Daemon Daemon }
+type DaemonSeen struct {
+	Daemon Daemon
+	// Revision is that of the record's last change.
+	Revision int64
+}
 
 // A DaemonGone event tells that a daemon's record is gone.
-type DaemonGone struct{ Name string }
+type DaemonGone struct {
+	Name     string
+	Revision int64
+}
 
 // A HolderSeen event tells which daemon has the role of giving orders.
 type HolderSeen struct{ Holder Holder }
 
 // A HolderGone event tells that no daemon has the role.
-type HolderGone struct{}
+type HolderGone struct{ Revision int64 }
 
 // A Daemon is a daemon's record in the key-value service.
 type Daemon struct {
@@ -150,6 +162,8 @@
 	Front string
 	Peer  string
 	Zone  string
+	// Processor is the share of a processor that the daemon has, in thousandths.
+	Processor int
 	// Leaving tells that it is in a planned stop.
 	Leaving bool
 }
--- a/internal/decision/conductor/fleet.go
+++ b/internal/decision/conductor/fleet.go
@@ -22,6 +22,7 @@
 	// is nothing.
 	sent      int64
 	sentAt    time.Duration
+	wholeAt   time.Duration
 	changedAt time.Duration
 }
 
@@ -64,31 +65,41 @@
 	return s.entry.Holdings
 }
 
-// passFleet tells all daemons what the holder believes.
+// passFleet tells what the holder believes to the followers, who pass it on. All of it is told from time to time, and
+// between that what has changed.
 func (m *Machine) passFleet() {
 	f := &m.fleet
 	if !m.holdsRole() || m.now < f.nextAt(m) || m.engineless() {
 		return
 	}
+	whole := m.now >= f.wholeAt+fleetInterval
+	if whole {
+		f.wholeAt = m.now
+	}
 	f.sentAt, f.changedAt = m.now, 0
 	f.sent++
 	message := m.message()
-	message.Fleet = m.fleetMessage()
-	for _, name := range m.daemonNames() {
+	message.Fleet = m.fleetMessage(whole)
+	for _, name := range Followers(m.liveDaemons()) {
 		if name != m.settings.Self.Name {
 			m.emit(SendPeer{Address: m.daemons[name].Peer, Message: message})
 		}
 	}
+	m.emit(Forward{Fleet: message.Fleet})
 }
 
-func (m *Machine) fleetMessage() *messenger.Fleet {
-	fleet := &messenger.Fleet{Fence: m.role.holder.Fence, Sequence: m.fleet.sent, Suspects: m.suspects(false), Loading: m.loadings()}
+func (m *Machine) fleetMessage(whole bool) *messenger.Fleet {
+	fleet := &messenger.Fleet{Fence: m.role.holder.Fence, Sequence: m.fleet.sent, Suspects: m.suspects(!whole), Loading: m.loadings()}
 	if m.configuration != nil {
 		fleet.ConfigurationVersion = m.configuration.Version
 	}
 	inFlight := m.sumInFlight()
 	for _, id := range m.placing.ids() {
 		c := m.placing.controls[id]
+		if !whole && !c.changed {
+			continue
+		}
+		c.changed = false
 		fleet.Servers = append(fleet.Servers, messenger.FleetServer{
 			Server: id, StartedAt: c.startedAt, Models: c.serving(m.now).Models, InFlight: inFlight[id],
 		})
@@ -127,6 +138,7 @@
 		m.depose("another holder, " + from + ", has a higher fencing number")
 	}
 	f.fence, f.sequence, f.heardAt = fleet.Fence, fleet.Sequence, m.now
+	m.emit(Forward{Fleet: fleet})
 	if m.role.holder == nil && m.store.lost {
 		// The role's record can't be read, but its holder speaks.
 		m.holderSeen(Holder{Name: from, Fence: fleet.Fence})
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -69,7 +69,7 @@
 
 	// demandInterval is how often demand is told to the holder, and demandSoon after how long a new cold request is.
 	demandInterval = 400 * time.Millisecond
-	demandSoon     = 2 * time.Millisecond
+	demandSoon     = 3 * time.Millisecond
 	// demandLife is how long a daemon's demand counts without news.
 	demandLife = 2 * time.Second
 	// interestLife is how long a refused request counts as demand.
@@ -78,7 +78,7 @@
 	rateWeight = 6 * time.Second
 	// fleetInterval is how often the holder tells all it believes, and fleetSoon after how long a change.
 	fleetInterval = time.Second
-	fleetSoon     = 2 * time.Millisecond
+	fleetSoon     = 10 * time.Millisecond
 	// fleetTrust is how long the holder's word on a server goes before the server's own entry.
 	fleetTrust = 2500 * time.Millisecond
 
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -65,8 +65,13 @@
 	fleet   fleetBelief
 	demand  demandState
 	placing placingState
-	crashes crashBelief
-	stop    stopState
+	feed    feedState
+	source  sourceState
+	gone    map[string]goneRecord
+	// daemonRevisions are the revisions of the daemons' records.
+	daemonRevisions map[string]int64
+	crashes         crashBelief
+	stop            stopState
 
 	published Publish
 	// publishedOnce tells that published was emitted.
@@ -92,16 +97,18 @@
 // New returns a machine.
 func New(settings Settings) *Machine {
 	return &Machine{
-		settings: settings,
-		rng:      rand.New(rand.NewPCG(settings.Seed, settings.Seed^0x9e3779b97f4a7c15)),
-		requests: make(map[reducer.RequestID]*request),
-		servers:  make(map[string]*server),
-		pools:    make(map[string]*pool),
-		daemons:  make(map[string]Daemon),
-		fleet:    newFleetBelief(),
-		demand:   newDemandState(),
-		placing:  newPlacingState(),
-		crashes:  crashBelief{byFingerprint: make(map[uint64]*crashRecord)},
+		settings:        settings,
+		rng:             rand.New(rand.NewPCG(settings.Seed, settings.Seed^0x9e3779b97f4a7c15)),
+		requests:        make(map[reducer.RequestID]*request),
+		servers:         make(map[string]*server),
+		pools:           make(map[string]*pool),
+		daemons:         make(map[string]Daemon),
+		fleet:           newFleetBelief(),
+		demand:          newDemandState(),
+		placing:         newPlacingState(),
+		gone:            make(map[string]goneRecord),
+		daemonRevisions: make(map[string]int64),
+		crashes:         crashBelief{byFingerprint: make(map[uint64]*crashRecord)},
 	}
 }
 
@@ -121,7 +128,7 @@
 	if len(m.wakes) > 0 {
 		next = min(next, m.wakes[0].wakeAt)
 	}
-	return min(next, m.lease.nextAt(), m.role.nextAt(m.now), m.demand.nextAt(m), m.fleet.nextAt(m), m.placing.nextAt(m), m.stop.nextAt(m.now))
+	return min(next, m.lease.nextAt(), m.role.nextAt(m.now), m.demand.nextAt(m), m.fleet.nextAt(m), m.feed.nextAt(), m.placing.nextAt(m), m.stop.nextAt(m.now))
 }
 
 // Requests returns how many requests the daemon holds.
@@ -155,6 +162,8 @@
 		m.serverReported(e)
 	case PeerReceived:
 		m.peerReceived(e.Message)
+	case FeedHeard:
+		m.feedHeard(e)
 	case StopRequested:
 		m.stopRequested()
 	case Ticked:
@@ -181,13 +190,13 @@
 	case DaemonsListed:
 		m.daemonsListed(e)
 	case DaemonSeen:
-		m.daemonSeen(e.Daemon)
+		m.daemonSeen(e)
 	case DaemonGone:
-		m.daemonGone(e.Name)
+		m.daemonGone(e.Name, e.Revision)
 	case HolderSeen:
 		m.holderSeen(e.Holder)
 	case HolderGone:
-		m.holderGone()
+		m.holderGone(e.Revision)
 	}
 }
 
@@ -197,6 +206,7 @@
 	m.expireServers()
 	m.passLease()
 	m.passRole()
+	m.passFeed()
 	m.passPlacing()
 	m.passDemand()
 	m.passFleet()
--- a/internal/decision/conductor/placing.go
+++ b/internal/decision/conductor/placing.go
@@ -35,6 +35,8 @@
 	startedAt int64
 	// holdings is what takes the engine's memory. It loses only what the engine says is gone.
 	holdings registrar.Holdings
+	// changed tells that the other daemons have not been told of the latest.
+	changed bool
 	// hidden are models and adapters that requests found missing, until when they are doubted.
 	hidden map[string]time.Duration
 	// accepted is the engine's count of accepted orders, if countKnown.
@@ -178,6 +180,7 @@
 	for _, s := range m.servers {
 		m.engineChanged(s)
 	}
+	m.fleet.wholeAt = 0
 	m.fleet.changedAt = m.now
 }
 
@@ -195,7 +198,7 @@
 	c.saidAt = s.seenAt
 	m.takeHoldings(s, c, s.entry.Holdings, true)
 	m.placing.dirty = true
-	m.fleet.changedAt = m.now
+	m.changed(c)
 }
 
 // takeHoldings takes what an engine says that it has. What own orders changed lately may be missing from an entry.
@@ -241,6 +244,14 @@
 	return h
 }
 
+// changed notes that the other daemons have to be told of a server.
+func (m *Machine) changed(c *control) {
+	c.changed = true
+	if m.fleet.changedAt == 0 {
+		m.fleet.changedAt = m.now
+	}
+}
+
 // passPlacing polls, lets adapters arrive, and gives orders.
 func (m *Machine) passPlacing() {
 	p := &m.placing
@@ -275,7 +286,7 @@
 		delete(c.dropped, modelName(a.model, a.adapter))
 		delete(c.hidden, modelName(a.model, a.adapter))
 		c.usedAt[modelName(a.model, a.adapter)] = m.now
-		m.fleet.changedAt = m.now
+		m.changed(c)
 		m.pump(s.entry.Service)
 		return true
 	})
@@ -411,7 +422,7 @@
 		c.dropped[name] = m.now
 		delete(c.added, name)
 		c.holdings = c.holdings.WithoutModel(step.Model, step.Adapter)
-		m.fleet.changedAt = m.now
+		m.changed(c)
 	} else if step.Adapter == "" {
 		c.tier = step.Tier
 		if step.Tier == placer.TierStore {
@@ -473,7 +484,7 @@
 	if o.Operation == registrar.OperationUnload {
 		delete(c.dropped, modelName(o.Model, o.Adapter))
 		c.holdings = c.holdings.WithModel(o.Model, o.Adapter)
-		m.fleet.changedAt = m.now
+		m.changed(c)
 	}
 }
 
@@ -491,7 +502,7 @@
 		c.unloading = o.Model
 		c.reportAt = m.now + reportLag
 	}
-	m.fleet.changedAt = m.now
+	m.changed(c)
 }
 
 // orderHeld takes the answer that nothing had to wait. An adapter without requests is dropped at once with it.
@@ -504,7 +515,7 @@
 	if o.Operation == registrar.OperationLoad {
 		c.holdings = c.holdings.WithModel(o.Model, o.Adapter)
 		c.goal = ""
-		m.fleet.changedAt = m.now
+		m.changed(c)
 		m.pump(s.entry.Service)
 	}
 	c.countKnown = false
@@ -562,7 +573,7 @@
 		c.reportAt = m.now + idleReportInterval
 	}
 	m.placing.dirty = true
-	m.fleet.changedAt = m.now
+	m.changed(c)
 	m.pump(s.entry.Service)
 }
 
@@ -594,5 +605,5 @@
 	c.hidden[modelName(a.Model, a.Adapter)] = m.now + absentPause
 	c.reportAt = min(c.reportAt, max(m.now, c.changedAt+reportLag))
 	m.placing.dirty = true
-	m.fleet.changedAt = m.now
+	m.changed(c)
 }
--- a/internal/decision/conductor/role.go
+++ b/internal/decision/conductor/role.go
@@ -1,7 +1,6 @@
 package conductor
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -64,15 +63,12 @@
 	m.emit(TakeRole{Holder: Holder{Name: m.settings.Self.Name, Instance: m.settings.Self.Instance}})
 }
 
-// rank returns how many live daemons come before this one.
+// rank returns how many live daemons come before this one, the strongest first.
 func (m *Machine) rank() time.Duration {
-	var names []string
-	for name := range m.daemons {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	at, _ := slices.BinarySearchFunc(names, m.settings.Self.Name, cmp.Compare)
-	return time.Duration(at)
+	list := m.liveDaemons()
+	slices.SortFunc(list, stronger)
+	at := slices.IndexFunc(list, func(d Daemon) bool { return d.Name == m.settings.Self.Name })
+	return time.Duration(max(at, 0))
 }
 
 func (m *Machine) roleAnswered(e RoleAnswered) {
@@ -87,7 +83,7 @@
 func (m *Machine) holderSeen(h Holder) {
 	r := &m.role
 	r.known = true
-	if r.holder != nil && h.Fence <= r.holder.Fence {
+	if r.holder != nil && h.Fence <= r.holder.Fence || h.Fence < r.last.Fence {
 		return
 	}
 	before := r.last
@@ -111,10 +107,10 @@
 	m.startPlacing()
 }
 
-func (m *Machine) holderGone() {
+func (m *Machine) holderGone(revision int64) {
 	r := &m.role
 	r.known = true
-	if r.holder == nil {
+	if r.holder == nil || revision > 0 && revision < r.holder.Fence {
 		return
 	}
 	m.emit(Believed{Subject: "Role", Change: "Free", Reason: r.holder.Name, Version: r.holder.Fence})
@@ -146,37 +142,47 @@
 func (m *Machine) daemonsListed(e DaemonsListed) {
 	present := make(map[string]bool, len(e.Daemons))
 	for _, d := range e.Daemons {
-		present[d.Name] = true
+		present[d.Daemon.Name] = true
 		m.daemonSeen(d)
 	}
-	for name := range m.daemons {
-		if !present[name] {
-			m.daemonGone(name)
+	for _, name := range m.daemonNames() {
+		if !present[name] && (e.Revision == 0 || m.daemonRevisions[name] <= e.Revision) {
+			m.daemonGone(name, e.Revision)
 		}
 	}
 	if e.Holder != nil {
 		m.holderSeen(*e.Holder)
 	} else {
-		m.holderGone()
+		m.holderGone(e.Revision)
 	}
 }
 
-func (m *Machine) daemonSeen(d Daemon) {
+func (m *Machine) daemonSeen(e DaemonSeen) {
+	d := e.Daemon
+	if m.isOld(daemonKey(d.Name), e.Revision) || e.Revision < m.daemonRevisions[d.Name] {
+		return
+	}
+	m.daemonRevisions[d.Name] = e.Revision
 	if known, ok := m.daemons[d.Name]; ok && known == d {
 		return
 	}
 	m.daemons[d.Name] = d
-	m.emit(Believed{Subject: "Daemon " + d.Name, Change: "Seen", Detail: d.Peer + " " + d.Zone})
+	m.emit(Believed{Subject: "Daemon " + d.Name, Change: "Seen", Version: e.Revision, Detail: d.Peer + " " + d.Zone})
 }
 
-func (m *Machine) daemonGone(name string) {
-	if _, ok := m.daemons[name]; !ok {
+func (m *Machine) daemonGone(name string, revision int64) {
+	if _, ok := m.daemons[name]; !ok || revision > 0 && revision < m.daemonRevisions[name] {
 		return
 	}
 	delete(m.daemons, name)
+	delete(m.daemonRevisions, name)
 	delete(m.demand.byDaemon, name)
-	m.emit(Believed{Subject: "Daemon " + name, Change: "Gone"})
+	m.noteGone(daemonKey(name), revision)
+	m.emit(Believed{Subject: "Daemon " + name, Change: "Gone", Version: revision})
 	if name == m.settings.Self.Name && !m.stop.requested {
 		m.lease.registered = false
 	}
 }
+
+// daemonKey names a daemon among what may be gone.
+func daemonKey(name string) string { return "daemon " + name }
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -88,6 +88,9 @@
 	}
 }
 
+// serverKey names a server among what may be gone.
+func serverKey(id string) string { return "server " + id }
+
 // serversListed takes a complete list. Servers that it lacks are gone.
 func (m *Machine) serversListed(e ServersListed) {
 	first := !m.serversKnown
@@ -98,8 +101,8 @@
 		m.serverChanged(entry)
 	}
 	for _, id := range m.serverIDs() {
-		if !present[id] {
-			m.serverRemoved(id, 0)
+		if !present[id] && (e.Revision == 0 || m.servers[id].entry.Revision <= e.Revision) {
+			m.serverRemoved(id, e.Revision)
 		}
 	}
 	if first {
@@ -111,6 +114,9 @@
 // serverChanged takes an entry. One of an earlier incarnation, or older than the one known, is left out.
 func (m *Machine) serverChanged(e registrar.Entry) {
 	s, ok := m.servers[e.ID]
+	if !ok && m.isOld(serverKey(e.ID), e.Revision) {
+		return
+	}
 	if ok && (e.StartedAt < s.entry.StartedAt || e.Revision <= s.entry.Revision && s.doubtUntil == 0) {
 		return
 	}
@@ -152,9 +158,9 @@
 	if !ok || s.doubtUntil > 0 || revision != 0 && revision < s.entry.Revision {
 		return
 	}
-	if s.usable() && m.storeDoubtful() {
-		s.doubtUntil = max(m.now, m.store.backAt) + storeRecovery
-		if m.store.lost {
+	if s.usable() && m.sourceDoubtful() {
+		s.doubtUntil = max(m.now, m.source.backAt) + storeRecovery
+		if m.source.lost {
 			s.doubtUntil = m.now + time.Hour
 		}
 		m.emit(Believed{Subject: "Server " + id, Change: "Doubted", Reason: "entry removed near an outage", Version: revision})
@@ -166,16 +172,12 @@
 func (m *Machine) dropServer(s *server, revision int64) {
 	m.emit(Believed{Subject: "Server " + s.entry.ID, Change: "Gone", Version: revision})
 	m.serverEnded(s)
+	m.noteGone(serverKey(s.entry.ID), revision)
 	delete(m.servers, s.entry.ID)
 	m.placing.forget(s.entry.ID)
 	m.pump(s.entry.Service)
 }
 
-// storeDoubtful tells that the key-value service is out, or was a short time ago.
-func (m *Machine) storeDoubtful() bool {
-	return m.store.lost || m.store.backAt > 0 && m.now < m.store.backAt+storeShadow
-}
-
 // expireServers drops the servers whose entries have not come back after an outage.
 func (m *Machine) expireServers() {
 	for _, id := range m.serverIDs() {
@@ -194,10 +196,8 @@
 	}
 	m.store.lost = false
 	m.store.backAt = m.now
-	for _, s := range m.servers {
-		if s.doubtUntil > 0 {
-			s.doubtUntil = m.now + storeRecovery
-		}
+	if m.feed.following {
+		m.takeSource(false)
 	}
 	m.emit(Believed{Subject: "Store", Change: "Reached", Age: m.now - m.store.lostAt})
 }
@@ -208,6 +208,9 @@
 	}
 	m.store.lost = true
 	m.store.lostAt = m.now
+	if m.feed.following {
+		m.takeSource(true)
+	}
 	m.emit(Believed{Subject: "Store", Change: "Lost", Reason: e.Reason, Warning: true})
 }
 
--- a/internal/edge/follower/follower.go
+++ b/internal/edge/follower/follower.go
@@ -26,8 +26,8 @@
 	List func(ctx context.Context, prefix string) ([]storer.Entry, int64, storer.Result)
 	// Watch reports changes until it fails, and returns the revision to go on from.
 	Watch func(ctx context.Context, prefix string, from int64, report func(storer.Entry, bool)) (int64, error)
-	// Listed takes a complete list.
-	Listed func(entries []storer.Entry)
+	// Listed takes a complete list, as of a revision.
+	Listed func(entries []storer.Entry, revision int64)
 	// Changed takes a written entry, Removed the key of one that is gone.
 	Changed func(e storer.Entry)
 	Removed func(key string, revision int64)
@@ -63,7 +63,7 @@
 	if result != storer.ResultOK {
 		return 0, false
 	}
-	f.Listed(entries)
+	f.Listed(entries, revision)
 	return revision, true
 }
 
--- a/internal/edge/follower/follower_test.go
+++ b/internal/edge/follower/follower_test.go
@@ -57,7 +57,7 @@
 	s.cancel = cancel
 	f := Follower{
 		Prefix: "p/", List: s.list, Watch: s.watch,
-		Listed:  func(entries []storer.Entry) { s.note("listed " + string(rune('0'+len(entries)))) },
+		Listed:  func(entries []storer.Entry, _ int64) { s.note("listed " + string(rune('0'+len(entries)))) },
 		Changed: func(e storer.Entry) { s.note("changed " + e.Key) },
 		Removed: func(key string, _ int64) { s.note("removed " + key) },
 		Logger:  &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
@@ -108,7 +108,7 @@
 }
 
 func TestRecords(t *testing.T) {
-	want := conductor.Daemon{Name: "a", Instance: "i", Front: "10.0.0.1:1", Peer: "10.0.0.1:2", Zone: "z"}
+	want := conductor.Daemon{Name: "a", Instance: "i", Front: "10.0.0.1:1", Peer: "10.0.0.1:2", Zone: "z", Processor: 400}
 	value, err := EncodeDaemon(want)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/edge/follower/record.go
+++ b/internal/edge/follower/record.go
@@ -25,6 +25,8 @@
 	Front    string
 	Peer     string
 	Zone     string
+	// Processor is in thousandths of a processor.
+	Processor int
 }
 
 // A roleRecord is the record of the daemon that gives orders.
@@ -38,7 +40,7 @@
 
 // EncodeDaemon returns a daemon's record.
 func EncodeDaemon(d conductor.Daemon) ([]byte, error) {
-	value, err := json.Marshal(daemonRecord{Name: d.Name, Instance: d.Instance, Front: d.Front, Peer: d.Peer, Zone: d.Zone})
+	value, err := json.Marshal(daemonRecord{Name: d.Name, Instance: d.Instance, Front: d.Front, Peer: d.Peer, Zone: d.Zone, Processor: d.Processor})
 	if err != nil {
 		return nil, fmt.Errorf("encode record of daemon %s: %w", d.Name, err)
 	}
@@ -59,7 +61,7 @@
 	if err := json.Unmarshal(e.Value, &r); err != nil {
 		return conductor.Daemon{}, fmt.Errorf("decode %s: %w", e.Key, err)
 	}
-	return conductor.Daemon{Name: r.Name, Instance: r.Instance, Front: r.Front, Peer: r.Peer, Zone: r.Zone}, nil
+	return conductor.Daemon{Name: r.Name, Instance: r.Instance, Front: r.Front, Peer: r.Peer, Zone: r.Zone, Processor: r.Processor}, nil
 }
 
 func decodeRole(e storer.Entry) (conductor.Holder, error) {
--- a/internal/edge/follower/views.go
+++ b/internal/edge/follower/views.go
@@ -25,14 +25,14 @@
 }
 
 // ServersListed takes all servers' entries. One that can't be read names no server; the others hold.
-func (v *Views) ServersListed(entries []storer.Entry) {
+func (v *Views) ServersListed(entries []storer.Entry, revision int64) {
 	var list []registrar.Entry
 	for _, e := range entries {
 		if entry, ok := v.server(e); ok {
 			list = append(list, entry)
 		}
 	}
-	v.Post(conductor.ServersListed{Entries: list})
+	v.Post(conductor.ServersListed{Entries: list, Revision: revision})
 }
 
 // ServerChanged takes one server's entry.
@@ -50,8 +50,8 @@
 }
 
 // DaemonsListed takes all the daemons' own records.
-func (v *Views) DaemonsListed(entries []storer.Entry) {
-	var event conductor.DaemonsListed
+func (v *Views) DaemonsListed(entries []storer.Entry, revision int64) {
+	event := conductor.DaemonsListed{Revision: revision}
 	for _, e := range entries {
 		switch {
 		case e.Key == RoleKey:
@@ -62,7 +62,7 @@
 			}
 		case isDaemon(e.Key):
 			if daemon, err := decodeDaemon(e); err == nil {
-				event.Daemons = append(event.Daemons, daemon)
+				event.Daemons = append(event.Daemons, conductor.DaemonSeen{Daemon: daemon, Revision: e.Revision})
 			} else {
 				v.unreadable(e, err)
 			}
@@ -87,22 +87,22 @@
 			v.unreadable(e, err)
 			return
 		}
-		v.Post(conductor.DaemonSeen{Daemon: daemon})
+		v.Post(conductor.DaemonSeen{Daemon: daemon, Revision: e.Revision})
 	}
 }
 
 // DaemonRemoved takes the end of one of the daemons' own records.
-func (v *Views) DaemonRemoved(key string, _ int64) {
+func (v *Views) DaemonRemoved(key string, revision int64) {
 	switch {
 	case key == RoleKey:
-		v.Post(conductor.HolderGone{})
+		v.Post(conductor.HolderGone{Revision: revision})
 	case isDaemon(key):
-		v.Post(conductor.DaemonGone{Name: key[len(daemonsPrefix):]})
+		v.Post(conductor.DaemonGone{Name: key[len(daemonsPrefix):], Revision: revision})
 	}
 }
 
 // ConfigurationListed takes the operators' entries.
-func (v *Views) ConfigurationListed(entries []storer.Entry) {
+func (v *Views) ConfigurationListed(entries []storer.Entry, _ int64) {
 	for _, e := range entries {
 		v.ConfigurationChanged(e)
 	}
--- a/internal/edge/launcher/daemon.go
+++ b/internal/edge/launcher/daemon.go
@@ -19,6 +19,7 @@
 	"samphirewharf/internal/decision/conductor"
 	"samphirewharf/internal/edge/follower"
 	"samphirewharf/internal/edge/gateway"
+	"samphirewharf/internal/edge/relayer"
 	"samphirewharf/internal/entry/acceptor"
 	"samphirewharf/internal/entry/streamer"
 	"samphirewharf/internal/fleet/matcher"
@@ -46,16 +47,19 @@
 	logger   *log.Logger
 	sampler  scribe.Sampler
 
-	ctx      context.Context //nolint:containedctx // It spans the daemon's life.
-	cancel   context.CancelFunc
-	machine  *conductor.Machine
-	driver   driver.Driver[conductor.Event, conductor.Effect]
-	client   streamer.Client
-	peers    messenger.Client
-	servers  []*endpoint
-	front    *endpoint
-	metrics  edgeMetrics
-	reach    reach
+	ctx     context.Context //nolint:containedctx // It spans the daemon's life.
+	cancel  context.CancelFunc
+	machine *conductor.Machine
+	driver  driver.Driver[conductor.Event, conductor.Effect]
+	client  streamer.Client
+	peers   messenger.Client
+	servers []*endpoint
+	front   *endpoint
+	metrics edgeMetrics
+	reach   reach
+	relayer *relayer.Relayer
+	// unfollow ends the watches of the key-value service, nil if there are none.
+	unfollow context.CancelFunc
 	startAt  time.Duration
 	stopping sync.Once
 
@@ -99,9 +103,7 @@
 	for _, e := range d.servers {
 		go e.run()
 	}
-	for _, f := range d.followers() {
-		go f.Loop(d.ctx)
-	}
+	go d.relayer.Loop(d.ctx)
 	d.driver.Post(conductor.Ticked{})
 }
 
@@ -122,6 +124,9 @@
 	d.client.NotRun = d.platform.Translator.NotRun
 	d.reach = reach{post: d.post, count: d.metrics.countStoreCall}
 	d.platform.Observe(d.reach.observe)
+	d.relayer = relayer.New(s.Self.Instance, d.views())
+	d.relayer.Send, d.relayer.Message, d.relayer.Fresh = d.sendPeer, d.message, d.reach.state.answered
+	d.relayer.FleetSeen, d.relayer.Heard, d.relayer.Logger = d.fleetSeen, d.feedHeard, d.logger
 	d.machine = conductor.New(*s)
 	d.driver = driver.Driver[conductor.Event, conductor.Effect]{
 		Step: d.step, Sleep: d.sleep, Tick: conductor.Ticked{}, RequestOf: requestOf, Unstarted: unstarted, Execute: d.execute,
@@ -174,26 +179,75 @@
 	return mux
 }
 
-func (d *Daemon) receive(m messenger.Message) { d.post(conductor.PeerReceived{Message: m}) }
+func (d *Daemon) receive(m messenger.Message) {
+	switch {
+	case m.Subscribe != nil:
+		d.relayer.Subscribed(m.Address, m.Subscribe)
+	case m.Feed != nil:
+		d.relayer.Receive(m.From, m.Feed)
+	default:
+		d.post(conductor.PeerReceived{Message: m})
+	}
+}
+
+func (d *Daemon) feedHeard(from string, fresh bool) {
+	d.post(conductor.FeedHeard{From: from, Fresh: fresh})
+}
+
+func (d *Daemon) fleetSeen(from string, fleet *messenger.Fleet) {
+	d.post(conductor.PeerReceived{Message: messenger.Message{From: from, Fleet: fleet}})
+}
+
+// message returns an empty message of this daemon.
+func (d *Daemon) message() messenger.Message {
+	self := d.settings.Conductor.Self
+	return messenger.Message{From: self.Name, Instance: self.Instance, Address: self.Peer, Zone: self.Zone}
+}
+
+// sendPeer sends a message to another daemon; it may be lost.
+func (d *Daemon) sendPeer(address string, m messenger.Message) {
+	if err := d.peers.Send(d.ctx, address, m); err != nil && d.ctx.Err() == nil {
+		d.logger.Warn().Err(err).Str("Address", address).Msg("message to another daemon was dropped")
+	}
+}
 
 // noConfiguration answers daemons that ask for a configuration of the product's own, of which there is none here.
 func (d *Daemon) noConfiguration(int64) (version int64, chunks [][]byte) { return 0, nil }
 
-func (d *Daemon) followers() []*follower.Follower {
-	views := &follower.Views{
+// views returns where the entries of the key-value service go.
+func (d *Daemon) views() []relayer.View {
+	v := &follower.Views{
 		Post: d.post, DecodeServer: d.platform.Entries.DecodeServer, DecodeConfiguration: d.platform.Entries.DecodeConfiguration,
 		Configured: d.configured, ConfigurationKey: d.platform.Entries.ConfigurationKey, ServerID: d.platform.Entries.ServerID,
 		Logger: d.logger,
 	}
-	list := []*follower.Follower{
-		{Prefix: d.platform.Entries.ConfigurationPrefix, Listed: views.ConfigurationListed, Changed: views.ConfigurationChanged, Removed: views.ConfigurationRemoved},
-		{Prefix: d.platform.Entries.ServersPrefix, Listed: views.ServersListed, Changed: views.ServerChanged, Removed: views.ServerRemoved},
-		{Prefix: follower.OwnPrefix, Listed: views.DaemonsListed, Changed: views.DaemonChanged, Removed: views.DaemonRemoved},
+	return []relayer.View{
+		{Prefix: d.platform.Entries.ConfigurationPrefix, Listed: v.ConfigurationListed, Changed: v.ConfigurationChanged, Removed: v.ConfigurationRemoved},
+		{Prefix: d.platform.Entries.ServersPrefix, Listed: v.ServersListed, Changed: v.ServerChanged, Removed: v.ServerRemoved},
+		{Prefix: follower.OwnPrefix, Listed: v.DaemonsListed, Changed: v.DaemonChanged, Removed: v.DaemonRemoved},
+	}
+}
+
+// follow starts or ends the watches of the key-value service. Only the driver's goroutine calls it.
+func (d *Daemon) follow(on bool) {
+	if d.unfollow != nil {
+		d.unfollow()
+		d.unfollow = nil
 	}
-	for _, f := range list {
-		f.List, f.Watch, f.Logger = d.platform.Store.List, d.platform.Store.Watch, d.logger
+	if !on {
+		d.relayer.Forget()
+		return
+	}
+	ctx, cancel := context.WithCancel(d.ctx)
+	d.unfollow = cancel
+	for _, v := range d.views() {
+		source := d.relayer.Source(v)
+		f := &follower.Follower{
+			Prefix: v.Prefix, List: d.platform.Store.List, Watch: d.platform.Store.Watch,
+			Listed: source.Listed, Changed: source.Changed, Removed: source.Removed, Logger: d.logger,
+		}
+		go f.Loop(ctx)
 	}
-	return list
 }
 
 // configured puts a configuration in force for new requests unless it is older than the one that is.
--- a/internal/edge/launcher/effects.go
+++ b/internal/edge/launcher/effects.go
@@ -31,9 +31,15 @@
 			d.front.server.Drain()
 		}
 	case conductor.SendPeer:
-		if err := d.peers.Send(d.ctx, e.Address, e.Message); err != nil && d.ctx.Err() == nil {
-			d.logger.Warn().Err(err).Str("Address", e.Address).Msg("message to another daemon was dropped")
-		}
+		d.sendPeer(e.Address, e.Message)
+	case conductor.Follow:
+		d.follow(e.On)
+	case conductor.AskFeed:
+		m := d.message()
+		m.Subscribe = d.relayer.Subscription()
+		d.sendPeer(e.Address, m)
+	case conductor.Forward:
+		d.relayer.Forward(e.Fleet)
 	case conductor.Exit:
 		d.stopping.Do(d.beginExit)
 	default:
--- a/internal/edge/launcher/reach.go
+++ b/internal/edge/launcher/reach.go
@@ -45,3 +45,10 @@
 	s.lost = true
 	return conductor.StoreLost{Reason: err.Error()}
 }
+
+// answered tells that the service isn't lost.
+func (s *reachState) answered() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.lost
+}
--- a/internal/peer/messenger/decode.go
+++ b/internal/peer/messenger/decode.go
@@ -22,6 +22,8 @@
 		Verdict:   decodeVerdict(x.GetVerdict()),
 		Demand:    decodeDemand(x.GetDemand()),
 		Fleet:     decodeFleet(x.GetFleet()),
+		Subscribe: decodeSubscribe(x.GetSubscribe()),
+		Feed:      decodeFeed(x.GetFeed()),
 	}
 }
 
--- a/internal/peer/messenger/encode.go
+++ b/internal/peer/messenger/encode.go
@@ -18,6 +18,8 @@
 		Forecasts: convert(m.Forecasts, encodeForecast),
 		Demand:    encodeDemand(m.Demand),
 		Fleet:     encodeFleet(m.Fleet),
+		Subscribe: encodeSubscribe(m.Subscribe),
+		Feed:      encodeFeed(m.Feed),
 	}
 }
 
--- /dev/null
+++ b/internal/peer/messenger/feed.go
@@ -0,0 +1,82 @@
+package messenger
+
+// A Subscribe asks the receiver for a feed of what it sees of the key-value service. It holds for a few seconds.
+type Subscribe struct {
+	// Stream and Sequence are those of the last feed that arrived, empty and 0 if none did.
+	Stream   string
+	Sequence int64
+}
+
+// A Feed is what the sender sees of the key-value service.
+type Feed struct {
+	// Stream identifies the sender's process, Sequence counts its feeds to one subscriber without gaps.
+	Stream   string
+	Sequence int64
+	// Fresh tells that the service answers the sender.
+	Fresh bool
+	// Whole tells that the views are complete. Otherwise they hold what changed since the feed before.
+	Whole bool
+	Views []View
+	Fleet *Fleet
+}
+
+// A View is what lies below one prefix of the key-value service, as of a revision.
+type View struct {
+	Prefix   string
+	Revision int64
+	Entries  []ViewEntry
+}
+
+// A ViewEntry is one entry, or the end of one.
+type ViewEntry struct {
+	Key      string
+	Value    []byte
+	Revision int64
+	Removed  bool
+}
+
+func encodeSubscribe(s *Subscribe) *SubscribePart {
+	if s == nil {
+		return nil
+	}
+	return &SubscribePart{Stream: s.Stream, Sequence: s.Sequence}
+}
+
+func decodeSubscribe(p *SubscribePart) *Subscribe {
+	if p == nil {
+		return nil
+	}
+	return &Subscribe{Stream: p.GetStream(), Sequence: p.GetSequence()}
+}
+
+func encodeFeed(f *Feed) *FeedPart {
+	if f == nil {
+		return nil
+	}
+	return &FeedPart{
+		Stream: f.Stream, Sequence: f.Sequence, Fresh: f.Fresh, Whole: f.Whole,
+		Views: convert(f.Views, encodeView), Fleet: encodeFleet(f.Fleet),
+	}
+}
+
+func decodeFeed(p *FeedPart) *Feed {
+	if p == nil {
+		return nil
+	}
+	return &Feed{
+		Stream: p.GetStream(), Sequence: p.GetSequence(), Fresh: p.GetFresh(), Whole: p.GetWhole(),
+		Views: convert(p.GetViews(), decodeView), Fleet: decodeFleet(p.GetFleet()),
+	}
+}
+
+func encodeView(v View) *ViewPart {
+	return &ViewPart{Prefix: v.Prefix, Revision: v.Revision, Entries: convert(v.Entries, func(e ViewEntry) *ViewEntryPart {
+		return &ViewEntryPart{Key: e.Key, Value: e.Value, Revision: e.Revision, Removed: e.Removed}
+	})}
+}
+
+func decodeView(p *ViewPart) View {
+	return View{Prefix: p.GetPrefix(), Revision: p.GetRevision(), Entries: convert(p.GetEntries(), func(e *ViewEntryPart) ViewEntry {
+		return ViewEntry{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Removed: e.GetRemoved()}
+	})}
+}
--- a/internal/peer/messenger/fleet_test.go
+++ b/internal/peer/messenger/fleet_test.go
@@ -26,6 +26,13 @@
 			Loading:  []Loading{{Service: "s", Model: "n", ReadyIn: time.Second}},
 			Suspects: []Suspect{{Fingerprint: 5, Crashes: 3}},
 		},
+		Subscribe: &Subscribe{Stream: "i", Sequence: 4},
+		Feed: &Feed{
+			Stream: "i", Sequence: 5, Fresh: true, Whole: true, Fleet: &Fleet{Fence: 42, Sequence: 1},
+			Views: []View{{Prefix: "p/", Revision: 9, Entries: []ViewEntry{
+				{Key: "p/a", Value: []byte("x"), Revision: 8}, {Key: "p/b", Revision: 9, Removed: true},
+			}}},
+		},
 	}
 	bytes, err := proto.Marshal(want.Envelope())
 	if err != nil {
--- a/internal/peer/messenger/message.go
+++ b/internal/peer/messenger/message.go
@@ -24,6 +24,8 @@
 	Forecasts []Forecast
 	Demand    *Demand
 	Fleet     *Fleet
+	Subscribe *Subscribe
+	Feed      *Feed
 }
 
 // A Heartbeat tells that the sender is alive.
