--- a/internal/decision/conductor/feed.go
+++ b/internal/decision/conductor/feed.go
@@ -21,7 +21,7 @@
 	// subscribeInterval is how often a subscription is renewed.
 	subscribeInterval = time.Second
 	// feedSilence is how long a feeder may say nothing before another is asked and the service is followed meanwhile.
-	feedSilence = 1500 * time.Millisecond
+	feedSilence = 1200 * time.Millisecond
 	// goneLife is how long ends of entries are remembered against older news of them.
 	goneLife = 2 * time.Minute
 )
@@ -35,9 +35,11 @@
 	feeder string
 	next   int
 	// askedAt is when the feeder was asked first, heardAt when its last feed came that was not out of date.
-	askedAt     time.Duration
-	heardAt     time.Duration
-	heard       bool
+	askedAt time.Duration
+	heardAt time.Duration
+	heard   bool
+	// stale tells that the feeder says that it is out of date itself.
+	stale       bool
 	subscribeAt time.Duration
 }
 
@@ -166,13 +168,13 @@
 		return
 	}
 	known := slices.ContainsFunc(list, func(d Daemon) bool { return d.Name == f.feeder })
-	silent := f.feeder != "" && m.now > max(f.askedAt, f.heardAt)+feedSilence
+	silent := f.feeder != "" && (f.stale || m.now > max(f.askedAt, f.heardAt)+feedSilence)
 	if !known || silent {
 		if silent {
 			f.next++
 		}
 		f.feeder = list[f.next%len(list)].Name
-		f.askedAt, f.subscribeAt, f.heard = m.now, m.now, false
+		f.askedAt, f.subscribeAt, f.heard, f.stale = m.now, m.now, false, false
 	}
 	if m.now >= f.subscribeAt {
 		f.subscribeAt = m.now + subscribeInterval
@@ -204,6 +206,8 @@
 	if e.Fresh {
 		f.heard, f.heardAt = true, m.now
 		f.next = 0
+	} else {
+		f.heard, f.stale = false, true
 	}
 	if !f.following || m.store.lost {
 		m.takeSource(!e.Fresh)
--- /dev/null
+++ b/internal/decision/conductor/feed_test.go
@@ -0,0 +1,103 @@
+package conductor
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"samphirewharf/internal/fleet/registrar"
+)
+
+// fleetBed returns a machine beside other daemons, d0 of which is stronger, so that the machine follows nothing itself.
+func fleetBed(t *testing.T) *bed {
+	t.Helper()
+	b := newBed(t)
+	for i := range 4 {
+		b.do(DaemonSeen{Daemon: Daemon{
+			Name: fmt.Sprintf("c%d", i), Peer: fmt.Sprintf("10.0.1.%d:2", i), Zone: []string{"a", "b"}[i%2], Processor: 800,
+		}})
+	}
+	return b
+}
+
+func (b *bed) feeder() string {
+	b.t.Helper()
+	if b.machine.feed.feeder == "" {
+		b.t.Fatal("got no feeder, want one")
+	}
+	return b.machine.feed.feeder
+}
+
+func (b *bed) following() bool { return b.machine.feed.following }
+
+func TestFollowers(t *testing.T) {
+	daemons := func(n, zones int) []Daemon {
+		var list []Daemon
+		for i := range n {
+			list = append(list, Daemon{Name: fmt.Sprintf("d%02d", i), Zone: fmt.Sprintf("z%d", i%zones), Processor: 200})
+		}
+		return list
+	}
+	for _, c := range []struct{ daemons, zones, want int }{{1, 1, 1}, {7, 3, 2}, {60, 4, 8}, {76, 4, 10}, {420, 7, 53}} {
+		assertEqual(t, fmt.Sprintf("followers of %d", c.daemons), len(Followers(daemons(c.daemons, c.zones))), c.want)
+	}
+	t.Run("the strongest of different zones", func(t *testing.T) {
+		list := daemons(7, 3)
+		list[4].Processor = 800
+		assertEqual(t, "followers", fmt.Sprint(Followers(list)), "[d00 d04]")
+	})
+}
+
+func TestFeed(t *testing.T) {
+	t.Run("a daemon that is fed stops following", func(t *testing.T) {
+		b := fleetBed(t)
+		assertEqual(t, "following", b.following(), true)
+		b.do(FeedHeard{From: b.feeder(), Fresh: true})
+		assertEqual(t, "following", b.following(), false)
+	})
+	t.Run("a silent feeder makes it follow within the time for a configuration, and ask another", func(t *testing.T) {
+		b := fleetBed(t)
+		first := b.feeder()
+		b.do(FeedHeard{From: first, Fresh: true})
+		b.advance(1300 * time.Millisecond)
+		assertEqual(t, "following", b.following(), true)
+		if b.feeder() == first {
+			t.Errorf("got feeder %s again, want another", first)
+		}
+	})
+	t.Run("one that is out of date itself makes it follow at once", func(t *testing.T) {
+		b := fleetBed(t)
+		first := b.feeder()
+		b.do(FeedHeard{From: first, Fresh: true})
+		b.do(FeedHeard{From: first, Fresh: false})
+		assertEqual(t, "following", b.following(), true)
+		if b.feeder() == first {
+			t.Errorf("got feeder %s again, want another", first)
+		}
+	})
+	t.Run("a follower that the service turns away is fed by another", func(t *testing.T) {
+		b := newBed(t)
+		b.do(DaemonSeen{Daemon: Daemon{Name: "d2", Peer: "10.0.1.2:2", Zone: "b"}})
+		assertEqual(t, "feeder", b.machine.feed.feeder, "")
+		b.do(StoreLost{Reason: "busy"})
+		assertEqual(t, "feeder", b.feeder(), "d2")
+		assertEqual(t, "asked", one[AskFeed](b).Address, "10.0.1.2:2")
+		b.do(FeedHeard{From: "d2", Fresh: true})
+		// What the feeder sees counts, not the service's silence.
+		b.desk("s1", "a")
+		b.do(ServerRemoved{ID: "s1", Revision: 1000})
+		b.ask(booking, "", "")
+		assertEqual(t, "reason", one[Refuse](b).Reason, RefusedNoServer)
+	})
+	t.Run("a feed that is older than what is known changes nothing", func(t *testing.T) {
+		b := newBed(t)
+		e := b.desk("s1", "a")
+		b.do(ServersListed{Revision: e.Revision - 1})
+		b.ask(booking, "", "")
+		one[Send](b)
+		b.do(ServerRemoved{ID: "s1", Revision: e.Revision + 5})
+		b.do(ServersListed{Entries: []registrar.Entry{e}, Revision: e.Revision + 1})
+		b.ask(booking, "", "")
+		none[Send](b)
+	})
+}
--- a/internal/edge/launcher/daemon.go
+++ b/internal/edge/launcher/daemon.go
@@ -125,7 +125,7 @@
 	d.reach = reach{post: d.post, count: d.metrics.countStoreCall}
 	d.platform.Observe(d.reach.observe)
 	d.relayer = relayer.New(s.Self.Instance, d.views())
-	d.relayer.Send, d.relayer.Message, d.relayer.Fresh = d.sendPeer, d.message, d.reach.state.answered
+	d.relayer.Send, d.relayer.Message, d.relayer.Fresh = d.sendPeer, d.message, d.storeAnswers
 	d.relayer.FleetSeen, d.relayer.Heard, d.relayer.Logger = d.fleetSeen, d.feedHeard, d.logger
 	d.machine = conductor.New(*s)
 	d.driver = driver.Driver[conductor.Event, conductor.Effect]{
@@ -190,6 +190,8 @@
 	}
 }
 
+func (d *Daemon) storeAnswers() bool { return d.reach.state.answers(time.Now()) }
+
 func (d *Daemon) feedHeard(from string, fresh bool) {
 	d.post(conductor.FeedHeard{From: from, Fresh: fresh})
 }
--- a/internal/edge/launcher/effects.go
+++ b/internal/edge/launcher/effects.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"samphirewharf/internal/decision/conductor"
 	"samphirewharf/internal/decision/reducer"
@@ -177,16 +176,3 @@
 		return nil, false
 	}
 }
-
-// A reach turns the outcomes of calls to the key-value service into its loss and return.
-type reach struct {
-	post  func(conductor.Event)
-	count func(call string, err error)
-	state reachState
-}
-
-// lossFailures is after how many failures in a row, over all calls, the service counts as lost. A single watch may be cut.
-const lossFailures = 2
-
-// lossAfter is the pause between the first and the last of them, so that calls cut together count once.
-const lossAfter = 50 * time.Millisecond
