--- a/internal/decision/conductor/attempt.go
+++ b/internal/decision/conductor/attempt.go
@@ -103,8 +103,9 @@
 		m.attemptFailed(r)
 		return
 	}
-	slow := r.Route.Objective > 0 && m.firstTime(r, e) > r.Route.Objective
-	m.decided(r, Decided{Action: "Answer", Server: server, Status: e.Status, Routine: !slow && e.Status < 500})
+	first := m.firstTime(r, e)
+	slow := r.Route.Objective > 0 && first > r.Route.Objective
+	m.decided(r, Decided{Action: "Answer", Server: server, Status: e.Status, First: first, Routine: !slow && e.Status < 500})
 	m.forget(r)
 }
 
--- a/internal/decision/conductor/effect.go
+++ b/internal/decision/conductor/effect.go
@@ -148,6 +148,8 @@
 	// Waited is the time since the request arrived, Left until it is given up.
 	Waited time.Duration
 	Left   time.Duration
+	// First is the time from the request's arrival to the answer or its first event, zero if there was none.
+	First time.Duration
 	// Version is the configuration's.
 	Version int64
 	Status  int
--- a/internal/edge/launcher/logging.go
+++ b/internal/edge/launcher/logging.go
@@ -26,6 +26,9 @@
 	if e.Action == "Send" {
 		line = line.Float64("Score", e.Score)
 	}
+	if e.First > 0 {
+		line = line.Int64("FirstMs", e.First.Milliseconds())
+	}
 	if e.Status != 0 {
 		line = line.Int("Status", e.Status)
 	}
