--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -17,7 +17,7 @@
 	// fullShare is the share of the slots of a model's replicas that may be taken before it gets another one.
 	fullShare = 0.6
 	// evictRatio is how many times as much a model must be asked for as those that make way for it.
-	evictRatio = 1.5
+	evictRatio = 3.0
 	// refusedWeight is what a request refused lately counts against one that waits.
 	refusedWeight = 0.5
 	// rateSeconds is how many seconds' arrivals count as much as the same number of waiting requests.
