--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -114,6 +114,8 @@
 	stopRetry = 50 * time.Millisecond
 	// stopStreams is how long a stopping daemon takes new streams, which could not end in time later.
 	stopStreams = 2500 * time.Millisecond
+	// stopSlack is how long before the end of a planned stop the last answer has to be out.
+	stopSlack = 100 * time.Millisecond
 	// stopMargin is how long before the end of a planned stop the process ends.
 	stopMargin = 600 * time.Millisecond
 	// stopQuiet is how long after the last request a stopping daemon, whose addresses have expired, ends.
--- a/internal/decision/conductor/server_test.go
+++ b/internal/decision/conductor/server_test.go
@@ -160,6 +160,25 @@
 		b.ask(quick, "m1", "")
 		assertEqual(t, "reason", one[Refuse](b).Reason, RefusedStopping)
 	})
+	// The incident of docs/incidents/2026-12-04-request-cut-at-exit.md: a read taken 7.4 s after the signal was cut.
+	t.Run("no request is taken that the daemon might not see to its end", func(t *testing.T) {
+		b := newBed(t)
+		b.desk("s1", "a")
+		b.do(StopRequested{})
+		for b.now < testSettings().StopTime {
+			id := b.ask(reading, "", "")
+			if len(find[Send](b)) == 0 {
+				refuse := one[Refuse](b)
+				assertEqual(t, "reason", refuse.Reason, RefusedStopping)
+				assertEqual(t, "may have run", refuse.MayHaveRun, false)
+			} else if end := b.now + reading.Timeout; end > testSettings().StopTime-stopMargin {
+				t.Fatalf("got a request that may last until %v, want it refused as the process ends before", end)
+			} else {
+				b.end(id, 1, reducer.AttemptDone, CauseNone)
+			}
+			b.advance(100 * time.Millisecond)
+		}
+	})
 	t.Run("the role is given up first", func(t *testing.T) {
 		b := newBed(t)
 		b.hold()
--- a/internal/decision/conductor/stopping.go
+++ b/internal/decision/conductor/stopping.go
@@ -32,9 +32,15 @@
 	return now + stopPoll
 }
 
-// refuses tells that a request comes too late for this daemon: a stream might not end in time.
+// refuses tells that a request comes too late for this daemon: it might not end in time.
 func (s *stopState) refuses(r *request, now time.Duration) bool {
-	return s.requested && r.Route.Kind == matcher.KindStream && now > s.at+stopStreams
+	if !s.requested {
+		return false
+	}
+	if r.Route.Kind == matcher.KindStream {
+		return now > s.at+stopStreams
+	}
+	return r.giveUpAt+stopSlack > s.endBy
 }
 
 func (m *Machine) stopRequested() {
