--- a/internal/command/runner/runner.go
+++ b/internal/command/runner/runner.go
@@ -42,6 +42,7 @@
 	Deployment    deploymentCommand    `cmd:"" help:"Show deployments of the configuration in force."`
 	Status        statusCommand        `cmd:"" help:"Show daemons, placements and the configuration version."`
 	Addresses     addressesCommand     `cmd:"" help:"Ask a daemon which daemons to use, as callers do."`
+	Explain       explainCommand       `cmd:"" help:"Tell the life of one request from daemons' logs."`
 	Replay        replayCommand        `cmd:"" help:"Feed recorded events to the reducer and print its decisions."`
 	Codes         codesCommand         `cmd:"" help:"List the result codes."`
 	Emulate       emulateCommand       `cmd:"" help:"Measure placement policies on a seeded trace."`
--- /dev/null
+++ b/internal/daemon/explainer/explainer.go
@@ -0,0 +1,206 @@
+// Package explainer tells the life of one request in plain words, from the log lines of several daemons.
+package explainer
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// maxLineBytes bounds one log line.
+const maxLineBytes = 1 << 20
+
+// ErrUnknownRequest means that no line names the request.
+var ErrUnknownRequest = errors.New("no line names the request")
+
+// A line is one log line of a daemon. Its fields are those that the daemons write.
+type line struct {
+	Time    time.Time `json:"time"`
+	Message string    `json:"message"`
+	Request string
+	Action  string
+	Reason  string
+	Service string
+	Model   string
+	Server  string
+	Detail  string
+	Other   string
+	Attempt int
+	Status  int
+
+	Score, OtherScore                    float64
+	WaitedMs, LeftMs, BeliefAgeMs, AgeMs int64
+	FirstMs                              int64
+	Configuration, Version               int64
+	Subject, Change                      string
+
+	// daemon is what stood before the line, such as a host's name.
+	daemon string
+	order  int
+}
+
+// An Explainer collects the lines that concern one request. Set Request, then Read each log, then Write.
+type Explainer struct {
+	// Request is the caller's name of the request.
+	Request string
+
+	lines []line
+	// beliefs are the lines about servers and roles, of which Write picks those that concern the request.
+	beliefs []line
+	broken  int
+	read    int
+}
+
+// Read takes the lines of one log. What comes before a line's JSON, such as the host that wrote it, is kept with it.
+func (e *Explainer) Read(r io.Reader) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 64<<10), maxLineBytes)
+	for scanner.Scan() {
+		e.take(scanner.Text())
+	}
+	if err := scanner.Err(); err != nil {
+		return fmt.Errorf("read log: %w", err)
+	}
+	return nil
+}
+
+func (e *Explainer) take(text string) {
+	start := strings.IndexByte(text, '{')
+	if start < 0 {
+		return
+	}
+	e.read++
+	l := line{daemon: strings.TrimSpace(text[:start]), order: e.read}
+	if err := json.Unmarshal([]byte(text[start:]), &l); err != nil {
+		e.broken++
+		return
+	}
+	switch {
+	case l.Message == "request" && l.Request == e.Request:
+		e.lines = append(e.lines, l)
+	case l.Message == "belief":
+		e.beliefs = append(e.beliefs, l)
+	}
+}
+
+// Write tells the request's life.
+func (e *Explainer) Write(w io.Writer) error {
+	if len(e.lines) == 0 {
+		return fmt.Errorf("%w: %s, in %d lines", ErrUnknownRequest, e.Request, e.read)
+	}
+	slices.SortStableFunc(e.lines, byTime)
+	var b strings.Builder
+	first, last := e.lines[0], e.lines[len(e.lines)-1]
+	fmt.Fprintf(&b, "Request %s, service %s%s, configuration %d\n", e.Request, first.Service, of(" model ", first.Model), first.Configuration)
+	for _, l := range e.lines {
+		fmt.Fprintf(&b, "%s %s%s\n", stamp(l), of("", l.daemon+" "), sentence(l))
+	}
+	e.writeAround(&b, first, last)
+	if e.broken > 0 {
+		fmt.Fprintf(&b, "%d lines could not be read and were left out.\n", e.broken)
+	}
+	if _, err := io.WriteString(w, b.String()); err != nil {
+		return fmt.Errorf("write explanation: %w", err)
+	}
+	return nil
+}
+
+// around is how long before and after the request changes of belief are told.
+const around = 500 * time.Millisecond
+
+// writeAround tells what the daemons' beliefs of the request's servers and model did meanwhile.
+func (e *Explainer) writeAround(b *strings.Builder, first, last line) {
+	from, to := first.Time.Add(-time.Duration(first.WaitedMs)*time.Millisecond-around), last.Time.Add(around)
+	slices.SortStableFunc(e.beliefs, byTime)
+	told := false
+	for _, l := range e.beliefs {
+		if l.Time.Before(from) || l.Time.After(to) || !e.concerns(l) {
+			continue
+		}
+		if !told {
+			b.WriteString("Meanwhile:\n")
+			told = true
+		}
+		fmt.Fprintf(b, "%s %s%s: %s%s%s\n", stamp(l), of("", l.daemon+" "), l.Subject, l.Change, of(", ", l.Reason), of(", ", l.Detail))
+	}
+}
+
+// concerns tells that a change of belief has to do with the request: its servers, its model, the role or the store.
+func (e *Explainer) concerns(l line) bool {
+	if l.Subject == "Role" || l.Subject == "Store" || l.Subject == "Configuration" {
+		return true
+	}
+	for _, r := range e.lines {
+		if r.Server != "" && strings.HasSuffix(l.Subject, r.Server) {
+			return true
+		}
+		model, _, _ := strings.Cut(r.Model, "/")
+		if model != "" && (strings.Contains(l.Detail, model) || l.Reason == model) {
+			return true
+		}
+	}
+	return false
+}
+
+// sentence tells one decision.
+func sentence(l line) string {
+	switch l.Action {
+	case "Send":
+		text := fmt.Sprintf("sent to %s (attempt %d, score %.2f", l.Server, l.Attempt, l.Score)
+		if l.Other != "" {
+			text += fmt.Sprintf("; next best %s, %.2f", l.Other, l.OtherScore)
+		}
+		return text + fmt.Sprintf("; what was known of it was %d ms old) after %d ms, %d ms left", l.BeliefAgeMs, l.WaitedMs, l.LeftMs)
+	case "Queue":
+		return fmt.Sprintf("waits: %s; the last word of the daemon that gives orders was %d ms old, %d ms left", reasons[l.Reason], l.BeliefAgeMs, l.LeftMs)
+	case "Refuse":
+		return fmt.Sprintf("refused after %d ms: %s", l.WaitedMs, reasons[l.Reason])
+	case "Rejected":
+		return fmt.Sprintf("%s did not run it (status %d): %s", l.Server, l.Status, reasons[l.Reason])
+	case "Failed":
+		return fmt.Sprintf("attempt %d at %s failed after %d ms: %s", l.Attempt, l.Server, l.WaitedMs, reasons[l.Reason])
+	case "Answer":
+		return fmt.Sprintf("answered by %s with status %d; first part after %d ms, all after %d ms", l.Server, l.Status, l.FirstMs, l.WaitedMs)
+	case "CallerLeft":
+		return fmt.Sprintf("the caller left after %d ms, with %d ms left", l.WaitedMs, l.LeftMs)
+	case "Reject":
+		return "refused before any decision: " + l.Reason + of(", ", l.Detail)
+	default:
+		return l.Action + of(" ", l.Reason)
+	}
+}
+
+// reasons tells what the reasons in the lines mean.
+var reasons = map[string]string{
+	"NoServer": "the service has no server that takes requests", "Cold": "no server has the model or adapter loaded",
+	"Full": "the servers that could serve it have no place", "Expired": "its time was up before a server had it",
+	"Timeout": "its time was up while a server had it", "Broken": "the connection to the server broke off, and the request may not run again",
+	"Budget":  "the server failed, and the budget of repeats is used up",
+	"Poison":  "requests like it crashed the servers that ran them",
+	"Connect": "the server took no connection", "Absent": "the server doesn't have the model or adapter",
+	"Misdirected": "another server has the address", "Silent": "the server sent nothing for too long",
+	"Invalid": "what came was not the server's answer to it", "Error": "the server answered with an error",
+	"Stopping": "the daemon is stopping", "Held": "the answer that had been held back",
+}
+
+func stamp(l line) string { return l.Time.UTC().Format("15:04:05.000") }
+
+func byTime(a, b line) int {
+	if c := a.Time.Compare(b.Time); c != 0 {
+		return c
+	}
+	return a.order - b.order
+}
+
+// of returns the text behind a prefix, nothing if the text is empty.
+func of(prefix, text string) string {
+	if strings.TrimSpace(text) == "" {
+		return ""
+	}
+	return prefix + text
+}
--- /dev/null
+++ b/internal/daemon/explainer/explainer_test.go
@@ -0,0 +1,68 @@
+package explainer
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+func explain(t *testing.T, request string, logs ...string) (string, error) {
+	t.Helper()
+	e := Explainer{Request: request}
+	for _, text := range logs {
+		if err := e.Read(strings.NewReader(text)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var b strings.Builder
+	err := e.Write(&b)
+	return b.String(), err
+}
+
+func assertText(t *testing.T, got string, want ...string) {
+	t.Helper()
+	for _, w := range want {
+		if !strings.Contains(got, w) {
+			t.Errorf("got\n%s\nwant it to contain %q", got, w)
+		}
+	}
+}
+
+const (
+	daemonA = `  1.0 edge-a {"time":"2026-09-06T10:04:35.888Z","level":"info","Request":"f1","Action":"Queue","Service":"llm","Model":"m1","Reason":"Cold","WaitedMs":0,"LeftMs":6769,"BeliefAgeMs":312,"Configuration":4,"message":"request"}
+{"time":"2026-09-06T10:04:36.500Z","Request":"f1","Action":"Send","Service":"llm","Model":"m1","Server":"i-1","Attempt":1,"Score":0.2,"Other":"i-2","OtherScore":0.5,"WaitedMs":612,"LeftMs":6100,"message":"request"}
+{"time":"2026-09-06T10:04:36.700Z","Request":"f1","Action":"Failed","Server":"i-1","Attempt":1,"Reason":"Broken","WaitedMs":812,"message":"request"}
+{"time":"2026-09-06T10:04:36.701Z","Request":"f1","Action":"Refuse","Reason":"Broken","WaitedMs":813,"message":"request"}
+this line is cut {"time":
+`
+	daemonB = `edge-b {"time":"2026-09-06T10:04:36.690Z","Subject":"Server i-1","Change":"Suspected","Reason":"Broken","message":"belief"}
+edge-b {"time":"2026-09-06T10:04:36.000Z","Subject":"Server i-3","Change":"OrderLoad","Reason":"NoReplica","Detail":"m1 from Disk","message":"belief"}
+edge-b {"time":"2026-09-06T10:04:36.100Z","Subject":"Server i-9","Change":"Seen","message":"belief"}
+`
+)
+
+func TestExplain(t *testing.T) {
+	t.Run("the request's decisions and what was believed meanwhile, in order", func(t *testing.T) {
+		got, err := explain(t, "f1", daemonB, daemonA)
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertText(t, got,
+			"Request f1, service llm model m1, configuration 4",
+			"waits: no server has the model or adapter loaded",
+			"sent to i-1 (attempt 1, score 0.20; next best i-2, 0.50",
+			"attempt 1 at i-1 failed after 812 ms: the connection to the server broke off",
+			"refused after 813 ms",
+			"10:04:36.000 edge-b Server i-3: OrderLoad, NoReplica, m1 from Disk\n10:04:36.690 edge-b Server i-1: Suspected, Broken",
+			"1 lines could not be read",
+		)
+		if strings.Contains(got, "i-9") {
+			t.Errorf("got\n%s\nwant nothing of a server that has nothing to do with it", got)
+		}
+	})
+	t.Run("an unknown request", func(t *testing.T) {
+		if _, err := explain(t, "f2", daemonA); !errors.Is(err, ErrUnknownRequest) {
+			t.Errorf("got %v, want %v", err, ErrUnknownRequest)
+		}
+	})
+}
