--- a/internal/command/runner/pages_test.go
+++ b/internal/command/runner/pages_test.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"README.md", "docs/OPERATING.md", "docs/CONFIGURATION.md"} {
+	for _, want := range []string{"README.md", "docs/OPERATIONS.md", "docs/CONFIGURATION.md"} {
 		if !slices.Contains(names, want) {
 			t.Errorf("got the pages %v, want %s among them", names, want)
 		}
