--- /dev/null
+++ b/internal/edge/gateway/gateway_test.go
@@ -0,0 +1,417 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"samphirewharf/internal/decision/conductor"
+	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/entry/acceptor"
+	"samphirewharf/internal/entry/streamer"
+	"samphirewharf/internal/fleet/matcher"
+)
+
+// A harness is a gateway whose decisions come from a script.
+type harness struct {
+	t       *testing.T
+	address string
+	client  *http.Client
+
+	mu       sync.Mutex
+	events   []conductor.Event
+	effects  map[reducer.RequestID]chan conductor.Effect
+	next     reducer.RequestID
+	decide   func(e conductor.Event) []conductor.Effect
+	outcomes []Outcome
+}
+
+func testTranslator() Translator {
+	return Translator{
+		Read: func(r *http.Request) Header {
+			return Header{ID: r.Header.Get("X-Id"), Forward: r.Header, LastEvent: r.Header.Get("Last-Event-Id")}
+		},
+		Address: func(h http.Header, s Sending) {
+			h.Set("X-Server", s.Server)
+			if s.LastEvent != "" {
+				h.Set("Last-Event-Id", s.LastEvent)
+			}
+		},
+		Classify:       func(int, http.Header, string) conductor.Cause { return conductor.CauseFull },
+		Genuine:        func(status int, h http.Header, _ string) bool { return status != 200 || h.Get("X-Seal") != "" },
+		NotRun:         func(status int, h http.Header) bool { return status == 503 && h.Get("X-Not-Run") != "" },
+		IdentityHeader: "X-Id",
+	}
+}
+
+func newHarness(t *testing.T, decide func(e conductor.Event) []conductor.Effect) *harness {
+	t.Helper()
+	h := &harness{t: t, effects: make(map[reducer.RequestID]chan conductor.Effect), decide: decide, client: &http.Client{Timeout: 10 * time.Second}}
+	share := []matcher.Share{{Service: "s", Weight: 1}}
+	c, err := matcher.New(3, []matcher.Route{
+		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: matcher.KindStream, Resumable: true, Timeout: time.Second, Shares: share},
+		{Name: "read", Host: "h", Prefix: "/read/", Kind: matcher.KindIdempotent, Timeout: time.Second, Shares: share},
+	}, []matcher.Service{{Name: "s"}}, matcher.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	g := &Gateway{
+		Open: h.open, Close: func(reducer.RequestID) {}, Post: h.post, Configuration: func() *matcher.Configuration { return c },
+		Draw: func() float64 { return 0 }, Count: h.count, Translator: testTranslator(), Client: &streamer.Client{IdentityHeader: "X-Id", NotRun: testTranslator().NotRun}, Logger: logger,
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &acceptor.Server{Handler: g, Logger: logger}
+	h.address = listener.Addr().String()
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = server.Stop(ctx)
+	})
+	return h
+}
+
+func (h *harness) open() (reducer.RequestID, <-chan conductor.Effect) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.next++
+	effects := make(chan conductor.Effect, 8)
+	h.effects[h.next] = effects
+	return h.next, effects
+}
+
+func (h *harness) post(e conductor.Event) {
+	h.mu.Lock()
+	h.events = append(h.events, e)
+	effects := h.effects[h.next]
+	h.mu.Unlock()
+	for _, effect := range h.decide(e) {
+		effects <- effect
+	}
+}
+
+func (h *harness) count(o Outcome) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.outcomes = append(h.outcomes, o)
+}
+
+// ended returns the ends of attempts so far, once there are as many as wanted.
+func (h *harness) ended(want int) []conductor.AttemptEnded {
+	h.t.Helper()
+	for range 500 {
+		h.mu.Lock()
+		var list []conductor.AttemptEnded
+		for _, e := range h.events {
+			if ended, ok := e.(conductor.AttemptEnded); ok {
+				list = append(list, ended)
+			}
+		}
+		h.mu.Unlock()
+		if len(list) >= want {
+			return list
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	h.t.Fatalf("got fewer than %d ends of attempts", want)
+	return nil
+}
+
+func (h *harness) get(path string) (status int, body string, header http.Header, err error) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+h.address+path, strings.NewReader("body"))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("X-Id", "id-1")
+	response, err := h.client.Do(r)
+	if err != nil {
+		return 0, "", nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(data), response.Header, err
+}
+
+func backend(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func sendTo(address string) conductor.Send {
+	return conductor.Send{Attempt: 1, Server: "i-1", Address: address, Timeout: 2 * time.Second, Patience: 2 * time.Second, Priority: -1}
+}
+
+// toFirst sends each request to one server, and refuses it when that has failed.
+func toFirst(address string) func(conductor.Event) []conductor.Effect {
+	return func(e conductor.Event) []conductor.Effect {
+		switch e := e.(type) {
+		case conductor.RequestArrived:
+			return []conductor.Effect{sendTo(address)}
+		case conductor.AttemptEnded:
+			if e.Outcome != reducer.AttemptDone {
+				return []conductor.Effect{conductor.Refuse{Reason: conductor.RefusedBroken, MayHaveRun: e.Outcome == reducer.AttemptFailed, RetryAfter: 250 * time.Millisecond}}
+			}
+		}
+		return nil
+	}
+}
+
+func assertEqual[V comparable](t *testing.T, what string, got, want V) {
+	t.Helper()
+	if got != want {
+		t.Errorf("got %s %v, want %v", what, got, want)
+	}
+}
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", n, n) }
+
+func TestAnswers(t *testing.T) {
+	t.Run("a server's answer is passed on unchanged", func(t *testing.T) {
+		address := backend(t, func(w http.ResponseWriter, r *http.Request) {
+			data, _ := io.ReadAll(r.Body)
+			w.Header().Set("X-Seal", "s")
+			w.Header().Set("X-Id", r.Header.Get("X-Id"))
+			_, _ = fmt.Fprintf(w, "%s %s %s %s", r.Method, r.Host, r.RequestURI, data)
+		})
+		h := newHarness(t, toFirst(address))
+		status, body, header, err := h.get("/read/a%2Fb?q=1")
+		assertEqual(t, "status", status, 200)
+		assertEqual(t, "body", body, "POST h /read/a%2Fb?q=1 body")
+		assertEqual(t, "seal", header.Get("X-Seal"), "s")
+		assertEqual(t, "error", err, nil)
+	})
+	t.Run("an unknown path is refused without a decision", func(t *testing.T) {
+		h := newHarness(t, func(conductor.Event) []conductor.Effect { return nil })
+		status, _, _, _ := h.get("/other/")
+		assertEqual(t, "status", status, 404)
+	})
+	t.Run("an answer that the server didn't make isn't passed on", func(t *testing.T) {
+		address := backend(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "forged") })
+		h := newHarness(t, toFirst(address))
+		status, body, _, _ := h.get("/read/a")
+		assertEqual(t, "status", status, 502)
+		assertEqual(t, "forged", strings.Contains(body, "forged"), false)
+		assertEqual(t, "cause", h.ended(1)[0].Cause, conductor.CauseInvalid)
+	})
+	t.Run("an answer to another request is not passed on", func(t *testing.T) {
+		address := backend(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Seal", "s")
+			w.Header().Set("X-Id", "id-2")
+		})
+		h := newHarness(t, toFirst(address))
+		status, _, _, _ := h.get("/read/a")
+		assertEqual(t, "status", status, 502)
+		assertEqual(t, "outcome", h.ended(1)[0].Outcome, reducer.AttemptFailed)
+	})
+	t.Run("an answer that is cut short is no success", func(t *testing.T) {
+		address := backend(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Seal", "s")
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "short")
+		})
+		h := newHarness(t, toFirst(address))
+		status, _, _, _ := h.get("/read/a")
+		assertEqual(t, "status", status, 502)
+	})
+	t.Run("a refusal to run is told, with the time to come back", func(t *testing.T) {
+		address := backend(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(503)
+		})
+		h := newHarness(t, func(e conductor.Event) []conductor.Effect {
+			if _, ok := e.(conductor.AttemptEnded); ok {
+				return []conductor.Effect{conductor.Refuse{Reason: conductor.RefusedFull, RetryAfter: 250 * time.Millisecond}}
+			}
+			return toFirst(address)(e)
+		})
+		status, _, header, _ := h.get("/read/a")
+		assertEqual(t, "status", status, 503)
+		assertEqual(t, "retry after", header.Get("Retry-After"), "0.250")
+		assertEqual(t, "outcome", h.ended(1)[0].Outcome, reducer.AttemptNotRun)
+	})
+	t.Run("no status that promises not run for a request that may have run", func(t *testing.T) {
+		for reason := conductor.RefusedNoServer; reason <= conductor.RefusedStopping; reason++ {
+			got := refusalFor(conductor.Refuse{Reason: reason, MayHaveRun: true}).Code.HTTPStatus()
+			if got != 502 && got != 504 {
+				t.Errorf("got status %d for %v, want 502 or 504", got, reason)
+			}
+		}
+	})
+	t.Run("an error that was held back is passed on when asked for", func(t *testing.T) {
+		address := backend(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Seal", "s")
+			w.WriteHeader(500)
+			_, _ = io.WriteString(w, "its own error")
+		})
+		h := newHarness(t, func(e conductor.Event) []conductor.Effect {
+			switch e.(type) {
+			case conductor.RequestArrived:
+				s := sendTo(address)
+				s.HoldErrors = true
+				return []conductor.Effect{s}
+			case conductor.AttemptEnded:
+				return []conductor.Effect{conductor.Deliver{}}
+			}
+			return nil
+		})
+		status, body, header, _ := h.get("/read/a")
+		assertEqual(t, "status", status, 500)
+		assertEqual(t, "body", body, "its own error")
+		assertEqual(t, "seal", header.Get("X-Seal"), "s")
+	})
+	t.Run("a server without an answer in time is left", func(t *testing.T) {
+		address := backend(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		h := newHarness(t, func(e conductor.Event) []conductor.Effect {
+			if _, ok := e.(conductor.RequestArrived); ok {
+				s := sendTo(address)
+				s.FirstLimit = 50 * time.Millisecond
+				return []conductor.Effect{s}
+			}
+			return toFirst(address)(e)
+		})
+		status, _, _, _ := h.get("/read/a")
+		assertEqual(t, "status", status, 502)
+		assertEqual(t, "cause", h.ended(1)[0].Cause, conductor.CauseSilent)
+	})
+}
+
+func TestStreams(t *testing.T) {
+	stream := func(from, to int, cut string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Seal", fmt.Sprintf("seal after %q", r.Header.Get("Last-Event-Id")))
+			w.Header().Set("Content-Type", "text/event-stream")
+			for n := from; n <= to; n++ {
+				_, _ = io.WriteString(w, event(n))
+				_ = http.NewResponseController(w).Flush()
+			}
+			if cut == "" {
+				return
+			}
+			_, _ = io.WriteString(w, strings.TrimSpace(cut))
+			_ = http.NewResponseController(w).Flush()
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_ = conn.Close()
+			}
+		}
+	}
+	// inTurn sends the first attempt to one server and the second to another.
+	inTurn := func(first, second string) func(conductor.Event) []conductor.Effect {
+		return func(e conductor.Event) []conductor.Effect {
+			switch e := e.(type) {
+			case conductor.RequestArrived:
+				return []conductor.Effect{sendTo(first)}
+			case conductor.AttemptEnded:
+				if e.Outcome == reducer.AttemptFailed && e.Attempt == 1 {
+					s := sendTo(second)
+					s.Attempt = 2
+					return []conductor.Effect{s}
+				}
+				if e.Outcome != reducer.AttemptDone {
+					return []conductor.Effect{conductor.Refuse{Reason: conductor.RefusedBroken, MayHaveRun: true}}
+				}
+			}
+			return nil
+		}
+	}
+	t.Run("events are passed on as they come", func(t *testing.T) {
+		more := make(chan struct{})
+		address := backend(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Seal", "s")
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, event(1))
+			_ = http.NewResponseController(w).Flush()
+			<-more
+			_, _ = io.WriteString(w, event(2))
+		})
+		h := newHarness(t, toFirst(address))
+		r, _ := http.NewRequest(http.MethodGet, "http://"+h.address+"/stream/a", http.NoBody)
+		r.Host = "h"
+		response, err := h.client.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = response.Body.Close() }()
+		reader := bufio.NewReader(response.Body)
+		line, err := reader.ReadString('\n')
+		assertEqual(t, "first line", line, "id: 1\n")
+		assertEqual(t, "error", err, nil)
+		close(more)
+		rest, err := io.ReadAll(reader)
+		assertEqual(t, "rest", string(rest), event(1)[len("id: 1\n"):]+event(2))
+		assertEqual(t, "error", err, nil)
+	})
+	t.Run("a broken one goes on at another server, under the first one's seal, without the event that was cut", func(t *testing.T) {
+		first := backend(t, stream(1, 2, "id: 3\nda"))
+		second := backend(t, stream(3, 4, ""))
+		h := newHarness(t, inTurn(first, second))
+		status, body, header, err := h.get("/stream/a")
+		assertEqual(t, "status", status, 200)
+		assertEqual(t, "body", body, event(1)+event(2)+event(3)+event(4))
+		assertEqual(t, "seal", header.Get("X-Seal"), `seal after ""`)
+		assertEqual(t, "error", err, nil)
+	})
+	t.Run("events that the caller has had are left out", func(t *testing.T) {
+		first := backend(t, stream(1, 2, "id: 3"))
+		second := backend(t, stream(1, 4, ""))
+		h := newHarness(t, inTurn(first, second))
+		_, body, _, _ := h.get("/stream/a")
+		assertEqual(t, "body", body, event(1)+event(2)+event(3)+event(4))
+	})
+	t.Run("a gap breaks it off and doesn't look complete", func(t *testing.T) {
+		first := backend(t, stream(1, 2, "id: 3"))
+		second := backend(t, stream(4, 5, ""))
+		h := newHarness(t, inTurn(first, second))
+		_, body, _, err := h.get("/stream/a")
+		if err == nil {
+			t.Errorf("got %q without an error, want the connection broken off", body)
+		}
+	})
+	t.Run("a caller that leaves is reported at once", func(t *testing.T) {
+		left := make(chan struct{})
+		address := backend(t, func(w http.ResponseWriter, r *http.Request) {
+			stream(1, 1, "")(w, r)
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+			close(left)
+		})
+		h := newHarness(t, func(e conductor.Event) []conductor.Effect {
+			if _, ok := e.(conductor.CallerLeft); ok {
+				return []conductor.Effect{conductor.Cancel{Attempt: 1}}
+			}
+			return toFirst(address)(e)
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		r, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.address+"/stream/a", http.NoBody)
+		r.Host = "h"
+		response, err := h.client.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		cancel()
+		_ = response.Body.Close()
+		select {
+		case <-left:
+		case <-time.After(2 * time.Second):
+			t.Error("got the server still at work, want its connection closed")
+		}
+		assertEqual(t, "outcome", h.ended(1)[0].Outcome, reducer.AttemptCancelled)
+	})
+}
