--- a/internal/edge/gateway/gateway_test.go
+++ b/internal/edge/gateway/gateway_test.go
@@ -277,7 +277,11 @@
 		assertEqual(t, "seal", header.Get("X-Seal"), "s")
 	})
 	t.Run("a server without an answer in time is left", func(t *testing.T) {
-		address := backend(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		address := backend(t, func(_ http.ResponseWriter, r *http.Request) {
+			// The server notices that its caller has left only once the body is read.
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+		})
 		h := newHarness(t, func(e conductor.Event) []conductor.Effect {
 			if _, ok := e.(conductor.RequestArrived); ok {
 				s := sendTo(address)
