--- a/internal/command/runner/edge.go
+++ b/internal/command/runner/edge.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	stdlog "log"
 	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -45,6 +47,8 @@
 	defer func() { _ = writer.Close() }()
 	logger := &log.Logger{Level: log.ParseLevel(c.LogLevel), Writer: writer}
 	acceptor.RouteLogs(logger)
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(&libraryWriter{logger: logger})
 	debug.SetGCPercent(garbagePercent)
 	debug.SetMemoryLimit(settings.MemoryBytes * int64(c.MemoryPercent) / 100)
 	peer := net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort))
@@ -62,6 +66,15 @@
 	return c.await(daemon, signals, logger)
 }
 
+// A libraryWriter takes the lines that libraries write to the standard library's logger.
+type libraryWriter struct{ logger *log.Logger }
+
+// Write logs one line.
+func (w *libraryWriter) Write(p []byte) (int, error) {
+	w.logger.Info().Str("Detail", strings.TrimSpace(string(p))).Msg("library")
+	return len(p), nil
+}
+
 // await follows signals until the daemon has ended.
 func (c *edgeCommand) await(daemon *launcher.Daemon, signals <-chan os.Signal, logger *log.Logger) error {
 	stopping := false
--- a/internal/decision/conductor/feed.go
+++ b/internal/decision/conductor/feed.go
@@ -34,6 +34,8 @@
 	// feeder is the daemon that feeds this one, empty if none is asked; next is how many were asked before it in vain.
 	feeder string
 	next   int
+	// candidates are the daemons that may feed this one, nil after a change of the daemons.
+	candidates []Daemon
 	// askedAt is when the feeder was asked first, heardAt when its last feed came that was not out of date.
 	askedAt time.Duration
 	heardAt time.Duration
@@ -114,9 +116,12 @@
 // feeders returns the daemons that may feed this one, the preferred first: those of its zone, in an order that differs
 // between the daemons.
 func (m *Machine) feeders() []Daemon {
+	if m.feed.candidates != nil {
+		return m.feed.candidates
+	}
 	self := m.settings.Self
 	var list []Daemon
-	for _, name := range Followers(m.liveDaemons()) {
+	for _, name := range m.followerNames() {
 		if name != self.Name {
 			list = append(list, m.daemons[name])
 		}
@@ -127,9 +132,25 @@
 			cmp.Compare(xxhash.Sum64String(self.Name+a.Name), xxhash.Sum64String(self.Name+b.Name)),
 		)
 	})
+	m.feed.candidates = list
 	return list
 }
 
+// followerNames returns the daemons that watch the key-value service.
+func (m *Machine) followerNames() []string {
+	if m.followers == nil {
+		m.followers = Followers(m.liveDaemons())
+	}
+	return m.followers
+}
+
+// daemonSetChanged notes that a daemon came, went or changed.
+func (m *Machine) daemonSetChanged() {
+	m.followers = nil
+	m.feed.candidates = nil
+	m.daemonsChanged = true
+}
+
 // liveDaemons returns the registered daemons in order of their names.
 func (m *Machine) liveDaemons() []Daemon {
 	list := make([]Daemon, 0, len(m.daemons))
@@ -142,7 +163,7 @@
 // passFeed decides where the view of the key-value service comes from.
 func (m *Machine) passFeed() {
 	f := &m.feed
-	planned := !m.lease.registered || slices.Contains(Followers(m.liveDaemons()), m.settings.Self.Name)
+	planned := !m.lease.registered || slices.Contains(m.followerNames(), m.settings.Self.Name)
 	if planned && !m.store.lost {
 		f.feeder, f.heard = "", false
 		m.follow(true, "planned")
--- a/internal/decision/conductor/fleet.go
+++ b/internal/decision/conductor/fleet.go
@@ -80,7 +80,7 @@
 	f.sent++
 	message := m.message()
 	message.Fleet = m.fleetMessage(whole)
-	for _, name := range Followers(m.liveDaemons()) {
+	for _, name := range m.followerNames() {
 		if name != m.settings.Self.Name {
 			m.emit(SendPeer{Address: m.daemons[name].Peer, Message: message})
 		}
@@ -212,8 +212,8 @@
 }
 
 func (m *Machine) heldAnywhere(r *request) bool {
-	for _, s := range m.servers {
-		if s.entry.Service == r.Service && s.usable() && s.downUntil <= m.now && m.holds(s, r.Model, "") {
+	for _, s := range m.serversOf(r.Service) {
+		if s.usable() && s.downUntil <= m.now && m.holds(s, r.Model, "") {
 			return true
 		}
 	}
@@ -223,8 +223,8 @@
 // nearestLoad returns the shortest load time of a model over the servers.
 func (m *Machine) nearestLoad(r *request, model matcher.Model) time.Duration {
 	best := model.StoreLoad
-	for _, s := range m.servers {
-		if s.entry.Service != r.Service || !s.usable() {
+	for _, s := range m.serversOf(r.Service) {
+		if !s.usable() {
 			continue
 		}
 		if slices.Contains(s.entry.Holdings.InMemory, model.Name) {
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -1,10 +1,8 @@
 package conductor
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"samphirewharf/internal/decision/allotter"
@@ -54,7 +52,9 @@
 	requests      map[reducer.RequestID]*request
 	wakes         wakeHeap
 	servers       map[string]*server
-	pools         map[string]*pool
+	// byService holds the servers by service, nil after a change of the set.
+	byService map[string][]*server
+	pools     map[string]*pool
 	// serversKnown tells that all entries were listed once.
 	serversKnown bool
 
@@ -73,6 +73,11 @@
 	crashes         crashBelief
 	stop            stopState
 
+	// followers are the daemons that watch the key-value service, nil after a change of the daemons.
+	followers []string
+	// daemonsChanged tells that callers may have to be told of other daemons.
+	daemonsChanged bool
+
 	published Publish
 	// publishedOnce tells that published was emitted.
 	publishedOnce bool
@@ -266,19 +271,20 @@
 
 // publish emits what callers are told if it has changed.
 func (m *Machine) publish() {
-	p := Publish{Ready: m.configuration != nil && m.serversKnown && !m.stop.requested}
+	ready := m.configuration != nil && m.serversKnown && !m.stop.requested
+	if m.publishedOnce && ready == m.published.Ready && !m.daemonsChanged {
+		return
+	}
+	m.daemonsChanged = false
+	p := Publish{Ready: ready}
 	if p.Ready {
 		p.Daemons = append(p.Daemons, m.settings.Self)
 	}
-	for _, d := range m.daemons {
+	for _, d := range m.liveDaemons() {
 		if d.Name != m.settings.Self.Name && !d.Leaving {
 			p.Daemons = append(p.Daemons, d)
 		}
 	}
-	slices.SortFunc(p.Daemons, func(a, b Daemon) int { return strings.Compare(a.Name, b.Name) })
-	if m.publishedOnce && p.Ready == m.published.Ready && slices.Equal(p.Daemons, m.published.Daemons) {
-		return
-	}
 	m.published, m.publishedOnce = p, true
 	m.emit(p)
 }
@@ -289,18 +295,21 @@
 	return messenger.Message{From: self.Name, Instance: self.Instance, Address: self.Peer, Zone: self.Zone}
 }
 
-// sortedServers returns the servers of a service in order of their IDs.
-func (m *Machine) sortedServers(service string) []*server {
-	var list []*server
-	for _, s := range m.servers {
-		if s.entry.Service == service {
-			list = append(list, s)
+// serversOf returns the servers of a service in order of their IDs. The list must not be changed.
+func (m *Machine) serversOf(service string) []*server {
+	if m.byService == nil {
+		m.byService = make(map[string][]*server)
+		for _, id := range m.serverIDs() {
+			s := m.servers[id]
+			m.byService[s.entry.Service] = append(m.byService[s.entry.Service], s)
 		}
 	}
-	slices.SortFunc(list, func(a, b *server) int { return cmp.Compare(a.entry.ID, b.entry.ID) })
-	return list
+	return m.byService[service]
 }
 
+// serverSetChanged notes that servers came, went or changed their service.
+func (m *Machine) serverSetChanged() { m.byService = nil }
+
 // serverIDs returns the IDs of all servers, in order.
 func (m *Machine) serverIDs() []string {
 	ids := make([]string, 0, len(m.servers))
--- a/internal/decision/conductor/placing.go
+++ b/internal/decision/conductor/placing.go
@@ -15,8 +15,9 @@
 	running  bool
 	controls map[string]*control
 	// dirty tells that a plan may come out otherwise than the last one; planAt is when the next is made in any case.
-	dirty  bool
-	planAt time.Duration
+	dirty     bool
+	planAt    time.Duration
+	plannedAt time.Duration
 	// storeLoads are the starts of loads from the weight store by service, oldest first.
 	storeLoads map[string][]time.Duration
 }
@@ -30,6 +31,9 @@
 // planInterval is how often a plan is made while nothing new is known.
 const planInterval = 200 * time.Millisecond
 
+// planGap is the least time between two plans, so that news that come together are planned for together.
+const planGap = 8 * time.Millisecond
+
 // A control is what the holder knows of one engine.
 type control struct {
 	startedAt int64
@@ -133,7 +137,7 @@
 		}
 	}
 	if p.dirty && m.mayOrder() {
-		next = m.now
+		next = min(next, p.plannedAt+planGap)
 	}
 	return next
 }
@@ -261,12 +265,15 @@
 	for _, id := range p.ids() {
 		m.passControl(id, p.controls[id])
 	}
-	if !m.mayOrder() || !p.dirty && m.now < p.planAt {
+	if !m.mayOrder() {
 		p.planAt = max(p.planAt, m.now+planInterval/4)
 		return
 	}
+	if m.now < p.planAt && (!p.dirty || m.now < p.plannedAt+planGap) {
+		return
+	}
 	p.dirty = false
-	p.planAt = m.now + planInterval
+	p.plannedAt, p.planAt = m.now, m.now+planInterval
 	for _, service := range m.engineServices() {
 		m.plan(service)
 	}
@@ -312,7 +319,7 @@
 	engine := m.engine(service)
 	in := placer.Input{Now: m.now, Engine: *engine, Demands: m.demands(service)}
 	running := m.runningByServer(service)
-	for _, s := range m.sortedServers(service) {
+	for _, s := range m.serversOf(service) {
 		c, ok := m.placing.controls[s.entry.ID]
 		if !ok || !s.usable() || s.doubtUntil > 0 || s.downUntil > m.now {
 			continue
@@ -328,14 +335,10 @@
 	}
 }
 
-// runningByServer returns how many requests of each model each server has, as far as this daemon can tell: its own
-// are known, those of others are spread over the servers that have the model.
+// runningByServer returns how many requests of each model and adapter this daemon has at each server.
 func (m *Machine) runningByServer(service string) map[string]map[string]int {
 	counts := make(map[string]map[string]int)
-	for _, s := range m.servers {
-		if s.entry.Service != service {
-			continue
-		}
+	for _, s := range m.serversOf(service) {
 		byModel := make(map[string]int)
 		for _, r := range s.runs {
 			byModel[r.Model]++
--- a/internal/decision/conductor/role.go
+++ b/internal/decision/conductor/role.go
@@ -167,6 +167,7 @@
 		return
 	}
 	m.daemons[d.Name] = d
+	m.daemonSetChanged()
 	m.emit(Believed{Subject: "Daemon " + d.Name, Change: "Seen", Version: e.Revision, Detail: d.Peer + " " + d.Zone})
 }
 
@@ -176,6 +177,7 @@
 	}
 	delete(m.daemons, name)
 	delete(m.daemonRevisions, name)
+	m.daemonSetChanged()
 	delete(m.demand.byDaemon, name)
 	m.noteGone(daemonKey(name), revision)
 	m.emit(Believed{Subject: "Daemon " + name, Change: "Gone", Version: revision})
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -57,12 +57,14 @@
 		m.send(r, c)
 		return
 	}
-	switch why {
-	case verdictNoServer:
+	switch {
+	case why == verdictNoServer:
 		m.giveUp(r, RefusedNoServer, noServerRetry)
-	case verdictCold:
+	case m.stop.requested:
+		m.giveUp(r, RefusedStopping, stopRetry)
+	case why == verdictCold:
 		m.waitCold(r)
-	case verdictFull:
+	default:
 		m.waitFull(r)
 	}
 }
@@ -113,7 +115,7 @@
 func (m *Machine) choose(r *request) (choice, verdict) {
 	var able, avoided []*server
 	why := verdictNoServer
-	for _, s := range m.sortedServers(r.Service) {
+	for _, s := range m.serversOf(r.Service) {
 		if !s.usable() || slices.Contains(r.tried, s.entry.ID) && r.runs > 0 {
 			continue
 		}
@@ -302,7 +304,7 @@
 	var soonest time.Duration
 	running, ahead := 0, 0
 	var stay time.Duration
-	for _, s := range m.sortedServers(r.Service) {
+	for _, s := range m.serversOf(r.Service) {
 		if !s.usable() || !m.holds(s, r.Model, r.Adapter) {
 			continue
 		}
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"slices"
 	"time"
 
 	"samphirewharf/internal/decision/reducer"
@@ -124,11 +125,13 @@
 	case !ok:
 		s = newServer(e)
 		m.servers[e.ID] = s
+		m.serverSetChanged()
 		m.emit(Believed{Subject: "Server " + e.ID, Change: "Seen", Reason: e.Service, Version: e.Revision, Detail: e.Address + " " + e.Zone})
 	case e.StartedAt > s.entry.StartedAt || e.Address != s.entry.Address:
 		m.serverEnded(s)
 		s = newServer(e)
 		m.servers[e.ID] = s
+		m.serverSetChanged()
 		m.placing.forget(e.ID)
 		m.emit(Believed{Subject: "Server " + e.ID, Change: "Restarted", Version: e.Revision, Detail: e.Address})
 	default:
@@ -148,6 +151,9 @@
 	if e.State != s.entry.State {
 		m.emit(Believed{Subject: "Server " + e.ID, Change: "Draining", Version: e.Revision})
 	}
+	if e.Service != s.entry.Service {
+		m.serverSetChanged()
+	}
 	s.entry = e
 	clear(s.absent)
 }
@@ -174,17 +180,23 @@
 	m.serverEnded(s)
 	m.noteGone(serverKey(s.entry.ID), revision)
 	delete(m.servers, s.entry.ID)
+	m.serverSetChanged()
 	m.placing.forget(s.entry.ID)
 	m.pump(s.entry.Service)
 }
 
 // expireServers drops the servers whose entries have not come back after an outage.
 func (m *Machine) expireServers() {
-	for _, id := range m.serverIDs() {
-		if s := m.servers[id]; s.doubtUntil > 0 && m.now >= s.doubtUntil {
-			m.dropServer(s, 0)
+	var due []string
+	for id, s := range m.servers {
+		if s.doubtUntil > 0 && m.now >= s.doubtUntil {
+			due = append(due, id)
 		}
 	}
+	slices.Sort(due)
+	for _, id := range due {
+		m.dropServer(m.servers[id], 0)
+	}
 }
 
 // serverEnded notes the end of an incarnation: what ran there as its connection broke may have crashed it.
--- a/internal/decision/conductor/server_test.go
+++ b/internal/decision/conductor/server_test.go
@@ -179,6 +179,20 @@
 			b.advance(100 * time.Millisecond)
 		}
 	})
+	// Found on a day of a larger site: a stream waited for its model until its daemon ended.
+	t.Run("nothing waits at a daemon that stops", func(t *testing.T) {
+		b := newBed(t)
+		b.hold()
+		e := b.engine("e1", "a")
+		e.Holdings.OnDisk = []string{"m1"}
+		b.change(e)
+		b.ask(deep, "m1", "")
+		none[Refuse](b)
+		b.do(StopRequested{})
+		assertEqual(t, "reason", one[Refuse](b).Reason, RefusedStopping)
+		b.ask(deep, "m1", "")
+		assertEqual(t, "reason", one[Refuse](b).Reason, RefusedStopping)
+	})
 	t.Run("the role is given up first", func(t *testing.T) {
 		b := newBed(t)
 		b.hold()
--- a/internal/decision/conductor/stopping.go
+++ b/internal/decision/conductor/stopping.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"slices"
 	"time"
 
 	"samphirewharf/internal/fleet/matcher"
@@ -58,6 +59,12 @@
 		m.emit(ReleaseRole{Fence: m.role.holder.Fence})
 		m.depose("planned stop")
 	}
+	for _, name := range m.poolNames() {
+		for _, r := range slices.Clone(m.pool(name).queue) {
+			m.dequeue(r)
+			m.giveUp(r, RefusedStopping, stopRetry)
+		}
+	}
 	m.lease.ended = true
 	m.emit(EndLease{})
 }
--- a/internal/decision/placer/adapter.go
+++ b/internal/decision/placer/adapter.go
@@ -49,19 +49,7 @@
 	return list
 }
 
-func (p *planner) adapterHeld(d Demand) bool {
-	for _, s := range p.in.Servers {
-		if slices.Contains(s.Coming, d.Model+"/"+d.Adapter) {
-			return true
-		}
-		for _, m := range s.Models {
-			if m.Name == d.Model && slices.ContainsFunc(m.Adapters, func(a Adapter) bool { return a.Name == d.Adapter }) {
-				return true
-			}
-		}
-	}
-	return false
-}
+func (p *planner) adapterHeld(d Demand) bool { return p.adapters[d.Model+"/"+d.Adapter] }
 
 // placeAdapter loads an adapter at a server, or drops the one there that was unused for longest. It returns false if
 // neither can be done.
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -126,9 +126,15 @@
 type planner struct {
 	in      Input
 	demands map[string]Demand
-	taken   map[string]bool
-	stores  int
-	steps   []Step
+	// copies counts the servers that hold a model, load it or make room for it.
+	copies map[string]int
+	// adapters are those that a server has or gets, as MODEL/ADAPTER.
+	adapters map[string]bool
+	// largestAdapter is the memory of the largest adapter in megabytes.
+	largestAdapter float64
+	taken          map[string]bool
+	stores         int
+	steps          []Step
 }
 
 // A need is a model that wants one more replica.
@@ -142,6 +148,7 @@
 // Plan returns the orders to give now, at most one for models and one for adapters at each server.
 func Plan(in Input) []Step {
 	p := planner{in: in, demands: make(map[string]Demand), taken: make(map[string]bool)}
+	p.count()
 	p.stores = min(maxStoreLoads-in.StoreLoads, in.StoreBudget)
 	for _, d := range in.Demands {
 		if d.Adapter == "" {
@@ -162,17 +169,35 @@
 	return float64(d.Waiting) + refusedWeight*float64(d.Refused) + rateSeconds*d.Rate
 }
 
-// replicas returns how many servers hold the model, load it or make room for it.
-func (p *planner) replicas(model string) int {
-	n := 0
+// count takes stock of what the servers have and get.
+func (p *planner) count() {
+	p.copies = make(map[string]int)
+	p.adapters = make(map[string]bool)
 	for _, s := range p.in.Servers {
-		if s.holds(model) || s.Loading == model || s.Goal == model {
-			n++
+		for _, m := range s.Models {
+			p.copies[m.Name]++
+			for _, a := range m.Adapters {
+				p.adapters[m.Name+"/"+a.Name] = true
+			}
+		}
+		for _, name := range s.Coming {
+			p.adapters[name] = true
+		}
+		if s.Loading != "" && !s.holds(s.Loading) {
+			p.copies[s.Loading]++
+		}
+		if s.Goal != "" && s.Goal != s.Loading && !s.holds(s.Goal) {
+			p.copies[s.Goal]++
 		}
 	}
-	return n
+	for _, m := range p.in.Engine.Models {
+		p.largestAdapter = max(p.largestAdapter, m.AdapterMegabytes)
+	}
 }
 
+// replicas returns how many servers hold the model, load it or make room for it.
+func (p *planner) replicas(model string) int { return p.copies[model] }
+
 // needs returns the models that want a replica, the most wanted first.
 func (p *planner) needs() []need {
 	var list []need
@@ -362,11 +387,7 @@
 	if s.Loading != "" && !s.holds(s.Loading) {
 		room -= p.in.Engine.Models[s.Loading].Megabytes
 	}
-	largest := 0.0
-	for _, m := range p.in.Engine.Models {
-		largest = max(largest, m.AdapterMegabytes)
-	}
-	return room - largest*float64(len(s.Coming))
+	return room - p.largestAdapter*float64(len(s.Coming))
 }
 
 // megabytes returns the memory of a model with its adapters.
--- /dev/null
+++ b/internal/decision/placer/placer_test.go
@@ -0,0 +1,166 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"samphirewharf/internal/fleet/matcher"
+	"samphirewharf/internal/fleet/registrar"
+)
+
+func testEngine() matcher.Engine {
+	e := matcher.Engine{Slots: 10, WeightMegabytes: 100, AdapterSlots: 2, Models: make(map[string]matcher.Model)}
+	for name, megabytes := range map[string]float64{"big": 60, "mid": 40, "hot": 40, "rare": 40, "small": 15} {
+		e.Models[name] = matcher.Model{
+			Name: name, Megabytes: megabytes, AdapterMegabytes: 2, MemoryLoad: 300 * time.Millisecond, DiskLoad: time.Second, StoreLoad: 6 * time.Second,
+		}
+	}
+	return e
+}
+
+func engine(id string, models ...string) Server {
+	s := Server{ID: id, Slots: 10, Free: true, FreeForAdapter: true}
+	for _, m := range models {
+		s.Models = append(s.Models, Model{Name: m})
+	}
+	return s
+}
+
+func input(demands []Demand, servers ...Server) Input {
+	return Input{Now: time.Minute, Engine: testEngine(), Servers: servers, Demands: demands, StoreBudget: 10}
+}
+
+func assertSteps(t *testing.T, got []Step, want ...string) {
+	t.Helper()
+	var texts []string
+	for _, s := range got {
+		name := s.Model
+		if s.Adapter != "" {
+			name += "/" + s.Adapter
+		}
+		texts = append(texts, fmt.Sprintf("%s %s at %s", s.Operation, name, s.Server))
+	}
+	if fmt.Sprint(texts) != fmt.Sprint(want) {
+		t.Errorf("got %v, want %v", texts, want)
+	}
+}
+
+func TestModels(t *testing.T) {
+	t.Run("a model that is asked for goes where its weights are nearest", func(t *testing.T) {
+		near := engine("e2")
+		near.OnDisk = []string{"mid"}
+		assertSteps(t, Plan(input([]Demand{{Model: "mid", Waiting: 1}}, engine("e1"), near, engine("e3"))), "Load mid at e2")
+	})
+	t.Run("memory is never exceeded", func(t *testing.T) {
+		assertSteps(t, Plan(input([]Demand{{Model: "big", Waiting: 1}}, engine("e1", "mid", "hot"))), "Unload hot at e1")
+		loading := engine("e1", "mid")
+		loading.Loading, loading.Free = "hot", false
+		assertSteps(t, Plan(input([]Demand{{Model: "big", Waiting: 9}}, loading)))
+	})
+	t.Run("the least wanted makes way", func(t *testing.T) {
+		demands := []Demand{{Model: "mid", Waiting: 5}, {Model: "hot", Rate: 4}, {Model: "rare", Rate: 0.1}}
+		assertSteps(t, Plan(input(demands, engine("e1", "hot", "rare"))), "Unload rare at e1")
+	})
+	t.Run("one that is wanted nearly as much stays", func(t *testing.T) {
+		demands := []Demand{{Model: "mid", Waiting: 2}, {Model: "hot", Rate: 4}, {Model: "rare", Rate: 1}}
+		assertSteps(t, Plan(input(demands, engine("e1", "hot", "rare"))))
+	})
+	t.Run("one that was loaded a moment ago stays", func(t *testing.T) {
+		s := engine("e1", "hot", "rare")
+		s.Models[1].LoadedAt = time.Minute - time.Second
+		assertSteps(t, Plan(input([]Demand{{Model: "mid", Waiting: 9}, {Model: "hot", Rate: 4}, {Model: "rare", Rate: 0.1}}, s)))
+	})
+	t.Run("the load follows once there is room", func(t *testing.T) {
+		s := engine("e1", "hot")
+		s.Goal, s.GoalAt = "mid", time.Minute
+		steps := Plan(input([]Demand{{Model: "mid", Waiting: 5}}, s))
+		assertSteps(t, steps, "Load mid at e1")
+	})
+	t.Run("a goal that nobody asks for any more is dropped", func(t *testing.T) {
+		s := engine("e1", "hot")
+		s.Goal, s.GoalAt = "mid", time.Minute
+		steps := Plan(input(nil, s))
+		if len(steps) != 1 || steps[0].Model != "" || steps[0].Goal != "" {
+			t.Errorf("got %+v, want the goal dropped", steps)
+		}
+	})
+	t.Run("loads from the weight store share its bandwidth", func(t *testing.T) {
+		in := input([]Demand{{Model: "mid", Waiting: 1}}, engine("e1"))
+		in.StoreLoads = maxStoreLoads
+		assertSteps(t, Plan(in))
+		in.StoreLoads, in.StoreBudget = 0, 0
+		assertSteps(t, Plan(in))
+		in.Servers[0].OnDisk = []string{"mid"}
+		assertSteps(t, Plan(in), "Load mid at e1")
+	})
+	t.Run("a model with few places left gets another replica", func(t *testing.T) {
+		assertSteps(t, Plan(input([]Demand{{Model: "hot", Running: 5}}, engine("e1", "hot"), engine("e2"))))
+		assertSteps(t, Plan(input([]Demand{{Model: "hot", Running: 8}}, engine("e1", "hot"), engine("e2"))), "Load hot at e2")
+	})
+	t.Run("a model that loads is not loaded twice", func(t *testing.T) {
+		loading := engine("e1")
+		loading.Loading, loading.Free = "mid", false
+		assertSteps(t, Plan(input([]Demand{{Model: "mid", Waiting: 5}}, loading, engine("e2"))))
+	})
+}
+
+func TestAdapters(t *testing.T) {
+	wanted := func(name string) Demand { return Demand{Model: "hot", Adapter: name, Waiting: 1} }
+	t.Run("an adapter goes where its model is", func(t *testing.T) {
+		assertSteps(t, Plan(input([]Demand{wanted("a1")}, engine("e1", "mid"), engine("e2", "hot"))), "Load hot/a1 at e2")
+	})
+	t.Run("one that is on its way is not loaded again", func(t *testing.T) {
+		s := engine("e1", "hot")
+		s.Coming = []string{"hot/a1"}
+		assertSteps(t, Plan(input([]Demand{wanted("a1")}, s)))
+	})
+	t.Run("the one that was unused for longest makes way", func(t *testing.T) {
+		s := engine("e1", "hot")
+		s.Models[0].Adapters = []Adapter{{Name: "a1", UsedAt: 2}, {Name: "a2", UsedAt: 1}}
+		assertSteps(t, Plan(input([]Demand{wanted("a3")}, s)), "Unload hot/a2 at e1")
+		s.Models[0].Adapters[1].Busy = true
+		assertSteps(t, Plan(input([]Demand{wanted("a3")}, s)), "Unload hot/a1 at e1")
+		s.Models[0].Adapters[0].Busy = true
+		assertSteps(t, Plan(input([]Demand{wanted("a3")}, s)))
+	})
+	t.Run("a server with another order gets none", func(t *testing.T) {
+		s := engine("e1", "hot")
+		s.FreeForAdapter = false
+		assertSteps(t, Plan(input([]Demand{wanted("a1")}, s)))
+	})
+	t.Run("places are counted with those on their way", func(t *testing.T) {
+		s := engine("e1", "hot")
+		s.Models[0].Adapters = []Adapter{{Name: "a1"}}
+		s.Coming = []string{"hot/a2"}
+		assertSteps(t, Plan(input([]Demand{wanted("a3")}, s)), "Unload hot/a1 at e1")
+	})
+	if got, want := registrar.OperationLoad.String(), "Load"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
+
+// BenchmarkPlan plans at the size of the grown sites: 112 engines, 209 models, 575 adapters.
+func BenchmarkPlan(b *testing.B) {
+	in := Input{Now: time.Minute, StoreBudget: 20}
+	in.Engine = matcher.Engine{Slots: 12, WeightMegabytes: 200, AdapterSlots: 8, Models: make(map[string]matcher.Model)}
+	for i := range 209 {
+		name := fmt.Sprintf("m%d", i)
+		in.Engine.Models[name] = matcher.Model{Name: name, Megabytes: float64(34 + i%3*16), AdapterMegabytes: 0.1, DiskLoad: time.Second, StoreLoad: 13 * time.Second}
+		in.Demands = append(in.Demands, Demand{Model: name, Waiting: i % 7 / 6, Running: i % 5, Rate: 1})
+	}
+	for i := range 575 {
+		in.Demands = append(in.Demands, Demand{Model: fmt.Sprintf("m%d", i%40), Adapter: fmt.Sprintf("a%d", i), Waiting: i % 9 / 8, Rate: 0.2})
+	}
+	for i := range 112 {
+		s := engine(fmt.Sprintf("e%d", i), fmt.Sprintf("m%d", 2*i%209), fmt.Sprintf("m%d", (2*i+1)%209), fmt.Sprintf("m%d", i%40))
+		for j := range 6 {
+			s.Models[2].Adapters = append(s.Models[2].Adapters, Adapter{Name: fmt.Sprintf("a%d", i%40+40*j)})
+		}
+		in.Servers = append(in.Servers, s)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		Plan(in)
+	}
+}
