--- a/internal/decision/conductor/demand.go
+++ b/internal/decision/conductor/demand.go
@@ -19,10 +19,6 @@
 
 func (k modelKey) whole() modelKey { return modelKey{service: k.service, model: k.model} }
 
-func compareKeys(a, b modelKey) int {
-	return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.model, b.model), cmp.Compare(a.adapter, b.adapter))
-}
-
 // A demandState is what this daemon's callers ask for, and, at the holder, what all daemons' callers do.
 type demandState struct {
 	// own counts arrivals and refusals since the last message.
--- a/internal/decision/conductor/lease.go
+++ b/internal/decision/conductor/lease.go
@@ -13,8 +13,6 @@
 	registering bool
 	// ended tells that the lease was given up for good.
 	ended bool
-	// serviceGone tells that the service answered that the lease has ended; it is false in an outage.
-	serviceGone bool
 }
 
 func (l *leaseState) valid(now time.Duration) bool { return now < l.validUntil }
--- a/internal/edge/gateway/gateway_test.go
+++ b/internal/edge/gateway/gateway_test.go
@@ -233,7 +233,7 @@
 	t.Run("a refusal to run is told, with the time to come back", func(t *testing.T) {
 		address := backend(t, func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("X-Not-Run", "1")
-			w.WriteHeader(503)
+			w.WriteHeader(http.StatusServiceUnavailable)
 		})
 		h := newHarness(t, func(e conductor.Event) []conductor.Effect {
 			if _, ok := e.(conductor.AttemptEnded); ok {
@@ -257,7 +257,7 @@
 	t.Run("an error that was held back is passed on when asked for", func(t *testing.T) {
 		address := backend(t, func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("X-Seal", "s")
-			w.WriteHeader(500)
+			w.WriteHeader(http.StatusInternalServerError)
 			_, _ = io.WriteString(w, "its own error")
 		})
 		h := newHarness(t, func(e conductor.Event) []conductor.Effect {
--- a/internal/edge/launcher/daemon.go
+++ b/internal/edge/launcher/daemon.go
@@ -260,11 +260,19 @@
 			return
 		}
 		if d.configuration.CompareAndSwap(current, c) {
+			d.keepIdle(c.Limits.IdleTimeout)
 			return
 		}
 	}
 }
 
+// keepIdle keeps callers' idle connections a little longer than callers are told.
+func (d *Daemon) keepIdle(limit time.Duration) {
+	if limit > 0 {
+		d.front.server.SetIdleTimeout(limit + idleMargin)
+	}
+}
+
 func (d *Daemon) post(event conductor.Event) { d.driver.Post(event) }
 
 func (d *Daemon) step(event conductor.Event) []conductor.Effect {
--- a/internal/edge/launcher/reach_test.go
+++ b/internal/edge/launcher/reach_test.go
@@ -19,7 +19,7 @@
 
 func TestReach(t *testing.T) {
 	start := time.Unix(100, 0)
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	lost := conductor.StoreLost{Reason: errCut.Error()}
 	begin := func() *reachState {
 		s := &reachState{}
--- a/internal/entry/acceptor/connection.go
+++ b/internal/entry/acceptor/connection.go
@@ -237,7 +237,7 @@
 	case c.stopping:
 		deadline = time.Now().Add(stopGrace)
 	default:
-		deadline = time.Now().Add(c.server.limits.IdleTimeout)
+		deadline = time.Now().Add(c.server.idleTimeout())
 	}
 	_ = c.Conn.SetReadDeadline(deadline)
 }
--- a/internal/entry/acceptor/server.go
+++ b/internal/entry/acceptor/server.go
@@ -40,6 +40,8 @@
 	limits Limits
 	// draining tells that answers ask callers to close their connections.
 	draining atomic.Bool
+	// idle is how long idle connections are kept in place of Limits.IdleTimeout, 0 if that holds.
+	idle atomic.Int64
 	// rejecting is how many connections beyond the limit are being answered.
 	rejecting atomic.Int64
 
@@ -95,6 +97,9 @@
 	s.Handler.ServeHTTP(&Writer{response: response, connection: c, head: r.Method == http.MethodHead}, r.WithContext(c.ctx))
 }
 
+// SetIdleTimeout changes how long connections may wait for their next request.
+func (s *Server) SetIdleTimeout(d time.Duration) { s.idle.Store(int64(d)) }
+
 // Stop drains, closes the listener and idle connections and waits until the others have finished their request.
 // It closes those that are left when the context ends and returns its error.
 func (s *Server) Stop(ctx context.Context) error {
@@ -161,6 +166,10 @@
 	}
 }
 
+func (s *Server) idleTimeout() time.Duration {
+	return orDefault(time.Duration(s.idle.Load()), s.limits.IdleTimeout)
+}
+
 func (s *Server) isStopping() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
