fix: a repeat waits for the first request also while that one's claim is being written

Cause of 409 for two of three callers that sent one key at once: only a running first request was waited for.

--- a/internal/decision/reducer/claiming.go
+++ b/internal/decision/reducer/claiming.go
@@ -147,13 +147,19 @@
 		after = m.retryAfter(r)
 	}
 	m.refuse(r, a.Code, a.Ran, after, "")
+	if c := m.cells[r.service.Name]; c != nil {
+		m.wakeRepeats(c, r.arrived.Key)
+	}
 }
 
-// awaitFirst holds a repeat until the request that runs under its key at this daemon has ended, so that it
+// awaitFirst holds a repeat until the request that is claimed or runs under its key at this daemon has ended, so that it
 // gets the same answer. It is refused at its own deadline as before.
 func (m *Machine) awaitFirst(r *request) bool {
 	c := m.cells[r.service.Name]
-	if c == nil || c.claims.State(r.arrived.Key) != claimer.StateRunning {
+	if c == nil {
+		return false
+	}
+	if state := c.claims.State(r.arrived.Key); state != claimer.StateRunning && state != claimer.StateClaiming {
 		return false
 	}
 	r.state = stateRepeated
--- a/internal/entry/acceptor/connection.go
+++ b/internal/entry/acceptor/connection.go
@@ -170,11 +170,14 @@
 	}
 }
 
-// reject answers a connection beyond the limit.
-func (c *connection) reject() {
-	defer c.server.rejecting.Add(-1)
-	c.refuse(c.server.tooManyConnections())
-	c.abort()
+// A rejection answers a connection beyond the limit.
+type rejection struct{ *connection }
+
+// run answers and closes the connection.
+func (r rejection) run() {
+	defer r.server.rejecting.Add(-1)
+	r.refuse(r.server.tooManyConnections())
+	r.abort()
 }
 
 // run reads until the caller leaves or sends what can't be accepted.
--- a/internal/entry/acceptor/server.go
+++ b/internal/entry/acceptor/server.go
@@ -129,7 +129,7 @@
 	case s.add(c):
 		go c.run()
 	case s.rejecting.Add(1) <= maxRejecting:
-		go c.reject()
+		go rejection{c}.run()
 	default:
 		s.rejecting.Add(-1)
 		c.abort()
