--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -7,6 +7,7 @@
 
 	"samphirewharf/internal/decision/allotter"
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/decision/waker"
 	"samphirewharf/internal/fleet/matcher"
 	"samphirewharf/internal/peer/messenger"
 )
@@ -50,7 +51,7 @@
 
 	configuration *matcher.Configuration
 	requests      map[reducer.RequestID]*request
-	wakes         wakeHeap
+	wakes         waker.Queue[*request]
 	servers       map[string]*server
 	// byService holds the servers by service, nil after a change of the set.
 	byService map[string][]*server
@@ -130,8 +131,8 @@
 // NextWake returns when the machine has to be given a Ticked event at the latest.
 func (m *Machine) NextWake() time.Duration {
 	next := m.now + idleWake
-	if len(m.wakes) > 0 {
-		next = min(next, m.wakes[0].wakeAt)
+	if at, ok := m.wakes.Next(); ok {
+		next = min(next, at)
 	}
 	return min(next, m.lease.nextAt(), m.role.nextAt(m.now), m.demand.nextAt(m), m.fleet.nextAt(m), m.feed.nextAt(), m.placing.nextAt(m), m.stop.nextAt(m.now))
 }
--- a/internal/decision/conductor/request.go
+++ b/internal/decision/conductor/request.go
@@ -2,11 +2,11 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"slices"
 	"time"
 
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/decision/waker"
 	"samphirewharf/internal/fleet/matcher"
 )
 
@@ -47,13 +47,13 @@
 	// held tells that the shell keeps an answer that reports an error.
 	held bool
 
-	// wakeAt is the request's time in the heap, heapIndex its place, -1 if it is not in it.
-	wakeAt    time.Duration
-	heapIndex int
+	// alarm is when the request is looked at next.
+	alarm waker.Alarm[*request]
 }
 
 func newRequest(e RequestArrived, now time.Duration) *request {
-	r := &request{RequestArrived: e, at: now, heapIndex: -1}
+	r := &request{RequestArrived: e, at: now}
+	r.alarm.Owner, r.alarm.Number = r, uint64(e.Request)
 	r.giveUpAt = now + max(min(e.Patience, e.Route.Timeout)-giveUpMargin, giveUpMargin)
 	r.firstBy = r.giveUpAt
 	if e.Route.Kind == matcher.KindStream {
@@ -71,68 +71,14 @@
 	return r.Route.Repeatable() && r.runs < max(r.Route.MaxServers, 1)
 }
 
-// A wakeHeap orders requests by the time at which they must be looked at.
-type wakeHeap []*request
-
-// Len returns the number of requests.
-func (h wakeHeap) Len() int { return len(h) }
-
-// Less reports whether request i is due before request j.
-func (h wakeHeap) Less(i, j int) bool {
-	if h[i].wakeAt != h[j].wakeAt {
-		return h[i].wakeAt < h[j].wakeAt
-	}
-	return h[i].Request < h[j].Request
-}
-
-// Pop removes the last request.
-func (h *wakeHeap) Pop() any {
-	old := *h
-	r := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	r.heapIndex = -1
-	return r
-}
-
-// Push adds a request.
-func (h *wakeHeap) Push(x any) {
-	r, ok := x.(*request)
-	if !ok {
-		return
-	}
-	r.heapIndex = len(*h)
-	*h = append(*h, r)
-}
-
-// Swap swaps two requests.
-func (h wakeHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].heapIndex = i
-	h[j].heapIndex = j
-}
-
 // wakeRequest sets when the request is looked at next.
-func (m *Machine) wakeRequest(r *request, at time.Duration) {
-	r.wakeAt = at
-	if r.heapIndex < 0 {
-		heap.Push(&m.wakes, r)
-		return
-	}
-	heap.Fix(&m.wakes, r.heapIndex)
-}
+func (m *Machine) wakeRequest(r *request, at time.Duration) { m.wakes.Set(&r.alarm, at) }
 
-func (m *Machine) unwakeRequest(r *request) {
-	if r.heapIndex >= 0 {
-		heap.Remove(&m.wakes, r.heapIndex)
-	}
-}
+func (m *Machine) unwakeRequest(r *request) { m.wakes.Clear(&r.alarm) }
 
 // expireRequests looks at the requests that are due.
 func (m *Machine) expireRequests() {
-	for len(m.wakes) > 0 && m.wakes[0].wakeAt <= m.now {
-		r := m.wakes[0]
-		m.unwakeRequest(r)
+	for r, ok := m.wakes.Due(m.now); ok; r, ok = m.wakes.Due(m.now) {
 		switch r.state {
 		case stateQueued:
 			m.dequeue(r)
@@ -224,7 +170,5 @@
 	return model + "/" + adapter
 }
 
-var _ heap.Interface = (*wakeHeap)(nil)
-
 // requestOf returns a request in hand, nil if it is not.
 func (m *Machine) requestOf(id reducer.RequestID) *request { return m.requests[id] }
--- a/internal/decision/reducer/arrival.go
+++ b/internal/decision/reducer/arrival.go
@@ -19,7 +19,8 @@
 
 // arrive takes a new request.
 func (m *Machine) arrive(e RequestArrived) {
-	r := &request{id: e.Request, arrived: e, at: m.now.Since, heapIndex: -1}
+	r := &request{id: e.Request, arrived: e, at: m.now.Since}
+	r.alarm.Owner, r.alarm.Number = r, uint64(r.id)
 	m.requests[r.id] = r
 	if m.catalog == nil {
 		m.refuse(r, refuser.CodeNoConfiguration, refuser.NotRun, time.Second, "")
--- a/internal/decision/reducer/machine.go
+++ b/internal/decision/reducer/machine.go
@@ -10,6 +10,7 @@
 	"samphirewharf/internal/decision/observer"
 	"samphirewharf/internal/decision/router"
 	"samphirewharf/internal/decision/tracker"
+	"samphirewharf/internal/decision/waker"
 	"samphirewharf/internal/decision/warmer"
 )
 
@@ -92,7 +93,7 @@
 	cellNames []string
 
 	requests    map[RequestID]*request
-	deadlines   deadlineHeap
+	deadlines   waker.Queue[*request]
 	deployments map[string]*deployment
 	plains      map[string]*deployment
 
@@ -155,8 +156,8 @@
 	if m.stop.requested {
 		wake = min(wake, m.now.Since+planInterval)
 	}
-	if len(m.deadlines) > 0 {
-		wake = min(wake, m.deadlines[0].wakeAt)
+	if at, ok := m.deadlines.Next(); ok {
+		wake = min(wake, at)
 	}
 	return wake
 }
--- a/internal/decision/reducer/request.go
+++ b/internal/decision/reducer/request.go
@@ -1,12 +1,12 @@
 package reducer
 
 import (
-	"container/heap"
 	"time"
 
 	"samphirewharf/internal/caller/refuser"
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/decision/observer"
+	"samphirewharf/internal/decision/waker"
 )
 
 // A requestState tells what a request waits for.
@@ -62,9 +62,8 @@
 	// avoid is the server of the last failed attempt.
 	avoid string
 
-	// wakeAt is the request's time in the deadline heap, heapIndex its place, -1 if it is not in it.
-	wakeAt    time.Duration
-	heapIndex int
+	// alarm is when the request is looked at next.
+	alarm waker.Alarm[*request]
 }
 
 func (r *request) adapter() string {
@@ -81,68 +80,14 @@
 	return refuser.NotRun
 }
 
-// A deadlineHeap orders requests by the time at which they must be looked at.
-type deadlineHeap []*request
-
-// Len returns the number of requests.
-func (h deadlineHeap) Len() int { return len(h) }
-
-// Less reports whether request i is due before request j.
-func (h deadlineHeap) Less(i, j int) bool {
-	if h[i].wakeAt != h[j].wakeAt {
-		return h[i].wakeAt < h[j].wakeAt
-	}
-	return h[i].id < h[j].id
-}
-
-// Pop removes the last request.
-func (h *deadlineHeap) Pop() any {
-	old := *h
-	r := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	r.heapIndex = -1
-	return r
-}
-
-// Push adds a request.
-func (h *deadlineHeap) Push(x any) {
-	r, ok := x.(*request)
-	if !ok {
-		return
-	}
-	r.heapIndex = len(*h)
-	*h = append(*h, r)
-}
-
-// Swap swaps two requests.
-func (h deadlineHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].heapIndex = i
-	h[j].heapIndex = j
-}
-
 // wakeRequest sets when the request is looked at next.
-func (m *Machine) wakeRequest(r *request, at time.Duration) {
-	r.wakeAt = at
-	if r.heapIndex < 0 {
-		heap.Push(&m.deadlines, r)
-		return
-	}
-	heap.Fix(&m.deadlines, r.heapIndex)
-}
+func (m *Machine) wakeRequest(r *request, at time.Duration) { m.deadlines.Set(&r.alarm, at) }
 
-func (m *Machine) unwakeRequest(r *request) {
-	if r.heapIndex >= 0 {
-		heap.Remove(&m.deadlines, r.heapIndex)
-	}
-}
+func (m *Machine) unwakeRequest(r *request) { m.deadlines.Clear(&r.alarm) }
 
 // expireRequests looks at the requests that are due.
 func (m *Machine) expireRequests() {
-	for len(m.deadlines) > 0 && m.deadlines[0].wakeAt <= m.now.Since {
-		r := m.deadlines[0]
-		m.unwakeRequest(r)
+	for r, ok := m.deadlines.Due(m.now.Since); ok; r, ok = m.deadlines.Due(m.now.Since) {
 		if r.state == stateVerifying && m.now.Since < r.deadline {
 			m.verified(r)
 			continue
--- /dev/null
+++ b/internal/decision/waker/queue_test.go
@@ -0,0 +1,48 @@
+package waker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func TestQueue(t *testing.T) {
+	alarm := func(name string, number uint64) *Alarm[string] { return &Alarm[string]{Owner: name, Number: number} }
+	drain := func(q *Queue[string], now time.Duration) string {
+		var got []string
+		for name, ok := q.Due(now); ok; name, ok = q.Due(now) {
+			got = append(got, name)
+		}
+		return fmt.Sprint(got)
+	}
+	assert := func(t *testing.T, got, want string) {
+		t.Helper()
+		if got != want {
+			t.Errorf("got %s, want %s", got, want)
+		}
+	}
+	t.Run("in the order of their times, and of their numbers among equals", func(t *testing.T) {
+		var q Queue[string]
+		q.Set(alarm("c", 3), 20)
+		q.Set(alarm("b", 2), 10)
+		q.Set(alarm("a", 1), 20)
+		assert(t, drain(&q, 15), "[b]")
+		assert(t, drain(&q, 20), "[a c]")
+	})
+	t.Run("set anew and cleared", func(t *testing.T) {
+		var q Queue[string]
+		a, b := alarm("a", 1), alarm("b", 2)
+		q.Set(a, 10)
+		q.Set(b, 20)
+		q.Set(a, 30)
+		if next, ok := q.Next(); !ok || next != 20 {
+			t.Errorf("got next %v, %v, want 20", next, ok)
+		}
+		q.Clear(b)
+		q.Clear(b)
+		assert(t, drain(&q, 100), "[a]")
+		if _, ok := q.Next(); ok {
+			t.Error("got a next alarm, want none")
+		}
+	})
+}
