--- /dev/null
+++ b/internal/decision/conductor/bench_test.go
@@ -0,0 +1,47 @@
+package conductor
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/peer/messenger"
+)
+
+// BenchmarkRequest serves one request from arrival to end, at a daemon of a site with 60 daemons and 112 engines.
+func BenchmarkRequest(b *testing.B) {
+	t := &testing.T{}
+	m := New(testSettings())
+	now := time.Second
+	m.Step(now, ConfigurationChanged{Configuration: testConfiguration(t, 1)})
+	m.Step(now, ServersListed{})
+	m.Step(now, DaemonsListed{})
+	for i := range 60 {
+		m.Step(now, DaemonSeen{Daemon: Daemon{Name: fmt.Sprintf("n%d", i), Zone: string(rune('a' + i%4)), Processor: 192}})
+	}
+	bed := &bed{t: t, machine: m, now: now}
+	fleet := &messenger.Fleet{Fence: 9, Sequence: 1}
+	for i := range 112 {
+		e := bed.engine(fmt.Sprintf("e%d", i), string(rune('a'+i%4)), held("m1", "a1", "a2"), held("m2"), held("m3"))
+		fleet.Servers = append(fleet.Servers, messenger.FleetServer{Server: e.ID, StartedAt: 1, Models: e.Holdings.Models})
+	}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		id := reducer.RequestID(i)
+		if i%10 == 0 {
+			fleet.Sequence++
+			m.Step(now, PeerReceived{Message: messenger.Message{From: "n1", Fleet: fleet}})
+		}
+		m.Step(now, RequestArrived{
+			Request: id, ID: "r", Route: quick, Service: engineService, Model: fmt.Sprintf("m%d", 1+i%3), Patience: quick.Timeout,
+			Parts: []PromptPart{{ID: uint64(i % 50), Tokens: 100}, {ID: uint64(i), Tokens: 400}},
+		})
+		m.Step(now, AttemptStarted{Request: id, Attempt: 1})
+		m.Step(now, AttemptEnded{Request: id, Attempt: 1, Outcome: reducer.AttemptDone, Latency: time.Millisecond})
+		m.NextWake()
+		now += time.Millisecond
+	}
+}
