fix: a daemon's record that can't be written is tried again after a pause

Cause, found by reading: each failed write was followed by the next one at once for as long as the lease held.

--- a/internal/decision/conductor/lease.go
+++ b/internal/decision/conductor/lease.go
@@ -11,6 +11,8 @@
 	// registered tells that the daemon's record is written, registering that it is being written.
 	registered  bool
 	registering bool
+	// registerAt is when the record may be written again after a failure.
+	registerAt time.Duration
 	// ended tells that the lease was given up for good.
 	ended bool
 }
@@ -36,7 +38,7 @@
 		l.renewing = true
 		m.emit(RenewLease{TimeToLive: m.settings.LeaseTime})
 	}
-	if l.valid(m.now) && !l.registered && !l.registering && m.configuration != nil && m.serversKnown && !m.stop.requested {
+	if l.valid(m.now) && !l.registered && !l.registering && m.now >= l.registerAt && m.configuration != nil && m.serversKnown && !m.stop.requested {
 		l.registering = true
 		m.emit(Register{Daemon: m.settings.Self})
 	}
@@ -65,5 +67,5 @@
 		m.emit(Believed{Subject: "Daemon " + m.settings.Self.Name, Change: "Registered"})
 		return
 	}
-	l.renewAt = min(l.renewAt, m.now+leaseRetry)
+	l.registerAt = m.now + leaseRetry
 }
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -137,9 +137,6 @@
 	return min(next, m.lease.nextAt(), m.role.nextAt(m.now), m.demand.nextAt(m), m.fleet.nextAt(m), m.feed.nextAt(), m.placing.nextAt(m), m.stop.nextAt(m.now))
 }
 
-// Requests returns how many requests the daemon holds.
-func (m *Machine) Requests() int { return len(m.requests) }
-
 func (m *Machine) apply(event Event) {
 	switch e := event.(type) {
 	case RequestArrived:
--- a/internal/decision/conductor/role_test.go
+++ b/internal/decision/conductor/role_test.go
@@ -116,6 +116,31 @@
 	})
 }
 
+func TestRegistration(t *testing.T) {
+	t.Run("a record that can't be written is not written again at once", func(t *testing.T) {
+		b := newBed(t)
+		b.do(DaemonGone{Name: "d1"})
+		one[Register](b)
+		writes := 1
+		fail := func() {
+			for b.do(RegisterEnded{}); len(find[Register](b)) > 0 && writes < 1000; b.do(RegisterEnded{}) {
+				writes++
+			}
+		}
+		fail()
+		for end := b.now + time.Second; b.now < end; b.now += 10 * time.Millisecond {
+			b.do(LeaseRenewed{SentAt: b.now, OK: true})
+			if len(find[Register](b)) > 0 {
+				writes++
+				fail()
+			}
+		}
+		if writes < 2 || writes > 5 {
+			t.Errorf("got %d writes in a second, want from 2 to 5", writes)
+		}
+	})
+}
+
 func TestOrders(t *testing.T) {
 	start := func(t *testing.T) *bed {
 		t.Helper()
--- a/internal/edge/launcher/dependencies.go
+++ b/internal/edge/launcher/dependencies.go
@@ -17,7 +17,6 @@
 // A Store is the key-value service. Each function sends its call once.
 type Store struct {
 	Delete    func(ctx context.Context, key string, revision int64) storer.Result
-	Get       func(ctx context.Context, key string) (storer.Entry, storer.Result)
 	Grant     func(ctx context.Context, ttl time.Duration) (int64, storer.Result)
 	KeepAlive func(ctx context.Context, leaseID int64) (bool, storer.Result)
 	List      func(ctx context.Context, prefix string) ([]storer.Entry, int64, storer.Result)
--- a/internal/fleet/matcher/matcher.go
+++ b/internal/fleet/matcher/matcher.go
@@ -39,15 +39,6 @@
 	return Route{}, false
 }
 
-// RouteCount returns how many routes there are.
-func (c *Configuration) RouteCount() int {
-	n := 0
-	for _, list := range c.routes {
-		n += len(list)
-	}
-	return n
-}
-
 func (c *Configuration) check(r Route) error {
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
 		return fmt.Errorf("prefix %q: %w", r.Prefix, ErrInvalid)
