--- a/internal/daemon/explainer/explainer.go
+++ b/internal/daemon/explainer/explainer.go
@@ -1,4 +1,4 @@
-// Package explainer tells the life of one request in plain words, from the log lines of several daemons.
+// Package explainer explains what became of one request from the log lines of several daemons.
 package explainer
 
 import (
@@ -157,7 +157,7 @@
 		}
 		return text + fmt.Sprintf("; what was known of it was %d ms old) after %d ms, %d ms left", l.BeliefAgeMs, l.WaitedMs, l.LeftMs)
 	case "Queue":
-		return fmt.Sprintf("waits: %s; the last word of the daemon that gives orders was %d ms old, %d ms left", reasons[l.Reason], l.BeliefAgeMs, l.LeftMs)
+		return fmt.Sprintf("waits: %s; the last message of the daemon that gives orders was %d ms old, %d ms left", reasons[l.Reason], l.BeliefAgeMs, l.LeftMs)
 	case "Refuse":
 		return fmt.Sprintf("refused after %d ms: %s", l.WaitedMs, reasons[l.Reason])
 	case "Rejected":
--- a/internal/decision/conductor/control.go
+++ b/internal/decision/conductor/control.go
@@ -186,7 +186,7 @@
 	}
 }
 
-// absenceReported takes a daemon's word that an engine lacks what it was believed to have.
+// absenceReported takes a daemon's report that an engine lacks what it was believed to have.
 func (m *Machine) absenceReported(a messenger.Absence) {
 	c, ok := m.placing.controls[a.Server]
 	if ok && c.startedAt == a.StartedAt && a.Model == "" {
--- a/internal/decision/conductor/feed.go
+++ b/internal/decision/conductor/feed.go
@@ -64,7 +64,7 @@
 // An AskFeed effect subscribes to the feed of a daemon.
 type AskFeed struct{ Address string }
 
-// A Forward effect passes the holder's word on to those that this daemon feeds.
+// A Forward effect relays a message of the holder to those that this daemon feeds.
 type Forward struct{ Fleet *messenger.Fleet }
 
 func (FeedHeard) event() {}
--- a/internal/decision/conductor/fleet.go
+++ b/internal/decision/conductor/fleet.go
@@ -26,7 +26,7 @@
 	changedAt time.Duration
 }
 
-// A statement is the holder's word on one server.
+// A statement is what the holder reported of one server.
 type statement struct {
 	at        time.Duration
 	startedAt int64
@@ -48,7 +48,7 @@
 	return next
 }
 
-// age returns how old the holder's last word is.
+// age returns how old the holder's last message is.
 func (f *fleetBelief) age(now time.Duration) time.Duration { return now - f.heardAt }
 
 // holdings returns what a server is believed to have: what the holder knows, or else what the server said itself.
@@ -128,7 +128,7 @@
 	}
 }
 
-// fleetReceived takes the holder's word, unless it is older than what is known.
+// fleetReceived takes a message of the holder, unless it is older than what is known.
 func (m *Machine) fleetReceived(from string, fleet *messenger.Fleet) {
 	f := &m.fleet
 	if fleet.Fence < f.fence || fleet.Fence == f.fence && fleet.Sequence <= f.sequence {
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -79,7 +79,7 @@
 	// fleetInterval is how often the holder tells all it believes, and fleetSoon after how long a change.
 	fleetInterval = time.Second
 	fleetSoon     = 10 * time.Millisecond
-	// fleetTrust is how long the holder's word on a server goes before the server's own entry.
+	// fleetTrust is how long the holder's statement on a server takes precedence over the server's own entry.
 	fleetTrust = 2500 * time.Millisecond
 
 	// orderLife is how long an order may wait to be sent.
@@ -90,7 +90,7 @@
 	reportInterval = 500 * time.Millisecond
 	// idleReportInterval is how often it reads the others'.
 	idleReportInterval = 8 * time.Second
-	// ownOrderTrust is how long the holder's own orders go before a server's entry.
+	// ownOrderTrust is how long the effects of the holder's own orders take precedence over a server's entry.
 	ownOrderTrust = 2500 * time.Millisecond
 	// adapterTime is how long an adapter takes to load, with a margin.
 	adapterTime = 12 * time.Millisecond
--- a/internal/edge/relayer/relayer.go
+++ b/internal/edge/relayer/relayer.go
@@ -38,7 +38,7 @@
 	Message func() messenger.Message
 	// Fresh tells that the key-value service answers this daemon.
 	Fresh func() bool
-	// FleetSeen takes the word of the holder that came with a feed.
+	// FleetSeen takes a message of the holder that came with a feed.
 	FleetSeen func(from string, fleet *messenger.Fleet)
 	// Heard is told of each feed that arrived in order.
 	Heard  func(from string, fresh bool)
@@ -116,7 +116,7 @@
 	}
 }
 
-// Forward passes the holder's word on.
+// Forward relays a message of the holder.
 func (r *Relayer) Forward(fleet *messenger.Fleet) {
 	r.mu.Lock()
 	if len(r.subscribers) == 0 {
@@ -334,7 +334,7 @@
 	}
 }
 
-// join adds a later word of the holder to one that has not been passed on yet.
+// join merges a later message of the holder into one that has not been relayed yet.
 func join(earlier, later *messenger.Fleet) *messenger.Fleet {
 	if earlier == nil || earlier.Fence != later.Fence {
 		return later
