--- a/internal/entry/responder/attempt.go
+++ b/internal/entry/responder/attempt.go
@@ -246,7 +246,11 @@
 	} else if reply.ContentLength >= 0 {
 		setLength(a.exchange.writer.Header(), int(reply.ContentLength))
 	}
-	return a.write(p, true)
+	if err := a.write(p, true); err != nil && !a.kept.on {
+		return err
+	}
+	// A kept answer counts though its caller has left: a repeat gets it.
+	return nil
 }
 
 // passEvents passes the events of a stream on that the caller hasn't had.
--- a/internal/entry/responder/exchange.go
+++ b/internal/entry/responder/exchange.go
@@ -125,12 +125,18 @@
 	return x.attempt.ended
 }
 
-// leave cancels the running attempt because the caller has left.
+// leave cancels the running attempt because the caller has left. One whose whole answer is kept goes on, since a request
+// that must not be repeated has no known outcome once it is broken off.
 func (x *exchange) leave() {
-	if x.attempt != nil {
+	kept := x.attempt != nil && x.attempt.kept.on && !x.inbound.arrived.Stream
+	if x.attempt != nil && !kept {
 		x.cancelAttempt()
 	}
 	x.responder.Post(reducer.CallerLeft{Request: x.id})
+	if kept {
+		x.end(<-x.attempt.ended)
+		return
+	}
 	x.stopAttempt()
 }
 
