--- a/internal/decision/claimer/settings.go
+++ b/internal/decision/claimer/settings.go
@@ -1,6 +1,7 @@
 package claimer
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 )
@@ -56,21 +57,13 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	s.Partitions = orDefault(s.Partitions, DefaultPartitions)
-	s.Retention = orDefault(s.Retention, DefaultRetention)
-	s.ClockMargin = orDefault(s.ClockMargin, DefaultClockMargin)
-	s.SegmentBytes = orDefault(s.SegmentBytes, DefaultSegmentBytes)
-	s.MaxSegments = orDefault(s.MaxSegments, DefaultMaxSegments)
-	s.AnswerBytes = orDefault(s.AnswerBytes, DefaultAnswerBytes)
-	s.MaxQueued = orDefault(s.MaxQueued, DefaultMaxQueued)
-	s.RetryInterval = orDefault(s.RetryInterval, DefaultRetryInterval)
+	s.Partitions = cmp.Or(s.Partitions, DefaultPartitions)
+	s.Retention = cmp.Or(s.Retention, DefaultRetention)
+	s.ClockMargin = cmp.Or(s.ClockMargin, DefaultClockMargin)
+	s.SegmentBytes = cmp.Or(s.SegmentBytes, DefaultSegmentBytes)
+	s.MaxSegments = cmp.Or(s.MaxSegments, DefaultMaxSegments)
+	s.AnswerBytes = cmp.Or(s.AnswerBytes, DefaultAnswerBytes)
+	s.MaxQueued = cmp.Or(s.MaxQueued, DefaultMaxQueued)
+	s.RetryInterval = cmp.Or(s.RetryInterval, DefaultRetryInterval)
 	return s
 }
-
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
--- a/internal/entry/acceptor/limits.go
+++ b/internal/entry/acceptor/limits.go
@@ -1,6 +1,9 @@
 package acceptor
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Limits bound what callers may take of a daemon. Zero fields stand for the defaults.
 type Limits struct {
@@ -33,19 +36,12 @@
 
 // withDefaults returns the limits with the defaults in place of zero fields.
 func (l Limits) withDefaults() Limits {
-	l.Connections = orDefault(l.Connections, DefaultConnections)
-	l.HeaderBytes = orDefault(l.HeaderBytes, DefaultHeaderBytes)
-	l.BodyBytes = orDefault(l.BodyBytes, DefaultBodyBytes)
-	l.SendTimeout = orDefault(l.SendTimeout, DefaultSendTimeout)
-	l.IdleTimeout = orDefault(l.IdleTimeout, DefaultIdleTimeout)
-	l.WriteTimeout = orDefault(l.WriteTimeout, DefaultWriteTimeout)
-	l.SocketBytes = orDefault(l.SocketBytes, DefaultSocketBytes)
+	l.Connections = cmp.Or(max(l.Connections, 0), DefaultConnections)
+	l.HeaderBytes = cmp.Or(max(l.HeaderBytes, 0), DefaultHeaderBytes)
+	l.BodyBytes = cmp.Or(max(l.BodyBytes, 0), DefaultBodyBytes)
+	l.SendTimeout = cmp.Or(max(l.SendTimeout, 0), DefaultSendTimeout)
+	l.IdleTimeout = cmp.Or(max(l.IdleTimeout, 0), DefaultIdleTimeout)
+	l.WriteTimeout = cmp.Or(max(l.WriteTimeout, 0), DefaultWriteTimeout)
+	l.SocketBytes = cmp.Or(max(l.SocketBytes, 0), DefaultSocketBytes)
 	return l
 }
-
-func orDefault[T int | time.Duration](value, fallback T) T {
-	if value > 0 {
-		return value
-	}
-	return fallback
-}
--- a/internal/entry/acceptor/server.go
+++ b/internal/entry/acceptor/server.go
@@ -1,6 +1,7 @@
 package acceptor
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -167,7 +168,7 @@
 }
 
 func (s *Server) idleTimeout() time.Duration {
-	return orDefault(time.Duration(s.idle.Load()), s.limits.IdleTimeout)
+	return cmp.Or(max(time.Duration(s.idle.Load()), 0), s.limits.IdleTimeout)
 }
 
 func (s *Server) isStopping() bool {
--- a/internal/network/dialer/dialer.go
+++ b/internal/network/dialer/dialer.go
@@ -2,6 +2,7 @@
 package dialer
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -34,7 +35,7 @@
 // Dial connects to an address.
 func (d Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	under := net.Dialer{
-		Timeout: orDefault(d.Timeout, DefaultTimeout),
+		Timeout: cmp.Or(max(d.Timeout, 0), DefaultTimeout),
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
 		},
@@ -49,7 +50,7 @@
 
 // control sets the time after which unacknowledged data breaks the connection.
 func (d Dialer) control(_, _ string, raw syscall.RawConn) error {
-	silence := orDefault(d.Silence, DefaultSilence)
+	silence := cmp.Or(max(d.Silence, 0), DefaultSilence)
 	var failed error
 	err := raw.Control(func(fd uintptr) {
 		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
@@ -62,10 +63,3 @@
 	}
 	return nil
 }
-
-func orDefault(d, standard time.Duration) time.Duration {
-	if d <= 0 {
-		return standard
-	}
-	return d
-}
--- a/internal/network/sender/sender.go
+++ b/internal/network/sender/sender.go
@@ -4,6 +4,7 @@
 package sender
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/http"
@@ -64,18 +65,11 @@
 }
 
 func (s *Sender) start() {
-	tracker := tracker{dialer: dialer.Dialer{Timeout: orDefault(s.DialTimeout, defaultDialTimeout)}}
+	tracker := tracker{dialer: dialer.Dialer{Timeout: cmp.Or(s.DialTimeout, defaultDialTimeout)}}
 	s.transport = &http.Transport{
 		DialContext:         tracker.dial,
 		DisableCompression:  true,
-		IdleConnTimeout:     orDefault(s.IdleTimeout, defaultIdleTimeout),
+		IdleConnTimeout:     cmp.Or(s.IdleTimeout, defaultIdleTimeout),
 		MaxIdleConnsPerHost: maxIdlePerAddress,
 	}
 }
-
-func orDefault(d, standard time.Duration) time.Duration {
-	if d == 0 {
-		return standard
-	}
-	return d
-}
--- a/internal/standin/inferrer/engine.go
+++ b/internal/standin/inferrer/engine.go
@@ -4,6 +4,7 @@
 package inferrer
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -206,7 +207,7 @@
 
 func (e *Engine) keepCheckpoint(cp checkpoint, inMemory bool) {
 	e.checkpoints.keep(cp, inMemory,
-		orDefault(e.MemoryCheckpoints, defaultMemoryCheckpoints), orDefault(e.DiskCheckpoints, defaultDiskCheckpoints))
+		cmp.Or(e.MemoryCheckpoints, defaultMemoryCheckpoints), cmp.Or(e.DiskCheckpoints, defaultDiskCheckpoints))
 }
 
 func (e *Engine) scaled(milliseconds int64) time.Duration {
@@ -256,10 +257,3 @@
 	e.begin()
 	return true
 }
-
-func orDefault(n, standard int) int {
-	if n == 0 {
-		return standard
-	}
-	return n
-}
--- a/internal/standin/inferrer/replica.go
+++ b/internal/standin/inferrer/replica.go
@@ -1,6 +1,7 @@
 package inferrer
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -105,7 +106,7 @@
 // admit lets a request run or wait. The waiter's channel is closed when it may run.
 func (r *replica) admit(urgency int) *waiter {
 	w := &waiter{urgency: urgency, admitted: make(chan struct{})}
-	if r.running < orDefault(r.order.MaxInFlight, defaultMaxInFlight) {
+	if r.running < cmp.Or(r.order.MaxInFlight, defaultMaxInFlight) {
 		r.running++
 		close(w.admitted)
 	} else {
@@ -220,7 +221,7 @@
 			cached = i + 1
 		}
 	}
-	size := orDefault(r.instance.engine.Prefixes, defaultPrefixes)
+	size := cmp.Or(r.instance.engine.Prefixes, defaultPrefixes)
 	for _, prefix := range prefixes {
 		if !r.prefixes.contains(prefix) {
 			r.publish(prefix, true)
