--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -108,7 +107,7 @@
 		return fmt.Errorf("status %d: %w", reply.StatusCode, errInvalid)
 	}
 	success := reply.StatusCode >= 200 && reply.StatusCode < 300
-	if success && x.arrived.Route.Kind == matcher.KindStream && isEvents(reply.Header) {
+	if success && x.arrived.Route.Kind == matcher.KindStream && reply.IsEvents() {
 		return a.passEvents(reply)
 	}
 	if x.first != nil {
@@ -136,7 +135,7 @@
 	}
 	x.firstAfter = time.Since(x.start)
 	x.commitHeader(header)
-	if err := writeWhole(x.writer, reply.StatusCode, body); err != nil {
+	if err := x.writer.WriteWhole(reply.StatusCode, body); err != nil {
 		return fmt.Errorf("%w: %w", errCallerLeft, err)
 	}
 	return nil
@@ -296,8 +295,3 @@
 		ended.Cause = conductor.CauseInvalid
 	}
 }
-
-func isEvents(header http.Header) bool {
-	media, _, err := mime.ParseMediaType(header.Get("Content-Type"))
-	return err == nil && media == "text/event-stream"
-}
--- a/internal/edge/gateway/exchange.go
+++ b/internal/edge/gateway/exchange.go
@@ -107,7 +107,7 @@
 	}
 	x.commitHeader(x.held.header)
 	x.count(refuser.CodeOK, x.held.status)
-	x.gateway.left(writeWhole(x.writer, x.held.status, x.held.body))
+	x.gateway.left(x.writer.WriteWhole(x.held.status, x.held.body))
 }
 
 // end reports the end of the running attempt. It returns true if nothing is left to do.
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -139,7 +139,7 @@
 		// Callers of a platform wait for fractions of a second too.
 		w.Header().Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	g.left(writeWhole(w, refusal.Code.HTTPStatus(), body))
+	g.left(w.WriteWhole(refusal.Code.HTTPStatus(), body))
 }
 
 // left logs that a caller left before its answer.
@@ -148,13 +148,3 @@
 		g.Logger.Debug().Err(err).Msg("caller left before its answer")
 	}
 }
-
-// writeWhole writes an answer of known length.
-func writeWhole(w *acceptor.Writer, status int, body []byte) error {
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(status)
-	if _, err := w.Write(body); err != nil {
-		return err
-	}
-	return w.Flush()
-}
--- a/internal/entry/acceptor/writer.go
+++ b/internal/entry/acceptor/writer.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
 
 	"github.com/lesismal/nbio/nbhttp"
 )
@@ -104,3 +105,13 @@
 	}
 	return nil
 }
+
+// WriteWhole writes an answer of known length and sends it. It returns an error if the caller has left.
+func (w *Writer) WriteWhole(status int, body []byte) error {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	if _, err := w.Write(body); err != nil {
+		return err
+	}
+	return w.Flush()
+}
--- a/internal/entry/responder/attempt.go
+++ b/internal/entry/responder/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -30,7 +29,6 @@
 	streamStall = 30 * time.Second
 	// minTimeout is the least time that an attempt gets.
 	minTimeout = time.Millisecond
-	eventType  = "text/event-stream"
 )
 
 var (
@@ -218,7 +216,7 @@
 	case !a.forward && !x.inbound.arrived.Plain && reply.StatusCode >= http.StatusInternalServerError:
 		return fmt.Errorf("status %d: %w", reply.StatusCode, errServer)
 	}
-	events := isEvents(reply.Header)
+	events := reply.IsEvents()
 	switch {
 	case events && !x.inbound.arrived.Plain:
 		return a.passEvents(reply)
@@ -346,11 +344,6 @@
 	return "the daemon refused the request: " + e.refusal.Code.String()
 }
 
-func isEvents(header http.Header) bool {
-	media, _, err := mime.ParseMediaType(header.Get("Content-Type"))
-	return err == nil && media == eventType
-}
-
 // readRefusal returns the refusal of another daemon as an error.
 func readRefusal(reply *streamer.Reply) error {
 	body, whole, err := reply.ReadUpTo(maxProblemBytes)
--- a/internal/entry/responder/exchange.go
+++ b/internal/entry/responder/exchange.go
@@ -58,7 +58,7 @@
 		return
 	}
 	setOrDelete(x.writer.Header(), "Content-Type", e.ContentType)
-	if err := writeWhole(x.writer, e.Status, e.Body); err != nil {
+	if err := x.writer.WriteWhole(e.Status, e.Body); err != nil {
 		x.responder.logger().Debug().Err(err).Msg("caller left before its answer")
 	}
 }
--- a/internal/entry/responder/page.go
+++ b/internal/entry/responder/page.go
@@ -97,7 +97,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", jsonType)
-	if err := writeWhole(w, http.StatusOK, body); err != nil {
+	if err := w.WriteWhole(http.StatusOK, body); err != nil {
 		h.logger().Debug().Err(err).Msg("caller left before its answer")
 	}
 }
@@ -127,7 +127,7 @@
 
 func (h *Responder) writeText(w *acceptor.Writer, status int, text string) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	if err := writeWhole(w, status, []byte(text)); err != nil {
+	if err := w.WriteWhole(status, []byte(text)); err != nil {
 		h.logger().Debug().Err(err).Msg("caller left before its answer")
 	}
 }
--- a/internal/entry/responder/responder.go
+++ b/internal/entry/responder/responder.go
@@ -101,7 +101,7 @@
 	body := refusal.Problem()
 	refusal.SetHeader(w.Header())
 	w.Header().Set(refusalHeader, refusal.Code.String())
-	if err := writeWhole(w, refusal.Code.HTTPStatus(), body); err != nil {
+	if err := w.WriteWhole(refusal.Code.HTTPStatus(), body); err != nil {
 		h.logger().Debug().Err(err).Int("Code", int(refusal.Code)).Msg("caller left before its refusal")
 	}
 }
@@ -161,13 +161,3 @@
 	}
 	return id, true
 }
-
-// writeWhole writes an answer of known length.
-func writeWhole(w *acceptor.Writer, status int, body []byte) error {
-	setLength(w.Header(), len(body))
-	w.WriteHeader(status)
-	if _, err := w.Write(body); err != nil {
-		return err
-	}
-	return w.Flush()
-}
--- a/internal/entry/streamer/reply.go
+++ b/internal/entry/streamer/reply.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"mime"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -12,6 +13,9 @@
 	"samphirewharf/internal/decision/reducer"
 )
 
+// eventType is the media type of an event stream.
+const eventType = "text/event-stream"
+
 // A Reply is an answer whose header has come. End it with Finish or Discard.
 type Reply struct {
 	*http.Response
@@ -38,6 +42,12 @@
 // Finish ends a reply whose body was read to its end; its connection may be used again.
 func (r *Reply) Finish() { _ = r.Body.Close() }
 
+// IsEvents tells that the body is an event stream.
+func (r *Reply) IsEvents() bool {
+	media, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	return err == nil && media == eventType
+}
+
 // ReadUpTo reads at most limit bytes of the body. Whole tells that the body ended there.
 func (r *Reply) ReadUpTo(limit int) (p []byte, whole bool, err error) {
 	p, err = io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
