fix: a holder in a planned stop goes on giving orders while the key-value service is away

The holder was told to stop at 21.0 s, in an outage from 18 s to 26 s, and gave the role up at once, though nobody can take it in an outage; its record then stood until its lease lapsed, at 28.0 s, since the removal had failed in the outage. Ruled out: the store's slowness and the planner, whose next order came 36 ms after a holder might order. Change: where engines check fencing numbers, the role and the lease are given up when the service is back, or at exit. Test: TestStopOfHolder, two of five cases failed before.

--- a/internal/decision/conductor/stopping.go
+++ b/internal/decision/conductor/stopping.go
@@ -55,9 +55,8 @@
 	s.endBy = m.now + m.settings.StopTime - stopMargin
 	m.emit(Believed{Subject: "Daemon " + m.settings.Self.Name, Change: "Stopping", Detail: "ends within " + (s.endBy - s.at).String()})
 	m.emit(Accept{KeepAlive: false})
-	if m.holdsRole() {
-		m.emit(ReleaseRole{Fence: m.role.holder.Fence})
-		m.depose("planned stop")
+	if !m.keepsRoleInStop() {
+		m.leave()
 	}
 	for _, name := range m.poolNames() {
 		for _, r := range slices.Clone(m.pool(name).queue) {
@@ -65,6 +64,23 @@
 			m.giveUp(r, RefusedStopping, stopRetry)
 		}
 	}
+}
+
+// keepsRoleInStop tells that a stopping holder goes on giving orders. While the key-value service can't be reached nobody
+// else can take the role, so that models would stay where they are until the outage is over.
+func (m *Machine) keepsRoleInStop() bool {
+	return m.holdsRole() && m.store.lost && m.settings.EnginesCheckFences
+}
+
+// leave gives up the role and the lease, so that others take over what this daemon had.
+func (m *Machine) leave() {
+	if m.lease.ended {
+		return
+	}
+	if m.holdsRole() {
+		m.emit(ReleaseRole{Fence: m.role.holder.Fence})
+		m.depose("planned stop")
+	}
 	m.lease.ended = true
 	m.emit(EndLease{})
 }
@@ -74,9 +90,13 @@
 	if !s.requested || s.exited {
 		return
 	}
+	if !m.keepsRoleInStop() {
+		m.leave()
+	}
 	quiet := m.now >= s.quietFrom && len(m.requests) == 0 && m.now >= s.lastEnd+stopQuiet
 	if quiet || m.now >= s.endBy {
 		s.exited = true
+		m.leave()
 		m.emit(Believed{Subject: "Daemon " + m.settings.Self.Name, Change: "Stopped", Version: int64(len(m.requests))})
 		m.emit(Exit{})
 	}
