fix: memory no longer lies idle for weights that can't be loaded yet

Cause: a model made way for one from the weight store though all four loads ran, so that its place lay empty for up to 4.7 s before the 6 s of the load; and a load that keeps a place idle for 6 s was asked for at the same ratio of wishes as one of half a second from the engine's disk. Change: a load from the store is reserved before the first model makes way; weights from the store need 8 times the wishes of what makes way, near weights 2.5 times (both were 3). Tests: two cases of TestModels failed before.

--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -16,8 +16,10 @@
 const (
 	// fullShare is the share of the slots of a model's replicas that may be taken before it gets another one.
 	fullShare = 0.6
-	// evictRatio is how many times as much a model must be asked for as those that make way for it.
-	evictRatio = 3.0
+	// nearRatio is how many times as much a model must be asked for as those that make way for it, if its weights are
+	// near. storeRatio is the same for weights from the store, since memory lies idle for the whole load.
+	nearRatio  = 2.5
+	storeRatio = 8.0
 	// refusedWeight is what a request refused lately counts against one that waits.
 	refusedWeight = 0.5
 	// rateSeconds is how many seconds' arrivals count as much as the same number of waiting requests.
@@ -250,6 +252,7 @@
 			continue
 		}
 		if !s.Free {
+			p.reserve(s.tier(s.Goal))
 			continue
 		}
 		p.advance(s, need{model: model, value: p.value(s.Goal), reason: "Goal"}, 0, "")
@@ -285,7 +288,7 @@
 func (p *planner) advance(s Server, n need, cost float64, other string) {
 	tier := s.tier(n.model.Name)
 	victims, ok := p.victims(s, n)
-	if !ok {
+	if !ok || !p.reserve(tier) {
 		return
 	}
 	step := Step{Server: s.ID, Goal: n.model.Name, Tier: tier, Reason: n.reason, Score: cost, Other: other}
@@ -295,17 +298,21 @@
 		p.steps = append(p.steps, step)
 		return
 	}
-	if tier == TierStore {
-		if p.stores <= 0 {
-			return
-		}
-		p.stores--
-	}
 	step.Operation = registrar.OperationLoad
 	step.Model = n.model.Name
 	p.steps = append(p.steps, step)
 }
 
+// reserve takes one of the loads from the weight store, if the weights have to come from there, and tells whether there
+// is one. It is taken before the first model makes way, so that no memory lies empty until a load may begin.
+func (p *planner) reserve(t Tier) bool {
+	if t != TierStore {
+		return true
+	}
+	p.stores--
+	return p.stores >= 0
+}
+
 // cost returns the seconds until the model is there, and what the models that make way are worth.
 func (p *planner) cost(s Server, n need) (float64, bool) {
 	tier := s.tier(n.model.Name)
@@ -354,12 +361,20 @@
 		lost += p.loss(v) * rateSeconds
 		missing -= p.megabytes(v)
 	}
-	if missing > 0 || lost*evictRatio > n.value {
+	if missing > 0 || lost*evictRatio(s.tier(n.model.Name)) > n.value {
 		return nil, false
 	}
 	return p.spare(chosen, n, s), true
 }
 
+// evictRatio returns how many times as much a model must be asked for as those that make way for it.
+func evictRatio(t Tier) float64 {
+	if t == TierStore {
+		return storeRatio
+	}
+	return nearRatio
+}
+
 // spare leaves out victims that are not needed once the larger ones have gone.
 func (p *planner) spare(chosen []Model, n need, s Server) []Model {
 	surplus := p.room(s) - n.model.Megabytes
--- a/internal/decision/placer/placer_test.go
+++ b/internal/decision/placer/placer_test.go
@@ -94,6 +94,22 @@
 		in.Servers[0].OnDisk = []string{"mid"}
 		assertSteps(t, Plan(in), "Load mid at e1")
 	})
+	t.Run("no model makes way before a load from the weight store may begin", func(t *testing.T) {
+		demands := []Demand{{Model: "mid", Waiting: 9}, {Model: "big", Waiting: 8}}
+		in := input(demands, engine("e1", "hot", "rare"), engine("e2", "hot", "rare"))
+		in.StoreLoads = maxStoreLoads - 1
+		assertSteps(t, Plan(in), "Unload hot at e1")
+		in.Servers[0].Free, in.Servers[0].Goal, in.Servers[0].GoalAt = false, "mid", time.Minute
+		assertSteps(t, Plan(in))
+		in.Servers[1].OnDisk = []string{"big"}
+		assertSteps(t, Plan(in), "Unload hot at e2")
+	})
+	t.Run("more is asked of a model that has to come from the weight store", func(t *testing.T) {
+		in := input([]Demand{{Model: "mid", Waiting: 7}, {Model: "hot", Rate: 1}, {Model: "rare", Rate: 1}}, engine("e1", "hot", "rare"))
+		assertSteps(t, Plan(in))
+		in.Servers[0].OnDisk = []string{"mid"}
+		assertSteps(t, Plan(in), "Unload hot at e1")
+	})
 	t.Run("a model with few places left gets another replica", func(t *testing.T) {
 		assertSteps(t, Plan(input([]Demand{{Model: "hot", Running: 5}}, engine("e1", "hot"), engine("e2"))))
 		assertSteps(t, Plan(input([]Demand{{Model: "hot", Running: 8}}, engine("e1", "hot"), engine("e2"))), "Load hot at e2")
