fix: requests for models that come too late are refused at once, with a time to come back

Load: more models asked for than there is room for. Cause: each daemon foretold a cold model's time as if its load began at once; only the holder knows that it does not. Change: a plan comes with forecasts for the models that it gives no order for (engines busy, others just loaded or more wanted, store busy); the holder acts on them and passes them on with its loads, so that the other daemons refuse what can't be in time, queued or new. A forecast is made when a model is first found without an order, and every 200 ms.

--- a/internal/decision/conductor/control.go
+++ b/internal/decision/conductor/control.go
@@ -77,6 +77,18 @@
 	return h
 }
 
+// freeIn returns how long the engine is expected to be busy with an order.
+func (c *control) freeIn(now time.Duration) time.Duration {
+	switch {
+	case c.loading != "":
+		return max(0, c.loadEnds-now) + reportLag
+	case c.order != nil || c.unloading != "" || c.busy || c.doubtful || !c.countKnown:
+		return reportLag
+	default:
+		return 0
+	}
+}
+
 // engineChanged takes a server's entry at the holder.
 func (m *Machine) engineChanged(s *server) {
 	if !m.placing.running || m.engine(s.entry.Service) == nil {
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -79,6 +79,8 @@
 	// fleetInterval is how often the holder tells all it believes, and fleetSoon after how long a change.
 	fleetInterval = time.Second
 	fleetSoon     = 10 * time.Millisecond
+	// forecastInterval is how often it is foretold anew when models that get no order can be there.
+	forecastInterval = 200 * time.Millisecond
 	// fleetTrust is how long the holder's statement on a server takes precedence over the server's own entry.
 	fleetTrust = 2500 * time.Millisecond
 
--- a/internal/decision/conductor/ordering.go
+++ b/internal/decision/conductor/ordering.go
@@ -25,6 +25,7 @@
 	if step.Adapter == "" && step.Goal != c.goal {
 		c.goal, c.goalAt = step.Goal, m.now
 	}
+	delete(m.placing.forecasts[service], step.Goal)
 	if step.Model == "" {
 		return
 	}
--- a/internal/decision/conductor/placing.go
+++ b/internal/decision/conductor/placing.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -19,6 +20,11 @@
 	plannedAt time.Duration
 	// storeLoads are the starts of loads from the weight store by service, oldest first.
 	storeLoads map[string][]time.Duration
+	// forecasts tell by service when the models that get no order can be there. They are made anew from forecastAt on;
+	// stale are those before.
+	forecasts  map[string]map[string]time.Duration
+	stale      map[string]map[string]time.Duration
+	forecastAt map[string]time.Duration
 }
 
 // planInterval is how often a plan is made while nothing new is known.
@@ -28,7 +34,11 @@
 const planGap = 8 * time.Millisecond
 
 func newPlacingState() placingState {
-	return placingState{controls: make(map[string]*control), storeLoads: make(map[string][]time.Duration)}
+	return placingState{
+		controls: make(map[string]*control), storeLoads: make(map[string][]time.Duration),
+		forecasts: make(map[string]map[string]time.Duration), stale: make(map[string]map[string]time.Duration),
+		forecastAt: make(map[string]time.Duration),
+	}
 }
 
 func (p *placingState) forget(id string) { delete(p.controls, id) }
@@ -36,6 +46,9 @@
 func (p *placingState) stop() {
 	p.running = false
 	clear(p.controls)
+	clear(p.forecasts)
+	clear(p.stale)
+	clear(p.forecastAt)
 }
 
 func (p *placingState) ids() []string {
@@ -78,10 +91,14 @@
 			}
 		}
 	}
+	if k.adapter == "" {
+		at, ok := p.forecasts[k.service][k.model]
+		return at, ok
+	}
 	return 0, false
 }
 
-// loadings returns what is being loaded, for the other daemons.
+// loadings returns what is being loaded, and when what can't be loaded yet can be there, for the other daemons.
 func (m *Machine) loadings() []messenger.Loading {
 	var list []messenger.Loading
 	for _, id := range m.placing.ids() {
@@ -96,6 +113,12 @@
 			list = append(list, messenger.Loading{Service: s.entry.Service, Model: a.model, Adapter: a.adapter, ReadyIn: max(0, a.at-m.now)})
 		}
 	}
+	for _, service := range slices.Sorted(maps.Keys(m.placing.forecasts)) {
+		for _, model := range slices.Sorted(maps.Keys(m.placing.forecasts[service])) {
+			at := m.placing.forecasts[service][model]
+			list = append(list, messenger.Loading{Service: service, Model: model, ReadyIn: max(0, at-m.now)})
+		}
+	}
 	return list
 }
 
@@ -115,9 +138,7 @@
 // changed notes that the other daemons have to be told of a server.
 func (m *Machine) changed(c *control) {
 	c.changed = true
-	if m.fleet.changedAt == 0 {
-		m.fleet.changedAt = m.now
-	}
+	m.tellFleetSoon()
 }
 
 // passPlacing polls, lets adapters arrive, and gives orders.
@@ -191,12 +212,53 @@
 		if c.loading != "" && c.tier == placer.TierStore {
 			in.StoreLoads++
 		}
-		in.Servers = append(in.Servers, plannerServer(s, c, running, in.Demands))
+		in.Servers = append(in.Servers, plannerServer(m.now, s, c, running, in.Demands))
 	}
 	in.StoreBudget = m.storeBudget(service, engine)
-	for _, step := range placer.Plan(in) {
+	in.Foretold = m.foretold(service)
+	result := placer.Plan(in)
+	for _, step := range result.Steps {
 		m.take(service, step)
 	}
+	m.takeForecasts(service, result.Forecasts)
+}
+
+// foretold returns the models with a forecast that needn't be made again yet. Now and then all are.
+func (m *Machine) foretold(service string) map[string]bool {
+	p := &m.placing
+	if m.now >= p.forecastAt[service]+forecastInterval {
+		p.forecastAt[service] = m.now
+		p.stale[service] = p.forecasts[service]
+		p.forecasts[service] = make(map[string]time.Duration)
+	}
+	foretold := make(map[string]bool)
+	for model := range p.forecasts[service] {
+		foretold[model] = true
+	}
+	return foretold
+}
+
+// takeForecasts notes when the models that get no order can be there, and has the other daemons told soon, so that no
+// request waits for one that comes too late for it.
+func (m *Machine) takeForecasts(service string, list []placer.Forecast) {
+	p := &m.placing
+	for _, f := range list {
+		p.forecasts[service][f.Model] = m.now + f.ReadyIn
+		if _, known := p.stale[service][f.Model]; !known {
+			m.emit(Believed{Subject: "Model " + f.Model, Change: "Delayed", Reason: f.Reason, Detail: f.ReadyIn.Round(time.Millisecond).String()})
+			m.tellFleetSoon()
+		}
+	}
+	if len(list) > 0 {
+		m.pump(service)
+	}
+}
+
+// tellFleetSoon has the other daemons told what the holder believes.
+func (m *Machine) tellFleetSoon() {
+	if m.fleet.changedAt == 0 {
+		m.fleet.changedAt = m.now
+	}
 }
 
 // runningByServer returns how many requests of each model and adapter this daemon has at each server.
@@ -222,12 +284,13 @@
 
 // plannerServer returns what the planner needs of a server. A model counts as running there if any daemon has requests
 // for it.
-func plannerServer(s *server, c *control, running map[string]map[string]int, demands []placer.Demand) placer.Server {
+func plannerServer(now time.Duration, s *server, c *control, running map[string]map[string]int, demands []placer.Demand) placer.Server {
 	idle := c.countKnown && c.order == nil && !c.doubtful && !c.busy && c.loading == "" && c.unloading == ""
 	ps := placer.Server{
 		ID: s.entry.ID, Zone: s.entry.Zone, Slots: s.entry.Slots,
 		Free:           idle,
 		FreeForAdapter: idle && len(c.coming) < maxAdaptersComing,
+		FreeIn:         c.freeIn(now),
 		Loading:        c.loading,
 		InMemory:       s.entry.Holdings.InMemory, OnDisk: s.entry.Holdings.OnDisk,
 		Goal: c.goal, GoalAt: c.goalAt,
--- /dev/null
+++ b/internal/decision/conductor/placing_test.go
@@ -0,0 +1,86 @@
+package conductor
+
+import (
+	"testing"
+	"time"
+
+	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/fleet/matcher"
+	"samphirewharf/internal/peer/messenger"
+)
+
+// refusals returns the refusals of a request so far.
+func (b *bed) refusals(id reducer.RequestID) []Refuse {
+	var list []Refuse
+	for _, e := range findIn[Refuse](b.all) {
+		if e.Request == id {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+func (b *bed) assertRefusedWithin(id reducer.RequestID, reason RefusalReason, within, least, most time.Duration) {
+	b.t.Helper()
+	b.advance(within)
+	list := b.refusals(id)
+	if len(list) != 1 {
+		b.t.Fatalf("got %d refusals after %v, want 1", len(list), within)
+	}
+	assertEqual(b.t, "reason", list[0].Reason, reason)
+	assertEqual(b.t, "may have run", list[0].MayHaveRun, false)
+	assertBetween(b.t, "time to come back", list[0].RetryAfter, least, most)
+}
+
+func TestColdRequests(t *testing.T) {
+	crowded := func(t *testing.T) *bed {
+		t.Helper()
+		b := newBed(t)
+		b.engine("e1", "a", held("m1"), held("m2"))
+		b.hold()
+		b.settle(0, held("m1"), held("m2"))
+		for range 60 {
+			for _, model := range []string{"m1", "m2"} {
+				id := b.ask(quick, model, "")
+				b.end(id, 1, reducer.AttemptDone, CauseNone)
+			}
+			b.advance(10 * time.Millisecond)
+		}
+		return b
+	}
+	t.Run("one whose model comes too late is refused at once at the holder", func(t *testing.T) {
+		b := crowded(t)
+		id := b.ask(deep, "m3", "")
+		b.assertRefusedWithin(id, RefusedCold, demandSoon+planGap+5*time.Millisecond, 10*time.Second, 20*time.Second)
+		b.assertNextRefusedAtOnce(deep, "m3")
+	})
+	t.Run("and at the other daemons, as soon as they are told", func(t *testing.T) {
+		b := newBed(t)
+		b.do(HolderSeen{Holder: Holder{Name: "d2", Instance: "x", Fence: 7}})
+		b.engine("e1", "a", held("m1"))
+		id := b.ask(deep, "m2", "")
+		none[Refuse](b)
+		b.do(PeerReceived{Message: messenger.Message{From: "d2", Fleet: &messenger.Fleet{
+			Fence: 7, Sequence: 1, Loading: []messenger.Loading{{Service: engineService, Model: "m2", ReadyIn: 13 * time.Second}},
+		}}})
+		b.assertRefusedWithin(id, RefusedCold, time.Millisecond, 13*time.Second, 14*time.Second)
+		b.assertNextRefusedAtOnce(deep, "m2")
+	})
+	t.Run("one whose model comes in time waits", func(t *testing.T) {
+		b := newBed(t)
+		b.do(HolderSeen{Holder: Holder{Name: "d2", Instance: "x", Fence: 7}})
+		b.engine("e1", "a", held("m1"))
+		b.do(PeerReceived{Message: messenger.Message{From: "d2", Fleet: &messenger.Fleet{
+			Fence: 7, Sequence: 1, Loading: []messenger.Loading{{Service: engineService, Model: "m2", ReadyIn: 4 * time.Second}},
+		}}})
+		id := b.ask(deep, "m2", "")
+		b.advance(time.Second)
+		assertEqual(t, "refusals", len(b.refusals(id)), 0)
+	})
+}
+
+func (b *bed) assertNextRefusedAtOnce(route matcher.Route, model string) {
+	b.t.Helper()
+	b.ask(route, model, "")
+	assertEqual(b.t, "reason", one[Refuse](b).Reason, RefusedCold)
+}
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -56,8 +56,10 @@
 	// Free tells that the server can be given an order for a model now, FreeForAdapter one for an adapter.
 	Free           bool
 	FreeForAdapter bool
-	Slots          int
-	Models         []Model
+	// FreeIn is how long until a server that isn't free can be given an order, as far as is known.
+	FreeIn time.Duration
+	Slots  int
+	Models []Model
 	// Loading is a model that is being loaded; its memory is taken.
 	Loading  string
 	InMemory []string
@@ -107,6 +109,16 @@
 	// StoreLoads is how many loads from the weight store run, StoreBudget how many may begin now.
 	StoreLoads  int
 	StoreBudget int
+	// Foretold are the models whose forecasts are fresh enough. The others get one.
+	Foretold map[string]bool
+}
+
+// A Result is a plan.
+type Result struct {
+	// Steps hold at most one order for models and one for adapters at each server.
+	Steps []Step
+	// Forecasts are of the models without replica that get no order, those foretold left out.
+	Forecasts []Forecast
 }
 
 // A Step is one order to give, or a goal to keep for a server.
@@ -147,8 +159,8 @@
 	reason string
 }
 
-// Plan returns the orders to give now, at most one for models and one for adapters at each server.
-func Plan(in Input) []Step {
+// Plan returns the orders to give now.
+func Plan(in Input) Result {
 	p := planner{in: in, demands: make(map[string]Demand), taken: make(map[string]bool)}
 	p.count()
 	p.stores = min(maxStoreLoads-in.StoreLoads, in.StoreBudget)
@@ -158,11 +170,14 @@
 		}
 	}
 	p.pursueGoals()
+	var unmet []need
 	for _, n := range p.needs() {
-		p.place(n)
+		if !p.place(n) && n.first && !in.Foretold[n.model.Name] {
+			unmet = append(unmet, n)
+		}
 	}
 	p.placeAdapters()
-	return p.steps
+	return Result{Steps: p.steps, Forecasts: p.forecasts(unmet)}
 }
 
 // value returns what a model is worth keeping: the requests that wait for it and that come soon.
@@ -259,8 +274,9 @@
 	}
 }
 
-// place chooses the server for one more replica: the one where it is there soonest at the least loss.
-func (p *planner) place(n need) {
+// place chooses the server for one more replica: the one where it is there soonest at the least loss. It tells whether
+// there is one.
+func (p *planner) place(n need) bool {
 	var best, second Server
 	bestCost, secondCost := -1.0, -1.0
 	for _, s := range p.in.Servers {
@@ -278,10 +294,11 @@
 		}
 	}
 	if bestCost < 0 {
-		return
+		return false
 	}
 	p.taken[best.ID] = true
 	p.advance(best, n, bestCost, second.ID)
+	return true
 }
 
 // advance gives the next order at a server for a model: dropping another one, or the load.
@@ -345,9 +362,7 @@
 		return nil, true
 	}
 	list := slices.Clone(s.Models)
-	slices.SortFunc(list, func(a, b Model) int {
-		return cmp.Or(cmp.Compare(p.loss(a), p.loss(b)), cmp.Compare(a.Running, b.Running), cmp.Compare(a.Name, b.Name))
-	})
+	slices.SortFunc(list, p.compareLoss)
 	var chosen []Model
 	lost := 0.0
 	for _, v := range list {
@@ -375,6 +390,11 @@
 	return nearRatio
 }
 
+// compareLoss orders models by how little is lost with them.
+func (p *planner) compareLoss(a, b Model) int {
+	return cmp.Or(cmp.Compare(p.loss(a), p.loss(b)), cmp.Compare(a.Running, b.Running), cmp.Compare(a.Name, b.Name))
+}
+
 // spare leaves out victims that are not needed once the larger ones have gone.
 func (p *planner) spare(chosen []Model, n need, s Server) []Model {
 	surplus := p.room(s) - n.model.Megabytes
--- a/internal/decision/placer/placer_test.go
+++ b/internal/decision/placer/placer_test.go
@@ -50,37 +50,37 @@
 	t.Run("a model that is asked for goes where its weights are nearest", func(t *testing.T) {
 		near := engine("e2")
 		near.OnDisk = []string{"mid"}
-		assertSteps(t, Plan(input([]Demand{{Model: "mid", Waiting: 1}}, engine("e1"), near, engine("e3"))), "Load mid at e2")
+		assertSteps(t, Plan(input([]Demand{{Model: "mid", Waiting: 1}}, engine("e1"), near, engine("e3"))).Steps, "Load mid at e2")
 	})
 	t.Run("memory is never exceeded", func(t *testing.T) {
-		assertSteps(t, Plan(input([]Demand{{Model: "big", Waiting: 1}}, engine("e1", "mid", "hot"))), "Unload hot at e1")
+		assertSteps(t, Plan(input([]Demand{{Model: "big", Waiting: 1}}, engine("e1", "mid", "hot"))).Steps, "Unload hot at e1")
 		loading := engine("e1", "mid")
 		loading.Loading, loading.Free = "hot", false
-		assertSteps(t, Plan(input([]Demand{{Model: "big", Waiting: 9}}, loading)))
+		assertSteps(t, Plan(input([]Demand{{Model: "big", Waiting: 9}}, loading)).Steps)
 	})
 	t.Run("the least wanted makes way", func(t *testing.T) {
 		demands := []Demand{{Model: "mid", Waiting: 5}, {Model: "hot", Rate: 4}, {Model: "rare", Rate: 0.1}}
-		assertSteps(t, Plan(input(demands, engine("e1", "hot", "rare"))), "Unload rare at e1")
+		assertSteps(t, Plan(input(demands, engine("e1", "hot", "rare"))).Steps, "Unload rare at e1")
 	})
 	t.Run("one that is wanted nearly as much stays", func(t *testing.T) {
 		demands := []Demand{{Model: "mid", Waiting: 2}, {Model: "hot", Rate: 4}, {Model: "rare", Rate: 1}}
-		assertSteps(t, Plan(input(demands, engine("e1", "hot", "rare"))))
+		assertSteps(t, Plan(input(demands, engine("e1", "hot", "rare"))).Steps)
 	})
 	t.Run("one that was loaded a moment ago stays", func(t *testing.T) {
 		s := engine("e1", "hot", "rare")
 		s.Models[1].LoadedAt = time.Minute - time.Second
-		assertSteps(t, Plan(input([]Demand{{Model: "mid", Waiting: 9}, {Model: "hot", Rate: 4}, {Model: "rare", Rate: 0.1}}, s)))
+		assertSteps(t, Plan(input([]Demand{{Model: "mid", Waiting: 9}, {Model: "hot", Rate: 4}, {Model: "rare", Rate: 0.1}}, s)).Steps)
 	})
 	t.Run("the load follows once there is room", func(t *testing.T) {
 		s := engine("e1", "hot")
 		s.Goal, s.GoalAt = "mid", time.Minute
-		steps := Plan(input([]Demand{{Model: "mid", Waiting: 5}}, s))
+		steps := Plan(input([]Demand{{Model: "mid", Waiting: 5}}, s)).Steps
 		assertSteps(t, steps, "Load mid at e1")
 	})
 	t.Run("a goal that nobody asks for any more is dropped", func(t *testing.T) {
 		s := engine("e1", "hot")
 		s.Goal, s.GoalAt = "mid", time.Minute
-		steps := Plan(input(nil, s))
+		steps := Plan(input(nil, s)).Steps
 		if len(steps) != 1 || steps[0].Model != "" || steps[0].Goal != "" {
 			t.Errorf("got %+v, want the goal dropped", steps)
 		}
@@ -88,68 +88,68 @@
 	t.Run("loads from the weight store share its bandwidth", func(t *testing.T) {
 		in := input([]Demand{{Model: "mid", Waiting: 1}}, engine("e1"))
 		in.StoreLoads = maxStoreLoads
-		assertSteps(t, Plan(in))
+		assertSteps(t, Plan(in).Steps)
 		in.StoreLoads, in.StoreBudget = 0, 0
-		assertSteps(t, Plan(in))
+		assertSteps(t, Plan(in).Steps)
 		in.Servers[0].OnDisk = []string{"mid"}
-		assertSteps(t, Plan(in), "Load mid at e1")
+		assertSteps(t, Plan(in).Steps, "Load mid at e1")
 	})
 	t.Run("no model makes way before a load from the weight store may begin", func(t *testing.T) {
 		demands := []Demand{{Model: "mid", Waiting: 9}, {Model: "big", Waiting: 8}}
 		in := input(demands, engine("e1", "hot", "rare"), engine("e2", "hot", "rare"))
 		in.StoreLoads = maxStoreLoads - 1
-		assertSteps(t, Plan(in), "Unload hot at e1")
+		assertSteps(t, Plan(in).Steps, "Unload hot at e1")
 		in.Servers[0].Free, in.Servers[0].Goal, in.Servers[0].GoalAt = false, "mid", time.Minute
-		assertSteps(t, Plan(in))
+		assertSteps(t, Plan(in).Steps)
 		in.Servers[1].OnDisk = []string{"big"}
-		assertSteps(t, Plan(in), "Unload hot at e2")
+		assertSteps(t, Plan(in).Steps, "Unload hot at e2")
 	})
 	t.Run("more is asked of a model that has to come from the weight store", func(t *testing.T) {
 		in := input([]Demand{{Model: "mid", Waiting: 7}, {Model: "hot", Rate: 1}, {Model: "rare", Rate: 1}}, engine("e1", "hot", "rare"))
-		assertSteps(t, Plan(in))
+		assertSteps(t, Plan(in).Steps)
 		in.Servers[0].OnDisk = []string{"mid"}
-		assertSteps(t, Plan(in), "Unload hot at e1")
+		assertSteps(t, Plan(in).Steps, "Unload hot at e1")
 	})
 	t.Run("a model with few places left gets another replica", func(t *testing.T) {
-		assertSteps(t, Plan(input([]Demand{{Model: "hot", Running: 5}}, engine("e1", "hot"), engine("e2"))))
-		assertSteps(t, Plan(input([]Demand{{Model: "hot", Running: 8}}, engine("e1", "hot"), engine("e2"))), "Load hot at e2")
+		assertSteps(t, Plan(input([]Demand{{Model: "hot", Running: 5}}, engine("e1", "hot"), engine("e2"))).Steps)
+		assertSteps(t, Plan(input([]Demand{{Model: "hot", Running: 8}}, engine("e1", "hot"), engine("e2"))).Steps, "Load hot at e2")
 	})
 	t.Run("a model that loads is not loaded twice", func(t *testing.T) {
 		loading := engine("e1")
 		loading.Loading, loading.Free = "mid", false
-		assertSteps(t, Plan(input([]Demand{{Model: "mid", Waiting: 5}}, loading, engine("e2"))))
+		assertSteps(t, Plan(input([]Demand{{Model: "mid", Waiting: 5}}, loading, engine("e2"))).Steps)
 	})
 }
 
 func TestAdapters(t *testing.T) {
 	wanted := func(name string) Demand { return Demand{Model: "hot", Adapter: name, Waiting: 1} }
 	t.Run("an adapter goes where its model is", func(t *testing.T) {
-		assertSteps(t, Plan(input([]Demand{wanted("a1")}, engine("e1", "mid"), engine("e2", "hot"))), "Load hot/a1 at e2")
+		assertSteps(t, Plan(input([]Demand{wanted("a1")}, engine("e1", "mid"), engine("e2", "hot"))).Steps, "Load hot/a1 at e2")
 	})
 	t.Run("one that is on its way is not loaded again", func(t *testing.T) {
 		s := engine("e1", "hot")
 		s.Coming = []string{"hot/a1"}
-		assertSteps(t, Plan(input([]Demand{wanted("a1")}, s)))
+		assertSteps(t, Plan(input([]Demand{wanted("a1")}, s)).Steps)
 	})
 	t.Run("the one that was unused for longest makes way", func(t *testing.T) {
 		s := engine("e1", "hot")
 		s.Models[0].Adapters = []Adapter{{Name: "a1", UsedAt: 2}, {Name: "a2", UsedAt: 1}}
-		assertSteps(t, Plan(input([]Demand{wanted("a3")}, s)), "Unload hot/a2 at e1")
+		assertSteps(t, Plan(input([]Demand{wanted("a3")}, s)).Steps, "Unload hot/a2 at e1")
 		s.Models[0].Adapters[1].Busy = true
-		assertSteps(t, Plan(input([]Demand{wanted("a3")}, s)), "Unload hot/a1 at e1")
+		assertSteps(t, Plan(input([]Demand{wanted("a3")}, s)).Steps, "Unload hot/a1 at e1")
 		s.Models[0].Adapters[0].Busy = true
-		assertSteps(t, Plan(input([]Demand{wanted("a3")}, s)))
+		assertSteps(t, Plan(input([]Demand{wanted("a3")}, s)).Steps)
 	})
 	t.Run("a server with another order gets none", func(t *testing.T) {
 		s := engine("e1", "hot")
 		s.FreeForAdapter = false
-		assertSteps(t, Plan(input([]Demand{wanted("a1")}, s)))
+		assertSteps(t, Plan(input([]Demand{wanted("a1")}, s)).Steps)
 	})
 	t.Run("places are counted with those on their way", func(t *testing.T) {
 		s := engine("e1", "hot")
 		s.Models[0].Adapters = []Adapter{{Name: "a1"}}
 		s.Coming = []string{"hot/a2"}
-		assertSteps(t, Plan(input([]Demand{wanted("a3")}, s)), "Unload hot/a1 at e1")
+		assertSteps(t, Plan(input([]Demand{wanted("a3")}, s)).Steps, "Unload hot/a1 at e1")
 	})
 	if got, want := registrar.OperationLoad.String(), "Load"; got != want {
 		t.Errorf("got %s, want %s", got, want)
--- a/internal/peer/messenger/fleet.go
+++ b/internal/peer/messenger/fleet.go
@@ -69,7 +69,7 @@
 	InFlight int
 }
 
-// A Loading is a model or adapter that is being loaded.
+// A Loading is a model or adapter that is being loaded, or a model that is asked for and can't be loaded yet.
 type Loading struct {
 	Service string
 	Model   string
