--- a/internal/command/runner/edge.go
+++ b/internal/command/runner/edge.go
@@ -53,6 +53,7 @@
 	debug.SetMemoryLimit(settings.MemoryBytes * int64(c.MemoryPercent) / 100)
 	peer := net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort))
 	launch, on := settings.Launch(peer, conductor.Settings{LeaseTime: c.LeaseTime, AddressLife: c.AddressLife})
+	launch.DroppedLines = writer.Dropped
 	daemon, err := launcher.New(launch, on, logger)
 	if err != nil {
 		return fmt.Errorf("start daemon: %w", err)
--- a/internal/daemon/driver/driver.go
+++ b/internal/daemon/driver/driver.go
@@ -91,6 +91,9 @@
 	}
 }
 
+// Waiting returns how many events wait for the reducer.
+func (d *Driver[E, F]) Waiting() int { return len(d.events) }
+
 // Wait returns when the loop has ended.
 func (d *Driver[E, F]) Wait() { <-d.done }
 
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -50,9 +50,12 @@
 	out      []Effect
 
 	configuration *matcher.Configuration
-	requests      map[reducer.RequestID]*request
-	wakes         waker.Queue[*request]
-	servers       map[string]*server
+	// configuredAt is when the configuration came in force, measureAt when the gauges are measured next.
+	configuredAt time.Duration
+	measureAt    time.Duration
+	requests     map[reducer.RequestID]*request
+	wakes        waker.Queue[*request]
+	servers      map[string]*server
 	// byService holds the servers by service, nil after a change of the set.
 	byService map[string][]*server
 	pools     map[string]*pool
@@ -215,13 +218,14 @@
 	m.passFleet()
 	m.passStop()
 	m.publish()
+	m.passMeasuring()
 }
 
 func (m *Machine) configured(c *matcher.Configuration) {
 	if m.configuration != nil && c.Version <= m.configuration.Version {
 		return
 	}
-	m.configuration = c
+	m.configuration, m.configuredAt = c, m.now
 	m.emit(Believed{Subject: "Configuration", Change: "InForce", Version: c.Version})
 	m.pumpAll()
 }
--- /dev/null
+++ b/internal/decision/conductor/measuring.go
@@ -0,0 +1,93 @@
+package conductor
+
+import (
+	"time"
+
+	"samphirewharf/internal/decision/placer"
+)
+
+// measureInterval is how often the gauges are measured. Metrics are fetched every few seconds.
+const measureInterval = time.Second
+
+// A Measured effect brings the gauges of what the daemon has in hand and believes.
+type Measured struct {
+	// Services has an entry for each service that requests came for.
+	Services map[string]ServiceGauges
+	// HoldsRole tells that the daemon has the role of giving orders, MayOrder that it may give one now.
+	HoldsRole bool
+	MayOrder  bool
+	// ViewAge is for how long the view of the key-value service may have been out of date, zero if it is not.
+	ViewAge time.Duration
+	// FleetAge is the age of the holder's last message; zero at the holder.
+	FleetAge time.Duration
+	// ConfigurationAge is for how long the configuration has been in force, zero if there is none.
+	ConfigurationAge time.Duration
+	// Daemons is how many daemons take requests, this one included.
+	Daemons int
+}
+
+// ServiceGauges are those of one service. Running requests are this daemon's, slots and tokens those of all servers
+// that take requests.
+type ServiceGauges struct {
+	Queued  int
+	Running int
+	// Taken are the slots that requests of all daemons take, as far as is known.
+	Taken int
+	Slots int
+	// TokensRunning are the tokens that this daemon's running requests may take up, TokenCapacity what engines hold.
+	TokensRunning int64
+	TokenCapacity int64
+	// RetriesLeft is how many repeated sends this daemon's share of the budget still allows.
+	RetriesLeft float64
+	// StoreLoads is how many loads from the weight store run, as the holder knows.
+	StoreLoads int
+}
+
+func (Measured) effect() {}
+
+func (m *Machine) passMeasuring() {
+	if m.now < m.measureAt {
+		return
+	}
+	m.measureAt = m.now + measureInterval
+	e := Measured{Services: make(map[string]ServiceGauges, len(m.pools)), HoldsRole: m.holdsRole(), MayOrder: m.mayOrder(), Daemons: m.daemonCount()}
+	switch {
+	case m.feed.following && m.store.lost:
+		e.ViewAge = m.now - m.store.lostAt
+	case !m.feed.following && !m.feed.fresh(m.now):
+		e.ViewAge = m.now - m.feed.heardAt
+	}
+	if !e.HoldsRole {
+		e.FleetAge = m.fleet.age(m.now)
+	}
+	if m.configuration != nil {
+		e.ConfigurationAge = m.now - m.configuredAt
+	}
+	for _, name := range m.poolNames() {
+		e.Services[name] = m.measureService(name)
+	}
+	m.emit(e)
+}
+
+func (m *Machine) measureService(name string) ServiceGauges {
+	p := m.pool(name)
+	g := ServiceGauges{Queued: len(p.queue), RetriesLeft: max(0, p.budget.Left(m.now, m.daemonCount()))}
+	engine := m.engine(name)
+	for _, s := range m.serversOf(name) {
+		g.Running += len(s.runs)
+		if s.usable() {
+			g.Taken += len(s.runs) + s.others
+			g.Slots += s.entry.Slots
+			if engine != nil {
+				g.TokenCapacity += int64(engine.TokenCapacity)
+			}
+		}
+		for _, r := range s.runs {
+			g.TokensRunning += int64(r.InputTokens + r.OutputTokens)
+		}
+		if c, ok := m.placing.controls[s.entry.ID]; ok && c.loading != "" && c.tier == placer.TierStore {
+			g.StoreLoads++
+		}
+	}
+	return g
+}
--- a/internal/decision/reducer/event.go
+++ b/internal/decision/reducer/event.go
@@ -89,6 +89,15 @@
 	AttemptCancelled
 )
 
+// String returns the outcome's name in logs and metrics.
+func (o AttemptOutcome) String() string {
+	names := [...]string{"Done", "NotSent", "NotRun", "Failed", "Refused", "Cancelled"}
+	if int(o) < len(names) {
+		return names[o]
+	}
+	return "Unknown"
+}
+
 // An AttemptEnded event tells how a Dispatch or Forward ended.
 type AttemptEnded struct {
 	Request RequestID
--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -213,6 +213,7 @@
 }
 
 func (a *attempt) writeEvent(event streamer.Event, flush bool) error {
+	a.exchange.notePause(time.Now())
 	w := a.exchange.writer
 	_, err := w.Write(event.Raw)
 	if err == nil && flush {
--- a/internal/edge/gateway/exchange.go
+++ b/internal/edge/gateway/exchange.go
@@ -27,14 +27,19 @@
 	id      reducer.RequestID
 	effects <-chan conductor.Effect
 
-	// attempt is the running attempt, nil if there is none. While one runs, only it uses writer, progress, first and
-	// held.
+	// attempt is the running attempt, nil if there is none. While one runs, only it uses writer, progress, first, held,
+	// eventAt and pause.
 	attempt  *attempt
 	progress progress
 	// first is the header of the answer that the caller is being passed, nil before.
 	first http.Header
 	// firstAfter is the time to the first part of the answer.
 	firstAfter time.Duration
+	// eventAt is when the caller was passed the last event, pause the longest time between two.
+	eventAt time.Time
+	pause   time.Duration
+	// attempts is how many sends there were.
+	attempts int
 	// held is an answer that reports an error of the server, kept in case another one does better.
 	held *answer
 	// gone tells that the caller has left.
@@ -77,6 +82,7 @@
 func (x *exchange) apply(effect conductor.Effect) bool {
 	switch e := effect.(type) {
 	case conductor.Send:
+		x.attempts++
 		x.attempt = newAttempt(x, e)
 		go x.attempt.run()
 		return false
@@ -176,10 +182,18 @@
 func (x *exchange) count(code refuser.Code, status int) {
 	x.gateway.Count(Outcome{
 		Kind: x.arrived.Route.Kind, Route: x.arrived.Route.Name, Code: code, Status: status,
-		First: x.firstAfter, Total: time.Since(x.start),
+		First: x.firstAfter, Total: time.Since(x.start), Pause: x.pause, Attempts: x.attempts,
 	})
 }
 
+// notePause notes that the caller is passed an event.
+func (x *exchange) notePause(now time.Time) {
+	if !x.eventAt.IsZero() {
+		x.pause = max(x.pause, now.Sub(x.eventAt))
+	}
+	x.eventAt = now
+}
+
 func (x *exchange) commitHeader(header http.Header) {
 	for name, values := range header {
 		x.writer.Header()[name] = values
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -58,6 +58,10 @@
 	// First is the time to the answer or its first event, Total to its end; First is zero if there was no answer.
 	First time.Duration
 	Total time.Duration
+	// Pause is the longest between two events of a stream, zero if there were fewer than two.
+	Pause time.Duration
+	// Attempts is how many servers the request was sent to.
+	Attempts int
 }
 
 // ServeHTTP answers one request. The writer must be an *acceptor.Writer.
--- a/internal/edge/launcher/daemon.go
+++ b/internal/edge/launcher/daemon.go
@@ -165,7 +165,7 @@
 
 func (d *Daemon) gateway() http.Handler {
 	return &gateway.Gateway{
-		Open: d.driver.Open, Close: d.driver.Close, Post: d.post, Configuration: d.configuration.Load, Draw: rand.Float64,
+		Open: d.driver.Open, Close: d.driver.Close, Post: d.postCounted, Configuration: d.configuration.Load, Draw: rand.Float64,
 		Count: d.metrics.countRequest, Translator: d.platform.Translator, Client: &d.client, Logger: d.logger,
 	}
 }
@@ -275,6 +275,20 @@
 
 func (d *Daemon) post(event conductor.Event) { d.driver.Post(event) }
 
+// postCounted posts an event of the gateway.
+func (d *Daemon) postCounted(event conductor.Event) {
+	d.metrics.countAttempt(event)
+	d.post(event)
+}
+
+// droppedLines returns how many log lines found no room.
+func (d *Daemon) droppedLines() uint64 {
+	if d.settings.DroppedLines == nil {
+		return 0
+	}
+	return d.settings.DroppedLines()
+}
+
 func (d *Daemon) step(event conductor.Event) []conductor.Effect {
 	return d.machine.Step(d.now(), event)
 }
--- a/internal/edge/launcher/dependencies.go
+++ b/internal/edge/launcher/dependencies.go
@@ -65,6 +65,8 @@
 	Directory string
 	// Descriptors bounds the files and sockets of the process.
 	Descriptors int
+	// DroppedLines returns how many log lines were dropped, for the metrics; it may be nil.
+	DroppedLines func() uint64
 	// Conductor are the settings of its decisions. The launcher fills in what names the process.
 	Conductor conductor.Settings
 }
--- a/internal/edge/launcher/effects.go
+++ b/internal/edge/launcher/effects.go
@@ -23,6 +23,8 @@
 		d.logDecision(e)
 	case conductor.Believed:
 		d.logBelief(e)
+	case conductor.Measured:
+		d.metrics.measure(&e)
 	case conductor.Publish:
 		d.published.Store(&e)
 	case conductor.Accept:
--- a/internal/edge/launcher/metrics.go
+++ b/internal/edge/launcher/metrics.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -17,8 +19,17 @@
 // edgeMetrics are the daemon's metrics. Label values come from closed lists of the code.
 type edgeMetrics struct {
 	set *metrics.Set
+	// measured are the conductor's latest gauges, nil before the first.
+	measured atomic.Pointer[conductor.Measured]
+
+	mu sync.Mutex
+	// services are those that have gauges.
+	services map[string]bool
 }
 
+// maxServices bounds the services that have gauges of their own.
+const maxServices = 64
+
 func (m *edgeMetrics) register(d *Daemon) {
 	m.set = metrics.NewSet()
 	m.set.NewGauge(`samphirewharf_edge_configuration_version`, func() float64 {
@@ -39,6 +50,72 @@
 		}
 		return float64(d.front.server.Connections())
 	})
+	m.set.NewGauge(`samphirewharf_edge_events_waiting`, func() float64 { return float64(d.driver.Waiting()) })
+	m.set.NewGauge(`samphirewharf_edge_log_lines_dropped_total`, func() float64 { return float64(d.droppedLines()) })
+	m.registerMeasured()
+}
+
+// registerMeasured adds the gauges of the whole daemon that the conductor measures.
+func (m *edgeMetrics) registerMeasured() {
+	for name, read := range map[string]func(*conductor.Measured) float64{
+		"role_held":                 func(e *conductor.Measured) float64 { return boolToFloat(e.HoldsRole) },
+		"orders_allowed":            func(e *conductor.Measured) float64 { return boolToFloat(e.MayOrder) },
+		"view_age_seconds":          func(e *conductor.Measured) float64 { return e.ViewAge.Seconds() },
+		"fleet_age_seconds":         func(e *conductor.Measured) float64 { return e.FleetAge.Seconds() },
+		"configuration_age_seconds": func(e *conductor.Measured) float64 { return e.ConfigurationAge.Seconds() },
+		"daemons":                   func(e *conductor.Measured) float64 { return float64(e.Daemons) },
+	} {
+		m.set.NewGauge("samphirewharf_edge_"+name, func() float64 {
+			if e := m.measured.Load(); e != nil {
+				return read(e)
+			}
+			return 0
+		})
+	}
+}
+
+func boolToFloat(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// measure takes the conductor's gauges. A service gets its own when it is first seen.
+func (m *edgeMetrics) measure(e *conductor.Measured) {
+	m.measured.Store(e)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for service := range e.Services {
+		if m.services[service] || len(m.services) >= maxServices {
+			continue
+		}
+		if m.services == nil {
+			m.services = make(map[string]bool)
+		}
+		m.services[service] = true
+		m.registerService(service)
+	}
+}
+
+func (m *edgeMetrics) registerService(service string) {
+	for name, read := range map[string]func(conductor.ServiceGauges) float64{
+		"queued":         func(g conductor.ServiceGauges) float64 { return float64(g.Queued) },
+		"running":        func(g conductor.ServiceGauges) float64 { return float64(g.Running) },
+		"slots_taken":    func(g conductor.ServiceGauges) float64 { return float64(g.Taken) },
+		"slots":          func(g conductor.ServiceGauges) float64 { return float64(g.Slots) },
+		"tokens_running": func(g conductor.ServiceGauges) float64 { return float64(g.TokensRunning) },
+		"token_capacity": func(g conductor.ServiceGauges) float64 { return float64(g.TokenCapacity) },
+		"retries_left":   func(g conductor.ServiceGauges) float64 { return g.RetriesLeft },
+		"store_loads":    func(g conductor.ServiceGauges) float64 { return float64(g.StoreLoads) },
+	} {
+		m.set.NewGauge("samphirewharf_edge_"+name+`{service="`+service+`"}`, func() float64 {
+			if e := m.measured.Load(); e != nil {
+				return read(e.Services[service])
+			}
+			return 0
+		})
+	}
 }
 
 func (m *edgeMetrics) countRequest(o gateway.Outcome) {
@@ -51,6 +128,17 @@
 		m.set.GetOrCreateHistogram(`samphirewharf_edge_first_seconds{kind="` + kind + `"}`).Update(o.First.Seconds())
 		m.set.GetOrCreateHistogram(`samphirewharf_edge_total_seconds{kind="` + kind + `"}`).Update(o.Total.Seconds())
 	}
+	if o.Pause > 0 {
+		m.set.GetOrCreateHistogram(`samphirewharf_edge_longest_pause_seconds`).Update(o.Pause.Seconds())
+	}
+	m.set.GetOrCreateHistogram(`samphirewharf_edge_attempts_per_request`).Update(float64(o.Attempts))
+}
+
+// countAttempt counts how attempts at servers end.
+func (m *edgeMetrics) countAttempt(event conductor.Event) {
+	if e, ok := event.(conductor.AttemptEnded); ok {
+		m.set.GetOrCreateCounter(`samphirewharf_edge_attempts_total{outcome="` + e.Outcome.String() + `",cause="` + e.Cause.String() + `"}`).Inc()
+	}
 }
 
 func (m *edgeMetrics) countDecision(e conductor.Decided) {
