fix: adapters no longer drive each other out; new holders' pauses are counted; a fed message names its holder

Tests: three cases of TestAdapters, TestNewHolderElsewhere and TestHolderUnknownInOutage failed before.

--- a/internal/decision/conductor/control.go
+++ b/internal/decision/conductor/control.go
@@ -77,12 +77,12 @@
 	return h
 }
 
-// freeIn returns how long the engine is expected to be busy with an order.
+// freeIn returns how long the engine is expected to be busy with orders, but for one that is about to be answered.
 func (c *control) freeIn(now time.Duration) time.Duration {
 	switch {
 	case c.loading != "":
 		return max(0, c.loadEnds-now) + reportLag
-	case c.order != nil || c.unloading != "" || c.busy || c.doubtful || !c.countKnown:
+	case c.unloading != "" || c.busy || c.doubtful || !c.countKnown:
 		return reportLag
 	default:
 		return 0
--- a/internal/decision/conductor/fleet.go
+++ b/internal/decision/conductor/fleet.go
@@ -89,7 +89,7 @@
 }
 
 func (m *Machine) fleetMessage(whole bool) *messenger.Fleet {
-	fleet := &messenger.Fleet{Fence: m.role.holder.Fence, Sequence: m.fleet.sent, Suspects: m.suspects(!whole), Loading: m.loadings()}
+	fleet := &messenger.Fleet{Holder: m.settings.Self.Name, Fence: m.role.holder.Fence, Sequence: m.fleet.sent, Suspects: m.suspects(!whole), Loading: m.loadings()}
 	if m.configuration != nil {
 		fleet.ConfigurationVersion = m.configuration.Version
 	}
@@ -124,24 +124,24 @@
 		m.takeDemand(message.From, *message.Demand)
 	}
 	if message.Fleet != nil {
-		m.fleetReceived(message.From, message.Fleet)
+		m.fleetReceived(message.Fleet)
 	}
 }
 
-// fleetReceived takes a message of the holder, unless it is older than what is known.
-func (m *Machine) fleetReceived(from string, fleet *messenger.Fleet) {
+// fleetReceived takes a message of the holder, whoever passed it on, unless it is older than what is known.
+func (m *Machine) fleetReceived(fleet *messenger.Fleet) {
 	f := &m.fleet
 	if fleet.Fence < f.fence || fleet.Fence == f.fence && fleet.Sequence <= f.sequence {
 		return
 	}
 	if m.holdsRole() && fleet.Fence > m.role.holder.Fence {
-		m.depose("another holder, " + from + ", has a higher fencing number")
+		m.depose("another holder, " + fleet.Holder + ", has a higher fencing number")
 	}
 	f.fence, f.sequence, f.heardAt = fleet.Fence, fleet.Sequence, m.now
 	m.emit(Forward{Fleet: fleet})
 	if m.role.holder == nil && m.store.lost {
 		// The role's record can't be read, but its holder speaks.
-		m.holderSeen(Holder{Name: from, Fence: fleet.Fence})
+		m.holderSeen(Holder{Name: fleet.Holder, Fence: fleet.Fence})
 	}
 	for _, s := range fleet.Servers {
 		m.fleet.servers[s.Server] = statement{at: m.now, startedAt: s.StartedAt, holdings: registrar.Holdings{Models: s.Models}}
@@ -193,12 +193,10 @@
 	switch {
 	case m.role.holder == nil:
 		return m.settings.TurnPause + takeoverSlack
-	case m.holdsRole():
-		return max(0, m.role.ordersFrom-m.now)
-	case m.now > m.fleet.heardAt+fleetTrust:
+	case !m.holdsRole() && m.now > m.fleet.heardAt+fleetTrust:
 		return m.settings.TurnPause
 	default:
-		return 0
+		return max(0, m.role.ordersFrom-m.now)
 	}
 }
 
--- a/internal/decision/conductor/ordering.go
+++ b/internal/decision/conductor/ordering.go
@@ -26,6 +26,7 @@
 		c.goal, c.goalAt = step.Goal, m.now
 	}
 	delete(m.placing.forecasts[service], step.Goal)
+	delete(m.placing.forecasts[service], modelName(step.Model, step.Adapter))
 	if step.Model == "" {
 		return
 	}
--- a/internal/decision/conductor/placing.go
+++ b/internal/decision/conductor/placing.go
@@ -20,7 +20,7 @@
 	plannedAt time.Duration
 	// storeLoads are the starts of loads from the weight store by service, oldest first.
 	storeLoads map[string][]time.Duration
-	// forecasts tell by service when the models that get no order can be there. They are made anew from forecastAt on;
+	// forecasts tell by service and name when models and adapters that get no order can be there. They are made anew from forecastAt on;
 	// stale are those before.
 	forecasts  map[string]map[string]time.Duration
 	stale      map[string]map[string]time.Duration
@@ -91,11 +91,8 @@
 			}
 		}
 	}
-	if k.adapter == "" {
-		at, ok := p.forecasts[k.service][k.model]
-		return at, ok
-	}
-	return 0, false
+	at, ok := p.forecasts[k.service][modelName(k.model, k.adapter)]
+	return at, ok
 }
 
 // loadings returns what is being loaded, and when what can't be loaded yet can be there, for the other daemons.
@@ -114,9 +111,10 @@
 		}
 	}
 	for _, service := range slices.Sorted(maps.Keys(m.placing.forecasts)) {
-		for _, model := range slices.Sorted(maps.Keys(m.placing.forecasts[service])) {
-			at := m.placing.forecasts[service][model]
-			list = append(list, messenger.Loading{Service: service, Model: model, ReadyIn: max(0, at-m.now)})
+		for _, name := range slices.Sorted(maps.Keys(m.placing.forecasts[service])) {
+			model, adapter := splitName(name)
+			ready := max(0, m.placing.forecasts[service][name]-m.now)
+			list = append(list, messenger.Loading{Service: service, Model: model, Adapter: adapter, ReadyIn: ready})
 		}
 	}
 	return list
@@ -223,7 +221,7 @@
 	m.takeForecasts(service, result.Forecasts)
 }
 
-// foretold returns the models with a forecast that needn't be made again yet. Now and then all are.
+// foretold returns the models and adapters with a forecast that needn't be made again yet. Now and then all are.
 func (m *Machine) foretold(service string) map[string]bool {
 	p := &m.placing
 	if m.now >= p.forecastAt[service]+forecastInterval {
@@ -243,9 +241,10 @@
 func (m *Machine) takeForecasts(service string, list []placer.Forecast) {
 	p := &m.placing
 	for _, f := range list {
-		p.forecasts[service][f.Model] = m.now + f.ReadyIn
-		if _, known := p.stale[service][f.Model]; !known {
-			m.emit(Believed{Subject: "Model " + f.Model, Change: "Delayed", Reason: f.Reason, Detail: f.ReadyIn.Round(time.Millisecond).String()})
+		name := modelName(f.Model, f.Adapter)
+		p.forecasts[service][name] = m.now + f.ReadyIn
+		if _, known := p.stale[service][name]; !known {
+			m.emit(Believed{Subject: "Model " + name, Change: "Delayed", Reason: f.Reason, Detail: f.ReadyIn.Round(time.Millisecond).String()})
 			m.tellFleetSoon()
 		}
 	}
--- a/internal/decision/conductor/role.go
+++ b/internal/decision/conductor/role.go
@@ -16,7 +16,7 @@
 	// takeAt is when the daemon tries to take the free role; taking tells that it is doing so.
 	takeAt time.Duration
 	taking bool
-	// ordersFrom is when this daemon, as the holder, may give its first order.
+	// ordersFrom is when the holder, this daemon or another, may give its first order.
 	ordersFrom time.Duration
 	// deposed is the fencing number that was lost for good, by a refusal or the lease's end.
 	deposed int64
@@ -95,15 +95,16 @@
 	r.takeAt = 0
 	m.emit(Believed{Subject: "Role", Change: "HeldBy", Reason: h.Name, Version: h.Fence})
 	m.demand.tellAll()
-	if h.Instance != m.settings.Self.Instance {
-		m.placing.stop()
-		return
-	}
+	own := h.Instance == m.settings.Self.Instance
 	r.ordersFrom = m.now + m.settings.TurnPause + turnMargin
-	if before.Name == m.settings.Self.Name {
-		// Orders of one host are those of one holder.
+	if before.Name == h.Name || before.Name == "" && !own {
+		// Orders of one host are those of one holder. One that this daemon finds has had the role for long, most likely.
 		r.ordersFrom = m.now
 	}
+	if !own {
+		m.placing.stop()
+		return
+	}
 	m.startPlacing()
 }
 
--- a/internal/decision/conductor/role_test.go
+++ b/internal/decision/conductor/role_test.go
@@ -283,3 +283,51 @@
 		assertEqual(t, "operation", b.orders()[2].Order.Operation, registrar.OperationUnload)
 	})
 }
+
+func TestHolderUnknownInOutage(t *testing.T) {
+	b := newBed(t)
+	b.engine("e1", "a")
+	b.do(DaemonSeen{Daemon: Daemon{Name: "d2", Peer: "10.0.0.2:2", Zone: "a"}})
+	b.do(DaemonSeen{Daemon: Daemon{Name: "d3", Peer: "10.0.0.3:2", Zone: "a"}})
+	b.do(StoreLost{Reason: "silent"})
+	// The holder's message comes with another daemon's feed.
+	b.do(PeerReceived{Message: messenger.Message{From: "d3", Fleet: &messenger.Fleet{Holder: "d2", Fence: 9, Sequence: 1}}})
+	b.ask(deep, "m1", "")
+	b.advance(20 * time.Millisecond)
+	sent := 0
+	for _, e := range findIn[SendPeer](b.all) {
+		if e.Message.Demand != nil {
+			sent++
+			assertEqual(t, "demand is sent to", e.Address, "10.0.0.2:2")
+		}
+	}
+	if sent == 0 {
+		t.Error("got no demand sent, want some to the holder")
+	}
+}
+
+func TestNewHolderElsewhere(t *testing.T) {
+	b := newBed(t)
+	b.engine("e1", "a", held("m1"))
+	b.do(HolderSeen{Holder: Holder{Name: "d2", Instance: "x", Fence: 7}})
+	b.do(PeerReceived{Message: messenger.Message{From: "d2", Fleet: &messenger.Fleet{Holder: "d2", Fence: 7, Sequence: 1}}})
+	t.Run("an adapter that is loaded in no time is waited for", func(t *testing.T) {
+		id := b.ask(quick, "m1", "a1")
+		b.advance(10 * time.Millisecond)
+		assertEqual(t, "refusals", len(b.refusals(id)), 0)
+	})
+	t.Run("not while the next holder may give no order yet", func(t *testing.T) {
+		b.do(HolderGone{})
+		b.do(HolderSeen{Holder: Holder{Name: "d3", Instance: "y", Fence: 8}})
+		b.do(PeerReceived{Message: messenger.Message{From: "d3", Fleet: &messenger.Fleet{Holder: "d3", Fence: 8, Sequence: 1}}})
+		id := b.ask(quick, "m1", "a2")
+		b.assertRefusedWithin(id, RefusedCold, time.Millisecond, testSettings().TurnPause, testSettings().TurnPause+time.Second)
+	})
+	t.Run("until its turn has come", func(t *testing.T) {
+		b.advance(testSettings().TurnPause + turnMargin)
+		b.do(PeerReceived{Message: messenger.Message{From: "d3", Fleet: &messenger.Fleet{Holder: "d3", Fence: 8, Sequence: 2}}})
+		id := b.ask(quick, "m1", "a3")
+		b.advance(10 * time.Millisecond)
+		assertEqual(t, "refusals", len(b.refusals(id)), 0)
+	})
+}
--- a/internal/decision/placer/adapter.go
+++ b/internal/decision/placer/adapter.go
@@ -3,10 +3,14 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"samphirewharf/internal/fleet/registrar"
 )
 
+// adapterResidence is how long an adapter stays at least, about ten times as long as one takes to load.
+const adapterResidence = 100 * time.Millisecond
+
 // placeAdapters gives each adapter that requests wait for a place at a server that holds its model.
 func (p *planner) placeAdapters() {
 	taken := make(map[string]bool)
@@ -23,15 +27,41 @@
 		slices.SortFunc(candidates, func(a, b Server) int {
 			return cmp.Or(cmp.Compare(a.adapterCost(), b.adapterCost()), cmp.Compare(a.running(), b.running()), cmp.Compare(a.ID, b.ID))
 		})
-		for _, s := range candidates {
-			if p.placeAdapter(s, d) {
-				taken[s.ID] = true
-				break
-			}
+		at := slices.IndexFunc(candidates, func(s Server) bool { return p.placeAdapter(s, d) })
+		if at >= 0 {
+			taken[candidates[at].ID] = true
+		} else {
+			p.foretellAdapter(d)
 		}
 	}
 }
 
+// foretellAdapter notes when an adapter can find a place, if that is not at once: its servers are busy with the load of a
+// model, or all adapters there are in use.
+func (p *planner) foretellAdapter(d Demand) {
+	if d.Waiting == 0 || p.copies[d.Model] == 0 || p.in.Foretold[d.Model+"/"+d.Adapter] {
+		return
+	}
+	f := Forecast{Model: d.Model, Adapter: d.Adapter, ReadyIn: forecastMost, Reason: reasonBusy}
+	for _, s := range p.in.Servers {
+		if !s.holds(d.Model) {
+			continue
+		}
+		ready := s.FreeIn
+		if _, _, idle := s.unusedAdapter(p.in.Now); !idle && !p.roomForAdapter(s, d.Model) {
+			ready += runningPause
+		}
+		f.ReadyIn = min(f.ReadyIn, ready)
+	}
+	if f.ReadyIn > adapterResidence {
+		p.foretold = append(p.foretold, f)
+	}
+}
+
+func (p *planner) roomForAdapter(s Server, model string) bool {
+	return s.adapters()+len(s.Coming) < p.in.Engine.AdapterSlots && p.room(s) >= p.in.Engine.Models[model].AdapterMegabytes
+}
+
 // wantedAdapters returns the demands for adapters that no server has, the most waited for first.
 func (p *planner) wantedAdapters() []Demand {
 	var list []Demand
@@ -52,16 +82,15 @@
 func (p *planner) adapterHeld(d Demand) bool { return p.adapters[d.Model+"/"+d.Adapter] }
 
 // placeAdapter loads an adapter at a server, or drops the one there that was unused for longest. It returns false if
-// neither can be done.
+// neither can be done. None makes way for one that nobody waits for any more.
 func (p *planner) placeAdapter(s Server, d Demand) bool {
 	step := Step{Server: s.ID, Goal: s.Goal, Operation: registrar.OperationLoad, Model: d.Model, Adapter: d.Adapter, Reason: "AdapterWanted"}
-	model := p.in.Engine.Models[d.Model]
-	if s.adapters()+len(s.Coming) < p.in.Engine.AdapterSlots && p.room(s) >= model.AdapterMegabytes {
+	if p.roomForAdapter(s, d.Model) {
 		p.steps = append(p.steps, step)
 		return true
 	}
-	victim, of, ok := s.unusedAdapter()
-	if !ok {
+	victim, of, ok := s.unusedAdapter(p.in.Now)
+	if !ok || d.Waiting == 0 {
 		return false
 	}
 	step.Operation = registrar.OperationUnload
@@ -71,12 +100,12 @@
 }
 
 // unusedAdapter returns the adapter without requests that was unused for longest.
-func (s Server) unusedAdapter() (Adapter, string, bool) {
+func (s Server) unusedAdapter(now time.Duration) (Adapter, string, bool) {
 	var best Adapter
 	of, found := "", false
 	for _, m := range s.Models {
 		for _, a := range m.Adapters {
-			if !a.Busy && (!found || a.UsedAt < best.UsedAt) {
+			if !a.Busy && now >= a.UsedAt+adapterResidence && (!found || a.UsedAt < best.UsedAt) {
 				best, of, found = a, m.Name, true
 			}
 		}
--- a/internal/decision/placer/forecast.go
+++ b/internal/decision/placer/forecast.go
@@ -12,9 +12,10 @@
 	leastRate = 0.1
 )
 
-// A Forecast tells when a model that is asked for, and for which no order is given now, can be there.
+// A Forecast tells when a model or adapter that is asked for, and for which no order is given now, can be there.
 type Forecast struct {
 	Model   string
+	Adapter string
 	ReadyIn time.Duration
 	// Reason is what it waits for most.
 	Reason string
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -109,7 +109,7 @@
 	// StoreLoads is how many loads from the weight store run, StoreBudget how many may begin now.
 	StoreLoads  int
 	StoreBudget int
-	// Foretold are the models whose forecasts are fresh enough. The others get one.
+	// Foretold are the models, and adapters as MODEL/ADAPTER, whose forecasts are fresh enough. The others get one.
 	Foretold map[string]bool
 }
 
@@ -117,7 +117,7 @@
 type Result struct {
 	// Steps hold at most one order for models and one for adapters at each server.
 	Steps []Step
-	// Forecasts are of the models without replica that get no order, those foretold left out.
+	// Forecasts are of the models without replica, and of adapters, that get no order, those foretold left out.
 	Forecasts []Forecast
 }
 
@@ -149,6 +149,8 @@
 	taken          map[string]bool
 	stores         int
 	steps          []Step
+	// foretold are the forecasts of adapters.
+	foretold []Forecast
 }
 
 // A need is a model that wants one more replica.
@@ -177,7 +179,7 @@
 		}
 	}
 	p.placeAdapters()
-	return Result{Steps: p.steps, Forecasts: p.forecasts(unmet)}
+	return Result{Steps: p.steps, Forecasts: append(p.forecasts(unmet), p.foretold...)}
 }
 
 // value returns what a model is worth keeping: the requests that wait for it and that come soon.
--- a/internal/decision/placer/placer_test.go
+++ b/internal/decision/placer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -140,6 +141,39 @@
 		s.Models[0].Adapters[0].Busy = true
 		assertSteps(t, Plan(input([]Demand{wanted("a3")}, s)).Steps)
 	})
+	t.Run("one that was loaded a moment ago stays, so that adapters don't drive each other out in turn", func(t *testing.T) {
+		s := engine("e1", "hot")
+		s.Models[0].Adapters = []Adapter{{Name: "a1", UsedAt: time.Minute}, {Name: "a2", UsedAt: time.Minute - adapterResidence/2}}
+		assertSteps(t, Plan(input([]Demand{wanted("a3")}, s)).Steps)
+		s.Models[0].Adapters[1].UsedAt = time.Minute - 2*adapterResidence
+		assertSteps(t, Plan(input([]Demand{wanted("a3")}, s)).Steps, "Unload hot/a2 at e1")
+	})
+	t.Run("none makes way for one that nobody waits for any more", func(t *testing.T) {
+		refused := []Demand{{Model: "hot", Adapter: "a3", Refused: 2}}
+		s := engine("e1", "hot")
+		s.Models[0].Adapters = []Adapter{{Name: "a1", UsedAt: 2}, {Name: "a2", UsedAt: 1}}
+		assertSteps(t, Plan(input(refused, s)).Steps)
+		s.Models[0].Adapters = s.Models[0].Adapters[:1]
+		assertSteps(t, Plan(input(refused, s)).Steps, "Load hot/a3 at e1")
+	})
+	t.Run("one that finds no place is foretold", func(t *testing.T) {
+		s := engine("e1", "hot")
+		s.Models[0].Adapters = []Adapter{{Name: "a1", Busy: true}, {Name: "a2", Busy: true}}
+		got := Plan(input([]Demand{wanted("a3"), {Model: "hot", Running: 2}}, s)).Forecasts
+		want := []Forecast{{Model: "hot", Adapter: "a3", ReadyIn: runningPause, Reason: reasonBusy}}
+		if !slices.Equal(got, want) {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+	})
+	t.Run("one whose server loads a model is foretold", func(t *testing.T) {
+		s := engine("e1", "hot")
+		s.Loading, s.Free, s.FreeForAdapter, s.FreeIn = "mid", false, false, 5*time.Second
+		got := Plan(input([]Demand{wanted("a3"), {Model: "hot", Running: 2}}, s)).Forecasts
+		want := []Forecast{{Model: "hot", Adapter: "a3", ReadyIn: 5 * time.Second, Reason: reasonBusy}}
+		if !slices.Equal(got, want) {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+	})
 	t.Run("a server with another order gets none", func(t *testing.T) {
 		s := engine("e1", "hot")
 		s.FreeForAdapter = false
--- a/internal/peer/messenger/fleet.go
+++ b/internal/peer/messenger/fleet.go
@@ -49,7 +49,9 @@
 // A Fleet is what the daemon that gives orders says of the servers. Servers that it leaves out hold what they say
 // themselves.
 type Fleet struct {
-	// Fence is the sender's fencing number. A message with a lower number than one seen is out of date.
+	// Holder is the daemon that gives orders. Others pass its message on.
+	Holder string
+	// Fence is its fencing number. A message with a lower number than one seen is out of date.
 	Fence int64
 	// Sequence grows with each message of a fencing number.
 	Sequence int64
@@ -133,7 +135,7 @@
 		return nil
 	}
 	return &FleetPart{
-		Fence: f.Fence, Sequence: f.Sequence, ConfigurationVersion: f.ConfigurationVersion,
+		Holder: f.Holder, Fence: f.Fence, Sequence: f.Sequence, ConfigurationVersion: f.ConfigurationVersion,
 		Suspects: convert(f.Suspects, encodeSuspect),
 		Servers:  convert(f.Servers, encodeFleetServer),
 		Loading: convert(f.Loading, func(l Loading) *LoadingPart {
@@ -147,7 +149,7 @@
 		return nil
 	}
 	return &Fleet{
-		Fence: p.GetFence(), Sequence: p.GetSequence(), ConfigurationVersion: p.GetConfigurationVersion(),
+		Holder: p.GetHolder(), Fence: p.GetFence(), Sequence: p.GetSequence(), ConfigurationVersion: p.GetConfigurationVersion(),
 		Suspects: convert(p.GetSuspects(), decodeSuspect),
 		Servers:  convert(p.GetServers(), decodeFleetServer),
 		Loading: convert(p.GetLoading(), func(l *LoadingPart) Loading {
