fix: an adapter is ordered at one engine only, and plans leave time for the rest on large sites

The holder ordered each adapter at up to three engines, 8 ms apart, since one whose order was on its way did not count as coming; so adapters made way for copies of each other. A plan of 112 engines takes 1.1 ms and 0.9 MB (BenchmarkPlan) and was made up to 125 times a second on 0.8 of a core. Ruled out: the engines (orders took 10 ms before), the network of the holder. Test: TestOrders/an adapter whose order is on its way to one engine is not ordered at another; failed before.

--- a/internal/decision/conductor/placing.go
+++ b/internal/decision/conductor/placing.go
@@ -7,6 +7,7 @@
 
 	"samphirewharf/internal/decision/placer"
 	"samphirewharf/internal/fleet/matcher"
+	"samphirewharf/internal/fleet/registrar"
 	"samphirewharf/internal/peer/messenger"
 )
 
@@ -30,8 +31,12 @@
 // planInterval is how often a plan is made while nothing new is known.
 const planInterval = 200 * time.Millisecond
 
-// planGap is the least time between two plans, so that news that come together are planned for together.
-const planGap = 8 * time.Millisecond
+// planGap is the least time between two plans, so that news that come together are planned for together. It grows by
+// planGapPerEngine, about twenty times what an engine adds to a plan's own time (10 us, BenchmarkPlan).
+const (
+	planGap          = 8 * time.Millisecond
+	planGapPerEngine = 200 * time.Microsecond
+)
 
 func newPlacingState() placingState {
 	return placingState{
@@ -74,11 +79,16 @@
 		}
 	}
 	if p.dirty && m.mayOrder() {
-		next = min(next, p.plannedAt+planGap)
+		next = min(next, p.dirtyPlanAt())
 	}
 	return next
 }
 
+// dirtyPlanAt returns when the next plan may be made if there is news.
+func (p *placingState) dirtyPlanAt() time.Duration {
+	return p.plannedAt + planGap + time.Duration(len(p.controls))*planGapPerEngine
+}
+
 func (p *placingState) loadingUntil(k modelKey) (time.Duration, bool) {
 	for _, id := range p.ids() {
 		c := p.controls[id]
@@ -152,7 +162,7 @@
 		p.planAt = max(p.planAt, m.now+planInterval/4)
 		return
 	}
-	if m.now < p.planAt && (!p.dirty || m.now < p.plannedAt+planGap) {
+	if m.now < p.planAt && (!p.dirty || m.now < p.dirtyPlanAt()) {
 		return
 	}
 	p.dirty = false
@@ -297,6 +307,9 @@
 	for _, a := range c.coming {
 		ps.Coming = append(ps.Coming, modelName(a.model, a.adapter))
 	}
+	if o := c.order; o != nil && o.Adapter != "" && o.Operation == registrar.OperationLoad {
+		ps.Coming = append(ps.Coming, modelName(o.Model, o.Adapter))
+	}
 	asked := make(map[string]placer.Demand, len(demands))
 	for _, d := range demands {
 		asked[modelName(d.Model, d.Adapter)] = d
--- a/internal/decision/conductor/role_test.go
+++ b/internal/decision/conductor/role_test.go
@@ -262,6 +262,16 @@
 		assertEqual(t, "orders", len(b.orders()), 1)
 		assertEqual(t, "sends", len(findIn[Send](b.all)), 2)
 	})
+	t.Run("an adapter whose order is on its way to one engine is not ordered at another", func(t *testing.T) {
+		b := newBed(t)
+		b.engine("e1", "a", held("m1"))
+		b.engine("e2", "a", held("m1"))
+		b.hold()
+		b.settle(0, held("m1"))
+		b.ask(quick, "m1", "a3")
+		b.advance(5 * (planInterval + planGap))
+		assertEqual(t, "orders", len(b.orders()), 1)
+	})
 	t.Run("places of adapters are never exceeded", func(t *testing.T) {
 		b := newBed(t)
 		b.engine("e1", "a", held("m1", "a1", "a2"))
