--- a/internal/decision/placer/adapter.go
+++ b/internal/decision/placer/adapter.go
@@ -21,21 +21,34 @@
 		}
 	}
 	for _, d := range p.wantedAdapters() {
-		candidates := slices.DeleteFunc(slices.Clone(p.in.Servers), func(s Server) bool {
-			return !s.FreeForAdapter || taken[s.ID] || s.Goal != "" || !s.holds(d.Model)
-		})
-		slices.SortFunc(candidates, func(a, b Server) int {
-			return cmp.Or(cmp.Compare(a.adapterCost(), b.adapterCost()), cmp.Compare(a.running(), b.running()), cmp.Compare(a.ID, b.ID))
-		})
-		at := slices.IndexFunc(candidates, func(s Server) bool { return p.placeAdapter(s, d) })
-		if at >= 0 {
-			taken[candidates[at].ID] = true
+		if at := p.placeAtBest(d, taken); at != "" {
+			taken[at] = true
 		} else {
 			p.foretellAdapter(d)
 		}
 	}
 }
 
+// placeAtBest gives the order for an adapter at the server of its model that suits best, and returns which that is, if
+// there is one.
+func (p *planner) placeAtBest(d Demand, taken map[string]bool) string {
+	var candidates []*Server
+	for _, s := range p.holders[d.Model] {
+		if s.FreeForAdapter && !taken[s.ID] && s.Goal == "" {
+			candidates = append(candidates, s)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b *Server) int {
+		return cmp.Or(cmp.Compare(a.adapterCost(), b.adapterCost()), cmp.Compare(a.running(), b.running()), cmp.Compare(a.ID, b.ID))
+	})
+	for _, s := range candidates {
+		if p.placeAdapter(*s, d) {
+			return s.ID
+		}
+	}
+	return ""
+}
+
 // foretellAdapter notes when an adapter can find a place, if that is not at once: its servers are busy with the load of a
 // model, or all adapters there are in use.
 func (p *planner) foretellAdapter(d Demand) {
@@ -43,12 +56,9 @@
 		return
 	}
 	f := Forecast{Model: d.Model, Adapter: d.Adapter, ReadyIn: forecastMost, Reason: reasonBusy}
-	for _, s := range p.in.Servers {
-		if !s.holds(d.Model) {
-			continue
-		}
+	for _, s := range p.holders[d.Model] {
 		ready := s.FreeIn
-		if _, _, idle := s.unusedAdapter(p.in.Now); !idle && !p.roomForAdapter(s, d.Model) {
+		if _, _, idle := s.unusedAdapter(p.in.Now); !idle && !p.roomForAdapter(*s, d.Model) {
 			ready += runningPause
 		}
 		f.ReadyIn = min(f.ReadyIn, ready)
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -142,6 +142,8 @@
 	demands map[string]Demand
 	// copies counts the servers that hold a model, load it or make room for it.
 	copies map[string]int
+	// holders are the servers that hold a model.
+	holders map[string][]*Server
 	// adapters are those that a server has or gets, as MODEL/ADAPTER.
 	adapters map[string]bool
 	// largestAdapter is the memory of the largest adapter in megabytes.
@@ -192,9 +194,12 @@
 func (p *planner) count() {
 	p.copies = make(map[string]int)
 	p.adapters = make(map[string]bool)
-	for _, s := range p.in.Servers {
+	p.holders = make(map[string][]*Server)
+	for i := range p.in.Servers {
+		s := &p.in.Servers[i]
 		for _, m := range s.Models {
 			p.copies[m.Name]++
+			p.holders[m.Name] = append(p.holders[m.Name], s)
 			for _, a := range m.Adapters {
 				p.adapters[m.Name+"/"+a.Name] = true
 			}
