fix: servers are chosen by smoothed counts and some chance, since the daemons' counts of each other are old

Load: 60 daemons choose among a few replicas of a hot model by counts that are up to a second old. Cause: all believed the latest count, sent to the same idlest server until the next one, and took a server for full for a second that had been so for a moment. Change: counts are smoothed (weight 0.15), and a range of chance up to 0.6, growing with the number of daemons, is added to a server's score. Test: TestOldCounts failed before.

--- a/internal/decision/conductor/fleet.go
+++ b/internal/decision/conductor/fleet.go
@@ -105,7 +105,7 @@
 		})
 	}
 	for _, s := range m.servers {
-		s.others = max(0, inFlight[s.entry.ID]-len(s.runs))
+		s.countOthers(inFlight[s.entry.ID])
 	}
 	return fleet
 }
@@ -146,7 +146,7 @@
 	for _, s := range fleet.Servers {
 		m.fleet.servers[s.Server] = statement{at: m.now, startedAt: s.StartedAt, holdings: registrar.Holdings{Models: s.Models}}
 		if known, ok := m.servers[s.Server]; ok {
-			known.others = max(0, s.InFlight-len(known.runs))
+			known.countOthers(s.InFlight)
 		}
 	}
 	clear(f.loading)
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -38,6 +38,12 @@
 	errorWeight = 0.1
 	// crossZoneScore is what a server in another zone costs against one in the daemon's, in units of its full load.
 	crossZoneScore = 0.15
+	// othersWeight is the weight of the latest count in the others' requests at a server.
+	othersWeight = 0.15
+	// staleSpread is the range of chance in a server's score where staleDaemons or more choose by old counts of each
+	// other, so that they don't all choose the same one.
+	staleSpread  = 0.6
+	staleDaemons = 30.0
 	// keptScore is what having read the whole prompt is worth.
 	keptScore = 0.3
 	// slowScore weighs how much slower than its fellows a server answers, up to slowMost.
--- a/internal/decision/conductor/measuring.go
+++ b/internal/decision/conductor/measuring.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"math"
 	"time"
 
 	"samphirewharf/internal/decision/placer"
@@ -71,12 +72,13 @@
 
 func (m *Machine) measureService(name string) ServiceGauges {
 	p := m.pool(name)
+	taken := 0.0
 	g := ServiceGauges{Queued: len(p.queue), RetriesLeft: max(0, p.budget.Left(m.now, m.daemonCount()))}
 	engine := m.engine(name)
 	for _, s := range m.serversOf(name) {
 		g.Running += len(s.runs)
 		if s.usable() {
-			g.Taken += len(s.runs) + s.others
+			taken += float64(len(s.runs)) + s.others
 			g.Slots += s.entry.Slots
 			if engine != nil {
 				g.TokenCapacity += int64(engine.TokenCapacity)
@@ -89,5 +91,6 @@
 			g.StoreLoads++
 		}
 	}
+	g.Taken = int(math.Round(taken))
 	return g
 }
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -152,9 +152,10 @@
 func (m *Machine) best(r *request, able []*server) choice {
 	var c choice
 	fastest := fastestOf(able)
+	spread := staleSpread * min(1, float64(m.daemonCount())/staleDaemons)
 	for _, i := range m.rng.Perm(len(able)) {
 		s := able[i]
-		score := m.score(r, s, fastest)
+		score := m.score(r, s, fastest) + spread*m.rng.Float64()
 		switch {
 		case c.server == nil || score < c.score:
 			c.other, c.otherScore = c.server, c.score
@@ -207,7 +208,7 @@
 
 // atCapacity tells that an engine has a request for each of its slots. Plain servers queue by themselves.
 func (m *Machine) atCapacity(s *server, r *request) bool {
-	return r.engagesModel() && len(s.runs)+s.others >= s.entry.Slots
+	return r.engagesModel() && s.load() >= 1
 }
 
 // send dispatches a request to the chosen server.
--- a/internal/decision/conductor/routing_test.go
+++ b/internal/decision/conductor/routing_test.go
@@ -1,11 +1,15 @@
 package conductor
 
 import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/fleet/registrar"
+	"samphirewharf/internal/peer/messenger"
 )
 
 func TestChoice(t *testing.T) {
@@ -279,3 +283,108 @@
 	b.do(RoleAnswered{Fence: b.revision})
 	b.advance(testSettings().TurnPause + 2*turnMargin)
 }
+
+// The load: many daemons choose among the replicas of a model by counts of each other that are up to a second old. If all
+// believed the latest count, they would send to the same server until the next one.
+func TestOldCounts(t *testing.T) {
+	tell := func(b *bed, sequence int64, counts map[string]int) {
+		fleet := &messenger.Fleet{Holder: "d2", Fence: 9, Sequence: sequence}
+		for _, id := range []string{"e1", "e2"} {
+			fleet.Servers = append(fleet.Servers, messenger.FleetServer{Server: id, StartedAt: 1, InFlight: counts[id], Models: []registrar.HeldModel{held("m1")}})
+		}
+		b.do(PeerReceived{Message: messenger.Message{From: "d2", Fleet: fleet}})
+	}
+	t.Run("one high count doesn't shut a server out", func(t *testing.T) {
+		b := newBed(t)
+		b.engine("e1", "a", held("m1"))
+		tell(b, 1, nil)
+		tell(b, 2, map[string]int{"e1": 4})
+		b.ask(quick, "m1", "")
+		one[Send](b)
+	})
+	t.Run("a server that stays full is left alone", func(t *testing.T) {
+		b := newBed(t)
+		b.engine("e1", "a", held("m1"))
+		for i := range 20 {
+			tell(b, int64(i+1), map[string]int{"e1": 5})
+		}
+		b.ask(quick, "m1", "")
+		none[Send](b)
+	})
+	t.Run("forty daemons spread a model's requests over its servers", func(t *testing.T) {
+		late, all := playOldCounts(t)
+		if late*20 > all {
+			t.Errorf("got %d of %d requests at a server without a free slot, want at most one in twenty", late, all)
+		}
+	})
+}
+
+// playOldCounts plays forty daemons that send to five servers with twelve slots each for ten seconds. Half of the slots
+// are enough; counts are told once a second. It returns how many requests came to a server without a free slot.
+func playOldCounts(t *testing.T) (late, all int) {
+	t.Helper()
+	const (
+		daemons, servers, slots = 40, 5, 12
+		step, runs, told        = 5 * time.Millisecond, 80 * time.Millisecond, time.Second
+		perStep                 = 2
+	)
+	type running struct {
+		b      *bed
+		id     reducer.RequestID
+		server string
+		until  time.Duration
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	var beds []*bed
+	for i := range daemons {
+		b := newBed(t)
+		for j := range daemons {
+			b.do(DaemonSeen{Daemon: Daemon{Name: "d" + strconv.Itoa(j), Peer: "p", Zone: "a"}})
+		}
+		b.machine.rng = rand.New(rand.NewPCG(uint64(i), 2))
+		for j := range servers {
+			e := b.engine("e"+strconv.Itoa(j), "a", held("m1"))
+			e.Slots = slots
+			b.change(e)
+		}
+		beds = append(beds, b)
+	}
+	busy := make(map[string]int)
+	var active []running
+	for now := step; now < 10*time.Second; now += step {
+		active = slices.DeleteFunc(active, func(r running) bool {
+			if now < r.until {
+				return false
+			}
+			busy[r.server]--
+			r.b.now = now
+			r.b.end(r.id, 1, reducer.AttemptDone, CauseNone)
+			return true
+		})
+		if now%told == 0 {
+			fleet := &messenger.Fleet{Holder: "h", Fence: 9, Sequence: int64(now / told)}
+			for j := range servers {
+				id := "e" + strconv.Itoa(j)
+				fleet.Servers = append(fleet.Servers, messenger.FleetServer{Server: id, StartedAt: 1, InFlight: busy[id], Models: []registrar.HeldModel{held("m1")}})
+			}
+			for _, b := range beds {
+				b.now = now
+				b.do(PeerReceived{Message: messenger.Message{From: "h", Fleet: fleet}})
+			}
+		}
+		for range perStep {
+			b := beds[rng.IntN(daemons)]
+			b.now = now
+			id := b.ask(quick, "m1", "")
+			for _, s := range find[Send](b) {
+				all++
+				if busy[s.Server] >= slots {
+					late++
+				}
+				busy[s.Server]++
+				active = append(active, running{b: b, id: id, server: s.Server, until: now + runs})
+			}
+		}
+	}
+	return late, all
+}
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -18,8 +18,8 @@
 
 	// runs are this daemon's requests at the server.
 	runs map[reducer.RequestID]*request
-	// others is how many requests of other daemons the server has, as the holder said.
-	others int
+	// others is how many requests of other daemons the server has, as the holder said, smoothed since its counts are old.
+	others float64
 	// absent are models and adapters that the server refused to have, until when.
 	absent map[string]time.Duration
 
@@ -50,7 +50,12 @@
 
 // load returns how many requests the server has for each of its slots.
 func (s *server) load() float64 {
-	return float64(len(s.runs)+s.others) / float64(max(s.entry.Slots, 1))
+	return (float64(len(s.runs)) + s.others) / float64(max(s.entry.Slots, 1))
+}
+
+// countOthers takes how many requests of all daemons the server had a while ago.
+func (s *server) countOthers(all int) {
+	s.others += othersWeight * (float64(max(0, all-len(s.runs))) - s.others)
 }
 
 // share returns how much of the prompt the server has read, from 0 to 1.
