--- a/internal/decision/conductor/feed.go
+++ b/internal/decision/conductor/feed.go
@@ -231,7 +231,8 @@
 		f.heard, f.stale = false, true
 	}
 	if !f.following || m.store.lost {
-		m.takeSource(!e.Fresh)
+		// A feeder may be the only one that is cut off. The daemon's own calls tell whether the service is.
+		m.takeSource(!e.Fresh && m.store.lost)
 	}
 }
 
