feat: how many loads the weight store serves at once is found out

Load: most models lie in a store that serves one load at full speed on the grown sites and four on the others, and no setting says so. Four at once on a grown site take 53 s each instead of 13 s one after the other. Change: two at once at first, doubled while loads are timely, shrunk to what their times show. Tests: TestLanes plays narrow and wide stores; with four from the start the first of eight loads of a narrow store comes after 40 s, now after 20 s at most, and the last no later than one load more.

--- a/internal/decision/conductor/control.go
+++ b/internal/decision/conductor/control.go
@@ -33,11 +33,15 @@
 	order    *registrar.Order
 	doubtful bool
 	// loading and unloading are models that the engine is busy with.
-	loading   string
-	tier      placer.Tier
-	loadEnds  time.Duration
-	unloading string
-	coming    []comingAdapter
+	loading  string
+	tier     placer.Tier
+	loadEnds time.Duration
+	// loadBegan is when the engine took the order for the load, loadsBeside the most loads from the weight store that ran
+	// at once meanwhile, this one included.
+	loadBegan   time.Duration
+	loadsBeside int
+	unloading   string
+	coming      []comingAdapter
 	// added and dropped are what own orders changed lately, by name.
 	added   map[string]time.Duration
 	dropped map[string]time.Duration
@@ -63,6 +67,9 @@
 	}
 }
 
+// loadsFromStore tells that the engine loads a model from the weight store.
+func (c *control) loadsFromStore() bool { return c.loading != "" && c.tier == placer.TierStore }
+
 // serving returns what requests find at the engine.
 func (c *control) serving(now time.Duration) registrar.Holdings {
 	h := c.holdings
@@ -114,6 +121,9 @@
 	}
 	if c.loading != "" && said.Has(c.loading, "") {
 		m.emit(Believed{Subject: "Server " + s.entry.ID, Change: "Loaded", Reason: c.loading, Age: m.now - c.changedAt})
+		if c.loadsFromStore() {
+			m.lanes(s.entry.Service).Done(m.now-c.loadBegan, m.engine(s.entry.Service).Models[c.loading].StoreLoad, c.loadsBeside)
+		}
 		c.loadedAt[c.loading] = m.now
 		delete(c.hidden, c.loading)
 		c.loading = ""
--- a/internal/decision/conductor/measuring.go
+++ b/internal/decision/conductor/measuring.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"samphirewharf/internal/decision/placer"
 )
 
 // measureInterval is how often the gauges are measured. Metrics are fetched every few seconds.
@@ -87,7 +85,7 @@
 		for _, r := range s.runs {
 			g.TokensRunning += int64(r.InputTokens + r.OutputTokens)
 		}
-		if c, ok := m.placing.controls[s.entry.ID]; ok && c.loading != "" && c.tier == placer.TierStore {
+		if c, ok := m.placing.controls[s.entry.ID]; ok && c.loadsFromStore() {
 			g.StoreLoads++
 		}
 	}
--- a/internal/decision/conductor/ordering.go
+++ b/internal/decision/conductor/ordering.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"samphirewharf/internal/decision/allotter"
 	"samphirewharf/internal/decision/placer"
 	"samphirewharf/internal/fleet/registrar"
 )
@@ -13,9 +14,6 @@
 // maxAdaptersComing is how many adapters a server takes at the same time.
 const maxAdaptersComing = 4
 
-// storeLoadsAtFullSpeed is how many loads the weight store serves without slowing them, by the deployments' sheets.
-const storeLoadsAtFullSpeed = 4
-
 // take carries out one step of a plan.
 func (m *Machine) take(service string, step placer.Step) {
 	c, s := m.placing.controls[step.Server], m.servers[step.Server]
@@ -115,6 +113,7 @@
 		c.loading = o.Model
 		c.goal = ""
 		delete(c.dropped, o.Model)
+		c.loadBegan, c.loadsBeside = m.now, 0
 		c.loadEnds = m.now + m.loadTime(s, c.tier, o.Model)
 		c.reportAt = c.loadEnds + loadSlack
 	case o.Adapter == "":
@@ -147,11 +146,40 @@
 	if tier != placer.TierStore {
 		return t
 	}
+	lanes := m.lanes(s.entry.Service).Number()
+	return t * time.Duration(max(m.storeLoads(s.entry.Service), lanes)) / time.Duration(lanes)
+}
+
+// storeLoads returns how many loads from the weight store run for a service.
+func (m *Machine) storeLoads(service string) int {
 	running := 0
-	for _, c := range m.placing.controls {
-		if c.loading != "" && c.tier == placer.TierStore {
+	for _, s := range m.serversOf(service) {
+		if c, ok := m.placing.controls[s.entry.ID]; ok && c.loadsFromStore() {
 			running++
 		}
 	}
-	return t * time.Duration(max(running, storeLoadsAtFullSpeed)) / storeLoadsAtFullSpeed
+	return running
+}
+
+// lanes returns what is known of how many loads the weight store serves at once for a service.
+func (m *Machine) lanes(service string) *allotter.Lanes {
+	l, ok := m.placing.lanes[service]
+	if !ok {
+		l = &allotter.Lanes{}
+		m.placing.lanes[service] = l
+	}
+	return l
+}
+
+// watchLoads notes how long the loads from the weight store take, before a plan relies on it.
+func (m *Machine) watchLoads(service string) {
+	running := m.storeLoads(service)
+	for _, s := range m.serversOf(service) {
+		c, ok := m.placing.controls[s.entry.ID]
+		if !ok || !c.loadsFromStore() {
+			continue
+		}
+		c.loadsBeside = max(c.loadsBeside, running)
+		m.lanes(service).Overdue(m.now-c.loadBegan, m.engine(service).Models[c.loading].StoreLoad, c.loadsBeside)
+	}
 }
--- a/internal/decision/conductor/placing.go
+++ b/internal/decision/conductor/placing.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"samphirewharf/internal/decision/allotter"
 	"samphirewharf/internal/decision/placer"
 	"samphirewharf/internal/fleet/matcher"
 	"samphirewharf/internal/fleet/registrar"
@@ -21,6 +22,8 @@
 	plannedAt time.Duration
 	// storeLoads are the starts of loads from the weight store by service, oldest first.
 	storeLoads map[string][]time.Duration
+	// lanes are what is known by service of how many loads the weight store serves at once.
+	lanes map[string]*allotter.Lanes
 	// forecasts tell by service and name when models and adapters that get no order can be there. They are made anew from forecastAt on;
 	// stale are those before.
 	forecasts  map[string]map[string]time.Duration
@@ -40,7 +43,7 @@
 
 func newPlacingState() placingState {
 	return placingState{
-		controls: make(map[string]*control), storeLoads: make(map[string][]time.Duration),
+		controls: make(map[string]*control), lanes: make(map[string]*allotter.Lanes), storeLoads: make(map[string][]time.Duration),
 		forecasts: make(map[string]map[string]time.Duration), stale: make(map[string]map[string]time.Duration),
 		forecastAt: make(map[string]time.Duration),
 	}
@@ -217,11 +220,13 @@
 		if !ok || !s.usable() || s.doubtUntil > 0 || s.downUntil > m.now {
 			continue
 		}
-		if c.loading != "" && c.tier == placer.TierStore {
+		if c.loadsFromStore() {
 			in.StoreLoads++
 		}
 		in.Servers = append(in.Servers, plannerServer(m.now, s, c, running, in.Demands))
 	}
+	m.watchLoads(service)
+	in.StoreLanes = m.lanes(service).Number()
 	in.StoreBudget = m.storeBudget(service, engine)
 	in.Foretold = m.foretold(service)
 	result := placer.Plan(in)
--- a/internal/decision/placer/forecast_test.go
+++ b/internal/decision/placer/forecast_test.go
@@ -49,7 +49,7 @@
 	})
 	t.Run("a weight store with all loads running takes half a load more", func(t *testing.T) {
 		in := input([]Demand{{Model: "mid", Waiting: 9}}, engine("e1"))
-		in.StoreLoads = maxStoreLoads
+		in.StoreLoads = testLanes
 		assertForecast(t, forecast(t, in), "mid", reasonStore, 9*time.Second)
 	})
 	t.Run("none for a model whose forecast is fresh", func(t *testing.T) {
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -30,8 +30,6 @@
 	minResidence = 3 * time.Second
 	// evictCost is the load time that one request a second of a dropped model is worth.
 	evictCost = 4 * time.Second
-	// maxStoreLoads is how many loads from the weight store run at once, more share its bandwidth.
-	maxStoreLoads = 4
 	// goalLife is how long a server is kept for a model that makes no progress there.
 	goalLife = 15 * time.Second
 )
@@ -106,8 +104,10 @@
 	Servers []Server
 	// Demands hold one entry for each model, adapters included, and one for each adapter.
 	Demands []Demand
-	// StoreLoads is how many loads from the weight store run, StoreBudget how many may begin now.
+	// StoreLoads is how many loads from the weight store run, StoreLanes how many may run at once, and StoreBudget how
+	// many may begin now.
 	StoreLoads  int
+	StoreLanes  int
 	StoreBudget int
 	// Foretold are the models, and adapters as MODEL/ADAPTER, whose forecasts are fresh enough. The others get one.
 	Foretold map[string]bool
@@ -167,7 +167,7 @@
 func Plan(in Input) Result {
 	p := planner{in: in, demands: make(map[string]Demand), taken: make(map[string]bool)}
 	p.count()
-	p.stores = min(maxStoreLoads-in.StoreLoads, in.StoreBudget)
+	p.stores = min(in.StoreLanes-in.StoreLoads, in.StoreBudget)
 	for _, d := range in.Demands {
 		if d.Adapter == "" {
 			p.demands[d.Model] = d
--- a/internal/decision/placer/placer_test.go
+++ b/internal/decision/placer/placer_test.go
@@ -10,6 +10,9 @@
 	"samphirewharf/internal/fleet/registrar"
 )
 
+// testLanes is how many loads from the weight store run at once.
+const testLanes = 4
+
 func testEngine() matcher.Engine {
 	e := matcher.Engine{Slots: 10, WeightMegabytes: 100, AdapterSlots: 2, Models: make(map[string]matcher.Model)}
 	for name, megabytes := range map[string]float64{"big": 60, "mid": 40, "hot": 40, "rare": 40, "small": 15} {
@@ -29,7 +32,7 @@
 }
 
 func input(demands []Demand, servers ...Server) Input {
-	return Input{Now: time.Minute, Engine: testEngine(), Servers: servers, Demands: demands, StoreBudget: 10}
+	return Input{Now: time.Minute, Engine: testEngine(), Servers: servers, Demands: demands, StoreLanes: testLanes, StoreBudget: 10}
 }
 
 func assertSteps(t *testing.T, got []Step, want ...string) {
@@ -88,7 +91,7 @@
 	})
 	t.Run("loads from the weight store share its bandwidth", func(t *testing.T) {
 		in := input([]Demand{{Model: "mid", Waiting: 1}}, engine("e1"))
-		in.StoreLoads = maxStoreLoads
+		in.StoreLoads = testLanes
 		assertSteps(t, Plan(in).Steps)
 		in.StoreLoads, in.StoreBudget = 0, 0
 		assertSteps(t, Plan(in).Steps)
@@ -98,7 +101,7 @@
 	t.Run("no model makes way before a load from the weight store may begin", func(t *testing.T) {
 		demands := []Demand{{Model: "mid", Waiting: 9}, {Model: "big", Waiting: 8}}
 		in := input(demands, engine("e1", "hot", "rare"), engine("e2", "hot", "rare"))
-		in.StoreLoads = maxStoreLoads - 1
+		in.StoreLoads = testLanes - 1
 		assertSteps(t, Plan(in).Steps, "Unload hot at e1")
 		in.Servers[0].Free, in.Servers[0].Goal, in.Servers[0].GoalAt = false, "mid", time.Minute
 		assertSteps(t, Plan(in).Steps)
@@ -192,7 +195,7 @@
 
 // BenchmarkPlan plans at the size of the grown sites: 112 engines, 209 models, 575 adapters.
 func BenchmarkPlan(b *testing.B) {
-	in := Input{Now: time.Minute, StoreBudget: 20}
+	in := Input{Now: time.Minute, StoreLanes: testLanes, StoreBudget: 20}
 	in.Engine = matcher.Engine{Slots: 12, WeightMegabytes: 200, AdapterSlots: 8, Models: make(map[string]matcher.Model)}
 	for i := range 209 {
 		name := fmt.Sprintf("m%d", i)
