--- a/internal/decision/conductor/control.go
+++ b/internal/decision/conductor/control.go
@@ -184,6 +184,8 @@
 		c.reportAt = c.saidAt + reportLag
 		return
 	}
+	// The report is younger than all orders, so that what they were to drop is there if it says so.
+	clear(c.dropped)
 	c.accepted, c.countKnown, c.doubtful, c.busy = e.Report.OrdersAccepted, true, false, e.Report.Busy
 	m.takeHoldings(s, c, e.Report.Holdings, len(c.coming) > 0)
 	c.reportAt = m.now + reportInterval
--- a/internal/decision/conductor/role_test.go
+++ b/internal/decision/conductor/role_test.go
@@ -204,6 +204,36 @@
 			t.Errorf("got order %+v, want none while m1 takes the memory", o.Order)
 		}
 	})
+	t.Run("a model whose unload got no answer takes its memory as long as the engine has it", func(t *testing.T) {
+		b := newBed(t)
+		b.engine("e1", "a", held("m1"), held("m2"))
+		b.hold()
+		b.settle(0, held("m1"), held("m2"))
+		for range 60 {
+			b.ask(deep, "m3", "")
+		}
+		b.advance(20 * time.Millisecond)
+		assertEqual(t, "first to go", b.orders()[0].Order.Model, "m1")
+		b.answer(registrar.OrderUnknown)
+		for range 3 {
+			b.ask(deep, "m1", "")
+		}
+		b.advance(reportLag + 10*time.Millisecond)
+		b.report("e1", 0, false, held("m1"), held("m2"))
+		b.advance(20 * time.Millisecond)
+		orders := b.orders()
+		assertEqual(t, "next to go", orders[len(orders)-1].Order.Model, "m2")
+		b.answer(registrar.OrderAccepted)
+		e := b.machine.servers["e1"].entry
+		e.Holdings.Models = []registrar.HeldModel{held("m1")}
+		b.change(e)
+		b.advance(50 * time.Millisecond)
+		for _, o := range b.orders() {
+			if o.Order.Operation == registrar.OperationLoad {
+				t.Errorf("got order %+v, want none while m1 takes the memory", o.Order)
+			}
+		}
+	})
 	t.Run("a request that misses a model frees no memory", func(t *testing.T) {
 		b := newBed(t)
 		b.engine("e1", "a", held("m1"))
