fix: a first plan within 200 ms of a process's start no longer ends the process

Cause: the map of forecasts was made when the first 200 ms had passed; a holder that takes its host's role back at once plans before. Test: TestPlanAtStart ended in a panic before.

--- a/internal/decision/conductor/placing.go
+++ b/internal/decision/conductor/placing.go
@@ -22,10 +22,10 @@
 	plannedAt time.Duration
 	// storeLoads are the starts of loads from the weight store by service, oldest first.
 	storeLoads map[string][]time.Duration
-	// lanes are what is known by service of how many loads the weight store serves at once.
+	// lanes are what is known by service of how many loads the weight store serves at once. They outlast the role.
 	lanes map[string]*allotter.Lanes
-	// forecasts tell by service and name when models and adapters that get no order can be there. They are made anew from forecastAt on;
-	// stale are those before.
+	// forecasts tell by service and name when models and adapters that get no order can be there. They were begun anew
+	// at forecastAt; stale are those before.
 	forecasts  map[string]map[string]time.Duration
 	stale      map[string]map[string]time.Duration
 	forecastAt map[string]time.Duration
@@ -35,7 +35,8 @@
 const planInterval = 200 * time.Millisecond
 
 // planGap is the least time between two plans, so that news that come together are planned for together. It grows by
-// planGapPerEngine, about twenty times what an engine adds to a plan's own time (10 us, BenchmarkPlan).
+// planGapPerEngine, so that plans take a small part of the processor on sites of any size: an engine adds a few
+// microseconds to a plan (BenchmarkPlan) and about as much to the preparation of its input.
 const (
 	planGap          = 8 * time.Millisecond
 	planGapPerEngine = 200 * time.Microsecond
@@ -239,7 +240,7 @@
 // foretold returns the models and adapters with a forecast that needn't be made again yet. Now and then all are.
 func (m *Machine) foretold(service string) map[string]bool {
 	p := &m.placing
-	if m.now >= p.forecastAt[service]+forecastInterval {
+	if p.forecasts[service] == nil || m.now >= p.forecastAt[service]+forecastInterval {
 		p.forecastAt[service] = m.now
 		p.stale[service] = p.forecasts[service]
 		p.forecasts[service] = make(map[string]time.Duration)
--- a/internal/decision/conductor/placing_test.go
+++ b/internal/decision/conductor/placing_test.go
@@ -79,6 +79,23 @@
 	})
 }
 
+// A process that takes its host's role back makes its first plan within moments of its start.
+func TestPlanAtStart(t *testing.T) {
+	b := newBed(t)
+	b.engine("e1", "a", held("m1"), held("m2"))
+	b.do(HolderSeen{Holder: Holder{Name: "d1", Instance: "before", Fence: 5}})
+	b.do(HolderGone{})
+	b.do(RoleAnswered{Fence: 7})
+	b.settle(0, held("m1"), held("m2"))
+	for range 20 {
+		b.end(b.ask(quick, "m1", ""), 1, reducer.AttemptDone, CauseNone)
+		b.end(b.ask(quick, "m2", ""), 1, reducer.AttemptDone, CauseNone)
+	}
+	id := b.ask(deep, "m3", "")
+	b.advance(demandSoon + 2*planGap)
+	assertEqual(t, "refusals", len(b.refusals(id)), 1)
+}
+
 func (b *bed) assertNextRefusedAtOnce(route matcher.Route, model string) {
 	b.t.Helper()
 	b.ask(route, model, "")
