fix: explain tells the forecast of the request's model

Cause: the line Delayed names its model as its subject, which explain did not look at. Test: TestExplain/the forecast of its model, and of no other; failed before.

--- a/internal/daemon/explainer/explainer.go
+++ b/internal/daemon/explainer/explainer.go
@@ -140,6 +140,9 @@
 			return true
 		}
 		model, _, _ := strings.Cut(r.Model, "/")
+		if name, ok := strings.CutPrefix(l.Subject, "Model "); ok && (name == model || name == r.Model) {
+			return true
+		}
 		if model != "" && (strings.Contains(l.Detail, model) || l.Reason == model) {
 			return true
 		}
--- a/internal/daemon/explainer/explainer_test.go
+++ b/internal/daemon/explainer/explainer_test.go
@@ -42,6 +42,19 @@
 )
 
 func TestExplain(t *testing.T) {
+	t.Run("the forecast of its model, and of no other", func(t *testing.T) {
+		got, err := explain(t, "f1", daemonA, `edge-b {"time":"2026-09-06T10:04:36.010Z","Subject":"Model m1","Change":"Delayed","Reason":"OthersMoreWanted","Detail":"9.4s","message":"belief"}
+edge-b {"time":"2026-09-06T10:04:36.020Z","Subject":"Model m11","Change":"Delayed","Reason":"EnginesBusy","Detail":"1s","message":"belief"}
+edge-b {"time":"2026-09-06T10:04:36.030Z","Subject":"Model m1/a7","Change":"Delayed","Reason":"EnginesBusy","Detail":"1s","message":"belief"}
+`)
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertText(t, got, "10:04:36.010 edge-b Model m1: Delayed, OthersMoreWanted, 9.4s")
+		if strings.Contains(got, "m11") || strings.Contains(got, "a7") {
+			t.Errorf("got\n%s\nwant no forecast of another model or adapter", got)
+		}
+	})
 	t.Run("the request's decisions and what was believed meanwhile, in order", func(t *testing.T) {
 		got, err := explain(t, "f1", daemonB, daemonA)
 		if err != nil {
