fix: the count of a caller that left reads no times that the running attempt still writes

Cause: the outcome of a caller that leaves was counted with times that the attempt's goroutine writes: a data race, found by reading the diff. Test: TestStreams/a caller that leaves while events come has no times counted; failed before, with one report of the race detector in 8 runs. Now 4 runs of the package pass.

--- a/internal/edge/gateway/exchange.go
+++ b/internal/edge/gateway/exchange.go
@@ -27,8 +27,8 @@
 	id      reducer.RequestID
 	effects <-chan conductor.Effect
 
-	// attempt is the running attempt, nil if there is none. While one runs, only it uses writer, progress, first, held,
-	// eventAt and pause.
+	// attempt is the running attempt, nil if there is none. While one runs, only it uses writer, progress, first,
+	// firstAfter, held, eventAt and pause.
 	attempt  *attempt
 	progress progress
 	// first is the header of the answer that the caller is being passed, nil before.
@@ -179,11 +179,16 @@
 	x.gateway.writeRefusal(x.writer, refusal)
 }
 
+// count reports the outcome. The times of an answer are left out while an attempt runs, which owns them.
 func (x *exchange) count(code refuser.Code, status int) {
-	x.gateway.Count(Outcome{
+	o := Outcome{
 		Kind: x.arrived.Route.Kind, Route: x.arrived.Route.Name, Code: code, Status: status,
-		First: x.firstAfter, Total: time.Since(x.start), Pause: x.pause, Attempts: x.attempts,
-	})
+		Total: time.Since(x.start), Attempts: x.attempts,
+	}
+	if x.attempt == nil {
+		o.First, o.Pause = x.firstAfter, x.pause
+	}
+	x.gateway.Count(o)
 }
 
 // notePause notes that the caller is passed an event.
--- a/internal/edge/gateway/gateway_test.go
+++ b/internal/edge/gateway/gateway_test.go
@@ -388,6 +388,39 @@
 			t.Errorf("got %q without an error, want the connection broken off", body)
 		}
 	})
+	t.Run("a caller that leaves while events come has no times counted", func(t *testing.T) {
+		address := backend(t, func(w http.ResponseWriter, r *http.Request) {
+			for n := 1; r.Context().Err() == nil; n++ {
+				stream(n, n, "")(w, r)
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(100 * time.Microsecond)
+			}
+		})
+		h := newHarness(t, func(e conductor.Event) []conductor.Effect {
+			if _, ok := e.(conductor.CallerLeft); ok {
+				return []conductor.Effect{conductor.Cancel{Attempt: 1}}
+			}
+			return toFirst(address)(e)
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		r, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.address+"/stream/a", http.NoBody)
+		r.Host = "h"
+		response, err := h.client.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+		cancel()
+		_ = response.Body.Close()
+		h.ended(1)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for _, o := range h.outcomes {
+			if o.First != 0 || o.Pause != 0 {
+				t.Errorf("got outcome %+v, want no times of a running attempt", o)
+			}
+		}
+	})
 	t.Run("a caller that leaves is reported at once", func(t *testing.T) {
 		left := make(chan struct{})
 		address := backend(t, func(w http.ResponseWriter, r *http.Request) {
