--- a/internal/edge/gateway/gateway_test.go
+++ b/internal/edge/gateway/gateway_test.go
@@ -296,6 +296,25 @@
 	})
 }
 
+// openStream begins a stream and returns the function by which its caller leaves.
+func (h *harness) openStream() (leave func()) {
+	h.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.address+"/stream/a", http.NoBody)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	r.Host = "h"
+	response, err := h.client.Do(r)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	return func() {
+		cancel()
+		_ = response.Body.Close()
+	}
+}
+
 func TestStreams(t *testing.T) {
 	stream := func(from, to int, cut string) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
@@ -402,16 +421,9 @@
 			}
 			return toFirst(address)(e)
 		})
-		ctx, cancel := context.WithCancel(context.Background())
-		r, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.address+"/stream/a", http.NoBody)
-		r.Host = "h"
-		response, err := h.client.Do(r)
-		if err != nil {
-			t.Fatal(err)
-		}
+		leave := h.openStream()
 		time.Sleep(20 * time.Millisecond)
-		cancel()
-		_ = response.Body.Close()
+		leave()
 		h.ended(1)
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -435,15 +447,8 @@
 			}
 			return toFirst(address)(e)
 		})
-		ctx, cancel := context.WithCancel(context.Background())
-		r, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.address+"/stream/a", http.NoBody)
-		r.Host = "h"
-		response, err := h.client.Do(r)
-		if err != nil {
-			t.Fatal(err)
-		}
-		cancel()
-		_ = response.Body.Close()
+		leave := h.openStream()
+		leave()
 		select {
 		case <-left:
 		case <-time.After(2 * time.Second):
