--- a/internal/edge/gateway/gateway_test.go
+++ b/internal/edge/gateway/gateway_test.go
@@ -296,10 +296,11 @@
 	})
 }
 
-// openStream begins a stream and returns the function by which its caller leaves.
-func (h *harness) openStream() (leave func()) {
+// leaveStream begins a stream and leaves it a while after its start.
+func (h *harness) leaveStream(after time.Duration) {
 	h.t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.address+"/stream/a", http.NoBody)
 	if err != nil {
 		h.t.Fatal(err)
@@ -309,10 +310,9 @@
 	if err != nil {
 		h.t.Fatal(err)
 	}
-	return func() {
-		cancel()
-		_ = response.Body.Close()
-	}
+	time.Sleep(after)
+	cancel()
+	_ = response.Body.Close()
 }
 
 func TestStreams(t *testing.T) {
@@ -421,9 +421,7 @@
 			}
 			return toFirst(address)(e)
 		})
-		leave := h.openStream()
-		time.Sleep(20 * time.Millisecond)
-		leave()
+		h.leaveStream(20 * time.Millisecond)
 		h.ended(1)
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -447,8 +445,7 @@
 			}
 			return toFirst(address)(e)
 		})
-		leave := h.openStream()
-		leave()
+		h.leaveStream(0)
 		select {
 		case <-left:
 		case <-time.After(2 * time.Second):
