fix: an entry that is older than a report doesn't take a loaded model's memory back

Cause: what an engine's entry says replaced what the holder knew from a younger report, but for own orders' adapters and drops. In an outage entries come late, so that a model that was just loaded seemed to take no memory. Test: TestOrders/an entry that is older than the report of a load...; failed before.

--- a/internal/decision/conductor/control.go
+++ b/internal/decision/conductor/control.go
@@ -138,6 +138,8 @@
 	c.holdings = h
 }
 
+// withOwnOrders adds to an entry what own orders loaded lately, and leaves out what they dropped: the entry may have been
+// written before, and held up on its way.
 func (m *Machine) withOwnOrders(c *control, h registrar.Holdings) registrar.Holdings {
 	for name, at := range c.added {
 		if m.now > at+ownOrderTrust {
@@ -148,6 +150,11 @@
 			h = h.WithModel(model, adapter)
 		}
 	}
+	for name, at := range c.loadedAt {
+		if m.now <= at+ownOrderTrust {
+			h = h.WithModel(name, "")
+		}
+	}
 	for name, at := range c.dropped {
 		if m.now > at+ownOrderTrust {
 			delete(c.dropped, name)
--- a/internal/decision/conductor/ordering.go
+++ b/internal/decision/conductor/ordering.go
@@ -38,6 +38,7 @@
 		// The daemons stop sending before the server stops taking.
 		c.dropped[name] = m.now
 		delete(c.added, name)
+		delete(c.loadedAt, name)
 		c.holdings = c.holdings.WithoutModel(step.Model, step.Adapter)
 		m.changed(c)
 	} else if step.Adapter == "" {
--- a/internal/decision/conductor/role_test.go
+++ b/internal/decision/conductor/role_test.go
@@ -204,6 +204,22 @@
 			t.Errorf("got order %+v, want none while m1 takes the memory", o.Order)
 		}
 	})
+	t.Run("an entry that is older than the report of a load doesn't take the model's memory back", func(t *testing.T) {
+		b := start(t)
+		before := b.machine.servers["e1"].entry
+		b.answer(registrar.OrderAccepted)
+		b.advance(7 * time.Second)
+		b.report("e1", 1, false, held("m1"))
+		// The entry was written before the load was done, and held up on its way.
+		b.change(before)
+		b.ask(deep, "m3", "")
+		b.advance(50 * time.Millisecond)
+		for _, o := range b.orders()[1:] {
+			if o.Order.Operation == registrar.OperationLoad {
+				t.Errorf("got order %+v, want none while m1 takes the memory", o.Order)
+			}
+		}
+	})
 	t.Run("a model whose unload got no answer takes its memory as long as the engine has it", func(t *testing.T) {
 		b := newBed(t)
 		b.engine("e1", "a", held("m1"), held("m2"))
