--- a/internal/standin/announcer/announcer.go
+++ b/internal/standin/announcer/announcer.go
@@ -93,8 +93,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/hosts", a.serveHosts)
 	mux.HandleFunc("POST /stand-in/hosts", a.serveChange)
-	mux.HandleFunc("POST /stand-in/faults", a.serveFaults)
-	mux.HandleFunc("GET /stand-in/counts", a.serveCounts)
+	mux.HandleFunc("POST /stand-in/faults", responder.Set(a.SetFaults))
+	mux.HandleFunc("GET /stand-in/counts", responder.Get(a.Counts))
 	return a.server.Start(address, mux)
 }
 
@@ -155,19 +155,6 @@
 	responder.WriteJSON(w, http.StatusOK, c)
 }
 
-func (a *Announcer) serveCounts(w http.ResponseWriter, _ *http.Request) {
-	responder.WriteJSON(w, http.StatusOK, a.Counts())
-}
-
-func (a *Announcer) serveFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if !responder.ReadJSON(w, r, &f) {
-		return
-	}
-	a.SetFaults(f)
-	responder.WriteJSON(w, http.StatusOK, f)
-}
-
 func (a *Announcer) serveHosts(w http.ResponseWriter, r *http.Request) {
 	a.mu.Lock()
 	a.counts.Lists++
--- a/internal/standin/booker/booker.go
+++ b/internal/standin/booker/booker.go
@@ -152,8 +152,8 @@
 
 func (b *Booker) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /stand-in/counts", b.serveCounts)
-	mux.HandleFunc("POST /stand-in/faults", b.serveFaults)
+	mux.HandleFunc("GET /stand-in/counts", responder.Get(b.Counts))
+	mux.HandleFunc("POST /stand-in/faults", responder.Set(b.SetFaults))
 	mux.HandleFunc("/", b.serveCall)
 	return mux
 }
@@ -275,10 +275,6 @@
 	}, true
 }
 
-func (b *Booker) serveCounts(w http.ResponseWriter, _ *http.Request) {
-	responder.WriteJSON(w, http.StatusOK, b.Counts())
-}
-
 func (b *Booker) serveFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
 	if !responder.ReadJSON(w, r, &f) {
--- a/internal/standin/inferrer/engine.go
+++ b/internal/standin/inferrer/engine.go
@@ -189,8 +189,8 @@
 	mux.HandleFunc("POST /control/orders", e.serveOrder)
 	mux.HandleFunc("POST /v1/completions", e.serveCompletion)
 	mux.HandleFunc("POST /v1/chat/completions", e.serveChatCompletion)
-	mux.HandleFunc("GET /stand-in/counts", e.serveCounts)
-	mux.HandleFunc("POST /stand-in/faults", e.serveFaults)
+	mux.HandleFunc("GET /stand-in/counts", responder.Get(e.Counts))
+	mux.HandleFunc("POST /stand-in/faults", responder.Set(e.SetFaults))
 	return mux
 }
 
@@ -218,19 +218,6 @@
 	return time.Duration(float64(d) * e.TimeScale)
 }
 
-func (e *Engine) serveCounts(w http.ResponseWriter, _ *http.Request) {
-	responder.WriteJSON(w, http.StatusOK, e.Counts())
-}
-
-func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if !responder.ReadJSON(w, r, &f) {
-		return
-	}
-	e.SetFaults(f)
-	responder.WriteJSON(w, http.StatusOK, f)
-}
-
 // run restarts the engine at its address after a crash.
 func (e *Engine) run(stopped <-chan struct{}) {
 	wait := e.RestartAfter
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -141,8 +141,8 @@
 	mux.HandleFunc("POST /v3/lease/keepalive", k.serveKeepAlive)
 	mux.HandleFunc("POST /v3/lease/revoke", k.serveRevoke)
 	mux.HandleFunc("POST /v3/watch", k.serveWatch)
-	mux.HandleFunc("GET /stand-in/counts", k.serveCounts)
-	mux.HandleFunc("POST /stand-in/faults", k.serveFaults)
+	mux.HandleFunc("GET /stand-in/counts", responder.Get(k.Counts))
+	mux.HandleFunc("POST /stand-in/faults", responder.Set(k.SetFaults))
 	return mux
 }
 
@@ -270,19 +270,6 @@
 	k.reads = limiter(k.ReadsPerSecond)
 }
 
-func (k *Keeper) serveCounts(w http.ResponseWriter, _ *http.Request) {
-	responder.WriteJSON(w, http.StatusOK, k.Counts())
-}
-
-func (k *Keeper) serveFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if !responder.ReadJSON(w, r, &f) {
-		return
-	}
-	k.SetFaults(f)
-	responder.WriteJSON(w, http.StatusOK, f)
-}
-
 // serveWatch streams changes until the caller leaves, the keeper stops or goes down.
 func (k *Keeper) serveWatch(w http.ResponseWriter, r *http.Request) {
 	var request WatchRequest
--- a/internal/standin/responder/message.go
+++ b/internal/standin/responder/message.go
@@ -59,3 +59,20 @@
 		log.Debug().Err(err).Msg("stand-in could not write its answer")
 	}
 }
+
+// Get returns a handler that answers with a value.
+func Get[T any](get func() T) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, http.StatusOK, get()) }
+}
+
+// Set returns a handler that takes a value and answers with it.
+func Set[T any](set func(T)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var value T
+		if !ReadJSON(w, r, &value) {
+			return
+		}
+		set(value)
+		WriteJSON(w, http.StatusOK, value)
+	}
+}
