--- a/internal/standin/announcer/announcer.go
+++ b/internal/standin/announcer/announcer.go
@@ -92,7 +92,7 @@
 func (a *Announcer) Start(address string) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/hosts", a.serveHosts)
-	mux.HandleFunc("POST /stand-in/hosts", a.serveChange)
+	mux.HandleFunc("POST /stand-in/hosts", responder.Set(a.Apply))
 	mux.HandleFunc("POST /stand-in/faults", responder.Set(a.SetFaults))
 	mux.HandleFunc("GET /stand-in/counts", responder.Get(a.Counts))
 	return a.server.Start(address, mux)
@@ -146,15 +146,6 @@
 	return a.Now()
 }
 
-func (a *Announcer) serveChange(w http.ResponseWriter, r *http.Request) {
-	var c Change
-	if !responder.ReadJSON(w, r, &c) {
-		return
-	}
-	a.Apply(c)
-	responder.WriteJSON(w, http.StatusOK, c)
-}
-
 func (a *Announcer) serveHosts(w http.ResponseWriter, r *http.Request) {
 	a.mu.Lock()
 	a.counts.Lists++
