--- a/internal/decision/planner/demand.go
+++ b/internal/decision/planner/demand.go
@@ -17,8 +17,9 @@
 	CanWait    int
 	// Slack is the time until the earliest deadline among them.
 	Slack time.Duration
-	// Used tells that requests ran since the last report.
-	Used    bool
+	// Used tells that requests ran since the last report, so that the replica is not idle.
+	Used bool
+	// Running is how many requests of the daemon are running at the deployment's replicas.
 	Running int
 }
 
--- a/internal/decision/reducer/deployment.go
+++ b/internal/decision/reducer/deployment.go
@@ -9,7 +9,7 @@
 
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/decision/admitter"
-	"samphirewharf/internal/peer/messenger"
+	"samphirewharf/internal/decision/planner"
 )
 
 // A deployment is what a daemon keeps of a deployment, or of a plain service, that it has requests for.
@@ -161,23 +161,23 @@
 }
 
 // queueNeeds returns what a queue's requests wait for, one need for each adapter.
-func (m *Machine) queueNeeds(q *deployment) []messenger.Need {
+func (m *Machine) queueNeeds(q *deployment) []planner.Need {
 	counts := q.waiting.Counts()
-	base := messenger.Need{Deployment: q.name, Used: q.used, Running: q.running}
+	base := planner.Need{Deployment: q.name, Used: q.used, Running: q.running}
 	if counts.Urgent+counts.CanWait == 0 {
 		if m.now.Since < q.coldUntil {
 			base.CanWait = 1
 			base.Slack = q.coldUntil - m.now.Since
 		}
-		return []messenger.Need{base}
+		return []planner.Need{base}
 	}
 	base.Slack = counts.EarliestDeadline - m.now.Since
-	byAdapter := make(map[string]*messenger.Need)
+	byAdapter := make(map[string]*planner.Need)
 	var names []string
 	for _, r := range q.byID {
 		n, ok := byAdapter[r.adapter()]
 		if !ok {
-			n = &messenger.Need{Deployment: q.name, Adapter: r.adapter(), Slack: r.deadline - m.now.Since}
+			n = &planner.Need{Deployment: q.name, Adapter: r.adapter(), Slack: r.deadline - m.now.Since}
 			byAdapter[r.adapter()] = n
 			names = append(names, r.adapter())
 		}
@@ -189,7 +189,7 @@
 		}
 	}
 	slices.Sort(names)
-	needs := make([]messenger.Need, 0, len(names))
+	needs := make([]planner.Need, 0, len(names))
 	for i, name := range names {
 		n := *byAdapter[name]
 		if i == 0 {
--- a/internal/decision/reducer/placing.go
+++ b/internal/decision/reducer/placing.go
@@ -198,7 +198,7 @@
 	c.told = len(needs) > 0
 	c.needsSequence++
 	if c.planner.Placing() {
-		c.planner.Demand(m.now.Since, m.settings.Daemon, m.settings.Instance, c.needsSequence, planNeeds(needs))
+		c.planner.Demand(m.now.Since, m.settings.Daemon, m.settings.Instance, c.needsSequence, needs)
 		m.applyPlan(c, c.planner.Step(m.view(c)))
 		return
 	}
@@ -208,8 +208,8 @@
 }
 
 // collectNeeds returns the needs of a cell's queues, ordered by deployment, and forgets those that wait no more.
-func (m *Machine) collectNeeds(c *cell) []messenger.Need {
-	var needs []messenger.Need
+func (m *Machine) collectNeeds(c *cell) []planner.Need {
+	var needs []planner.Need
 	for _, q := range m.usedQueues(c) {
 		needs = append(needs, m.queueNeeds(q)...)
 		q.used = false
@@ -220,17 +220,6 @@
 	return needs
 }
 
-func planNeeds(needs []messenger.Need) []planner.Need {
-	list := make([]planner.Need, 0, len(needs))
-	for _, n := range needs {
-		list = append(list, planner.Need{
-			Deployment: n.Deployment, Adapter: n.Adapter, Urgent: n.Urgent, CanWait: n.CanWait,
-			Slack: n.Slack, Used: n.Used, Running: n.Running,
-		})
-	}
-	return list
-}
-
 // takeNeeds takes another daemon's needs if this daemon is the cell's placer.
 func (m *Machine) takeNeeds(from, instance string, needs *messenger.Needs) {
 	c := m.cells[needs.Cell]
@@ -238,7 +227,7 @@
 		return
 	}
 	c.planner.Renounce(m.now.Since, needs.Renounced)
-	c.planner.Demand(m.now.Since, from, instance, needs.Sequence, planNeeds(needs.Waiting))
+	c.planner.Demand(m.now.Since, from, instance, needs.Sequence, needs.Waiting)
 	if c.planner.Placing() {
 		m.applyPlan(c, c.planner.Step(m.view(c)))
 	}
--- a/internal/peer/messenger/decode.go
+++ b/internal/peer/messenger/decode.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"samphirewharf/internal/backend/orderer"
+	"samphirewharf/internal/decision/planner"
 )
 
 // Message returns what Message.Envelope made the envelope from. Empty lists and maps become nil.
@@ -50,8 +51,8 @@
 	}
 }
 
-func decodeNeed(n *NeedPart) Need {
-	return Need{
+func decodeNeed(n *NeedPart) planner.Need {
+	return planner.Need{
 		Deployment: n.GetDeployment(),
 		Adapter:    n.GetAdapter(),
 		Urgent:     int(n.GetUrgent()),
--- a/internal/peer/messenger/encode.go
+++ b/internal/peer/messenger/encode.go
@@ -1,6 +1,9 @@
 package messenger
 
-import "samphirewharf/internal/backend/orderer"
+import (
+	"samphirewharf/internal/backend/orderer"
+	"samphirewharf/internal/decision/planner"
+)
 
 // Envelope returns the message as it travels.
 func (m Message) Envelope() *Envelope {
@@ -62,7 +65,7 @@
 	}
 }
 
-func encodeNeed(n Need) *NeedPart {
+func encodeNeed(n planner.Need) *NeedPart {
 	return &NeedPart{
 		Deployment:       n.Deployment,
 		Adapter:          n.Adapter,
--- a/internal/peer/messenger/message.go
+++ b/internal/peer/messenger/message.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"samphirewharf/internal/backend/orderer"
+	"samphirewharf/internal/decision/planner"
 )
 
 // A Message is what one daemon sends another. Exactly the parts that are set are meant.
@@ -58,7 +59,7 @@
 	Cell string
 	// Sequence grows with every message of the instance.
 	Sequence int64
-	Waiting  []Need
+	Waiting  []planner.Need
 	// Renounced are replicas whose load order the sender decided, did not send and will never send.
 	Renounced []string
 }
@@ -71,20 +72,6 @@
 	Impossible bool
 }
 
-// A Need is one deployment's waiting requests at one daemon.
-type Need struct {
-	Deployment string
-	Adapter    string
-	Urgent     int
-	CanWait    int
-	// Slack is the time until the earliest deadline among them.
-	Slack time.Duration
-	// Used tells that requests ran since the last message, so that the replica is not idle.
-	Used bool
-	// Running is how many requests of the sender are running at the deployment's replicas.
-	Running int
-}
-
 // A Placement is a cell's placement record as written to the key-value service.
 type Placement struct {
 	Cell     string
--- a/internal/peer/messenger/message_test.go
+++ b/internal/peer/messenger/message_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"samphirewharf/internal/backend/orderer"
+	"samphirewharf/internal/decision/planner"
 )
 
 // drawDuration draws a duration, also a negative one.
@@ -68,8 +69,8 @@
 	}
 }
 
-func drawNeed(t *rapid.T) Need {
-	return Need{
+func drawNeed(t *rapid.T) planner.Need {
+	return planner.Need{
 		Deployment: drawText(t), Adapter: drawText(t), Urgent: drawCount(t), CanWait: drawCount(t),
 		Slack: drawDuration(t), Used: drawBool(t), Running: drawCount(t),
 	}
