fix: a placement decision is reported as the planner made it, not as a copy with the same fields

Cause: reducer.PlacementDecided repeated all fields of planner.Decision. It now holds one beside its cell; the JSON of replay stays flat, since the field is embedded.

--- a/internal/decision/planner/action.go
+++ b/internal/decision/planner/action.go
@@ -68,7 +68,8 @@
 	Score      float64
 	Other      string
 	OtherScore float64
-	Waiting    int
+	// Waiting is how many requests the decision is made for.
+	Waiting int
 }
 
 func (Swap) action()     {}
--- a/internal/decision/reducer/effect.go
+++ b/internal/decision/reducer/effect.go
@@ -5,6 +5,7 @@
 
 	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/caller/refuser"
+	"samphirewharf/internal/decision/planner"
 	"samphirewharf/internal/peer/messenger"
 )
 
@@ -165,19 +166,10 @@
 	HaveVersion int64
 }
 
-// A PlacementDecided effect reports a placement decision, for the decision log.
+// A PlacementDecided effect reports a cell's placement decision, for the decision log.
 type PlacementDecided struct {
-	Cell       string
-	Action     string
-	Deployment string
-	Replica    string
-	Server     string
-	Reason     string
-	Score      float64
-	Other      string
-	OtherScore float64
-	// Waiting is how many requests the decision is made for.
-	Waiting int
+	Cell string
+	planner.Decision
 }
 
 // A Noted effect is a log line about membership, configuration or recovery.
--- a/internal/decision/reducer/placing.go
+++ b/internal/decision/reducer/placing.go
@@ -63,7 +63,7 @@
 		case planner.Forecast:
 			m.forecast(c, a)
 		case planner.Decision:
-			m.emit(placementDecided(c, a))
+			m.emit(PlacementDecided{Cell: c.name, Decision: a})
 		}
 	}
 }
@@ -78,13 +78,6 @@
 	return order
 }
 
-func placementDecided(c *cell, d planner.Decision) PlacementDecided {
-	return PlacementDecided{
-		Cell: c.name, Action: d.Action, Deployment: d.Deployment, Replica: d.Replica, Server: d.Server,
-		Reason: d.Reason, Score: d.Score, Other: d.Other, OtherScore: d.OtherScore, Waiting: d.Waiting,
-	}
-}
-
 // markDraining keeps new requests from replicas that the record marks as unloading.
 func (m *Machine) markDraining(c *cell) {
 	record, _ := c.planner.Record()
