--- a/internal/decision/conductor/fleet.go
+++ b/internal/decision/conductor/fleet.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -111,12 +112,7 @@
 }
 
 func (m *Machine) daemonNames() []string {
-	names := make([]string, 0, len(m.daemons))
-	for name := range m.daemons {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
+	return slices.Sorted(maps.Keys(m.daemons))
 }
 
 func (m *Machine) peerReceived(message messenger.Message) {
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -246,12 +247,7 @@
 
 // poolNames returns the names of the services that requests came for, in order.
 func (m *Machine) poolNames() []string {
-	names := make([]string, 0, len(m.pools))
-	for name := range m.pools {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
+	return slices.Sorted(maps.Keys(m.pools))
 }
 
 // engine returns the engine settings of a service, nil if it has none.
@@ -314,10 +310,5 @@
 
 // serverIDs returns the IDs of all servers, in order.
 func (m *Machine) serverIDs() []string {
-	ids := make([]string, 0, len(m.servers))
-	for id := range m.servers {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
+	return slices.Sorted(maps.Keys(m.servers))
 }
--- a/internal/decision/conductor/placing.go
+++ b/internal/decision/conductor/placing.go
@@ -61,12 +61,7 @@
 }
 
 func (p *placingState) ids() []string {
-	ids := make([]string, 0, len(p.controls))
-	for id := range p.controls {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
+	return slices.Sorted(maps.Keys(p.controls))
 }
 
 func (p *placingState) nextAt(m *Machine) time.Duration {
