--- a/internal/standin/booker/booker.go
+++ b/internal/standin/booker/booker.go
@@ -274,12 +274,3 @@
 		Body:   string(body),
 	}, true
 }
-
-func (b *Booker) serveFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if !responder.ReadJSON(w, r, &f) {
-		return
-	}
-	b.SetFaults(f)
-	responder.WriteJSON(w, http.StatusOK, f)
-}
