feat: logs and metrics tell restorations of the store, ignored leaders and counts of crashes

- A line and the gauge samphirewharf_edge_store_epoch when an answer of the store shows that it was restored from a copy.
- A line, once per fencing token, when a leader's messages are ignored because of a higher token.
- A line for each new count of crashes of a request, with its fingerprint and whether this daemon counted or heard of it.

No decision changes.

--- a/internal/decision/conductor/crash.go
+++ b/internal/decision/conductor/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"samphirewharf/internal/peer/messenger"
@@ -39,12 +40,12 @@
 		if b.server != server || m.now > b.at+crashWindow {
 			return false
 		}
-		m.countCrash(b.fingerprint)
+		m.countCrash(b.fingerprint, server)
 		return true
 	})
 }
 
-func (m *Machine) countCrash(fingerprint uint64) {
+func (m *Machine) countCrash(fingerprint uint64, server string) {
 	c, ok := m.crashes.byFingerprint[fingerprint]
 	if !ok || m.now > c.expiresAt {
 		c = &crashRecord{}
@@ -53,9 +54,16 @@
 	c.crashes++
 	c.expiresAt = m.now + crashTTL
 	c.reported = false
-	if c.crashes == poisonCrashes {
-		m.emit(LogStateChange{Subject: "Request", Change: "Convicted", Reason: "servers that run it crash", Version: int64(c.crashes)})
+	m.logCrashes(fingerprint, c.crashes, "server "+server+" ended")
+}
+
+// logCrashes logs a new count of the crashes of a request.
+func (m *Machine) logCrashes(fingerprint uint64, crashes int, reason string) {
+	change := "Suspected"
+	if crashes >= poisonCrashes {
+		change = "Convicted"
 	}
+	m.emit(LogStateChange{Subject: "Request", Change: change, Reason: reason, Version: int64(crashes), Detail: "fingerprint " + strconv.FormatUint(fingerprint, 16)})
 }
 
 // clearCrashes resets the count of a request that was answered, unless it is a poison request already.
@@ -103,6 +111,7 @@
 			c.crashes = s.Crashes
 			c.expiresAt = m.now + crashTTL
 			c.reported = false
+			m.logCrashes(s.Fingerprint, c.crashes, "counted by another daemon")
 		}
 	}
 }
--- a/internal/decision/conductor/fleet.go
+++ b/internal/decision/conductor/fleet.go
@@ -17,6 +17,8 @@
 	fencingToken int64
 	sequence     int64
 	receivedAt   time.Duration
+	// ignoredToken is the fencing token of the last leader whose messages were ignored as outdated.
+	ignoredToken int64
 	servers      map[string]reportedServer
 	loading      map[modelKey]time.Duration
 
@@ -129,7 +131,11 @@
 // fleetReceived handles a message of the leader, directly or relayed, unless it is older than the last one.
 func (m *Machine) fleetReceived(fleet *messenger.Fleet) {
 	f := &m.fleet
-	if fleet.Fence < f.fencingToken || fleet.Fence == f.fencingToken && fleet.Sequence <= f.sequence {
+	if fleet.Fence < f.fencingToken {
+		m.logOutdatedLeader(fleet)
+		return
+	}
+	if fleet.Fence == f.fencingToken && fleet.Sequence <= f.sequence {
 		return
 	}
 	if m.isLeader() && fleet.Fence > m.election.leader.FencingToken {
@@ -155,6 +161,15 @@
 	m.dispatchQueues()
 }
 
+// logOutdatedLeader logs once per fencing token that the messages of a leader are ignored.
+func (m *Machine) logOutdatedLeader(fleet *messenger.Fleet) {
+	if fleet.Fence == m.fleet.ignoredToken {
+		return
+	}
+	m.fleet.ignoredToken = fleet.Fence
+	m.emit(LogStateChange{Subject: "Role", Change: "Ignored", Reason: "a leader with a higher fencing token has sent messages", Version: fleet.Fence, Detail: fleet.Holder})
+}
+
 // readyIn predicts when the model and adapter of a request are loaded on some server.
 func (m *Machine) readyIn(r *request) time.Duration {
 	k := keyOf(r)
--- a/internal/edge/launcher/daemon.go
+++ b/internal/edge/launcher/daemon.go
@@ -68,7 +68,9 @@
 	publishedDaemons atomic.Pointer[conductor.PublishDaemons]
 	// leaseID is the ID of the daemon's lease in the store, 0 if there is none.
 	leaseID atomic.Int64
-	exited  chan struct{}
+	// storeEpoch is the store's epoch after the last restoration that this process has seen, 0 if there was none.
+	storeEpoch atomic.Int64
+	exited     chan struct{}
 }
 
 // An endpoint is an address that the daemon listens on, with its server.
@@ -126,6 +128,7 @@
 	d.client.NotRun = d.platform.Translator.NotRun
 	d.storeMonitor = storeMonitor{post: d.post, count: d.metrics.countStoreCall}
 	d.platform.SetObserver(d.storeMonitor.observe)
+	d.platform.SetOnRestored(d.storeRestored)
 	d.relayer = relayer.New(s.Self.Instance, d.handlers())
 	d.relayer.Send, d.relayer.Message, d.relayer.StoreReachable = d.sendPeer, d.newMessage, d.storeReachable
 	d.relayer.OnFleet, d.relayer.OnFeed, d.relayer.Logger = d.fleetReceived, d.updateReceived, d.logger
@@ -194,6 +197,12 @@
 
 func (d *Daemon) storeReachable() bool { return d.storeMonitor.health.reachable(time.Now()) }
 
+// storeRestored records that the store was restored from a copy, which lacks its last changes.
+func (d *Daemon) storeRestored(epoch int64) {
+	d.storeEpoch.Store(epoch)
+	d.logger.Warn().Int64("Epoch", epoch).Msg("store was restored from a copy")
+}
+
 func (d *Daemon) updateReceived(from string, fresh bool) {
 	d.post(conductor.UpdatesReceived{From: from, Fresh: fresh})
 }
--- a/internal/edge/launcher/dependencies.go
+++ b/internal/edge/launcher/dependencies.go
@@ -51,6 +51,9 @@
 	Translator gateway.Translator
 	// SetObserver registers a function that is called after each call to the store. The error is nil if the store answered.
 	SetObserver func(observer func(call string, err error))
+	// SetOnRestored registers a function that is called when the store was restored from a copy, which is the store's next
+	// epoch.
+	SetOnRestored func(onRestored func(epoch int64))
 	// Ready returns the handler for the platform's readiness checks, Directory that for callers that ask for addresses.
 	Ready     func(ready func() bool) http.Handler
 	Directory func(addresses func(zone string) ([]string, time.Duration)) http.Handler
--- a/internal/edge/launcher/metrics.go
+++ b/internal/edge/launcher/metrics.go
@@ -39,6 +39,7 @@
 		}
 		return 0
 	})
+	m.set.NewGauge(`samphirewharf_edge_store_epoch`, func() float64 { return float64(d.storeEpoch.Load()) })
 	m.set.NewGauge(`samphirewharf_edge_ready`, func() float64 {
 		if d.ready() {
 			return 1
