fix: servers that left before the store was restored stay unused

A restoration brings back entries of servers that have left since the copy was made, and lacks those of servers that have come. A daemon took the first for new servers and sent them requests that they no longer serve (DRAIN), and dropped the second at once, though they write their entries again.

Why this works: a list of a later epoch opens the same window as an outage, in which removals are doubted.

--- a/internal/decision/conductor/feed.go
+++ b/internal/decision/conductor/feed.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"samphirewharf/internal/fleet/sequencer"
 	"samphirewharf/internal/peer/messenger"
 )
 
@@ -53,6 +54,9 @@
 	stale bool
 	// refreshedAt is when the view was last up to date again.
 	refreshedAt time.Duration
+	// epoch is the latest epoch of the store that was seen, valid if known.
+	epoch int64
+	known bool
 }
 
 // An UpdatesReceived event reports that the upstream has sent updates.
@@ -264,6 +268,22 @@
 	}
 }
 
+// observeEpoch handles the revision of a list. A list of a later epoch shows that the store was restored from a copy that
+// may lack the last entries, which get some time to be written again.
+func (m *Machine) observeEpoch(revision int64) {
+	view := &m.view
+	epoch := sequencer.Epoch(revision)
+	if view.known && epoch <= view.epoch {
+		return
+	}
+	restored := view.known
+	view.epoch, view.known = epoch, true
+	if restored {
+		view.refreshedAt = m.now
+		m.emit(LogStateChange{Subject: "Store", Change: "Restored", Version: epoch, Warning: true})
+	}
+}
+
 // viewRecentlyStale reports whether the view is out of date or was so a short time ago.
 func (m *Machine) viewRecentlyStale() bool {
 	return m.view.stale || m.view.refreshedAt > 0 && m.now < m.view.refreshedAt+outageRemovalWindow
@@ -273,6 +293,8 @@
 type removal struct {
 	revision  int64
 	removedAt time.Duration
+	// startedAt identifies the incarnation of a removed server.
+	startedAt int64
 }
 
 // recordRemoval records the removal of an entry and drops expired records.
@@ -287,6 +309,27 @@
 	}
 }
 
+// recordServerRemoval records the removal of a server's entry.
+func (m *Machine) recordServerRemoval(s *server, revision int64) {
+	key := serverKey(s.entry.ID)
+	m.recordRemoval(key, revision)
+	if r, ok := m.removals[key]; ok && r.revision == revision {
+		r.startedAt = s.entry.StartedAt
+		m.removals[key] = r
+	}
+}
+
+// doubtRestored holds back a server that was removed before the store was restored, and whose entry a restoration may have
+// brought back. The entry of a server that is gone expires again.
+func (m *Machine) doubtRestored(s *server) {
+	r, ok := m.removals[serverKey(s.entry.ID)]
+	if !ok || r.startedAt != s.entry.StartedAt || sequencer.Epoch(r.revision) >= sequencer.Epoch(s.entry.Revision) {
+		return
+	}
+	s.unconfirmedUntil = m.now + m.settings.EntryTTL + entryExpiryMargin
+	m.emit(LogStateChange{Subject: "Server " + s.entry.ID, Change: "Unconfirmed", Reason: "entry was removed before the restoration", Version: s.entry.Revision})
+}
+
 // predatesRemoval reports whether an update of an entry is older than the entry's removal.
 func (m *Machine) predatesRemoval(key string, revision int64) bool {
 	r, ok := m.removals[key]
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -65,6 +65,9 @@
 	// outageRemovalWindow is how long after an outage a removal may still be a consequence of it.
 	outageRemovalWindow = 3 * time.Second
 
+	// entryExpiryMargin is added to the time in which the store removes the entry of a server that is gone.
+	entryExpiryMargin = time.Second
+
 	// renewalsPerLease is how often a lease is renewed within its TTL.
 	renewalsPerLease = 4
 	// leaseMargin is how much earlier than at the store a lease counts as expired here.
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -22,6 +22,8 @@
 
 	// LeaseTTL is the TTL of the daemon's lease in the store.
 	LeaseTTL time.Duration
+	// EntryTTL is how long the store keeps the entry of a server that no longer renews it.
+	EntryTTL time.Duration
 	// TakeoverDelay is the minimum time between the orders of two leaders.
 	TakeoverDelay time.Duration
 	// EnginesCheckFencing reports whether engines refuse orders with a lower fencing token than one they have seen.
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -16,6 +16,9 @@
 	// keepUntil is until when the server is used after its entry was removed near an outage; zero if the entry is
 	// present.
 	keepUntil time.Duration
+	// unconfirmedUntil is until when the server isn't used, because its entry had been removed and came back by a restoration
+	// of the store; zero for others.
+	unconfirmedUntil time.Duration
 
 	// requests holds this daemon's requests at the server.
 	requests map[reducer.RequestID]*request
@@ -49,7 +52,9 @@
 }
 
 // usable reports whether the server accepts new requests.
-func (s *server) usable() bool { return s.entry.State == registrar.StateReady }
+func (s *server) usable() bool {
+	return s.entry.State == registrar.StateReady && s.unconfirmedUntil == 0
+}
 
 // load returns the number of requests per slot.
 func (s *server) load() float64 {
@@ -102,6 +107,7 @@
 
 // serversListed handles a complete list of entries. Servers that are not in it were removed.
 func (m *Machine) serversListed(e ServersListed) {
+	m.observeEpoch(e.Revision)
 	first := !m.serversLoaded
 	m.serversLoaded = true
 	present := make(map[string]bool, len(e.Entries))
@@ -135,6 +141,7 @@
 		s = newServer(e)
 		m.servers[e.ID] = s
 		m.serverSetChanged()
+		m.doubtRestored(s)
 		m.emit(LogStateChange{Subject: "Server " + e.ID, Change: "Seen", Reason: e.Service, Version: e.Revision, Detail: e.Address + " " + e.Zone})
 	case e.StartedAt > s.entry.StartedAt || e.Address != s.entry.Address:
 		m.serverEnded(s)
@@ -164,6 +171,7 @@
 		m.serverSetChanged()
 	}
 	s.entry = e
+	s.unconfirmedUntil = 0
 	clear(s.absentUntil)
 }
 
@@ -188,20 +196,25 @@
 func (m *Machine) dropServer(s *server, revision int64) {
 	m.emit(LogStateChange{Subject: "Server " + s.entry.ID, Change: "Gone", Version: revision})
 	m.serverEnded(s)
-	m.recordRemoval(serverKey(s.entry.ID), revision)
+	m.recordServerRemoval(s, revision)
 	delete(m.servers, s.entry.ID)
 	m.serverSetChanged()
 	m.placement.removeEngine(s.entry.ID)
 	m.dispatchQueue(s.entry.Service)
 }
 
-// expireServers drops the servers whose entries have not been registered again after an outage.
+// expireServers drops the servers whose entries have not been registered again after an outage, and confirms those whose
+// entries outlived a restoration.
 func (m *Machine) expireServers() {
 	var due []string
 	for id, s := range m.servers {
 		if s.keepUntil > 0 && m.now >= s.keepUntil {
 			due = append(due, id)
 		}
+		if s.unconfirmedUntil > 0 && m.now >= s.unconfirmedUntil {
+			s.unconfirmedUntil = 0
+			m.placement.dirty = true
+		}
 	}
 	slices.Sort(due)
 	for _, id := range due {
