fix: a leader gives up the record that a restored store has of it

After a restoration the copy may have the leader's record under a lease that nobody renews, or lack the record while the leader's lease still lasts. In the first case no daemon led until that lease had ended; in the second one another daemon could give orders within the time that has to lie between the orders of two leaders (ONE).

Why this works: a daemon that loses its lease, or sees the record of its ended leadership again, deletes it on the condition that it is unchanged. A leader whose predecessor is of an earlier epoch waits for that one's lease too, which is an upper bound of how long it may still give orders.

--- a/internal/decision/conductor/role.go
+++ b/internal/decision/conductor/role.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"samphirewharf/internal/fleet/sequencer"
 )
 
 // An electionState is the daemon's view of the leader, the one daemon that gives orders to engines. The leader is the
@@ -85,6 +87,10 @@
 func (m *Machine) leaderChanged(leader Leader) {
 	s := &m.election
 	s.loaded = true
+	if m.isRestoredOwnRecord(leader) {
+		m.emit(Resign{FencingToken: leader.FencingToken})
+		return
+	}
 	if s.leader != nil && leader.FencingToken <= s.leader.FencingToken || leader.FencingToken < s.previous.FencingToken {
 		return
 	}
@@ -99,6 +105,10 @@
 	m.demand.reportNow()
 	isSelf := leader.Instance == m.settings.Self.Instance
 	s.ordersFrom = m.now + m.settings.TakeoverDelay + takeoverMargin
+	if sequencer.Epoch(leader.FencingToken) > sequencer.Epoch(previous.FencingToken) {
+		// The restoration has removed the previous leader's record while its lease lasted.
+		s.ordersFrom += m.settings.LeaseTTL
+	}
 	if previous.Name == leader.Name || previous.Name == "" && !isSelf {
 		// Two processes on one host count as one leader. A leader that this daemon finds at its start has most likely
 		// been the leader for long.
@@ -111,6 +121,13 @@
 	m.startPlacement()
 }
 
+// isRestoredOwnRecord reports whether a leader's record is that of this process's last leadership, which a restoration of
+// the store has brought back. The lease that it is tied to isn't renewed any more.
+func (m *Machine) isRestoredOwnRecord(leader Leader) bool {
+	lost := m.election.lostToken
+	return leader.Instance == m.settings.Self.Instance && leader.FencingToken > lost && sequencer.Number(leader.FencingToken) == sequencer.Number(lost)
+}
+
 func (m *Machine) leaderRemoved(revision int64) {
 	s := &m.election
 	s.loaded = true
@@ -124,11 +141,13 @@
 	m.placement.stop()
 }
 
-// leaseLost ends the leadership, whose record was removed with the lease.
+// leaseLost ends the leadership, whose record was removed with the lease. A restoration of the store may have brought the
+// record back.
 func (m *Machine) leaseLost() {
 	if !m.isLeader() {
 		return
 	}
+	m.emit(Resign{FencingToken: m.election.leader.FencingToken})
 	m.stopLeading("lease ended")
 }
 
@@ -144,6 +163,7 @@
 }
 
 func (m *Machine) daemonsListed(e DaemonsListed) {
+	m.observeEpoch(e.Revision)
 	present := make(map[string]bool, len(e.Daemons))
 	for _, d := range e.Daemons {
 		present[d.Daemon.Name] = true
