fix: crashes of a request that daemons have seen at the same time add up

A request that crashes the servers that run it was sent on after it had ended three (BUDGET), more so the more daemons there are.

Cause: daemons exchanged a number of crashes for each request and kept the highest one. Crashes that three daemons had each seen by themselves counted as one.

Evidence: the new subtest of TestCrashes failed before (four crashes of three servers, known to four daemons: the request was sent).

Why this works: daemons exchange which incarnations of servers crashed, as hashes, and merge the sets. Merging is the same in any order and number of times. The number is still sent, for daemons of the build before.

--- a/internal/decision/conductor/attempt.go
+++ b/internal/decision/conductor/attempt.go
@@ -62,7 +62,7 @@
 		m.serverFailed(s, e.Cause)
 		m.serverDown(s)
 		m.reportDown(s, r)
-		m.serverCrashed(s.entry.ID)
+		m.serverCrashed(s)
 	case CauseTimeout, CauseInvalid, CauseError:
 		m.serverFailed(s, e.Cause)
 	case CauseNone:
--- a/internal/decision/conductor/crash.go
+++ b/internal/decision/conductor/crash.go
@@ -1,14 +1,17 @@
 package conductor
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"samphirewharf/internal/peer/messenger"
 )
 
-// A crashState counts server crashes by the fingerprint of the requests that were running when they occurred.
+// A crashState records server crashes by the fingerprint of the requests that were running when they occurred.
 type crashState struct {
 	byFingerprint map[uint64]*crashRecord
 	// broken holds broken connections whose server may turn out to have crashed.
@@ -16,12 +19,18 @@
 }
 
 type crashRecord struct {
-	crashes   int
-	expiresAt time.Duration
+	// servers holds the hashes of the incarnations that crashed, from whichever daemon. Daemons may count the same ones or
+	// others at the same time.
+	servers map[uint64]bool
+	// reportedCrashes is the highest count of a daemon that doesn't report the incarnations.
+	reportedCrashes int
+	expiresAt       time.Duration
 	// reported reports whether the count has been sent to the other daemons.
 	reported bool
 }
 
+func (c *crashRecord) crashes() int { return max(len(c.servers), c.reportedCrashes) }
+
 type brokenConnection struct {
 	server      string
 	fingerprint uint64
@@ -35,26 +44,37 @@
 }
 
 // serverCrashed counts a crash for the requests whose connections to the server broke within crashWindow.
-func (m *Machine) serverCrashed(server string) {
+func (m *Machine) serverCrashed(s *server) {
 	m.crashes.broken = slices.DeleteFunc(m.crashes.broken, func(b brokenConnection) bool {
-		if b.server != server || m.now > b.at+crashWindow {
+		if b.server != s.entry.ID || m.now > b.at+crashWindow {
 			return false
 		}
-		m.countCrash(b.fingerprint, server)
+		m.countCrash(b.fingerprint, s)
 		return true
 	})
 }
 
-func (m *Machine) countCrash(fingerprint uint64, server string) {
+// crashRecordOf returns the record of a request, and creates it or replaces an expired one.
+func (m *Machine) crashRecordOf(fingerprint uint64) *crashRecord {
 	c, ok := m.crashes.byFingerprint[fingerprint]
 	if !ok || m.now > c.expiresAt {
-		c = &crashRecord{}
+		c = &crashRecord{servers: make(map[uint64]bool)}
 		m.crashes.byFingerprint[fingerprint] = c
 	}
-	c.crashes++
+	return c
+}
+
+func (m *Machine) countCrash(fingerprint uint64, s *server) {
+	c := m.crashRecordOf(fingerprint)
+	c.servers[incarnationHash(s)] = true
 	c.expiresAt = m.now + crashTTL
 	c.reported = false
-	m.logCrashes(fingerprint, c.crashes, "server "+server+" ended")
+	m.logCrashes(fingerprint, c.crashes(), "server "+s.entry.ID+" ended")
+}
+
+// incarnationHash returns a hash of the server and its start, which is the same at all daemons.
+func incarnationHash(s *server) uint64 {
+	return xxhash.Sum64String(s.entry.ID + " " + itoa(s.entry.StartedAt))
 }
 
 // logCrashes logs a new count of the crashes of a request.
@@ -68,14 +88,14 @@
 
 // clearCrashes resets the count of a request that was answered, unless it is a poison request already.
 func (m *Machine) clearCrashes(r *request) {
-	if c, ok := m.crashes.byFingerprint[r.Fingerprint]; ok && c.crashes < poisonCrashes {
+	if c, ok := m.crashes.byFingerprint[r.Fingerprint]; ok && c.crashes() < poisonCrashes {
 		delete(m.crashes.byFingerprint, r.Fingerprint)
 	}
 }
 
 func (m *Machine) isPoison(r *request) bool {
 	c, ok := m.crashes.byFingerprint[r.Fingerprint]
-	return ok && c.crashes >= poisonCrashes && m.now <= c.expiresAt
+	return ok && c.crashes() >= poisonCrashes && m.now <= c.expiresAt
 }
 
 // crashCounts returns the counts to send to other daemons, or only those not sent yet.
@@ -87,7 +107,7 @@
 			delete(m.crashes.byFingerprint, fingerprint)
 		case !unreportedOnly || !c.reported:
 			c.reported = true
-			list = append(list, messenger.Suspect{Fingerprint: fingerprint, Crashes: c.crashes})
+			list = append(list, messenger.Suspect{Fingerprint: fingerprint, Crashes: c.crashes(), Servers: slices.Sorted(maps.Keys(c.servers))})
 		}
 	}
 	slices.SortFunc(list, func(a, b messenger.Suspect) int {
@@ -99,19 +119,19 @@
 	return list
 }
 
-// mergeCrashCounts merges another daemon's counts. The higher count of a request is kept.
+// mergeCrashCounts merges the crashes that another daemon knows of.
 func (m *Machine) mergeCrashCounts(list []messenger.Suspect) {
 	for _, s := range list {
-		c, ok := m.crashes.byFingerprint[s.Fingerprint]
-		if !ok {
-			c = &crashRecord{}
-			m.crashes.byFingerprint[s.Fingerprint] = c
+		c := m.crashRecordOf(s.Fingerprint)
+		before := c.crashes()
+		for _, hash := range s.Servers {
+			c.servers[hash] = true
 		}
-		if s.Crashes > c.crashes {
-			c.crashes = s.Crashes
+		c.reportedCrashes = max(c.reportedCrashes, s.Crashes)
+		if c.crashes() > before {
 			c.expiresAt = m.now + crashTTL
 			c.reported = false
-			m.logCrashes(s.Fingerprint, c.crashes, "counted by another daemon")
+			m.logCrashes(s.Fingerprint, c.crashes(), "counted by another daemon")
 		}
 	}
 }
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -223,7 +223,7 @@
 }
 
 // serverEnded handles the end of an incarnation. Requests whose connections broke shortly before may have crashed it.
-func (m *Machine) serverEnded(s *server) { m.serverCrashed(s.entry.ID) }
+func (m *Machine) serverEnded(s *server) { m.serverCrashed(s) }
 
 func (m *Machine) storeReached() {
 	if !m.store.unavailable {
--- a/internal/decision/conductor/server_test.go
+++ b/internal/decision/conductor/server_test.go
@@ -117,6 +117,25 @@
 		arrive(h, 99)
 		assertEqual(t, "reason", one[Refuse](h).Reason, RefusedPoison)
 	})
+	t.Run("crashes that daemons have seen at the same time add up", func(t *testing.T) {
+		h := newHarness(t)
+		crash(h, "s1", 99)
+		own := h.machine.crashCounts(false)
+		other := func(id string) []messenger.Suspect {
+			d := newHarness(t)
+			crash(d, id, 99)
+			return d.machine.crashCounts(false)
+		}
+		for i, suspects := range [][]messenger.Suspect{other("s2"), own, other("s2"), other("s3")} {
+			h.plainServer("s4", "a")
+			arrive(h, 99)
+			one[Send](h)
+			h.end(reducer.RequestID(h.requests), 1, reducer.AttemptFailed, CauseError)
+			h.step(PeerReceived{Message: messenger.Message{From: "d2", Fleet: &messenger.Fleet{Fence: 1, Sequence: int64(i) + 1, Suspects: suspects}}})
+		}
+		arrive(h, 99)
+		assertEqual(t, "reason", one[Refuse](h).Reason, RefusedPoison)
+	})
 	t.Run("broken connections of servers that stay up don't count as crashes", func(t *testing.T) {
 		h := newHarness(t)
 		h.plainServer("s1", "a")
--- a/internal/peer/messenger/fleet.go
+++ b/internal/peer/messenger/fleet.go
@@ -35,6 +35,8 @@
 type Suspect struct {
 	Fingerprint uint64
 	Crashes     int
+	// Servers are hashes of the incarnations that crashed.
+	Servers []uint64
 }
 
 // An Absence is a model or adapter that was found not to be loaded by a server. An empty Model means that the server
@@ -179,9 +181,9 @@
 }
 
 func encodeSuspect(s Suspect) *SuspectPart {
-	return &SuspectPart{Fingerprint: s.Fingerprint, Crashes: int64(s.Crashes)}
+	return &SuspectPart{Fingerprint: s.Fingerprint, Crashes: int64(s.Crashes), Servers: s.Servers}
 }
 
 func decodeSuspect(s *SuspectPart) Suspect {
-	return Suspect{Fingerprint: s.GetFingerprint(), Crashes: int(s.GetCrashes())}
+	return Suspect{Fingerprint: s.GetFingerprint(), Crashes: int(s.GetCrashes()), Servers: s.GetServers()}
 }
--- a/internal/peer/messenger/fleet_test.go
+++ b/internal/peer/messenger/fleet_test.go
@@ -17,7 +17,7 @@
 			ConfigurationVersion: 3,
 			Models:               []ModelDemand{{Service: "s", Model: "m", Adapter: "a1", Waiting: 2, Running: 1, Arrived: 4, Refused: 5, Slack: -time.Second}},
 			InFlight:             map[string]int{"i-1": 7},
-			Suspects:             []Suspect{{Fingerprint: 1 << 63, Crashes: 2}},
+			Suspects:             []Suspect{{Fingerprint: 1 << 63, Crashes: 2, Servers: []uint64{4, 1 << 62}}},
 			Absences:             []Absence{{Server: "i-1", StartedAt: 9, Model: "m", Adapter: "a1"}},
 		},
 		Fleet: &Fleet{
