fix: a server whose entry lapses after its connection broke counts as crashed

Cause: the end of a server counted as a crash only within 2 s of the broken connection. A crashed server that comes back under another name or later than that shows it only by its entry, which the store removes after three missed heartbeats (3.6 s with the users' settings); until then only a refused connection of the same daemon does.

Evidence: the new subtest of TestCrashes failed before (the request went to a fourth server).

Why this works: the window now ends 2 s after the store removes the entry, by the interval of the settings.

--- a/internal/decision/conductor/crash.go
+++ b/internal/decision/conductor/crash.go
@@ -39,14 +39,14 @@
 
 // recordBrokenConnection records a request whose connection broke while a server was running it.
 func (m *Machine) recordBrokenConnection(r *request, s *server) {
-	m.crashes.broken = slices.DeleteFunc(m.crashes.broken, func(b brokenConnection) bool { return m.now > b.at+crashWindow })
+	m.crashes.broken = slices.DeleteFunc(m.crashes.broken, func(b brokenConnection) bool { return m.now > b.at+m.crashWindow() })
 	m.crashes.broken = append(m.crashes.broken, brokenConnection{server: s.entry.ID, fingerprint: r.Fingerprint, at: m.now})
 }
 
-// serverCrashed counts a crash for the requests whose connections to the server broke within crashWindow.
+// serverCrashed counts a crash for the requests whose connections to the server broke within the crash window.
 func (m *Machine) serverCrashed(s *server) {
 	m.crashes.broken = slices.DeleteFunc(m.crashes.broken, func(b brokenConnection) bool {
-		if b.server != s.entry.ID || m.now > b.at+crashWindow {
+		if b.server != s.entry.ID || m.now > b.at+m.crashWindow() {
 			return false
 		}
 		m.countCrash(b.fingerprint, s)
@@ -54,6 +54,10 @@
 	})
 }
 
+// crashWindow returns how long after a broken connection the end of the server counts as a crash: until the store removes the
+// entry of a server that no longer renews it.
+func (m *Machine) crashWindow() time.Duration { return m.settings.EntryTTL + crashDetectionMargin }
+
 // crashRecordOf returns the record of a request, and creates it or replaces an expired one.
 func (m *Machine) crashRecordOf(fingerprint uint64) *crashRecord {
 	c, ok := m.crashes.byFingerprint[fingerprint]
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -122,8 +122,8 @@
 
 	// poisonCrashes is the number of server crashes after which a request is refused.
 	poisonCrashes = 3
-	// crashWindow is how long after a broken connection the end of the server counts as a crash.
-	crashWindow = 2 * time.Second
+	// crashDetectionMargin is how long after the removal of a crashed server's entry it is known here at the latest.
+	crashDetectionMargin = 2 * time.Second
 	// crashTTL is how long crashes are remembered.
 	crashTTL = 2 * time.Minute
 
--- a/internal/decision/conductor/server_test.go
+++ b/internal/decision/conductor/server_test.go
@@ -117,6 +117,20 @@
 		arrive(h, 99)
 		assertEqual(t, "reason", one[Refuse](h).Reason, RefusedPoison)
 	})
+	t.Run("a server whose entry lapses after its connection broke counts as crashed", func(t *testing.T) {
+		h := newHarness(t)
+		h.machine.settings.EntryTTL = 3600 * time.Millisecond
+		for _, id := range []string{"s1", "s2", "s3"} {
+			e := h.plainServer(id, "a")
+			arrive(h, 99)
+			h.end(reducer.RequestID(h.requests), 1, reducer.AttemptFailed, CauseBroken)
+			h.advance(h.machine.settings.EntryTTL)
+			h.step(ServerRemoved{ID: e.ID, Revision: 1000})
+		}
+		h.plainServer("s4", "a")
+		arrive(h, 99)
+		assertEqual(t, "reason", one[Refuse](h).Reason, RefusedPoison)
+	})
 	t.Run("crashes that daemons have seen at the same time add up", func(t *testing.T) {
 		h := newHarness(t)
 		crash(h, "s1", 99)
