fix: crashes are reported until the leader has them

A request that had crashed three servers could be sent on for as long as a daemon had not heard of the crashes (BUDGET).

Cause: each daemon sent its counts to the leader once. If that message was lost, or the leader ended before it had told the others, nobody sent them again. They also waited for the next regular message, up to 0.4 s, and at the leader up to 1 s.

Evidence: the new subtest of TestCrashes failed before (one report to the first leader, none to the next one).

Why this works: a daemon repeats what the leader's messages don't contain yet, and all of it to a new leader. A new crash is sent at once, by the leader too.

--- a/internal/decision/conductor/crash.go
+++ b/internal/decision/conductor/crash.go
@@ -25,7 +25,7 @@
 	// reportedCrashes is the highest count of a daemon that doesn't report the incarnations.
 	reportedCrashes int
 	expiresAt       time.Duration
-	// reported reports whether the count has been sent to the other daemons.
+	// reported reports whether the other daemons know of all crashes: the leader has sent them.
 	reported bool
 }
 
@@ -74,6 +74,7 @@
 	c.expiresAt = m.now + crashTTL
 	c.reported = false
 	m.logCrashes(fingerprint, c.crashes(), "server "+s.entry.ID+" ended")
+	m.reportCrashesSoon()
 }
 
 // incarnationHash returns a hash of the server and its start, which is the same at all daemons.
@@ -102,7 +103,7 @@
 	return ok && c.crashes() >= poisonCrashes && m.now <= c.expiresAt
 }
 
-// crashCounts returns the counts to send to other daemons, or only those not sent yet.
+// crashCounts returns the crashes to send to other daemons, or only those that they may not know of.
 func (m *Machine) crashCounts(unreportedOnly bool) []messenger.Suspect {
 	var list []messenger.Suspect
 	for fingerprint, c := range m.crashes.byFingerprint {
@@ -110,7 +111,6 @@
 		case m.now > c.expiresAt:
 			delete(m.crashes.byFingerprint, fingerprint)
 		case !unreportedOnly || !c.reported:
-			c.reported = true
 			list = append(list, messenger.Suspect{Fingerprint: fingerprint, Crashes: c.crashes(), Servers: slices.Sorted(maps.Keys(c.servers))})
 		}
 	}
@@ -136,6 +136,36 @@
 			c.expiresAt = m.now + crashTTL
 			c.reported = false
 			m.logCrashes(s.Fingerprint, c.crashes(), "counted by another daemon")
+			if m.isLeader() {
+				m.scheduleFleetMessage()
+			}
 		}
 	}
 }
+
+// reportCrashesSoon schedules a message to the leader or, on the leader, to the other daemons.
+func (m *Machine) reportCrashesSoon() {
+	if m.isLeader() {
+		m.scheduleFleetMessage()
+		return
+	}
+	if m.demand.urgentAt == 0 {
+		m.demand.urgentAt = m.now + urgentDemandDelay
+	}
+}
+
+// confirmCrashes records what the leader has sent to all daemons.
+func (m *Machine) confirmCrashes(list []messenger.Suspect) {
+	for _, s := range list {
+		if c, ok := m.crashes.byFingerprint[s.Fingerprint]; ok {
+			c.reported = !slices.ContainsFunc(slices.Collect(maps.Keys(c.servers)), func(hash uint64) bool { return !slices.Contains(s.Servers, hash) })
+		}
+	}
+}
+
+// resetReportedCrashes has all crashes reported again, since a new leader may not know of them.
+func (m *Machine) resetReportedCrashes() {
+	for _, c := range m.crashes.byFingerprint {
+		c.reported = false
+	}
+}
--- a/internal/decision/conductor/fleet.go
+++ b/internal/decision/conductor/fleet.go
@@ -95,6 +95,7 @@
 
 func (m *Machine) fleetMessage(full bool) *messenger.Fleet {
 	fleet := &messenger.Fleet{Holder: m.settings.Self.Name, Fence: m.election.leader.FencingToken, Sequence: m.fleet.sent, Suspects: m.crashCounts(!full), Loading: m.loadings()}
+	m.confirmCrashes(fleet.Suspects)
 	if m.configuration != nil {
 		fleet.ConfigurationVersion = m.configuration.Version
 	}
@@ -158,6 +159,7 @@
 		f.loading[modelKey{service: l.Service, model: l.Model, adapter: l.Adapter}] = m.now + l.ReadyIn
 	}
 	m.mergeCrashCounts(fleet.Suspects)
+	m.confirmCrashes(fleet.Suspects)
 	m.dispatchQueues()
 }
 
--- a/internal/decision/conductor/role.go
+++ b/internal/decision/conductor/role.go
@@ -103,6 +103,7 @@
 	s.campaignAt = 0
 	m.emit(LogStateChange{Subject: "Role", Change: "HeldBy", Reason: leader.Name, Version: leader.FencingToken})
 	m.demand.reportNow()
+	m.resetReportedCrashes()
 	isSelf := leader.Instance == m.settings.Self.Instance
 	s.ordersFrom = m.now + m.settings.TakeoverDelay + takeoverMargin
 	if sequencer.Epoch(leader.FencingToken) > sequencer.Epoch(previous.FencingToken) {
--- a/internal/decision/conductor/server_test.go
+++ b/internal/decision/conductor/server_test.go
@@ -150,6 +150,37 @@
 		arrive(h, 99)
 		assertEqual(t, "reason", one[Refuse](h).Reason, RefusedPoison)
 	})
+	t.Run("crashes are reported until the leader has them", func(t *testing.T) {
+		h := newHarness(t)
+		h.engine("e1", "a")
+		lead := func(name string, token int64) {
+			h.step(DaemonChanged{Daemon: Daemon{Name: name, Instance: name, PeerAddress: name + ":2"}, Revision: token})
+			h.step(LeaderChanged{Leader: Leader{Name: name, Instance: name, FencingToken: token}})
+		}
+		reported := func() int {
+			h.all = nil
+			h.advance(2 * demandInterval)
+			suspects := 0
+			for _, e := range findIn[SendPeer](h.all) {
+				if e.Message.Demand != nil {
+					suspects += len(e.Message.Demand.Suspects)
+				}
+			}
+			return suspects
+		}
+		lead("d2", 201)
+		crash(h, "s1", 99)
+		for _, leader := range []string{"d2", "d3"} {
+			lead(leader, h.machine.election.leader.FencingToken+1)
+			if got := reported(); got < 2 {
+				t.Errorf("got %d reports to %s, want one in each message", got, leader)
+			}
+		}
+		h.step(PeerReceived{Message: messenger.Message{From: "d3", Fleet: &messenger.Fleet{
+			Holder: "d3", Fence: h.machine.election.leader.FencingToken, Sequence: 1, Suspects: h.machine.crashCounts(false),
+		}}})
+		assertEqual(t, "reports after the leader's own", reported(), 0)
+	})
 	t.Run("broken connections of servers that stay up don't count as crashes", func(t *testing.T) {
 		h := newHarness(t)
 		h.plainServer("s1", "a")
