--- a/internal/decision/conductor/effect.go
+++ b/internal/decision/conductor/effect.go
@@ -29,6 +29,8 @@
 	EventGapTimeout time.Duration
 	// NewConnection asks for a connection that no other request has used.
 	NewConnection bool
+	// ReportAdvice asks for a ServerAdvised event even if the server asks for nothing.
+	ReportAdvice bool
 	// BufferErrors asks the executor to buffer an answer that reports a server error, in case another server does
 	// better.
 	BufferErrors bool
--- a/internal/decision/conductor/event.go
+++ b/internal/decision/conductor/event.go
@@ -109,6 +109,19 @@
 	RetryAfter time.Duration
 }
 
+// A ServerAdvised event carries what a server asks for in the header of an answer, as soon as that has arrived.
+type ServerAdvised struct {
+	Server string
+	Advice Advice
+}
+
+// An Advice is what a server asks of all daemons in the header of an answer. The zero value asks for nothing.
+type Advice struct {
+	// RateLimited reports whether the server names RateLimit, the requests a second that it takes from all daemons together.
+	RateLimited bool
+	RateLimit   float64
+}
+
 // A ServersListed event carries all servers' entries as of a revision.
 type ServersListed struct {
 	Entries  []registrar.Entry
@@ -229,6 +242,7 @@
 func (CallerLeft) event()           {}
 func (AttemptStarted) event()       {}
 func (AttemptEnded) event()         {}
+func (ServerAdvised) event()        {}
 func (ServersListed) event()        {}
 func (ServerChanged) event()        {}
 func (ServerRemoved) event()        {}
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -153,6 +153,8 @@
 		m.attemptStarted(e)
 	case AttemptEnded:
 		m.attemptEnded(e)
+	case ServerAdvised:
+		m.serverAdvised(e)
 	case ServersListed:
 		m.serversListed(e)
 	case ServerChanged:
--- a/internal/decision/conductor/measuring.go
+++ b/internal/decision/conductor/measuring.go
@@ -39,6 +39,8 @@
 	TokenCapacity int64
 	// RetriesLeft is how many retries this daemon's share of the budget still allows.
 	RetriesLeft float64
+	// RateLimitedServers is the number of servers that name a rate limit.
+	RateLimitedServers int
 	// StoreLoads is the number of running loads from the weight store, known only on the leader.
 	StoreLoads int
 }
@@ -76,6 +78,7 @@
 	settings := m.engineSettings(name)
 	for _, s := range m.serversOf(name) {
 		g.Running += len(s.requests)
+		g.RateLimitedServers += boolToInt(s.advice.RateLimited)
 		if s.usable() {
 			taken += float64(len(s.requests)) + s.otherRequests
 			g.Slots += s.entry.Slots
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -234,6 +234,7 @@
 		Request: r.Request, Attempt: r.attempt, Server: s.entry.ID, Address: s.entry.Address,
 		Timeout: r.deadline - m.now, RemainingTime: r.TimeLimit - (m.now - r.arrivedAt), Priority: -1,
 		NewConnection: !r.Route.Repeatable(),
+		ReportAdvice:  s.advice != Advice{},
 		BufferErrors:  r.Route.Repeatable() && r.runs+1 < r.Route.MaxServers,
 	}
 	if r.needsModel() {
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -28,6 +28,9 @@
 	// absentUntil holds the models and adapters that the server lacked, and until when they count as not loaded there.
 	absentUntil map[string]time.Duration
 
+	// advice is what the server asked for last.
+	advice Advice
+
 	// failures counts consecutive failures; the server is avoided until avoidUntil.
 	failures   int
 	avoidUntil time.Duration
--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -62,9 +62,14 @@
 	defer a.stopTimers()
 	reply, err := a.exchange.gateway.Client.Send(a.ctx, a.newCall())
 	if err != nil {
+		var failure *streamer.Failure
+		if errors.As(err, &failure) && failure.Header != nil {
+			a.reportAdvice(failure.Status, failure.Header)
+		}
 		a.ended <- a.newAttemptEnded(err)
 		return
 	}
+	a.reportAdvice(reply.StatusCode, reply.Header)
 	err = a.forward(reply)
 	if err != nil {
 		reply.Discard()
@@ -74,6 +79,17 @@
 	a.ended <- a.newAttemptEnded(err)
 }
 
+// reportAdvice reports what the server asks for in the header of its answer.
+func (a *attempt) reportAdvice(status int, header http.Header) {
+	g := a.exchange.gateway
+	if g.Translator.ReadAdvice == nil {
+		return
+	}
+	if advice := g.Translator.ReadAdvice(status, header); advice != (conductor.Advice{}) || a.send.ReportAdvice {
+		g.Post(conductor.ServerAdvised{Server: a.send.Server, Advice: advice})
+	}
+}
+
 func (a *attempt) onTimeout() { a.cancel(errAttemptTimeout) }
 
 func (a *attempt) onSilence() { a.cancel(errServerSilent) }
--- a/internal/edge/launcher/metrics.go
+++ b/internal/edge/launcher/metrics.go
@@ -102,14 +102,15 @@
 
 func (m *edgeMetrics) registerService(service string) {
 	for name, read := range map[string]func(conductor.ServiceGauges) float64{
-		"queued":         func(g conductor.ServiceGauges) float64 { return float64(g.Queued) },
-		"running":        func(g conductor.ServiceGauges) float64 { return float64(g.Running) },
-		"slots_taken":    func(g conductor.ServiceGauges) float64 { return float64(g.SlotsTaken) },
-		"slots":          func(g conductor.ServiceGauges) float64 { return float64(g.Slots) },
-		"tokens_running": func(g conductor.ServiceGauges) float64 { return float64(g.TokensRunning) },
-		"token_capacity": func(g conductor.ServiceGauges) float64 { return float64(g.TokenCapacity) },
-		"retries_left":   func(g conductor.ServiceGauges) float64 { return g.RetriesLeft },
-		"store_loads":    func(g conductor.ServiceGauges) float64 { return float64(g.StoreLoads) },
+		"queued":          func(g conductor.ServiceGauges) float64 { return float64(g.Queued) },
+		"running":         func(g conductor.ServiceGauges) float64 { return float64(g.Running) },
+		"slots_taken":     func(g conductor.ServiceGauges) float64 { return float64(g.SlotsTaken) },
+		"slots":           func(g conductor.ServiceGauges) float64 { return float64(g.Slots) },
+		"tokens_running":  func(g conductor.ServiceGauges) float64 { return float64(g.TokensRunning) },
+		"token_capacity":  func(g conductor.ServiceGauges) float64 { return float64(g.TokenCapacity) },
+		"retries_left":    func(g conductor.ServiceGauges) float64 { return g.RetriesLeft },
+		"servers_limited": func(g conductor.ServiceGauges) float64 { return float64(g.RateLimitedServers) },
+		"store_loads":     func(g conductor.ServiceGauges) float64 { return float64(g.StoreLoads) },
 	} {
 		m.set.NewGauge("samphirewharf_edge_"+name+`{service="`+service+`"}`, func() float64 {
 			if e := m.gauges.Load(); e != nil {
