fix: daemons together keep to the rate that a server names

Why this works: each daemon takes an equal share of the rate, without agreement, from the daemons that it knows. Daemons pass the rate and its end on by way of the leader, so that those without a share learn of its end. A request that can't be sent in time at that rate is refused at once, with the time at which it can; waiting ones keep their order.

--- a/internal/decision/conductor/advice.go
+++ b/internal/decision/conductor/advice.go
@@ -1,6 +1,13 @@
 package conductor
 
-import "strconv"
+import (
+	"maps"
+	"slices"
+	"strconv"
+
+	"samphirewharf/internal/decision/allotter"
+	"samphirewharf/internal/peer/messenger"
+)
 
 // serverAdvised handles what a server asks for in an answer.
 func (m *Machine) serverAdvised(e ServerAdvised) {
@@ -8,12 +15,127 @@
 	if !ok {
 		return
 	}
-	previous := s.advice
-	s.advice = e.Advice
-	switch {
-	case e.Advice.RateLimited && (!previous.RateLimited || previous.RateLimit != e.Advice.RateLimit):
-		m.emit(LogStateChange{Subject: "Server " + e.Server, Change: "RateLimited", Detail: strconv.FormatFloat(e.Advice.RateLimit, 'g', 4, 64) + " requests a second from all daemons"})
-	case previous.RateLimited && !e.Advice.RateLimited:
-		m.emit(LogStateChange{Subject: "Server " + e.Server, Change: "RateUnlimited"})
+	s.advisedAt = m.now
+	if m.setRateLimit(s, e.Advice.RateLimited, e.Advice.RateLimit) {
+		m.reportRateLimit(s)
+	}
+}
+
+// setRateLimit sets the rate of requests that a server takes from all daemons together. It returns false if that is known.
+func (m *Machine) setRateLimit(s *server, limited bool, perSecond float64) bool {
+	if s.advice.RateLimited == limited && s.advice.RateLimit == perSecond {
+		return false
+	}
+	s.advice.RateLimited, s.advice.RateLimit = limited, perSecond
+	if !limited {
+		m.emit(LogStateChange{Subject: "Server " + s.entry.ID, Change: "RateUnlimited"})
+		m.dispatchQueue(s.entry.Service)
+		return true
+	}
+	m.updateRateShare(s)
+	m.emit(LogStateChange{
+		Subject: "Server " + s.entry.ID, Change: "RateLimited",
+		Detail: formatRate(perSecond) + " requests a second from all daemons, " + formatRate(s.rateShare.Rate()) + " from this one",
+	})
+	return true
+}
+
+func formatRate(perSecond float64) string { return strconv.FormatFloat(perSecond, 'g', 4, 64) }
+
+// updateRateShare sets this daemon's share of a server's rate, which depends on the set of daemons.
+func (m *Machine) updateRateShare(s *server) {
+	self := m.settings.Self.Name
+	daemons := m.daemonNames()
+	if !slices.Contains(daemons, self) {
+		daemons = append(daemons, self)
+	}
+	s.rateShare.SetRate(m.now, allotter.ShareRate(s.advice.RateLimit, s.entry.ID, self, daemons))
+}
+
+// updateRateShares sets this daemon's shares after the set of daemons has changed.
+func (m *Machine) updateRateShares() {
+	for _, s := range m.servers {
+		if s.advice.RateLimited {
+			m.updateRateShare(s)
+		}
+	}
+}
+
+// rateHoldsBack reports whether a server's rate allows no request now, or whether a request that waits for the server comes
+// first.
+func (m *Machine) rateHoldsBack(s *server, r *request) bool {
+	if !s.advice.RateLimited {
+		return false
+	}
+	return s.rateShare.Wait(m.now) > 0 || slices.ContainsFunc(m.service(r.Service).queue, func(other *request) bool {
+		return compareUrgency(other, r) < 0 && m.hasModel(s, other.Model, other.Adapter)
+	})
+}
+
+// reportRateLimit reports a server's rate to the leader or, on the leader, to the other daemons.
+func (m *Machine) reportRateLimit(s *server) {
+	if m.isLeader() {
+		m.scheduleFleetMessage()
+		return
+	}
+	m.demand.rateLimits[s.entry.ID] = rateLimitOf(s)
+	m.demand.reportSoon(m.now)
+}
+
+func rateLimitOf(s *server) messenger.RateLimit {
+	return messenger.RateLimit{Server: s.entry.ID, StartedAt: s.entry.StartedAt, Limited: s.advice.RateLimited, PerSecond: s.advice.RateLimit}
+}
+
+// takeRateLimitReports returns the rates to report to the leader and forgets them.
+func (m *Machine) takeRateLimitReports() []messenger.RateLimit {
+	var list []messenger.RateLimit
+	for _, id := range slices.Sorted(maps.Keys(m.demand.rateLimits)) {
+		list = append(list, m.demand.rateLimits[id])
+	}
+	clear(m.demand.rateLimits)
+	return list
+}
+
+// rateLimits returns the rates of all servers that have one.
+func (m *Machine) rateLimits() []messenger.RateLimit {
+	var list []messenger.RateLimit
+	for _, id := range m.serverIDs() {
+		if s := m.servers[id]; s.advice.RateLimited {
+			list = append(list, rateLimitOf(s))
+		}
+	}
+	return list
+}
+
+// rateLimitsReported handles a daemon's report on the leader.
+func (m *Machine) rateLimitsReported(list []messenger.RateLimit) {
+	for _, l := range list {
+		if s, ok := m.servers[l.Server]; ok && s.entry.StartedAt == l.StartedAt && m.setRateLimit(s, l.Limited, l.PerSecond) {
+			m.scheduleFleetMessage()
+		}
+	}
+}
+
+// rateLimitsReceived handles the leader's rates. What a server has told this daemon itself shortly before takes precedence,
+// and is reported again if the leader says otherwise.
+func (m *Machine) rateLimitsReceived(list []messenger.RateLimit) {
+	limits := make(map[string]messenger.RateLimit, len(list))
+	for _, l := range list {
+		limits[l.Server] = l
+	}
+	for _, id := range m.serverIDs() {
+		s := m.servers[id]
+		l, limited := limits[id]
+		limited = limited && l.Limited && l.StartedAt == s.entry.StartedAt
+		if !limited {
+			l.PerSecond = 0
+		}
+		switch {
+		case s.advice.RateLimited == limited && s.advice.RateLimit == l.PerSecond:
+		case s.advisedAt > 0 && m.now < s.advisedAt+adviceTTL:
+			m.reportRateLimit(s)
+		default:
+			m.setRateLimit(s, limited, l.PerSecond)
+		}
 	}
 }
--- a/internal/decision/conductor/crash.go
+++ b/internal/decision/conductor/crash.go
@@ -149,9 +149,7 @@
 		m.scheduleFleetMessage()
 		return
 	}
-	if m.demand.urgentAt == 0 {
-		m.demand.urgentAt = m.now + urgentDemandDelay
-	}
+	m.demand.reportSoon(m.now)
 }
 
 // confirmCrashes records what the leader has sent to all daemons.
--- a/internal/decision/conductor/demand.go
+++ b/internal/decision/conductor/demand.go
@@ -24,6 +24,8 @@
 	// own counts arrivals and refusals since the last report.
 	own      map[modelKey]*ownDemand
 	absences []messenger.Absence
+	// rateLimits holds the rates of servers to report.
+	rateLimits map[string]messenger.RateLimit
 	// sentAt is when demand was last reported to the leader, urgentAt when new demand has to be reported, 0 if there
 	// is none.
 	sentAt   time.Duration
@@ -54,9 +56,10 @@
 
 func newDemandState() demandState {
 	return demandState{
-		own:      make(map[modelKey]*ownDemand),
-		byDaemon: make(map[string]daemonDemand),
-		history:  make(map[modelKey]*demandHistory),
+		own:        make(map[modelKey]*ownDemand),
+		rateLimits: make(map[string]messenger.RateLimit),
+		byDaemon:   make(map[string]daemonDemand),
+		history:    make(map[modelKey]*demandHistory),
 	}
 }
 
@@ -71,6 +74,13 @@
 	return next
 }
 
+// reportSoon schedules an early report to the leader.
+func (d *demandState) reportSoon(now time.Duration) {
+	if d.urgentAt == 0 {
+		d.urgentAt = now + urgentDemandDelay
+	}
+}
+
 func (d *demandState) reportNow() { d.urgentAt, d.sentAt = 0, 0 }
 
 func (d *demandState) ownOf(k modelKey) *ownDemand {
@@ -101,8 +111,8 @@
 
 // expediteDemand schedules an early report to the leader because a request waits for a model.
 func (m *Machine) expediteDemand(r *request) {
-	if r.needsModel() && m.demand.urgentAt == 0 {
-		m.demand.urgentAt = m.now + urgentDemandDelay
+	if r.needsModel() {
+		m.demand.reportSoon(m.now)
 	}
 }
 
@@ -168,7 +178,7 @@
 		d := entryFor(k)
 		d.Arrived, d.Refused = o.arrived, o.refused
 	}
-	demand := messenger.Demand{InFlight: make(map[string]int), Suspects: m.crashCounts(true), Absences: m.demand.absences}
+	demand := messenger.Demand{InFlight: make(map[string]int), Suspects: m.crashCounts(true), Absences: m.demand.absences, RateLimits: m.takeRateLimitReports()}
 	if m.configuration != nil {
 		demand.ConfigurationVersion = m.configuration.Version
 	}
@@ -215,6 +225,7 @@
 		m.absenceReported(a)
 	}
 	m.mergeCrashCounts(demand.Suspects)
+	m.rateLimitsReported(demand.RateLimits)
 }
 
 func (m *Machine) historyOf(k modelKey) *demandHistory {
--- a/internal/decision/conductor/feed.go
+++ b/internal/decision/conductor/feed.go
@@ -160,6 +160,7 @@
 	m.followers = nil
 	m.relay.candidates = nil
 	m.daemonsChanged = true
+	m.updateRateShares()
 }
 
 // registeredDaemons returns the registered daemons, sorted by name.
--- a/internal/decision/conductor/fleet.go
+++ b/internal/decision/conductor/fleet.go
@@ -94,7 +94,7 @@
 }
 
 func (m *Machine) fleetMessage(full bool) *messenger.Fleet {
-	fleet := &messenger.Fleet{Holder: m.settings.Self.Name, Fence: m.election.leader.FencingToken, Sequence: m.fleet.sent, Suspects: m.crashCounts(!full), Loading: m.loadings()}
+	fleet := &messenger.Fleet{Holder: m.settings.Self.Name, Fence: m.election.leader.FencingToken, Sequence: m.fleet.sent, Suspects: m.crashCounts(!full), Loading: m.loadings(), RateLimits: m.rateLimits()}
 	m.confirmCrashes(fleet.Suspects)
 	if m.configuration != nil {
 		fleet.ConfigurationVersion = m.configuration.Version
@@ -160,6 +160,7 @@
 	}
 	m.mergeCrashCounts(fleet.Suspects)
 	m.confirmCrashes(fleet.Suspects)
+	m.rateLimitsReceived(fleet.RateLimits)
 	m.dispatchQueues()
 }
 
--- a/internal/decision/conductor/limited_test.go
+++ b/internal/decision/conductor/limited_test.go
@@ -154,6 +154,8 @@
 	rateWindow = 4 * time.Second
 	ratePeak   = 1.5
 	rateBurst  = 5
+	// leastUsedRate is the least share of the rate that daemons use while callers press.
+	leastUsedRate = 0.5
 	// adviceDelay is how long after a server first names its rate daemons keep to it.
 	adviceDelay = 3 * time.Second
 )
@@ -176,6 +178,10 @@
 			if got := f.maxSends("s1", limitedAt+adviceDelay, rateWindow); got > want {
 				t.Errorf("got %d requests in %v, want at most %d", got, rateWindow, want)
 			}
+			sends := slices.DeleteFunc(slices.Clone(f.sends["s1"]), func(at time.Duration) bool { return at < limitedAt+adviceDelay })
+			if got, least := len(sends), int(leastUsedRate*c.rate*(f.now-limitedAt-adviceDelay).Seconds()); got < least {
+				t.Errorf("got %d requests sent, want at least %d", got, least)
+			}
 			for _, r := range f.refusals {
 				if r.RetryAfter <= 0 {
 					t.Errorf("got a refusal for %v without a time to come back, want one", r.Reason)
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -31,6 +31,12 @@
 	fullBackoff = 60 * time.Millisecond
 	// absentTTL is how long a model that a server lacked counts as not loaded there without new information.
 	absentTTL = 1500 * time.Millisecond
+	// adviceTTL is how long what a server has told this daemon itself takes precedence over the leader's message.
+	adviceTTL = 2 * time.Second
+	// sendMargin is added to the expected time of an answer, for variance and delays of timers.
+	sendMargin = 50 * time.Millisecond
+	// rateRetryDelay is the retry delay for a service whose servers take no requests from this daemon at their rate.
+	rateRetryDelay = time.Second
 	// minServerBackoff and maxServerBackoff bound how long a server is avoided after consecutive failures.
 	minServerBackoff = 300 * time.Millisecond
 	maxServerBackoff = 4 * time.Second
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"samphirewharf/internal/decision/allotter"
 	"samphirewharf/internal/fleet/matcher"
 )
 
@@ -86,9 +87,9 @@
 // waitFull queues a request if a slot is expected to become free in time, and refuses it otherwise.
 func (m *Machine) waitFull(r *request) {
 	free := m.slotFreeIn(r)
-	if m.now+free > r.firstDeadline {
+	if m.now+free+m.limitedRunTime(r) > r.firstDeadline {
 		m.countRefusal(r)
-		m.giveUp(r, RefusedFull, max(fullRetryDelay, free))
+		m.giveUp(r, RefusedFull, fullRetryAfter(free))
 		return
 	}
 	m.expediteDemand(r)
@@ -126,7 +127,7 @@
 			}
 		case !m.hasModel(s, r.Model, r.Adapter):
 			reason = max(reason, unavailableCold)
-		case s.fullUntil > m.now || m.atCapacity(s, r):
+		case s.fullUntil > m.now || m.atCapacity(s, r) || m.rateHoldsBack(s, r):
 			reason = unavailableFull
 		case s.avoidUntil > m.now:
 			avoided = append(avoided, s)
@@ -223,6 +224,9 @@
 		r.tried = append(r.tried, s.entry.ID)
 	}
 	s.requests[r.Request] = r
+	if s.advice.RateLimited {
+		s.rateShare.Take(m.now)
+	}
 	s.cachedParts.add(r.Parts)
 	m.setTimer(r, r.deadline)
 	d := LogDecision{Action: "Send", Score: c.score, Age: m.now - s.seenAt, Routine: r.attempt == 1}
@@ -290,11 +294,15 @@
 
 // requeue queues a request again that still has no server, without logging the decision again.
 func (m *Machine) requeue(r *request, reason unavailability) {
-	if reason == unavailableCold && m.now+m.readyIn(r) <= r.firstDeadline || reason == unavailableFull && m.now+m.slotFreeIn(r) <= r.firstDeadline {
-		m.enqueue(r, min(r.firstDeadline, m.now+demandInterval))
+	wait := m.readyIn(r)
+	if reason == unavailableFull {
+		wait = m.slotFreeIn(r)
+	}
+	if reason == unavailableNoServer || m.now+wait+m.limitedRunTime(r) > r.firstDeadline {
+		m.route(r)
 		return
 	}
-	m.route(r)
+	m.enqueue(r, min(r.firstDeadline, m.now+min(demandInterval, max(wait, fullBackoff))))
 }
 
 func (m *Machine) dispatchQueues() {
@@ -325,6 +333,7 @@
 			ahead++
 		}
 	}
+	earliest = max(earliest, m.rateAllowsIn(r, ahead))
 	if running == 0 {
 		return max(earliest, fullBackoff)
 	}
@@ -333,6 +342,53 @@
 	return max(earliest, remaining*time.Duration(ahead+1)/time.Duration(running), fullBackoff)
 }
 
+// rateAllowsIn predicts when the rates of the servers that could run the request allow it after the requests ahead of it. It
+// returns 0 if one of the servers has no rate.
+func (m *Machine) rateAllowsIn(r *request, ahead int) time.Duration {
+	wait, perSecond := allotter.Unavailable, 0.0
+	for _, s := range m.serversOf(r.Service) {
+		if !s.usable() || s.downUntil > m.now || !m.hasModel(s, r.Model, r.Adapter) {
+			continue
+		}
+		if !s.advice.RateLimited {
+			return 0
+		}
+		wait = min(wait, s.rateShare.Wait(m.now))
+		perSecond += s.rateShare.Rate()
+	}
+	if perSecond == 0 {
+		return wait
+	}
+	return wait + time.Duration(float64(ahead)/perSecond*float64(time.Second))
+}
+
+// limitedRunTime returns the expected time from the send of a request to the start of its answer if the servers that could run
+// it have rates, so that none is sent too late to be answered: it would take the place of another one. It returns 0 if one
+// of the servers has no rate.
+func (m *Machine) limitedRunTime(r *request) time.Duration {
+	var shortest time.Duration
+	for _, s := range m.serversOf(r.Service) {
+		if !s.usable() || s.downUntil > m.now || !m.hasModel(s, r.Model, r.Adapter) {
+			continue
+		}
+		if !s.advice.RateLimited {
+			return 0
+		}
+		if shortest == 0 || s.latency < shortest {
+			shortest = s.latency
+		}
+	}
+	return shortest + sendMargin
+}
+
+// fullRetryAfter returns the retry delay for a request whose slot becomes free after a time.
+func fullRetryAfter(free time.Duration) time.Duration {
+	if free >= allotter.Unavailable {
+		return rateRetryDelay
+	}
+	return max(fullRetryDelay, free)
+}
+
 // retryAfter returns the delay after which it is worthwhile to send the request again.
 func (m *Machine) retryAfter(r *request) time.Duration {
 	_, reason := m.choose(r)
@@ -340,7 +396,7 @@
 	case reason == unavailableCold && r.needsModel():
 		return m.readyIn(r)
 	case reason == unavailableFull:
-		return max(fullRetryDelay, m.slotFreeIn(r))
+		return fullRetryAfter(m.slotFreeIn(r))
 	default:
 		return fullRetryDelay
 	}
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"samphirewharf/internal/decision/allotter"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/fleet/registrar"
 )
@@ -28,8 +29,11 @@
 	// absentUntil holds the models and adapters that the server lacked, and until when they count as not loaded there.
 	absentUntil map[string]time.Duration
 
-	// advice is what the server asked for last.
-	advice Advice
+	// advice is what the server asked for last, advisedAt when this daemon got that from the server itself.
+	advice    Advice
+	advisedAt time.Duration
+	// rateShare is this daemon's share of the server's rate, valid if advice.RateLimited.
+	rateShare allotter.RateShare
 
 	// failures counts consecutive failures; the server is avoided until avoidUntil.
 	failures   int
--- a/internal/peer/messenger/fleet.go
+++ b/internal/peer/messenger/fleet.go
@@ -15,6 +15,17 @@
 	InFlight map[string]int
 	Suspects []Suspect
 	Absences []Absence
+	// RateLimits are those that have changed, or differ from the leader's.
+	RateLimits []RateLimit
+}
+
+// A RateLimit is the rate of requests that a server takes from all daemons together.
+type RateLimit struct {
+	Server    string
+	StartedAt int64
+	// Limited is false if the server no longer has a limit.
+	Limited   bool
+	PerSecond float64
 }
 
 // A ModelDemand is one daemon's demand for a model, or for an adapter of it.
@@ -61,6 +72,8 @@
 	Suspects []Suspect
 	// ConfigurationVersion is the configuration version in force at the sender.
 	ConfigurationVersion int64
+	// RateLimits are those of all servers that have one.
+	RateLimits []RateLimit
 }
 
 // A FleetServer is the state of one server.
@@ -97,6 +110,7 @@
 		Absences: convert(d.Absences, func(a Absence) *AbsencePart {
 			return &AbsencePart{Server: a.Server, StartedAt: a.StartedAt, Model: a.Model, Adapter: a.Adapter}
 		}),
+		RateLimits: convert(d.RateLimits, encodeRateLimit),
 	}
 	for server, n := range d.InFlight {
 		part.InFlight[server] = int64(n)
@@ -121,6 +135,7 @@
 		Absences: convert(p.GetAbsences(), func(a *AbsencePart) Absence {
 			return Absence{Server: a.GetServer(), StartedAt: a.GetStartedAt(), Model: a.GetModel(), Adapter: a.GetAdapter()}
 		}),
+		RateLimits: convert(p.GetRateLimits(), decodeRateLimit),
 	}
 	if len(p.GetInFlight()) > 0 {
 		d.InFlight = make(map[string]int, len(p.GetInFlight()))
@@ -137,8 +152,9 @@
 	}
 	return &FleetPart{
 		Holder: f.Holder, Fence: f.Fence, Sequence: f.Sequence, ConfigurationVersion: f.ConfigurationVersion,
-		Suspects: convert(f.Suspects, encodeSuspect),
-		Servers:  convert(f.Servers, encodeFleetServer),
+		Suspects:   convert(f.Suspects, encodeSuspect),
+		Servers:    convert(f.Servers, encodeFleetServer),
+		RateLimits: convert(f.RateLimits, encodeRateLimit),
 		Loading: convert(f.Loading, func(l Loading) *LoadingPart {
 			return &LoadingPart{Service: l.Service, Model: l.Model, Adapter: l.Adapter, ReadyInNanoseconds: int64(l.ReadyIn)}
 		}),
@@ -151,8 +167,9 @@
 	}
 	return &Fleet{
 		Holder: p.GetHolder(), Fence: p.GetFence(), Sequence: p.GetSequence(), ConfigurationVersion: p.GetConfigurationVersion(),
-		Suspects: convert(p.GetSuspects(), decodeSuspect),
-		Servers:  convert(p.GetServers(), decodeFleetServer),
+		Suspects:   convert(p.GetSuspects(), decodeSuspect),
+		Servers:    convert(p.GetServers(), decodeFleetServer),
+		RateLimits: convert(p.GetRateLimits(), decodeRateLimit),
 		Loading: convert(p.GetLoading(), func(l *LoadingPart) Loading {
 			return Loading{
 				Service: l.GetService(), Model: l.GetModel(), Adapter: l.GetAdapter(),
@@ -187,3 +204,11 @@
 func decodeSuspect(s *SuspectPart) Suspect {
 	return Suspect{Fingerprint: s.GetFingerprint(), Crashes: int(s.GetCrashes()), Servers: s.GetServers()}
 }
+
+func encodeRateLimit(l RateLimit) *RateLimitPart {
+	return &RateLimitPart{Server: l.Server, StartedAt: l.StartedAt, Limited: l.Limited, PerSecond: l.PerSecond}
+}
+
+func decodeRateLimit(p *RateLimitPart) RateLimit {
+	return RateLimit{Server: p.GetServer(), StartedAt: p.GetStartedAt(), Limited: p.GetLimited(), PerSecond: p.GetPerSecond()}
+}
