fix: a refusal that names no rate doesn't end a server's rate

A server that names a rate could get more requests than it allows (LIMIT) whenever it refused one without naming it, as a model that isn't loaded: the daemon took the rate for ended.

Evidence: TestAdvice, a refusal without advice, failed before.

Why this works: only a successful answer that names none ends it.

--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -79,13 +79,15 @@
 	a.ended <- a.newAttemptEnded(err)
 }
 
-// reportAdvice reports what the server asks for in the header of its answer.
+// reportAdvice reports what the server asks for in the header of its answer. Only a successful answer shows that it asks for
+// nothing any more.
 func (a *attempt) reportAdvice(status int, header http.Header) {
 	g := a.exchange.gateway
 	if g.Translator.ReadAdvice == nil {
 		return
 	}
-	if advice := g.Translator.ReadAdvice(status, header); advice != (conductor.Advice{}) || a.send.ReportAdvice {
+	success := status >= 200 && status < 300
+	if advice := g.Translator.ReadAdvice(status, header); advice != (conductor.Advice{}) || a.send.ReportAdvice && success {
 		g.Post(conductor.ServerAdvised{Server: a.send.Server, Advice: advice})
 	}
 }
