fix: requests of shortly before a daemon knows a server's rate count to it

Cause: each daemon started with a request in advance when it learned of the rate, though the server had had nearly three times its rate until then: a busy server's answers come after half a second and more.

Evidence: TestRateLimit now counts the windows that begin before the rate is known, and answers after 0.7 s.

Why this works: a share begins in debt for what the daemon sent in the last two seconds, times the daemons that have no share, up to four seconds.

--- a/internal/decision/allotter/rateshare.go
+++ b/internal/decision/allotter/rateshare.go
@@ -12,14 +12,26 @@
 // Unavailable is the wait of a daemon that has no share of a rate. No request waits that long.
 const Unavailable = 24 * time.Hour
 
+// RateMemory is how long before a daemon knows of a rate requests count to it: about the time until a busy server has named
+// its rate in an answer.
+const RateMemory = 2 * time.Second
+
+// maxRateDebt bounds how long a daemon waits for what it sent before it knew of a rate.
+const maxRateDebt = 4 * time.Second
+
 // sharersBeyondRate is how many more daemons than the requests a second share a rate. Each of them may send one request in
 // advance, so in a large fleet not all daemons can have a share.
 const sharersBeyondRate = 4
 
+// Sharers returns how many daemons share a rate.
+func Sharers(perSecond float64, daemons int) int {
+	return max(1, min(daemons, int(min(perSecond, float64(daemons))+sharersBeyondRate)))
+}
+
 // ShareRate returns a daemon's share of the rate of requests that a server takes from all daemons together, 0 if it has none.
 // All daemons that know the same daemons come to shares whose sum is the rate.
 func ShareRate(perSecond float64, server, daemon string, daemons []string) float64 {
-	sharers := max(1, min(len(daemons), int(min(perSecond, float64(len(daemons)))+sharersBeyondRate)))
+	sharers := Sharers(perSecond, len(daemons))
 	ranked := slices.Clone(daemons)
 	slices.SortFunc(ranked, func(a, b string) int {
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(server+" "+a), xxhash.Sum64String(server+" "+b)), cmp.Compare(a, b))
@@ -36,13 +48,25 @@
 	limiter *rate.Limiter
 }
 
-// SetRate sets the requests a second.
+// NewRateShare returns a share of the given requests a second. A server that names a rate has got too many requests before, so
+// those that the daemon sent at the given times of the last RateMemory count as well. Each counts times times, for the
+// daemons that have no share; the first request waits for maxRateDebt at most.
+func NewRateShare(now time.Duration, perSecond float64, sent []time.Duration, times int) RateShare {
+	s := RateShare{limiter: rate.NewLimiter(rate.Limit(perSecond), 1)}
+	s.Take(now - RateMemory)
+	for _, at := range sent {
+		for i := 0; i < times && at >= now-RateMemory && s.Wait(now) < maxRateDebt; i++ {
+			s.Take(at)
+		}
+	}
+	return s
+}
+
+// SetRate changes the requests a second.
 func (s *RateShare) SetRate(now time.Duration, perSecond float64) {
-	if s.limiter == nil {
-		s.limiter = rate.NewLimiter(rate.Limit(perSecond), 1)
-		return
+	if s.limiter != nil {
+		s.limiter.SetLimitAt(clock(now), rate.Limit(perSecond))
 	}
-	s.limiter.SetLimitAt(clock(now), rate.Limit(perSecond))
 }
 
 // Rate returns the requests a second.
--- a/internal/decision/allotter/rateshare_test.go
+++ b/internal/decision/allotter/rateshare_test.go
@@ -45,23 +45,35 @@
 		}
 	}
 	t.Run("requests are spaced by the rate", func(t *testing.T) {
-		var s RateShare
-		s.SetRate(time.Second, 2)
+		s := NewRateShare(0, 2, nil, 1)
 		assertWait(t, &s, time.Second, 0)
 		s.Take(time.Second)
 		assertWait(t, &s, time.Second, 500*time.Millisecond)
 		assertWait(t, &s, 1300*time.Millisecond, 200*time.Millisecond)
 		assertWait(t, &s, 1501*time.Millisecond, 0)
 	})
+	t.Run("requests of shortly before count", func(t *testing.T) {
+		now := 10 * time.Second
+		s := NewRateShare(now, 2, []time.Duration{now - 5*time.Second, now - 1900*time.Millisecond, now - time.Second, now - 500*time.Millisecond, now, now}, 1)
+		assertWait(t, &s, now, time.Second)
+	})
+	t.Run("requests of shortly before count for the daemons without a share", func(t *testing.T) {
+		now := 10 * time.Second
+		s := NewRateShare(now, 2, []time.Duration{now - time.Second}, 6)
+		assertWait(t, &s, now, 2*time.Second)
+	})
+	t.Run("the wait for requests of before is bounded", func(t *testing.T) {
+		now := 10 * time.Second
+		s := NewRateShare(now, 2, []time.Duration{now - time.Second}, 100)
+		assertWait(t, &s, now, maxRateDebt)
+	})
 	t.Run("an idle daemon saves one request at most", func(t *testing.T) {
-		var s RateShare
-		s.SetRate(0, 2)
+		s := NewRateShare(0, 2, nil, 1)
 		s.Take(time.Minute)
 		assertWait(t, &s, time.Minute, 500*time.Millisecond)
 	})
 	t.Run("a changed rate keeps what was taken", func(t *testing.T) {
-		var s RateShare
-		s.SetRate(0, 2)
+		s := NewRateShare(0, 2, nil, 1)
 		s.Take(0)
 		s.SetRate(0, 1)
 		assertWait(t, &s, 0, time.Second)
--- a/internal/decision/conductor/advice.go
+++ b/internal/decision/conductor/advice.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"time"
 
 	"samphirewharf/internal/decision/allotter"
 	"samphirewharf/internal/peer/messenger"
@@ -26,13 +27,19 @@
 	if s.advice.RateLimited == limited && s.advice.RateLimit == perSecond {
 		return false
 	}
+	isNew := !s.advice.RateLimited
 	s.advice.RateLimited, s.advice.RateLimit = limited, perSecond
 	if !limited {
 		m.emit(LogStateChange{Subject: "Server " + s.entry.ID, Change: "RateUnlimited"})
 		m.dispatchQueue(s.entry.Service)
 		return true
 	}
-	m.updateRateShare(s)
+	if isNew {
+		daemons := m.daemonCount()
+		s.rateShare = allotter.NewRateShare(m.now, m.shareRate(s), s.recentSends, daemons/allotter.Sharers(perSecond, daemons))
+	} else {
+		m.updateRateShare(s)
+	}
 	m.emit(LogStateChange{
 		Subject: "Server " + s.entry.ID, Change: "RateLimited",
 		Detail: formatRate(perSecond) + " requests a second from all daemons, " + formatRate(s.rateShare.Rate()) + " from this one",
@@ -42,14 +49,26 @@
 
 func formatRate(perSecond float64) string { return strconv.FormatFloat(perSecond, 'g', 4, 64) }
 
-// updateRateShare sets this daemon's share of a server's rate, which depends on the set of daemons.
-func (m *Machine) updateRateShare(s *server) {
+// updateRateShare sets this daemon's share of a server's rate.
+func (m *Machine) updateRateShare(s *server) { s.rateShare.SetRate(m.now, m.shareRate(s)) }
+
+// shareRate returns this daemon's share of a server's rate, which depends on the set of daemons.
+func (m *Machine) shareRate(s *server) float64 {
 	self := m.settings.Self.Name
 	daemons := m.daemonNames()
 	if !slices.Contains(daemons, self) {
 		daemons = append(daemons, self)
 	}
-	s.rateShare.SetRate(m.now, allotter.ShareRate(s.advice.RateLimit, s.entry.ID, self, daemons))
+	return allotter.ShareRate(s.advice.RateLimit, s.entry.ID, self, daemons)
+}
+
+// countSend counts a request that is sent to a server.
+func (m *Machine) countSend(s *server) {
+	s.recentSends = slices.DeleteFunc(s.recentSends, func(at time.Duration) bool { return at < m.now-allotter.RateMemory })
+	s.recentSends = append(s.recentSends, m.now)
+	if s.advice.RateLimited {
+		s.rateShare.Take(m.now)
+	}
 }
 
 // updateRateShares sets this daemon's shares after the set of daemons has changed.
--- a/internal/decision/conductor/limited_test.go
+++ b/internal/decision/conductor/limited_test.go
@@ -37,6 +37,8 @@
 	at      time.Duration
 	machine int
 	send    Send
+	// advice is what the server asked for when it got the request.
+	advice Advice
 }
 
 type heldRefusal struct {
@@ -47,7 +49,7 @@
 func newDaemonsHarness(t *testing.T, daemons int, entries ...registrar.Entry) *daemonsHarness {
 	t.Helper()
 	f := &daemonsHarness{
-		t: t, serviceTime: 100 * time.Millisecond, rng: rand.New(rand.NewPCG(1, 2)), advice: make(map[string]Advice),
+		t: t, serviceTime: 700 * time.Millisecond, rng: rand.New(rand.NewPCG(1, 2)), advice: make(map[string]Advice),
 		sends: make(map[string][]time.Duration), arrived: make(map[reducer.RequestID]time.Duration),
 	}
 	var list []DaemonChanged
@@ -78,7 +80,7 @@
 		switch e := effect.(type) {
 		case Send:
 			f.sends[e.Server] = append(f.sends[e.Server], f.now)
-			f.answers = append(f.answers, pendingAnswer{f.now + f.serviceTime, machine, e})
+			f.answers = append(f.answers, pendingAnswer{f.now + f.serviceTime, machine, e, f.advice[e.Server]})
 		case Refuse:
 			f.refusals = append(f.refusals, heldRefusal{e, f.now - f.arrived[e.Request]})
 		case RenewLease:
@@ -106,12 +108,14 @@
 // run plays callers that send requests at a rate to random daemons.
 func (f *daemonsHarness) run(duration time.Duration, perSecond float64) {
 	const tick = 10 * time.Millisecond
+	route := reading
+	route.Timeout = 4 * time.Second
 	for end := f.now + duration; f.now < end; f.now += tick {
 		due := slices.DeleteFunc(slices.Clone(f.answers), func(a pendingAnswer) bool { return a.at > f.now })
 		f.answers = slices.DeleteFunc(f.answers, func(a pendingAnswer) bool { return a.at <= f.now })
 		for _, a := range due {
-			if advice := f.advice[a.send.Server]; advice != (Advice{}) || a.send.ReportAdvice {
-				f.step(a.machine, ServerAdvised{Server: a.send.Server, Advice: advice})
+			if a.advice != (Advice{}) || a.send.ReportAdvice {
+				f.step(a.machine, ServerAdvised{Server: a.send.Server, Advice: a.advice})
 			}
 			f.step(a.machine, AttemptEnded{Request: a.send.Request, Attempt: a.send.Attempt, Outcome: reducer.AttemptDone, Latency: f.serviceTime})
 			f.served++
@@ -121,7 +125,7 @@
 			id := reducer.RequestID(f.requests)
 			f.arrived[id] = f.now
 			f.step(f.rng.IntN(len(f.machines)), RequestArrived{
-				Request: id, ID: "r", Route: reading, Version: 1, Service: plainService, TimeLimit: reading.Timeout, Fingerprint: uint64(id),
+				Request: id, ID: "r", Route: route, Version: 1, Service: plainService, TimeLimit: route.Timeout, Fingerprint: uint64(id),
 			})
 		}
 		for i, machine := range f.machines {
@@ -132,9 +136,9 @@
 	}
 }
 
-// maxSends returns the highest number of requests that a server got in any window after a time.
+// maxSends returns the highest number of requests that a server got in any window that ends after a time.
 func (f *daemonsHarness) maxSends(server string, after, window time.Duration) int {
-	sends := slices.DeleteFunc(slices.Clone(f.sends[server]), func(at time.Duration) bool { return at < after })
+	sends := slices.DeleteFunc(slices.Clone(f.sends[server]), func(at time.Duration) bool { return at < after-window })
 	most := 0
 	for i := range sends {
 		n := 0
@@ -154,6 +158,9 @@
 	rateWindow = 4 * time.Second
 	ratePeak   = 1.5
 	rateBurst  = 5
+	// usualLoad is how many times its rate a server gets before it names it, heavyLoad what callers send at the worst.
+	usualLoad = 2.7
+	heavyLoad = 8
 	// leastUsedRate is the least share of the rate that daemons use while callers press.
 	leastUsedRate = 0.5
 	// adviceDelay is how long after a server first names its rate daemons keep to it.
@@ -164,16 +171,16 @@
 	entry := registrar.Entry{ID: "s1", StartedAt: 1, Service: plainService, Address: "s1:80", Zone: "a", Slots: 6, Revision: 90}
 	other := registrar.Entry{ID: "s2", StartedAt: 1, Service: plainService, Address: "s2:80", Zone: "a", Slots: 6, Revision: 91}
 	for _, c := range []struct {
-		daemons   int
-		rate      float64
-		perSecond float64
-	}{{7, 4.3, 20}, {7, 2.4, 20}, {7, 0.5, 10}, {1, 4, 20}, {60, 2, 30}, {76, 12, 60}} {
+		daemons int
+		rate    float64
+	}{{7, 4.3}, {7, 2.9}, {7, 2.4}, {7, 0.5}, {1, 4}, {60, 2}, {76, 12}} {
 		t.Run(fmt.Sprintf("%d daemons together keep to %v requests a second", c.daemons, c.rate), func(t *testing.T) {
 			f := newDaemonsHarness(t, c.daemons, entry)
-			f.run(4*time.Second, c.perSecond)
+			f.run(4*time.Second, usualLoad*c.rate)
 			f.advice["s1"] = Advice{RateLimited: true, RateLimit: c.rate}
 			limitedAt := f.now
-			f.run(40*time.Second, c.perSecond)
+			f.run(adviceDelay, usualLoad*c.rate)
+			f.run(40*time.Second, heavyLoad*c.rate)
 			want := int(ratePeak*c.rate*rateWindow.Seconds()) + rateBurst
 			if got := f.maxSends("s1", limitedAt+adviceDelay, rateWindow); got > want {
 				t.Errorf("got %d requests in %v, want at most %d", got, rateWindow, want)
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -224,9 +224,7 @@
 		r.tried = append(r.tried, s.entry.ID)
 	}
 	s.requests[r.Request] = r
-	if s.advice.RateLimited {
-		s.rateShare.Take(m.now)
-	}
+	m.countSend(s)
 	s.cachedParts.add(r.Parts)
 	m.setTimer(r, r.deadline)
 	d := LogDecision{Action: "Send", Score: c.score, Age: m.now - s.seenAt, Routine: r.attempt == 1}
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -32,6 +32,8 @@
 	// advice is what the server asked for last, advisedAt when this daemon got that from the server itself.
 	advice    Advice
 	advisedAt time.Duration
+	// recentSends holds the times of this daemon's requests to the server in the last allotter.RateMemory.
+	recentSends []time.Duration
 	// rateShare is this daemon's share of the server's rate, valid if advice.RateLimited.
 	rateShare allotter.RateShare
 
