fix: a server that refuses a request and asks for a pause gets none until it is over

Why this works: the pause goes with the rate into the same event, for the incarnation that asked. The server counts as full until it is over, for new and repeated requests, and the time to come back that callers get is that. The leader doesn't poll it nor give it orders meanwhile. A wait is predicted from the server that is free first; a paused one no longer hides the others.

--- a/internal/decision/conductor/advice.go
+++ b/internal/decision/conductor/advice.go
@@ -13,13 +13,17 @@
 // serverAdvised handles what a server asks for in an answer.
 func (m *Machine) serverAdvised(e ServerAdvised) {
 	s, ok := m.servers[e.Server]
-	if !ok {
+	if !ok || e.StartedAt != s.entry.StartedAt {
 		return
 	}
 	s.advisedAt = m.now
 	if m.setRateLimit(s, e.Advice.RateLimited, e.Advice.RateLimit) {
 		m.reportRateLimit(s)
 	}
+	if until := m.now + e.Advice.Pause; e.Advice.Pause > 0 && until > s.pausedUntil {
+		s.pausedUntil = until
+		m.emit(LogStateChange{Subject: "Server " + e.Server, Change: "Paused", Reason: "it refused a request and asked for a pause", Detail: e.Advice.Pause.String()})
+	}
 }
 
 // setRateLimit sets the rate of requests that a server takes from all daemons together. It returns false if that is known.
--- a/internal/decision/conductor/effect.go
+++ b/internal/decision/conductor/effect.go
@@ -17,6 +17,8 @@
 	Attempt int
 	Server  string
 	Address string
+	// StartedAt identifies the server's incarnation.
+	StartedAt int64
 	// Timeout is the time left until the request's deadline.
 	Timeout time.Duration
 	// RemainingTime is the rest of the caller's time limit.
--- a/internal/decision/conductor/event.go
+++ b/internal/decision/conductor/event.go
@@ -112,7 +112,9 @@
 // A ServerAdvised event carries what a server asks for in the header of an answer, as soon as that has arrived.
 type ServerAdvised struct {
 	Server string
-	Advice Advice
+	// StartedAt identifies the incarnation that the request was sent to.
+	StartedAt int64
+	Advice    Advice
 }
 
 // An Advice is what a server asks of all daemons in the header of an answer. The zero value asks for nothing.
@@ -120,6 +122,8 @@
 	// RateLimited reports whether the server names RateLimit, the requests a second that it takes from all daemons together.
 	RateLimited bool
 	RateLimit   float64
+	// Pause is how long a server that refused the request wants no other one from this daemon.
+	Pause time.Duration
 }
 
 // A ServersListed event carries all servers' entries as of a revision.
--- a/internal/decision/conductor/limited_test.go
+++ b/internal/decision/conductor/limited_test.go
@@ -115,7 +115,7 @@
 		f.answers = slices.DeleteFunc(f.answers, func(a pendingAnswer) bool { return a.at <= f.now })
 		for _, a := range due {
 			if a.advice != (Advice{}) || a.send.ReportAdvice {
-				f.step(a.machine, ServerAdvised{Server: a.send.Server, Advice: a.advice})
+				f.step(a.machine, ServerAdvised{Server: a.send.Server, StartedAt: 1, Advice: a.advice})
 			}
 			f.step(a.machine, AttemptEnded{Request: a.send.Request, Attempt: a.send.Attempt, Outcome: reducer.AttemptDone, Latency: f.serviceTime})
 			f.served++
--- a/internal/decision/conductor/placing.go
+++ b/internal/decision/conductor/placing.go
@@ -190,6 +190,9 @@
 		m.dispatchQueue(s.entry.Service)
 		return true
 	})
+	if m.now < s.pausedUntil {
+		engine.pollAt = max(engine.pollAt, s.pausedUntil)
+	}
 	if !engine.polling && m.now >= engine.pollAt {
 		engine.polling = true
 		m.emit(PollServer{Server: id, Address: s.entry.Address})
@@ -297,7 +300,7 @@
 // placerServer returns a server as input of placer.Plan. A model counts as running there if any daemon has requests
 // for it.
 func placerServer(now time.Duration, s *server, engine *engineState, running map[string]map[string]int, demands []placer.Demand) placer.Server {
-	idle := engine.countKnown && engine.pendingOrder == nil && !engine.outcomeUnknown && !engine.busy && engine.loading == "" && engine.unloading == ""
+	idle := now >= s.pausedUntil && engine.countKnown && engine.pendingOrder == nil && !engine.outcomeUnknown && !engine.busy && engine.loading == "" && engine.unloading == ""
 	ps := placer.Server{
 		ID: s.entry.ID, Zone: s.entry.Zone, Slots: s.entry.Slots,
 		Free:           idle,
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -127,7 +127,7 @@
 			}
 		case !m.hasModel(s, r.Model, r.Adapter):
 			reason = max(reason, unavailableCold)
-		case s.fullUntil > m.now || m.atCapacity(s, r) || m.rateHoldsBack(s, r):
+		case s.busyUntil() > m.now || m.atCapacity(s, r) || m.rateHoldsBack(s, r):
 			reason = unavailableFull
 		case s.avoidUntil > m.now:
 			avoided = append(avoided, s)
@@ -233,10 +233,10 @@
 	}
 	m.logDecision(r, d)
 	e := Send{
-		Request: r.Request, Attempt: r.attempt, Server: s.entry.ID, Address: s.entry.Address,
+		Request: r.Request, Attempt: r.attempt, Server: s.entry.ID, Address: s.entry.Address, StartedAt: s.entry.StartedAt,
 		Timeout: r.deadline - m.now, RemainingTime: r.TimeLimit - (m.now - r.arrivedAt), Priority: -1,
 		NewConnection: !r.Route.Repeatable(),
-		ReportAdvice:  s.advice != Advice{},
+		ReportAdvice:  s.advice.RateLimited,
 		BufferErrors:  r.Route.Repeatable() && r.runs+1 < r.Route.MaxServers,
 	}
 	if r.needsModel() {
@@ -311,16 +311,14 @@
 
 // slotFreeIn predicts when a slot becomes free for the request, from the rate at which running requests end.
 func (m *Machine) slotFreeIn(r *request) time.Duration {
-	var earliest time.Duration
+	earliest := never
 	running, ahead := 0, 0
 	var elapsed time.Duration
 	for _, s := range m.serversOf(r.Service) {
 		if !s.usable() || !m.hasModel(s, r.Model, r.Adapter) {
 			continue
 		}
-		if s.fullUntil > m.now && (earliest == 0 || s.fullUntil-m.now < earliest) {
-			earliest = s.fullUntil - m.now
-		}
+		earliest = min(earliest, max(0, s.busyUntil()-m.now))
 		for _, other := range s.requests {
 			running++
 			elapsed += m.now - other.sentAt
@@ -331,6 +329,9 @@
 			ahead++
 		}
 	}
+	if earliest == never {
+		earliest = 0
+	}
 	earliest = max(earliest, m.rateAllowsIn(r, ahead))
 	if running == 0 {
 		return max(earliest, fullBackoff)
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -41,6 +41,8 @@
 	failures   int
 	avoidUntil time.Duration
 	fullUntil  time.Duration
+	// pausedUntil is until when the server wants nothing from this daemon.
+	pausedUntil time.Duration
 	// downUntil is until when the server counts as down because it accepted no connection.
 	downUntil time.Duration
 	// errorShare is the smoothed share of error answers, latency the smoothed time to the first part of an answer.
@@ -65,6 +67,9 @@
 	return s.entry.State == registrar.StateReady && s.unconfirmedUntil == 0
 }
 
+// busyUntil returns until when the server gets no requests because it had no slot or asked for a pause.
+func (s *server) busyUntil() time.Duration { return max(s.fullUntil, s.pausedUntil) }
+
 // load returns the number of requests per slot.
 func (s *server) load() float64 {
 	return (float64(len(s.requests)) + s.otherRequests) / float64(max(s.entry.Slots, 1))
--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -88,7 +88,7 @@
 	}
 	success := status >= 200 && status < 300
 	if advice := g.Translator.ReadAdvice(status, header); advice != (conductor.Advice{}) || a.send.ReportAdvice && success {
-		g.Post(conductor.ServerAdvised{Server: a.send.Server, Advice: advice})
+		g.Post(conductor.ServerAdvised{Server: a.send.Server, StartedAt: a.send.StartedAt, Advice: advice})
 	}
 }
 
