fix: a server that says in its answers that it leaves gets no further request

Evidence: TestServerLeaving failed before in two subtests.

Why this works: the answer marks the incarnation as draining, as its entry would, and an entry that says otherwise doesn't undo it.

--- a/internal/decision/conductor/advice.go
+++ b/internal/decision/conductor/advice.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"samphirewharf/internal/decision/allotter"
+	"samphirewharf/internal/fleet/registrar"
 	"samphirewharf/internal/peer/messenger"
 )
 
@@ -20,6 +21,11 @@
 	if m.setRateLimit(s, e.Advice.RateLimited, e.Advice.RateLimit) {
 		m.reportRateLimit(s)
 	}
+	if e.Advice.Leaving && s.entry.State != registrar.StateDraining {
+		s.entry.State = registrar.StateDraining
+		m.placement.dirty = true
+		m.emit(LogStateChange{Subject: "Server " + e.Server, Change: "Draining", Reason: "it says so in an answer", Version: s.entry.Revision})
+	}
 	if until := m.now + e.Advice.Pause; e.Advice.Pause > 0 && until > s.pausedUntil {
 		s.pausedUntil = until
 		m.emit(LogStateChange{Subject: "Server " + e.Server, Change: "Paused", Reason: "it refused a request and asked for a pause", Detail: e.Advice.Pause.String()})
--- a/internal/decision/conductor/advice_test.go
+++ b/internal/decision/conductor/advice_test.go
@@ -68,3 +68,39 @@
 		one[Send](h)
 	})
 }
+
+func TestServerLeaving(t *testing.T) {
+	leaving := func(h *harness, startedAt int64) {
+		h.step(ServerAdvised{Server: "s1", StartedAt: startedAt, Advice: Advice{Leaving: true}})
+	}
+	t.Run("a server that says that it leaves gets no further request, whatever its entry says", func(t *testing.T) {
+		h := newHarness(t)
+		entry := h.plainServer("s1", "a")
+		h.plainServer("s2", "a")
+		leaving(h, 1)
+		h.change(entry)
+		for range 10 {
+			h.request(booking, "", "")
+			assertEqual(t, "server", one[Send](h).Server, "s2")
+		}
+	})
+	t.Run("it isn't used during an outage of the store either", func(t *testing.T) {
+		h := newHarness(t)
+		h.plainServer("s1", "a")
+		h.step(StoreLost{Reason: "down"})
+		leaving(h, 1)
+		h.advance(time.Second)
+		h.request(booking, "", "")
+		none[Send](h)
+	})
+	t.Run("the next incarnation is used", func(t *testing.T) {
+		h := newHarness(t)
+		entry := h.plainServer("s1", "a")
+		leaving(h, 1)
+		entry.StartedAt = 2
+		h.change(entry)
+		leaving(h, 1)
+		h.request(booking, "", "")
+		one[Send](h)
+	})
+}
--- a/internal/decision/conductor/event.go
+++ b/internal/decision/conductor/event.go
@@ -122,6 +122,8 @@
 	// RateLimited reports whether the server names RateLimit, the requests a second that it takes from all daemons together.
 	RateLimited bool
 	RateLimit   float64
+	// Leaving reports whether the server is about to stop.
+	Leaving bool
 	// Pause is how long a server that refused the request wants no other one from this daemon.
 	Pause time.Duration
 }
