fix: what the leader asks of an engine counts to the engine's rate

A server that names a rate takes that many requests from all daemons together.

Evidence: TestRateOfOrders failed before.

Why this works: the leader counts them to its share, so that its own requests wait for them. They themselves don't wait, since a late order serves nobody; the debt that they leave is bounded.

--- a/internal/decision/allotter/rateshare.go
+++ b/internal/decision/allotter/rateshare.go
@@ -16,7 +16,7 @@
 // its rate in an answer.
 const RateMemory = 2 * time.Second
 
-// maxRateDebt bounds how long a daemon waits for what it sent before it knew of a rate.
+// maxRateDebt bounds how long a daemon waits for what it sent in excess of its share.
 const maxRateDebt = 4 * time.Second
 
 // sharersBeyondRate is how many more daemons than the requests a second share a rate. Each of them may send one request in
@@ -50,13 +50,13 @@
 
 // NewRateShare returns a share of the given requests a second. A server that names a rate has got too many requests before, so
 // those that the daemon sent at the given times of the last RateMemory count as well. Each counts times times, for the
-// daemons that have no share; the first request waits for maxRateDebt at most.
+// daemons that have no share.
 func NewRateShare(now time.Duration, perSecond float64, sent []time.Duration, times int) RateShare {
 	s := RateShare{limiter: rate.NewLimiter(rate.Limit(perSecond), 1)}
-	s.Take(now - RateMemory)
+	s.limiter.ReserveN(clock(now-RateMemory), 1)
 	for _, at := range sent {
 		for i := 0; i < times && at >= now-RateMemory && s.Wait(now) < maxRateDebt; i++ {
-			s.Take(at)
+			s.limiter.ReserveN(clock(at), 1)
 		}
 	}
 	return s
@@ -91,9 +91,9 @@
 	return time.Duration(missing/perSecond*float64(time.Second)) + time.Millisecond
 }
 
-// Take counts a request that is sent.
+// Take counts a request that is sent, also one that couldn't wait for the rate. It has the next one wait for maxRateDebt at most.
 func (s *RateShare) Take(now time.Duration) {
-	if s.limiter != nil {
+	if s.limiter != nil && s.Wait(now) < maxRateDebt {
 		s.limiter.ReserveN(clock(now), 1)
 	}
 }
--- a/internal/decision/conductor/advice.go
+++ b/internal/decision/conductor/advice.go
@@ -72,7 +72,7 @@
 	return allotter.ShareRate(s.advice.RateLimit, s.entry.ID, self, daemons)
 }
 
-// countSend counts a request that is sent to a server.
+// countSend counts a request, poll or order that is sent to a server.
 func (m *Machine) countSend(s *server) {
 	s.recentSends = slices.DeleteFunc(s.recentSends, func(at time.Duration) bool { return at < m.now-allotter.RateMemory })
 	s.recentSends = append(s.recentSends, m.now)
--- a/internal/decision/conductor/advice_test.go
+++ b/internal/decision/conductor/advice_test.go
@@ -104,3 +104,16 @@
 		one[Send](h)
 	})
 }
+
+func TestRateOfOrders(t *testing.T) {
+	t.Run("what the leader asks of an engine counts to its rate", func(t *testing.T) {
+		h := newHarness(t)
+		h.engine("e1", "a", loadedModel("m1"))
+		h.step(ServerAdvised{Server: "e1", StartedAt: 1, Advice: Advice{RateLimited: true, RateLimit: 0.5}})
+		h.advance(4 * time.Second)
+		h.step(LeaderChanged{Leader: Leader{Name: "d1", Instance: "i1", FencingToken: 200}})
+		one[PollServer](h)
+		h.request(quick, "m1", "")
+		none[Send](h)
+	})
+}
--- a/internal/decision/conductor/ordering.go
+++ b/internal/decision/conductor/ordering.go
@@ -51,6 +51,7 @@
 		Subject: "Server " + step.Server, Change: "Order" + step.Operation.String(), Reason: step.Reason, Version: order.FencingToken,
 		Detail: name + " from " + step.Tier.String() + " for " + step.Goal + ", after order " + itoa(order.ExpectedOrders) + ", next best " + step.Other,
 	})
+	m.countSend(s)
 	m.emit(SendOrder{Order: order, Expires: min(m.now+orderTTL, m.orderDeadline())})
 }
 
--- a/internal/decision/conductor/placing.go
+++ b/internal/decision/conductor/placing.go
@@ -195,6 +195,7 @@
 	}
 	if !engine.polling && m.now >= engine.pollAt {
 		engine.polling = true
+		m.countSend(s)
 		m.emit(PollServer{Server: id, Address: s.entry.Address})
 	}
 }
