fix: adapters that load slowly keep their places

Engines were ordered to load more adapters than they have places for (LIMIT): the users' first case, a load after another load.

Cause: an adapter counted as loaded 12 ms after its order. When it took longer, a report didn't list it as loaded, and the leader took its place for free; the report's list of adapters on their way was decoded and never used. The leader also ordered the unload of such an adapter, which frees no place.

Why this works: what a report lists as being loaded has its place and memory, by whichever leader's order. An adapter makes way for another one only when a report has confirmed it; an engine that is full of unconfirmed ones is polled for that, at most twice a second.

--- a/internal/decision/conductor/control.go
+++ b/internal/decision/conductor/control.go
@@ -1,6 +1,9 @@
 package conductor
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"samphirewharf/internal/decision/placer"
@@ -27,6 +30,8 @@
 	entryAt time.Duration
 	pollAt  time.Duration
 	polling bool
+	// polledAt is when the engine was last polled.
+	polledAt time.Duration
 
 	// busy reports whether the engine has reported that it is carrying out an order, from whichever leader.
 	busy bool
@@ -43,6 +48,11 @@
 	concurrentLoads int
 	unloading       string
 	adapterLoads    []adapterLoad
+	// pendingAdapters are the adapters that the engine has reported as being loaded, by whichever leader's order.
+	pendingAdapters []string
+	// unconfirmed holds when the leader's orders to load adapters were accepted, by name, until the engine has reported them as
+	// loaded.
+	unconfirmed map[string]time.Duration
 	// added holds when adapters that the leader recently ordered were loaded, and removed when it recently ordered
 	// unloads, by name.
 	added   map[string]time.Duration
@@ -66,7 +76,7 @@
 func newEngineState(s *server) *engineState {
 	return &engineState{
 		startedAt: s.entry.StartedAt, weights: s.entry.Weights, absentUntil: make(map[string]time.Duration),
-		added: make(map[string]time.Duration), removed: make(map[string]time.Duration),
+		unconfirmed: make(map[string]time.Duration), added: make(map[string]time.Duration), removed: make(map[string]time.Duration),
 		loadedAt: make(map[string]time.Duration), usedAt: make(map[string]time.Duration),
 	}
 }
@@ -187,9 +197,10 @@
 		engine.pollAt = m.now + reportInterval
 		return
 	}
+	engine.confirmAdapters(e.SentAt, e.Report)
 	if engine.pendingOrder != nil || engine.orderedAt > 0 && e.SentAt < engine.orderedAt+reportLag {
 		engine.pollAt = max(m.now, engine.orderedAt) + reportLag
-		if engine.countKnown && !engine.outcomeUnknown && !engine.busy && engine.loading == "" && engine.unloading == "" {
+		if engine.countKnown && !engine.outcomeUnknown && !engine.busy && engine.loading == "" && engine.unloading == "" && !engine.hasAdapterWork() {
 			engine.pollAt = m.now + idleReportInterval
 		}
 		return
@@ -203,9 +214,12 @@
 	clear(engine.removed)
 	engine.ordersAccepted, engine.countKnown, engine.outcomeUnknown, engine.busy = e.Report.OrdersAccepted, true, false, e.Report.Busy
 	m.updateWeights(s, engine, e.Report.Weights, len(engine.adapterLoads) > 0)
+	m.updatePending(s, engine, e.Report.PendingAdapters)
 	engine.pollAt = m.now + reportInterval
 	if !e.Report.Busy {
 		m.workEnded(s, engine, e.Report)
+	}
+	if !e.Report.Busy && !engine.hasAdapterWork() {
 		engine.pollAt = m.now + idleReportInterval
 	}
 	m.placement.dirty = true
@@ -213,6 +227,35 @@
 	m.dispatchQueue(s.entry.Service)
 }
 
+// updatePending handles the adapters that an engine has reported as being loaded.
+func (m *Machine) updatePending(s *server, engine *engineState, pending []string) {
+	if len(pending) > len(engine.pendingAdapters) {
+		m.emit(LogStateChange{Subject: "Server " + s.entry.ID, Change: "AdaptersPending", Age: m.now - engine.orderedAt, Detail: strings.Join(pending, " ")})
+	}
+	engine.pendingAdapters = pending
+	maps.DeleteFunc(engine.unconfirmed, func(name string, _ time.Duration) bool { return !slices.Contains(pending, name) })
+}
+
+// confirmAdapters confirms the adapters that a report lists as loaded and that is newer than their orders, though it may be
+// older than other orders.
+func (e *engineState) confirmAdapters(sentAt time.Duration, report registrar.Report) {
+	maps.DeleteFunc(e.unconfirmed, func(name string, acceptedAt time.Duration) bool {
+		model, adapter := splitName(name)
+		return sentAt >= acceptedAt+reportLag && report.HasLoaded(model, adapter)
+	})
+}
+
+// confirmAt returns when a poll can confirm the engine's adapters, and false if all are confirmed.
+func (e *engineState) confirmAt() (time.Duration, bool) {
+	if len(e.unconfirmed) == 0 {
+		return 0, false
+	}
+	return slices.Min(slices.Collect(maps.Values(e.unconfirmed))) + reportLag, true
+}
+
+// hasAdapterWork reports whether the engine has reported adapters that it is loading. It doesn't count as busy meanwhile.
+func (e *engineState) hasAdapterWork() bool { return len(e.pendingAdapters) > 0 }
+
 // workEnded clears the load and the unload that an idle engine was assumed to be carrying out.
 func (m *Machine) workEnded(s *server, engine *engineState, report registrar.Report) {
 	if engine.loading != "" && !report.HasLoaded(engine.loading, "") {
--- a/internal/decision/conductor/ordering.go
+++ b/internal/decision/conductor/ordering.go
@@ -110,6 +110,7 @@
 func (m *Machine) orderAccepted(s *server, engine *engineState, o registrar.Order) {
 	switch {
 	case o.Operation == registrar.OperationLoad && o.Adapter != "":
+		engine.unconfirmed[modelName(o.Model, o.Adapter)] = m.now
 		engine.adapterLoads = append(engine.adapterLoads, adapterLoad{model: o.Model, adapter: o.Adapter, readyAt: m.now + adapterLoadTime})
 	case o.Operation == registrar.OperationLoad:
 		engine.loading = o.Model
--- a/internal/decision/conductor/placing.go
+++ b/internal/decision/conductor/placing.go
@@ -194,12 +194,17 @@
 		engine.pollAt = max(engine.pollAt, s.pausedUntil)
 	}
 	if !engine.polling && m.now >= engine.pollAt {
-		engine.polling = true
+		engine.polling, engine.polledAt = true, m.now
 		m.countSend(s)
 		m.emit(PollServer{Server: id, Address: s.entry.Address})
 	}
 }
 
+func (e *engineState) isUnconfirmed(name string) bool {
+	_, ok := e.unconfirmed[name]
+	return ok
+}
+
 func (m *Machine) engineServices() []string {
 	var names []string
 	for name, s := range m.configuration.Services {
@@ -224,7 +229,12 @@
 		if engine.loadsFromWeightStore() {
 			in.StoreLoads++
 		}
-		in.Servers = append(in.Servers, placerServer(m.now, s, engine, running, in.Demands))
+		ps := placerServer(m.now, s, engine, running, in.Demands)
+		if at, ok := engine.confirmAt(); ok && ps.UsedAdapterSlots() >= settings.AdapterSlots {
+			// Its unconfirmed adapters can't make way for others.
+			engine.pollAt = min(engine.pollAt, max(at, engine.polledAt+reportInterval))
+		}
+		in.Servers = append(in.Servers, ps)
 	}
 	m.observeLoads(service)
 	in.StoreConcurrencyLimit = m.weightStoreConcurrency(service).Limit()
@@ -317,6 +327,12 @@
 	if o := engine.pendingOrder; o != nil && o.Adapter != "" && o.Operation == registrar.OperationLoad {
 		ps.PendingAdapters = append(ps.PendingAdapters, modelName(o.Model, o.Adapter))
 	}
+	for _, name := range engine.pendingAdapters {
+		model, adapter := splitName(name)
+		if !engine.weights.HasLoaded(model, adapter) && !slices.Contains(ps.PendingAdapters, name) {
+			ps.PendingAdapters = append(ps.PendingAdapters, name)
+		}
+	}
 	demandByName := make(map[string]placer.Demand, len(demands))
 	for _, d := range demands {
 		demandByName[modelName(d.Model, d.Adapter)] = d
@@ -328,7 +344,7 @@
 			name := modelName(loaded.Name, a)
 			d := demandByName[name]
 			model.Adapters = append(model.Adapters, placer.Adapter{
-				Name: a, Busy: d.Running+d.Waiting > 0, UsedAt: engine.usedAt[name] + time.Duration(d.Rate*float64(time.Second)),
+				Name: a, Busy: d.Running+d.Waiting > 0, Unconfirmed: engine.isUnconfirmed(name), UsedAt: engine.usedAt[name] + time.Duration(d.Rate*float64(time.Second)),
 			})
 		}
 		ps.Models = append(ps.Models, model)
--- a/internal/decision/conductor/room_test.go
+++ b/internal/decision/conductor/room_test.go
@@ -317,7 +317,7 @@
 func (e *simulatedEngine) report() registrar.Report {
 	r := registrar.Report{Weights: e.weights(), Busy: e.busy, OrdersAccepted: e.orders}
 	for _, name := range slices.Sorted(maps.Keys(e.pending)) {
-		r.PendingAdapters = append(r.PendingAdapters, name+"@1")
+		r.PendingAdapters = append(r.PendingAdapters, name)
 	}
 	return r
 }
--- a/internal/decision/placer/adapter.go
+++ b/internal/decision/placer/adapter.go
@@ -41,7 +41,7 @@
 		}
 	}
 	slices.SortFunc(candidates, func(a, b *Server) int {
-		return cmp.Or(cmp.Compare(a.usedAdapterSlots(), b.usedAdapterSlots()), cmp.Compare(a.runningRequests(), b.runningRequests()), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(a.UsedAdapterSlots(), b.UsedAdapterSlots()), cmp.Compare(a.runningRequests(), b.runningRequests()), cmp.Compare(a.ID, b.ID))
 	})
 	for _, s := range candidates {
 		if p.placeAdapter(*s, d) {
@@ -112,14 +112,14 @@
 	return true
 }
 
-// leastRecentlyUsedAdapter returns the idle adapter that was used longest ago, its model, and whether there is one that
+// leastRecentlyUsedAdapter returns the idle and confirmed adapter that was used longest ago, its model, and whether there is one that
 // has been unused for minAdapterResidence.
 func (s Server) leastRecentlyUsedAdapter(now time.Duration) (Adapter, string, bool) {
 	var best Adapter
 	model, found := "", false
 	for _, m := range s.Models {
 		for _, a := range m.Adapters {
-			if !a.Busy && now >= a.UsedAt+minAdapterResidence && (!found || a.UsedAt < best.UsedAt) {
+			if !a.Busy && !a.Unconfirmed && now >= a.UsedAt+minAdapterResidence && (!found || a.UsedAt < best.UsedAt) {
 				best, model, found = a, m.Name, true
 			}
 		}
@@ -135,8 +135,8 @@
 	return n
 }
 
-// usedAdapterSlots returns the number of adapters that are loaded or being loaded.
-func (s Server) usedAdapterSlots() int { return s.adapterCount() + len(s.PendingAdapters) }
+// UsedAdapterSlots returns the number of adapters that are loaded or being loaded.
+func (s Server) UsedAdapterSlots() int { return s.adapterCount() + len(s.PendingAdapters) }
 
 func (s Server) runningRequests() int {
 	n := 0
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -88,6 +88,8 @@
 	Name   string
 	UsedAt time.Duration
 	Busy   bool
+	// Unconfirmed reports whether the adapter may still be loading. An order to unload it might not free its slot.
+	Unconfirmed bool
 }
 
 // A Demand is the demand for a model, or for an adapter, at all daemons.
--- a/internal/fleet/registrar/entry.go
+++ b/internal/fleet/registrar/entry.go
@@ -63,7 +63,7 @@
 	// TokensUsed is the memory used by running requests, TokensTotal the engine's memory, both in tokens.
 	TokensUsed  int
 	TokensTotal int
-	// PendingAdapters are adapters that are being loaded, as MODEL/NAME@VERSION.
+	// PendingAdapters are adapters that are being loaded, as MODEL/ADAPTER. They have their slots already.
 	PendingAdapters []string
 }
 
