fix: an adapter whose unload waits for its requests keeps its place

Cause: the answer 202 to an unload means that it takes effect when the adapter's last request ends. The leader took the place for free at once.

Why this works: the adapter gets no requests, but has its place and memory until a report that is newer than the order lacks it; the engine is polled for that. It isn't loaded again there meanwhile.

--- a/internal/decision/conductor/control.go
+++ b/internal/decision/conductor/control.go
@@ -50,6 +50,8 @@
 	adapterLoads    []adapterLoad
 	// pendingAdapters are the adapters that the engine has reported as being loaded, by whichever leader's order.
 	pendingAdapters []string
+	// unloadingAdapters holds the adapters whose unload the engine has accepted, by name, until a report lacks them.
+	unloadingAdapters map[string]bool
 	// unconfirmed holds when the leader's orders to load adapters were accepted, by name, until the engine has reported them as
 	// loaded.
 	unconfirmed map[string]time.Duration
@@ -76,7 +78,7 @@
 func newEngineState(s *server) *engineState {
 	return &engineState{
 		startedAt: s.entry.StartedAt, weights: s.entry.Weights, absentUntil: make(map[string]time.Duration),
-		unconfirmed: make(map[string]time.Duration), added: make(map[string]time.Duration), removed: make(map[string]time.Duration),
+		unloadingAdapters: make(map[string]bool), unconfirmed: make(map[string]time.Duration), added: make(map[string]time.Duration), removed: make(map[string]time.Duration),
 		loadedAt: make(map[string]time.Duration), usedAt: make(map[string]time.Duration),
 	}
 }
@@ -153,6 +155,10 @@
 	if engine.unloading != "" {
 		weights = weights.WithoutModel(engine.unloading, "")
 	}
+	for name := range engine.unloadingAdapters {
+		model, adapter := splitName(name)
+		weights = weights.WithoutModel(model, adapter)
+	}
 	engine.weights = weights
 }
 
@@ -214,6 +220,10 @@
 	clear(engine.removed)
 	engine.ordersAccepted, engine.countKnown, engine.outcomeUnknown, engine.busy = e.Report.OrdersAccepted, true, false, e.Report.Busy
 	m.updateWeights(s, engine, e.Report.Weights, len(engine.adapterLoads) > 0)
+	maps.DeleteFunc(engine.unloadingAdapters, func(name string, _ bool) bool {
+		model, adapter := splitName(name)
+		return !e.Report.HasLoaded(model, adapter)
+	})
 	m.updatePending(s, engine, e.Report.PendingAdapters)
 	engine.pollAt = m.now + reportInterval
 	if !e.Report.Busy {
@@ -253,8 +263,10 @@
 	return slices.Min(slices.Collect(maps.Values(e.unconfirmed))) + reportLag, true
 }
 
-// hasAdapterWork reports whether the engine has reported adapters that it is loading. It doesn't count as busy meanwhile.
-func (e *engineState) hasAdapterWork() bool { return len(e.pendingAdapters) > 0 }
+// hasAdapterWork reports whether the engine loads or unloads adapters as far as is known. It doesn't count as busy meanwhile.
+func (e *engineState) hasAdapterWork() bool {
+	return len(e.pendingAdapters)+len(e.unloadingAdapters) > 0
+}
 
 // workEnded clears the load and the unload that an idle engine was assumed to be carrying out.
 func (m *Machine) workEnded(s *server, engine *engineState, report registrar.Report) {
--- a/internal/decision/conductor/ordering.go
+++ b/internal/decision/conductor/ordering.go
@@ -122,6 +122,9 @@
 	case o.Adapter == "":
 		engine.unloading = o.Model
 		engine.pollAt = m.now + reportLag
+	default:
+		engine.unloadingAdapters[modelName(o.Model, o.Adapter)] = true
+		engine.pollAt = m.now + reportLag
 	}
 	m.markUnreported(engine)
 }
--- a/internal/decision/conductor/placing.go
+++ b/internal/decision/conductor/placing.go
@@ -319,7 +319,7 @@
 		FreeIn:         engine.freeIn(now),
 		Loading:        engine.loading,
 		InMemory:       s.entry.Weights.InMemory, OnDisk: s.entry.Weights.OnDisk,
-		Goal: engine.goal, GoalAt: engine.goalAt,
+		Goal: engine.goal, GoalAt: engine.goalAt, UnloadingAdapters: slices.Sorted(maps.Keys(engine.unloadingAdapters)),
 	}
 	for _, a := range engine.adapterLoads {
 		ps.PendingAdapters = append(ps.PendingAdapters, modelName(a.model, a.adapter))
--- a/internal/decision/placer/adapter.go
+++ b/internal/decision/placer/adapter.go
@@ -36,7 +36,8 @@
 func (p *planner) placeAtBestServer(d Demand, usedServers map[string]bool) string {
 	var candidates []*Server
 	for _, s := range p.serversByModel[d.Model] {
-		if s.FreeForAdapter && !usedServers[s.ID] && s.Goal == "" {
+		isUnloading := slices.Contains(s.UnloadingAdapters, d.Model+"/"+d.Adapter)
+		if s.FreeForAdapter && !isUnloading && !usedServers[s.ID] && s.Goal == "" {
 			candidates = append(candidates, s)
 		}
 	}
@@ -71,7 +72,7 @@
 }
 
 func (p *planner) hasRoomForAdapter(s Server, model string) bool {
-	return s.adapterCount()+len(s.PendingAdapters) < p.in.Engine.AdapterSlots && p.freeMegabytes(s) >= p.in.Engine.Models[model].AdapterMegabytes
+	return s.UsedAdapterSlots() < p.in.Engine.AdapterSlots && p.freeMegabytes(s) >= p.in.Engine.Models[model].AdapterMegabytes
 }
 
 // missingAdapters returns the demands for adapters that no server has or loads, the one with the most waiting requests
@@ -135,8 +136,10 @@
 	return n
 }
 
-// UsedAdapterSlots returns the number of adapters that are loaded or being loaded.
-func (s Server) UsedAdapterSlots() int { return s.adapterCount() + len(s.PendingAdapters) }
+// UsedAdapterSlots returns the number of adapters that are loaded, being loaded or being unloaded.
+func (s Server) UsedAdapterSlots() int {
+	return s.adapterCount() + len(s.PendingAdapters) + len(s.UnloadingAdapters)
+}
 
 func (s Server) runningRequests() int {
 	n := 0
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -72,6 +72,8 @@
 	GoalAt time.Duration
 	// PendingAdapters are adapters that are being loaded, as MODEL/ADAPTER. Their slots are in use already.
 	PendingAdapters []string
+	// UnloadingAdapters are adapters whose unload waits for their requests, as MODEL/ADAPTER. Their slots are still in use.
+	UnloadingAdapters []string
 }
 
 // A Model is a model that is loaded at a server.
@@ -443,7 +445,7 @@
 	if s.Loading != "" && !s.hasModel(s.Loading) {
 		free -= p.in.Engine.Models[s.Loading].Megabytes
 	}
-	return free - p.largestAdapter*float64(len(s.PendingAdapters))
+	return free - p.largestAdapter*float64(len(s.PendingAdapters)+len(s.UnloadingAdapters))
 }
 
 // megabytes returns the memory that a model uses with its adapters.
