fix: an entry takes nothing off what reports and orders say of an engine

Cause: a server's entry replaced what the leader knew of an engine, but for the leader's own orders of the last 2.5 s. An outage delays entries for longer, and entries aren't written for adapters at all, so an older one took loaded adapters and models off.

Why this works: once a report has told an engine's state, entries only add to it, end a load or an unload, and have the engine polled; near an outage they only have it polled. What is taken off comes from reports that are newer than all orders, and from orders.

--- a/internal/decision/conductor/control.go
+++ b/internal/decision/conductor/control.go
@@ -127,18 +127,23 @@
 		m.placement.engines[s.entry.ID] = engine
 	}
 	engine.entryAt = s.seenAt
-	m.updateWeights(s, engine, s.entry.Weights, true)
+	switch {
+	case !engine.countKnown:
+		m.updateWeights(s, engine, m.withOwnOrders(engine, s.entry.Weights), s.entry.Weights)
+	case !m.viewRecentlyStale():
+		// The entry may be older than reports and orders, so what it lacks may be loaded.
+		m.updateWeights(s, engine, m.withOwnOrders(engine, s.entry.Weights).With(engine.weights), s.entry.Weights)
+	}
+	if engine.countKnown && !engine.weights.Equal(s.entry.Weights) {
+		engine.pollAt = min(engine.pollAt, max(engine.orderedAt, engine.entryAt)+reportLag)
+	}
 	m.placement.dirty = true
 	m.markUnreported(engine)
 }
 
-// updateWeights handles what an engine has reported as loaded. If the report may be stale, the leader's own recent
-// orders take precedence.
-func (m *Machine) updateWeights(s *server, engine *engineState, reported registrar.Weights, mayBeStale bool) {
-	weights := reported
-	if mayBeStale {
-		weights = m.withOwnOrders(engine, reported)
-	}
+// updateWeights sets what takes up an engine's memory, after the engine has reported in its entry or a report what it has
+// loaded.
+func (m *Machine) updateWeights(s *server, engine *engineState, weights, reported registrar.Weights) {
 	if engine.loading != "" && reported.HasLoaded(engine.loading, "") {
 		m.emit(LogStateChange{Subject: "Server " + s.entry.ID, Change: "Loaded", Reason: engine.loading, Age: m.now - engine.orderedAt})
 		if engine.loadsFromWeightStore() {
@@ -219,7 +224,11 @@
 	// The report is newer than all orders: what it contains is loaded, even if an order was to unload it.
 	clear(engine.removed)
 	engine.ordersAccepted, engine.countKnown, engine.outcomeUnknown, engine.busy = e.Report.OrdersAccepted, true, false, e.Report.Busy
-	m.updateWeights(s, engine, e.Report.Weights, len(engine.adapterLoads) > 0)
+	weights := e.Report.Weights
+	if len(engine.adapterLoads) > 0 {
+		weights = m.withOwnOrders(engine, weights)
+	}
+	m.updateWeights(s, engine, weights, e.Report.Weights)
 	maps.DeleteFunc(engine.unloadingAdapters, func(name string, _ bool) bool {
 		model, adapter := splitName(name)
 		return !e.Report.HasLoaded(model, adapter)
--- a/internal/fleet/registrar/entry.go
+++ b/internal/fleet/registrar/entry.go
@@ -159,6 +159,34 @@
 	return w
 }
 
+// With returns the weights with the loaded models and adapters of others added.
+func (w Weights) With(other Weights) Weights {
+	for _, m := range other.Models {
+		w = w.WithModel(m.Name, "")
+		for _, adapter := range m.Adapters {
+			w = w.WithModel(m.Name, adapter)
+		}
+	}
+	return w
+}
+
+// Equal reports whether the same models and adapters are loaded.
+func (w Weights) Equal(other Weights) bool { return w.includes(other) && other.includes(w) }
+
+func (w Weights) includes(other Weights) bool {
+	for _, m := range other.Models {
+		if !w.HasLoaded(m.Name, "") {
+			return false
+		}
+		for _, adapter := range m.Adapters {
+			if !w.HasLoaded(m.Name, adapter) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // WithoutModel returns the weights without a model, or without just the adapter if one is named.
 func (w Weights) WithoutModel(model, adapter string) Weights {
 	if !w.HasLoaded(model, adapter) {
