fix: budgets and rates stay shared when the records of daemons are gone for a moment

Repeats could pile up beyond the budget (BUDGET), and a server's rate be exceeded (LIMIT), when the store was restored or was away for longer than the daemons' leases: all records were gone until the daemons had registered again, and each took the whole budget for its share.

Why this works: a daemon whose record was removed keeps its share for 10 s, longer than a daemon needs to register again.

--- a/internal/decision/conductor/advice.go
+++ b/internal/decision/conductor/advice.go
@@ -64,12 +64,7 @@
 
 // shareRate returns this daemon's share of a server's rate, which depends on the set of daemons.
 func (m *Machine) shareRate(s *server) float64 {
-	self := m.settings.Self.Name
-	daemons := m.daemonNames()
-	if !slices.Contains(daemons, self) {
-		daemons = append(daemons, self)
-	}
-	return allotter.ShareRate(s.advice.RateLimit, s.entry.ID, self, daemons)
+	return allotter.ShareRate(s.advice.RateLimit, s.entry.ID, m.settings.Self.Name, m.sharers())
 }
 
 // countSend counts a request, poll or order that is sent to a server.
@@ -81,8 +76,13 @@
 	}
 }
 
-// updateRateShares sets this daemon's shares after the set of daemons has changed.
-func (m *Machine) updateRateShares() {
+// tickRateShares sets this daemon's shares, which change when daemons register or have been away for some time.
+func (m *Machine) tickRateShares() {
+	if m.now < m.rateSharesAt {
+		return
+	}
+	m.rateSharesAt = m.now + rateShareInterval
+	maps.DeleteFunc(m.departed, func(_ string, removedAt time.Duration) bool { return !m.hasShare(removedAt) })
 	for _, s := range m.servers {
 		if s.advice.RateLimited {
 			m.updateRateShare(s)
--- a/internal/decision/conductor/feed.go
+++ b/internal/decision/conductor/feed.go
@@ -160,7 +160,7 @@
 	m.followers = nil
 	m.relay.candidates = nil
 	m.daemonsChanged = true
-	m.updateRateShares()
+	m.rateSharesAt = m.now
 }
 
 // registeredDaemons returns the registered daemons, sorted by name.
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -123,6 +123,10 @@
 	adapterLoadTime = 12 * time.Millisecond
 	// loadTimeMargin is added to predicted load times.
 	loadTimeMargin = 150 * time.Millisecond
+	// rateShareInterval is how often the shares of rates are updated if no daemon registers.
+	rateShareInterval = time.Second
+	// daemonShareTTL is how long a daemon whose record was removed keeps its share of budgets and rates.
+	daemonShareTTL = 10 * time.Second
 	// electionTime is how long a change of leader takes, without the delay between the two leaders' orders.
 	electionTime = 2 * time.Second
 
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -80,6 +80,11 @@
 	crashes         crashState
 	stop            stopState
 
+	// departed holds when the records of daemons that are no longer registered were removed, by daemon name.
+	departed map[string]time.Duration
+	// rateSharesAt is when the shares of rates are updated next.
+	rateSharesAt time.Duration
+
 	// followers are the daemons that watch the store; nil after the set of daemons has changed.
 	followers []string
 	// daemonsChanged reports whether the set of daemons has changed since it was published.
@@ -120,6 +125,7 @@
 		placement:       newPlacementState(),
 		removals:        make(map[string]removal),
 		daemonRevisions: make(map[string]int64),
+		departed:        make(map[string]time.Duration),
 		crashes:         crashState{byFingerprint: make(map[uint64]*crashRecord)},
 	}
 }
@@ -221,6 +227,7 @@
 	m.tickPlacement()
 	m.tickDemand()
 	m.tickFleet()
+	m.tickRateShares()
 	m.tickStop()
 	m.publish()
 	m.tickGauges()
@@ -262,8 +269,8 @@
 	return m.configuration.Services[service].Engine
 }
 
-// daemonCount returns the number of registered daemons, including this one.
-func (m *Machine) daemonCount() int {
+// registeredCount returns the number of registered daemons, including this one.
+func (m *Machine) registeredCount() int {
 	n := len(m.daemons)
 	if _, ok := m.daemons[m.settings.Self.Name]; !ok {
 		n++
@@ -271,6 +278,33 @@
 	return n
 }
 
+// hasShare reports whether a daemon that was removed at the given time keeps its share of budgets and rates.
+func (m *Machine) hasShare(removedAt time.Duration) bool { return m.now < removedAt+daemonShareTTL }
+
+// daemonCount returns the number of daemons among which budgets and rates are shared: those that are registered, were so a
+// short time ago, and this one.
+func (m *Machine) daemonCount() int {
+	n := m.registeredCount()
+	for name, removedAt := range m.departed {
+		if name != m.settings.Self.Name && m.hasShare(removedAt) {
+			n++
+		}
+	}
+	return n
+}
+
+// sharers returns the names of the daemons that daemonCount counts, sorted.
+func (m *Machine) sharers() []string {
+	names := append(m.daemonNames(), m.settings.Self.Name)
+	for name, removedAt := range m.departed {
+		if m.hasShare(removedAt) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // publish emits the published daemons if they have changed.
 func (m *Machine) publish() {
 	ready := m.configuration != nil && m.serversLoaded && !m.stop.requested
--- a/internal/decision/conductor/measuring.go
+++ b/internal/decision/conductor/measuring.go
@@ -52,7 +52,7 @@
 		return
 	}
 	m.updateGaugesAt = m.now + measureInterval
-	e := UpdateGauges{Services: make(map[string]ServiceGauges, len(m.services)), IsLeader: m.isLeader(), MayOrder: m.mayOrder(), Daemons: m.daemonCount()}
+	e := UpdateGauges{Services: make(map[string]ServiceGauges, len(m.services)), IsLeader: m.isLeader(), MayOrder: m.mayOrder(), Daemons: m.registeredCount()}
 	switch {
 	case m.relay.following && m.store.unavailable:
 		e.ViewAge = m.now - m.store.lostAt
--- a/internal/decision/conductor/role.go
+++ b/internal/decision/conductor/role.go
@@ -192,6 +192,7 @@
 		return
 	}
 	m.daemons[d.Name] = d
+	delete(m.departed, d.Name)
 	m.daemonSetChanged()
 	m.emit(LogStateChange{Subject: "Daemon " + d.Name, Change: "Seen", Version: e.Revision, Detail: d.PeerAddress + " " + d.Zone})
 }
@@ -202,6 +203,7 @@
 	}
 	delete(m.daemons, name)
 	delete(m.daemonRevisions, name)
+	m.departed[name] = m.now
 	m.daemonSetChanged()
 	delete(m.demand.byDaemon, name)
 	m.recordRemoval(daemonKey(name), revision)
