fix: the first leader doesn't wait for a lease in a store that was restored long before

Found by reading the diff.

Evidence: the new subtest of TestRestoredLeader failed before. Without a previous leader there is no lease to wait for.

--- a/internal/decision/conductor/restored_leader_test.go
+++ b/internal/decision/conductor/restored_leader_test.go
@@ -45,4 +45,14 @@
 			t.Error("got no orders, want them")
 		}
 	})
+	t.Run("the first leader doesn't wait for a lease if the store was restored long before", func(t *testing.T) {
+		h := newHarness(t)
+		leader := self(h)
+		leader.FencingToken = restoredRevision(45)
+		h.step(LeaderChanged{Leader: leader})
+		h.advance(h.machine.settings.TakeoverDelay + 2*takeoverMargin)
+		if !h.machine.mayOrder() {
+			t.Error("got no orders, want them")
+		}
+	})
 }
--- a/internal/decision/conductor/role.go
+++ b/internal/decision/conductor/role.go
@@ -106,7 +106,7 @@
 	m.resetReportedCrashes()
 	isSelf := leader.Instance == m.settings.Self.Instance
 	s.ordersFrom = m.now + m.settings.TakeoverDelay + takeoverMargin
-	if sequencer.Epoch(leader.FencingToken) > sequencer.Epoch(previous.FencingToken) {
+	if previous.Name != "" && sequencer.Epoch(leader.FencingToken) > sequencer.Epoch(previous.FencingToken) {
 		// The restoration has removed the previous leader's record while its lease lasted.
 		s.ordersFrom += m.settings.LeaseTTL
 	}
