fix: requests for models that no server has don't wait for rates

Since the prediction for a request whose model no server has took a rate into account that nobody names: requests for cold models were refused 50 ms early, and queued ones were tried again up to every 60 ms instead of 400.

Evidence: TestRateOfNoServer failed before. The two predictions now share the servers that they look at, and cold requests keep their interval. The server's fields of its rate are named for what they hold; daemons without limited servers skip their bookkeeping.

--- a/internal/decision/conductor/advice.go
+++ b/internal/decision/conductor/advice.go
@@ -34,11 +34,11 @@
 
 // setRateLimit sets the rate of requests that a server takes from all daemons together. It returns false if that is known.
 func (m *Machine) setRateLimit(s *server, limited bool, perSecond float64) bool {
-	if s.advice.RateLimited == limited && s.advice.RateLimit == perSecond {
+	if s.rateLimited == limited && s.rateLimit == perSecond {
 		return false
 	}
-	isNew := !s.advice.RateLimited
-	s.advice.RateLimited, s.advice.RateLimit = limited, perSecond
+	isNew := !s.rateLimited
+	s.rateLimited, s.rateLimit = limited, perSecond
 	if !limited {
 		m.emit(LogStateChange{Subject: "Server " + s.entry.ID, Change: "RateUnlimited"})
 		m.dispatchQueue(s.entry.Service)
@@ -64,14 +64,14 @@
 
 // shareRate returns this daemon's share of a server's rate, which depends on the set of daemons.
 func (m *Machine) shareRate(s *server) float64 {
-	return allotter.ShareRate(s.advice.RateLimit, s.entry.ID, m.settings.Self.Name, m.sharers())
+	return allotter.ShareRate(s.rateLimit, s.entry.ID, m.settings.Self.Name, m.sharers())
 }
 
 // countSend counts a request, poll or order that is sent to a server.
 func (m *Machine) countSend(s *server) {
 	s.recentSends = slices.DeleteFunc(s.recentSends, func(at time.Duration) bool { return at < m.now-allotter.RateMemory })
 	s.recentSends = append(s.recentSends, m.now)
-	if s.advice.RateLimited {
+	if s.rateLimited {
 		s.rateShare.Take(m.now)
 	}
 }
@@ -84,7 +84,7 @@
 	m.rateSharesAt = m.now + rateShareInterval
 	maps.DeleteFunc(m.departed, func(_ string, removedAt time.Duration) bool { return !m.hasShare(removedAt) })
 	for _, s := range m.servers {
-		if s.advice.RateLimited {
+		if s.rateLimited {
 			m.updateRateShare(s)
 		}
 	}
@@ -93,7 +93,7 @@
 // rateHoldsBack reports whether a server's rate allows no request now, or whether a request that waits for the server comes
 // first.
 func (m *Machine) rateHoldsBack(s *server, r *request) bool {
-	if !s.advice.RateLimited {
+	if !s.rateLimited {
 		return false
 	}
 	return s.rateShare.Wait(m.now) > 0 || slices.ContainsFunc(m.service(r.Service).queue, func(other *request) bool {
@@ -112,7 +112,7 @@
 }
 
 func rateLimitOf(s *server) messenger.RateLimit {
-	return messenger.RateLimit{Server: s.entry.ID, StartedAt: s.entry.StartedAt, Limited: s.advice.RateLimited, PerSecond: s.advice.RateLimit}
+	return messenger.RateLimit{Server: s.entry.ID, StartedAt: s.entry.StartedAt, Limited: s.rateLimited, PerSecond: s.rateLimit}
 }
 
 // takeRateLimitReports returns the rates to report to the leader and forgets them.
@@ -125,11 +125,24 @@
 	return list
 }
 
+// hasRateLimits reports whether any server names a rate.
+func (m *Machine) hasRateLimits() bool {
+	for _, s := range m.servers {
+		if s.rateLimited {
+			return true
+		}
+	}
+	return false
+}
+
 // rateLimits returns the rates of all servers that have one.
 func (m *Machine) rateLimits() []messenger.RateLimit {
+	if !m.hasRateLimits() {
+		return nil
+	}
 	var list []messenger.RateLimit
 	for _, id := range m.serverIDs() {
-		if s := m.servers[id]; s.advice.RateLimited {
+		if s := m.servers[id]; s.rateLimited {
 			list = append(list, rateLimitOf(s))
 		}
 	}
@@ -148,6 +161,9 @@
 // rateLimitsReceived handles the leader's rates. What a server has told this daemon itself shortly before takes precedence,
 // and is reported again if the leader says otherwise.
 func (m *Machine) rateLimitsReceived(list []messenger.RateLimit) {
+	if len(list) == 0 && !m.hasRateLimits() {
+		return
+	}
 	limits := make(map[string]messenger.RateLimit, len(list))
 	for _, l := range list {
 		limits[l.Server] = l
@@ -160,7 +176,7 @@
 			l.PerSecond = 0
 		}
 		switch {
-		case s.advice.RateLimited == limited && s.advice.RateLimit == l.PerSecond:
+		case s.rateLimited == limited && s.rateLimit == l.PerSecond:
 		case s.advisedAt > 0 && m.now < s.advisedAt+adviceTTL:
 			m.reportRateLimit(s)
 		default:
--- a/internal/decision/conductor/limited_test.go
+++ b/internal/decision/conductor/limited_test.go
@@ -221,3 +221,11 @@
 		}
 	})
 }
+
+func TestRateOfNoServer(t *testing.T) {
+	h := newHarness(t)
+	h.engine("e1", "a", loadedModel("m1"))
+	r := newRequest(RequestArrived{Request: 1, Route: quick, Service: engineService, Model: "m2", TimeLimit: quick.Timeout}, h.now)
+	assertEqual(t, "wait for a rate", h.machine.rateAllowsIn(r, 0), 0)
+	assertEqual(t, "run time", h.machine.limitedRunTime(r), 0)
+}
--- a/internal/decision/conductor/measuring.go
+++ b/internal/decision/conductor/measuring.go
@@ -78,7 +78,7 @@
 	settings := m.engineSettings(name)
 	for _, s := range m.serversOf(name) {
 		g.Running += len(s.requests)
-		g.RateLimitedServers += boolToInt(s.advice.RateLimited)
+		g.RateLimitedServers += boolToInt(s.rateLimited)
 		if s.usable() {
 			taken += float64(len(s.requests)) + s.otherRequests
 			g.Slots += s.entry.Slots
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -236,7 +237,7 @@
 		Request: r.Request, Attempt: r.attempt, Server: s.entry.ID, Address: s.entry.Address, StartedAt: s.entry.StartedAt,
 		Timeout: r.deadline - m.now, RemainingTime: r.TimeLimit - (m.now - r.arrivedAt), Priority: -1,
 		NewConnection: !r.Route.Repeatable(),
-		ReportAdvice:  s.advice.RateLimited,
+		ReportAdvice:  s.rateLimited,
 		BufferErrors:  r.Route.Repeatable() && r.runs+1 < r.Route.MaxServers,
 	}
 	if r.needsModel() {
@@ -292,15 +293,24 @@
 
 // requeue queues a request again that still has no server, without logging the decision again.
 func (m *Machine) requeue(r *request, reason unavailability) {
-	wait := m.readyIn(r)
-	if reason == unavailableFull {
+	var wait time.Duration
+	retryIn := demandInterval
+	switch reason {
+	case unavailableNoServer:
+		m.route(r)
+		return
+	case unavailableCold:
+		wait = m.readyIn(r)
+	case unavailableFull:
 		wait = m.slotFreeIn(r)
+		retryIn = min(retryIn, max(wait, fullBackoff))
+		wait += m.limitedRunTime(r)
 	}
-	if reason == unavailableNoServer || m.now+wait+m.limitedRunTime(r) > r.firstDeadline {
+	if m.now+wait > r.firstDeadline {
 		m.route(r)
 		return
 	}
-	m.enqueue(r, min(r.firstDeadline, m.now+min(demandInterval, max(wait, fullBackoff))))
+	m.enqueue(r, min(r.firstDeadline, m.now+retryIn))
 }
 
 func (m *Machine) dispatchQueues() {
@@ -341,17 +351,30 @@
 	return max(earliest, remaining*time.Duration(ahead+1)/time.Duration(running), fullBackoff)
 }
 
-// rateAllowsIn predicts when the rates of the servers that could run the request allow it after the requests ahead of it. It
-// returns 0 if one of the servers has no rate.
-func (m *Machine) rateAllowsIn(r *request, ahead int) time.Duration {
-	wait, perSecond := allotter.Unavailable, 0.0
+// limitedServers returns the servers that could run a request if all of them have rates, and none otherwise.
+func (m *Machine) limitedServers(r *request) []*server {
+	var list []*server
 	for _, s := range m.serversOf(r.Service) {
 		if !s.usable() || s.downUntil > m.now || !m.hasModel(s, r.Model, r.Adapter) {
 			continue
 		}
-		if !s.advice.RateLimited {
-			return 0
+		if !s.rateLimited {
+			return nil
 		}
+		list = append(list, s)
+	}
+	return list
+}
+
+// rateAllowsIn predicts when the servers' rates allow the request after the requests ahead of it. It returns 0 if a server has
+// no rate.
+func (m *Machine) rateAllowsIn(r *request, ahead int) time.Duration {
+	limited := m.limitedServers(r)
+	if len(limited) == 0 {
+		return 0
+	}
+	wait, perSecond := allotter.Unavailable, 0.0
+	for _, s := range limited {
 		wait = min(wait, s.rateShare.Wait(m.now))
 		perSecond += s.rateShare.Rate()
 	}
@@ -361,23 +384,15 @@
 	return wait + time.Duration(float64(ahead)/perSecond*float64(time.Second))
 }
 
-// limitedRunTime returns the expected time from the send of a request to the start of its answer if the servers that could run
-// it have rates, so that none is sent too late to be answered: it would take the place of another one. It returns 0 if one
-// of the servers has no rate.
+// limitedRunTime returns the expected time from the send of a request to the start of its answer if all servers that could run
+// it have rates, so that none is sent too late to be answered: it would take the place of another one.
 func (m *Machine) limitedRunTime(r *request) time.Duration {
-	var shortest time.Duration
-	for _, s := range m.serversOf(r.Service) {
-		if !s.usable() || s.downUntil > m.now || !m.hasModel(s, r.Model, r.Adapter) {
-			continue
-		}
-		if !s.advice.RateLimited {
-			return 0
-		}
-		if shortest == 0 || s.latency < shortest {
-			shortest = s.latency
-		}
+	limited := m.limitedServers(r)
+	if len(limited) == 0 {
+		return 0
 	}
-	return shortest + sendMargin
+	fastest := slices.MinFunc(limited, func(a, b *server) int { return cmp.Compare(a.latency, b.latency) })
+	return fastest.latency + sendMargin
 }
 
 // fullRetryAfter returns the retry delay for a request whose slot becomes free after a time.
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -29,12 +29,14 @@
 	// absentUntil holds the models and adapters that the server lacked, and until when they count as not loaded there.
 	absentUntil map[string]time.Duration
 
-	// advice is what the server asked for last, advisedAt when this daemon got that from the server itself.
-	advice    Advice
-	advisedAt time.Duration
+	// rateLimited reports whether the server names rateLimit, the requests a second that it takes from all daemons together.
+	// advisedAt is when the server last told this daemon itself what it asks for.
+	rateLimited bool
+	rateLimit   float64
+	advisedAt   time.Duration
 	// recentSends holds the times of this daemon's requests to the server in the last allotter.RateMemory.
 	recentSends []time.Duration
-	// rateShare is this daemon's share of the server's rate, valid if advice.RateLimited.
+	// rateShare is this daemon's share of the server's rate, valid if rateLimited.
 	rateShare allotter.RateShare
 
 	// failures counts consecutive failures; the server is avoided until avoidUntil.
