--- a/internal/decision/conductor/room_test.go
+++ b/internal/decision/conductor/room_test.go
@@ -315,11 +315,9 @@
 }
 
 func (e *simulatedEngine) report() registrar.Report {
-	r := registrar.Report{Weights: e.weights(), Busy: e.busy, OrdersAccepted: e.orders}
-	for _, name := range slices.Sorted(maps.Keys(e.pending)) {
-		r.PendingAdapters = append(r.PendingAdapters, name)
+	return registrar.Report{
+		Weights: e.weights(), Busy: e.busy, OrdersAccepted: e.orders, PendingAdapters: slices.Sorted(maps.Keys(e.pending)),
 	}
-	return r
 }
 
 // serve answers a request: its model or adapter may be absent.
