--- a/internal/decision/conductor/shares_test.go
+++ b/internal/decision/conductor/shares_test.go
@@ -16,8 +16,7 @@
 	h.step(DaemonsListed{Daemons: list, Revision: revision})
 }
 
-// Budgets and rates are shared among the daemons that are known. When the store is restored, or was away for longer than their
-// leases, all records of daemons are gone for a moment.
+// All records of daemons are gone for a moment after the store was restored or away for longer than their leases.
 func TestSharesOutliveRecords(t *testing.T) {
 	newShared := func(t *testing.T) *harness {
 		t.Helper()
