--- a/internal/decision/conductor/attempt.go
+++ b/internal/decision/conductor/attempt.go
@@ -91,7 +91,11 @@
 		m.removeRequest(r)
 	default:
 		r.runs++
-		m.logDecision(r, LogDecision{Action: "Failed", Reason: e.Cause.String(), Server: server, Status: e.Status})
+		d := LogDecision{Action: "Failed", Reason: e.Cause.String(), Server: server, Status: e.Status}
+		if e.Cause == CauseBroken {
+			d.Fingerprint, d.Parts = r.Fingerprint, r.Parts
+		}
+		m.logDecision(r, d)
 		m.attemptFailed(r)
 	}
 }
--- a/internal/decision/conductor/effect.go
+++ b/internal/decision/conductor/effect.go
@@ -159,6 +159,9 @@
 	// Version is the configuration's.
 	Version int64
 	Status  int
+	// Fingerprint and Parts identify what the request has in common with others. They are set where a server may have crashed.
+	Fingerprint uint64
+	Parts       []PromptPart
 	// Routine reports whether the line is one of many and may be omitted under load.
 	Routine bool
 }
--- a/internal/edge/launcher/logging.go
+++ b/internal/edge/launcher/logging.go
@@ -1,6 +1,8 @@
 package launcher
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"samphirewharf/internal/decision/conductor"
@@ -32,6 +34,9 @@
 	if e.Status != 0 {
 		line = line.Int("Status", e.Status)
 	}
+	if e.Fingerprint != 0 {
+		line = line.Str("Fingerprint", strconv.FormatUint(e.Fingerprint, 16)).Str("Parts", formatParts(e.Parts))
+	}
 	if omitted > 0 {
 		line = line.Int("Omitted", omitted)
 	}
@@ -47,3 +52,12 @@
 	line.Str("Subject", e.Subject).Str("Change", e.Change).Str("Reason", e.Reason).Int64("Version", e.Version).
 		Int64("AgeMs", e.Age.Milliseconds()).Str("Detail", e.Detail).Msg("belief")
 }
+
+// formatParts returns the hashes of a prompt's parts, in order.
+func formatParts(parts []conductor.PromptPart) string {
+	list := make([]string, 0, len(parts))
+	for _, p := range parts {
+		list = append(list, strconv.FormatUint(p.ID, 16))
+	}
+	return strings.Join(list, " ")
+}
