--- /dev/null
+++ b/internal/decision/attributor/attributor_test.go
@@ -0,0 +1,218 @@
+package attributor
+
+import (
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	shared = 1
+	guilty = 66
+	rare   = 7
+)
+
+func part(hash uint64) Trait { return Trait{Kind: KindPart, Hash: hash} }
+
+// crash records the end of a server under a request with the parts, the last of which is its own.
+func crash(a *Attributor, at time.Duration, server, request uint64, parts ...uint64) {
+	a.AddCrash(at, Traits(request, append(parts, 1000+request)), Crash{Server: server, Request: request, At: at})
+}
+
+func answer(a *Attributor, at time.Duration, parts ...uint64) {
+	a.AddAnswer(at, Traits(uint64(at), append(parts, 1000)))
+}
+
+// convicted returns the parts that are convicted after a time.
+func convicted(a *Attributor, now time.Duration) []uint64 {
+	a.Judge(now)
+	var list []uint64
+	for _, t := range a.Traits() {
+		if e, _ := a.Evidence(t); t.Kind == KindPart && e.Convicted() {
+			list = append(list, t.Hash)
+		}
+	}
+	return list
+}
+
+func assertConvicted(t *testing.T, a *Attributor, now time.Duration, want ...uint64) {
+	t.Helper()
+	if got := convicted(a, now); !slices.Equal(got, want) {
+		t.Errorf("got parts %v convicted at %v, want %v", got, now, want)
+	}
+}
+
+func TestParts(t *testing.T) {
+	second := time.Second
+	t.Run("a part under which three servers ended is convicted, and not the part that others share", func(t *testing.T) {
+		var a Attributor
+		for i := range uint64(3) {
+			crash(&a, second*time.Duration(i+1), i, 10+i, shared, guilty)
+			answer(&a, second*time.Duration(i+1)+100*time.Millisecond, shared, 5)
+		}
+		assertConvicted(t, &a, 3*second+settleTime, guilty)
+	})
+	t.Run("an answer before the conviction clears a part", func(t *testing.T) {
+		var a Attributor
+		for i := range uint64(3) {
+			crash(&a, second*time.Duration(i+1), i, 10+i, guilty)
+		}
+		assertConvicted(t, &a, 3*second)
+		answer(&a, 3*second+time.Millisecond, guilty)
+		assertConvicted(t, &a, 4*second)
+	})
+	t.Run("an answer after the conviction clears a part", func(t *testing.T) {
+		var a Attributor
+		for i := range uint64(3) {
+			crash(&a, second*time.Duration(i+1), i, 10+i, guilty)
+		}
+		assertConvicted(t, &a, 4*second, guilty)
+		answer(&a, 5*second, guilty)
+		assertConvicted(t, &a, 6*second)
+	})
+	t.Run("servers that end together don't convict a part", func(t *testing.T) {
+		var a Attributor
+		for i := range uint64(9) {
+			crash(&a, second+time.Duration(i)*time.Millisecond, i, 10+i, rare)
+		}
+		assertConvicted(t, &a, 10*second)
+	})
+	t.Run("one request that crashes servers again and again doesn't convict its parts", func(t *testing.T) {
+		var a Attributor
+		for i := range uint64(5) {
+			crash(&a, second*time.Duration(i+1), i, 10, rare)
+		}
+		assertConvicted(t, &a, 10*second)
+		if _, _, held := a.HoldingTrait(10*second, Traits(10, nil)); !held {
+			t.Error("got the request sent on, want it held back")
+		}
+	})
+	t.Run("a part that was at the same servers by chance is cleared when another one explains their ends", func(t *testing.T) {
+		var a Attributor
+		for i := range uint64(3) {
+			at := second * time.Duration(i+1)
+			crash(&a, at, i, 20+i, rare)
+		}
+		assertConvicted(t, &a, 4*second, rare)
+		for i := range uint64(5) {
+			crash(&a, second*time.Duration(i+1), i, 10+i, guilty)
+		}
+		assertConvicted(t, &a, 6*second, guilty)
+	})
+	t.Run("a request that was at the same servers by chance is cleared too", func(t *testing.T) {
+		var a Attributor
+		for i := range uint64(3) {
+			at := second * time.Duration(i+1)
+			crash(&a, at, i, 20, 5)
+			crash(&a, at, i, 10+i, guilty)
+		}
+		a.Judge(3 * second)
+		assertConvicted(t, &a, 4*second, guilty)
+		if _, _, held := a.HoldingTrait(4*second, Traits(20, nil)); held {
+			t.Error("got the request held back, want it sent")
+		}
+	})
+	t.Run("many requests at one server don't hide the crashes of others", func(t *testing.T) {
+		var a Attributor
+		for i := range uint64(6) {
+			for n := range uint64(20) {
+				crash(&a, second*time.Duration(i+1), i, 100*i+n, guilty)
+			}
+		}
+		assertConvicted(t, &a, 7*second, guilty)
+	})
+}
+
+func TestTrials(t *testing.T) {
+	newConvicted := func(t *testing.T) (*Attributor, time.Duration) {
+		t.Helper()
+		a := &Attributor{}
+		for i := range uint64(3) {
+			crash(a, time.Second*time.Duration(i+1), i, 10+i, guilty)
+		}
+		assertConvicted(t, a, 4*time.Second, guilty)
+		return a, 4*time.Second + firstHold
+	}
+	t.Run("one request at a time is tried after the hold", func(t *testing.T) {
+		a, end := newConvicted(t)
+		for _, c := range []struct {
+			at   time.Duration
+			want bool
+		}{{end, false}, {end + 1, true}, {end + 2, false}, {end + 2 + trialTimeout, true}} {
+			if got := a.StartTrial(c.at, part(guilty)); got != c.want {
+				t.Errorf("got trial %t at %v, want %t", got, c.at, c.want)
+			}
+		}
+	})
+	t.Run("a trial that crashes a server doubles the hold", func(t *testing.T) {
+		a, end := newConvicted(t)
+		a.StartTrial(end+1, part(guilty))
+		crash(a, end+time.Second, 9, 99, guilty)
+		assertConvicted(t, a, end+2*time.Second, guilty)
+		_, got, _ := a.HoldingTrait(end+2*time.Second, []Trait{part(guilty)})
+		if want := 2 * firstHold; got != want {
+			t.Errorf("got hold %v, want %v", got, want)
+		}
+	})
+	t.Run("a trial that is answered ends the conviction", func(t *testing.T) {
+		a, end := newConvicted(t)
+		a.StartTrial(end+1, part(guilty))
+		answer(a, end+time.Second, guilty)
+		assertConvicted(t, a, end+2*time.Second)
+	})
+}
+
+// TestMergeOrder checks that daemons that get the same evidence in another order, and repeatedly, come to the same result.
+func TestMergeOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sources := make([]Attributor, 3)
+		steps := rapid.IntRange(1, 40).Draw(t, "steps")
+		now := time.Duration(0)
+		for range steps {
+			now += time.Duration(rapid.IntRange(1, 400).Draw(t, "pause")) * time.Millisecond
+			a := &sources[rapid.IntRange(0, 2).Draw(t, "daemon")]
+			p := rapid.Uint64Range(1, 3).Draw(t, "part")
+			if rapid.IntRange(0, 4).Draw(t, "kind") == 0 {
+				answer(a, now, p)
+			} else {
+				crash(a, now, rapid.Uint64Range(1, 5).Draw(t, "server"), rapid.Uint64Range(1, 5).Draw(t, "request"), p)
+			}
+		}
+		var evidence []Evidence
+		for i := range sources {
+			for _, trait := range sources[i].Traits() {
+				e, _ := sources[i].Evidence(trait)
+				evidence = append(evidence, e)
+			}
+		}
+		merged := func(order []Evidence) []uint64 {
+			var a Attributor
+			for _, e := range order {
+				a.Merge(now, e)
+			}
+			return convicted(&a, now+settleTime)
+		}
+		want := merged(evidence)
+		shuffled := rapid.Permutation(evidence).Draw(t, "order")
+		if got := merged(append(shuffled, shuffled...)); !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %v convicted in another order, want %v", got, want)
+		}
+	})
+}
+
+func TestBounds(t *testing.T) {
+	var a Attributor
+	for i := range uint64(3 * maxRecords) {
+		crash(&a, time.Duration(i), i, i, i, i+1, i+2)
+		answer(&a, time.Duration(i), i+maxRecords, i+2*maxRecords)
+	}
+	if got := len(a.Traits()); got > maxRecords {
+		t.Errorf("got %d traits, want at most %d", got, maxRecords)
+	}
+	if got := len(a.answered); got > maxAnswered+3 {
+		t.Errorf("got %d answered traits, want at most %d", got, maxAnswered)
+	}
+}
--- /dev/null
+++ b/internal/decision/attributor/record.go
@@ -0,0 +1,121 @@
+package attributor
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// addCrash adds a crash unless it is known. Those before the last answer don't count, and of many the latest are kept.
+func (r *record) addCrash(c Crash) bool {
+	if r.Answered && c.At <= r.AnsweredAt {
+		return false
+	}
+	ofServer := 0
+	for _, other := range r.Crashes {
+		if other.Server != c.Server {
+			continue
+		}
+		ofServer++
+		if other.Request == c.Request || ofServer == maxCrashesPerServer {
+			return false
+		}
+	}
+	if len(r.Crashes) >= maxCrashes {
+		oldest := slices.MinFunc(r.Crashes, func(a, b Crash) int { return cmp.Compare(a.At, b.At) })
+		if c.At <= oldest.At {
+			return false
+		}
+		r.Crashes = slices.DeleteFunc(r.Crashes, func(other Crash) bool { return other == oldest })
+	}
+	r.Crashes = append(r.Crashes, c)
+	return true
+}
+
+// answer records that a request with the trait was answered, which clears it. It reports whether there was anything to clear.
+func (r *record) answer(at time.Duration) bool {
+	r.Answered, r.AnsweredAt = true, max(at, r.AnsweredAt)
+	known := len(r.Crashes) + r.ReportedCrashes
+	r.Crashes = slices.DeleteFunc(r.Crashes, func(c Crash) bool { return c.At <= r.AnsweredAt })
+	r.ReportedCrashes = 0
+	cleared := r.Convicted() && r.AnsweredAt > r.ConvictedAt
+	if cleared {
+		r.Cleared = r.Convictions
+	}
+	return cleared || len(r.Crashes) < known
+}
+
+func (r *record) lastCrash() time.Duration {
+	var last time.Duration
+	for _, c := range r.Crashes {
+		last = max(last, c.At)
+	}
+	return last
+}
+
+// servers returns the servers that ended under requests with the trait, without those whose end is explained.
+func (r *record) servers(explained map[uint64]bool) []uint64 {
+	var list []uint64
+	for _, c := range r.Crashes {
+		if !explained[c.Server] && !slices.Contains(list, c.Server) {
+			list = append(list, c.Server)
+		}
+	}
+	return list
+}
+
+// requests returns the number of different requests under which servers ended.
+func (r *record) requests(explained map[uint64]bool) int {
+	seen := make(map[uint64]bool)
+	for _, c := range r.Crashes {
+		if !explained[c.Server] {
+			seen[c.Request] = true
+		}
+	}
+	return len(seen)
+}
+
+// convictableAt returns when the crashes that aren't explained convict a part, false if they don't.
+func (r *record) convictableAt(explained map[uint64]bool) (time.Duration, bool) {
+	if len(r.servers(explained)) < convictingCrashes || r.requests(explained) < convictingRequests {
+		return 0, false
+	}
+	var times []time.Duration
+	for _, c := range r.Crashes {
+		if !explained[c.Server] {
+			times = append(times, c.At)
+		}
+	}
+	slices.Sort(times)
+	moments, moment := 1, times[0]
+	for _, at := range times[1:] {
+		if at < moment+momentGap {
+			continue
+		}
+		moments, moment = moments+1, at
+		if moments == convictingCrashes {
+			return at + settleTime, true
+		}
+	}
+	return 0, false
+}
+
+// compareGuilt orders parts by how likely they are the one that crashes servers, most likely first. Among parts with the same
+// crashes, that is one of which no answer is known, or the one which the fewest other requests have.
+func compareGuilt(a, b *record, explained map[uint64]bool) int {
+	return cmp.Or(
+		cmp.Compare(len(b.servers(explained)), len(a.servers(explained))),
+		cmp.Compare(a.AnsweredAt, b.AnsweredAt),
+		cmp.Compare(b.Depth, a.Depth),
+		a.Trait.Compare(b.Trait),
+	)
+}
+
+func (r *record) convict(now time.Duration) {
+	r.Convictions++
+	r.ConvictedAt, r.HeldUntil, r.triedAt = now, now+holdTime(r.Convictions-r.Cleared), 0
+}
+
+func holdTime(convictions int) time.Duration {
+	return min(firstHold<<min(convictions-1, 10), maxHold)
+}
--- a/internal/decision/conductor/attempt.go
+++ b/internal/decision/conductor/attempt.go
@@ -41,7 +41,9 @@
 	switch e.Outcome {
 	case reducer.AttemptDone:
 		s.recordAnswer(e.Latency, e.Status >= 500)
-		m.clearCrashes(r)
+		if e.Status < 300 {
+			m.requestAnswered(r)
+		}
 		return
 	case reducer.AttemptCancelled:
 		return
@@ -133,8 +135,8 @@
 // attemptFailed retries a request that may have run, if it may run again, or else refuses it.
 func (m *Machine) attemptFailed(r *request) {
 	switch {
-	case m.isPoison(r):
-		m.giveUp(r, RefusedPoison, 0)
+	case m.heldBack(r):
+		m.giveUp(r, RefusedPoison, m.holdTime(r))
 	case !r.mayRunAgain() || r.answerStarted && r.Route.Kind != matcher.KindStream:
 		m.giveUp(r, RefusedBroken, 0)
 	case !m.service(r.Service).budget.Spend(m.now, m.daemonCount()):
--- a/internal/decision/conductor/control.go
+++ b/internal/decision/conductor/control.go
@@ -198,6 +198,7 @@
 // serverReported handles an engine's report. Its values may be older than the answer, so a report that was requested
 // too shortly after an order is ignored.
 func (m *Machine) serverReported(e ServerReported) {
+	m.probeAnswered(e)
 	engine, ok := m.placement.engines[e.Server]
 	s := m.servers[e.Server]
 	if !ok || s == nil {
--- a/internal/decision/conductor/crash.go
+++ b/internal/decision/conductor/crash.go
@@ -1,46 +1,91 @@
 package conductor
 
 import (
-	"maps"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"samphirewharf/internal/peer/messenger"
+	"samphirewharf/internal/decision/attributor"
 )
 
-// A crashState records server crashes by the fingerprint of the requests that were running when they occurred.
+// A crashState is what this daemon knows of requests that crash servers.
 type crashState struct {
-	byFingerprint map[uint64]*crashRecord
-	// broken holds broken connections whose server may turn out to have crashed.
+	attributor attributor.Attributor
+	// broken holds broken connections whose server may turn out to have crashed, probes the polls that find out.
 	broken []brokenConnection
-}
+	probes []crashProbe
+	// changed reports whether there is new evidence to judge; judgeAt is when there is something to judge without any, 0 for
+	// never.
+	changed  bool
+	judgeAt  time.Duration
+	expireAt time.Duration
 
-type crashRecord struct {
-	// servers holds the hashes of the incarnations that crashed, from whichever daemon. Daemons may count the same ones or
-	// others at the same time.
-	servers map[uint64]bool
-	// reportedCrashes is the highest count of a daemon that doesn't report the incarnations.
-	reportedCrashes int
-	expiresAt       time.Duration
-	// reported reports whether the other daemons know of all crashes: the leader has sent them.
-	reported bool
+	exchange    evidenceExchange
+	convictions convictionRecords
 }
 
-func (c *crashRecord) crashes() int { return max(len(c.servers), c.reportedCrashes) }
-
 type brokenConnection struct {
-	server      string
-	fingerprint uint64
-	at          time.Duration
+	server  string
+	request uint64
+	traits  []attributor.Trait
+	at      time.Duration
+}
+
+// A crashProbe is a poll of a server whose connection broke.
+type crashProbe struct {
+	server string
+	at     time.Duration
+	// left is the number of polls, including this one.
+	left int
 }
 
 // recordBrokenConnection records a request whose connection broke while a server was running it.
 func (m *Machine) recordBrokenConnection(r *request, s *server) {
-	m.crashes.broken = slices.DeleteFunc(m.crashes.broken, func(b brokenConnection) bool { return m.now > b.at+m.crashWindow() })
-	m.crashes.broken = append(m.crashes.broken, brokenConnection{server: s.entry.ID, fingerprint: r.Fingerprint, at: m.now})
+	c := &m.crashes
+	c.broken = slices.DeleteFunc(c.broken, func(b brokenConnection) bool { return m.now > b.at+m.crashWindow() })
+	c.broken = append(c.broken, brokenConnection{server: s.entry.ID, request: r.Fingerprint, traits: r.traits, at: m.now})
+	if r.needsModel() && !slices.ContainsFunc(c.probes, func(p crashProbe) bool { return p.server == s.entry.ID }) {
+		c.probes = append(c.probes, crashProbe{server: s.entry.ID, at: m.now + crashProbeDelay, left: crashProbes})
+	}
+}
+
+// tickProbes polls the servers whose connections broke. A server that has ended accepts no connection.
+func (m *Machine) tickProbes() {
+	c := &m.crashes
+	var due []crashProbe
+	c.probes = slices.DeleteFunc(c.probes, func(p crashProbe) bool {
+		if m.now >= p.at {
+			due = append(due, p)
+		}
+		return m.now >= p.at
+	})
+	for _, p := range due {
+		s, ok := m.servers[p.server]
+		if !ok || !slices.ContainsFunc(c.broken, func(b brokenConnection) bool { return b.server == p.server }) {
+			continue
+		}
+		m.countSend(s)
+		m.emit(PollServer{Server: s.entry.ID, Address: s.entry.Address})
+		if p.left > 1 {
+			c.probes = append(c.probes, crashProbe{server: p.server, at: m.now + crashProbeInterval, left: p.left - 1})
+		}
+	}
+}
+
+// probeAnswered handles the answer to a poll of a server whose connections broke.
+func (m *Machine) probeAnswered(e ServerReported) {
+	s, ok := m.servers[e.Server]
+	if !ok || !slices.ContainsFunc(m.crashes.broken, func(b brokenConnection) bool { return b.server == e.Server }) {
+		return
+	}
+	if e.Refused {
+		m.serverDown(s)
+	}
+	if e.Refused || e.OK && e.StartedAt != 0 && e.StartedAt != s.entry.StartedAt {
+		m.serverCrashed(s)
+	}
 }
 
 // serverCrashed counts a crash for the requests whose connections to the server broke within the crash window.
@@ -49,7 +94,7 @@
 		if b.server != s.entry.ID || m.now > b.at+m.crashWindow() {
 			return false
 		}
-		m.countCrash(b.fingerprint, s)
+		m.countCrash(b, s)
 		return true
 	})
 }
@@ -58,23 +103,15 @@
 // entry of a server that no longer renews it.
 func (m *Machine) crashWindow() time.Duration { return m.settings.EntryTTL + crashDetectionMargin }
 
-// crashRecordOf returns the record of a request, and creates it or replaces an expired one.
-func (m *Machine) crashRecordOf(fingerprint uint64) *crashRecord {
-	c, ok := m.crashes.byFingerprint[fingerprint]
-	if !ok || m.now > c.expiresAt {
-		c = &crashRecord{servers: make(map[uint64]bool)}
-		m.crashes.byFingerprint[fingerprint] = c
+func (m *Machine) countCrash(b brokenConnection, s *server) {
+	m.crashes.attributor.AddCrash(m.now, b.traits, attributor.Crash{Server: incarnationHash(s), Request: b.request, At: b.at})
+	m.crashes.changed = true
+	for _, t := range b.traits {
+		if t.Kind == attributor.KindRequest || m.crashes.attributor.Suspected(t) {
+			m.logTrait(t, "Suspected", "server "+s.entry.ID+" ended")
+		}
+		m.shareEvidence(t)
 	}
-	return c
-}
-
-func (m *Machine) countCrash(fingerprint uint64, s *server) {
-	c := m.crashRecordOf(fingerprint)
-	c.servers[incarnationHash(s)] = true
-	c.expiresAt = m.now + crashTTL
-	c.reported = false
-	m.logCrashes(fingerprint, c.crashes(), "server "+s.entry.ID+" ended")
-	m.reportCrashesSoon()
 }
 
 // incarnationHash returns a hash of the server and its start, which is the same at all daemons.
@@ -82,88 +119,63 @@
 	return xxhash.Sum64String(s.entry.ID + " " + itoa(s.entry.StartedAt))
 }
 
-// logCrashes logs a new count of the crashes of a request.
-func (m *Machine) logCrashes(fingerprint uint64, crashes int, reason string) {
-	change := "Suspected"
-	if crashes >= poisonCrashes {
-		change = "Convicted"
-	}
-	m.emit(LogStateChange{Subject: "Request", Change: change, Reason: reason, Version: int64(crashes), Detail: "fingerprint " + strconv.FormatUint(fingerprint, 16)})
+// logTrait logs a change of what is known of a trait.
+func (m *Machine) logTrait(t attributor.Trait, change, reason string) {
+	e, _ := m.crashes.attributor.Evidence(t)
+	m.emit(LogStateChange{
+		Subject: t.Kind.String(), Change: change, Reason: reason, Version: int64(len(e.Crashes)), Warning: change == "Convicted",
+		Detail: "hash " + strconv.FormatUint(t.Hash, 16) + ", convictions " + itoa(int64(e.Convictions)),
+	})
 }
 
-// clearCrashes resets the count of a request that was answered, unless it is a poison request already.
-func (m *Machine) clearCrashes(r *request) {
-	if c, ok := m.crashes.byFingerprint[r.Fingerprint]; ok && c.crashes() < poisonCrashes {
-		delete(m.crashes.byFingerprint, r.Fingerprint)
+// requestAnswered clears the traits of a request that a server has answered whole.
+func (m *Machine) requestAnswered(r *request) {
+	for _, t := range m.crashes.attributor.AddAnswer(m.now, r.traits) {
+		m.crashes.changed = true
+		m.shareEvidence(t)
+		m.convictionChanged(t, "answered by a server")
 	}
 }
 
-func (m *Machine) isPoison(r *request) bool {
-	c, ok := m.crashes.byFingerprint[r.Fingerprint]
-	return ok && c.crashes() >= poisonCrashes && m.now <= c.expiresAt
-}
-
-// crashCounts returns the crashes to send to other daemons, or only those that they may not know of.
-func (m *Machine) crashCounts(unreportedOnly bool) []messenger.Suspect {
-	var list []messenger.Suspect
-	for fingerprint, c := range m.crashes.byFingerprint {
-		switch {
-		case m.now > c.expiresAt:
-			delete(m.crashes.byFingerprint, fingerprint)
-		case !unreportedOnly || !c.reported:
-			list = append(list, messenger.Suspect{Fingerprint: fingerprint, Crashes: c.crashes(), Servers: slices.Sorted(maps.Keys(c.servers))})
-		}
+// tickCrashes does what is due with crashes and the evidence of them.
+func (m *Machine) tickCrashes() {
+	c := &m.crashes
+	m.tickProbes()
+	if c.changed || c.judgeAt > 0 && m.now >= c.judgeAt {
+		m.judge()
 	}
-	slices.SortFunc(list, func(a, b messenger.Suspect) int {
-		if a.Fingerprint < b.Fingerprint {
-			return -1
-		}
-		return 1
-	})
-	return list
-}
-
-// mergeCrashCounts merges the crashes that another daemon knows of.
-func (m *Machine) mergeCrashCounts(list []messenger.Suspect) {
-	for _, s := range list {
-		c := m.crashRecordOf(s.Fingerprint)
-		before := c.crashes()
-		for _, hash := range s.Servers {
-			c.servers[hash] = true
-		}
-		c.reportedCrashes = max(c.reportedCrashes, s.Crashes)
-		if c.crashes() > before {
-			c.expiresAt = m.now + crashTTL
-			c.reported = false
-			m.logCrashes(s.Fingerprint, c.crashes(), "counted by another daemon")
-			if m.isLeader() {
-				m.scheduleFleetMessage()
-			}
-		}
+	if m.now >= c.expireAt {
+		c.attributor.Expire(m.now)
+		c.expireAt = m.now + evidenceExpiryInterval
 	}
+	m.tickEvidence()
+	m.tickConvictions()
 }
 
-// reportCrashesSoon schedules a message to the leader or, on the leader, to the other daemons.
-func (m *Machine) reportCrashesSoon() {
-	if m.isLeader() {
-		m.scheduleFleetMessage()
-		return
+// judge convicts what explains the crashes.
+func (m *Machine) judge() {
+	c := &m.crashes
+	c.changed = false
+	for _, v := range c.attributor.Judge(m.now) {
+		m.shareEvidence(v.Trait)
+		m.convictionChanged(v.Trait, itoa(int64(v.Crashes))+" servers ended under "+itoa(int64(v.Requests))+" requests")
 	}
-	m.demand.reportSoon(m.now)
-}
-
-// confirmCrashes records what the leader has sent to all daemons.
-func (m *Machine) confirmCrashes(list []messenger.Suspect) {
-	for _, s := range list {
-		if c, ok := m.crashes.byFingerprint[s.Fingerprint]; ok {
-			c.reported = !slices.ContainsFunc(slices.Collect(maps.Keys(c.servers)), func(hash uint64) bool { return !slices.Contains(s.Servers, hash) })
-		}
+	c.judgeAt = 0
+	if at, ok := c.attributor.NextAt(); ok {
+		c.judgeAt = max(at, m.now+time.Millisecond)
 	}
 }
 
-// resetReportedCrashes has all crashes reported again, since a new leader may not know of them.
-func (m *Machine) resetReportedCrashes() {
-	for _, c := range m.crashes.byFingerprint {
-		c.reported = false
+func (c *crashState) nextAt(m *Machine) time.Duration {
+	next := min(c.exchange.nextAt(m), c.convictions.nextAt())
+	if c.changed {
+		return m.now
+	}
+	if c.judgeAt > 0 {
+		next = min(next, c.judgeAt)
+	}
+	for _, p := range c.probes {
+		next = min(next, p.at)
 	}
+	return next
 }
--- a/internal/decision/conductor/crash_fleet_test.go
+++ b/internal/decision/conductor/crash_fleet_test.go
@@ -88,6 +88,9 @@
 	crashes     []time.Duration
 	poisonSends []time.Duration
 	withoutLead bool
+	// convictions are the records in the store; storeAway reports whether the store takes none.
+	convictions map[string]Conviction
+	storeAway   bool
 }
 
 const (
@@ -104,8 +107,10 @@
 	for range servers {
 		f.startServer()
 	}
-	for i := range daemons {
+	for range daemons {
 		f.daemons = append(f.daemons, &crashDaemon{})
+	}
+	for i := range daemons {
 		f.startDaemon(i)
 	}
 	return f
@@ -133,6 +138,9 @@
 // shared returns what the daemons share in the store.
 func (f *crashFleet) shared() DaemonsListed {
 	list := DaemonsListed{Revision: f.revision}
+	for _, c := range f.convictions {
+		list.Convictions = append(list.Convictions, c)
+	}
 	for i := range f.daemons {
 		list.Daemons = append(list.Daemons, DaemonChanged{Daemon: f.record(i), Revision: int64(i + 1)})
 	}
@@ -231,13 +239,38 @@
 				f.after(fleetPeerDelay, func() { f.step(other, PeerReceived{Message: e.Message}) })
 			}
 		}
+	case StoreConviction:
+		f.after(fleetConnectDelay, func() { f.storeConviction(d, e.Conviction) })
+	case DeleteConviction:
+		delete(f.convictions, fmt.Sprint(e.Conviction.Trait))
 	case Subscribe:
 		f.upstreams[self.PeerAddress] = e.Address
 	case Forward:
-		f.relay(self, messenger.Message{From: self.Name, Fleet: e.Fleet})
+		f.relay(self, messenger.Message{From: self.Name, Fleet: e.Fleet, Feed: &messenger.Feed{Evidence: e.Evidence}})
 	}
 }
 
+func (f *crashFleet) storeConviction(d *crashDaemon, c Conviction) {
+	if f.storeAway {
+		f.step(d, StoreConvictionEnded{Trait: c.Trait})
+		return
+	}
+	f.revision++
+	c.Revision = f.revision
+	if f.convictions == nil {
+		f.convictions = make(map[string]Conviction)
+	}
+	f.convictions[fmt.Sprint(c.Trait)] = c
+	f.step(d, StoreConvictionEnded{Trait: c.Trait, OK: true})
+	f.tell(ConvictionChanged{Conviction: c})
+}
+
+// kill ends a daemon and starts another process in its place after a delay.
+func (f *crashFleet) kill(i int, delay time.Duration) {
+	f.daemons[i].down = true
+	f.after(delay, func() { f.startDaemon(i) })
+}
+
 // relay passes a message to the daemons that subscribe to the sender.
 func (f *crashFleet) relay(from Daemon, message messenger.Message) {
 	for _, other := range f.daemons {
@@ -249,7 +282,7 @@
 
 func (f *crashFleet) polled(d *crashDaemon, e PollServer) {
 	s, ok := f.servers[e.Server]
-	reported := ServerReported{Server: e.Server, SentAt: f.now - fleetConnectDelay, OK: ok && s.up}
+	reported := ServerReported{Server: e.Server, SentAt: f.now - fleetConnectDelay, OK: ok && s.up, Refused: !ok || !s.up}
 	if reported.OK {
 		reported.StartedAt, reported.Report = s.entry.StartedAt, registrar.Report{Weights: s.entry.Weights}
 	}
@@ -365,21 +398,32 @@
 	latePoisonSends = 3
 	// leastBegunShare is the least share of sound requests that begin, relative to the share without crashes.
 	leastBegunShare = 0.5
+	// mostSoundRefused is the share of sound requests that may be refused by mistake, until it is clear which part crashes servers.
+	mostSoundRefused = 0.01
 )
 
 // assertPartHeldBack checks what callers and engines saw while requests with poisonPart came.
 func (f *crashFleet) assertPartHeldBack(t *testing.T, calmFrom, calmTo time.Duration) {
 	t.Helper()
-	if len(f.crashes) < crashesKnown {
-		return
+	if len(f.crashes) == 0 {
+		t.Fatal("got no crash, want some")
 	}
-	known := f.crashes[crashesKnown-1] + crashContact
+	known := f.crashes[min(crashesKnown, len(f.crashes))-1] + crashContact
 	late := len(slices.DeleteFunc(slices.Clone(f.poisonSends), func(at time.Duration) bool { return at <= known }))
 	if late > latePoisonSends {
 		t.Errorf("got %d requests with the part at engines later than %v after crash %d (%d crashes), want at most %d", late, crashContact, crashesKnown, len(f.crashes), latePoisonSends)
 	}
+	sound, refused := 0, 0
+	for _, r := range f.requests {
+		sound += boolToInt(!r.poison)
+		refused += boolToInt(!r.poison && r.refused == RefusedPoison)
+	}
+	if got, want := float64(refused), mostSoundRefused*float64(sound); got > want {
+		t.Errorf("got %v of %d sound requests refused for their parts, want at most %v", got, sound, want)
+	}
 	calm, _ := f.begunShare(calmFrom, calmTo)
 	got, all := f.begunShare(known+crashContact, f.now-2*time.Second)
+	t.Logf("%d crashes, %d requests with the part at engines, %d of them late; begun at the first attempt %.2f, %.2f without crashes", len(f.crashes), len(f.poisonSends), late, got, calm)
 	if want := leastBegunShare * calm; got < want || all < 20 {
 		t.Errorf("got a share of %.2f of %d sound requests begun at the first attempt, want at least %.2f", got, all, want)
 	}
@@ -397,4 +441,45 @@
 			f.assertPartHeldBack(t, 0, 4*time.Second)
 		})
 	}
+	for _, c := range []struct {
+		name    string
+		daemons int
+		disturb func(f *crashFleet)
+	}{
+		{"no leader", 7, func(f *crashFleet) { f.withoutLead = true }},
+		{"no leader among 420 daemons", 420, func(f *crashFleet) { f.withoutLead = true }},
+		{"the store is away", 7, func(f *crashFleet) { f.storeAway = true }},
+		{"no leader and the store is away", 7, func(f *crashFleet) { f.withoutLead, f.storeAway = true, true }},
+		{"all daemons are killed after the crashes", 7, func(f *crashFleet) {
+			for i := range f.daemons {
+				f.after(8*time.Second, func() { f.kill(i, time.Second) })
+			}
+		}},
+		{"daemons are killed in turn", 7, func(f *crashFleet) {
+			for i := range f.daemons {
+				f.after(time.Duration(500+2000*i)*time.Millisecond, func() { f.kill(i, time.Second) })
+			}
+		}},
+		{"the first keeper is killed amid the crashes", 7, func(f *crashFleet) {
+			f.after(4800*time.Millisecond, func() { f.kill(0, time.Second) })
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(8) {
+				f := newCrashFleet(t, c.daemons, max(18, c.daemons/4), seed)
+				c.disturb(f)
+				if f.withoutLead {
+					for i := range f.daemons {
+						f.startDaemon(i)
+					}
+				}
+				f.press(4*time.Second, 40, 0)
+				f.press(20*time.Second, 40, 2)
+				f.assertPartHeldBack(t, 0, 4*time.Second)
+				if testing.Short() || c.daemons > 100 && seed > 0 {
+					break
+				}
+			}
+		})
+	}
 }
--- a/internal/decision/conductor/demand.go
+++ b/internal/decision/conductor/demand.go
@@ -178,7 +178,7 @@
 		d := entryFor(k)
 		d.Arrived, d.Refused = o.arrived, o.refused
 	}
-	demand := messenger.Demand{InFlight: make(map[string]int), Suspects: m.crashCounts(true), Absences: m.demand.absences, RateLimits: m.takeRateLimitReports()}
+	demand := messenger.Demand{InFlight: make(map[string]int), Absences: m.demand.absences, RateLimits: m.takeRateLimitReports()}
 	if m.configuration != nil {
 		demand.ConfigurationVersion = m.configuration.Version
 	}
@@ -224,7 +224,7 @@
 	for _, a := range demand.Absences {
 		m.absenceReported(a)
 	}
-	m.mergeCrashCounts(demand.Suspects)
+	m.mergeSuspects(demand.Suspects, false)
 	m.rateLimitsReported(demand.RateLimits)
 }
 
--- a/internal/decision/conductor/event.go
+++ b/internal/decision/conductor/event.go
@@ -153,6 +153,8 @@
 type DaemonsListed struct {
 	Daemons []DaemonChanged
 	Leader  *Leader
+	// Convictions are the records of what crashes servers.
+	Convictions []Conviction
 	// Revision is that of the list.
 	Revision int64
 }
@@ -232,7 +234,9 @@
 	StartedAt int64
 	SentAt    time.Duration
 	OK        bool
-	Report    registrar.Report
+	// Refused reports whether the server accepted no connection.
+	Refused bool
+	Report  registrar.Report
 }
 
 // A PeerReceived event carries a message from another daemon.
--- /dev/null
+++ b/internal/decision/conductor/evidence.go
@@ -0,0 +1,228 @@
+package conductor
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"samphirewharf/internal/decision/attributor"
+	"samphirewharf/internal/peer/messenger"
+)
+
+// Evidence of crashes has to come together soon, also while there is no leader. Each daemon sends its own to the keepers, the
+// first of the followers. They merge it and send what matters to all daemons by way of the followers.
+
+// An evidenceExchange is the evidence that has to be sent.
+type evidenceExchange struct {
+	// reports are the traits whose evidence goes to the keepers, broadcasts those that a keeper sends to all daemons.
+	reports    map[attributor.Trait]*repetition
+	broadcasts map[attributor.Trait]*repetition
+	// announced holds the traits that this daemon has sent to all daemons as suspected.
+	announced map[attributor.Trait]bool
+	// keepers are the keepers that have got this daemon's evidence.
+	keepers []string
+	// announceAt is when a keeper sends all convictions again.
+	announceAt time.Duration
+}
+
+// A repetition is a message that is sent several times, since messages may be lost.
+type repetition struct {
+	at   time.Duration
+	left int
+}
+
+func (x *evidenceExchange) nextAt(m *Machine) time.Duration {
+	next := never
+	for _, list := range []map[attributor.Trait]*repetition{x.reports, x.broadcasts} {
+		for _, r := range list {
+			next = min(next, r.at)
+		}
+	}
+	if len(m.crashes.convictions.convicted) > 0 && m.isKeeper() {
+		next = min(next, x.announceAt)
+	}
+	return next
+}
+
+// keeperNames returns the names of the daemons that merge evidence.
+func (m *Machine) keeperNames() []string {
+	names := m.followerNames()
+	return names[:min(len(names), evidenceKeepers)]
+}
+
+// isKeeper reports whether this daemon merges evidence. One that knows no others does so for itself.
+func (m *Machine) isKeeper() bool {
+	names := m.keeperNames()
+	return len(names) == 0 || slices.Contains(names, m.settings.Self.Name)
+}
+
+// shareEvidence schedules the messages about a trait of which this daemon has new evidence.
+func (m *Machine) shareEvidence(t attributor.Trait) {
+	x := &m.crashes.exchange
+	schedule(&x.reports, t, m.now)
+	if m.isKeeper() {
+		schedule(&x.broadcasts, t, m.now)
+	}
+}
+
+func schedule(list *map[attributor.Trait]*repetition, t attributor.Trait, now time.Duration) {
+	if *list == nil {
+		*list = make(map[attributor.Trait]*repetition)
+	}
+	(*list)[t] = &repetition{at: now + evidenceDelay, left: evidenceRepetitions}
+}
+
+// takeDue returns the traits that are due and schedules their next repetition.
+func takeDue(list map[attributor.Trait]*repetition, now time.Duration) []attributor.Trait {
+	var due []attributor.Trait
+	for t, r := range list {
+		if now < r.at {
+			continue
+		}
+		due = append(due, t)
+		r.left--
+		r.at = now + evidenceRepeatInterval
+		if r.left <= 0 {
+			delete(list, t)
+		}
+	}
+	slices.SortFunc(due, attributor.Trait.Compare)
+	return due
+}
+
+// tickEvidence sends the evidence that is due.
+func (m *Machine) tickEvidence() {
+	x := &m.crashes.exchange
+	m.reportToNewKeepers()
+	if due := takeDue(x.reports, m.now); len(due) > 0 {
+		message := m.newMessage()
+		message.Evidence = &messenger.Evidence{Suspects: m.suspects(due)}
+		m.sendTo(m.keeperNames(), message)
+	}
+	due := takeDue(x.broadcasts, m.now)
+	if len(m.crashes.convictions.convicted) > 0 && m.now >= x.announceAt && m.isKeeper() {
+		x.announceAt = m.now + convictionInterval
+		due = slices.AppendSeq(due, maps.Keys(m.crashes.convictions.convicted))
+	}
+	m.broadcast(due)
+}
+
+// broadcast sends the evidence of traits to all daemons, as far as it matters to them.
+func (m *Machine) broadcast(traits []attributor.Trait) {
+	x := &m.crashes.exchange
+	traits = slices.DeleteFunc(traits, func(t attributor.Trait) bool {
+		suspected, announced := m.crashes.attributor.Suspected(t), x.announced[t]
+		if suspected {
+			if x.announced == nil {
+				x.announced = make(map[attributor.Trait]bool)
+			}
+			x.announced[t] = true
+		} else if _, repeated := x.broadcasts[t]; !repeated {
+			delete(x.announced, t)
+		}
+		return !suspected && !announced
+	})
+	if len(traits) == 0 || !m.isKeeper() {
+		return
+	}
+	message := m.newMessage()
+	message.Evidence = &messenger.Evidence{Broadcast: true, Suspects: m.suspects(traits)}
+	m.sendTo(m.followerNames(), message)
+	m.emit(Forward{Evidence: message.Evidence})
+}
+
+// sendTo sends a message to daemons, without this one.
+func (m *Machine) sendTo(names []string, message messenger.Message) {
+	for _, name := range names {
+		if name != m.settings.Self.Name {
+			m.emit(SendPeer{Address: m.daemons[name].PeerAddress, Message: message})
+		}
+	}
+}
+
+// reportToNewKeepers has all evidence reported again when other daemons have become keepers, which may not know of it.
+func (m *Machine) reportToNewKeepers() {
+	x := &m.crashes.exchange
+	names := m.keeperNames()
+	if slices.Equal(names, x.keepers) {
+		return
+	}
+	x.keepers = slices.Clone(names)
+	for _, t := range m.crashes.attributor.Traits() {
+		schedule(&x.reports, t, m.now)
+	}
+}
+
+// suspects returns the evidence of traits as it is sent.
+func (m *Machine) suspects(traits []attributor.Trait) []messenger.Suspect {
+	list := make([]messenger.Suspect, 0, len(traits))
+	for _, t := range traits {
+		e, ok := m.crashes.attributor.Evidence(t)
+		if !ok {
+			continue
+		}
+		s := messenger.Suspect{
+			Fingerprint: t.Hash, Part: t.Kind == attributor.KindPart, Depth: e.Depth, Crashes: e.ReportedCrashes,
+			Answered: e.Answered, Convictions: e.Convictions, Cleared: e.Cleared,
+		}
+		if e.Answered {
+			s.AnsweredAgo = m.now - e.AnsweredAt
+		}
+		if e.Convictions > 0 {
+			s.ConvictedAgo, s.Hold = m.now-e.ConvictedAt, e.HeldUntil-m.now
+		}
+		for _, c := range e.Crashes {
+			s.Servers, s.Requests, s.Ages = append(s.Servers, c.Server), append(s.Requests, c.Request), append(s.Ages, m.now-c.At)
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+// evidenceOf returns the evidence in a message. An earlier version of the daemon doesn't send requests and ages.
+func (m *Machine) evidenceOf(s messenger.Suspect) attributor.Evidence {
+	e := attributor.Evidence{
+		Trait: attributor.Trait{Kind: attributor.KindRequest, Hash: s.Fingerprint}, Depth: s.Depth, Answered: s.Answered, Convictions: s.Convictions, Cleared: s.Cleared,
+		AnsweredAt: m.now - s.AnsweredAgo, ConvictedAt: m.now - s.ConvictedAgo, HeldUntil: m.now + s.Hold,
+	}
+	if s.Part {
+		e.Trait.Kind = attributor.KindPart
+	}
+	if s.Crashes > len(s.Servers) {
+		e.ReportedCrashes = s.Crashes
+	}
+	for i, server := range s.Servers {
+		c := attributor.Crash{Server: server, Request: s.Fingerprint, At: m.now}
+		if i < len(s.Requests) && i < len(s.Ages) {
+			c.Request, c.At = s.Requests[i], m.now-s.Ages[i]
+		}
+		e.Crashes = append(e.Crashes, c)
+	}
+	return e
+}
+
+// evidenceReceived handles evidence of another daemon, or what a keeper has merged. A follower relays the latter.
+func (m *Machine) evidenceReceived(evidence *messenger.Evidence, relayed bool) {
+	if evidence.Broadcast && !relayed {
+		m.emit(Forward{Evidence: evidence})
+	}
+	m.mergeSuspects(evidence.Suspects, evidence.Broadcast)
+}
+
+func (m *Machine) mergeSuspects(list []messenger.Suspect, broadcast bool) {
+	for _, s := range list {
+		e := m.evidenceOf(s)
+		changed, knowsMore := m.crashes.attributor.Merge(m.now, e)
+		if knowsMore {
+			m.shareEvidence(e.Trait)
+		}
+		if !changed && !knowsMore {
+			continue
+		}
+		m.crashes.changed = true
+		if m.isKeeper() && !broadcast {
+			schedule(&m.crashes.exchange.broadcasts, e.Trait, m.now)
+		}
+		m.convictionChanged(e.Trait, "another daemon's evidence")
+	}
+}
--- a/internal/decision/conductor/feed.go
+++ b/internal/decision/conductor/feed.go
@@ -72,8 +72,11 @@
 // A Subscribe effect subscribes to the updates that a daemon relays.
 type Subscribe struct{ Address string }
 
-// A Forward effect relays a message of the leader to the daemons that subscribe to this one.
-type Forward struct{ Fleet *messenger.Fleet }
+// A Forward effect relays a message of the leader, or evidence of crashes, to the daemons that subscribe to this one.
+type Forward struct {
+	Fleet    *messenger.Fleet
+	Evidence *messenger.Evidence
+}
 
 func (UpdatesReceived) event() {}
 func (Follow) effect()         {}
--- a/internal/decision/conductor/fleet.go
+++ b/internal/decision/conductor/fleet.go
@@ -94,8 +94,7 @@
 }
 
 func (m *Machine) fleetMessage(full bool) *messenger.Fleet {
-	fleet := &messenger.Fleet{Holder: m.settings.Self.Name, Fence: m.election.leader.FencingToken, Sequence: m.fleet.sent, Suspects: m.crashCounts(!full), Loading: m.loadings(), RateLimits: m.rateLimits()}
-	m.confirmCrashes(fleet.Suspects)
+	fleet := &messenger.Fleet{Holder: m.settings.Self.Name, Fence: m.election.leader.FencingToken, Sequence: m.fleet.sent, Loading: m.loadings(), RateLimits: m.rateLimits()}
 	if m.configuration != nil {
 		fleet.ConfigurationVersion = m.configuration.Version
 	}
@@ -127,6 +126,12 @@
 	if message.Fleet != nil {
 		m.fleetReceived(message.Fleet)
 	}
+	if message.Evidence != nil {
+		m.evidenceReceived(message.Evidence, false)
+	}
+	if message.Feed != nil && message.Feed.Evidence != nil {
+		m.evidenceReceived(message.Feed.Evidence, true)
+	}
 }
 
 // fleetReceived handles a message of the leader, directly or relayed, unless it is older than the last one.
@@ -158,8 +163,7 @@
 	for _, l := range fleet.Loading {
 		f.loading[modelKey{service: l.Service, model: l.Model, adapter: l.Adapter}] = m.now + l.ReadyIn
 	}
-	m.mergeCrashCounts(fleet.Suspects)
-	m.confirmCrashes(fleet.Suspects)
+	m.mergeSuspects(fleet.Suspects, true)
 	m.rateLimitsReceived(fleet.RateLimits)
 	m.dispatchQueues()
 }
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -130,12 +130,32 @@
 	// electionTime is how long a change of leader takes, without the delay between the two leaders' orders.
 	electionTime = 2 * time.Second
 
-	// poisonCrashes is the number of server crashes after which a request is refused.
-	poisonCrashes = 3
 	// crashDetectionMargin is how long after the removal of a crashed server's entry it is known here at the latest.
 	crashDetectionMargin = 2 * time.Second
-	// crashTTL is how long crashes are remembered.
-	crashTTL = 2 * time.Minute
+	// crashProbeDelay is how long after a broken connection a server is polled to find out whether it has ended, crashProbes
+	// how often and crashProbeInterval the time in between.
+	crashProbeDelay    = 20 * time.Millisecond
+	crashProbes        = 2
+	crashProbeInterval = 200 * time.Millisecond
+	// evidenceKeepers is the number of daemons that merge the evidence of crashes.
+	evidenceKeepers = 2
+	// evidenceDelay is how long new evidence is collected before it is sent, evidenceRepetitions how often it is sent and
+	// evidenceRepeatInterval the time in between.
+	evidenceDelay          = 5 * time.Millisecond
+	evidenceRepetitions    = 3
+	evidenceRepeatInterval = 250 * time.Millisecond
+	// evidenceExpiryInterval is how often old evidence is dropped.
+	evidenceExpiryInterval = 5 * time.Second
+	// convictionInterval is how often a keeper sends all convictions again.
+	convictionInterval = 5 * time.Second
+	// convictionRecordTTL is how long a conviction's record outlives its last writing. Leases last no longer.
+	convictionRecordTTL = 10 * time.Minute
+	// convictionRecordDelay is how long the second keeper waits for the first one's record, convictionRetryDelay how long a
+	// keeper waits for its own.
+	convictionRecordDelay = 500 * time.Millisecond
+	convictionRetryDelay  = time.Second
+	// trialRetryDelay is the least retry delay for a request that is held back because such requests crash servers.
+	trialRetryDelay = 5 * time.Second
 
 	// noServerRetryDelay is the retry delay for a service without servers: about the time that a server takes to
 	// restart.
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -126,7 +126,6 @@
 		removals:        make(map[string]removal),
 		daemonRevisions: make(map[string]int64),
 		departed:        make(map[string]time.Duration),
-		crashes:         crashState{byFingerprint: make(map[uint64]*crashRecord)},
 	}
 }
 
@@ -146,7 +145,7 @@
 	if at, ok := m.timers.Next(); ok {
 		next = min(next, at)
 	}
-	return min(next, m.lease.nextAt(), m.election.nextAt(m.now), m.demand.nextAt(m), m.fleet.nextAt(m), m.relay.nextAt(), m.placement.nextAt(m), m.stop.nextAt(m.now))
+	return min(next, m.lease.nextAt(), m.election.nextAt(m.now), m.demand.nextAt(m), m.fleet.nextAt(m), m.relay.nextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.stop.nextAt(m.now))
 }
 
 func (m *Machine) apply(event Event) {
@@ -181,6 +180,10 @@
 		m.peerReceived(e.Message)
 	case UpdatesReceived:
 		m.updatesReceived(e)
+	case ConvictionChanged:
+		m.convictionStored(e.Conviction)
+	case StoreConvictionEnded:
+		m.storeConvictionEnded(e)
 	case StopRequested:
 		m.stopRequested()
 	case Ticked:
@@ -227,6 +230,7 @@
 	m.tickPlacement()
 	m.tickDemand()
 	m.tickFleet()
+	m.tickCrashes()
 	m.tickRateShares()
 	m.tickStop()
 	m.publish()
--- a/internal/decision/conductor/request.go
+++ b/internal/decision/conductor/request.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"samphirewharf/internal/decision/attributor"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/decision/waker"
 	"samphirewharf/internal/fleet/matcher"
@@ -48,12 +49,18 @@
 	// buffered reports whether the executor has buffered an error answer.
 	buffered bool
 
+	// traits are what the request has in common with others.
+	traits []attributor.Trait
+	// trial reports whether the request is sent though requests with one of its traits have crashed servers.
+	trial bool
+
 	// timer is set to when the request has to be handled next.
 	timer waker.Timer[*request]
 }
 
 func newRequest(e RequestArrived, now time.Duration) *request {
 	r := &request{RequestArrived: e, arrivedAt: now}
+	r.traits = traitsOf(e)
 	r.timer.Owner, r.timer.Number = r, uint64(e.Request)
 	r.deadline = now + max(min(e.TimeLimit, e.Route.Timeout)-deadlineMargin, deadlineMargin)
 	r.firstDeadline = r.deadline
@@ -64,6 +71,15 @@
 	return r
 }
 
+// traitsOf returns what a request has in common with others.
+func traitsOf(e RequestArrived) []attributor.Trait {
+	parts := make([]uint64, 0, len(e.Parts))
+	for _, p := range e.Parts {
+		parts = append(parts, p.ID)
+	}
+	return attributor.Traits(e.Fingerprint, parts)
+}
+
 // needsModel reports whether the request needs a model.
 func (r *request) needsModel() bool { return r.Model != "" }
 
--- a/internal/decision/conductor/role.go
+++ b/internal/decision/conductor/role.go
@@ -103,7 +103,6 @@
 	s.campaignAt = 0
 	m.emit(LogStateChange{Subject: "Role", Change: "HeldBy", Reason: leader.Name, Version: leader.FencingToken})
 	m.demand.reportNow()
-	m.resetReportedCrashes()
 	isSelf := leader.Instance == m.settings.Self.Instance
 	s.ordersFrom = m.now + m.settings.TakeoverDelay + takeoverMargin
 	if previous.Name != "" && sequencer.Epoch(leader.FencingToken) > sequencer.Epoch(previous.FencingToken) {
@@ -175,6 +174,7 @@
 			m.daemonRemoved(name, e.Revision)
 		}
 	}
+	m.convictionsListed(e.Convictions)
 	if e.Leader != nil {
 		m.leaderChanged(*e.Leader)
 	} else {
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -37,8 +37,6 @@
 	switch {
 	case m.stop.rejects(r, m.now):
 		m.refuse(r, RefusedStopping, stopRetryDelay)
-	case m.isPoison(r):
-		m.refuse(r, RefusedPoison, crashTTL)
 	default:
 		m.route(r)
 	}
@@ -50,6 +48,10 @@
 		m.giveUp(r, RefusedExpired, m.retryAfter(r))
 		return
 	}
+	if m.heldBack(r) {
+		m.giveUp(r, RefusedPoison, m.holdTime(r))
+		return
+	}
 	if r.sends >= maxSends || r.connectFailures >= maxConnectFailures {
 		m.giveUp(r, RefusedFull, fullRetryDelay)
 		return
--- a/internal/decision/conductor/server_test.go
+++ b/internal/decision/conductor/server_test.go
@@ -134,11 +134,11 @@
 	t.Run("crashes that daemons have seen at the same time add up", func(t *testing.T) {
 		h := newHarness(t)
 		crash(h, "s1", 99)
-		own := h.machine.crashCounts(false)
+		own := h.machine.suspects(h.machine.crashes.attributor.Traits())
 		other := func(id string) []messenger.Suspect {
 			d := newHarness(t)
 			crash(d, id, 99)
-			return d.machine.crashCounts(false)
+			return d.machine.suspects(d.machine.crashes.attributor.Traits())
 		}
 		for i, suspects := range [][]messenger.Suspect{other("s2"), own, other("s2"), other("s3")} {
 			h.plainServer("s4", "a")
@@ -150,36 +150,29 @@
 		arrive(h, 99)
 		assertEqual(t, "reason", one[Refuse](h).Reason, RefusedPoison)
 	})
-	t.Run("crashes are reported until the leader has them", func(t *testing.T) {
+	t.Run("evidence is reported repeatedly to the keepers, and again to new ones", func(t *testing.T) {
 		h := newHarness(t)
 		h.engine("e1", "a")
-		lead := func(name string, token int64) {
-			h.step(DaemonChanged{Daemon: Daemon{Name: name, Instance: name, PeerAddress: name + ":2"}, Revision: token})
-			h.step(LeaderChanged{Leader: Leader{Name: name, Instance: name, FencingToken: token}})
-		}
-		reported := func() int {
-			h.all = nil
-			h.advance(2 * demandInterval)
+		reported := func(address string) int {
 			suspects := 0
 			for _, e := range findIn[SendPeer](h.all) {
-				if e.Message.Demand != nil {
-					suspects += len(e.Message.Demand.Suspects)
+				if e.Address == address && e.Message.Evidence != nil && !e.Message.Evidence.Broadcast {
+					suspects += len(e.Message.Evidence.Suspects)
 				}
 			}
 			return suspects
 		}
-		lead("d2", 201)
-		crash(h, "s1", 99)
-		for _, leader := range []string{"d2", "d3"} {
-			lead(leader, h.machine.election.leader.FencingToken+1)
-			if got := reported(); got < 2 {
-				t.Errorf("got %d reports to %s, want one in each message", got, leader)
-			}
+		join := func(name string, revision int64) {
+			h.step(DaemonChanged{Daemon: Daemon{Name: name, Instance: name, PeerAddress: name + ":2", Zone: "a", CPUMillicores: 1000}, Revision: revision})
 		}
-		h.step(PeerReceived{Message: messenger.Message{From: "d3", Fleet: &messenger.Fleet{
-			Holder: "d3", Fence: h.machine.election.leader.FencingToken, Sequence: 1, Suspects: h.machine.crashCounts(false),
-		}}})
-		assertEqual(t, "reports after the leader's own", reported(), 0)
+		join("d2", 201)
+		crash(h, "s1", 99)
+		h.advance(2 * time.Second)
+		assertEqual(t, "reports to the keeper", reported("d2:2"), evidenceRepetitions)
+		h.all = nil
+		join("d3", 202)
+		h.advance(2 * time.Second)
+		assertEqual(t, "reports to the new keeper", reported("d3:2"), evidenceRepetitions)
 	})
 	t.Run("broken connections of servers that stay up don't count as crashes", func(t *testing.T) {
 		h := newHarness(t)
--- a/internal/edge/follower/follower_test.go
+++ b/internal/edge/follower/follower_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/phuslu/log"
 
+	"samphirewharf/internal/decision/attributor"
 	"samphirewharf/internal/decision/conductor"
 	"samphirewharf/internal/external/storer"
 )
@@ -117,6 +118,15 @@
 	if err != nil || got != want {
 		t.Errorf("got %+v, %v, want %+v", got, err, want)
 	}
+	conviction := conductor.Conviction{Trait: attributor.Trait{Kind: attributor.KindPart, Hash: 1 << 63}, Depth: 1, Convictions: 2, Hold: time.Minute, Revision: 9}
+	convictionValue, err := EncodeConviction(conviction)
+	if err != nil {
+		t.Fatal(err)
+	}
+	gotConviction, err := decodeConviction(storer.Entry{Key: ConvictionKey(conviction.Trait), Value: convictionValue, Revision: 9})
+	if err != nil || gotConviction != conviction {
+		t.Errorf("got %+v, %v, want %+v", gotConviction, err, conviction)
+	}
 	leaderValue, err := EncodeLeader(conductor.Leader{Name: "a", Instance: "i"})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/edge/follower/record.go
+++ b/internal/edge/follower/record.go
@@ -3,8 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
+	"time"
 
+	"samphirewharf/internal/decision/attributor"
 	"samphirewharf/internal/decision/conductor"
 	"samphirewharf/internal/external/storer"
 )
@@ -16,6 +19,8 @@
 	daemonsPrefix = SharedPrefix + "daemons/"
 	// LeaderKey is the key of the leader's record, which is tied to the leader's lease.
 	LeaderKey = SharedPrefix + "role"
+	// convictionsPrefix is the prefix of the records of what crashes servers.
+	convictionsPrefix = SharedPrefix + "convictions/"
 )
 
 // A daemonRecord is a daemon's record in the store.
@@ -35,6 +40,13 @@
 	Instance string
 }
 
+// A convictionRecord is the record that requests with a trait crash servers. Its key names the trait.
+type convictionRecord struct {
+	Depth       int
+	Convictions int
+	HoldMS      int64
+}
+
 // DaemonKey returns the key of a daemon's record.
 func DaemonKey(name string) string { return daemonsPrefix + name }
 
@@ -73,4 +85,37 @@
 	return conductor.Leader{Name: r.Name, Instance: r.Instance, FencingToken: e.Revision}, nil
 }
 
+// ConvictionKey returns the key of the record that requests with a trait crash servers.
+func ConvictionKey(t attributor.Trait) string {
+	return convictionsPrefix + t.Kind.String() + "/" + strconv.FormatUint(t.Hash, 16)
+}
+
+// EncodeConviction returns the encoded record that requests with a trait crash servers.
+func EncodeConviction(c conductor.Conviction) ([]byte, error) {
+	value, err := json.Marshal(convictionRecord{Depth: c.Depth, Convictions: c.Convictions, HoldMS: c.Hold.Milliseconds()})
+	if err != nil {
+		return nil, fmt.Errorf("encode conviction: %w", err)
+	}
+	return value, nil
+}
+
+func decodeConviction(e storer.Entry) (conductor.Conviction, error) {
+	kind, hash, _ := strings.Cut(strings.TrimPrefix(e.Key, convictionsPrefix), "/")
+	t := attributor.Trait{Kind: attributor.KindRequest}
+	if kind == attributor.KindPart.String() {
+		t.Kind = attributor.KindPart
+	}
+	var err error
+	if t.Hash, err = strconv.ParseUint(hash, 16, 64); err != nil {
+		return conductor.Conviction{}, fmt.Errorf("decode %s: %w", e.Key, err)
+	}
+	var r convictionRecord
+	if err := json.Unmarshal(e.Value, &r); err != nil {
+		return conductor.Conviction{}, fmt.Errorf("decode %s: %w", e.Key, err)
+	}
+	return conductor.Conviction{Trait: t, Depth: r.Depth, Convictions: r.Convictions, Hold: time.Duration(r.HoldMS) * time.Millisecond, Revision: e.Revision}, nil
+}
+
+func isConvictionKey(key string) bool { return strings.HasPrefix(key, convictionsPrefix) }
+
 func isDaemonKey(key string) bool { return strings.HasPrefix(key, daemonsPrefix) }
--- a/internal/edge/follower/views.go
+++ b/internal/edge/follower/views.go
@@ -66,6 +66,12 @@
 			} else {
 				p.logUnusable(e, err)
 			}
+		case isConvictionKey(e.Key):
+			if conviction, err := decodeConviction(e); err == nil {
+				event.Convictions = append(event.Convictions, conviction)
+			} else {
+				p.logUnusable(e, err)
+			}
 		}
 	}
 	p.Post(event)
@@ -88,6 +94,13 @@
 			return
 		}
 		p.Post(conductor.DaemonChanged{Daemon: daemon, Revision: e.Revision})
+	case isConvictionKey(e.Key):
+		conviction, err := decodeConviction(e)
+		if err != nil {
+			p.logUnusable(e, err)
+			return
+		}
+		p.Post(conductor.ConvictionChanged{Conviction: conviction})
 	}
 }
 
--- a/internal/edge/launcher/daemon.go
+++ b/internal/edge/launcher/daemon.go
@@ -190,6 +190,9 @@
 		d.relayer.HandleSubscribe(m.Address, m.Subscribe)
 	case m.Feed != nil:
 		d.relayer.HandleFeed(m.From, m.Feed)
+		if m.Feed.Evidence != nil {
+			d.post(conductor.PeerReceived{Message: messenger.Message{From: m.From, Feed: &messenger.Feed{Evidence: m.Feed.Evidence}}})
+		}
 	default:
 		d.post(conductor.PeerReceived{Message: m})
 	}
--- a/internal/edge/launcher/effects.go
+++ b/internal/edge/launcher/effects.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 
 	"samphirewharf/internal/decision/conductor"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/edge/follower"
 	"samphirewharf/internal/external/storer"
 	"samphirewharf/internal/fleet/registrar"
+	"samphirewharf/internal/network/sender"
 )
 
 // A task carries out one effect that blocks.
@@ -40,7 +42,7 @@
 		m.Subscribe = d.relayer.Subscription()
 		d.sendPeer(e.Address, m)
 	case conductor.Forward:
-		d.relayer.Forward(e.Fleet)
+		d.relayer.Forward(e.Fleet, e.Evidence)
 	case conductor.Exit:
 		d.exitOnce.Do(d.beginExit)
 	default:
@@ -69,6 +71,10 @@
 		d.sendOrder(e)
 	case conductor.PollServer:
 		d.pollServer(e)
+	case conductor.StoreConviction:
+		d.storeConviction(e)
+	case conductor.DeleteConviction:
+		d.platform.Store.Delete(d.ctx, follower.ConvictionKey(e.Conviction.Trait), e.Conviction.Revision)
 	}
 }
 
@@ -134,7 +140,22 @@
 	if err != nil {
 		d.logger.Info().Err(err).Str("Server", e.Server).Msg("server report failed")
 	}
-	d.post(conductor.ServerReported{Server: e.Server, StartedAt: startedAt, SentAt: sentAt, OK: err == nil, Report: report})
+	d.post(conductor.ServerReported{Server: e.Server, StartedAt: startedAt, SentAt: sentAt, OK: err == nil, Refused: errors.Is(err, sender.ErrNotSent), Report: report})
+}
+
+// storeConviction writes the record of a conviction under a lease of its own, since it outlives this daemon.
+func (d *Daemon) storeConviction(e conductor.StoreConviction) {
+	value, err := follower.EncodeConviction(e.Conviction)
+	if err != nil {
+		d.logger.Error().Err(err).Msg("conviction can't be recorded")
+		d.post(conductor.StoreConvictionEnded{Trait: e.Conviction.Trait})
+		return
+	}
+	lease, result := d.platform.Store.Grant(d.ctx, e.TTL)
+	if result == storer.ResultOK {
+		result = d.platform.Store.Put(d.ctx, follower.ConvictionKey(e.Conviction.Trait), value, lease)
+	}
+	d.post(conductor.StoreConvictionEnded{Trait: e.Conviction.Trait, OK: result == storer.ResultOK})
 }
 
 // beginExit starts the end of the daemon after a planned stop, without blocking.
--- a/internal/edge/launcher/metrics.go
+++ b/internal/edge/launcher/metrics.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"samphirewharf/internal/decision/attributor"
 	"samphirewharf/internal/decision/conductor"
 	"samphirewharf/internal/edge/gateway"
 	"samphirewharf/internal/fleet/registrar"
@@ -60,12 +61,14 @@
 // registerGauges registers the conductor's gauges of the whole daemon.
 func (m *edgeMetrics) registerGauges() {
 	for name, read := range map[string]func(*conductor.UpdateGauges) float64{
-		"role_held":                 func(e *conductor.UpdateGauges) float64 { return boolToFloat(e.IsLeader) },
-		"orders_allowed":            func(e *conductor.UpdateGauges) float64 { return boolToFloat(e.MayOrder) },
-		"view_age_seconds":          func(e *conductor.UpdateGauges) float64 { return e.ViewAge.Seconds() },
-		"fleet_age_seconds":         func(e *conductor.UpdateGauges) float64 { return e.FleetAge.Seconds() },
-		"configuration_age_seconds": func(e *conductor.UpdateGauges) float64 { return e.ConfigurationAge.Seconds() },
-		"daemons":                   func(e *conductor.UpdateGauges) float64 { return float64(e.Daemons) },
+		"role_held":                    func(e *conductor.UpdateGauges) float64 { return boolToFloat(e.IsLeader) },
+		"orders_allowed":               func(e *conductor.UpdateGauges) float64 { return boolToFloat(e.MayOrder) },
+		"view_age_seconds":             func(e *conductor.UpdateGauges) float64 { return e.ViewAge.Seconds() },
+		"fleet_age_seconds":            func(e *conductor.UpdateGauges) float64 { return e.FleetAge.Seconds() },
+		"configuration_age_seconds":    func(e *conductor.UpdateGauges) float64 { return e.ConfigurationAge.Seconds() },
+		`held_back{kind="Request"}`:    func(e *conductor.UpdateGauges) float64 { return float64(e.Convictions[attributor.KindRequest]) },
+		`held_back{kind="PromptPart"}`: func(e *conductor.UpdateGauges) float64 { return float64(e.Convictions[attributor.KindPart]) },
+		"daemons":                      func(e *conductor.UpdateGauges) float64 { return float64(e.Daemons) },
 	} {
 		m.set.NewGauge("samphirewharf_edge_"+name, func() float64 {
 			if e := m.gauges.Load(); e != nil {
--- a/internal/edge/relayer/relayer.go
+++ b/internal/edge/relayer/relayer.go
@@ -3,7 +3,9 @@
 package relayer
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,6 +62,7 @@
 	receivedStream   string
 	receivedSequence int64
 	pendingFleet     *messenger.Fleet
+	pendingEvidence  *messenger.Evidence
 
 	wake chan struct{}
 }
@@ -124,14 +127,15 @@
 	}
 }
 
-// Forward relays a message of the leader to the subscribers.
-func (r *Relayer) Forward(fleet *messenger.Fleet) {
+// Forward relays a message of the leader, or evidence of crashes, to the subscribers. Either may be nil.
+func (r *Relayer) Forward(fleet *messenger.Fleet, evidence *messenger.Evidence) {
 	r.mu.Lock()
 	if len(r.subscribers) == 0 {
 		r.mu.Unlock()
 		return
 	}
 	r.pendingFleet = mergeFleet(r.pendingFleet, fleet)
+	r.pendingEvidence = mergeEvidence(r.pendingEvidence, evidence)
 	r.mu.Unlock()
 	r.signal()
 }
@@ -264,7 +268,7 @@
 			continue
 		}
 		sub.sequence++
-		feed := &messenger.Feed{Stream: r.stream, Sequence: sub.sequence, Fresh: allListed && r.StoreReachable(), Fleet: r.pendingFleet}
+		feed := &messenger.Feed{Stream: r.stream, Sequence: sub.sequence, Fresh: allListed && r.StoreReachable(), Fleet: r.pendingFleet, Evidence: r.pendingEvidence}
 		switch {
 		case sub.needsSnapshot && allListed:
 			if snapshot == nil {
@@ -277,7 +281,7 @@
 		}
 		deliveries = append(deliveries, delivery{address, feed})
 	}
-	r.pendingFleet = nil
+	r.pendingFleet, r.pendingEvidence = nil, nil
 	r.mu.Unlock()
 	for _, d := range deliveries {
 		message := r.Message()
@@ -348,6 +352,9 @@
 
 // mergeFleet merges a later message of the leader with one that has not been relayed yet.
 func mergeFleet(earlier, later *messenger.Fleet) *messenger.Fleet {
+	if later == nil {
+		return earlier
+	}
 	if earlier == nil || earlier.Fence != later.Fence {
 		return later
 	}
@@ -364,3 +371,17 @@
 	}
 	return &merged
 }
+
+// mergeEvidence merges later evidence with some that has not been relayed yet.
+func mergeEvidence(earlier, later *messenger.Evidence) *messenger.Evidence {
+	if earlier == nil || later == nil {
+		return cmp.Or(later, earlier)
+	}
+	merged := *later
+	for _, s := range earlier.Suspects {
+		if !slices.ContainsFunc(later.Suspects, func(l messenger.Suspect) bool { return l.Part == s.Part && l.Fingerprint == s.Fingerprint }) {
+			merged.Suspects = append(merged.Suspects[:len(merged.Suspects):len(merged.Suspects)], s)
+		}
+	}
+	return &merged
+}
--- a/internal/edge/relayer/relayer_test.go
+++ b/internal/edge/relayer/relayer_test.go
@@ -142,7 +142,7 @@
 		forward := func(sequence int64, server string, inFlight int) {
 			follower.relayer.Forward(&messenger.Fleet{Fence: 1, Sequence: sequence, Servers: []messenger.FleetServer{
 				{Server: server, InFlight: inFlight, Models: []registrar.LoadedModel{}},
-			}})
+			}}, nil)
 		}
 		forward(1, "x", 1)
 		forward(2, "y", 2)
@@ -154,4 +154,19 @@
 			t.Errorf("got %+v, want the latest state of x, and y", fleet.Servers)
 		}
 	})
+	t.Run("evidence is relayed with the latest state of each trait", func(t *testing.T) {
+		follower, subscriber, _ := start()
+		follower.sent = nil
+		forward := func(fingerprint uint64, part bool, crashes int) {
+			follower.relayer.Forward(nil, &messenger.Evidence{Broadcast: true, Suspects: []messenger.Suspect{{Fingerprint: fingerprint, Part: part, Crashes: crashes}}})
+		}
+		forward(1, true, 1)
+		forward(1, false, 5)
+		forward(1, true, 2)
+		deliver(follower, subscriber, false)
+		got := follower.sent[0].Evidence
+		if got == nil || len(got.Suspects) != 2 || got.Suspects[0].Crashes != 2 || got.Suspects[1].Crashes != 5 {
+			t.Errorf("got %+v, want the latest evidence of both traits", got)
+		}
+	})
 }
--- a/internal/peer/messenger/decode.go
+++ b/internal/peer/messenger/decode.go
@@ -25,6 +25,7 @@
 		Fleet:     decodeFleet(x.GetFleet()),
 		Subscribe: decodeSubscribe(x.GetSubscribe()),
 		Feed:      decodeFeed(x.GetFeed()),
+		Evidence:  decodeEvidence(x.GetEvidence()),
 	}
 }
 
--- a/internal/peer/messenger/encode.go
+++ b/internal/peer/messenger/encode.go
@@ -23,6 +23,7 @@
 		Fleet:     encodeFleet(m.Fleet),
 		Subscribe: encodeSubscribe(m.Subscribe),
 		Feed:      encodeFeed(m.Feed),
+		Evidence:  encodeEvidence(m.Evidence),
 	}
 }
 
--- /dev/null
+++ b/internal/peer/messenger/evidence.go
@@ -0,0 +1,67 @@
+package messenger
+
+import "time"
+
+// Evidence carries what the sender has seen of requests that may crash servers or, if Broadcast is set, what a keeper has
+// merged. A follower relays the latter to its subscribers.
+type Evidence struct {
+	Broadcast bool
+	Suspects  []Suspect
+}
+
+// A Suspect is the evidence that requests with a trait crash servers.
+type Suspect struct {
+	// Fingerprint is a hash of the whole content of a request or, if Part is set, of a part of its prompt at position Depth.
+	Fingerprint uint64
+	Part        bool
+	Depth       int
+	// Crashes is the number of servers that crashed.
+	Crashes int
+	// Servers are hashes of the incarnations that crashed. Requests and Ages hold for each of them the fingerprint of the request
+	// that was running there and the time since the crash; earlier versions send neither.
+	Servers  []uint64
+	Requests []uint64
+	Ages     []time.Duration
+	// AnsweredAgo is the time since a request with the trait was last answered, valid if Answered.
+	Answered    bool
+	AnsweredAgo time.Duration
+	// Convictions is how often the trait was convicted, ConvictedAgo the time since then, and Hold for how much longer no request
+	// with it is sent; negative after that.
+	Convictions int
+	// Cleared is how many of the convictions no longer hold.
+	Cleared      int
+	ConvictedAgo time.Duration
+	Hold         time.Duration
+}
+
+func encodeEvidence(e *Evidence) *EvidencePart {
+	if e == nil {
+		return nil
+	}
+	return &EvidencePart{Broadcast: e.Broadcast, Suspects: convert(e.Suspects, encodeSuspect)}
+}
+
+func decodeEvidence(p *EvidencePart) *Evidence {
+	if p == nil {
+		return nil
+	}
+	return &Evidence{Broadcast: p.GetBroadcast(), Suspects: convert(p.GetSuspects(), decodeSuspect)}
+}
+
+func encodeSuspect(s Suspect) *SuspectPart {
+	return &SuspectPart{
+		Fingerprint: s.Fingerprint, Part: s.Part, Depth: int64(s.Depth), Crashes: int64(s.Crashes), Servers: s.Servers, Requests: s.Requests,
+		AgesNanoseconds: convert(s.Ages, func(age time.Duration) int64 { return int64(age) }),
+		Answered:        s.Answered, AnsweredAgoNanoseconds: int64(s.AnsweredAgo),
+		Convictions: int64(s.Convictions), ConvictedAgoNanoseconds: int64(s.ConvictedAgo), HoldNanoseconds: int64(s.Hold), Cleared: int64(s.Cleared),
+	}
+}
+
+func decodeSuspect(s *SuspectPart) Suspect {
+	return Suspect{
+		Fingerprint: s.GetFingerprint(), Part: s.GetPart(), Depth: int(s.GetDepth()), Crashes: int(s.GetCrashes()), Servers: s.GetServers(), Requests: s.GetRequests(),
+		Ages:     convert(s.GetAgesNanoseconds(), func(age int64) time.Duration { return time.Duration(age) }),
+		Answered: s.GetAnswered(), AnsweredAgo: time.Duration(s.GetAnsweredAgoNanoseconds()),
+		Convictions: int(s.GetConvictions()), ConvictedAgo: time.Duration(s.GetConvictedAgoNanoseconds()), Hold: time.Duration(s.GetHoldNanoseconds()), Cleared: int(s.GetCleared()),
+	}
+}
--- a/internal/peer/messenger/feed.go
+++ b/internal/peer/messenger/feed.go
@@ -15,9 +15,10 @@
 	// Fresh reports whether the sender has a complete view and the key-value service answers it.
 	Fresh bool
 	// Whole reports whether the views are a complete snapshot. Otherwise they hold the changes since the previous feed.
-	Whole bool
-	Views []View
-	Fleet *Fleet
+	Whole    bool
+	Views    []View
+	Fleet    *Fleet
+	Evidence *Evidence
 }
 
 // A View holds the entries with one prefix in the key-value service, as of a revision.
@@ -55,7 +56,7 @@
 	}
 	return &FeedPart{
 		Stream: f.Stream, Sequence: f.Sequence, Fresh: f.Fresh, Whole: f.Whole,
-		Views: convert(f.Views, encodeView), Fleet: encodeFleet(f.Fleet),
+		Views: convert(f.Views, encodeView), Fleet: encodeFleet(f.Fleet), Evidence: encodeEvidence(f.Evidence),
 	}
 }
 
@@ -65,7 +66,7 @@
 	}
 	return &Feed{
 		Stream: p.GetStream(), Sequence: p.GetSequence(), Fresh: p.GetFresh(), Whole: p.GetWhole(),
-		Views: convert(p.GetViews(), decodeView), Fleet: decodeFleet(p.GetFleet()),
+		Views: convert(p.GetViews(), decodeView), Fleet: decodeFleet(p.GetFleet()), Evidence: decodeEvidence(p.GetEvidence()),
 	}
 }
 
--- a/internal/peer/messenger/fleet.go
+++ b/internal/peer/messenger/fleet.go
@@ -42,14 +42,6 @@
 	Slack time.Duration
 }
 
-// A Suspect is a request that was running at servers when they crashed.
-type Suspect struct {
-	Fingerprint uint64
-	Crashes     int
-	// Servers are hashes of the incarnations that crashed.
-	Servers []uint64
-}
-
 // An Absence is a model or adapter that was found not to be loaded by a server. An empty Model means that the server
 // accepts no connections.
 type Absence struct {
@@ -197,14 +189,6 @@
 	}
 }
 
-func encodeSuspect(s Suspect) *SuspectPart {
-	return &SuspectPart{Fingerprint: s.Fingerprint, Crashes: int64(s.Crashes), Servers: s.Servers}
-}
-
-func decodeSuspect(s *SuspectPart) Suspect {
-	return Suspect{Fingerprint: s.GetFingerprint(), Crashes: int(s.GetCrashes()), Servers: s.GetServers()}
-}
-
 func encodeRateLimit(l RateLimit) *RateLimitPart {
 	return &RateLimitPart{Server: l.Server, StartedAt: l.StartedAt, Limited: l.Limited, PerSecond: l.PerSecond}
 }
--- a/internal/peer/messenger/fleet_test.go
+++ b/internal/peer/messenger/fleet_test.go
@@ -27,9 +27,13 @@
 			Loading:  []Loading{{Service: "s", Model: "n", ReadyIn: time.Second}},
 			Suspects: []Suspect{{Fingerprint: 5, Crashes: 3}}, RateLimits: []RateLimit{{Server: "i-1", StartedAt: 9}},
 		},
+		Evidence: &Evidence{Broadcast: true, Suspects: []Suspect{{
+			Fingerprint: 7, Part: true, Depth: 1, Servers: []uint64{4}, Requests: []uint64{5}, Ages: []time.Duration{time.Second},
+			Answered: true, AnsweredAgo: 2 * time.Second, Convictions: 2, Cleared: 1, ConvictedAgo: 3 * time.Second, Hold: -time.Second,
+		}}},
 		Subscribe: &Subscribe{Stream: "i", Sequence: 4},
 		Feed: &Feed{
-			Stream: "i", Sequence: 5, Fresh: true, Whole: true, Fleet: &Fleet{Fence: 42, Sequence: 1},
+			Stream: "i", Sequence: 5, Fresh: true, Whole: true, Fleet: &Fleet{Fence: 42, Sequence: 1}, Evidence: &Evidence{Suspects: []Suspect{{Fingerprint: 8}}},
 			Views: []View{{Prefix: "p/", Revision: 9, Entries: []ViewEntry{
 				{Key: "p/a", Value: []byte("x"), Revision: 8}, {Key: "p/b", Revision: 9, Removed: true},
 			}}},
--- a/internal/peer/messenger/message.go
+++ b/internal/peer/messenger/message.go
@@ -27,6 +27,7 @@
 	Fleet     *Fleet
 	Subscribe *Subscribe
 	Feed      *Feed
+	Evidence  *Evidence
 }
 
 // A Heartbeat signals that the sender is alive.
