feat: log lines name servers' software versions and the streams that callers take up

The logs of second1 tell neither, so that they can't distinguish streams that a daemon resumes itself from those that callers take up. Both are decoded here; no decision uses them yet.

--- a/internal/decision/conductor/effect.go
+++ b/internal/decision/conductor/effect.go
@@ -159,6 +159,9 @@
 	// Version is the configuration's.
 	Version int64
 	Status  int
+	// SoftwareVersion is that of the server, OriginID that of the caller's attempt that began the stream.
+	SoftwareVersion string
+	OriginID        string
 	// Fingerprint and Parts identify what the request has in common with others. They are set where a server may have crashed.
 	Fingerprint uint64
 	Parts       []PromptPart
--- a/internal/decision/conductor/event.go
+++ b/internal/decision/conductor/event.go
@@ -37,6 +37,9 @@
 	OutputTokens int
 	// Parts are the parts of the prompt, in order.
 	Parts []PromptPart
+	// Resumes reports whether the caller takes up a stream, OriginID is the ID of its attempt that brought the first event.
+	Resumes  bool
+	OriginID string
 	// TimeLimit is how long the caller waits for the whole answer.
 	TimeLimit time.Duration
 	// Fingerprint is equal for requests with the same content.
--- a/internal/decision/conductor/request.go
+++ b/internal/decision/conductor/request.go
@@ -174,6 +174,10 @@
 	d.Waited = m.now - r.arrivedAt
 	d.Remaining = r.deadline - m.now
 	d.Version = r.Version
+	d.OriginID = r.OriginID
+	if r.server != nil {
+		d.SoftwareVersion = r.server.entry.SoftwareVersion
+	}
 	if d.Server == "" && r.server != nil {
 		d.Server = r.server.entry.ID
 	}
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -158,14 +158,14 @@
 		m.servers[e.ID] = s
 		m.serverSetChanged()
 		m.doubtRestored(s)
-		m.emit(LogStateChange{Subject: "Server " + e.ID, Change: "Seen", Reason: e.Service, Version: e.Revision, Detail: e.Address + " " + e.Zone})
+		m.emit(LogStateChange{Subject: "Server " + e.ID, Change: "Seen", Reason: e.Service, Version: e.Revision, Detail: e.Address + " " + e.Zone + " " + e.SoftwareVersion})
 	case e.StartedAt > s.entry.StartedAt || e.Address != s.entry.Address:
 		m.serverEnded(s)
 		s = newServer(e)
 		m.servers[e.ID] = s
 		m.serverSetChanged()
 		m.placement.removeEngine(e.ID)
-		m.emit(LogStateChange{Subject: "Server " + e.ID, Change: "Restarted", Version: e.Revision, Detail: e.Address})
+		m.emit(LogStateChange{Subject: "Server " + e.ID, Change: "Restarted", Version: e.Revision, Detail: e.Address + " " + e.SoftwareVersion})
 	default:
 		m.serverUpdated(s, e)
 	}
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -107,6 +107,7 @@
 	e := conductor.RequestArrived{
 		ID: h.ID, Route: route, Version: version, Model: h.Model, Adapter: h.Adapter,
 		InputTokens: h.InputTokens, OutputTokens: h.OutputTokens, Parts: h.PromptParts, TimeLimit: h.TimeLimit,
+		Resumes: h.LastEventID != "", OriginID: h.OriginID,
 	}
 	if e.TimeLimit <= 0 {
 		e.TimeLimit = route.Timeout
--- a/internal/edge/gateway/translator.go
+++ b/internal/edge/gateway/translator.go
@@ -40,6 +40,8 @@
 	PromptParts  []conductor.PromptPart
 	// LastEventID is the ID of the last event that the caller has of a stream that it resumes.
 	LastEventID string
+	// OriginID is the ID of the caller's attempt that brought the first event of that stream.
+	OriginID string
 	// Forward holds the fields to pass on to the server, without those that only the system may set.
 	Forward http.Header
 }
--- a/internal/edge/launcher/logging.go
+++ b/internal/edge/launcher/logging.go
@@ -28,6 +28,12 @@
 	if e.Action == "Send" {
 		line = line.Float64("Score", e.Score)
 	}
+	if e.SoftwareVersion != "" {
+		line = line.Str("SoftwareVersion", e.SoftwareVersion)
+	}
+	if e.OriginID != "" {
+		line = line.Str("Resumes", e.OriginID)
+	}
 	if e.FirstLatency > 0 {
 		line = line.Int64("FirstMs", e.FirstLatency.Milliseconds())
 	}
--- a/internal/fleet/registrar/entry.go
+++ b/internal/fleet/registrar/entry.go
@@ -25,8 +25,10 @@
 	Service   string
 	Address   string
 	Zone      string
-	Slots     int
-	State     State
+	// SoftwareVersion is the version of the server's software, not of its weights. It may differ within a service.
+	SoftwareVersion string
+	Slots           int
+	State           State
 	// RemainingLifetime is the time until the server is stopped, zero if it has not been announced.
 	RemainingLifetime time.Duration
 	// RemainingWarmup is how much longer the server is slow after its start.
