test: streams go on at another software version than the one that began them

Callers take streams up at other daemons when theirs is killed, and daemons resume them when an engine ends, while engines of two versions serve. The virtual fleet now has a file of its own.

--- a/internal/decision/conductor/crash_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -13,7 +13,7 @@
 	"samphirewharf/internal/peer/messenger"
 )
 
-// An action is something that happens in a crashFleet.
+// An action is something that happens in a virtualFleet.
 type action struct {
 	at     time.Duration
 	number int
@@ -42,47 +42,68 @@
 	fleetFirstEvent   = 80 * time.Millisecond
 	fleetRestartDelay = 3 * time.Second
 	fleetEntryTTL     = 3600 * time.Millisecond
+	fleetDrainTime    = 5 * time.Second
+	// fleetRetryDelay is how long after a broken connection a caller takes its stream up at another daemon.
+	fleetRetryDelay = 20 * time.Millisecond
 )
 
-// A crashServer is an engine of a crashFleet.
-type crashServer struct {
+// A virtualServer is an engine of a virtualFleet.
+type virtualServer struct {
 	entry   registrar.Entry
 	up      bool
-	running map[reducer.RequestID]crashAttempt
+	running map[reducer.RequestID]virtualAttempt
 }
 
-type crashAttempt struct {
-	daemon *crashDaemon
+type virtualAttempt struct {
+	daemon *virtualDaemon
 	send   Send
 }
 
-type crashDaemon struct {
+type virtualDaemon struct {
 	machine *Machine
 	down    bool
+	startedAt time.Duration
+	// requests are those that the process has got.
+	requests []*virtualRequest
 }
 
-// A crashRequest is a request that a crashFleet's caller has sent.
-type crashRequest struct {
+// A virtualRequest is a request that a virtualFleet's caller has sent.
+type virtualRequest struct {
 	poison    bool
 	arrivedAt time.Duration
 	begun     bool
 	refused   RefusalReason
 	ended     bool
+	// stream is the stream that the request belongs to, nil if that doesn't matter.
+	stream *virtualStream
 }
 
-// A crashFleet plays daemons and engines in virtual time. Requests with the part poisonPart crash the engines that run them.
-type crashFleet struct {
+// A virtualStream is a caller's stream over all of its attempts.
+type virtualStream struct {
+	// origin is the ID of the attempt that brought the first event, empty before that.
+	origin   string
+	versions map[string]bool
+	// resumed reports whether the caller has taken the stream up at a daemon in touch while two engines of its version served,
+	// resumedOn whether it went on then.
+	resumed   bool
+	resumedOn bool
+	// version is that of the server that began the stream.
+	version string
+}
+
+// A virtualFleet plays daemons and engines in virtual time. Requests with the part poisonPart crash the engines that run them.
+type virtualFleet struct {
 	t        *testing.T
 	now      time.Duration
 	queue    actionQueue
 	actions  int
 	rng      *rand.Rand
-	daemons  []*crashDaemon
-	servers  map[string]*crashServer
+	daemons  []*virtualDaemon
+	servers  map[string]*virtualServer
 	revision int64
 	// upstreams holds the address that each daemon subscribes to, by its own.
 	upstreams map[string]string
-	requests  map[reducer.RequestID]*crashRequest
+	requests  map[reducer.RequestID]*virtualRequest
 	attempts  int
 	// crashes and poisonSends hold the times at which engines crashed and at which they got a request that crashes them.
 	crashes     []time.Duration
@@ -98,17 +119,17 @@
 	poisonPart = 66
 )
 
-func newCrashFleet(t *testing.T, daemons, servers int, seed uint64) *crashFleet {
+func newVirtualFleet(t *testing.T, daemons, servers int, seed uint64) *virtualFleet {
 	t.Helper()
-	f := &crashFleet{
-		t: t, rng: rand.New(rand.NewPCG(seed, seed)), servers: make(map[string]*crashServer), revision: 100,
-		upstreams: make(map[string]string), requests: make(map[reducer.RequestID]*crashRequest),
+	f := &virtualFleet{
+		t: t, rng: rand.New(rand.NewPCG(seed, seed)), servers: make(map[string]*virtualServer), revision: 100,
+		upstreams: make(map[string]string), requests: make(map[reducer.RequestID]*virtualRequest),
 	}
 	for range servers {
 		f.startServer()
 	}
 	for range daemons {
-		f.daemons = append(f.daemons, &crashDaemon{})
+		f.daemons = append(f.daemons, &virtualDaemon{})
 	}
 	for i := range daemons {
 		f.startDaemon(i)
@@ -116,17 +137,17 @@
 	return f
 }
 
-func (f *crashFleet) record(i int) Daemon {
+func (f *virtualFleet) record(i int) Daemon {
 	name := fmt.Sprintf("d%03d", i)
 	return Daemon{Name: name, Instance: name, PeerAddress: name + ":2", Zone: fmt.Sprintf("z%d", i%3)}
 }
 
 // startDaemon starts a daemon, which knows nothing but what is in the store.
-func (f *crashFleet) startDaemon(i int) {
+func (f *virtualFleet) startDaemon(i int) {
 	settings := testSettings()
 	settings.Self, settings.Seed, settings.EntryTTL = f.record(i), uint64(i+1), fleetEntryTTL
 	d := f.daemons[i]
-	d.machine, d.down = New(settings), false
+	d.machine, d.down, d.startedAt = New(settings), false, f.now
 	f.step(d, ConfigurationChanged{Configuration: testConfiguration(f.t, 1)})
 	f.step(d, ServersListed{Entries: f.entries(), Revision: f.revision})
 	f.step(d, f.shared())
@@ -136,7 +157,7 @@
 }
 
 // shared returns what the daemons share in the store.
-func (f *crashFleet) shared() DaemonsListed {
+func (f *virtualFleet) shared() DaemonsListed {
 	list := DaemonsListed{Revision: f.revision}
 	for _, c := range f.convictions {
 		list.Convictions = append(list.Convictions, c)
@@ -150,7 +171,7 @@
 	return list
 }
 
-func (f *crashFleet) entries() []registrar.Entry {
+func (f *virtualFleet) entries() []registrar.Entry {
 	var list []registrar.Entry
 	for _, id := range f.serverIDs() {
 		list = append(list, f.servers[id].entry)
@@ -158,7 +179,7 @@
 	return list
 }
 
-func (f *crashFleet) serverIDs() []string {
+func (f *virtualFleet) serverIDs() []string {
 	var list []string
 	for id := range f.servers {
 		list = append(list, id)
@@ -167,31 +188,50 @@
 	return list
 }
 
-func (f *crashFleet) startServer() {
+func (f *virtualFleet) startServer() {
+	f.startVersion("v1")
+}
+
+// startVersion starts an engine with a software version.
+func (f *virtualFleet) startVersion(version string) *virtualServer {
 	f.revision++
 	id := fmt.Sprintf("e%d", f.revision)
-	s := &crashServer{up: true, running: make(map[reducer.RequestID]crashAttempt), entry: registrar.Entry{
-		ID: id, StartedAt: f.revision, Service: engineService, Address: id + ":80", Zone: "z0", Slots: 32, Revision: f.revision,
+	s := &virtualServer{up: true, running: make(map[reducer.RequestID]virtualAttempt), entry: registrar.Entry{
+		ID: id, StartedAt: f.revision, Service: engineService, Address: id + ":80", Zone: "z0", SoftwareVersion: version, Slots: 32, Revision: f.revision,
 		Weights: registrar.Weights{Models: []registrar.LoadedModel{loadedModel("m1")}},
 	}}
 	f.servers[id] = s
 	f.tell(ServerChanged{Entry: s.entry})
+	return s
+}
+
+// leave has an engine announce that it leaves, and leave after a while.
+func (f *virtualFleet) leave(s *virtualServer) {
+	f.revision++
+	s.entry.State, s.entry.Revision = registrar.StateDraining, f.revision
+	f.tell(ServerChanged{Entry: s.entry})
+	f.after(fleetDrainTime, func() {
+		f.end(s)
+		f.revision++
+		delete(f.servers, s.entry.ID)
+		f.tell(ServerRemoved{ID: s.entry.ID, Revision: f.revision})
+	})
 }
 
 // tell passes a change of the store to all daemons.
-func (f *crashFleet) tell(e Event) {
+func (f *virtualFleet) tell(e Event) {
 	for _, d := range f.daemons {
 		f.after(fleetRelayDelay, func() { f.step(d, e) })
 	}
 }
 
-func (f *crashFleet) after(delay time.Duration, do func()) {
+func (f *virtualFleet) after(delay time.Duration, do func()) {
 	f.actions++
 	heap.Push(&f.queue, action{at: f.now + delay, number: f.actions, do: do})
 }
 
 // wake ticks a daemon when it asks for it.
-func (f *crashFleet) wake(d *crashDaemon) {
+func (f *virtualFleet) wake(d *virtualDaemon) {
 	machine := d.machine
 	f.after(max(time.Millisecond, machine.NextWake()-f.now), func() {
 		if d.machine != machine || d.down {
@@ -202,7 +242,7 @@
 	})
 }
 
-func (f *crashFleet) run(duration time.Duration) {
+func (f *virtualFleet) run(duration time.Duration) {
 	for end := f.now + duration; len(f.queue) > 0 && f.queue[0].at <= end; {
 		a := heap.Pop(&f.queue).(action)
 		f.now = max(f.now, a.at)
@@ -210,7 +250,7 @@
 	}
 }
 
-func (f *crashFleet) step(d *crashDaemon, e Event) {
+func (f *virtualFleet) step(d *virtualDaemon, e Event) {
 	if d.machine == nil || d.down {
 		return
 	}
@@ -219,7 +259,7 @@
 	}
 }
 
-func (f *crashFleet) carryOut(d *crashDaemon, effect Effect) {
+func (f *virtualFleet) carryOut(d *virtualDaemon, effect Effect) {
 	self := d.machine.settings.Self
 	switch e := effect.(type) {
 	case Send:
@@ -250,7 +290,7 @@
 	}
 }
 
-func (f *crashFleet) storeConviction(d *crashDaemon, c Conviction) {
+func (f *virtualFleet) storeConviction(d *virtualDaemon, c Conviction) {
 	if f.storeAway {
 		f.step(d, StoreConvictionEnded{Trait: c.Trait})
 		return
@@ -266,13 +306,27 @@
 }
 
 // kill ends a daemon and starts another process in its place after a delay.
-func (f *crashFleet) kill(i int, delay time.Duration) {
-	f.daemons[i].down = true
+func (f *virtualFleet) kill(i int, delay time.Duration) {
+	d := f.daemons[i]
+	d.down = true
+	for _, s := range f.servers {
+		for id, a := range s.running {
+			if a.daemon == d {
+				delete(s.running, id)
+			}
+		}
+	}
+	for _, r := range d.requests {
+		if stream := r.stream; stream != nil && !r.ended && stream.origin != "" {
+			f.after(fleetRetryDelay, func() { f.send(stream) })
+		}
+	}
+	d.requests = nil
 	f.after(delay, func() { f.startDaemon(i) })
 }
 
 // relay passes a message to the daemons that subscribe to the sender.
-func (f *crashFleet) relay(from Daemon, message messenger.Message) {
+func (f *virtualFleet) relay(from Daemon, message messenger.Message) {
 	for _, other := range f.daemons {
 		if other.machine != nil && f.upstreams[other.machine.settings.Self.PeerAddress] == from.PeerAddress {
 			f.after(fleetRelayDelay, func() { f.step(other, PeerReceived{Message: message}) })
@@ -280,7 +334,7 @@
 	}
 }
 
-func (f *crashFleet) polled(d *crashDaemon, e PollServer) {
+func (f *virtualFleet) polled(d *virtualDaemon, e PollServer) {
 	s, ok := f.servers[e.Server]
 	reported := ServerReported{Server: e.Server, SentAt: f.now - fleetConnectDelay, OK: ok && s.up, Refused: !ok || !s.up}
 	if reported.OK {
@@ -290,7 +344,7 @@
 }
 
 // sent plays a request at an engine.
-func (f *crashFleet) sent(d *crashDaemon, e Send) {
+func (f *virtualFleet) sent(d *virtualDaemon, e Send) {
 	request := f.requests[e.Request]
 	s, ok := f.servers[e.Server]
 	if !ok || !s.up {
@@ -302,7 +356,7 @@
 	if request.poison {
 		f.poisonSends = append(f.poisonSends, f.now)
 	}
-	s.running[e.Request] = crashAttempt{daemon: d, send: e}
+	s.running[e.Request] = virtualAttempt{daemon: d, send: e}
 	running := func() bool { a, ok := s.running[e.Request]; return ok && a.send.Attempt == e.Attempt }
 	f.after(fleetFirstEvent, func() {
 		switch {
@@ -311,6 +365,7 @@
 			f.crash(s)
 		default:
 			request.begun = request.begun || e.Attempt == 1
+			f.streamGoesOn(request, e, s)
 			f.step(d, AttemptStarted{Request: e.Request, Attempt: e.Attempt})
 		}
 	})
@@ -323,9 +378,49 @@
 	})
 }
 
+// streamGoesOn records that a caller gets events of a server.
+func (f *virtualFleet) streamGoesOn(r *virtualRequest, e Send, s *virtualServer) {
+	stream := r.stream
+	if stream == nil {
+		return
+	}
+	if stream.origin == "" {
+		stream.origin, stream.version = attemptName(e.Request), s.entry.SoftwareVersion
+	}
+	stream.versions[s.entry.SoftwareVersion] = true
+	stream.resumedOn = stream.resumedOn || stream.resumed
+}
+
+// inTouch reports whether a daemon has run for long enough to know what the others know.
+func (f *virtualFleet) inTouch(d *virtualDaemon) bool {
+	return d.startedAt == 0 || f.now > d.startedAt+crashContact
+}
+
+// upServers returns the number of engines of a version.
+func (f *virtualFleet) upServers(version string) int {
+	n := 0
+	for _, s := range f.servers {
+		n += boolToInt(s.up && s.entry.State == registrar.StateReady && s.entry.SoftwareVersion == version)
+	}
+	return n
+}
+
+func attemptName(id reducer.RequestID) string { return fmt.Sprintf("r%d", id) }
+
 // crash ends an engine. Another incarnation starts after some seconds.
-func (f *crashFleet) crash(s *crashServer) {
+func (f *virtualFleet) crash(s *virtualServer) {
 	f.crashes = append(f.crashes, f.now)
+	f.end(s)
+	f.after(fleetEntryTTL, func() {
+		f.revision++
+		delete(f.servers, s.entry.ID)
+		f.tell(ServerRemoved{ID: s.entry.ID, Revision: f.revision})
+	})
+	f.after(fleetRestartDelay, func() { f.startVersion(s.entry.SoftwareVersion) })
+}
+
+// end ends an engine's process.
+func (f *virtualFleet) end(s *virtualServer) {
 	s.up = false
 	for id, a := range s.running {
 		f.after(fleetPeerDelay, func() {
@@ -333,34 +428,39 @@
 		})
 	}
 	clear(s.running)
-	f.after(fleetEntryTTL, func() {
-		f.revision++
-		delete(f.servers, s.entry.ID)
-		f.tell(ServerRemoved{ID: s.entry.ID, Revision: f.revision})
-	})
-	f.after(fleetRestartDelay, f.startServer)
 }
 
 // arrive sends a request of a caller to a random daemon.
-func (f *crashFleet) arrive(parts ...uint64) {
+func (f *virtualFleet) arrive(parts ...uint64) {
+	f.send(nil, parts...)
+}
+
+// send sends a request, which begins or takes up a stream unless that is nil.
+func (f *virtualFleet) send(stream *virtualStream, parts ...uint64) {
 	d := f.daemons[f.rng.IntN(len(f.daemons))]
 	if d.machine == nil || d.down {
 		return
 	}
 	f.attempts++
 	id := reducer.RequestID(f.attempts)
-	f.requests[id] = &crashRequest{poison: slices.Contains(parts, poisonPart), arrivedAt: f.now}
+	r := &virtualRequest{poison: slices.Contains(parts, poisonPart), arrivedAt: f.now, stream: stream}
+	f.requests[id] = r
 	e := RequestArrived{
-		Request: id, ID: "r", Route: quick, Version: 1, Service: engineService, Model: "m1", TimeLimit: quick.Timeout, Fingerprint: uint64(id) << 8,
+		Request: id, ID: attemptName(id), Route: quick, Version: 1, Service: engineService, Model: "m1", TimeLimit: quick.Timeout, Fingerprint: uint64(id) << 8,
 	}
 	for _, p := range append(slices.Clone(parts), uint64(1<<32+f.attempts)) {
 		e.Parts = append(e.Parts, PromptPart{ID: p, Tokens: 100})
 	}
+	if stream != nil && stream.origin != "" {
+		stream.resumed = stream.resumed || f.inTouch(d) && f.upServers(stream.version) >= 2
+		e.Resumes, e.OriginID = true, stream.origin
+	}
+	d.requests = append(d.requests, r)
 	f.step(d, e)
 }
 
 // press sends sound requests, a few of them with rare parts, and requests with poisonPart from a time on.
-func (f *crashFleet) press(duration time.Duration, soundPerSecond, poisonPerSecond float64) {
+func (f *virtualFleet) press(duration time.Duration, soundPerSecond, poisonPerSecond float64) {
 	const tick = 10 * time.Millisecond
 	for at := time.Duration(0); at < duration; at += tick {
 		if f.rng.Float64() < soundPerSecond*tick.Seconds() {
@@ -375,7 +475,7 @@
 }
 
 // begunShare returns the share of sound requests of a time whose first attempt began, and their number.
-func (f *crashFleet) begunShare(from, to time.Duration) (share float64, all int) {
+func (f *virtualFleet) begunShare(from, to time.Duration) (share float64, all int) {
 	begun := 0
 	for _, r := range f.requests {
 		if r.poison || r.arrivedAt < from || r.arrivedAt >= to {
@@ -388,98 +488,3 @@
 	}
 	return float64(begun) / float64(max(all, 1)), all
 }
-
-const (
-	// crashContact is how long after the fifth crash daemons may take to know of the part.
-	crashContact = 3 * time.Second
-	// crashesKnown is the number of crashes after which a part must be known, latePoisonSends how many requests with it may
-	// reach engines later.
-	crashesKnown    = 5
-	latePoisonSends = 3
-	// leastBegunShare is the least share of sound requests that begin, relative to the share without crashes.
-	leastBegunShare = 0.5
-	// mostSoundRefused is the share of sound requests that may be refused by mistake, until it is clear which part crashes servers.
-	mostSoundRefused = 0.01
-)
-
-// assertPartHeldBack checks what callers and engines saw while requests with poisonPart came.
-func (f *crashFleet) assertPartHeldBack(t *testing.T, calmFrom, calmTo time.Duration) {
-	t.Helper()
-	if len(f.crashes) == 0 {
-		t.Fatal("got no crash, want some")
-	}
-	known := f.crashes[min(crashesKnown, len(f.crashes))-1] + crashContact
-	late := len(slices.DeleteFunc(slices.Clone(f.poisonSends), func(at time.Duration) bool { return at <= known }))
-	if late > latePoisonSends {
-		t.Errorf("got %d requests with the part at engines later than %v after crash %d (%d crashes), want at most %d", late, crashContact, crashesKnown, len(f.crashes), latePoisonSends)
-	}
-	sound, refused := 0, 0
-	for _, r := range f.requests {
-		sound += boolToInt(!r.poison)
-		refused += boolToInt(!r.poison && r.refused == RefusedPoison)
-	}
-	if got, want := float64(refused), mostSoundRefused*float64(sound); got > want {
-		t.Errorf("got %v of %d sound requests refused for their parts, want at most %v", got, sound, want)
-	}
-	calm, _ := f.begunShare(calmFrom, calmTo)
-	got, all := f.begunShare(known+crashContact, f.now-2*time.Second)
-	t.Logf("%d crashes, %d requests with the part at engines, %d of them late; begun at the first attempt %.2f, %.2f without crashes", len(f.crashes), len(f.poisonSends), late, got, calm)
-	if want := leastBegunShare * calm; got < want || all < 20 {
-		t.Errorf("got a share of %.2f of %d sound requests begun at the first attempt, want at least %.2f", got, all, want)
-	}
-}
-
-func TestPartThatCrashesServers(t *testing.T) {
-	for _, c := range []struct {
-		daemons, servers int
-		poisonPerSecond  float64
-	}{{7, 18, 3}, {7, 18, 0.7}, {3, 6, 1}, {60, 60, 4}, {420, 120, 5}} {
-		t.Run(fmt.Sprintf("%d daemons, %v requests with the part a second", c.daemons, c.poisonPerSecond), func(t *testing.T) {
-			f := newCrashFleet(t, c.daemons, c.servers, 7)
-			f.press(4*time.Second, 40, 0)
-			f.press(20*time.Second, 40, c.poisonPerSecond)
-			f.assertPartHeldBack(t, 0, 4*time.Second)
-		})
-	}
-	for _, c := range []struct {
-		name    string
-		daemons int
-		disturb func(f *crashFleet)
-	}{
-		{"no leader", 7, func(f *crashFleet) { f.withoutLead = true }},
-		{"no leader among 420 daemons", 420, func(f *crashFleet) { f.withoutLead = true }},
-		{"the store is away", 7, func(f *crashFleet) { f.storeAway = true }},
-		{"no leader and the store is away", 7, func(f *crashFleet) { f.withoutLead, f.storeAway = true, true }},
-		{"all daemons are killed after the crashes", 7, func(f *crashFleet) {
-			for i := range f.daemons {
-				f.after(8*time.Second, func() { f.kill(i, time.Second) })
-			}
-		}},
-		{"daemons are killed in turn", 7, func(f *crashFleet) {
-			for i := range f.daemons {
-				f.after(time.Duration(500+2000*i)*time.Millisecond, func() { f.kill(i, time.Second) })
-			}
-		}},
-		{"the first keeper is killed amid the crashes", 7, func(f *crashFleet) {
-			f.after(4800*time.Millisecond, func() { f.kill(0, time.Second) })
-		}},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			for seed := range uint64(8) {
-				f := newCrashFleet(t, c.daemons, max(18, c.daemons/4), seed)
-				c.disturb(f)
-				if f.withoutLead {
-					for i := range f.daemons {
-						f.startDaemon(i)
-					}
-				}
-				f.press(4*time.Second, 40, 0)
-				f.press(20*time.Second, 40, 2)
-				f.assertPartHeldBack(t, 0, 4*time.Second)
-				if testing.Short() || c.daemons > 100 && seed > 0 {
-					break
-				}
-			}
-		})
-	}
-}
