fix: streams go on only at the software version that began them

Cause: neither the version of a server nor the field with which a caller names the attempt that began its stream was read; any server with the model went on with any stream, whether a daemon resumed it or a caller took it up at another daemon. The class: a fact about a request that outlives the daemon which has it, and that no other daemon could ask for.

Why this works: a stream is pinned to the version of the server that began it. A stream of unknown origin is refused as not run, never guessed. That a service has had several versions lately is recorded in the store, so that a daemon that starts again neither resumes what it must not nor refuses streams of a service with one version. No leader is needed for any of this.

--- a/internal/caller/refuser/code.go
+++ b/internal/caller/refuser/code.go
@@ -28,15 +28,16 @@
 	CodeDaemonStopping      Code = 2006
 	CodeOverloaded          Code = 2007
 
-	CodeServerFailed     Code = 3001
-	CodeStreamBroken     Code = 3002
-	CodeRetryBudgetSpent Code = 3003
-	CodePoisonRequest    Code = 3004
-	CodeForwardFailed    Code = 3005
-	CodeNoServer         Code = 3006
-	CodeServerRefused    Code = 3007
-	CodeCallerLeft       Code = 3008
-	CodePoisonHeldBack   Code = 3009
+	CodeServerFailed        Code = 3001
+	CodeStreamBroken        Code = 3002
+	CodeRetryBudgetSpent    Code = 3003
+	CodePoisonRequest       Code = 3004
+	CodeForwardFailed       Code = 3005
+	CodeNoServer            Code = 3006
+	CodeServerRefused       Code = 3007
+	CodeCallerLeft          Code = 3008
+	CodePoisonHeldBack      Code = 3009
+	CodeStreamOriginUnknown Code = 3010
 
 	CodeIdempotencyKeyMissing Code = 4001
 	CodeIdempotencyKeyReused  Code = 4002
@@ -88,6 +89,7 @@
 	{CodeServerRefused, "ServerRefused", http.StatusServiceUnavailable, "Every backend server tried refused the request before running it."},
 	{CodeCallerLeft, "CallerLeft", 499, "The caller closed its connection."},
 	{CodePoisonHeldBack, "PoisonHeldBack", http.StatusServiceUnavailable, "Earlier requests like this one crashed the backend servers that ran them; this one was not run."},
+	{CodeStreamOriginUnknown, "StreamOriginUnknown", http.StatusServiceUnavailable, "No daemon knows which software version began the stream, and servers of several versions serve; it was not resumed."},
 	{CodeIdempotencyKeyMissing, "IdempotencyKeyMissing", http.StatusBadRequest, "A request that must not be repeated carries no Idempotency-Key."},
 	{CodeIdempotencyKeyReused, "IdempotencyKeyReused", http.StatusUnprocessableEntity, "The Idempotency-Key was used before for another request."},
 	{CodeAlreadyInProgress, "AlreadyInProgress", http.StatusConflict, "A request with this Idempotency-Key is being run."},
--- a/internal/decision/conductor/attempt.go
+++ b/internal/decision/conductor/attempt.go
@@ -13,6 +13,7 @@
 		return
 	}
 	r.answerStarted = true
+	m.streamStarted(r)
 }
 
 func (m *Machine) attemptEnded(e AttemptEnded) {
@@ -109,6 +110,7 @@
 		m.attemptFailed(r)
 		return
 	}
+	m.streamEnded(r)
 	first := m.firstLatency(r, e)
 	slow := r.Route.LatencyObjective > 0 && first > r.Route.LatencyObjective
 	m.logDecision(r, LogDecision{Action: "Answer", Server: server, Status: e.Status, FirstLatency: first, Routine: !slow && e.Status < 500})
@@ -163,6 +165,9 @@
 			m.emit(Cancel{Request: r.Request, Attempt: r.attempt})
 		}
 		m.answered(r)
+	case stateAsking:
+		m.stopAsking(r)
+		m.removeRequest(r)
 	case stateAnswered:
 	}
 }
--- a/internal/decision/conductor/demand.go
+++ b/internal/decision/conductor/demand.go
@@ -194,7 +194,7 @@
 		case stateRunning:
 			entryFor(keyOf(r)).Running++
 			demand.InFlight[r.server.entry.ID]++
-		case stateAnswered:
+		case stateAnswered, stateAsking:
 		}
 	}
 	for _, d := range byKey {
--- a/internal/decision/conductor/effect.go
+++ b/internal/decision/conductor/effect.go
@@ -64,11 +64,13 @@
 	RefusedPoison
 	// RefusedStopping: the daemon is about to stop.
 	RefusedStopping
+	// RefusedOrigin: no daemon knows which software version began the stream that the caller takes up.
+	RefusedOrigin
 )
 
 // String returns the reason's name in logs, metrics and answers.
 func (r RefusalReason) String() string {
-	names := [...]string{"NoServer", "Cold", "Full", "Expired", "Timeout", "Broken", "Budget", "Poison", "Stopping"}
+	names := [...]string{"NoServer", "Cold", "Full", "Expired", "Timeout", "Broken", "Budget", "Poison", "Stopping", "Origin"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/internal/decision/conductor/event.go
+++ b/internal/decision/conductor/event.go
@@ -158,6 +158,8 @@
 	Leader  *Leader
 	// Convictions are the records of what crashes servers.
 	Convictions []Conviction
+	// MixedServices are the services with a record that they have had several software versions lately.
+	MixedServices []string
 	// Revision is that of the list.
 	Revision int64
 }
--- a/internal/decision/conductor/feed.go
+++ b/internal/decision/conductor/feed.go
@@ -98,6 +98,11 @@
 // Followers returns the names of the daemons that watch the store, taking the one with the most CPU from each zone in
 // turn.
 func Followers(daemons []Daemon) []string {
+	return spreadOverZones(daemons, max(minFollowers, (len(daemons)+daemonsPerFollower-1)/daemonsPerFollower))
+}
+
+// spreadOverZones returns the names of some daemons, taking the one with the most CPU from each zone in turn.
+func spreadOverZones(daemons []Daemon, want int) []string {
 	byZone := make(map[string][]Daemon)
 	var zones []string
 	for _, d := range daemons {
@@ -110,7 +115,7 @@
 	for _, list := range byZone {
 		slices.SortFunc(list, compareByCPU)
 	}
-	want := min(len(daemons), max(minFollowers, (len(daemons)+daemonsPerFollower-1)/daemonsPerFollower))
+	want = min(len(daemons), want)
 	var names []string
 	for position := 0; len(names) < want; position++ {
 		for _, zone := range zones {
@@ -161,6 +166,7 @@
 // daemonSetChanged invalidates what depends on the set of daemons.
 func (m *Machine) daemonSetChanged() {
 	m.followers = nil
+	m.origins.registrars = nil
 	m.relay.candidates = nil
 	m.daemonsChanged = true
 	m.rateSharesAt = m.now
--- a/internal/decision/conductor/fleet.go
+++ b/internal/decision/conductor/fleet.go
@@ -126,6 +126,9 @@
 	if message.Fleet != nil {
 		m.fleetReceived(message.Fleet)
 	}
+	if message.Origins != nil {
+		m.originsReceived(message.Address, message.Origins)
+	}
 	if message.Evidence != nil {
 		m.evidenceReceived(message.Evidence, false)
 	}
@@ -231,7 +234,7 @@
 
 func (m *Machine) loadedAnywhere(r *request) bool {
 	for _, s := range m.serversOf(r.Service) {
-		if s.usable() && s.downUntil <= m.now && m.hasModel(s, r.Model, "") {
+		if m.maySend(r, s) && s.downUntil <= m.now && m.hasModel(s, r.Model, "") {
 			return true
 		}
 	}
@@ -242,7 +245,7 @@
 func (m *Machine) shortestLoad(r *request, model matcher.Model) time.Duration {
 	best := model.StoreLoadTime
 	for _, s := range m.serversOf(r.Service) {
-		if !s.usable() {
+		if !m.maySend(r, s) {
 			continue
 		}
 		if slices.Contains(s.entry.Weights.InMemory, model.Name) {
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -157,6 +157,25 @@
 	// trialRetryDelay is the least retry delay for a request that is held back because such requests crash servers.
 	trialRetryDelay = 5 * time.Second
 
+	// originTTL is how long after its start a stream may be taken up.
+	originTTL = 2 * time.Minute
+	// maxOrigins bounds the streams whose origins are kept.
+	maxOrigins = 1 << 16
+	// minRegistrars is the minimum number of daemons that hold origins, originHolders the number of those that hold the origins of
+	// one daemon.
+	minRegistrars = 4
+	originHolders = 3
+	// minOriginReportDelay and maxOriginReportDelay bound how long streams are collected before they are reported,
+	// originRepetitions is how often each is.
+	minOriginReportDelay = 50 * time.Millisecond
+	maxOriginReportDelay = 500 * time.Millisecond
+	originRepetitions    = 2
+	// originAskInterval is how long a daemon waits for an origin that it has asked for, maxOriginAsks how often it asks.
+	originAskInterval = 150 * time.Millisecond
+	maxOriginAsks     = 4
+	// versionInterval is how often the registered versions are noted.
+	versionInterval = time.Second
+
 	// noServerRetryDelay is the retry delay for a service without servers: about the time that a server takes to
 	// restart.
 	noServerRetryDelay = 2 * time.Second
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -78,7 +78,11 @@
 	// daemonRevisions are the revisions of the daemons' records, by daemon name.
 	daemonRevisions map[string]int64
 	crashes         crashState
+	origins         originState
 	stop            stopState
+	// versions holds the software versions of each service's servers; versionsAt is when they are noted next.
+	versions   map[string]*versionState
+	versionsAt time.Duration
 
 	// departed holds when the records of daemons that are no longer registered were removed, by daemon name.
 	departed map[string]time.Duration
@@ -145,7 +149,7 @@
 	if at, ok := m.timers.Next(); ok {
 		next = min(next, at)
 	}
-	return min(next, m.lease.nextAt(), m.election.nextAt(m.now), m.demand.nextAt(m), m.fleet.nextAt(m), m.relay.nextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.stop.nextAt(m.now))
+	return min(next, m.lease.nextAt(), m.election.nextAt(m.now), m.demand.nextAt(m), m.fleet.nextAt(m), m.relay.nextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.origins.nextAt(), m.stop.nextAt(m.now))
 }
 
 func (m *Machine) apply(event Event) {
@@ -184,6 +188,10 @@
 		m.convictionStored(e.Conviction)
 	case StoreConvictionEnded:
 		m.storeConvictionEnded(e)
+	case VersionsRecorded:
+		m.versionsRecorded(e.Service)
+	case VersionsRecordRemoved:
+		m.versionsRecordRemoved(e.Service)
 	case StopRequested:
 		m.stopRequested()
 	case Ticked:
@@ -231,6 +239,8 @@
 	m.tickDemand()
 	m.tickFleet()
 	m.tickCrashes()
+	m.tickVersions()
+	m.tickOrigins()
 	m.tickRateShares()
 	m.tickStop()
 	m.publish()
--- a/internal/decision/conductor/request.go
+++ b/internal/decision/conductor/request.go
@@ -19,6 +19,8 @@
 	stateQueued requestState = iota
 	// stateRunning: a server is running the request.
 	stateRunning
+	// stateAsking: the request waits for the version that began its stream.
+	stateAsking
 	// stateAnswered: the caller has its final answer or has disconnected, but the attempt has not ended yet.
 	stateAnswered
 )
@@ -51,6 +53,11 @@
 
 	// traits are what the request has in common with others.
 	traits []attributor.Trait
+	// pinned reports whether the request's stream has begun, softwareVersion is that of the server that began it. originAsks counts
+	// how often other daemons were asked for it.
+	pinned          bool
+	softwareVersion string
+	originAsks      int
 	// trial reports whether the request is sent though requests with one of its traits have crashed servers.
 	trial bool
 
@@ -102,6 +109,8 @@
 			m.route(r)
 		case stateRunning:
 			m.expireRunning(r)
+		case stateAsking:
+			m.originUnanswered(r)
 		case stateAnswered:
 		}
 	}
--- a/internal/decision/conductor/role.go
+++ b/internal/decision/conductor/role.go
@@ -175,6 +175,7 @@
 		}
 	}
 	m.convictionsListed(e.Convictions)
+	m.versionsListed(e.MixedServices)
 	if e.Leader != nil {
 		m.leaderChanged(*e.Leader)
 	} else {
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -56,6 +56,9 @@
 		m.giveUp(r, RefusedFull, fullRetryDelay)
 		return
 	}
+	if !m.pinVersion(r) {
+		return
+	}
 	c, reason := m.choose(r)
 	if c.server != nil {
 		m.send(r, c)
@@ -120,7 +123,7 @@
 	var candidates, avoided []*server
 	reason := unavailableNoServer
 	for _, s := range m.serversOf(r.Service) {
-		if !s.usable() || slices.Contains(r.tried, s.entry.ID) && r.runs > 0 {
+		if !m.maySend(r, s) || slices.Contains(r.tried, s.entry.ID) && r.runs > 0 {
 			continue
 		}
 		switch {
@@ -327,7 +330,7 @@
 	running, ahead := 0, 0
 	var elapsed time.Duration
 	for _, s := range m.serversOf(r.Service) {
-		if !s.usable() || !m.hasModel(s, r.Model, r.Adapter) {
+		if !m.maySend(r, s) || !m.hasModel(s, r.Model, r.Adapter) {
 			continue
 		}
 		earliest = min(earliest, max(0, s.busyUntil()-m.now))
@@ -357,7 +360,7 @@
 func (m *Machine) limitedServers(r *request) []*server {
 	var list []*server
 	for _, s := range m.serversOf(r.Service) {
-		if !s.usable() || s.downUntil > m.now || !m.hasModel(s, r.Model, r.Adapter) {
+		if !m.maySend(r, s) || s.downUntil > m.now || !m.hasModel(s, r.Model, r.Adapter) {
 			continue
 		}
 		if !s.rateLimited {
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -160,6 +160,7 @@
 		m.doubtRestored(s)
 		m.emit(LogStateChange{Subject: "Server " + e.ID, Change: "Seen", Reason: e.Service, Version: e.Revision, Detail: e.Address + " " + e.Zone + " " + e.SoftwareVersion})
 	case e.StartedAt > s.entry.StartedAt || e.Address != s.entry.Address:
+		m.versionSeen(s.entry)
 		m.serverEnded(s)
 		s = newServer(e)
 		m.servers[e.ID] = s
@@ -171,6 +172,7 @@
 	}
 	s.seenAt = m.now
 	s.keepUntil = 0
+	m.versionSeen(e)
 	m.engineChanged(s)
 	m.dispatchQueue(e.Service)
 }
@@ -211,6 +213,7 @@
 
 func (m *Machine) dropServer(s *server, revision int64) {
 	m.emit(LogStateChange{Subject: "Server " + s.entry.ID, Change: "Gone", Version: revision})
+	m.versionSeen(s.entry)
 	m.serverEnded(s)
 	m.recordServerRemoval(s, revision)
 	delete(m.servers, s.entry.ID)
--- a/internal/decision/conductor/virtual_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -60,8 +60,8 @@
 }
 
 type virtualDaemon struct {
-	machine *Machine
-	down    bool
+	machine   *Machine
+	down      bool
 	startedAt time.Duration
 	// requests are those that the process has got.
 	requests []*virtualRequest
@@ -112,6 +112,8 @@
 	// convictions are the records in the store; storeAway reports whether the store takes none.
 	convictions map[string]Conviction
 	storeAway   bool
+	// mixedServices are the records of services with several versions in the store.
+	mixedServices []string
 }
 
 const (
@@ -158,7 +160,7 @@
 
 // shared returns what the daemons share in the store.
 func (f *virtualFleet) shared() DaemonsListed {
-	list := DaemonsListed{Revision: f.revision}
+	list := DaemonsListed{Revision: f.revision, MixedServices: f.mixedServices}
 	for _, c := range f.convictions {
 		list.Convictions = append(list.Convictions, c)
 	}
@@ -281,6 +283,8 @@
 		}
 	case StoreConviction:
 		f.after(fleetConnectDelay, func() { f.storeConviction(d, e.Conviction) })
+	case RecordVersions:
+		f.after(fleetConnectDelay, func() { f.recordVersions(e.Service) })
 	case DeleteConviction:
 		delete(f.convictions, fmt.Sprint(e.Conviction.Trait))
 	case Subscribe:
@@ -305,6 +309,14 @@
 	f.tell(ConvictionChanged{Conviction: c})
 }
 
+func (f *virtualFleet) recordVersions(service string) {
+	if f.storeAway || slices.Contains(f.mixedServices, service) {
+		return
+	}
+	f.mixedServices = append(f.mixedServices, service)
+	f.tell(VersionsRecorded{Service: service})
+}
+
 // kill ends a daemon and starts another process in its place after a delay.
 func (f *virtualFleet) kill(i int, delay time.Duration) {
 	d := f.daemons[i]
--- a/internal/edge/follower/record.go
+++ b/internal/edge/follower/record.go
@@ -21,6 +21,8 @@
 	LeaderKey = SharedPrefix + "role"
 	// convictionsPrefix is the prefix of the records of what crashes servers.
 	convictionsPrefix = SharedPrefix + "convictions/"
+	// versionsPrefix is the prefix of the records that services have had several software versions lately.
+	versionsPrefix = SharedPrefix + "versions/"
 )
 
 // A daemonRecord is a daemon's record in the store.
@@ -116,6 +118,9 @@
 	return conductor.Conviction{Trait: t, Depth: r.Depth, Convictions: r.Convictions, Hold: time.Duration(r.HoldMS) * time.Millisecond, Revision: e.Revision}, nil
 }
 
+// VersionsKey returns the key of the record that a service has had several software versions lately.
+func VersionsKey(service string) string { return versionsPrefix + service }
+
 func isConvictionKey(key string) bool { return strings.HasPrefix(key, convictionsPrefix) }
 
 func isDaemonKey(key string) bool { return strings.HasPrefix(key, daemonsPrefix) }
--- a/internal/edge/follower/views.go
+++ b/internal/edge/follower/views.go
@@ -1,6 +1,8 @@
 package follower
 
 import (
+	"strings"
+
 	"github.com/phuslu/log"
 
 	"samphirewharf/internal/decision/conductor"
@@ -66,6 +68,8 @@
 			} else {
 				p.logUnusable(e, err)
 			}
+		case strings.HasPrefix(e.Key, versionsPrefix):
+			event.MixedServices = append(event.MixedServices, e.Key[len(versionsPrefix):])
 		case isConvictionKey(e.Key):
 			if conviction, err := decodeConviction(e); err == nil {
 				event.Convictions = append(event.Convictions, conviction)
@@ -94,6 +98,8 @@
 			return
 		}
 		p.Post(conductor.DaemonChanged{Daemon: daemon, Revision: e.Revision})
+	case strings.HasPrefix(e.Key, versionsPrefix):
+		p.Post(conductor.VersionsRecorded{Service: e.Key[len(versionsPrefix):]})
 	case isConvictionKey(e.Key):
 		conviction, err := decodeConviction(e)
 		if err != nil {
@@ -109,6 +115,8 @@
 	switch {
 	case key == LeaderKey:
 		p.Post(conductor.LeaderRemoved{Revision: revision})
+	case strings.HasPrefix(key, versionsPrefix):
+		p.Post(conductor.VersionsRecordRemoved{Service: key[len(versionsPrefix):]})
 	case isDaemonKey(key):
 		p.Post(conductor.DaemonRemoved{Name: key[len(daemonsPrefix):], Revision: revision})
 	}
--- a/internal/edge/gateway/exchange.go
+++ b/internal/edge/gateway/exchange.go
@@ -218,6 +218,7 @@
 	conductor.RefusedBudget:   refuser.CodeServerRefused,
 	conductor.RefusedPoison:   refuser.CodePoisonHeldBack,
 	conductor.RefusedStopping: refuser.CodeDaemonStopping,
+	conductor.RefusedOrigin:   refuser.CodeStreamOriginUnknown,
 }
 
 // refusalFor returns the refusal that is sent to the caller. If the request may have run, it replaces codes whose
--- a/internal/edge/gateway/gateway_test.go
+++ b/internal/edge/gateway/gateway_test.go
@@ -250,7 +250,7 @@
 		assertEqual(t, "outcome", h.ended(1)[0].Outcome, reducer.AttemptNotRun)
 	})
 	t.Run("a request that may have run gets no status that promises that it hasn't", func(t *testing.T) {
-		for reason := conductor.RefusedNoServer; reason <= conductor.RefusedStopping; reason++ {
+		for reason := conductor.RefusedNoServer; reason <= conductor.RefusedOrigin; reason++ {
 			got := refusalFor(conductor.Refuse{Reason: reason, MayHaveRun: true}).Code.HTTPStatus()
 			if got != 502 && got != 504 {
 				t.Errorf("got status %d for %v, want 502 or 504", got, reason)
--- a/internal/edge/launcher/effects.go
+++ b/internal/edge/launcher/effects.go
@@ -73,6 +73,8 @@
 		d.pollServer(e)
 	case conductor.StoreConviction:
 		d.storeConviction(e)
+	case conductor.RecordVersions:
+		d.recordVersions(e)
 	case conductor.DeleteConviction:
 		d.platform.Store.Delete(d.ctx, follower.ConvictionKey(e.Conviction.Trait), e.Conviction.Revision)
 	}
@@ -158,6 +160,18 @@
 	d.post(conductor.StoreConvictionEnded{Trait: e.Conviction.Trait, OK: result == storer.ResultOK})
 }
 
+// recordVersions writes the record that a service has had several software versions lately, under a lease of its own.
+func (d *Daemon) recordVersions(e conductor.RecordVersions) {
+	lease, result := d.platform.Store.Grant(d.ctx, e.TTL)
+	if result == storer.ResultOK {
+		result = d.platform.Store.Put(d.ctx, follower.VersionsKey(e.Service), []byte("{}"), lease)
+	}
+	if result != storer.ResultOK {
+		// It is tried again shortly, as long as the record is missing.
+		d.logger.Info().Str("Service", e.Service).Msg("record of software versions was not written")
+	}
+}
+
 // beginExit starts the end of the daemon after a planned stop, without blocking.
 func (d *Daemon) beginExit() { go d.runExit() }
 
--- a/internal/peer/messenger/decode.go
+++ b/internal/peer/messenger/decode.go
@@ -26,6 +26,7 @@
 		Subscribe: decodeSubscribe(x.GetSubscribe()),
 		Feed:      decodeFeed(x.GetFeed()),
 		Evidence:  decodeEvidence(x.GetEvidence()),
+		Origins:   decodeOrigins(x.GetOrigins()),
 	}
 }
 
--- a/internal/peer/messenger/encode.go
+++ b/internal/peer/messenger/encode.go
@@ -24,6 +24,7 @@
 		Subscribe: encodeSubscribe(m.Subscribe),
 		Feed:      encodeFeed(m.Feed),
 		Evidence:  encodeEvidence(m.Evidence),
+		Origins:   encodeOrigins(m.Origins),
 	}
 }
 
--- a/internal/peer/messenger/message.go
+++ b/internal/peer/messenger/message.go
@@ -28,6 +28,7 @@
 	Subscribe *Subscribe
 	Feed      *Feed
 	Evidence  *Evidence
+	Origins   *Origins
 }
 
 // A Heartbeat signals that the sender is alive.
--- /dev/null
+++ b/internal/peer/messenger/origins.go
@@ -0,0 +1,32 @@
+package messenger
+
+// Origins reports the software versions that began streams, or asks for them. Streams are identified by the hash of the ID of
+// the caller's attempt that began them.
+type Origins struct {
+	Origins []StreamOrigin
+	Asked   []uint64
+}
+
+// A StreamOrigin is the software version of the server that began a stream.
+type StreamOrigin struct {
+	Stream          uint64
+	SoftwareVersion string
+}
+
+func encodeOrigins(o *Origins) *OriginsPart {
+	if o == nil {
+		return nil
+	}
+	return &OriginsPart{Asked: o.Asked, Origins: convert(o.Origins, func(s StreamOrigin) *OriginPart {
+		return &OriginPart{Stream: s.Stream, SoftwareVersion: s.SoftwareVersion}
+	})}
+}
+
+func decodeOrigins(p *OriginsPart) *Origins {
+	if p == nil {
+		return nil
+	}
+	return &Origins{Asked: p.GetAsked(), Origins: convert(p.GetOrigins(), func(s *OriginPart) StreamOrigin {
+		return StreamOrigin{Stream: s.GetStream(), SoftwareVersion: s.GetSoftwareVersion()}
+	})}
+}
