fix: answers without end are cut off at a bound, in all that a process reads

What callers would see: a server in trouble that sends bytes without end kept an attempt, its connection and the daemon's processor until the request's deadline, and filled memory.

Cause: bodies were bounded piecewise. Headers of backend servers were, but a plain answer was streamed on for as long as it came, empty lines between events were skipped forever, events without an ID had no end, and other clients read 10 MB of header (net/http's default) or bodies of any size. The class: a bound that each caller has to remember.

The tests of the other clients (TestEndlessResponses, TestEndlessAnswerOfDaemon, TestEndlessWatchMessage) need the new package and were not run on the code before.

Why this works: internal/network/bounder wraps a body where the response is received, in the three clients that everything else uses (backend servers 32 MiB, store and reports 16 MiB, daemons 8 MiB; headers 64 KiB). A read beyond the bound is an error, so that what was cut off never looks complete; a larger announced length is refused at once. A stream has at most 65,536 events, and empty lines count like an event. Answers over 32 KiB share 32 MiB of buffers and are streamed beyond that. The key-value client's bound of 256 MB, nearly a daemon's memory, is 32 MiB. Also looked at: callers' requests, which the acceptor bounds; logs that explain reads, bounded by line; the command line and the load tool, bounded now. Bounds are chosen, not measured.

--- a/internal/command/runner/addresses.go
+++ b/internal/command/runner/addresses.go
@@ -4,11 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
 	"time"
+
+	"samphirewharf/internal/network/bounder"
 )
 
 // addressesTimeout bounds one lookup.
@@ -52,6 +53,9 @@
 	})
 }
 
+// maxAddressesBytes bounds the answer to a look-up of addresses.
+const maxAddressesBytes = 1 << 20
+
 // lookUp sends the request and decodes the response.
 func (c *addressesCommand) lookUp(ctx context.Context, address string) (addressesAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, addressesTimeout)
@@ -65,7 +69,7 @@
 		return addressesAnswer{}, fmt.Errorf("looking up addresses: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	body, err := bounder.ReadAll(response.Body, maxAddressesBytes)
 	if err != nil {
 		return addressesAnswer{}, fmt.Errorf("reading addresses: %w", err)
 	}
--- a/internal/daemon/demonstrator/caller.go
+++ b/internal/daemon/demonstrator/caller.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"samphirewharf/internal/network/bounder"
 )
 
 // A caller is an HTTP client for the daemons.
@@ -96,13 +98,16 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	a := answer{status: response.StatusCode, header: response.Header, firstByte: time.Since(started)}
-	if err := a.read(response.Body); err != nil {
+	if err := a.read(bounder.NewBody(response.Body, maxAnswerBytes)); err != nil {
 		return answer{}, fmt.Errorf("read response of %s: %w", r.URL.Path, err)
 	}
 	a.total = time.Since(started)
 	return a, nil
 }
 
+// maxAnswerBytes bounds an answer.
+const maxAnswerBytes = 16 << 20
+
 func (a *answer) read(body io.Reader) error {
 	var text strings.Builder
 	lines := bufio.NewScanner(io.TeeReader(body, &text))
--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -139,7 +139,13 @@
 // forwardWhole reads the whole answer before passing it on, so that a truncated one doesn't reach the caller.
 func (a *attempt) forwardWhole(reply *streamer.Reply) error {
 	x := a.exchange
-	body, whole, err := reply.ReadUpTo(maxBufferedBytes)
+	body, whole, err := reply.ReadUpTo(smallAnswerBytes)
+	if err == nil && !whole && a.reserveBuffer() {
+		defer a.releaseBuffer()
+		var rest []byte
+		rest, whole, err = reply.ReadUpTo(maxBufferedBytes)
+		body = append(body, rest...)
+	}
 	if err != nil {
 		return reply.Failure(err)
 	}
@@ -161,6 +167,18 @@
 	return nil
 }
 
+// reserveBuffer reserves memory for a large answer. It returns false if others take up too much.
+func (a *attempt) reserveBuffer() bool {
+	g := a.exchange.gateway
+	if g.sharedBuffer.Add(maxBufferedBytes) > maxSharedBuffer {
+		g.sharedBuffer.Add(-maxBufferedBytes)
+		return false
+	}
+	return true
+}
+
+func (a *attempt) releaseBuffer() { a.exchange.gateway.sharedBuffer.Add(-maxBufferedBytes) }
+
 // forwardLarge streams an answer that is too large to buffer. If the server's answer breaks off, so does the caller's.
 func (a *attempt) forwardLarge(reply *streamer.Reply, header http.Header, prefix []byte) error {
 	x := a.exchange
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,6 +25,10 @@
 const (
 	// maxBufferedBytes is the size up to which an answer that isn't streamed is buffered until it is complete.
 	maxBufferedBytes = 1 << 20
+	// smallAnswerBytes is the size up to which an answer is buffered without a share of maxSharedBuffer, which bounds the memory of
+	// larger ones at a time.
+	smallAnswerBytes = 32 << 10
+	maxSharedBuffer  = 32 << 20
 	// noConfigurationRetryDelay is the Retry-After of a daemon that has no configuration yet.
 	noConfigurationRetryDelay = 500 * time.Millisecond
 )
@@ -46,6 +51,9 @@
 	Translator Translator
 	Client     *streamer.Client
 	Logger     *log.Logger
+
+	// sharedBuffer is how much memory answers larger than smallAnswerBytes may take up now.
+	sharedBuffer atomic.Int64
 }
 
 // An Outcome describes how a request ended, for metrics.
--- a/internal/entry/streamer/client.go
+++ b/internal/entry/streamer/client.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/network/bounder"
 	"samphirewharf/internal/network/dialer"
 )
 
@@ -31,12 +32,12 @@
 	maxIdleConns = 1024
 	// bufferBytes is the size of the read and write buffers of one connection.
 	bufferBytes = 8 << 10
-	// maxHeaderBytes bounds the header of a response.
-	maxHeaderBytes = 64 << 10
 	// maxRetryAfter bounds the values of Retry-After that are accepted; larger ones are ignored.
 	maxRetryAfter = 24 * time.Hour
 	// DefaultDialTimeout bounds the time for opening a connection.
 	DefaultDialTimeout = time.Second
+	// DefaultMaxAnswerBytes bounds the body of a response.
+	DefaultMaxAnswerBytes = 32 << 20
 )
 
 // A Client sends requests. The zero value is ready to use. Connections are reused, except for calls with
@@ -44,6 +45,8 @@
 type Client struct {
 	// DialTimeout bounds the time for opening a connection; zero means DefaultDialTimeout.
 	DialTimeout time.Duration
+	// MaxAnswerBytes bounds the body of a response; zero means DefaultMaxAnswerBytes.
+	MaxAnswerBytes int64
 	// IdentityHeader is the response header that identifies the request; empty means X-Request-Id.
 	IdentityHeader string
 	// NotRun reports whether a response says that the server did not run the request; nil means a 503 with X-Not-Run.
@@ -107,6 +110,7 @@
 	}
 	reply.Response = response
 	reply.ctx = ctx
+	response.Body = bounder.NewBody(response.Body, c.maxAnswerBytes())
 	if err := reply.check(call.ID); err != nil {
 		reply.Discard()
 		return nil, err
@@ -131,7 +135,7 @@
 		MaxIdleConns:           maxIdleConns,
 		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
 		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: bounder.MaxHeaderBytes,
 		ReadBufferSize:         bufferBytes,
 		WriteBufferSize:        bufferBytes,
 	}
@@ -168,6 +172,13 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
+func (c *Client) maxAnswerBytes() int64 {
+	if c.MaxAnswerBytes > 0 {
+		return c.MaxAnswerBytes
+	}
+	return DefaultMaxAnswerBytes
+}
+
 func (c *Client) identityHeader() string {
 	if c.IdentityHeader == "" {
 		return "X-Request-Id"
--- a/internal/entry/streamer/events.go
+++ b/internal/entry/streamer/events.go
@@ -8,11 +8,18 @@
 	"strconv"
 )
 
-// MaxEventBytes bounds the size of one server-sent event.
-const MaxEventBytes = 256 << 10
+const (
+	// MaxEventBytes bounds the size of one server-sent event, and the empty lines before it.
+	MaxEventBytes = 256 << 10
+	// MaxEvents bounds the events of one body.
+	MaxEvents = 1 << 16
+)
 
-// ErrEventTooLarge is returned for an event larger than MaxEventBytes.
-var ErrEventTooLarge = errors.New("server-sent event is too large")
+// ErrEventTooLarge is returned for an event larger than MaxEventBytes, ErrTooManyEvents for a body of more than MaxEvents.
+var (
+	ErrEventTooLarge = errors.New("server-sent event is too large")
+	ErrTooManyEvents = errors.New("too many server-sent events")
+)
 
 // An Event is one server-sent event.
 type Event struct {
@@ -29,6 +36,8 @@
 type EventReader struct {
 	reader *bufio.Reader
 	raw    []byte
+	// events counts the events that were read.
+	events int
 }
 
 // NewEventReader returns a reader of the events in a body.
@@ -44,6 +53,10 @@
 func (e *EventReader) Next() (Event, error) {
 	e.raw = e.raw[:0]
 	event := Event{}
+	if e.events++; e.events > MaxEvents {
+		return Event{}, ErrTooManyEvents
+	}
+	blank := 0
 	for {
 		line, err := e.readLine()
 		if err != nil {
@@ -54,6 +67,10 @@
 			continue
 		}
 		if len(bytes.TrimSpace(e.raw)) == 0 {
+			blank += len(e.raw)
+			if blank > MaxEventBytes {
+				return Event{}, ErrEventTooLarge
+			}
 			e.raw = e.raw[:0]
 			continue
 		}
--- a/internal/entry/streamer/reply.go
+++ b/internal/entry/streamer/reply.go
@@ -11,6 +11,7 @@
 	"sync"
 
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/network/bounder"
 )
 
 // eventStreamType is the media type of an event stream.
@@ -55,7 +56,8 @@
 	return p, len(p) <= limit, err
 }
 
-// check returns a failure if the response belongs to another request or says that the request wasn't run.
+// check returns a failure if the response belongs to another request, says that the request wasn't run, or announces a body
+// that is too large.
 func (r *Reply) check(id string) error {
 	if echoed := r.Header.Get(r.client.identityHeader()); echoed != "" && id != "" && echoed != id {
 		return &Failure{
@@ -72,6 +74,9 @@
 			Err:        fmt.Errorf("server refused request %q before running it", id),
 		}
 	}
+	if limit := r.client.maxAnswerBytes(); r.ContentLength > limit {
+		return &Failure{Outcome: reducer.AttemptFailed, Err: fmt.Errorf("body of %d bytes: %w (%d)", r.ContentLength, bounder.ErrTooLarge, limit)}
+	}
 	return nil
 }
 
--- a/internal/external/storer/client.go
+++ b/internal/external/storer/client.go
@@ -8,13 +8,14 @@
 	"io"
 	"time"
 
+	"samphirewharf/internal/network/bounder"
 	"samphirewharf/internal/network/sender"
 )
 
 const (
 	defaultTimeout = 2 * time.Second
 	// maxResponseBytes bounds the size of one response.
-	maxResponseBytes = 256 << 20
+	maxResponseBytes = 32 << 20
 	// errorCodeNotFound is the gRPC status code for a lease that does not exist.
 	errorCodeNotFound = 5
 )
@@ -150,7 +151,12 @@
 		return fmt.Errorf("watch %s: %w", prefix, err)
 	}
 	decoder := json.NewDecoder(response.Body)
+	body, bounded := response.Body.(*bounder.Body)
 	for {
+		if bounded {
+			// A watch goes on without end; each of its messages is bounded.
+			body.Reset()
+		}
 		var message watchMessage
 		if err := decoder.Decode(&message); err != nil {
 			return fmt.Errorf("watch %s: %w", prefix, err)
--- a/internal/external/storer/client_test.go
+++ b/internal/external/storer/client_test.go
@@ -1,14 +1,20 @@
 package storer_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/external/storer"
+	"samphirewharf/internal/network/bounder"
 	"samphirewharf/internal/standin/keeper"
 )
 
@@ -333,3 +339,24 @@
 		revision = next
 	}
 }
+
+func TestEndlessWatchMessage(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"result":{"header":{"revision":"`)
+		part := bytes.Repeat([]byte("1"), 64<<10)
+		for {
+			if _, err := w.Write(part); err != nil {
+				return
+			}
+		}
+	}))
+	t.Cleanup(server.Close)
+	client := &storer.Client{Address: strings.TrimPrefix(server.URL, "http://")}
+	t.Cleanup(client.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	err := client.Watch(ctx, "p/", 1, func(storer.Entry, bool) {})
+	if !errors.Is(err, bounder.ErrTooLarge) {
+		t.Errorf("got %v, want %v", err, bounder.ErrTooLarge)
+	}
+}
--- a/internal/external/storer/message.go
+++ b/internal/external/storer/message.go
@@ -191,7 +191,7 @@
 		return nil, fmt.Errorf("post %s: %w: %w", path, sender.ErrNotSent, err)
 	}
 	r.Header.Set("Content-Type", "application/json")
-	return c.sender.Do(r)
+	return c.sender.Stream(r, maxResponseBytes)
 }
 
 // prefixEnd returns the end of the range of keys with the prefix. A single zero byte means that the range has no end.
--- a/internal/load/generator/answer.go
+++ b/internal/load/generator/answer.go
@@ -16,6 +16,9 @@
 	"samphirewharf/internal/standin/inferrer"
 )
 
+// maxControlBytes bounds an answer that isn't part of the load: addresses, states and counts.
+const maxControlBytes = 64 << 20
+
 // maxAnswerBytes bounds how much of an answer is read.
 const maxAnswerBytes = 64 << 20
 
--- a/internal/load/generator/directory.go
+++ b/internal/load/generator/directory.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
 	"sync"
 	"time"
+
+	"samphirewharf/internal/network/bounder"
 )
 
 // lookupTimeout bounds one look-up at one daemon.
@@ -76,7 +77,7 @@
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("look up addresses of %s: status %d", name, response.StatusCode)
 	}
-	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
+	if err := bounder.DecodeJSON(response.Body, maxControlBytes, &list); err != nil {
 		return fmt.Errorf("decode addresses of %s: %w", name, err)
 	}
 	c.recorder.recordLookup(time.Since(started))
--- a/internal/load/generator/engine.go
+++ b/internal/load/generator/engine.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
 	"slices"
 
 	"samphirewharf/internal/backend/orderer"
+	"samphirewharf/internal/network/bounder"
 )
 
 // ErrNotReady is returned if an engine has no ready replica of any requested deployment.
@@ -26,7 +26,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	var report orderer.Report
-	if err := json.NewDecoder(response.Body).Decode(&report); err != nil {
+	if err := bounder.DecodeJSON(response.Body, maxControlBytes, &report); err != nil {
 		return nil, fmt.Errorf("read state of %s: %w", engine, err)
 	}
 	ready := make(map[string]orderer.ReplicaReport)
--- a/internal/load/generator/generator.go
+++ b/internal/load/generator/generator.go
@@ -15,6 +15,7 @@
 
 	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/caller/refuser"
+	"samphirewharf/internal/network/bounder"
 )
 
 const (
@@ -50,11 +51,12 @@
 		return nil, fmt.Errorf("%w: %w", ErrInvalidSettings, err)
 	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConns:        maxIdleConns,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConns:           maxIdleConns,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: bounder.MaxHeaderBytes,
 	}
 	g := &Generator{
 		settings: s,
--- a/internal/load/generator/ledger.go
+++ b/internal/load/generator/ledger.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
 
 	"samphirewharf/internal/caller/refuser"
+	"samphirewharf/internal/network/bounder"
 	"samphirewharf/internal/standin/booker"
 )
 
@@ -102,7 +102,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	var counts struct{ Runs map[string]int }
-	if err := json.NewDecoder(response.Body).Decode(&counts); err != nil {
+	if err := bounder.DecodeJSON(response.Body, maxControlBytes, &counts); err != nil {
 		return fmt.Errorf("read run counts of %s: %w", address, err)
 	}
 	for id, n := range counts.Runs {
--- a/internal/network/sender/sender.go
+++ b/internal/network/sender/sender.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"samphirewharf/internal/network/bounder"
 	"samphirewharf/internal/network/dialer"
 )
 
@@ -19,6 +20,8 @@
 	defaultDialTimeout = 2 * time.Second
 	defaultIdleTimeout = 30 * time.Second
 	maxIdlePerAddress  = 64
+	// maxAnswerBytes bounds the body of a response.
+	maxAnswerBytes = 16 << 20
 )
 
 // ErrNotSent is wrapped by the error of a request of which no byte was sent.
@@ -42,9 +45,20 @@
 	s.transport.CloseIdleConnections()
 }
 
-// Do sends the request once. The error wraps ErrNotSent if and only if it is certain that no byte of the request was
+// Do sends the request once. A response has at most maxAnswerBytes. The error wraps ErrNotSent if and only if it is certain that no byte of the request was
 // or will be sent. After any other error the request may have been received.
 func (s *Sender) Do(r *http.Request) (*http.Response, error) {
+	response, err := s.Stream(r, maxAnswerBytes)
+	if err == nil && response.ContentLength > maxAnswerBytes {
+		_ = response.Body.Close()
+		return nil, fmt.Errorf("%s %s: body of %d bytes: %w", r.Method, r.URL, response.ContentLength, bounder.ErrTooLarge)
+	}
+	return response, err
+}
+
+// Stream sends the request once as Do does. The response's body is a *bounder.Body with the given limit, which the caller resets
+// after each message of a body without end.
+func (s *Sender) Stream(r *http.Request, limit int64) (*http.Response, error) {
 	s.once.Do(s.initTransport)
 	if err := r.Context().Err(); err != nil {
 		return nil, fmt.Errorf("%s %s: %w: %w", r.Method, r.URL, ErrNotSent, err)
@@ -56,6 +70,7 @@
 	r.GetBody = nil
 	response, err := s.transport.RoundTrip(r)
 	if err == nil {
+		response.Body = bounder.NewBody(response.Body, limit)
 		return response, nil
 	}
 	if use.seal() {
@@ -67,9 +82,10 @@
 func (s *Sender) initTransport() {
 	tracker := trackingDialer{dialer: dialer.Dialer{Timeout: cmp.Or(s.DialTimeout, defaultDialTimeout)}}
 	s.transport = &http.Transport{
-		DialContext:         tracker.dial,
-		DisableCompression:  true,
-		IdleConnTimeout:     cmp.Or(s.IdleTimeout, defaultIdleTimeout),
-		MaxIdleConnsPerHost: maxIdlePerAddress,
+		DialContext:            tracker.dial,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: bounder.MaxHeaderBytes,
+		IdleConnTimeout:        cmp.Or(s.IdleTimeout, defaultIdleTimeout),
+		MaxIdleConnsPerHost:    maxIdlePerAddress,
 	}
 }
--- a/internal/network/sender/sender_test.go
+++ b/internal/network/sender/sender_test.go
@@ -129,3 +129,52 @@
 		})
 	}
 }
+
+// endless answers with a head and then repeats a part until the connection is closed.
+func endless(written *atomic.Int64, head, part string) func(*scriptedServer, net.Conn) {
+	return func(s *scriptedServer, conn net.Conn) {
+		if !s.read(conn) {
+			return
+		}
+		_, _ = io.WriteString(conn, head)
+		part := strings.Repeat(part, 1024)
+		for {
+			n, err := io.WriteString(conn, part)
+			written.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}
+}
+
+func TestEndlessResponses(t *testing.T) {
+	const mostSent = 40 << 20
+	for _, c := range []struct{ name, head, part string }{
+		{"a status line", "", "HTTP/1.1"},
+		{"a header", "HTTP/1.1 200 OK\r\n", "X-More: x\r\n"},
+		{"a body without a length", "HTTP/1.1 200 OK\r\n\r\n", "xxxx"},
+		{"a body of a huge length", "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", "xxxx"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var written atomic.Int64
+			s := startScriptedServer(t, endless(&written, c.head, c.part))
+			var client sender.Sender
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+s.listener.Addr().String(), http.NoBody)
+			if err != nil {
+				t.Fatal(err)
+			}
+			response, err := client.Do(r)
+			if err == nil {
+				_, err = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+			}
+			if err == nil {
+				t.Error("got a complete response, want none")
+			}
+			if got := written.Load(); got > mostSent {
+				t.Errorf("got %d bytes sent by the server, want at most %d", got, mostSent)
+			}
+		})
+	}
+}
--- a/internal/peer/messenger/client.go
+++ b/internal/peer/messenger/client.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 	"github.com/twitchtv/twirp"
 
+	"samphirewharf/internal/network/bounder"
 	"samphirewharf/internal/network/dialer"
 )
 
@@ -19,6 +20,8 @@
 	DefaultTimeout = 500 * time.Millisecond
 	// DefaultQueueLimit is the number of messages that may be queued for one daemon.
 	DefaultQueueLimit = 32
+	// maxAnswerBytes bounds an answer of another daemon, the largest of which is a compressed configuration.
+	maxAnswerBytes = 8 << 20
 )
 
 // ErrQueueFull means that a daemon receives messages more slowly than they are sent to it.
@@ -46,7 +49,12 @@
 	c.once.Do(c.initTransport)
 	r.Header.Set("User-Agent", "")
 	r.Header.Del("Accept")
-	return c.transport.RoundTrip(r)
+	response, err := c.transport.RoundTrip(r)
+	if err != nil {
+		return nil, fmt.Errorf("send to daemon: %w", err)
+	}
+	response.Body = bounder.NewBody(response.Body, maxAnswerBytes)
+	return response, nil
 }
 
 // FetchConfiguration returns the configuration in force at a daemon: its version, and its chunks if it is newer than
@@ -110,7 +118,7 @@
 }
 
 func (c *Client) initTransport() {
-	c.transport = &http.Transport{DialContext: dialer.Dialer{}.Dial, DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
+	c.transport = &http.Transport{DialContext: dialer.Dialer{}.Dial, DisableCompression: true, MaxResponseHeaderBytes: bounder.MaxHeaderBytes, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
 }
 
 func (c *Client) timeout() time.Duration {
--- a/internal/peer/messenger/client_test.go
+++ b/internal/peer/messenger/client_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"samphirewharf/internal/backend/orderer"
+	"samphirewharf/internal/network/bounder"
 )
 
 // A countingListener counts the bytes that all its connections read and write.
@@ -194,3 +195,26 @@
 		c.mu.Unlock()
 	}
 }
+
+func TestEndlessAnswerOfDaemon(t *testing.T) {
+	var written atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		part := make([]byte, 64<<10)
+		for {
+			n, err := w.Write(part)
+			written.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}))
+	client := &Client{}
+	_, _, err := client.FetchConfiguration(t.Context(), strings.TrimPrefix(server.URL, "http://"), 0)
+	server.Close()
+	if !errors.Is(err, bounder.ErrTooLarge) {
+		t.Errorf("got %v, want %v", err, bounder.ErrTooLarge)
+	}
+	if got, want := written.Load(), int64(4*maxAnswerBytes); got > want {
+		t.Errorf("got %d bytes sent, want at most %d", got, want)
+	}
+}
