fix: events that arrive together with the end of a broken stream reach the caller

What callers saw: if a stream broke off right behind an event, that event was dropped with the connection, though the daemon counted it as sent. A caller that took the stream up had to start one event earlier, and one whose only event it was had none.

Cause: an event is flushed only if no more data has been received, and the cut-off part behind it counted as more.

Evidence: TestUnframedAnswers/a_stream_that_ends_inside_an_event_was_broken_off failed before: an empty body, want the first event. It also shows that answers with neither a length nor chunks are read to the end of their connection, and that a stream which ends inside an event counts as broken off.

Why this works: what is buffered is flushed before the attempt's failure is handled.

--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -217,6 +217,7 @@
 			return a.finishEvents(header)
 		}
 		if err != nil {
+			a.flushEvents()
 			return reply.Failure(err)
 		}
 		a.eventReceived()
@@ -250,6 +251,14 @@
 	return nil
 }
 
+// flushEvents sends the caller the events that arrived together with the end of the stream.
+func (a *attempt) flushEvents() {
+	if a.exchange.firstHeader == nil {
+		return
+	}
+	a.exchange.gateway.logCallerLeft(a.exchange.writer.Flush())
+}
+
 func (a *attempt) writeEvent(event streamer.Event, flush bool) error {
 	a.exchange.recordPause(time.Now())
 	w := a.exchange.writer
