fix: a process that replaces another one doesn't use the retry budget again

What callers would see: after many daemons are killed in a storm of retries, a service gets more repeats in one window than its budget allows (BUDGET).

Cause: each process starts with the whole share of the budget, though the one that it replaces may have spent the same share in the same window.

Evidence: a case of TestBudget failed before: 518 repeats in one window of 7 daemons where 330 are allowed; it passes now.

Why this works: for one window after its start a process uses only what the safety factor of all daemons leaves, a fifth, so that both stay within the whole. Two tests of the usual share now begin a window after the start, with the same bounds. What remains: a daemon that is killed several times within one window gets that fifth each time.

--- a/internal/decision/allotter/budget.go
+++ b/internal/decision/allotter/budget.go
@@ -10,6 +10,8 @@
 	// safetyFactor is the fraction of the budget that all daemons together may use, since each one's count of daemons
 	// lags.
 	safetyFactor = 0.8
+	// freshFactor is the fraction that a process may use which has just replaced another one. Together they stay within the whole.
+	freshFactor = 1 - safetyFactor
 )
 
 // A RetryBudget bounds the retries of one service within a sliding window. The zero value allows none.
@@ -20,6 +22,8 @@
 	Ratio float64
 	// Slack is the number of additional retries for all daemons together.
 	Slack float64
+	// FreshUntil is until when a process that ran before this one may have used its share in the same window.
+	FreshUntil time.Duration
 
 	// buckets is a ring of the counts of the last two windows. The rule for retries allows the larger budget of the
 	// two; count uses only the newer window.
@@ -53,7 +57,11 @@
 // Remaining returns how many retries this daemon may still send in the window that ends now.
 func (b *RetryBudget) Remaining(now time.Duration, daemons int) float64 {
 	requests, retries := b.count(now)
-	return safetyFactor*(b.Ratio*float64(requests)+b.Slack/float64(max(daemons, 1))) - float64(retries)
+	factor := safetyFactor
+	if now < b.FreshUntil {
+		factor = freshFactor
+	}
+	return factor*(b.Ratio*float64(requests)+b.Slack/float64(max(daemons, 1))) - float64(retries)
 }
 
 func (b *RetryBudget) currentBucket(now time.Duration) *bucket {
--- a/internal/decision/allotter/budget_test.go
+++ b/internal/decision/allotter/budget_test.go
@@ -37,6 +37,26 @@
 		}
 		assertSpent(t, spendAll(&b, time.Second, 5), 24)
 	})
+	t.Run("a process that replaces another one doesn't use its share again", func(t *testing.T) {
+		const daemons, requests = 7, 200
+		spent := 0
+		for range daemons {
+			before := RetryBudget{Window: window, Ratio: 0.2, Slack: 50}
+			after := RetryBudget{Window: window, Ratio: 0.2, Slack: 50, FreshUntil: 15*time.Second + window}
+			for range requests {
+				before.CountRequest(14 * time.Second)
+				after.CountRequest(16 * time.Second)
+			}
+			spent += spendAll(&before, 14*time.Second, daemons) + spendAll(&after, 16*time.Second, daemons)
+		}
+		if most := int(0.2*daemons*requests + 50); spent > most {
+			t.Errorf("got %d retries in one window, want at most %d", spent, most)
+		}
+	})
+	t.Run("the share is whole again a window after the start", func(t *testing.T) {
+		b := RetryBudget{Window: window, Ratio: 0.2, Slack: 50, FreshUntil: window}
+		assertSpent(t, spendAll(&b, window, 5), 8)
+	})
 	t.Run("the budget is restored only after the window", func(t *testing.T) {
 		b := RetryBudget{Window: window, Slack: 50}
 		spendAll(&b, 5*time.Second, 5)
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -51,6 +51,9 @@
 	rng      *rand.Rand
 	now      time.Duration
 	effects  []Effect
+	// startedAt is when the first event was handled, valid if started.
+	started   bool
+	startedAt time.Duration
 
 	configuration *matcher.Configuration
 	// configuredAt is when the configuration came into force, updateGaugesAt when the gauges are due next.
@@ -136,6 +139,9 @@
 // Step applies one event. Now is the time since the start, including time during which the host was suspended. The
 // returned effects are valid until the next call.
 func (m *Machine) Step(now time.Duration, event Event) []Effect {
+	if !m.started {
+		m.started, m.startedAt = true, now
+	}
 	m.now = max(now, m.now)
 	m.effects = nil
 	m.apply(event)
@@ -264,6 +270,7 @@
 	if !ok {
 		state = &serviceState{name: service, budget: allotter.RetryBudget{
 			Window: m.settings.RetryWindow, Ratio: m.settings.RetryRatio, Slack: m.settings.RetrySlack,
+			FreshUntil: m.startedAt + m.settings.RetryWindow,
 		}}
 		m.services[service] = state
 	}
--- a/internal/decision/conductor/measuring_test.go
+++ b/internal/decision/conductor/measuring_test.go
@@ -34,6 +34,7 @@
 	})
 	t.Run("remaining retries", func(t *testing.T) {
 		h := newHarness(t)
+		h.advance(testSettings().RetryWindow)
 		h.plainServer("s1", "a")
 		h.plainServer("s2", "a")
 		h.end(h.request(reading, "", ""), 1, reducer.AttemptDone, CauseNone)
--- a/internal/decision/conductor/routing_test.go
+++ b/internal/decision/conductor/routing_test.go
@@ -194,6 +194,7 @@
 	})
 	t.Run("all daemons' retries stay within the retry budget of the service", func(t *testing.T) {
 		h := newHarness(t)
+		h.advance(testSettings().RetryWindow)
 		for i := range 9 {
 			h.step(DaemonChanged{Daemon: Daemon{Name: string(rune('p' + i))}})
 		}
