fix: a new leader counts the loads that the one before has started

What callers would see: after a change of leader, loads from the weight store beyond its ceiling (CEILING), which slow each other.

Cause: the starts of loads were in the memory of the leader that ordered them.

Why this works: a load from the store lasts longer than the window, so that each load in the window shows as a busy engine in the first report that a new leader gets. Such engines count as loads that start now, and as running until they report otherwise.

--- a/internal/decision/conductor/control.go
+++ b/internal/decision/conductor/control.go
@@ -35,6 +35,9 @@
 
 	// busy reports whether the engine has reported that it is carrying out an order, from whichever leader.
 	busy bool
+	// inheritedLoad reports whether the engine was busy with an order of another leader when this one first heard of it. That may
+	// be a load from the weight store.
+	inheritedLoad bool
 	// pendingOrder is an order whose answer is awaited; outcomeUnknown reports whether an order had no clear outcome.
 	pendingOrder   *registrar.Order
 	outcomeUnknown bool
@@ -85,7 +88,7 @@
 
 // loadsFromWeightStore reports whether the engine is loading a model from the weight store.
 func (e *engineState) loadsFromWeightStore() bool {
-	return e.loading != "" && e.loadTier == placer.TierStore
+	return e.loading != "" && e.loadTier == placer.TierStore || e.inheritedLoad
 }
 
 // available returns the models and adapters that requests are expected to find on the engine.
@@ -146,7 +149,7 @@
 func (m *Machine) updateWeights(s *server, engine *engineState, weights, reported registrar.Weights) {
 	if engine.loading != "" && reported.HasLoaded(engine.loading, "") {
 		m.emit(LogStateChange{Subject: "Server " + s.entry.ID, Change: "Loaded", Reason: engine.loading, Age: m.now - engine.orderedAt})
-		if engine.loadsFromWeightStore() {
+		if engine.loadTier == placer.TierStore {
 			m.weightStoreConcurrency(s.entry.Service).ObserveCompleted(m.now-engine.loadStartedAt, m.engineSettings(s.entry.Service).Models[engine.loading].StoreLoadTime, engine.concurrentLoads)
 		}
 		engine.loadedAt[engine.loading] = m.now
@@ -222,6 +225,11 @@
 		engine.pollAt = engine.entryAt + reportLag
 		return
 	}
+	if !engine.countKnown && e.Report.Busy && engine.loading == "" && engine.orderedAt == 0 {
+		engine.inheritedLoad = true
+		m.countWeightStoreLoad(s.entry.Service)
+	}
+	engine.inheritedLoad = engine.inheritedLoad && e.Report.Busy
 	// The report is newer than all orders: what it contains is loaded, even if an order was to unload it.
 	clear(engine.removed)
 	engine.ordersAccepted, engine.countKnown, engine.outcomeUnknown, engine.busy = e.Report.OrdersAccepted, true, false, e.Report.Busy
--- a/internal/decision/conductor/ordering.go
+++ b/internal/decision/conductor/ordering.go
@@ -44,7 +44,7 @@
 	} else if step.Adapter == "" {
 		engine.loadTier = step.Tier
 		if step.Tier == placer.TierStore {
-			m.placement.weightStoreLoadStarts[service] = append(m.placement.weightStoreLoadStarts[service], m.now)
+			m.countWeightStoreLoad(service)
 		}
 	}
 	m.emit(LogStateChange{
@@ -55,6 +55,11 @@
 	m.emit(SendOrder{Order: order, Expires: min(m.now+orderTTL, m.orderDeadline())})
 }
 
+// countWeightStoreLoad counts a load from the weight store that starts now.
+func (m *Machine) countWeightStoreLoad(service string) {
+	m.placement.weightStoreLoadStarts[service] = append(m.placement.weightStoreLoadStarts[service], m.now)
+}
+
 // orderDeadline returns until when this process may send an order without further renewal of its lease.
 func (m *Machine) orderDeadline() time.Duration {
 	if m.lease.valid(m.now) {
@@ -184,7 +189,7 @@
 	running := m.runningWeightStoreLoads(service)
 	for _, s := range m.serversOf(service) {
 		engine, ok := m.placement.engines[s.entry.ID]
-		if !ok || !engine.loadsFromWeightStore() {
+		if !ok || !engine.loadsFromWeightStore() || engine.loading == "" {
 			continue
 		}
 		engine.concurrentLoads = max(engine.concurrentLoads, running)
