fix: the model of a begun stream is loaded at a server of its software version

What callers would see: a stream whose server has ended can be taken up only at another server of the same version, but its model was loaded only where no server at all had it. While servers of another version had the model, the stream was refused as cold each time (LOST).

Cause: the leader plans replicas of a model for all requests alike.

Why this works: demand of requests that are bound to a version is reported with it. What no server of that version has is planned among these servers first, with the demands for what they have loaded; the plan for all follows with the servers that are left. A load at a server of another version isn't waited for.

--- a/internal/decision/conductor/demand.go
+++ b/internal/decision/conductor/demand.go
@@ -15,9 +15,21 @@
 	service string
 	model   string
 	adapter string
+	// softwareVersion is the version at which the requests have to go on, valid if pinned.
+	softwareVersion string
+	pinned          bool
 }
 
-func (k modelKey) withoutAdapter() modelKey { return modelKey{service: k.service, model: k.model} }
+func (k modelKey) withoutAdapter() modelKey {
+	k.adapter = ""
+	return k
+}
+
+// unpinned returns the key for requests to servers of any version.
+func (k modelKey) unpinned() modelKey {
+	k.softwareVersion, k.pinned = "", false
+	return k
+}
 
 // A demandState is the demand of this daemon's callers and, on the leader, of all daemons' callers.
 type demandState struct {
@@ -93,7 +105,7 @@
 }
 
 func keyOf(r *request) modelKey {
-	return modelKey{service: r.Service, model: r.Model, adapter: r.Adapter}
+	return modelKey{service: r.Service, model: r.Model, adapter: r.Adapter, softwareVersion: r.softwareVersion, pinned: r.pinned}
 }
 
 func (m *Machine) countArrival(r *request) {
@@ -169,7 +181,7 @@
 	entryFor := func(k modelKey) *messenger.ModelDemand {
 		d, ok := byKey[k]
 		if !ok {
-			d = &messenger.ModelDemand{Service: k.service, Model: k.model, Adapter: k.adapter, Slack: math.MaxInt64}
+			d = &messenger.ModelDemand{Service: k.service, Model: k.model, Adapter: k.adapter, SoftwareVersion: k.softwareVersion, Pinned: k.pinned, Slack: math.MaxInt64}
 			byKey[k] = d
 		}
 		return d
@@ -192,7 +204,7 @@
 			d.Waiting++
 			d.Slack = min(d.Slack, r.firstDeadline-m.now)
 		case stateRunning:
-			entryFor(keyOf(r)).Running++
+			entryFor(keyOf(r).unpinned()).Running++
 			demand.InFlight[r.server.entry.ID]++
 		case stateAnswered, stateAsking:
 		}
@@ -201,7 +213,7 @@
 		demand.Models = append(demand.Models, *d)
 	}
 	slices.SortFunc(demand.Models, func(a, b messenger.ModelDemand) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.SoftwareVersion, b.SoftwareVersion))
 	})
 	clear(m.demand.own)
 	m.demand.absences = nil
@@ -212,11 +224,15 @@
 func (m *Machine) demandReceived(daemon string, demand messenger.Demand) {
 	m.demand.byDaemon[daemon] = daemonDemand{receivedAt: m.now, demand: demand}
 	for _, d := range demand.Models {
-		k := modelKey{service: d.Service, model: d.Model, adapter: d.Adapter}
+		pinned := modelKey{service: d.Service, model: d.Model, adapter: d.Adapter, softwareVersion: d.SoftwareVersion, pinned: d.Pinned}
+		k := pinned.unpinned()
 		m.historyOf(k).add(m.now, d.Arrived, d.Refused)
 		if k.adapter != "" {
 			m.historyOf(k.withoutAdapter()).add(m.now, d.Arrived, d.Refused)
 		}
+		if d.Pinned && d.Refused > 0 {
+			m.historyOf(pinned).add(m.now, 0, d.Refused)
+		}
 		if d.Waiting+d.Refused > 0 {
 			m.placement.dirty = true
 		}
@@ -270,7 +286,7 @@
 		return d
 	}
 	for k, history := range m.demand.history {
-		if k.service == service {
+		if k.service == service && !k.pinned {
 			d := entryFor(k)
 			d.Rate, d.Refused = history.rateAt(m.now), history.recentRefusals(m.now)
 		}
@@ -294,12 +310,14 @@
 	for _, d := range byKey {
 		list = append(list, *d)
 	}
-	slices.SortFunc(list, func(a, b placer.Demand) int {
-		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
-	})
+	slices.SortFunc(list, compareDemands)
 	return list
 }
 
+func compareDemands(a, b placer.Demand) int {
+	return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+}
+
 // keyAndModel returns the key and, for an adapter, the key of its model as well.
 func keyAndModel(k modelKey) []modelKey {
 	if k.adapter == "" {
--- a/internal/decision/conductor/fleet.go
+++ b/internal/decision/conductor/fleet.go
@@ -164,7 +164,12 @@
 	}
 	clear(f.loading)
 	for _, l := range fleet.Loading {
-		f.loading[modelKey{service: l.Service, model: l.Model, adapter: l.Adapter}] = m.now + l.ReadyIn
+		k := modelKey{service: l.Service, model: l.Model, adapter: l.Adapter}
+		f.loading[k] = m.now + l.ReadyIn
+		if l.SoftwareVersion != "" {
+			k.softwareVersion, k.pinned = l.SoftwareVersion, true
+			f.loading[k] = m.now + l.ReadyIn
+		}
 	}
 	m.mergeSuspects(fleet.Suspects, true)
 	m.rateLimitsReceived(fleet.RateLimits)
@@ -182,8 +187,7 @@
 
 // readyIn predicts when the model and adapter of a request are loaded on some server.
 func (m *Machine) readyIn(r *request) time.Duration {
-	k := keyOf(r)
-	for _, key := range keyAndModel(k) {
+	for _, key := range keyAndModel(keyOf(r)) {
 		if at, ok := m.loadingUntil(key); ok {
 			return max(0, at-m.now) + adapterLoadTime
 		}
@@ -201,8 +205,7 @@
 
 func (m *Machine) loadingUntil(k modelKey) (time.Duration, bool) {
 	if m.isLeader() {
-		at, ok := m.placement.loadingUntil(k)
-		return at, ok
+		return m.loadingUntilByOrders(k)
 	}
 	at, ok := m.fleet.loading[k]
 	if !ok || m.now > at+loadTimeMargin+demandInterval {
--- a/internal/decision/conductor/placing.go
+++ b/internal/decision/conductor/placing.go
@@ -89,9 +89,14 @@
 	return p.plannedAt + minPlanInterval + time.Duration(len(p.engines))*planIntervalPerEngine
 }
 
-func (p *placementState) loadingUntil(k modelKey) (time.Duration, bool) {
+// loadingUntilByOrders returns when a model or adapter is loaded that this leader has ordered or forecast.
+func (m *Machine) loadingUntilByOrders(k modelKey) (time.Duration, bool) {
+	p := &m.placement
 	for _, id := range p.engineIDs() {
-		engine := p.engines[id]
+		engine, s := p.engines[id], m.servers[id]
+		if k.pinned && (s == nil || s.entry.SoftwareVersion != k.softwareVersion) {
+			continue
+		}
 		if k.adapter == "" && engine.loading == k.model {
 			return engine.loadEndsAt, true
 		}
@@ -101,6 +106,9 @@
 			}
 		}
 	}
+	if k.pinned {
+		return 0, false
+	}
 	at, ok := p.forecasts[k.service][modelName(k.model, k.adapter)]
 	return at, ok
 }
@@ -114,10 +122,10 @@
 			continue
 		}
 		if engine.loading != "" {
-			list = append(list, messenger.Loading{Service: s.entry.Service, Model: engine.loading, ReadyIn: max(0, engine.loadEndsAt-m.now)})
+			list = append(list, messenger.Loading{Service: s.entry.Service, Model: engine.loading, SoftwareVersion: s.entry.SoftwareVersion, ReadyIn: max(0, engine.loadEndsAt-m.now)})
 		}
 		for _, a := range engine.adapterLoads {
-			list = append(list, messenger.Loading{Service: s.entry.Service, Model: a.model, Adapter: a.adapter, ReadyIn: max(0, a.readyAt-m.now)})
+			list = append(list, messenger.Loading{Service: s.entry.Service, Model: a.model, Adapter: a.adapter, SoftwareVersion: s.entry.SoftwareVersion, ReadyIn: max(0, a.readyAt-m.now)})
 		}
 	}
 	for _, service := range slices.Sorted(maps.Keys(m.placement.forecasts)) {
@@ -240,6 +248,7 @@
 	in.StoreConcurrencyLimit = m.weightStoreConcurrency(service).Limit()
 	in.StoreBudget = m.loadBudget(service, settings)
 	in.HasForecast = m.currentForecasts(service)
+	m.planPinned(service, &in)
 	result := placer.Plan(in)
 	for _, step := range result.Steps {
 		m.giveOrder(service, step)
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -122,6 +122,19 @@
 	HasForecast map[string]bool
 }
 
+// MarkOrdered records that a step is carried out, so that a later plan with the same input gives its server no other order.
+func (in *Input) MarkOrdered(step Step) {
+	for i := range in.Servers {
+		if in.Servers[i].ID == step.Server {
+			in.Servers[i].Free, in.Servers[i].FreeForAdapter = false, false
+		}
+	}
+	if step.Operation == registrar.OperationLoad && step.Adapter == "" && step.Tier == TierStore {
+		in.StoreLoads++
+		in.StoreBudget--
+	}
+}
+
 // A Result is a plan.
 type Result struct {
 	// Steps has at most one order for a model and one for an adapter at each server.
--- a/internal/peer/messenger/fleet.go
+++ b/internal/peer/messenger/fleet.go
@@ -33,6 +33,9 @@
 	Service string
 	Model   string
 	Adapter string
+	// SoftwareVersion is the version at which the requests have to go on, valid if Pinned.
+	SoftwareVersion string
+	Pinned          bool
 	// Waiting and Running are current numbers of requests, Arrived and Refused those since the last message.
 	Waiting int
 	Running int
@@ -82,7 +85,9 @@
 	Service string
 	Model   string
 	Adapter string
-	ReadyIn time.Duration
+	// SoftwareVersion is that of the server that loads it, empty if none does yet.
+	SoftwareVersion string
+	ReadyIn         time.Duration
 }
 
 func encodeDemand(d *Demand) *DemandPart {
@@ -97,6 +102,7 @@
 			return &ModelDemandPart{
 				Service: m.Service, Model: m.Model, Adapter: m.Adapter, Waiting: int64(m.Waiting), Running: int64(m.Running),
 				Arrived: int64(m.Arrived), Refused: int64(m.Refused), SlackNanoseconds: int64(m.Slack),
+				SoftwareVersion: m.SoftwareVersion, Pinned: m.Pinned,
 			}
 		}),
 		Absences: convert(d.Absences, func(a Absence) *AbsencePart {
@@ -121,7 +127,7 @@
 			return ModelDemand{
 				Service: m.GetService(), Model: m.GetModel(), Adapter: m.GetAdapter(), Waiting: int(m.GetWaiting()),
 				Running: int(m.GetRunning()), Arrived: int(m.GetArrived()), Refused: int(m.GetRefused()),
-				Slack: time.Duration(m.GetSlackNanoseconds()),
+				Slack: time.Duration(m.GetSlackNanoseconds()), SoftwareVersion: m.GetSoftwareVersion(), Pinned: m.GetPinned(),
 			}
 		}),
 		Absences: convert(p.GetAbsences(), func(a *AbsencePart) Absence {
@@ -148,7 +154,7 @@
 		Servers:    convert(f.Servers, encodeFleetServer),
 		RateLimits: convert(f.RateLimits, encodeRateLimit),
 		Loading: convert(f.Loading, func(l Loading) *LoadingPart {
-			return &LoadingPart{Service: l.Service, Model: l.Model, Adapter: l.Adapter, ReadyInNanoseconds: int64(l.ReadyIn)}
+			return &LoadingPart{Service: l.Service, Model: l.Model, Adapter: l.Adapter, ReadyInNanoseconds: int64(l.ReadyIn), SoftwareVersion: l.SoftwareVersion}
 		}),
 	}
 }
@@ -165,7 +171,7 @@
 		Loading: convert(p.GetLoading(), func(l *LoadingPart) Loading {
 			return Loading{
 				Service: l.GetService(), Model: l.GetModel(), Adapter: l.GetAdapter(),
-				ReadyIn: time.Duration(l.GetReadyInNanoseconds()),
+				ReadyIn: time.Duration(l.GetReadyInNanoseconds()), SoftwareVersion: l.GetSoftwareVersion(),
 			}
 		}),
 	}
--- a/internal/peer/messenger/fleet_test.go
+++ b/internal/peer/messenger/fleet_test.go
@@ -15,7 +15,7 @@
 		From: "a", Address: "10.0.0.1:7",
 		Demand: &Demand{
 			ConfigurationVersion: 3,
-			Models:               []ModelDemand{{Service: "s", Model: "m", Adapter: "a1", Waiting: 2, Running: 1, Arrived: 4, Refused: 5, Slack: -time.Second}},
+			Models:               []ModelDemand{{Service: "s", Model: "m", Adapter: "a1", Waiting: 2, Running: 1, Arrived: 4, Refused: 5, Slack: -time.Second, SoftwareVersion: "v2", Pinned: true}},
 			InFlight:             map[string]int{"i-1": 7},
 			Suspects:             []Suspect{{Fingerprint: 1 << 63, Crashes: 2, Servers: []uint64{4, 1 << 62}}},
 			RateLimits:           []RateLimit{{Server: "i-1", StartedAt: 9, Limited: true, PerSecond: 2.4}},
@@ -24,7 +24,7 @@
 		Fleet: &Fleet{
 			Holder: "h", Fence: 41, Sequence: 2, ConfigurationVersion: 3,
 			Servers:  []FleetServer{{Server: "i-1", StartedAt: 9, InFlight: 3, Models: []registrar.LoadedModel{{Name: "m", Version: 1, Adapters: []string{"a1"}}}}},
-			Loading:  []Loading{{Service: "s", Model: "n", ReadyIn: time.Second}},
+			Loading:  []Loading{{Service: "s", Model: "n", ReadyIn: time.Second, SoftwareVersion: "v2"}},
 			Suspects: []Suspect{{Fingerprint: 5, Crashes: 3}}, RateLimits: []RateLimit{{Server: "i-1", StartedAt: 9}},
 		},
 		Evidence: &Evidence{Broadcast: true, Suspects: []Suspect{{
