fix: the end of a server that was leaving isn't held against the requests that it cut off

What callers would see: a long stream that three leaving servers cut off, one after the other, was refused for two minutes as one that crashes servers; so would all streams that share a part of their prompts with it now.

Cause: each end of a server shortly after a broken connection counted as a crash, also an announced one.

Evidence: a case of TestCrashes failed before: the request was refused after three servers that had said that they leave.

--- a/internal/decision/conductor/crash.go
+++ b/internal/decision/conductor/crash.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"samphirewharf/internal/decision/attributor"
+	"samphirewharf/internal/fleet/registrar"
 )
 
 // A crashState is what this daemon knows of requests that crash servers.
@@ -88,13 +89,16 @@
 	}
 }
 
-// serverCrashed counts a crash for the requests whose connections to the server broke within the crash window.
+// serverCrashed counts a crash for the requests whose connections to the server broke within the crash window. A server that was
+// leaving has ended as planned.
 func (m *Machine) serverCrashed(s *server) {
 	m.crashes.broken = slices.DeleteFunc(m.crashes.broken, func(b brokenConnection) bool {
 		if b.server != s.entry.ID || m.now > b.at+m.crashWindow() {
 			return false
 		}
-		m.countCrash(b, s)
+		if s.entry.State != registrar.StateDraining {
+			m.countCrash(b, s)
+		}
 		return true
 	})
 }
--- a/internal/decision/conductor/server_test.go
+++ b/internal/decision/conductor/server_test.go
@@ -174,6 +174,20 @@
 		h.advance(2 * time.Second)
 		assertEqual(t, "reports to the new keeper", reported("d3:2"), evidenceRepetitions)
 	})
+	t.Run("the end of a server that was leaving doesn't count as a crash", func(t *testing.T) {
+		h := newHarness(t)
+		for _, id := range []string{"s1", "s2", "s3"} {
+			e := h.plainServer(id, "a")
+			arrive(h, 99)
+			e.State = registrar.StateDraining
+			h.change(e)
+			h.end(reducer.RequestID(h.requests), 1, reducer.AttemptFailed, CauseBroken)
+			h.step(ServerRemoved{ID: e.ID, Revision: 1000})
+		}
+		h.plainServer("s4", "a")
+		arrive(h, 99)
+		one[Send](h)
+	})
 	t.Run("broken connections of servers that stay up don't count as crashes", func(t *testing.T) {
 		h := newHarness(t)
 		h.plainServer("s1", "a")
