perf: evidence of crashes and origins of streams stay within the traffic that a daemon may use

Causes and changes: keepers announced each suspected part to all daemons, by way of 53 followers; now they send all only what the store hasn't taken within 200 ms, and the end of a conviction, and a daemon that knows an answer says so when it learns of the conviction. Evidence is collected for 100 ms before it is reported, by when an answer has mostly cleared the parts that all share. A conviction carries the time of its last crash, so that answers are compared with that.

--- a/internal/decision/attributor/record.go
+++ b/internal/decision/attributor/record.go
@@ -113,7 +113,7 @@
 
 func (r *record) convict(now time.Duration) {
 	r.Convictions++
-	r.ConvictedAt, r.HeldUntil, r.triedAt = now, now+holdTime(r.Convictions-r.Cleared), 0
+	r.ConvictedAt, r.HeldUntil, r.triedAt = r.lastCrash(), now+holdTime(r.Convictions-r.Cleared), 0
 }
 
 func holdTime(convictions int) time.Duration {
--- a/internal/decision/attributor/trait.go
+++ b/internal/decision/attributor/trait.go
@@ -70,8 +70,8 @@
 	// AnsweredAt is when a request with the trait was last answered, valid if Answered.
 	Answered   bool
 	AnsweredAt time.Duration
-	// Convictions is how often the trait was convicted, ConvictedAt when it last was, and HeldUntil until when no request with
-	// it is sent. The first Cleared of the convictions no longer hold.
+	// Convictions is how often the trait was convicted, ConvictedAt when the last server ended that convicted it, and HeldUntil until
+	// when no request with it is sent. The first Cleared of the convictions no longer hold.
 	Convictions int
 	Cleared     int
 	ConvictedAt time.Duration
--- a/internal/decision/conductor/conviction.go
+++ b/internal/decision/conductor/conviction.go
@@ -14,6 +14,8 @@
 	Trait       attributor.Trait
 	Depth       int
 	Convictions int
+	// EvidenceAge is the time from the last crash that convicted the trait to the writing.
+	EvidenceAge time.Duration
 	// Hold is for how long from the writing on no request with the trait is sent.
 	Hold time.Duration
 	// Revision is that of the record.
@@ -83,6 +85,7 @@
 	if !m.isFirstKeeper() {
 		c.checkAt = m.now + convictionRecordDelay
 	}
+	m.broadcastLater(t)
 	if e.Convicted() {
 		m.refuseQueued(t)
 	}
@@ -152,10 +155,13 @@
 		records.checkAt = m.now
 		return
 	}
-	changed, _ := m.crashes.attributor.Merge(m.now, attributor.Evidence{
-		Trait: c.Trait, Depth: c.Depth, Convictions: c.Convictions, ConvictedAt: m.now, HeldUntil: m.now + c.Hold,
+	changed, knowsMore := m.crashes.attributor.Merge(m.now, attributor.Evidence{
+		Trait: c.Trait, Depth: c.Depth, Convictions: c.Convictions, ConvictedAt: m.now - c.EvidenceAge, HeldUntil: m.now + c.Hold,
 	})
-	if changed {
+	if knowsMore {
+		m.shareEvidence(c.Trait)
+	}
+	if changed || knowsMore {
 		m.convictionChanged(c.Trait, "recorded in the store")
 	}
 }
@@ -186,7 +192,7 @@
 		e, _ := m.crashes.attributor.Evidence(t)
 		if stored := c.stored[t]; e.Convicted() && stored.Convictions < e.Convictions {
 			c.checkAt = m.now + convictionRetryDelay
-			m.emit(StoreConviction{TTL: convictionRecordTTL, Conviction: Conviction{Trait: t, Depth: e.Depth, Convictions: e.Convictions, Hold: max(e.HeldUntil-m.now, 0)}})
+			m.emit(StoreConviction{TTL: convictionRecordTTL, Conviction: Conviction{Trait: t, Depth: e.Depth, Convictions: e.Convictions, EvidenceAge: m.now - e.ConvictedAt, Hold: max(e.HeldUntil-m.now, 0)}})
 		}
 	}
 	for t, stored := range c.stored {
--- a/internal/decision/conductor/demand.go
+++ b/internal/decision/conductor/demand.go
@@ -240,7 +240,7 @@
 	for _, a := range demand.Absences {
 		m.absenceReported(a)
 	}
-	m.mergeSuspects(demand.Suspects, false)
+	m.mergeSuspects(demand.Suspects)
 	m.rateLimitsReported(demand.RateLimits)
 }
 
--- a/internal/decision/conductor/evidence.go
+++ b/internal/decision/conductor/evidence.go
@@ -10,15 +10,16 @@
 )
 
 // Evidence of crashes has to come together soon, also while there is no leader. Each daemon sends its own to the keepers, the
-// first of the followers. They merge it and send what matters to all daemons by way of the followers.
+// first of the followers, which convict by all of it and record that in the store. What the store doesn't take, and what ends a
+// conviction, they send to all daemons by way of the followers.
 
 // An evidenceExchange is the evidence that has to be sent.
 type evidenceExchange struct {
 	// reports are the traits whose evidence goes to the keepers, broadcasts those that a keeper sends to all daemons.
 	reports    map[attributor.Trait]*repetition
 	broadcasts map[attributor.Trait]*repetition
-	// announced holds the traits that this daemon has sent to all daemons as suspected.
-	announced map[attributor.Trait]bool
+	// reported holds the traits that were reported to the keepers.
+	reported map[attributor.Trait]bool
 	// keepers are the keepers that have got this daemon's evidence.
 	keepers []string
 	// announceAt is when a keeper sends all convictions again.
@@ -56,20 +57,31 @@
 	return len(names) == 0 || slices.Contains(names, m.settings.Self.Name)
 }
 
-// shareEvidence schedules the messages about a trait of which this daemon has new evidence.
+// shareEvidence schedules the reports of a trait of which this daemon has new evidence.
 func (m *Machine) shareEvidence(t attributor.Trait) {
-	x := &m.crashes.exchange
-	schedule(&x.reports, t, m.now)
-	if m.isKeeper() {
-		schedule(&x.broadcasts, t, m.now)
+	schedule(&m.crashes.exchange.reports, t, m.now+evidenceDelay)
+}
+
+// broadcastLater has a keeper send a changed conviction to all daemons if the store hasn't told them by then.
+func (m *Machine) broadcastLater(t attributor.Trait) {
+	if !m.isKeeper() {
+		return
+	}
+	at := m.now
+	if e, _ := m.crashes.attributor.Evidence(t); e.Convicted() && !m.store.unavailable {
+		at += broadcastDelay
 	}
+	schedule(&m.crashes.exchange.broadcasts, t, at)
 }
 
-func schedule(list *map[attributor.Trait]*repetition, t attributor.Trait, now time.Duration) {
+func schedule(list *map[attributor.Trait]*repetition, t attributor.Trait, at time.Duration) {
 	if *list == nil {
 		*list = make(map[attributor.Trait]*repetition)
 	}
-	(*list)[t] = &repetition{at: now + evidenceDelay, left: evidenceRepetitions}
+	if r, ok := (*list)[t]; ok {
+		at = min(at, r.at)
+	}
+	(*list)[t] = &repetition{at: at, left: evidenceRepetitions}
 }
 
 // takeDue returns the traits that are due and schedules their next repetition.
@@ -94,7 +106,7 @@
 func (m *Machine) tickEvidence() {
 	x := &m.crashes.exchange
 	m.reportToNewKeepers()
-	if due := takeDue(x.reports, m.now); len(due) > 0 {
+	if due := m.worthReporting(takeDue(x.reports, m.now)); len(due) > 0 {
 		message := m.newMessage()
 		message.Evidence = &messenger.Evidence{Suspects: m.suspects(due)}
 		m.sendTo(m.keeperNames(), message)
@@ -104,33 +116,41 @@
 		x.announceAt = m.now + convictionInterval
 		due = slices.AppendSeq(due, maps.Keys(m.crashes.convictions.convicted))
 	}
-	m.broadcast(due)
-}
-
-// broadcast sends the evidence of traits to all daemons, as far as it matters to them.
-func (m *Machine) broadcast(traits []attributor.Trait) {
-	x := &m.crashes.exchange
-	traits = slices.DeleteFunc(traits, func(t attributor.Trait) bool {
-		suspected, announced := m.crashes.attributor.Suspected(t), x.announced[t]
-		if suspected {
-			if x.announced == nil {
-				x.announced = make(map[attributor.Trait]bool)
-			}
-			x.announced[t] = true
-		} else if _, repeated := x.broadcasts[t]; !repeated {
-			delete(x.announced, t)
-		}
-		return !suspected && !announced
-	})
-	if len(traits) == 0 || !m.isKeeper() {
+	due = slices.DeleteFunc(due, m.isStored)
+	if len(due) == 0 || !m.isKeeper() {
 		return
 	}
 	message := m.newMessage()
-	message.Evidence = &messenger.Evidence{Broadcast: true, Suspects: m.suspects(traits)}
+	message.Evidence = &messenger.Evidence{Broadcast: true, Suspects: m.suspects(due)}
 	m.sendTo(m.followerNames(), message)
 	m.emit(Forward{Evidence: message.Evidence})
 }
 
+// worthReporting returns the traits without those that an answer has cleared before they were ever reported, such as the parts that
+// most requests share.
+func (m *Machine) worthReporting(traits []attributor.Trait) []attributor.Trait {
+	x := &m.crashes.exchange
+	if x.reported == nil || len(x.reported) > maxReportedTraits {
+		x.reported = make(map[attributor.Trait]bool)
+	}
+	return slices.DeleteFunc(traits, func(t attributor.Trait) bool {
+		e, _ := m.crashes.attributor.Evidence(t)
+		if len(e.Crashes) > 0 || e.Convictions > 0 {
+			x.reported[t] = true
+			return false
+		}
+		wasReported := x.reported[t]
+		delete(x.reported, t)
+		return !wasReported
+	})
+}
+
+// isStored reports whether a trait's conviction is recorded in the store, so that all daemons learn of it from there.
+func (m *Machine) isStored(t attributor.Trait) bool {
+	e, _ := m.crashes.attributor.Evidence(t)
+	return e.Convicted() && m.crashes.convictions.stored[t].Convictions >= e.Convictions && !m.store.unavailable
+}
+
 // sendTo sends a message to daemons, without this one.
 func (m *Machine) sendTo(names []string, message messenger.Message) {
 	for _, name := range names {
@@ -149,7 +169,7 @@
 	}
 	x.keepers = slices.Clone(names)
 	for _, t := range m.crashes.attributor.Traits() {
-		schedule(&x.reports, t, m.now)
+		schedule(&x.reports, t, m.now+evidenceDelay)
 	}
 }
 
@@ -206,10 +226,10 @@
 	if evidence.Broadcast && !relayed {
 		m.emit(Forward{Evidence: evidence})
 	}
-	m.mergeSuspects(evidence.Suspects, evidence.Broadcast)
+	m.mergeSuspects(evidence.Suspects)
 }
 
-func (m *Machine) mergeSuspects(list []messenger.Suspect, broadcast bool) {
+func (m *Machine) mergeSuspects(list []messenger.Suspect) {
 	for _, s := range list {
 		e := m.evidenceOf(s)
 		changed, knowsMore := m.crashes.attributor.Merge(m.now, e)
@@ -220,9 +240,6 @@
 			continue
 		}
 		m.crashes.changed = true
-		if m.isKeeper() && !broadcast {
-			schedule(&m.crashes.exchange.broadcasts, e.Trait, m.now)
-		}
 		m.convictionChanged(e.Trait, "another daemon's evidence")
 	}
 }
--- a/internal/decision/conductor/fleet.go
+++ b/internal/decision/conductor/fleet.go
@@ -171,7 +171,7 @@
 			f.loading[k] = m.now + l.ReadyIn
 		}
 	}
-	m.mergeSuspects(fleet.Suspects, true)
+	m.mergeSuspects(fleet.Suspects)
 	m.rateLimitsReceived(fleet.RateLimits)
 	m.dispatchQueues()
 }
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -141,12 +141,16 @@
 	evidenceKeepers = 2
 	// evidenceDelay is how long new evidence is collected before it is sent, evidenceRepetitions how often it is sent and
 	// evidenceRepeatInterval the time in between.
-	evidenceDelay          = 5 * time.Millisecond
-	evidenceRepetitions    = 3
-	evidenceRepeatInterval = 250 * time.Millisecond
+	evidenceDelay          = 100 * time.Millisecond
+	evidenceRepetitions    = 2
+	evidenceRepeatInterval = 300 * time.Millisecond
+	// maxReportedTraits bounds the traits that are remembered as reported.
+	maxReportedTraits = 4096
+	// broadcastDelay is how long a keeper waits for the store to take a conviction before it tells all daemons itself.
+	broadcastDelay = 200 * time.Millisecond
 	// evidenceExpiryInterval is how often old evidence is dropped.
 	evidenceExpiryInterval = 5 * time.Second
-	// convictionInterval is how often a keeper sends all convictions again.
+	// convictionInterval is how often a keeper sends all convictions again that the store doesn't have.
 	convictionInterval = 5 * time.Second
 	// convictionRecordTTL is how long a conviction's record outlives its last writing. Leases last no longer.
 	convictionRecordTTL = 10 * time.Minute
@@ -161,18 +165,19 @@
 	originTTL = 2 * time.Minute
 	// maxOrigins bounds the streams whose origins are kept.
 	maxOrigins = 1 << 16
-	// minRegistrars is the minimum number of daemons that hold origins, originHolders the number of those that hold the origins of
-	// one daemon.
-	minRegistrars = 4
-	originHolders = 3
-	// minOriginReportDelay and maxOriginReportDelay bound how long streams are collected before they are reported,
-	// originRepetitions is how often each is.
-	minOriginReportDelay = 50 * time.Millisecond
-	maxOriginReportDelay = 500 * time.Millisecond
-	originRepetitions    = 2
+	// minRegistrars is the minimum number of daemons that hold origins, daemonsPerRegistrar the number of daemons for each of them,
+	// originHolders the number of those that hold the origins of one daemon.
+	minRegistrars       = 4
+	daemonsPerRegistrar = 4
+	originHolders       = 3
+	// largeFleet is the number of daemons from which on one holder less is enough, and reports are sent less often.
+	largeFleet = 32
+	// originReportDelay is how long streams are collected before they are reported, largeFleetReportDelay the same in a large fleet.
+	originReportDelay     = 200 * time.Millisecond
+	largeFleetReportDelay = 400 * time.Millisecond
 	// originAskInterval is how long a daemon waits for an origin that it has asked for, maxOriginAsks how often it asks.
 	originAskInterval = 150 * time.Millisecond
-	maxOriginAsks     = 4
+	maxOriginAsks     = 3
 	// versionInterval is how often the registered versions are noted.
 	versionInterval = time.Second
 
--- a/internal/decision/conductor/origin.go
+++ b/internal/decision/conductor/origin.go
@@ -19,8 +19,8 @@
 type originState struct {
 	// known holds the origins of streams by the hash of the ID of the caller's attempt that began them.
 	known map[uint64]origin
-	// unreported holds the streams to report to the holders, with how often.
-	unreported map[uint64]int
+	// unreported holds the streams to report to the holders.
+	unreported map[uint64]bool
 	// reportAt is when the next report is due, 0 for none. expireAt is when old origins are dropped.
 	reportAt time.Duration
 	expireAt time.Duration
@@ -125,18 +125,20 @@
 func (m *Machine) reportOrigin(id uint64) {
 	s := &m.origins
 	if s.unreported == nil {
-		s.unreported = make(map[uint64]int)
+		s.unreported = make(map[uint64]bool)
 	}
-	s.unreported[id] = originRepetitions
+	s.unreported[id] = true
 	if s.reportAt == 0 {
 		s.reportAt = m.now + m.originReportDelay()
 	}
 }
 
-// originReportDelay returns how long streams are collected before they are reported. It grows with the number of daemons, since
-// so do the reports that each holder gets.
+// originReportDelay returns how long streams are collected before they are reported.
 func (m *Machine) originReportDelay() time.Duration {
-	return min(minOriginReportDelay+time.Duration(len(m.daemons))*time.Millisecond, maxOriginReportDelay)
+	if len(m.daemons) >= largeFleet {
+		return largeFleetReportDelay
+	}
+	return originReportDelay
 }
 
 // reportStreams schedules the reports of all streams of a service that this daemon has begun.
@@ -153,7 +155,7 @@
 	s := &m.origins
 	if s.registrars == nil {
 		daemons := m.registeredDaemons()
-		s.registrars = spreadOverZones(daemons, max(minRegistrars, len(daemons)/daemonsPerFollower))
+		s.registrars = spreadOverZones(daemons, max(minRegistrars, len(daemons)/daemonsPerRegistrar))
 		s.holders = nil
 	}
 	return s.registrars
@@ -164,9 +166,13 @@
 	s := &m.origins
 	names := m.registrarNames()
 	if s.holders == nil && len(names) > 0 {
+		count := originHolders
+		if len(m.daemons) >= largeFleet {
+			count--
+		}
 		first := int(xxhash.Sum64String(m.settings.Self.Name) % uint64(len(names)))
 		for i := range names {
-			if name := names[(first+i)%len(names)]; name != m.settings.Self.Name && len(s.holders) < originHolders {
+			if name := names[(first+i)%len(names)]; name != m.settings.Self.Name && len(s.holders) < count {
 				s.holders = append(s.holders, name)
 			}
 		}
@@ -195,14 +201,9 @@
 		if o, ok := s.known[id]; ok {
 			list = append(list, messenger.StreamOrigin{Stream: id, SoftwareVersion: o.version})
 		}
-		if s.unreported[id]--; s.unreported[id] <= 0 {
-			delete(s.unreported, id)
-		}
 	}
+	clear(s.unreported)
 	s.reportAt = 0
-	if len(s.unreported) > 0 {
-		s.reportAt = m.now + m.originReportDelay()
-	}
 	if len(list) > 0 {
 		message := m.newMessage()
 		message.Origins = &messenger.Origins{Origins: list}
--- a/internal/decision/conductor/stream_versions_test.go
+++ b/internal/decision/conductor/stream_versions_test.go
@@ -19,7 +19,7 @@
 	const tick = 10 * time.Millisecond
 	var list []*virtualStream
 	for at := time.Duration(0); at < duration; at += tick {
-		if f.rng.Float64() < perSecond*tick.Seconds() {
+		for due := perSecond * tick.Seconds(); f.rng.Float64() < due; due-- {
 			stream := &virtualStream{versions: make(map[string]bool)}
 			list = append(list, stream)
 			f.after(at, func() { f.send(stream, firstPart) })
--- a/internal/decision/conductor/virtual_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -109,6 +109,7 @@
 	crashes     []time.Duration
 	poisonSends []time.Duration
 	withoutLead bool
+	traffic     traffic
 	// convictions are the records in the store; storeAway reports whether the store takes none.
 	convictions map[string]Conviction
 	storeAway   bool
@@ -276,6 +277,7 @@
 	case PollServer:
 		f.after(fleetConnectDelay, func() { f.polled(d, e) })
 	case SendPeer:
+		f.traffic.count(f.now, e.Message, self.PeerAddress, e.Address)
 		for _, other := range f.daemons {
 			if other.machine != nil && other.machine.settings.Self.PeerAddress == e.Address {
 				f.after(fleetPeerDelay, func() { f.step(other, PeerReceived{Message: e.Message}) })
@@ -341,6 +343,7 @@
 func (f *virtualFleet) relay(from Daemon, message messenger.Message) {
 	for _, other := range f.daemons {
 		if other.machine != nil && f.upstreams[other.machine.settings.Self.PeerAddress] == from.PeerAddress {
+			f.traffic.count(f.now, message, from.PeerAddress, other.machine.settings.Self.PeerAddress)
 			f.after(fleetRelayDelay, func() { f.step(other, PeerReceived{Message: message}) })
 		}
 	}
--- a/internal/edge/follower/follower_test.go
+++ b/internal/edge/follower/follower_test.go
@@ -118,7 +118,7 @@
 	if err != nil || got != want {
 		t.Errorf("got %+v, %v, want %+v", got, err, want)
 	}
-	conviction := conductor.Conviction{Trait: attributor.Trait{Kind: attributor.KindPart, Hash: 1 << 63}, Depth: 1, Convictions: 2, Hold: time.Minute, Revision: 9}
+	conviction := conductor.Conviction{Trait: attributor.Trait{Kind: attributor.KindPart, Hash: 1 << 63}, Depth: 1, Convictions: 2, EvidenceAge: time.Second, Hold: time.Minute, Revision: 9}
 	convictionValue, err := EncodeConviction(conviction)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/edge/follower/record.go
+++ b/internal/edge/follower/record.go
@@ -46,7 +46,9 @@
 type convictionRecord struct {
 	Depth       int
 	Convictions int
-	HoldMS      int64
+	// EvidenceAgeMS is the time since the last crash, HoldMS for how much longer requests are held back.
+	EvidenceAgeMS int64
+	HoldMS        int64
 }
 
 // DaemonKey returns the key of a daemon's record.
@@ -94,7 +96,7 @@
 
 // EncodeConviction returns the encoded record that requests with a trait crash servers.
 func EncodeConviction(c conductor.Conviction) ([]byte, error) {
-	value, err := json.Marshal(convictionRecord{Depth: c.Depth, Convictions: c.Convictions, HoldMS: c.Hold.Milliseconds()})
+	value, err := json.Marshal(convictionRecord{Depth: c.Depth, Convictions: c.Convictions, EvidenceAgeMS: c.EvidenceAge.Milliseconds(), HoldMS: c.Hold.Milliseconds()})
 	if err != nil {
 		return nil, fmt.Errorf("encode conviction: %w", err)
 	}
@@ -115,7 +117,10 @@
 	if err := json.Unmarshal(e.Value, &r); err != nil {
 		return conductor.Conviction{}, fmt.Errorf("decode %s: %w", e.Key, err)
 	}
-	return conductor.Conviction{Trait: t, Depth: r.Depth, Convictions: r.Convictions, Hold: time.Duration(r.HoldMS) * time.Millisecond, Revision: e.Revision}, nil
+	return conductor.Conviction{
+		Trait: t, Depth: r.Depth, Convictions: r.Convictions, EvidenceAge: time.Duration(r.EvidenceAgeMS) * time.Millisecond,
+		Hold: time.Duration(r.HoldMS) * time.Millisecond, Revision: e.Revision,
+	}, nil
 }
 
 // VersionsKey returns the key of the record that a service has had several software versions lately.
