fix: which crashes are kept of many doesn't depend on the order in which evidence arrives

Reading the cause showed that the first crashes of a server were kept, and the first time at which one was seen, so that two keepers could hold different ones.

--- a/internal/decision/attributor/record.go
+++ b/internal/decision/attributor/record.go
@@ -6,30 +6,33 @@
 	"time"
 )
 
-// addCrash adds a crash unless it is known. Those before the last answer don't count, and of many the latest are kept.
+// addCrash adds a crash unless it is known. Those before the last answer don't count, and of many the latest are kept, whatever the
+// order in which they arrive.
 func (r *record) addCrash(c Crash) bool {
 	if r.Answered && c.At <= r.AnsweredAt {
 		return false
 	}
-	ofServer := 0
-	for _, other := range r.Crashes {
-		if other.Server != c.Server {
-			continue
-		}
-		ofServer++
-		if other.Request == c.Request || ofServer == maxCrashesPerServer {
-			return false
-		}
-	}
-	if len(r.Crashes) >= maxCrashes {
-		oldest := slices.MinFunc(r.Crashes, func(a, b Crash) int { return cmp.Compare(a.At, b.At) })
-		if c.At <= oldest.At {
-			return false
-		}
-		r.Crashes = slices.DeleteFunc(r.Crashes, func(other Crash) bool { return other == oldest })
+	if i := slices.IndexFunc(r.Crashes, c.sameAs); i >= 0 {
+		r.Crashes[i].At = min(r.Crashes[i].At, c.At)
+		return false
 	}
 	r.Crashes = append(r.Crashes, c)
-	return true
+	slices.SortFunc(r.Crashes, compareCrashes)
+	ofServer := make(map[uint64]int)
+	r.Crashes = slices.DeleteFunc(r.Crashes, func(other Crash) bool {
+		ofServer[other.Server]++
+		return ofServer[other.Server] > maxCrashesPerServer
+	})
+	r.Crashes = r.Crashes[:min(len(r.Crashes), maxCrashes)]
+	return slices.Contains(r.Crashes, c)
+}
+
+// sameAs reports whether both are the end of the same server under the same request. Daemons may have seen it at different times.
+func (c Crash) sameAs(other Crash) bool { return c.Server == other.Server && c.Request == other.Request }
+
+// compareCrashes orders crashes, the latest first.
+func compareCrashes(a, b Crash) int {
+	return cmp.Or(cmp.Compare(b.At, a.At), cmp.Compare(a.Server, b.Server), cmp.Compare(a.Request, b.Request))
 }
 
 // answer records that a request with the trait was answered, which clears it. It reports whether there was anything to clear.
