--- a/internal/peer/messenger/client_test.go
+++ b/internal/peer/messenger/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -218,3 +219,39 @@
 		t.Errorf("got %d bytes sent, want at most %d", got, want)
 	}
 }
+
+// TestSilentConnectionToDaemon checks that messages arrive again soon after a connection has gone silent for good.
+func TestSilentConnectionToDaemon(t *testing.T) {
+	received := make(chan Message, 16)
+	var silent atomic.Bool
+	var silentConn atomic.Value
+	handler := (&Server{Receive: func(m Message) { received <- m }}).Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if silent.Load() && silentConn.Load() == r.RemoteAddr {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			return
+		}
+		silentConn.CompareAndSwap(nil, r.RemoteAddr)
+		handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	client := &Client{}
+	address := strings.TrimPrefix(server.URL, "http://")
+	assertSent(t, client.Send(t.Context(), address, heartbeatMessage(1)))
+	<-received
+	awaitQueue(t, client, address, 0)
+	silent.Store(true)
+	start := time.Now()
+	for n := 2; ; n++ {
+		assertSent(t, client.Send(t.Context(), address, heartbeatMessage(n)))
+		select {
+		case <-received:
+			if got, want := time.Since(start), 2*DefaultTimeout; got > want {
+				t.Errorf("got a message after %v, want one within %v", got, want)
+			}
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
