--- a/internal/edge/launcher/logging.go
+++ b/internal/edge/launcher/logging.go
@@ -32,7 +32,7 @@
 		line = line.Str("SoftwareVersion", e.SoftwareVersion)
 	}
 	if e.OriginID != "" {
-		line = line.Str("Resumes", e.OriginID)
+		line = line.Str("Origin", e.OriginID)
 	}
 	if e.FirstLatency > 0 {
 		line = line.Int64("FirstMs", e.FirstLatency.Milliseconds())
