fix: a daemon of the planned size takes the messages of all others

What callers would see: with 3,000 servers no daemon gets the updates that a follower relays, so that all of them watch the store; and a leader or keeper refuses the connections of most of 420 daemons. Found while reading what the new messages need; no fleet of that size was run.

--- a/internal/edge/launcher/daemon.go
+++ b/internal/edge/launcher/daemon.go
@@ -30,9 +30,12 @@
 	// exitTimeout bounds how long connections may stay open after the last request of a planned stop.
 	exitTimeout = 300 * time.Millisecond
 	// reservedDescriptors are kept for files and for connections to servers, daemons and the store.
-	reservedDescriptors = 1200
+	reservedDescriptors = 1800
 	// minConnections is the least limit of a listener's connections, however few descriptors there are.
 	minConnections = 256
+	// maxPeerConnections allows each of 420 daemons two connections, maxPeerMessageBytes a snapshot of the entries of 3,000 servers.
+	maxPeerConnections  = 900
+	maxPeerMessageBytes = 8 << 20
 	// idleTimeoutMargin is added to the configured idle timeout that callers rely on, so that a request that is sent at the
 	// last moment is still read.
 	idleTimeoutMargin = 5 * time.Second
@@ -150,7 +153,7 @@
 		limits  acceptor.Limits
 	}{
 		{"Front", d.settings.CallerAddress, d.gateway(), limits},
-		{"Peer", d.settings.PeerAddress, d.peerHandler(), internalLimits},
+		{"Peer", d.settings.PeerAddress, d.peerHandler(), peerLimits()},
 		{"Ready", d.settings.ReadinessAddress, d.platform.Ready(d.ready), internalLimits},
 		{"Directory", d.settings.DirectoryAddress, d.platform.Directory(d.addresses), internalLimits},
 	} {
@@ -165,6 +168,11 @@
 	return nil
 }
 
+// peerLimits returns the limits for other daemons, all of which may have evidence for the same keeper or demand for the leader.
+func peerLimits() acceptor.Limits {
+	return acceptor.Limits{MaxConnections: maxPeerConnections, MaxBodyBytes: maxPeerMessageBytes}
+}
+
 // defaultBodyBytes bounds the body of a request until a configuration is loaded.
 const defaultBodyBytes = 4 << 20
 
