fix: a keeper waits for the store before it announces its first conviction

The interval after which convictions are sent again had passed at the first one, so that it was sent to all followers at once, besides the record in the store. TestControlTraffic's bound held before too.

--- a/internal/decision/conductor/evidence.go
+++ b/internal/decision/conductor/evidence.go
@@ -71,7 +71,9 @@
 	if e, _ := m.crashes.attributor.Evidence(t); e.Convicted() && !m.store.unavailable {
 		at += broadcastDelay
 	}
-	schedule(&m.crashes.exchange.broadcasts, t, at)
+	x := &m.crashes.exchange
+	schedule(&x.broadcasts, t, at)
+	x.announceAt = max(x.announceAt, m.now+convictionInterval)
 }
 
 func schedule(list *map[attributor.Trait]*repetition, t attributor.Trait, at time.Duration) {
