--- a/internal/decision/attributor/record.go
+++ b/internal/decision/attributor/record.go
@@ -28,7 +28,9 @@
 }
 
 // sameAs reports whether both are the end of the same server under the same request. Daemons may have seen it at different times.
-func (c Crash) sameAs(other Crash) bool { return c.Server == other.Server && c.Request == other.Request }
+func (c Crash) sameAs(other Crash) bool {
+	return c.Server == other.Server && c.Request == other.Request
+}
 
 // compareCrashes orders crashes, the latest first.
 func compareCrashes(a, b Crash) int {
