--- a/internal/decision/attributor/judge.go
+++ b/internal/decision/attributor/judge.go
@@ -66,16 +66,16 @@
 // NextAt returns when Judge may convict a trait without new evidence, false if it won't.
 func (a *Attributor) NextAt() (time.Duration, bool) {
 	explained := a.explainedByParts()
-	next, any := time.Duration(0), false
+	next, found := time.Duration(0), false
 	for _, r := range a.records {
 		if r.Trait.Kind != KindPart || r.Convicted() {
 			continue
 		}
-		if at, ok := r.convictableAt(explained); ok && (!any || at < next) {
-			next, any = at, true
+		if at, ok := r.convictableAt(explained); ok && (!found || at < next) {
+			next, found = at, true
 		}
 	}
-	return next, any
+	return next, found
 }
 
 // explainedByParts returns the servers whose end a convicted part explains.
--- a/internal/decision/conductor/conviction.go
+++ b/internal/decision/conductor/conviction.go
@@ -83,7 +83,7 @@
 	m.logTrait(t, change, reason)
 	c.checkAt = m.now
 	if !m.isFirstKeeper() {
-		c.checkAt = m.now + convictionRecordDelay
+		c.checkAt = m.now + secondKeeperDelay
 	}
 	m.broadcastLater(t)
 	if e.Convicted() {
@@ -191,7 +191,7 @@
 	for _, t := range m.crashes.attributor.Traits() {
 		e, _ := m.crashes.attributor.Evidence(t)
 		if stored := c.stored[t]; e.Convicted() && stored.Convictions < e.Convictions {
-			c.checkAt = m.now + convictionRetryDelay
+			c.checkAt = m.now + recordRetryDelay
 			m.emit(StoreConviction{TTL: convictionRecordTTL, Conviction: Conviction{Trait: t, Depth: e.Depth, Convictions: e.Convictions, EvidenceAge: m.now - e.ConvictedAt, Hold: max(e.HeldUntil-m.now, 0)}})
 		}
 	}
--- a/internal/decision/conductor/crash.go
+++ b/internal/decision/conductor/crash.go
@@ -150,7 +150,7 @@
 	}
 	if m.now >= c.expireAt {
 		c.attributor.Expire(m.now)
-		c.expireAt = m.now + evidenceExpiryInterval
+		c.expireAt = m.now + expiryInterval
 	}
 	m.tickEvidence()
 	m.tickConvictions()
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -148,16 +148,16 @@
 	maxReportedTraits = 4096
 	// broadcastDelay is how long a keeper waits for the store to take a conviction before it tells all daemons itself.
 	broadcastDelay = 200 * time.Millisecond
-	// evidenceExpiryInterval is how often old evidence is dropped.
-	evidenceExpiryInterval = 5 * time.Second
+	// expiryInterval is how often old evidence and origins are dropped.
+	expiryInterval = 5 * time.Second
 	// convictionInterval is how often a keeper sends all convictions again that the store doesn't have.
 	convictionInterval = 5 * time.Second
 	// convictionRecordTTL is how long a conviction's record outlives its last writing. Leases last no longer.
 	convictionRecordTTL = 10 * time.Minute
-	// convictionRecordDelay is how long the second keeper waits for the first one's record, convictionRetryDelay how long a
-	// keeper waits for its own.
-	convictionRecordDelay = 500 * time.Millisecond
-	convictionRetryDelay  = time.Second
+	// secondKeeperDelay is how long the second keeper waits for a record of the first one in the store, recordRetryDelay how long a
+	// keeper waits for its own before it writes that again.
+	secondKeeperDelay = 500 * time.Millisecond
+	recordRetryDelay  = time.Second
 	// trialRetryDelay is the least retry delay for a request that is held back because such requests crash servers.
 	trialRetryDelay = 5 * time.Second
 
--- a/internal/decision/conductor/origin.go
+++ b/internal/decision/conductor/origin.go
@@ -184,7 +184,7 @@
 func (m *Machine) tickOrigins() {
 	s := &m.origins
 	if m.now >= s.expireAt {
-		s.expireAt = m.now + evidenceExpiryInterval
+		s.expireAt = m.now + expiryInterval
 		m.expireOrigins()
 	}
 	if holders := m.holderNames(); !slices.Equal(holders, s.reportedTo) {
--- a/internal/decision/conductor/versions.go
+++ b/internal/decision/conductor/versions.go
@@ -93,7 +93,7 @@
 	}
 	m.emit(LogStateChange{Subject: "Service " + service, Change: "VersionsMixed", Version: int64(len(v.seenAt))})
 	if v.recordAt = m.now; !m.isFirstKeeper() {
-		v.recordAt = m.now + convictionRecordDelay
+		v.recordAt = m.now + secondKeeperDelay
 	}
 	m.reportStreams(service)
 }
@@ -114,7 +114,7 @@
 		if m.now < v.mixedUntil && m.isKeeper() {
 			v.recordAt = m.now + originTTL/2
 			if !v.recorded {
-				v.recordAt = m.now + convictionRetryDelay
+				v.recordAt = m.now + recordRetryDelay
 			}
 			if m.isFirstKeeper() || !v.recorded {
 				m.emit(RecordVersions{Service: service, TTL: originTTL})
--- a/internal/peer/messenger/fleet.go
+++ b/internal/peer/messenger/fleet.go
@@ -13,6 +13,7 @@
 	Models               []ModelDemand
 	// InFlight is the number of the sender's running requests, by server.
 	InFlight map[string]int
+	// Suspects is set by earlier versions, which send no Evidence.
 	Suspects []Suspect
 	Absences []Absence
 	// RateLimits are those that have changed, or differ from the leader's.
@@ -64,6 +65,7 @@
 	Sequence int64
 	Servers  []FleetServer
 	Loading  []Loading
+	// Suspects is set by earlier versions, which send no Evidence.
 	Suspects []Suspect
 	// ConfigurationVersion is the configuration version in force at the sender.
 	ConfigurationVersion int64
