--- a/internal/peer/messenger/client_test.go
+++ b/internal/peer/messenger/client_test.go
@@ -124,6 +124,11 @@
 	server.Close()
 	client := &Client{}
 	assertSent(t, client.Send(context.Background(), address, heartbeatMessage(1)))
+	awaitNoPeer(client, address)
+}
+
+// awaitNoPeer waits until all messages to a daemon were sent or dropped.
+func awaitNoPeer(client *Client, address string) {
 	for hasPeer := true; hasPeer; time.Sleep(time.Millisecond) {
 		client.mu.Lock()
 		_, hasPeer = client.peers[address]
@@ -240,7 +245,7 @@
 	address := strings.TrimPrefix(server.URL, "http://")
 	assertSent(t, client.Send(t.Context(), address, heartbeatMessage(1)))
 	<-received
-	awaitQueue(t, client, address, 0)
+	awaitNoPeer(client, address)
 	silent.Store(true)
 	start := time.Now()
 	for n := 2; ; n++ {
