perf: judging the evidence of crashes no longer walks all of it

Traits that may become convicted, with three crashes or more, are kept apart; most of a storm's have one or two. An answer no longer has the evidence judged, since it only takes evidence away.

--- a/internal/decision/attributor/attributor.go
+++ b/internal/decision/attributor/attributor.go
@@ -38,6 +38,8 @@
 // An Attributor holds the evidence for traits. The zero value is ready to use.
 type Attributor struct {
 	records map[Trait]*record
+	// suspects are the records that may be or become convicted, and some that no longer may.
+	suspects map[Trait]*record
 	// answered holds when requests with a trait were last answered, also without any crash.
 	answered map[Trait]time.Duration
 }
@@ -62,6 +64,7 @@
 		r := a.recordOf(now, t)
 		r.Depth = max(depth-1, 0)
 		r.addCrash(crash)
+		a.noteSuspect(r)
 	}
 }
 
@@ -116,9 +119,21 @@
 	if own, ok := a.answered[e.Trait]; ok && (!r.Answered || own > r.AnsweredAt) {
 		knowsMore = r.answer(own)
 	}
+	a.noteSuspect(r)
 	return changed, knowsMore
 }
 
+// noteSuspect keeps a record among the suspects if it may be or become convicted.
+func (a *Attributor) noteSuspect(r *record) {
+	if !r.isSuspect() {
+		return
+	}
+	if a.suspects == nil {
+		a.suspects = make(map[Trait]*record)
+	}
+	a.suspects[r.Trait] = r
+}
+
 // recordOf returns the record of a trait, and creates it if there is none.
 func (a *Attributor) recordOf(now time.Duration, t Trait) *record {
 	if r, ok := a.records[t]; ok {
@@ -150,17 +165,25 @@
 			oldest = r
 		}
 	}
-	delete(a.records, oldest.Trait)
+	a.drop(oldest.Trait)
 }
 
 // Expire drops evidence that is too old.
 func (a *Attributor) Expire(now time.Duration) {
-	maps.DeleteFunc(a.records, func(_ Trait, r *record) bool {
+	for t, r := range a.records {
+		expiresAt := max(r.lastCrash(), r.AnsweredAt) + evidenceTTL
 		if r.Convicted() {
-			return now > r.HeldUntil+convictionTTL
+			expiresAt = r.HeldUntil + convictionTTL
 		}
-		return now > max(r.lastCrash(), r.AnsweredAt)+evidenceTTL
-	})
+		if now > expiresAt {
+			a.drop(t)
+		}
+	}
+}
+
+func (a *Attributor) drop(t Trait) {
+	delete(a.records, t)
+	delete(a.suspects, t)
 }
 
 // Evidence returns what is known of a trait.
--- a/internal/decision/attributor/judge.go
+++ b/internal/decision/attributor/judge.go
@@ -1,7 +1,6 @@
 package attributor
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -11,11 +10,7 @@
 func (a *Attributor) Judge(now time.Duration) []Verdict {
 	explained := make(map[uint64]bool)
 	verdicts := a.judgeParts(now, explained)
-	for _, t := range a.Traits() {
-		r := a.records[t]
-		if t.Kind != KindRequest {
-			continue
-		}
+	for _, r := range a.candidates(KindRequest) {
 		guilty := max(len(r.servers(explained)), r.ReportedCrashes) >= convictingCrashes
 		switch {
 		case guilty && (!r.Convicted() || r.failedTrial()):
@@ -34,10 +29,7 @@
 func (a *Attributor) judgeParts(now time.Duration, explained map[uint64]bool) []Verdict {
 	var verdicts []Verdict
 	var open []*record
-	for r := range maps.Values(a.records) {
-		if r.Trait.Kind != KindPart {
-			continue
-		}
+	for _, r := range a.candidates(KindPart) {
 		if at, ok := r.convictableAt(nil); r.Convicted() || ok && now >= at {
 			open = append(open, r)
 		}
@@ -67,8 +59,8 @@
 func (a *Attributor) NextAt() (time.Duration, bool) {
 	explained := a.explainedByParts()
 	next, found := time.Duration(0), false
-	for _, r := range a.records {
-		if r.Trait.Kind != KindPart || r.Convicted() {
+	for _, r := range a.candidates(KindPart) {
+		if r.Convicted() {
 			continue
 		}
 		if at, ok := r.convictableAt(explained); ok && (!found || at < next) {
@@ -78,11 +70,27 @@
 	return next, found
 }
 
+// candidates returns the records of a kind that may be or become convicted, sorted. In a storm most records have the crashes of one
+// or two servers.
+func (a *Attributor) candidates(kind Kind) []*record {
+	var list []*record
+	for t, r := range a.suspects {
+		switch {
+		case !r.isSuspect():
+			delete(a.suspects, t)
+		case t.Kind == kind:
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(x, y *record) int { return x.Trait.Compare(y.Trait) })
+	return list
+}
+
 // explainedByParts returns the servers whose end a convicted part explains.
 func (a *Attributor) explainedByParts() map[uint64]bool {
 	explained := make(map[uint64]bool)
-	for r := range maps.Values(a.records) {
-		if r.Trait.Kind == KindPart && r.Convicted() {
+	for _, r := range a.candidates(KindPart) {
+		if r.Convicted() {
 			for _, server := range r.servers(nil) {
 				explained[server] = true
 			}
--- a/internal/decision/attributor/record.go
+++ b/internal/decision/attributor/record.go
@@ -50,6 +50,11 @@
 	return cleared || len(r.Crashes) < known
 }
 
+// isSuspect reports whether the trait is or may become convicted.
+func (r *record) isSuspect() bool {
+	return r.Convicted() || max(len(r.Crashes), r.ReportedCrashes) >= convictingCrashes
+}
+
 func (r *record) lastCrash() time.Duration {
 	var last time.Duration
 	for _, c := range r.Crashes {
--- a/internal/decision/conductor/crash.go
+++ b/internal/decision/conductor/crash.go
@@ -135,7 +135,6 @@
 // requestAnswered clears the traits of a request that a server has answered whole.
 func (m *Machine) requestAnswered(r *request) {
 	for _, t := range m.crashes.attributor.AddAnswer(m.now, r.traits) {
-		m.crashes.changed = true
 		m.shareEvidence(t)
 		m.convictionChanged(t, "answered by a server")
 	}
@@ -172,9 +171,6 @@
 
 func (c *crashState) nextAt(m *Machine) time.Duration {
 	next := min(c.exchange.nextAt(m), c.convictions.nextAt())
-	if c.changed {
-		return m.now
-	}
 	if c.judgeAt > 0 {
 		next = min(next, c.judgeAt)
 	}
