--- a/internal/decision/conductor/attempt.go
+++ b/internal/decision/conductor/attempt.go
@@ -39,6 +39,9 @@
 	if s == nil {
 		return
 	}
+	if e.Cause != CauseBroken && e.Cause != CauseConnect {
+		s.lastEnd = attemptEnd{at: m.now, outcome: e.Outcome, cause: e.Cause}
+	}
 	switch e.Outcome {
 	case reducer.AttemptDone:
 		s.recordAnswer(e.Latency, e.Status >= 500)
--- a/internal/decision/conductor/crash.go
+++ b/internal/decision/conductor/crash.go
@@ -92,6 +92,7 @@
 // serverCrashed counts a crash for the requests whose connections to the server broke within the crash window. A server that was
 // leaving has ended as planned.
 func (m *Machine) serverCrashed(s *server) {
+	m.logServerEnd(s)
 	m.crashes.broken = slices.DeleteFunc(m.crashes.broken, func(b brokenConnection) bool {
 		if b.server != s.entry.ID || m.now > b.at+m.crashWindow() {
 			return false
@@ -103,6 +104,26 @@
 	})
 }
 
+// logServerEnd logs what ran at a server that has ended, and what had ended there shortly before.
+func (m *Machine) logServerEnd(s *server) {
+	broken := 0
+	for _, b := range m.crashes.broken {
+		if b.server == s.entry.ID && m.now <= b.at+m.crashWindow() {
+			broken++
+		}
+	}
+	last := s.lastEnd
+	if broken == 0 && (last.at == 0 || m.now > last.at+m.crashWindow()) {
+		return
+	}
+	detail := itoa(int64(broken)) + " attempts broke"
+	if last.at > 0 {
+		detail += ", the last one before ended " + (m.now - last.at).Round(time.Millisecond).String() + " ago: " + last.outcome.String() + " " + last.cause.String()
+	}
+	s.lastEnd = attemptEnd{}
+	m.emit(LogStateChange{Subject: "Server " + s.entry.ID, Change: "Ended", Age: m.now - s.seenAt, Detail: detail})
+}
+
 // crashWindow returns how long after a broken connection the end of the server counts as a crash: until the store removes the
 // entry of a server that no longer renews it.
 func (m *Machine) crashWindow() time.Duration { return m.settings.EntryTTL + crashDetectionMargin }
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -48,11 +48,20 @@
 	// downUntil is until when the server counts as down because it accepted no connection.
 	downUntil time.Duration
 	// errorShare is the smoothed share of error answers, latency the smoothed time to the first part of an answer.
-	errorShare  float64
-	latency     time.Duration
+	errorShare float64
+	latency    time.Duration
+	// lastEnd is the last attempt here that ended otherwise than by a broken connection.
+	lastEnd     attemptEnd
 	cachedParts partsCache
 }
 
+// An attemptEnd is how and when an attempt ended, zero for none.
+type attemptEnd struct {
+	at      time.Duration
+	outcome reducer.AttemptOutcome
+	cause   Cause
+}
+
 // A partsCache records which parts of prompts a server has processed recently and is likely to have cached.
 type partsCache struct {
 	// at holds for each part the value of clock when the server last processed it; clock counts processed parts.
