--- a/internal/decision/conductor/virtual_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -56,7 +56,9 @@
 
 // A virtualRequest is a request that a virtualFleet's caller has sent.
 type virtualRequest struct {
-	poison    bool
+	poison bool
+	// crashing is set for a request that crashes engines after its begin.
+	crashing  *crashingRequest
 	arrivedAt time.Duration
 	begun     bool
 	refused   RefusalReason
--- a/internal/decision/conductor/virtual_server_test.go
+++ b/internal/decision/conductor/virtual_server_test.go
@@ -114,6 +114,8 @@
 	f.after(fleetFirstEvent, func() {
 		switch {
 		case !running():
+		case request.crashing != nil:
+			f.beginCrashing(d, e, s, *request.crashing)
 		case request.poison:
 			f.crash(s)
 		default:
