fix: a request whose servers end after its attempts have ended is held back

Cause: the end of a server was counted only against requests whose connections broke with it. An attempt that ended a moment earlier, since its caller left, its deadline passed, the server was silent or it had a whole answer, left no evidence; the answer even cleared what was known. In the users' record the attempt at i-3cc64e15ed was cancelled at 36.147 s and the engine ended at 36.173 s.

Class: the order of two events decides what is known, where only their distance should. The servers' own outcome is known later than the attempt's.

Now attempts that ended are kept with their server until it has outlived them by 250 ms, shown by any later answer of it or a poll; only then an answer clears. If the server ends before, they count like those that broke. Without a broken connection the time of the end isn't known, and only the whole request is suspected.

--- a/internal/decision/attributor/attributor.go
+++ b/internal/decision/attributor/attributor.go
@@ -209,6 +209,13 @@
 	return ok && (r.Convicted() || len(r.servers(nil)) >= convictingCrashes-1)
 }
 
+// Questioned reports whether an answer matters for a trait: a server has ended under that very request, or several under requests
+// with that part.
+func (a *Attributor) Questioned(t Trait) bool {
+	r, ok := a.records[t]
+	return ok && (len(r.Crashes) > 0 && t.Kind == KindRequest || a.Suspected(t))
+}
+
 // HoldingTrait returns the trait for which a request is held back, if any, and for how much longer.
 func (a *Attributor) HoldingTrait(now time.Duration, traits []Trait) (Trait, time.Duration, bool) {
 	for _, t := range traits {
--- a/internal/decision/conductor/attempt.go
+++ b/internal/decision/conductor/attempt.go
@@ -13,6 +13,9 @@
 		return
 	}
 	r.answerStarted = true
+	if r.server != nil {
+		m.serverAlive(r.server, m.now)
+	}
 	m.streamStarted(r)
 }
 
@@ -45,12 +48,14 @@
 	switch e.Outcome {
 	case reducer.AttemptDone:
 		s.recordAnswer(e.Latency, e.Status >= 500)
-		if e.Status < 300 {
-			m.requestAnswered(r)
-		}
+		m.serverAlive(s, m.now)
+		m.recordEnd(r, s, e.Status < 300)
 		return
 	case reducer.AttemptCancelled:
+		m.recordEnd(r, s, false)
 		return
+	case reducer.AttemptNotRun:
+		m.serverAlive(s, m.now)
 	}
 	switch e.Cause {
 	case CauseFull:
@@ -71,6 +76,7 @@
 		m.serverCrashed(s)
 	case CauseTimeout, CauseInvalid, CauseError:
 		m.serverFailed(s, e.Cause)
+		m.recordEnd(r, s, false)
 	case CauseNone:
 	}
 }
--- a/internal/decision/conductor/crash.go
+++ b/internal/decision/conductor/crash.go
@@ -47,12 +47,27 @@
 	c := &m.crashes
 	c.broken = slices.DeleteFunc(c.broken, func(b brokenConnection) bool { return m.now > b.at+m.crashWindow() })
 	c.broken = append(c.broken, brokenConnection{server: s.entry.ID, request: r.Fingerprint, traits: r.traits, at: m.now})
-	if r.needsModel() && !slices.ContainsFunc(c.probes, func(p crashProbe) bool { return p.server == s.entry.ID }) {
-		c.probes = append(c.probes, crashProbe{server: s.entry.ID, at: m.now + crashProbeDelay, left: crashProbes})
+	if r.needsModel() {
+		m.probeLater(s, m.now+crashProbeDelay, crashProbes)
 	}
 }
 
-// tickProbes polls the servers whose connections broke. A server that has ended accepts no connection.
+// probeLater schedules polls of a server that may have ended, unless one is due earlier.
+func (m *Machine) probeLater(s *server, at time.Duration, polls int) {
+	c := &m.crashes
+	if slices.ContainsFunc(c.probes, func(p crashProbe) bool { return p.server == s.entry.ID && p.at <= at }) {
+		return
+	}
+	c.probes = slices.DeleteFunc(c.probes, func(p crashProbe) bool { return p.server == s.entry.ID })
+	c.probes = append(c.probes, crashProbe{server: s.entry.ID, at: at, left: polls})
+}
+
+// awaitsEnd reports whether the end of a server would be evidence.
+func (m *Machine) awaitsEnd(s *server) bool {
+	return len(s.ended) > 0 || slices.ContainsFunc(m.crashes.broken, func(b brokenConnection) bool { return b.server == s.entry.ID })
+}
+
+// tickProbes polls the servers that may have ended. A server that has ended accepts no connection.
 func (m *Machine) tickProbes() {
 	c := &m.crashes
 	var due []crashProbe
@@ -64,7 +79,7 @@
 	})
 	for _, p := range due {
 		s, ok := m.servers[p.server]
-		if !ok || !slices.ContainsFunc(c.broken, func(b brokenConnection) bool { return b.server == p.server }) {
+		if !ok || !m.awaitsEnd(s) {
 			continue
 		}
 		m.countSend(s)
@@ -75,17 +90,20 @@
 	}
 }
 
-// probeAnswered handles the answer to a poll of a server whose connections broke.
+// probeAnswered handles the answer to a poll of a server that may have ended.
 func (m *Machine) probeAnswered(e ServerReported) {
 	s, ok := m.servers[e.Server]
-	if !ok || !slices.ContainsFunc(m.crashes.broken, func(b brokenConnection) bool { return b.server == e.Server }) {
+	if !ok || !m.awaitsEnd(s) {
 		return
 	}
 	if e.Refused {
 		m.serverDown(s)
 	}
-	if e.Refused || e.OK && e.StartedAt != 0 && e.StartedAt != s.entry.StartedAt {
+	switch {
+	case e.Refused || e.OK && e.StartedAt != 0 && e.StartedAt != s.entry.StartedAt:
 		m.serverCrashed(s)
+	case e.OK:
+		m.serverAlive(s, e.SentAt)
 	}
 }
 
@@ -93,6 +111,9 @@
 // leaving has ended as planned.
 func (m *Machine) serverCrashed(s *server) {
 	m.logServerEnd(s)
+	for _, b := range m.takeEnded(s) {
+		m.countCrash(b, s)
+	}
 	m.crashes.broken = slices.DeleteFunc(m.crashes.broken, func(b brokenConnection) bool {
 		if b.server != s.entry.ID || m.now > b.at+m.crashWindow() {
 			return false
@@ -153,14 +174,6 @@
 	})
 }
 
-// requestAnswered clears the traits of a request that a server has answered whole.
-func (m *Machine) requestAnswered(r *request) {
-	for _, t := range m.crashes.attributor.AddAnswer(m.now, r.traits) {
-		m.shareEvidence(t)
-		m.convictionChanged(t, "answered by a server")
-	}
-}
-
 // tickCrashes does what is due with crashes and the evidence of them.
 func (m *Machine) tickCrashes() {
 	c := &m.crashes
@@ -169,6 +182,7 @@
 		m.judge()
 	}
 	if m.now >= c.expireAt {
+		m.expireEnded()
 		c.attributor.Expire(m.now)
 		c.expireAt = m.now + expiryInterval
 	}
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -137,6 +137,11 @@
 	crashProbeDelay    = 20 * time.Millisecond
 	crashProbes        = 2
 	crashProbeInterval = 200 * time.Millisecond
+	// crashLag is how long after the end of an attempt its server may end because of it. An answer counts for a request only
+	// once its server has outlived it.
+	crashLag = 250 * time.Millisecond
+	// maxEndedAttempts bounds the attempts that are kept for each server until it has outlived them.
+	maxEndedAttempts = 256
 	// evidenceKeepers is the number of daemons that merge the evidence of crashes.
 	evidenceKeepers = 2
 	// evidenceDelay is how long new evidence is collected before it is sent, evidenceRepetitions how often it is sent and
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -51,7 +51,9 @@
 	errorShare float64
 	latency    time.Duration
 	// lastEnd is the last attempt here that ended otherwise than by a broken connection.
-	lastEnd     attemptEnd
+	lastEnd attemptEnd
+	// ended holds the attempts that the server hasn't outlived yet, as far as is known.
+	ended       []endedAttempt
 	cachedParts partsCache
 }
 
