--- a/internal/decision/conductor/virtual_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -50,6 +50,9 @@
 	machine   *Machine
 	down      bool
 	startedAt time.Duration
+	// cutOff reports whether the daemon reaches no engine, wasCutOff whether it has lost its links in this play.
+	cutOff    bool
+	wasCutOff bool
 	// requests are those that the process has got.
 	requests []*virtualRequest
 }
@@ -61,8 +64,11 @@
 	crashing  *crashingRequest
 	arrivedAt time.Duration
 	begun     bool
-	refused   RefusalReason
-	ended     bool
+	// served reports whether the start of an answer was passed on, relayed whether another daemon has relayed the request.
+	served  bool
+	relayed bool
+	refused RefusalReason
+	ended   bool
 	// stream is the stream that the request belongs to, nil if that doesn't matter.
 	stream *virtualStream
 }
@@ -97,6 +103,8 @@
 	// crashes and poisonSends hold the times at which engines crashed and at which they got a request that crashes them.
 	crashes     []time.Duration
 	poisonSends []time.Duration
+	// falseDowns counts the engines that daemons with links have taken for down.
+	falseDowns  int
 	withoutLead bool
 	traffic     traffic
 	// convictions are the records in the store; storeAway reports whether the store takes none.
@@ -231,6 +239,8 @@
 		f.after(fleetConnectDelay, func() { f.recordVersions(e.Service) })
 	case DeleteConviction:
 		delete(f.convictions, fmt.Sprint(e.Conviction.Trait))
+	case LogStateChange:
+		f.falseDowns += boolToInt(e.Change == "Down" && !d.cutOff)
 	case Subscribe:
 		f.upstreams[self.PeerAddress] = e.Address
 	case Forward:
--- a/internal/decision/conductor/virtual_server_test.go
+++ b/internal/decision/conductor/virtual_server_test.go
@@ -100,7 +100,7 @@
 func (f *virtualFleet) sent(d *virtualDaemon, e Send) {
 	request := f.requests[e.Request]
 	s, ok := f.servers[e.Server]
-	if !ok || !s.up {
+	if !ok || !s.up || d.cutOff {
 		f.after(fleetConnectDelay, func() {
 			f.step(d, AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: reducer.AttemptNotSent, Cause: CauseConnect})
 		})
@@ -120,6 +120,7 @@
 			f.crash(s)
 		default:
 			request.begun = request.begun || e.Attempt == 1
+			request.served = true
 			f.streamGoesOn(request, e, s)
 			f.step(d, AttemptStarted{Request: e.Request, Attempt: e.Attempt})
 		}
@@ -135,6 +136,7 @@
 
 func (f *virtualFleet) polled(d *virtualDaemon, e PollServer) {
 	s, ok := f.servers[e.Server]
+	ok = ok && !d.cutOff
 	reported := ServerReported{Server: e.Server, SentAt: f.now - fleetConnectDelay, OK: ok && s.up, Refused: !ok || !s.up}
 	if reported.OK {
 		reported.StartedAt, reported.Report = s.entry.StartedAt, registrar.Report{Weights: s.entry.Weights}
