fix: answers whose servers aren't known to have outlived them clear a held-back part at once

Callers with a sound part of a prompt were refused for up to some seconds: an answer counts only once its server has shown life later, and at little load that comes late. When a part or request is held back, the engines that have answered such requests are polled.

--- a/internal/decision/conductor/conviction.go
+++ b/internal/decision/conductor/conviction.go
@@ -87,6 +87,7 @@
 	}
 	m.broadcastLater(t)
 	if e.Convicted() {
+		m.confirmAnswers(t)
 		m.refuseQueued(t)
 	}
 }
--- a/internal/decision/conductor/ended.go
+++ b/internal/decision/conductor/ended.go
@@ -29,6 +29,18 @@
 	}
 }
 
+// confirmAnswers polls the engines that have answered requests with a trait and may not have outlived them, so that these answers
+// count soon.
+func (m *Machine) confirmAnswers(t attributor.Trait) {
+	for _, id := range m.serverIDs() {
+		s := m.servers[id]
+		i := slices.IndexFunc(s.ended, func(e endedAttempt) bool { return e.answered && slices.Contains(e.traits, t) })
+		if i >= 0 && m.engineSettings(s.entry.Service) != nil {
+			m.probeLater(s, max(m.now, s.ended[i].at+crashLag), 1)
+		}
+	}
+}
+
 // serverAlive releases the attempts that a server has outlived. It showed life at the given time.
 func (m *Machine) serverAlive(s *server, at time.Duration) {
 	s.ended = slices.DeleteFunc(s.ended, func(e endedAttempt) bool {
