fix: a daemon checks its own link before it takes servers for ended or down

Cause: a failed connection was taken for the server's state, by the daemon itself and, passed on, by the leader and by the evidence of crashes. Class: what a daemon learns over one path is taken for the state of what lies behind it.

Now a failure has the daemon check another server over a new connection first, then three more. If one answers, the servers that weren't reached are to blame; if none does, its own link is down: it drops what it has concluded, says so in its record, gives up the leadership, and isn't a keeper of evidence. The leader polls an engine before it believes that it is down. A server that is silent for a connection may live, so that alone doesn't count as a crash.

Evidence: TestUnreachableServers, and the part of TestCallersOfHostsWithoutLinksToServers about servers taken for down.

--- a/internal/decision/conductor/attempt.go
+++ b/internal/decision/conductor/attempt.go
@@ -69,14 +69,16 @@
 	case CauseBroken:
 		m.serverFailed(s, e.Cause)
 		m.recordBrokenConnection(r, s)
+		m.doubtLink(s)
 	case CauseConnect:
 		m.serverFailed(s, e.Cause)
-		m.serverDown(s)
-		m.reportDown(s, r)
-		m.serverCrashed(s)
+		m.serverUnreachable(s, e.TimedOut)
 	case CauseTimeout, CauseInvalid, CauseError:
 		m.serverFailed(s, e.Cause)
 		m.recordEnd(r, s, false)
+		if e.Cause == CauseTimeout {
+			m.doubtLink(s)
+		}
 	case CauseNone:
 	}
 }
--- a/internal/decision/conductor/control.go
+++ b/internal/decision/conductor/control.go
@@ -32,6 +32,9 @@
 	polling bool
 	// polledAt is when the engine was last polled.
 	polledAt time.Duration
+	// reportedDown reports whether a daemon couldn't reach the engine, silentPolls counts the polls in a row without an answer.
+	reportedDown bool
+	silentPolls  int
 
 	// busy reports whether the engine has reported that it is carrying out an order, from whichever leader.
 	busy bool
@@ -202,6 +205,9 @@
 // too shortly after an order is ignored.
 func (m *Machine) serverReported(e ServerReported) {
 	m.probeAnswered(e)
+	if known, ok := m.servers[e.Server]; ok && e.Refused {
+		m.serverUnreachable(known, false)
+	}
 	engine, ok := m.placement.engines[e.Server]
 	s := m.servers[e.Server]
 	if !ok || s == nil {
@@ -209,9 +215,14 @@
 	}
 	engine.polling = false
 	if !e.OK || e.StartedAt != 0 && e.StartedAt != engine.startedAt {
+		engine.silentPolls++
+		if engine.reportedDown && engine.silentPolls >= silentPollsOfDown {
+			m.serverUnreachable(s, true)
+		}
 		engine.pollAt = m.now + reportInterval
 		return
 	}
+	engine.reportedDown, engine.silentPolls = false, 0
 	engine.confirmAdapters(e.SentAt, e.Report)
 	if engine.pendingOrder != nil || engine.orderedAt > 0 && e.SentAt < engine.orderedAt+reportLag {
 		engine.pollAt = max(m.now, engine.orderedAt) + reportLag
@@ -303,7 +314,9 @@
 func (m *Machine) absenceReported(a messenger.Absence) {
 	engine, ok := m.placement.engines[a.Server]
 	if ok && engine.startedAt == a.StartedAt && a.Model == "" {
-		m.serverDown(m.servers[a.Server])
+		// The daemon may have lost its own link, so the engine is polled before it counts as down.
+		engine.reportedDown = true
+		engine.pollAt = min(engine.pollAt, m.now)
 		return
 	}
 	if !ok || engine.startedAt != a.StartedAt || !engine.weights.HasLoaded(a.Model, a.Adapter) {
--- a/internal/decision/conductor/crash.go
+++ b/internal/decision/conductor/crash.go
@@ -44,6 +44,9 @@
 
 // recordBrokenConnection records a request whose connection broke while a server was running it.
 func (m *Machine) recordBrokenConnection(r *request, s *server) {
+	if m.link.down {
+		return
+	}
 	c := &m.crashes
 	c.broken = slices.DeleteFunc(c.broken, func(b brokenConnection) bool { return m.now > b.at+m.crashWindow() })
 	c.broken = append(c.broken, brokenConnection{server: s.entry.ID, request: r.Fingerprint, traits: r.traits, at: m.now})
@@ -96,11 +99,8 @@
 	if !ok || !m.awaitsEnd(s) {
 		return
 	}
-	if e.Refused {
-		m.serverDown(s)
-	}
 	switch {
-	case e.Refused || e.OK && e.StartedAt != 0 && e.StartedAt != s.entry.StartedAt:
+	case e.OK && e.StartedAt != 0 && e.StartedAt != s.entry.StartedAt:
 		m.serverCrashed(s)
 	case e.OK:
 		m.serverAlive(s, e.SentAt)
--- a/internal/decision/conductor/demand.go
+++ b/internal/decision/conductor/demand.go
@@ -136,11 +136,17 @@
 }
 
 // reportDown has the leader informed that a server accepts no connections.
-func (m *Machine) reportDown(s *server, r *request) {
+func (m *Machine) reportDown(s *server) {
+	if m.engineSettings(s.entry.Service) == nil {
+		return
+	}
 	m.demand.absences = append(m.demand.absences, messenger.Absence{Server: s.entry.ID, StartedAt: s.entry.StartedAt})
-	m.expediteDemand(r)
+	m.demand.reportSoon(m.now)
 }
 
+// isServerAbsence reports whether an absence is that of a whole server.
+func isServerAbsence(a messenger.Absence) bool { return a.Model == "" }
+
 // tickDemand reports this daemon's demand to the leader, which may be this daemon itself.
 func (m *Machine) tickDemand() {
 	d := &m.demand
--- a/internal/decision/conductor/event.go
+++ b/internal/decision/conductor/event.go
@@ -110,6 +110,8 @@
 	Latency time.Duration
 	// RetryAfter is the delay that a refusing server asked for.
 	RetryAfter time.Duration
+	// TimedOut reports whether a server that accepted no connection was silent rather than refusing.
+	TimedOut bool
 }
 
 // A ServerAdvised event carries what a server asks for in the header of an answer, as soon as that has arrived.
@@ -197,6 +199,8 @@
 	CPUMillicores int
 	// Stopping reports whether the daemon is in a planned stop.
 	Stopping bool
+	// LinkDown reports whether the daemon reaches no server.
+	LinkDown bool
 }
 
 // A Leader is the daemon that gives orders to engines.
--- a/internal/decision/conductor/evidence.go
+++ b/internal/decision/conductor/evidence.go
@@ -45,10 +45,17 @@
 	return next
 }
 
-// keeperNames returns the names of the daemons that merge evidence.
+// keeperNames returns the names of the daemons that merge evidence: the first followers with links to the servers, or the first
+// ones if none has.
 func (m *Machine) keeperNames() []string {
-	names := m.followerNames()
-	return names[:min(len(names), evidenceKeepers)]
+	if m.keepers == nil {
+		names := slices.DeleteFunc(slices.Clone(m.followerNames()), func(name string) bool { return m.daemons[name].LinkDown })
+		if len(names) == 0 {
+			names = m.followerNames()
+		}
+		m.keepers = names[:min(len(names), evidenceKeepers)]
+	}
+	return m.keepers
 }
 
 // isKeeper reports whether this daemon merges evidence. One that knows no others does so for itself.
--- a/internal/decision/conductor/feed.go
+++ b/internal/decision/conductor/feed.go
@@ -165,7 +165,7 @@
 
 // daemonSetChanged invalidates what depends on the set of daemons.
 func (m *Machine) daemonSetChanged() {
-	m.followers = nil
+	m.followers, m.keepers = nil, nil
 	m.origins.registrars = nil
 	m.relay.candidates = nil
 	m.daemonsChanged = true
--- a/internal/decision/conductor/lease.go
+++ b/internal/decision/conductor/lease.go
@@ -11,6 +11,8 @@
 	// registered reports whether the daemon's record is written, registering whether a write is in progress.
 	registered  bool
 	registering bool
+	// outdated reports whether the record has changed while it was being written.
+	outdated bool
 	// registerAt is when the record may be written again after a failure.
 	registerAt time.Duration
 	// revoked reports whether the lease has been revoked for good.
@@ -62,7 +64,8 @@
 func (m *Machine) registerEnded(e RegisterEnded) {
 	l := &m.lease
 	l.registering = false
-	l.registered = e.OK
+	l.registered = e.OK && !l.outdated
+	l.outdated = false
 	if e.OK {
 		m.emit(LogStateChange{Subject: "Daemon " + m.settings.Self.Name, Change: "Registered"})
 		return
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -130,6 +130,15 @@
 	// electionTime is how long a change of leader takes, without the delay between the two leaders' orders.
 	electionTime = 2 * time.Second
 
+	// linkChecks is the number of further servers that are checked when one can't be reached either, before the link counts as down.
+	linkChecks = 3
+	// linkCheckInterval is how often linkRechecks servers are checked while the link is down.
+	linkCheckInterval = 500 * time.Millisecond
+	linkRechecks      = 2
+	// silentPollsOfDown is the number of polls in a row without an answer after which an engine that a daemon couldn't reach counts
+	// as down. An engine may be silent for a second.
+	silentPollsOfDown = 2
+
 	// crashDetectionMargin is how long after the removal of a crashed server's entry it is known here at the latest.
 	crashDetectionMargin = 2 * time.Second
 	// crashProbeDelay is how long after a broken connection a server is polled to find out whether it has ended, crashProbes
--- a/internal/decision/conductor/link_test.go
+++ b/internal/decision/conductor/link_test.go
@@ -4,7 +4,9 @@
 	"testing"
 	"time"
 
+	"samphirewharf/internal/decision/attributor"
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/peer/messenger"
 )
 
 const (
@@ -36,7 +38,7 @@
 	served, all := 0, 0
 	for _, d := range f.daemons {
 		for _, r := range d.requests {
-			if d.wasCutOff == cutOff && !r.relayed && r.arrivedAt >= from && r.arrivedAt < to {
+			if d.wasCutOff == cutOff && r.from == nil && r.arrivedAt >= from && r.arrivedAt < to {
 				all++
 				served += boolToInt(r.served)
 			}
@@ -45,6 +47,35 @@
 	return float64(served) / float64(max(all, 1))
 }
 
+// started records the start of an answer, also at the daemon that has delegated the request.
+func (f *virtualFleet) started(r *virtualRequest) {
+	r.served = true
+	if r.from != nil {
+		f.after(fleetPeerDelay, func() {
+			r.from.served = true
+			f.step(r.fromDaemon, AttemptStarted{Request: r.fromAttempt.Request, Attempt: r.fromAttempt.Attempt})
+		})
+	}
+}
+
+// ended records the end of an answer.
+func (f *virtualFleet) ended(r *virtualRequest) {
+	r.ended = true
+	if r.from != nil {
+		f.after(fleetPeerDelay, func() {
+			r.from.ended = true
+			f.step(r.fromDaemon, AttemptEnded{Request: r.fromAttempt.Request, Attempt: r.fromAttempt.Attempt, Outcome: reducer.AttemptDone, Status: 200})
+		})
+	}
+}
+
+// register writes a daemon's record.
+func (f *virtualFleet) register(d *virtualDaemon, e Register) {
+	f.revision++
+	f.after(fleetConnectDelay, func() { f.step(d, RegisterEnded{OK: true}) })
+	f.tell(DaemonChanged{Daemon: e.Daemon, Revision: f.revision})
+}
+
 func TestCallersOfHostsWithoutLinksToServers(t *testing.T) {
 	for _, c := range []struct {
 		name    string
@@ -90,3 +121,71 @@
 		})
 	}
 }
+
+// isDown reports whether a server counts as down.
+func (h *harness) isDown(id string) bool { return h.machine.servers[id].downUntil > h.machine.now }
+
+func TestUnreachableServers(t *testing.T) {
+	newLeader := func(t *testing.T) *harness {
+		t.Helper()
+		h := newHarness(t)
+		h.engine("e1", "a", loadedModel("m1"))
+		h.engine("e2", "a", loadedModel("m1"))
+		h.becomeLeader()
+		h.reportIdle(0, loadedModel("m1"))
+		return h
+	}
+	reportDown := func(h *harness) {
+		h.step(PeerReceived{Message: messenger.Message{From: "d2", Demand: &messenger.Demand{
+			Absences: []messenger.Absence{{Server: "e1", StartedAt: h.machine.servers["e1"].entry.StartedAt}},
+		}}})
+	}
+	t.Run("the leader polls an engine that another daemon can't reach, and uses it if it answers", func(t *testing.T) {
+		h := newLeader(t)
+		reportDown(h)
+		assertEqual(t, "polled engine", one[PollServer](h).Server, "e1")
+		h.report("e1", 0, false, loadedModel("m1"))
+		none[CheckServer](h)
+		assertEqual(t, "down", h.isDown("e1"), false)
+	})
+	t.Run("the leader takes an engine for down that it can't reach either while it reaches others", func(t *testing.T) {
+		h := newLeader(t)
+		reportDown(h)
+		h.step(ServerReported{Server: "e1", SentAt: h.machine.now, Refused: true})
+		assertEqual(t, "down before the check", h.isDown("e1"), false)
+		h.step(ServerChecked{Server: one[CheckServer](h).Server, OK: true})
+		assertEqual(t, "down", h.isDown("e1"), true)
+	})
+	t.Run("a leader that reaches no server gives up the role", func(t *testing.T) {
+		h := newLeader(t)
+		id := h.request(quick, "m1", "")
+		h.end(id, 1, reducer.AttemptNotSent, CauseConnect)
+		h.step(ServerChecked{Server: one[CheckServer](h).Server})
+		one[Resign](h)
+		assertEqual(t, "leader", h.machine.isLeader(), false)
+		assertEqual(t, "down", h.isDown("e1") || h.isDown("e2"), false)
+		assertEqual(t, "record says that the link is down", one[Register](h).Daemon.LinkDown, true)
+	})
+	t.Run("a server that is silent for a connection doesn't count as crashed", func(t *testing.T) {
+		h := newLeader(t)
+		for _, timedOut := range []bool{true, false} {
+			id := h.request(quick, "m1", "")
+			server := one[Send](h).Server
+			h.step(AttemptEnded{Request: id, Attempt: 1, Outcome: reducer.AttemptFailed, Cause: CauseBroken})
+			h.step(ServerChecked{Server: one[CheckServer](h).Server, OK: true})
+			h.step(ServerReported{Server: server})
+			h.machine.serverUnreachable(h.machine.servers[server], timedOut)
+			h.step(ServerChecked{Server: otherEngine(server), OK: true})
+			e, _ := h.machine.crashes.attributor.Evidence(attributor.Trait{Kind: attributor.KindRequest, Hash: uint64(id)})
+			assertEqual(t, "crashes counted", len(e.Crashes), boolToInt(!timedOut))
+			h.advance(10 * time.Second)
+		}
+	})
+}
+
+func otherEngine(id string) string {
+	if id == "e1" {
+		return "e2"
+	}
+	return "e1"
+}
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -80,6 +80,7 @@
 	removals  map[string]removal
 	// daemonRevisions are the revisions of the daemons' records, by daemon name.
 	daemonRevisions map[string]int64
+	link            linkState
 	crashes         crashState
 	origins         originState
 	stop            stopState
@@ -94,6 +95,8 @@
 
 	// followers are the daemons that watch the store; nil after the set of daemons has changed.
 	followers []string
+	// keepers are the daemons that merge the evidence of crashes; nil after the set of daemons has changed.
+	keepers []string
 	// daemonsChanged reports whether the set of daemons has changed since it was published.
 	daemonsChanged bool
 
@@ -155,7 +158,7 @@
 	if at, ok := m.timers.Next(); ok {
 		next = min(next, at)
 	}
-	return min(next, m.lease.nextAt(), m.election.nextAt(m.now), m.demand.nextAt(m), m.fleet.nextAt(m), m.relay.nextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.origins.nextAt(), m.stop.nextAt(m.now))
+	return min(next, m.lease.nextAt(), m.election.nextAt(m.now), m.link.nextAt(), m.demand.nextAt(m), m.fleet.nextAt(m), m.relay.nextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.origins.nextAt(), m.stop.nextAt(m.now))
 }
 
 func (m *Machine) apply(event Event) {
@@ -186,6 +189,8 @@
 		m.orderEnded(e)
 	case ServerReported:
 		m.serverReported(e)
+	case ServerChecked:
+		m.serverChecked(e)
 	case PeerReceived:
 		m.peerReceived(e.Message)
 	case UpdatesReceived:
@@ -238,6 +243,7 @@
 func (m *Machine) tick() {
 	m.expireRequests()
 	m.expireServers()
+	m.tickLink()
 	m.tickLease()
 	m.tickElection()
 	m.tickRelay()
--- a/internal/decision/conductor/measuring.go
+++ b/internal/decision/conductor/measuring.go
@@ -27,6 +27,8 @@
 	Convictions map[attributor.Kind]int
 	// Daemons is the number of registered daemons, including this one.
 	Daemons int
+	// LinkDown reports whether the daemon reaches no server.
+	LinkDown bool
 }
 
 // ServiceGauges are the gauges of one service. Running requests are this daemon's; slots and tokens are those of all
@@ -56,7 +58,7 @@
 		return
 	}
 	m.updateGaugesAt = m.now + measureInterval
-	e := UpdateGauges{Services: make(map[string]ServiceGauges, len(m.services)), IsLeader: m.isLeader(), MayOrder: m.mayOrder(), Daemons: m.registeredCount()}
+	e := UpdateGauges{Services: make(map[string]ServiceGauges, len(m.services)), LinkDown: m.link.down, IsLeader: m.isLeader(), MayOrder: m.mayOrder(), Daemons: m.registeredCount()}
 	switch {
 	case m.relay.following && m.store.unavailable:
 		e.ViewAge = m.now - m.store.lostAt
--- a/internal/decision/conductor/role.go
+++ b/internal/decision/conductor/role.go
@@ -54,7 +54,7 @@
 
 func (m *Machine) tickElection() {
 	s := &m.election
-	if s.leader != nil || !s.loaded || s.campaigning || m.stop.requested || !m.lease.registered || !m.lease.valid(m.now) {
+	if s.leader != nil || !s.loaded || s.campaigning || m.stop.requested || m.link.down || !m.lease.registered || !m.lease.valid(m.now) {
 		return
 	}
 	if s.campaignAt == 0 {
--- a/internal/decision/conductor/virtual_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -62,13 +62,17 @@
 	poison bool
 	// crashing is set for a request that crashes engines after its begin.
 	crashing  *crashingRequest
+	event     RequestArrived
 	arrivedAt time.Duration
 	begun     bool
-	// served reports whether the start of an answer was passed on, relayed whether another daemon has relayed the request.
-	served  bool
-	relayed bool
-	refused RefusalReason
-	ended   bool
+	// served reports whether the start of an answer was passed on.
+	served bool
+	// from is the request that another daemon has delegated, with its daemon and attempt; nil if a caller sent this one.
+	from        *virtualRequest
+	fromDaemon  *virtualDaemon
+	fromAttempt Send
+	refused     RefusalReason
+	ended       bool
 	// stream is the stream that the request belongs to, nil if that doesn't matter.
 	stream *virtualStream
 }
@@ -139,7 +143,7 @@
 
 func (f *virtualFleet) record(i int) Daemon {
 	name := fmt.Sprintf("d%03d", i)
-	return Daemon{Name: name, Instance: name, PeerAddress: name + ":2", Zone: fmt.Sprintf("z%d", i%3)}
+	return Daemon{Name: name, Instance: name, CallerAddress: name + ":1", PeerAddress: name + ":2", Zone: fmt.Sprintf("z%d", i%3)}
 }
 
 // startDaemon starts a daemon, which knows nothing but what is in the store.
@@ -217,6 +221,13 @@
 	switch e := effect.(type) {
 	case Send:
 		f.sent(d, e)
+	case CheckServer:
+		f.after(fleetConnectDelay, func() {
+			s, ok := f.servers[e.Server]
+			f.step(d, ServerChecked{Server: e.Server, OK: ok && s.up && !d.cutOff})
+		})
+	case Register:
+		f.register(d, e)
 	case Refuse:
 		r := f.requests[e.Request]
 		r.refused, r.ended = e.Reason, true
@@ -334,6 +345,7 @@
 		e.Resumes, e.OriginID = true, stream.origin
 	}
 	d.requests = append(d.requests, r)
+	r.event = e
 	f.step(d, e)
 }
 
--- a/internal/decision/conductor/virtual_server_test.go
+++ b/internal/decision/conductor/virtual_server_test.go
@@ -120,7 +120,7 @@
 			f.crash(s)
 		default:
 			request.begun = request.begun || e.Attempt == 1
-			request.served = true
+			f.started(request)
 			f.streamGoesOn(request, e, s)
 			f.step(d, AttemptStarted{Request: e.Request, Attempt: e.Attempt})
 		}
@@ -128,7 +128,7 @@
 	f.after(fleetFirstEvent+time.Duration(200+f.rng.IntN(2500))*time.Millisecond, func() {
 		if running() {
 			delete(s.running, e.Request)
-			request.ended = true
+			f.ended(request)
 			f.step(d, AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: reducer.AttemptDone, Latency: fleetFirstEvent, Status: 200})
 		}
 	})
--- a/internal/edge/follower/record.go
+++ b/internal/edge/follower/record.go
@@ -34,6 +34,8 @@
 	Zone     string
 	// Processor is the daemon's share of a processor, in thousandths.
 	Processor int
+	// LinkDown reports whether the daemon reaches no server.
+	LinkDown bool `json:",omitempty"`
 }
 
 // A leaderRecord is the record of the leader, which sends orders to engines.
@@ -56,7 +58,7 @@
 
 // EncodeDaemon returns the encoded record of a daemon.
 func EncodeDaemon(d conductor.Daemon) ([]byte, error) {
-	value, err := json.Marshal(daemonRecord{Name: d.Name, Instance: d.Instance, Front: d.CallerAddress, Peer: d.PeerAddress, Zone: d.Zone, Processor: d.CPUMillicores})
+	value, err := json.Marshal(daemonRecord{Name: d.Name, Instance: d.Instance, Front: d.CallerAddress, Peer: d.PeerAddress, Zone: d.Zone, Processor: d.CPUMillicores, LinkDown: d.LinkDown})
 	if err != nil {
 		return nil, fmt.Errorf("encode record of daemon %s: %w", d.Name, err)
 	}
@@ -77,7 +79,7 @@
 	if err := json.Unmarshal(e.Value, &r); err != nil {
 		return conductor.Daemon{}, fmt.Errorf("decode %s: %w", e.Key, err)
 	}
-	return conductor.Daemon{Name: r.Name, Instance: r.Instance, CallerAddress: r.Front, PeerAddress: r.Peer, Zone: r.Zone, CPUMillicores: r.Processor}, nil
+	return conductor.Daemon{Name: r.Name, Instance: r.Instance, CallerAddress: r.Front, PeerAddress: r.Peer, Zone: r.Zone, CPUMillicores: r.Processor, LinkDown: r.LinkDown}, nil
 }
 
 func decodeLeader(e storer.Entry) (conductor.Leader, error) {
--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -335,7 +335,7 @@
 		ended.Status = failure.Status
 		ended.Cause = a.exchange.gateway.Translator.Classify(failure.Status, failure.Header, a.send.Server)
 	case failure.Outcome == reducer.AttemptNotSent:
-		ended.Cause = conductor.CauseConnect
+		ended.Cause, ended.TimedOut = conductor.CauseConnect, failure.TimedOut
 	case errors.Is(failure.Err, streamer.ErrOtherRequest):
 		ended.Cause = conductor.CauseInvalid
 	case failure.ServerDied:
--- a/internal/edge/launcher/dependencies.go
+++ b/internal/edge/launcher/dependencies.go
@@ -31,6 +31,8 @@
 type Engines struct {
 	Report func(ctx context.Context, server, address string) (registrar.Report, int64, error)
 	Order  func(ctx context.Context, order registrar.Order) registrar.OrderResult
+	// Reach reports whether a server answers on a new connection. The path is that of its health check, empty for an engine.
+	Reach func(ctx context.Context, address, healthPath string) error
 }
 
 // Entries holds the keys of the platform's entries in the store and the functions that decode them.
--- a/internal/edge/launcher/effects.go
+++ b/internal/edge/launcher/effects.go
@@ -9,6 +9,7 @@
 	"samphirewharf/internal/edge/follower"
 	"samphirewharf/internal/external/storer"
 	"samphirewharf/internal/fleet/registrar"
+	"samphirewharf/internal/network/dialer"
 	"samphirewharf/internal/network/sender"
 )
 
@@ -71,6 +72,10 @@
 		d.sendOrder(e)
 	case conductor.PollServer:
 		d.pollServer(e)
+	case conductor.CheckServer:
+		err := d.platform.Engines.Reach(d.ctx, e.Address, e.HealthPath)
+		d.logger.Debug().Err(err).Str("Server", e.Server).Msg("server checked")
+		d.post(conductor.ServerChecked{Server: e.Server, OK: err == nil})
 	case conductor.StoreConviction:
 		d.storeConviction(e)
 	case conductor.RecordVersions:
@@ -142,7 +147,7 @@
 	if err != nil {
 		d.logger.Info().Err(err).Str("Server", e.Server).Msg("server report failed")
 	}
-	d.post(conductor.ServerReported{Server: e.Server, StartedAt: startedAt, SentAt: sentAt, OK: err == nil, Refused: errors.Is(err, sender.ErrNotSent), Report: report})
+	d.post(conductor.ServerReported{Server: e.Server, StartedAt: startedAt, SentAt: sentAt, OK: err == nil, Refused: errors.Is(err, sender.ErrNotSent) && !dialer.TimedOut(err), Report: report})
 }
 
 // storeConviction writes the record of a conviction under a lease of its own, since it outlives this daemon.
--- a/internal/edge/launcher/metrics.go
+++ b/internal/edge/launcher/metrics.go
@@ -68,6 +68,7 @@
 		"configuration_age_seconds":    func(e *conductor.UpdateGauges) float64 { return e.ConfigurationAge.Seconds() },
 		`held_back{kind="Request"}`:    func(e *conductor.UpdateGauges) float64 { return float64(e.Convictions[attributor.KindRequest]) },
 		`held_back{kind="PromptPart"}`: func(e *conductor.UpdateGauges) float64 { return float64(e.Convictions[attributor.KindPart]) },
+		"link_down":                    func(e *conductor.UpdateGauges) float64 { return boolToFloat(e.LinkDown) },
 		"daemons":                      func(e *conductor.UpdateGauges) float64 { return float64(e.Daemons) },
 	} {
 		m.set.NewGauge("samphirewharf_edge_"+name, func() float64 {
--- a/internal/entry/streamer/failure.go
+++ b/internal/entry/streamer/failure.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/network/dialer"
 )
 
 // idleConnClosedText is the text of net/http's unexported error for a connection that the server closed while idle.
@@ -25,6 +26,8 @@
 	Outcome reducer.AttemptOutcome
 	// ServerDied is true if the server closed the connection while it was processing the request.
 	ServerDied bool
+	// TimedOut is true if no byte was sent because the connection wasn't opened in time.
+	TimedOut bool
 	// Status and Header are those of the response, if the server responded that it did not run the request.
 	Status int
 	Header http.Header
@@ -46,7 +49,7 @@
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		return &Failure{Outcome: reducer.AttemptCancelled, Err: err}
 	case !sent:
-		return &Failure{Outcome: reducer.AttemptNotSent, Err: err}
+		return &Failure{Outcome: reducer.AttemptNotSent, TimedOut: ctx.Err() != nil || dialer.TimedOut(err), Err: err}
 	default:
 		return &Failure{Outcome: reducer.AttemptFailed, ServerDied: ctx.Err() == nil && isBroken(err), Err: err}
 	}
--- a/internal/network/dialer/dialer.go
+++ b/internal/network/dialer/dialer.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"syscall"
@@ -48,6 +49,12 @@
 	return conn, nil
 }
 
+// TimedOut reports whether an error means that something took too long.
+func TimedOut(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // control sets the TCP user timeout, after which unacknowledged data breaks the connection.
 func (d Dialer) control(_, _ string, raw syscall.RawConn) error {
 	timeout := cmp.Or(max(d.UserTimeout, 0), DefaultUserTimeout)
--- a/internal/network/sender/sender.go
+++ b/internal/network/sender/sender.go
@@ -34,6 +34,8 @@
 	DialTimeout time.Duration
 	// IdleTimeout is how long an idle connection stays open; zero means 30 seconds.
 	IdleTimeout time.Duration
+	// NewConnections has each request use a connection of its own.
+	NewConnections bool
 
 	once      sync.Once
 	transport *http.Transport
@@ -84,6 +86,7 @@
 	s.transport = &http.Transport{
 		DialContext:            tracker.dial,
 		DisableCompression:     true,
+		DisableKeepAlives:      s.NewConnections,
 		MaxResponseHeaderBytes: bounder.MaxHeaderBytes,
 		IdleConnTimeout:        cmp.Or(s.IdleTimeout, defaultIdleTimeout),
 		MaxIdleConnsPerHost:    maxIdlePerAddress,
