fix: a daemon without links to the servers has other daemons serve its callers

Cause: a request had no way but this daemon's own connections. Class: one path where the fleet has several.

Now a daemon whose link is down, or that failed to connect to two servers for a request, passes the request on to a daemon with links. That one serves it like a caller's, under the same ID and the time that is left, and returns the answer unchanged, streams as they come; it names the server, so that its advice holds here too. Only what wasn't sent or run goes to a third daemon, and what is passed on counts in budgets and demand where it is served.

Ruled out: leaving the addresses given to callers, since some keep them for 15 s and a whole zone may be cut.

--- a/internal/caller/refuser/code.go
+++ b/internal/caller/refuser/code.go
@@ -38,6 +38,7 @@
 	CodeCallerLeft          Code = 3008
 	CodePoisonHeldBack      Code = 3009
 	CodeStreamOriginUnknown Code = 3010
+	CodeNoLink              Code = 3011
 
 	CodeIdempotencyKeyMissing Code = 4001
 	CodeIdempotencyKeyReused  Code = 4002
@@ -90,6 +91,7 @@
 	{CodeCallerLeft, "CallerLeft", 499, "The caller closed its connection."},
 	{CodePoisonHeldBack, "PoisonHeldBack", http.StatusServiceUnavailable, "Earlier requests like this one crashed the backend servers that ran them; this one was not run."},
 	{CodeStreamOriginUnknown, "StreamOriginUnknown", http.StatusServiceUnavailable, "No daemon knows which software version began the stream, and servers of several versions serve; it was not resumed."},
+	{CodeNoLink, "NoLink", http.StatusServiceUnavailable, "The daemon reaches no backend server, and no other daemon took the request; it was not run."},
 	{CodeIdempotencyKeyMissing, "IdempotencyKeyMissing", http.StatusBadRequest, "A request that must not be repeated carries no Idempotency-Key."},
 	{CodeIdempotencyKeyReused, "IdempotencyKeyReused", http.StatusUnprocessableEntity, "The Idempotency-Key was used before for another request."},
 	{CodeAlreadyInProgress, "AlreadyInProgress", http.StatusConflict, "A request with this Idempotency-Key is being run."},
--- a/internal/decision/conductor/attempt.go
+++ b/internal/decision/conductor/attempt.go
@@ -33,7 +33,11 @@
 		return
 	}
 	m.clearTimer(r)
-	m.handleOutcome(r, s, e)
+	if r.peer != "" {
+		m.delegationEnded(r, e)
+	} else {
+		m.handleOutcome(r, s, e)
+	}
 	m.dispatchQueue(r.Service)
 }
 
--- a/internal/decision/conductor/demand.go
+++ b/internal/decision/conductor/demand.go
@@ -201,7 +201,7 @@
 		demand.ConfigurationVersion = m.configuration.Version
 	}
 	for _, r := range m.requests {
-		if !r.needsModel() {
+		if !r.needsModel() || r.peer != "" {
 			continue
 		}
 		switch r.state {
--- a/internal/decision/conductor/effect.go
+++ b/internal/decision/conductor/effect.go
@@ -36,6 +36,8 @@
 	// BufferErrors asks the executor to buffer an answer that reports a server error, in case another server does
 	// better.
 	BufferErrors bool
+	// ToDaemon reports whether Server and Address are those of another daemon, which serves the request in this one's place.
+	ToDaemon bool
 }
 
 // A Deliver effect passes on the buffered answer.
@@ -66,6 +68,8 @@
 	RefusedStopping
 	// RefusedOrigin: no daemon knows which software version began the stream that the caller takes up.
 	RefusedOrigin
+	// RefusedLink: the daemon reaches no server, and no other daemon that does.
+	RefusedLink
 )
 
 // String returns the reason's name in logs, metrics and answers.
--- a/internal/decision/conductor/event.go
+++ b/internal/decision/conductor/event.go
@@ -44,6 +44,8 @@
 	TimeLimit time.Duration
 	// Fingerprint is equal for requests with the same content.
 	Fingerprint uint64
+	// Delegated reports whether another daemon, which has no link to the servers, has passed the request on.
+	Delegated bool
 }
 
 // A PromptPart is a part of a prompt that may be a prefix shared with other prompts.
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -130,11 +130,19 @@
 	// electionTime is how long a change of leader takes, without the delay between the two leaders' orders.
 	electionTime = 2 * time.Second
 
-	// linkChecks is the number of further servers that are checked when one can't be reached either, before the link counts as down.
-	linkChecks = 3
+	// maxLinkChecks is the number of servers that are checked before the link counts as down, linkCheckGrowth how many more are
+	// checked in each round than in all before. Many servers may have ended together.
+	maxLinkChecks   = 12
+	linkCheckGrowth = 2
 	// linkCheckInterval is how often linkRechecks servers are checked while the link is down.
 	linkCheckInterval = 500 * time.Millisecond
 	linkRechecks      = 2
+	// linkRetryDelay is the retry delay for a request that neither this daemon nor another one could serve for lack of links.
+	linkRetryDelay = 500 * time.Millisecond
+	// delegatingFailures is the number of servers that accept no connection for a request until another daemon gets it.
+	delegatingFailures = 2
+	// maxDelegations bounds the daemons that one request is passed on to.
+	maxDelegations = 3
 	// silentPollsOfDown is the number of polls in a row without an answer after which an engine that a daemon couldn't reach counts
 	// as down. An engine may be silent for a second.
 	silentPollsOfDown = 2
--- a/internal/decision/conductor/link.go
+++ b/internal/decision/conductor/link.go
@@ -121,7 +121,7 @@
 	if len(l.pending) > 0 {
 		return
 	}
-	if !l.down && len(l.tried) <= linkChecks && m.checkServers(linkChecks) {
+	if !l.down && len(l.tried) < maxLinkChecks && m.checkServers(len(l.tried)*linkCheckGrowth) {
 		return
 	}
 	m.linkFailed()
@@ -151,7 +151,8 @@
 	}
 }
 
-// linkFailed records that this daemon reaches no server. What it has learned from failed connections is dropped.
+// linkFailed records that this daemon reaches no server. What it has concluded from failed connections is dropped; that connections
+// broke still counts if the store tells that a server has ended.
 func (m *Machine) linkFailed() {
 	l := &m.link
 	l.checkAt = m.now + linkCheckInterval
@@ -161,7 +162,7 @@
 	l.down, l.downSince = true, m.now
 	l.unreachable = nil
 	m.emit(LogStateChange{Subject: "Link", Change: "Lost", Reason: itoa(int64(len(l.tried))) + " servers can't be reached", Warning: true})
-	m.crashes.broken, m.crashes.probes = nil, nil
+	m.crashes.probes = nil
 	m.demand.absences = slices.DeleteFunc(m.demand.absences, isServerAbsence)
 	for _, s := range m.servers {
 		s.failures, s.avoidUntil, s.downUntil = 0, 0, 0
--- a/internal/decision/conductor/link_test.go
+++ b/internal/decision/conductor/link_test.go
@@ -47,6 +47,30 @@
 	return float64(served) / float64(max(all, 1))
 }
 
+// delegated plays a request that a daemon has another one serve.
+func (f *virtualFleet) delegated(d *virtualDaemon, e Send) {
+	for _, other := range f.daemons {
+		if other.machine == nil || other.down || other.machine.settings.Self.CallerAddress != e.Address {
+			continue
+		}
+		f.after(fleetPeerDelay, func() {
+			request := f.requests[e.Request]
+			f.attempts++
+			id := reducer.RequestID(f.attempts)
+			r := &virtualRequest{arrivedAt: f.now, from: request, fromDaemon: d, fromAttempt: e}
+			f.requests[id] = r
+			other.requests = append(other.requests, r)
+			arrived := request.event
+			arrived.Request, arrived.TimeLimit, arrived.Delegated = id, e.RemainingTime, true
+			f.step(other, arrived)
+		})
+		return
+	}
+	f.after(fleetConnectDelay, func() {
+		f.step(d, AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: reducer.AttemptNotSent, Cause: CauseConnect})
+	})
+}
+
 // started records the start of an answer, also at the daemon that has delegated the request.
 func (f *virtualFleet) started(r *virtualRequest) {
 	r.served = true
@@ -69,6 +93,15 @@
 	}
 }
 
+// delegationRefused passes a refusal back. One for lack of links has the request delegated again.
+func (f *virtualFleet) delegationRefused(r *virtualRequest, e Refuse) {
+	ended := AttemptEnded{Request: r.fromAttempt.Request, Attempt: r.fromAttempt.Attempt, Outcome: reducer.AttemptDone, Status: 503}
+	if e.Reason == RefusedLink || e.Reason == RefusedStopping {
+		ended.Outcome, ended.Status = reducer.AttemptNotRun, 0
+	}
+	f.step(r.fromDaemon, ended)
+}
+
 // register writes a daemon's record.
 func (f *virtualFleet) register(d *virtualDaemon, e Register) {
 	f.revision++
--- a/internal/decision/conductor/request.go
+++ b/internal/decision/conductor/request.go
@@ -46,6 +46,9 @@
 	connectFailures int
 	// tried holds the IDs of the servers that the request was sent to.
 	tried []string
+	// peer is the daemon that has the request in this one's place, empty for none. triedPeers holds those that had it.
+	peer       string
+	triedPeers []string
 	// answerStarted reports whether the caller has received the start of an answer.
 	answerStarted bool
 	// buffered reports whether the executor has buffered an error answer.
@@ -187,8 +190,12 @@
 	if r.server != nil {
 		d.SoftwareVersion = r.server.entry.SoftwareVersion
 	}
-	if d.Server == "" && r.server != nil {
+	switch {
+	case d.Server != "":
+	case r.server != nil:
 		d.Server = r.server.entry.ID
+	default:
+		d.Server = r.peer
 	}
 	m.emit(d)
 }
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -32,8 +32,11 @@
 func (m *Machine) requestArrived(e RequestArrived) {
 	r := newRequest(e, m.now)
 	m.requests[e.Request] = r
-	m.service(e.Service).budget.CountRequest(m.now)
-	m.countArrival(r)
+	if !m.link.down {
+		// A request that is delegated counts where it is served.
+		m.service(e.Service).budget.CountRequest(m.now)
+		m.countArrival(r)
+	}
 	switch {
 	case m.stop.rejects(r, m.now):
 		m.refuse(r, RefusedStopping, stopRetryDelay)
@@ -52,6 +55,13 @@
 		m.giveUp(r, RefusedPoison, m.holdTime(r))
 		return
 	}
+	if r.Delegated && m.link.down {
+		m.giveUp(r, RefusedLink, linkRetryDelay)
+		return
+	}
+	if m.mustDelegate(r) && m.delegate(r) {
+		return
+	}
 	if r.sends >= maxSends || r.connectFailures >= maxConnectFailures {
 		m.giveUp(r, RefusedFull, fullRetryDelay)
 		return
@@ -65,6 +75,8 @@
 		return
 	}
 	switch {
+	case m.link.down:
+		m.giveUp(r, RefusedLink, linkRetryDelay)
 	case reason == unavailableNoServer:
 		m.giveUp(r, RefusedNoServer, noServerRetryDelay)
 	case m.stop.requested:
--- a/internal/decision/conductor/virtual_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -220,7 +220,11 @@
 	self := d.machine.settings.Self
 	switch e := effect.(type) {
 	case Send:
-		f.sent(d, e)
+		if e.ToDaemon {
+			f.delegated(d, e)
+		} else {
+			f.sent(d, e)
+		}
 	case CheckServer:
 		f.after(fleetConnectDelay, func() {
 			s, ok := f.servers[e.Server]
@@ -231,6 +235,9 @@
 	case Refuse:
 		r := f.requests[e.Request]
 		r.refused, r.ended = e.Reason, true
+		if r.from != nil {
+			f.after(fleetPeerDelay, func() { f.delegationRefused(r, e) })
+		}
 	case Cancel:
 		f.step(d, AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: reducer.AttemptCancelled})
 	case RenewLease:
--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -25,6 +25,7 @@
 	errInvalidAnswer  = errors.New("answer failed validation")
 	errServerError    = errors.New("server answered with an error")
 	errCallerLeft     = errors.New("caller left")
+	errRejected       = errors.New("daemon can't serve the request")
 )
 
 // An attempt sends a request to one server and passes the answer to the caller.
@@ -44,10 +45,13 @@
 	buffered bool
 	// ended receives the attempt's end. Its buffer of one keeps the attempt's goroutine from blocking.
 	ended chan conductor.AttemptEnded
+	// server and startedAt identify the server that has answered, which another daemon may have chosen.
+	server    string
+	startedAt int64
 }
 
 func newAttempt(x *exchange, send conductor.Send) *attempt {
-	a := &attempt{exchange: x, send: send, ended: make(chan conductor.AttemptEnded, 1), sentAt: time.Now()}
+	a := &attempt{exchange: x, send: send, ended: make(chan conductor.AttemptEnded, 1), sentAt: time.Now(), server: send.Server, startedAt: send.StartedAt}
 	a.ctx, a.cancel = context.WithCancelCause(context.Background())
 	a.timeoutTimer = time.AfterFunc(max(send.Timeout, minAttemptTimeout), a.onTimeout)
 	if send.FirstTimeout > 0 {
@@ -69,6 +73,9 @@
 		a.ended <- a.newAttemptEnded(err)
 		return
 	}
+	if a.send.ToDaemon {
+		a.server, a.startedAt = takeServer(reply.Header)
+	}
 	a.reportAdvice(reply.StatusCode, reply.Header)
 	err = a.forward(reply)
 	if err != nil {
@@ -88,7 +95,7 @@
 	}
 	success := status >= 200 && status < 300
 	if advice := g.Translator.ReadAdvice(status, header); advice != (conductor.Advice{}) || a.send.ReportAdvice && success {
-		g.Post(conductor.ServerAdvised{Server: a.send.Server, StartedAt: a.send.StartedAt, Advice: advice})
+		g.Post(conductor.ServerAdvised{Server: a.server, StartedAt: a.startedAt, Advice: advice})
 	}
 }
 
@@ -111,6 +118,9 @@
 		attemptHeader.Resuming, attemptHeader.FirstHeader = true, x.firstHeader
 		attemptHeader.LastEventID = strconv.Itoa(x.progress.lastID)
 	}
+	if a.send.ToDaemon {
+		a.setDelegator(header, &attemptHeader)
+	}
 	x.gateway.Translator.SetHeader(header, attemptHeader)
 	return streamer.Call{
 		Address: a.send.Address, Host: x.host, Method: x.method, Path: x.uri, Header: header, Body: x.body,
@@ -123,6 +133,9 @@
 func (a *attempt) forward(reply *streamer.Reply) error {
 	x := a.exchange
 	a.status = reply.StatusCode
+	if a.send.ToDaemon && reply.Header.Get(rejectedHeader) != "" {
+		return errRejected
+	}
 	if !x.gateway.Translator.Valid(reply.StatusCode, reply.Header, x.header.ID) {
 		return fmt.Errorf("status %d: %w", reply.StatusCode, errInvalidAnswer)
 	}
@@ -161,6 +174,7 @@
 	}
 	x.firstLatency = time.Since(x.start)
 	x.setHeader(header)
+	a.nameServer()
 	if err := x.writer.WriteWhole(reply.StatusCode, body); err != nil {
 		return fmt.Errorf("%w: %w", errCallerLeft, err)
 	}
@@ -278,6 +292,7 @@
 	x.firstHeader = header
 	x.firstLatency = time.Since(x.start)
 	x.setHeader(header)
+	a.nameServer()
 	x.gateway.Post(conductor.AttemptStarted{Request: x.id, Attempt: a.send.Attempt})
 }
 
@@ -316,6 +331,8 @@
 		ended.Outcome = reducer.AttemptCancelled
 	case errors.Is(err, errServerError):
 		ended.Cause = conductor.CauseError
+	case errors.Is(err, errRejected):
+		ended.Outcome, ended.Cause = reducer.AttemptNotRun, conductor.CauseFull
 	default:
 		ended.Cause = conductor.CauseInvalid
 	}
--- /dev/null
+++ b/internal/edge/gateway/delegating.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"samphirewharf/internal/decision/conductor"
+)
+
+// The header fields between daemons, on requests that one without links to the servers has passed on to another one.
+const (
+	// delegatorHeader holds the name of the daemon that has passed a request on.
+	delegatorHeader = "Samphirewharf-Delegated-By"
+	// serverHeader names the server that has answered, as ID and start of its incarnation, so that the daemon in between learns
+	// what the server asks for in its answer.
+	serverHeader = "Samphirewharf-Server"
+	// rejectedHeader marks the refusal of a daemon that can't serve the requests of others, which didn't run the request.
+	rejectedHeader = "Samphirewharf-Rejected"
+)
+
+// takeDelegator returns the daemon that has passed a request on, and removes its name from the header that servers get.
+func takeDelegator(header http.Header) string {
+	name := header.Get(delegatorHeader)
+	header.Del(delegatorHeader)
+	return name
+}
+
+// takeServer returns the server that has answered another daemon, and removes it from the header that callers get. It returns an
+// empty ID if the daemon has answered itself.
+func takeServer(header http.Header) (id string, startedAt int64) {
+	id, start, _ := strings.Cut(header.Get(serverHeader), " ")
+	header.Del(serverHeader)
+	startedAt, err := strconv.ParseInt(start, 10, 64)
+	if err != nil {
+		return "", 0
+	}
+	return id, startedAt
+}
+
+// setDelegator sets the header of a request that is passed on to another daemon.
+func (a *attempt) setDelegator(header http.Header, attempt *AttemptHeader) {
+	header.Set(delegatorHeader, a.exchange.gateway.Name)
+	attempt.Server = ""
+	if attempt.Resuming {
+		attempt.OriginID = a.exchange.header.OriginID
+		if attempt.OriginID == "" {
+			attempt.OriginID = a.exchange.header.ID
+		}
+	}
+}
+
+// nameServer tells a daemon that has passed the request on which server answers.
+func (a *attempt) nameServer() {
+	if x := a.exchange; x.delegatedBy != "" {
+		x.writer.Header().Set(serverHeader, a.server+" "+strconv.FormatInt(a.startedAt, 10))
+	}
+}
+
+// markRejection marks the refusal of a request that another daemon has passed on, if a third one may serve it.
+func (x *exchange) markRejection(e conductor.Refuse) {
+	if x.delegatedBy != "" && !e.MayHaveRun && (e.Reason == conductor.RefusedLink || e.Reason == conductor.RefusedStopping) {
+		x.writer.Header().Set(rejectedHeader, "1")
+	}
+}
--- a/internal/edge/gateway/exchange.go
+++ b/internal/edge/gateway/exchange.go
@@ -24,8 +24,10 @@
 	body      []byte
 	arrived   conductor.RequestArrived
 	start     time.Time
-	id        reducer.RequestID
-	effects   <-chan conductor.Effect
+	// delegatedBy is the daemon that has passed the request on, empty if a caller sent it.
+	delegatedBy string
+	id          reducer.RequestID
+	effects     <-chan conductor.Effect
 
 	// attempt is the running attempt, nil if there is none. While one runs, only its goroutine uses writer, progress,
 	// firstHeader, firstLatency, buffered, lastEventAt and longestPause.
@@ -173,6 +175,7 @@
 		return
 	}
 	refusal := refusalFor(e)
+	x.markRejection(e)
 	x.countOutcome(refusal.Code, refusal.Code.HTTPStatus())
 	if x.writer.Started() {
 		x.writer.Abort()
@@ -219,6 +222,7 @@
 	conductor.RefusedPoison:   refuser.CodePoisonHeldBack,
 	conductor.RefusedStopping: refuser.CodeDaemonStopping,
 	conductor.RefusedOrigin:   refuser.CodeStreamOriginUnknown,
+	conductor.RefusedLink:     refuser.CodeNoLink,
 }
 
 // refusalFor returns the refusal that is sent to the caller. If the request may have run, it replaces codes whose
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -35,6 +35,8 @@
 
 // A Gateway is the HTTP handler for callers. Set the function fields before using it.
 type Gateway struct {
+	// Name is the daemon's name.
+	Name string
 	// Open registers a request and returns the channel that receives its effects.
 	Open func() (reducer.RequestID, <-chan conductor.Effect)
 	// Close unregisters a request. Later effects for it are not carried out.
@@ -102,9 +104,11 @@
 	}
 	x := &exchange{gateway: g, writer: writer, callerCtx: r.Context(), header: header, method: r.Method, uri: r.RequestURI, body: body, start: time.Now()}
 	x.header.Forward = filter.EndToEnd(header.Forward)
+	x.delegatedBy = takeDelegator(x.header.Forward)
 	x.host = r.Host
 	x.arrived = newRequestArrived(header, route, configuration.Version, r, body)
 	x.arrived.Service = route.PickService(g.Random())
+	x.arrived.Delegated = x.delegatedBy != ""
 	x.id, x.effects = g.Open()
 	defer g.Close(x.id)
 	x.run()
--- a/internal/edge/gateway/translator.go
+++ b/internal/edge/gateway/translator.go
@@ -48,6 +48,7 @@
 
 // An AttemptHeader holds the values of header fields that the gateway sets for one attempt at a server.
 type AttemptHeader struct {
+	// Server is empty if another daemon chooses it.
 	Server    string
 	TimeLimit time.Duration
 	// Priority orders requests at an engine, 0 first; a negative priority is not sent.
@@ -57,4 +58,6 @@
 	// Resuming reports whether the caller already has a part of the answer, whose header is FirstHeader.
 	Resuming    bool
 	FirstHeader http.Header
+	// OriginID is the ID of the caller's attempt that brought the first event, set if another daemon resumes the stream.
+	OriginID string
 }
--- a/internal/edge/launcher/daemon.go
+++ b/internal/edge/launcher/daemon.go
@@ -178,6 +178,7 @@
 
 func (d *Daemon) gateway() http.Handler {
 	return &gateway.Gateway{
+		Name: d.settings.Conductor.Self.Name,
 		Open: d.driver.Open, Close: d.driver.Close, Post: d.countAndPost, Configuration: d.configuration.Load, Random: rand.Float64,
 		Count: d.metrics.countRequest, Translator: d.platform.Translator, Client: &d.client, Logger: d.logger,
 	}
