fix: daemons don't push brittle servers over

Each daemon now uses only its part of a brittle server's slots and leaves one alone for a second after its part of the rejections; ends of such servers count against whole requests only.

--- a/internal/decision/conductor/advice.go
+++ b/internal/decision/conductor/advice.go
@@ -18,6 +18,7 @@
 		return
 	}
 	s.advisedAt = m.now
+	m.brittleAdvised(s, e.Advice)
 	if m.setRateLimit(s, e.Advice.RateLimited, e.Advice.RateLimit) {
 		m.reportRateLimit(s)
 	}
@@ -82,6 +83,7 @@
 		return
 	}
 	m.rateSharesAt = m.now + rateShareInterval
+	m.forgetBrittleSlots()
 	maps.DeleteFunc(m.departed, func(_ string, removedAt time.Duration) bool { return !m.hasShare(removedAt) })
 	for _, s := range m.servers {
 		if s.rateLimited {
--- a/internal/decision/conductor/attempt.go
+++ b/internal/decision/conductor/attempt.go
@@ -63,7 +63,7 @@
 	}
 	switch e.Cause {
 	case CauseFull:
-		s.fullUntil = m.now + fullBackoff
+		m.rejected(s)
 	case CauseAbsent:
 		s.absentUntil[modelName(r.Model, r.Adapter)] = m.now + absentTTL
 		m.reportAbsent(s, r)
--- /dev/null
+++ b/internal/decision/conductor/brittle.go
@@ -0,0 +1,108 @@
+package conductor
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"samphirewharf/internal/fleet/registrar"
+)
+
+// A brittle server falls over if it rejects too many requests in a second for want of room. So each daemon uses only its part of
+// the slots, and leaves a server alone for a while after its part of the rejections.
+
+// A brittleState is what this daemon knows of the brittleness of a service's servers.
+type brittleState struct {
+	// active reports whether the servers say that they are brittle, rejectionsBorne how many rejections a second each bears from all
+	// daemons together.
+	active          bool
+	rejectionsBorne float64
+	// slots holds this daemon's part of the slots of each server, by ID; nil after daemons or servers have changed.
+	slots map[string]int
+}
+
+// brittleAdvised handles whether a server says that the servers of its service are brittle.
+func (m *Machine) brittleAdvised(s *server, advice Advice) {
+	b := &m.service(s.entry.Service).brittle
+	if b.active == advice.Brittle && b.rejectionsBorne == advice.RejectionsBorne {
+		return
+	}
+	change := "Sturdy"
+	if advice.Brittle {
+		change = "Brittle"
+	}
+	*b = brittleState{active: advice.Brittle, rejectionsBorne: advice.RejectionsBorne}
+	m.emit(LogStateChange{Subject: "Service " + s.entry.Service, Change: change, Detail: formatRate(advice.RejectionsBorne) + " rejections a second borne, said by " + s.entry.ID})
+	m.dispatchQueue(s.entry.Service)
+}
+
+// brittleHoldsBack reports whether this daemon uses its part of the slots of a brittle server.
+func (m *Machine) brittleHoldsBack(s *server) bool {
+	b := &m.service(s.entry.Service).brittle
+	if !b.active {
+		return false
+	}
+	if b.slots == nil {
+		b.slots = m.brittleSlots(s.entry.Service)
+	}
+	return len(s.requests) >= b.slots[s.entry.ID]
+}
+
+// brittleSlots returns this daemon's part of the slots of each server of a service. All daemons that know the same daemons come to
+// parts whose sum is the slots, but for a daemon without any part, which may use one slot of one server.
+func (m *Machine) brittleSlots(service string) map[string]int {
+	daemons := m.sharers()
+	parts := make(map[string]int)
+	best, bestRank, all := "", len(daemons), 0
+	for _, s := range m.serversOf(service) {
+		rank := rankOf(m.settings.Self.Name, s.entry.ID, daemons)
+		slots := max(s.entry.Slots, 1)
+		parts[s.entry.ID] = slots / len(daemons)
+		if rank < slots%len(daemons) {
+			parts[s.entry.ID]++
+		}
+		all += parts[s.entry.ID]
+		if rank < bestRank && s.entry.State == registrar.StateReady {
+			best, bestRank = s.entry.ID, rank
+		}
+	}
+	if all == 0 && best != "" {
+		parts[best] = 1
+	}
+	return parts
+}
+
+// rankOf returns the place of a daemon among the daemons in the order in which they get what is left of a server's slots.
+func rankOf(daemon, server string, daemons []string) int {
+	own := xxhash.Sum64String(server + " " + daemon)
+	rank := 0
+	for _, other := range daemons {
+		if cmp.Or(cmp.Compare(xxhash.Sum64String(server+" "+other), own), cmp.Compare(other, daemon)) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
+// rejected records that a server had no room for a request. A brittle one is left alone once this daemon has had its part of the
+// rejections.
+func (m *Machine) rejected(s *server) {
+	s.fullUntil = m.now + fullBackoff
+	b := &m.service(s.entry.Service).brittle
+	if !b.active {
+		return
+	}
+	s.rejections = slices.DeleteFunc(append(s.rejections, m.now), func(at time.Duration) bool { return at < m.now-brittleWindow })
+	if float64(len(s.rejections)*m.daemonCount()) >= b.rejectionsBorne {
+		s.fullUntil = m.now + brittleWindow
+	}
+}
+
+// forgetBrittleSlots has the parts of slots computed again.
+func (m *Machine) forgetBrittleSlots() {
+	for _, state := range m.services {
+		state.brittle.slots = nil
+	}
+}
--- a/internal/decision/conductor/crash.go
+++ b/internal/decision/conductor/crash.go
@@ -150,6 +150,10 @@
 func (m *Machine) crashWindow() time.Duration { return m.settings.EntryTTL + crashDetectionMargin }
 
 func (m *Machine) countCrash(b brokenConnection, s *server) {
+	if m.service(s.entry.Service).brittle.active {
+		// It may have fallen over for lack of room, under requests that share parts with all others.
+		b.traits = b.traits[:1]
+	}
 	m.crashes.attributor.AddCrash(m.now, b.traits, attributor.Crash{Server: incarnationHash(s), Request: b.request, At: b.at})
 	m.crashes.changed = true
 	for _, t := range b.traits {
--- a/internal/decision/conductor/event.go
+++ b/internal/decision/conductor/event.go
@@ -129,6 +129,10 @@
 	// RateLimited reports whether the server names RateLimit, the requests a second that it takes from all daemons together.
 	RateLimited bool
 	RateLimit   float64
+	// Brittle reports whether a server of the service falls over if it rejects more than RejectionsBorne requests in a second for
+	// want of room.
+	Brittle         bool
+	RejectionsBorne float64
 	// Leaving reports whether the server is about to stop.
 	Leaving bool
 	// Pause is how long a server that refused the request wants no other one from this daemon.
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -130,6 +130,9 @@
 	// electionTime is how long a change of leader takes, without the delay between the two leaders' orders.
 	electionTime = 2 * time.Second
 
+	// brittleWindow is the time in which a brittle server's rejections count, and for which it is left alone after this daemon's part
+	// of them.
+	brittleWindow = time.Second
 	// maxLinkChecks is the number of servers that are checked before the link counts as down, linkCheckGrowth how many more are
 	// checked in each round than in all before. Many servers may have ended together.
 	maxLinkChecks   = 12
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -117,8 +117,9 @@
 type serviceState struct {
 	name string
 	// queue holds the waiting requests, most urgent first.
-	queue  []*request
-	budget allotter.RetryBudget
+	queue   []*request
+	budget  allotter.RetryBudget
+	brittle brittleState
 }
 
 // New returns a Machine without servers, daemons or a configuration.
@@ -371,7 +372,10 @@
 }
 
 // serverSetChanged invalidates serversByService after a server was added, removed or moved to another service.
-func (m *Machine) serverSetChanged() { m.serversByService = nil }
+func (m *Machine) serverSetChanged() {
+	m.serversByService = nil
+	m.forgetBrittleSlots()
+}
 
 // serverIDs returns the IDs of all servers, sorted.
 func (m *Machine) serverIDs() []string {
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -145,7 +145,7 @@
 			}
 		case !m.hasModel(s, r.Model, r.Adapter):
 			reason = max(reason, unavailableCold)
-		case s.busyUntil() > m.now || m.atCapacity(s, r) || m.rateHoldsBack(s, r):
+		case s.busyUntil() > m.now || m.atCapacity(s, r) || m.rateHoldsBack(s, r) || m.brittleHoldsBack(s):
 			reason = unavailableFull
 		case s.avoidUntil > m.now:
 			avoided = append(avoided, s)
@@ -254,7 +254,7 @@
 		Request: r.Request, Attempt: r.attempt, Server: s.entry.ID, Address: s.entry.Address, StartedAt: s.entry.StartedAt,
 		Timeout: r.deadline - m.now, RemainingTime: r.TimeLimit - (m.now - r.arrivedAt), Priority: -1,
 		NewConnection: !r.Route.Repeatable(),
-		ReportAdvice:  s.rateLimited,
+		ReportAdvice:  s.rateLimited || m.service(s.entry.Service).brittle.active,
 		BufferErrors:  r.Route.Repeatable() && r.runs+1 < r.Route.MaxServers,
 	}
 	if r.needsModel() {
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -43,6 +43,8 @@
 	failures   int
 	avoidUntil time.Duration
 	fullUntil  time.Duration
+	// rejections holds when the brittle server had no room for this daemon's requests in the last second.
+	rejections []time.Duration
 	// pausedUntil is until when the server wants nothing from this daemon.
 	pausedUntil time.Duration
 	// downUntil is until when the server counts as down because it accepted no connection.
--- a/internal/decision/conductor/virtual_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -108,7 +108,11 @@
 	crashes     []time.Duration
 	poisonSends []time.Duration
 	// falseDowns counts the engines that daemons with links have taken for down.
-	falseDowns  int
+	falseDowns int
+	// brittle is the number of rejections a second that an engine bears, 0 for any.
+	brittle float64
+	// slots is the number of slots of each engine.
+	slots       int
 	withoutLead bool
 	traffic     traffic
 	// convictions are the records in the store; storeAway reports whether the store takes none.
@@ -126,7 +130,7 @@
 func newVirtualFleet(t *testing.T, daemons, servers int, seed uint64) *virtualFleet {
 	t.Helper()
 	f := &virtualFleet{
-		t: t, rng: rand.New(rand.NewPCG(seed, seed)), servers: make(map[string]*virtualServer), revision: 100,
+		t: t, rng: rand.New(rand.NewPCG(seed, seed)), servers: make(map[string]*virtualServer), revision: 100, slots: 32,
 		upstreams: make(map[string]string), requests: make(map[reducer.RequestID]*virtualRequest),
 	}
 	for range servers {
--- a/internal/decision/conductor/virtual_server_test.go
+++ b/internal/decision/conductor/virtual_server_test.go
@@ -14,6 +14,8 @@
 	entry   registrar.Entry
 	up      bool
 	running map[reducer.RequestID]virtualAttempt
+	// rejections holds when the engine last turned requests away for want of room.
+	rejections []time.Duration
 }
 
 type virtualAttempt struct {
@@ -30,7 +32,7 @@
 	f.revision++
 	id := fmt.Sprintf("e%d", f.revision)
 	s := &virtualServer{up: true, running: make(map[reducer.RequestID]virtualAttempt), entry: registrar.Entry{
-		ID: id, StartedAt: f.revision, Service: engineService, Address: id + ":80", Zone: "z0", SoftwareVersion: version, Slots: 32, Revision: f.revision,
+		ID: id, StartedAt: f.revision, Service: engineService, Address: id + ":80", Zone: "z0", SoftwareVersion: version, Slots: f.slots, Revision: f.revision,
 		Weights: registrar.Weights{Models: []registrar.LoadedModel{loadedModel("m1")}},
 	}}
 	f.servers[id] = s
@@ -106,6 +108,13 @@
 		})
 		return
 	}
+	if f.brittle > 0 {
+		f.step(d, ServerAdvised{Server: e.Server, StartedAt: e.StartedAt, Advice: Advice{Brittle: true, RejectionsBorne: f.brittle}})
+		if len(s.running) >= s.entry.Slots {
+			f.reject(d, e, s)
+			return
+		}
+	}
 	if request.poison {
 		f.poisonSends = append(f.poisonSends, f.now)
 	}
