fix: connections outlive a server that is silent for a second

With 2.5 s and a first probe after 2 s, one lost probe ended a connection 1 s later; data sent at the start of a silence got its last retransmission after 1.4 s.

Now the user timeout is 4 s, with probes each second from 1 s of idleness on: a silence of 2 s from the first probe is borne, and a retransmission follows at 3 s. What is silent for good is still noticed within the 4 s of TestSilentConnectionsAreNoticed.

Cost: an idle connection sends a probe each second in place of each two.

--- a/internal/network/dialer/dialer.go
+++ b/internal/network/dialer/dialer.go
@@ -17,12 +17,13 @@
 	// DefaultTimeout bounds the time for opening a connection.
 	DefaultTimeout = time.Second
 	// DefaultUserTimeout is how long sent data may stay unacknowledged, or an idle peer may leave probes unanswered,
-	// before the connection is closed. It covers several retransmissions on a lossy link.
-	DefaultUserTimeout = 2500 * time.Millisecond
-	// probeIdle, probeInterval and probeCount configure the keep-alive probes of an idle connection.
-	probeIdle     = 2 * time.Second
+	// before the connection is closed. With TCP_USER_TIMEOUT set, Linux disregards probeCount. It leaves a probe and a
+	// retransmission after a silence of one and a half seconds.
+	DefaultUserTimeout = 4 * time.Second
+	// probeIdle, probeInterval and probeCount configure the keep-alive probes of an idle connection. Linux counts in seconds.
+	probeIdle     = time.Second
 	probeInterval = time.Second
-	probeCount    = 2
+	probeCount    = 3
 )
 
 // A Dialer opens TCP connections. The zero value is ready to use.
--- a/internal/network/dialer/dialer_test.go
+++ b/internal/network/dialer/dialer_test.go
@@ -11,6 +11,33 @@
 // silenceLimit is how long a connection that has gone silent may stay unnoticed.
 const silenceLimit = 4 * time.Second
 
+// silentServer is how long a sound server may be silent.
+const silentServer = 1500 * time.Millisecond
+
+// TestConnectionsOutliveASilentServer checks that a probe or a retransmission follows a silence before the kernel gives up.
+func TestConnectionsOutliveASilentServer(t *testing.T) {
+	t.Run("an idle one", func(t *testing.T) {
+		// Linux gives up at the user timeout, whatever the count of probes.
+		givesUpAt := min(DefaultUserTimeout, probeIdle+probeCount*probeInterval)
+		if got := givesUpAt - probeIdle - probeInterval; got < silentServer {
+			t.Errorf("got a silence of %v borne from the first probe on, want %v", got, silentServer)
+		}
+	})
+	t.Run("one with unacknowledged data", func(t *testing.T) {
+		last := time.Duration(0)
+		for at, pause := minRetransmissionTimeout, minRetransmissionTimeout; at < DefaultUserTimeout; at += pause {
+			pause *= 2
+			last = at
+		}
+		if last < silentServer {
+			t.Errorf("got the last retransmission after %v, want it after a silence of %v", last, silentServer)
+		}
+	})
+}
+
+// minRetransmissionTimeout is Linux's least time to the first retransmission, which doubles from then on.
+const minRetransmissionTimeout = 200 * time.Millisecond
+
 // TestSilentConnectionsAreNoticed checks that the kernel closes connections whose peer no longer answers, idle or not.
 func TestSilentConnectionsAreNoticed(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
