fix: a connection that doesn't open leaves time for another server

A connection may now take a quarter of the time that the request has left, 0.1 to 1 s; then another server gets the request, which wasn't sent.

--- a/internal/decision/conductor/delegating.go
+++ b/internal/decision/conductor/delegating.go
@@ -30,7 +30,7 @@
 	m.logDecision(r, LogDecision{Action: "Delegate", Reason: m.delegationReason(), Server: peer.Name, Routine: r.attempt == 1})
 	m.emit(Send{
 		Request: r.Request, Attempt: r.attempt, Server: peer.Name, Address: peer.CallerAddress, ToDaemon: true,
-		Timeout: r.deadline - m.now, RemainingTime: r.TimeLimit - (m.now - r.arrivedAt), Priority: -1, NewConnection: !r.Route.Repeatable(),
+		Timeout: r.deadline - m.now, RemainingTime: r.TimeLimit - (m.now - r.arrivedAt), Priority: -1, ConnectTimeout: m.connectTimeout(r), NewConnection: !r.Route.Repeatable(),
 	})
 	return true
 }
--- a/internal/decision/conductor/effect.go
+++ b/internal/decision/conductor/effect.go
@@ -29,6 +29,8 @@
 	// Timeout.
 	FirstTimeout    time.Duration
 	EventGapTimeout time.Duration
+	// ConnectTimeout bounds the time for opening a connection.
+	ConnectTimeout time.Duration
 	// NewConnection asks for a connection that no other request has used.
 	NewConnection bool
 	// ReportAdvice asks for a ServerAdvised event even if the server asks for nothing.
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -27,6 +27,11 @@
 	// firstTimeoutShare is the share of a repeatable request's remaining time that one server may take without
 	// answering.
 	firstTimeoutShare = 0.4
+	// connectTimeoutShare is the share of a request's remaining time that a connection may take to open, within minConnectTimeout
+	// and maxConnectTimeout.
+	connectTimeoutShare = 0.25
+	minConnectTimeout   = 100 * time.Millisecond
+	maxConnectTimeout   = time.Second
 	// fullBackoff is how long a server that had no free slot gets no requests.
 	fullBackoff = 60 * time.Millisecond
 	// absentTTL is how long a model that a server lacked counts as not loaded there without new information.
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -253,9 +253,9 @@
 	e := Send{
 		Request: r.Request, Attempt: r.attempt, Server: s.entry.ID, Address: s.entry.Address, StartedAt: s.entry.StartedAt,
 		Timeout: r.deadline - m.now, RemainingTime: r.TimeLimit - (m.now - r.arrivedAt), Priority: -1,
-		NewConnection: !r.Route.Repeatable(),
-		ReportAdvice:  s.rateLimited || m.service(s.entry.Service).brittle.active,
-		BufferErrors:  r.Route.Repeatable() && r.runs+1 < r.Route.MaxServers,
+		ConnectTimeout: m.connectTimeout(r), NewConnection: !r.Route.Repeatable(),
+		ReportAdvice: s.rateLimited || m.service(s.entry.Service).brittle.active,
+		BufferErrors: r.Route.Repeatable() && r.runs+1 < r.Route.MaxServers,
 	}
 	if r.needsModel() {
 		e.Priority = priority(r.Route)
@@ -279,6 +279,12 @@
 	return min(limit, time.Duration(firstTimeoutShare*float64(r.deadline-m.now)))
 }
 
+// connectTimeout returns how long a connection for the request may take to open, so that time is left for another server.
+func (m *Machine) connectTimeout(r *request) time.Duration {
+	share := time.Duration(connectTimeoutShare * float64(r.deadline-m.now))
+	return min(max(share, minConnectTimeout), maxConnectTimeout)
+}
+
 // priority returns an engine's priority number for a route, lowest first: by the route's priority, then the shorter
 // latency objective first.
 func priority(r matcher.Route) int {
--- a/internal/decision/conductor/virtual_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -232,6 +232,10 @@
 	case CheckServer:
 		f.after(fleetConnectDelay, func() {
 			s, ok := f.servers[e.Server]
+			if ok && f.now < s.silentUntil {
+				f.after(checkTimeout, func() { f.step(d, ServerChecked{Server: e.Server}) })
+				return
+			}
 			f.step(d, ServerChecked{Server: e.Server, OK: ok && s.up && !d.cutOff})
 		})
 	case Register:
--- a/internal/decision/conductor/virtual_server_test.go
+++ b/internal/decision/conductor/virtual_server_test.go
@@ -9,11 +9,20 @@
 	"samphirewharf/internal/fleet/registrar"
 )
 
+// pollTimeout is how long an engine may take to answer a poll, checkTimeout the same for a check of the link.
+const (
+	pollTimeout  = time.Second
+	checkTimeout = 300 * time.Millisecond
+)
+
 // A virtualServer is an engine of a virtualFleet.
 type virtualServer struct {
 	entry   registrar.Entry
 	up      bool
 	running map[reducer.RequestID]virtualAttempt
+	// silentUntil is until when the engine answers nothing, refusesNew whether new connections to it aren't opened meanwhile.
+	silentUntil time.Duration
+	refusesNew  bool
 	// rejections holds when the engine last turned requests away for want of room.
 	rejections []time.Duration
 }
@@ -108,6 +117,9 @@
 		})
 		return
 	}
+	if f.silentWhile(d, e, s) {
+		return
+	}
 	if f.brittle > 0 {
 		f.step(d, ServerAdvised{Server: e.Server, StartedAt: e.StartedAt, Advice: Advice{Brittle: true, RejectionsBorne: f.brittle}})
 		if len(s.running) >= s.entry.Slots {
@@ -146,6 +158,10 @@
 func (f *virtualFleet) polled(d *virtualDaemon, e PollServer) {
 	s, ok := f.servers[e.Server]
 	ok = ok && !d.cutOff
+	if ok && f.now < s.silentUntil {
+		f.after(pollTimeout, func() { f.step(d, ServerReported{Server: e.Server, SentAt: f.now - pollTimeout}) })
+		return
+	}
 	reported := ServerReported{Server: e.Server, SentAt: f.now - fleetConnectDelay, OK: ok && s.up, Refused: !ok || !s.up}
 	if reported.OK {
 		reported.StartedAt, reported.Report = s.entry.StartedAt, registrar.Report{Weights: s.entry.Weights}
--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -124,7 +124,7 @@
 	x.gateway.Translator.SetHeader(header, attemptHeader)
 	return streamer.Call{
 		Address: a.send.Address, Host: x.host, Method: x.method, Path: x.uri, Header: header, Body: x.body,
-		ID: x.header.ID, NewConnection: a.send.NewConnection,
+		ID: x.header.ID, NewConnection: a.send.NewConnection, ConnectTimeout: a.send.ConnectTimeout,
 	}
 }
 
--- a/internal/entry/streamer/client.go
+++ b/internal/entry/streamer/client.go
@@ -8,6 +8,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -73,8 +74,13 @@
 	ID string
 	// NewConnection requests a new connection, so that the request isn't sent on one that the server is closing.
 	NewConnection bool
+	// ConnectTimeout bounds the time until the call has a connection; zero means the client's DialTimeout.
+	ConnectTimeout time.Duration
 }
 
+// errConnectTimeout is the cause of a call that got no connection in time.
+var errConnectTimeout = errors.New("no connection in time")
+
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.once.Do(c.start)
@@ -95,6 +101,11 @@
 		header = make(http.Header)
 	}
 	reply := &Reply{client: c}
+	if call.ConnectTimeout > 0 {
+		var cancel context.CancelCauseFunc
+		ctx, cancel = context.WithCancelCause(ctx)
+		reply.connectTimer = time.AfterFunc(call.ConnectTimeout, func() { cancel(errConnectTimeout) })
+	}
 	trace := &httptrace.ClientTrace{GotConn: reply.gotConn}
 	request := (&http.Request{
 		Method:        call.Method,
--- a/internal/entry/streamer/reply.go
+++ b/internal/entry/streamer/reply.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"time"
 
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/network/bounder"
@@ -23,6 +24,8 @@
 
 	client *Client
 	ctx    context.Context
+	// connectTimer ends the call if it has no connection in time; nil for no limit.
+	connectTimer *time.Timer
 
 	mu sync.Mutex
 	// conn is the connection that the call uses, nil until it has one.
@@ -96,6 +99,9 @@
 func (r *Reply) gotConn(info httptrace.GotConnInfo) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.connectTimer != nil {
+		r.connectTimer.Stop()
+	}
 	r.conn = info.Conn
 	if tracked, ok := info.Conn.(*trackedConn); ok {
 		r.writes = tracked.writes.Load()
