fix: a request in a busy server's queue isn't taken off it

Cause: a repeatable request was cancelled after some objectives without an answer and counted as failed there, also if its server was only busy and would have answered next; with no other attempt left, the refusal then had to say that it may have run. The time-out ran even where no second server might run the request.

Now the end of that time is an event, and the conductor decides: a server that has shown life since, but has answered nothing that was sent later, has the request in its queue, and the request stays. A busy one that has shown none is polled first. One that answers later requests, or is silent and idle, is left as before.

Ruled out: moving only to servers that seem free (their counts are old: 257 still failed), waiting by the time since the last sign of life alone (22 to 108).

--- a/internal/decision/conductor/attempt.go
+++ b/internal/decision/conductor/attempt.go
@@ -14,11 +14,33 @@
 	}
 	r.answerStarted = true
 	if r.server != nil {
+		r.server.answeredSentAt = max(r.server.answeredSentAt, r.sentAt)
 		m.serverAlive(r.server, m.now)
 	}
 	m.streamStarted(r)
 }
 
+// attemptSilent has a request tried elsewhere if its server may have failed. One that has shown life since, but has answered none that
+// was sent later, has the request in its queue. A busy one may be running other daemons' requests, so it is polled first.
+func (m *Machine) attemptSilent(e AttemptSilent) {
+	r := m.requestOf(e.Request)
+	if r == nil || r.attempt != e.Attempt || r.answerStarted || r.server == nil || r.state != stateRunning {
+		return
+	}
+	s := r.server
+	overtaken := s.answeredSentAt > r.sentAt
+	switch {
+	case !overtaken && s.aliveAt > r.sentAt:
+		return
+	case !overtaken && s.load() >= busyLoad && r.needsModel() && r.polledAttempt != r.attempt:
+		r.polledAttempt = r.attempt
+		m.countSend(s)
+		m.emit(PollServer{Server: s.entry.ID, Address: s.entry.Address})
+		return
+	}
+	m.emit(Abandon{Request: r.Request, Attempt: r.attempt})
+}
+
 func (m *Machine) attemptEnded(e AttemptEnded) {
 	r := m.requestOf(e.Request)
 	if r == nil || r.attempt != e.Attempt {
@@ -53,6 +75,7 @@
 	case reducer.AttemptDone:
 		s.recordAnswer(e.Latency, e.Status >= 500)
 		m.serverAlive(s, m.now)
+		s.answeredSentAt = max(s.answeredSentAt, r.sentAt)
 		m.recordEnd(r, s, e.Status < 300)
 		return
 	case reducer.AttemptCancelled:
--- a/internal/decision/conductor/control.go
+++ b/internal/decision/conductor/control.go
@@ -205,6 +205,9 @@
 // too shortly after an order is ignored.
 func (m *Machine) serverReported(e ServerReported) {
 	m.probeAnswered(e)
+	if known, ok := m.servers[e.Server]; ok && e.OK && (e.StartedAt == 0 || e.StartedAt == known.entry.StartedAt) {
+		m.serverAlive(known, e.SentAt)
+	}
 	if known, ok := m.servers[e.Server]; ok && e.Refused {
 		m.serverUnreachable(known, false)
 	}
--- a/internal/decision/conductor/crash.go
+++ b/internal/decision/conductor/crash.go
@@ -99,11 +99,8 @@
 	if !ok || !m.awaitsEnd(s) {
 		return
 	}
-	switch {
-	case e.OK && e.StartedAt != 0 && e.StartedAt != s.entry.StartedAt:
+	if e.OK && e.StartedAt != 0 && e.StartedAt != s.entry.StartedAt {
 		m.serverCrashed(s)
-	case e.OK:
-		m.serverAlive(s, e.SentAt)
 	}
 }
 
--- a/internal/decision/conductor/effect.go
+++ b/internal/decision/conductor/effect.go
@@ -25,8 +25,8 @@
 	RemainingTime time.Duration
 	// Priority orders requests at engines, 0 first; a negative value leaves the order to the server.
 	Priority int
-	// FirstTimeout bounds the wait for the answer or first event, EventGapTimeout the wait between events; zero means
-	// Timeout.
+	// FirstTimeout is the wait for the answer or first event after which AttemptSilent is posted, zero for never.
+	// EventGapTimeout bounds the wait between events; zero means Timeout.
 	FirstTimeout    time.Duration
 	EventGapTimeout time.Duration
 	// ConnectTimeout bounds the time for opening a connection.
@@ -45,6 +45,12 @@
 // A Deliver effect passes on the buffered answer.
 type Deliver struct{ Request reducer.RequestID }
 
+// An Abandon effect ends an attempt whose server is silent. It is answered by AttemptEnded with CauseTimeout.
+type Abandon struct {
+	Request reducer.RequestID
+	Attempt int
+}
+
 // A RefusalReason is the reason why a request is not served.
 type RefusalReason uint8
 
@@ -194,6 +200,7 @@
 type Exit struct{}
 
 func (Send) effect()           {}
+func (Abandon) effect()        {}
 func (Deliver) effect()        {}
 func (Refuse) effect()         {}
 func (Cancel) effect()         {}
--- a/internal/decision/conductor/event.go
+++ b/internal/decision/conductor/event.go
@@ -63,6 +63,12 @@
 	Attempt int
 }
 
+// An AttemptSilent event reports that the server has sent nothing for Send.FirstTimeout. It comes again after each such time.
+type AttemptSilent struct {
+	Request reducer.RequestID
+	Attempt int
+}
+
 // A Cause is why an attempt failed, as far as the executor can tell.
 type Cause uint8
 
@@ -266,6 +272,7 @@
 func (RequestArrived) event()       {}
 func (CallerLeft) event()           {}
 func (AttemptStarted) event()       {}
+func (AttemptSilent) event()        {}
 func (AttemptEnded) event()         {}
 func (ServerAdvised) event()        {}
 func (ServersListed) event()        {}
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -32,6 +32,9 @@
 	connectTimeoutShare = 0.25
 	minConnectTimeout   = 100 * time.Millisecond
 	maxConnectTimeout   = time.Second
+	// busyLoad is the number of requests per slot from which on a silent server may be busy with other daemons' requests, whose
+	// numbers are known late.
+	busyLoad = 0.5
 	// fullBackoff is how long a server that had no free slot gets no requests.
 	fullBackoff = 60 * time.Millisecond
 	// absentTTL is how long a model that a server lacked counts as not loaded there without new information.
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -170,6 +170,8 @@
 		m.callerLeft(e)
 	case AttemptStarted:
 		m.attemptStarted(e)
+	case AttemptSilent:
+		m.attemptSilent(e)
 	case AttemptEnded:
 		m.attemptEnded(e)
 	case ServerAdvised:
--- a/internal/decision/conductor/request.go
+++ b/internal/decision/conductor/request.go
@@ -46,6 +46,8 @@
 	connectFailures int
 	// tried holds the IDs of the servers that the request was sent to.
 	tried []string
+	// polledAttempt is the last attempt for which the silent server was polled.
+	polledAttempt int
 	// peer is the daemon that has the request in this one's place, empty for none. triedPeers holds those that had it.
 	peer       string
 	triedPeers []string
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -269,10 +269,10 @@
 	m.emit(e)
 }
 
-// firstTimeout returns how long a repeatable request waits for the start of an answer before another server is tried,
-// zero for no limit.
+// firstTimeout returns how long a repeatable request waits for the start of an answer before another server is considered,
+// zero for no limit, as where no other server may run it.
 func (m *Machine) firstTimeout(r *request) time.Duration {
-	if !r.mayRunAgain() || len(r.tried) > 1 {
+	if r.runs+1 >= r.Route.MaxServers || len(r.tried) > 1 {
 		return 0
 	}
 	limit := max(minFirstTimeout, firstTimeoutObjectives*r.Route.LatencyObjective)
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -54,6 +54,10 @@
 	latency    time.Duration
 	// lastEnd is the last attempt here that ended otherwise than by a broken connection.
 	lastEnd attemptEnd
+	// aliveAt is when the server last showed life.
+	aliveAt time.Duration
+	// answeredSentAt is when the latest of this daemon's requests was sent that the server has answered.
+	answeredSentAt time.Duration
 	// ended holds the attempts that the server hasn't outlived yet, as far as is known.
 	ended       []endedAttempt
 	cachedParts partsCache
--- a/internal/decision/conductor/silent_test.go
+++ b/internal/decision/conductor/silent_test.go
@@ -20,6 +20,13 @@
 		wait = e.ConnectTimeout
 	}
 	switch rest := s.silentUntil - f.now; {
+	case wait > 0 && wait < rest && !s.refusesNew:
+		f.after(wait, func() { f.step(d, AttemptSilent{Request: e.Request, Attempt: e.Attempt}) })
+		f.after(rest, func() {
+			if !f.abandonedSends[attemptOf{e.Request, e.Attempt}] {
+				f.sent(d, e)
+			}
+		})
 	case wait > 0 && wait < rest:
 		f.after(wait, func() { f.step(d, ended) })
 	default:
--- a/internal/decision/conductor/virtual_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/fleet/matcher"
 	"samphirewharf/internal/peer/messenger"
 )
 
@@ -72,11 +73,19 @@
 	fromDaemon  *virtualDaemon
 	fromAttempt Send
 	refused     RefusalReason
-	ended       bool
+	// mayHaveRun reports whether the refusal says so.
+	mayHaveRun bool
+	ended      bool
 	// stream is the stream that the request belongs to, nil if that doesn't matter.
 	stream *virtualStream
 }
 
+// An attemptOf identifies an attempt.
+type attemptOf struct {
+	request reducer.RequestID
+	attempt int
+}
+
 // A virtualStream is a caller's stream over all of its attempts.
 type virtualStream struct {
 	// origin is the ID of the attempt that brought the first event, empty before that.
@@ -111,6 +120,11 @@
 	falseDowns int
 	// brittle is the number of rejections a second that an engine bears, 0 for any.
 	brittle float64
+	// queues reports whether engines queue what they have no slot for, and route is that of the requests.
+	queues bool
+	route  matcher.Route
+	// abandonedSends holds the attempts that daemons have abandoned.
+	abandonedSends map[attemptOf]bool
 	// slots is the number of slots of each engine.
 	slots       int
 	withoutLead bool
@@ -130,7 +144,7 @@
 func newVirtualFleet(t *testing.T, daemons, servers int, seed uint64) *virtualFleet {
 	t.Helper()
 	f := &virtualFleet{
-		t: t, rng: rand.New(rand.NewPCG(seed, seed)), servers: make(map[string]*virtualServer), revision: 100, slots: 32,
+		t: t, rng: rand.New(rand.NewPCG(seed, seed)), servers: make(map[string]*virtualServer), revision: 100, slots: 32, route: quick,
 		upstreams: make(map[string]string), requests: make(map[reducer.RequestID]*virtualRequest),
 	}
 	for range servers {
@@ -242,11 +256,14 @@
 		f.register(d, e)
 	case Refuse:
 		r := f.requests[e.Request]
-		r.refused, r.ended = e.Reason, true
+		r.refused, r.ended, r.mayHaveRun = e.Reason, true, e.MayHaveRun
 		if r.from != nil {
 			f.after(fleetPeerDelay, func() { f.delegationRefused(r, e) })
 		}
+	case Abandon:
+		f.abandoned(d, e)
 	case Cancel:
+		f.unqueue(e)
 		f.step(d, AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: reducer.AttemptCancelled})
 	case RenewLease:
 		f.step(d, LeaseRenewed{SentAt: f.now, OK: true})
@@ -350,7 +367,7 @@
 	r := &virtualRequest{poison: slices.Contains(parts, poisonPart), arrivedAt: f.now, stream: stream}
 	f.requests[id] = r
 	e := RequestArrived{
-		Request: id, ID: attemptName(id), Route: quick, Version: 1, Service: engineService, Model: "m1", TimeLimit: quick.Timeout, Fingerprint: uint64(id) << 8,
+		Request: id, ID: attemptName(id), Route: f.route, Version: 1, Service: engineService, Model: "m1", TimeLimit: f.route.Timeout, Fingerprint: uint64(id) << 8,
 	}
 	for _, p := range append(slices.Clone(parts), uint64(1<<32+f.attempts)) {
 		e.Parts = append(e.Parts, PromptPart{ID: p, Tokens: 100})
--- a/internal/decision/conductor/virtual_server_test.go
+++ b/internal/decision/conductor/virtual_server_test.go
@@ -20,6 +20,8 @@
 	entry   registrar.Entry
 	up      bool
 	running map[reducer.RequestID]virtualAttempt
+	// queue holds the attempts that wait for a slot of an engine that queues.
+	queue []virtualAttempt
 	// silentUntil is until when the engine answers nothing, refusesNew whether new connections to it aren't opened meanwhile.
 	silentUntil time.Duration
 	refusesNew  bool
@@ -120,6 +122,10 @@
 	if f.silentWhile(d, e, s) {
 		return
 	}
+	if f.queues {
+		f.queued(d, e, s)
+		return
+	}
 	if f.brittle > 0 {
 		f.step(d, ServerAdvised{Server: e.Server, StartedAt: e.StartedAt, Advice: Advice{Brittle: true, RejectionsBorne: f.brittle}})
 		if len(s.running) >= s.entry.Slots {
--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -34,10 +34,11 @@
 	send     conductor.Send
 	ctx      context.Context //nolint:containedctx // It lives as long as the attempt.
 	cancel   context.CancelCauseFunc
-	// timeoutTimer bounds the whole attempt, silenceTimer the wait for the answer or its next event; the latter is nil if
-	// that wait has no limit.
+	// timeoutTimer bounds the whole attempt, silenceTimer the wait for the next event. firstTimer reports that there is no answer
+	// yet. The latter two are nil if there is no limit.
 	timeoutTimer *time.Timer
 	silenceTimer *time.Timer
+	firstTimer   *time.Timer
 	sentAt       time.Time
 	latency      time.Duration
 	status       int
@@ -55,7 +56,7 @@
 	a.ctx, a.cancel = context.WithCancelCause(context.Background())
 	a.timeoutTimer = time.AfterFunc(max(send.Timeout, minAttemptTimeout), a.onTimeout)
 	if send.FirstTimeout > 0 {
-		a.silenceTimer = time.AfterFunc(send.FirstTimeout, a.onSilence)
+		a.firstTimer = time.AfterFunc(send.FirstTimeout, a.onFirstSilence)
 	}
 	return a
 }
@@ -103,7 +104,19 @@
 
 func (a *attempt) onSilence() { a.cancel(errServerSilent) }
 
+// onFirstSilence reports that there is no answer yet, and again after each FirstTimeout.
+func (a *attempt) onFirstSilence() {
+	if a.ctx.Err() != nil {
+		return
+	}
+	a.exchange.gateway.Post(conductor.AttemptSilent{Request: a.exchange.id, Attempt: a.send.Attempt})
+	a.firstTimer.Reset(a.send.FirstTimeout)
+}
+
 func (a *attempt) stopTimers() {
+	if a.firstTimer != nil {
+		a.firstTimer.Stop()
+	}
 	a.timeoutTimer.Stop()
 	if a.silenceTimer != nil {
 		a.silenceTimer.Stop()
@@ -301,13 +314,14 @@
 	if a.latency == 0 {
 		a.latency = time.Since(a.sentAt)
 	}
+	if a.firstTimer != nil {
+		a.firstTimer.Stop()
+	}
 	switch {
 	case a.send.EventGapTimeout > 0 && a.silenceTimer != nil:
 		a.silenceTimer.Reset(a.send.EventGapTimeout)
 	case a.send.EventGapTimeout > 0:
 		a.silenceTimer = time.AfterFunc(a.send.EventGapTimeout, a.onSilence)
-	case a.silenceTimer != nil:
-		a.silenceTimer.Stop()
 	}
 }
 
--- a/internal/edge/gateway/exchange.go
+++ b/internal/edge/gateway/exchange.go
@@ -94,6 +94,11 @@
 			x.writer.ShortenWriteTimeout()
 		}
 		return x.callerLeft && x.attempt == nil
+	case conductor.Abandon:
+		if x.attempt != nil && x.attempt.send.Attempt == e.Attempt {
+			x.attempt.cancel(errServerSilent)
+		}
+		return false
 	case conductor.Deliver:
 		x.deliver()
 		return true
--- a/internal/edge/launcher/effects.go
+++ b/internal/edge/launcher/effects.go
@@ -203,6 +203,8 @@
 		return e.Request, true
 	case conductor.Cancel:
 		return e.Request, true
+	case conductor.Abandon:
+		return e.Request, true
 	default:
 		return 0, false
 	}
