--- a/internal/decision/attributor/attributor.go
+++ b/internal/decision/attributor/attributor.go
@@ -8,23 +8,23 @@
 )
 
 const (
-	// convictingCrashes is the number of crashes that convict a trait.
-	convictingCrashes = 3
-	// convictingRequests is the number of different requests under which servers must have ended to convict a part.
-	convictingRequests = 2
+	// quarantineCrashes is the number of crashes that quarantine a trait.
+	quarantineCrashes = 3
+	// quarantineRequests is the number of different requests under which servers must have ended to quarantine a part.
+	quarantineRequests = 2
 	// momentGap separates crashes that count on their own for a part. Servers that end together, such as those of one host, count
 	// once.
 	momentGap = 150 * time.Millisecond
-	// settleTime is how long after the last crash that it takes a part is convicted, so that an answer elsewhere can clear it.
+	// settleTime is how long after the last crash that it takes a part is quarantined, so that an answer elsewhere can clear it.
 	settleTime = 400 * time.Millisecond
-	// firstHold is how long requests with a trait are held back after its first conviction. It doubles up to maxHold.
+	// firstHold is how long requests with a trait are held back after its first quarantine. It doubles up to maxHold.
 	firstHold = 2 * time.Minute
 	maxHold   = time.Hour
-	// evidenceTTL is how long crashes are remembered, convictionTTL how long a conviction is after the hold.
+	// evidenceTTL is how long crashes are remembered, quarantineTTL how long a quarantine is after the hold.
 	evidenceTTL   = 2 * time.Minute
-	convictionTTL = 10 * time.Minute
-	// trialTimeout is how long a trial may take until another request may be tried.
-	trialTimeout = 30 * time.Second
+	quarantineTTL = 10 * time.Minute
+	// probeTimeout is how long a probe may take until another request may be tried.
+	probeTimeout = 30 * time.Second
 	// maxRecords bounds the traits with evidence, maxCrashes the crashes that are kept for each, maxCrashesPerServer those of one
 	// server, maxAnswered the traits whose last answer is remembered.
 	maxRecords          = 4096
@@ -38,7 +38,7 @@
 // An Attributor holds the evidence for traits. The zero value is ready to use.
 type Attributor struct {
 	records map[Trait]*record
-	// suspects are the records that may be or become convicted, and some that no longer may.
+	// suspects are the records that may be or become quarantined, and some that no longer may.
 	suspects map[Trait]*record
 	// answered holds when requests with a trait were last answered, also without any crash.
 	answered map[Trait]time.Duration
@@ -46,16 +46,16 @@
 
 type record struct {
 	Evidence
-	// triedAt is when a request was last sent as a trial, zero for never.
-	triedAt time.Duration
+	// probedAt is when a request was last sent as a probe, zero for never.
+	probedAt time.Duration
 }
 
-// A Verdict is a change of whether requests with a trait are held back.
-type Verdict struct {
-	Trait     Trait
-	Convicted bool
-	Crashes   int
-	Requests  int
+// A Decision is a change of whether requests with a trait are held back.
+type Decision struct {
+	Trait       Trait
+	Quarantined bool
+	Crashes     int
+	Requests    int
 }
 
 // AddCrash records the end of a server while a request with the traits was running there.
@@ -107,8 +107,8 @@
 	if e.ReportedCrashes > r.ReportedCrashes {
 		r.ReportedCrashes, changed = e.ReportedCrashes, true
 	}
-	if e.Convictions > r.Convictions {
-		r.Convictions, r.ConvictedAt, r.HeldUntil, changed = e.Convictions, e.ConvictedAt, e.HeldUntil, true
+	if e.Quarantines > r.Quarantines {
+		r.Quarantines, r.QuarantinedAt, r.HeldUntil, changed = e.Quarantines, e.QuarantinedAt, e.HeldUntil, true
 	}
 	if e.Cleared > r.Cleared {
 		r.Cleared, changed = e.Cleared, true
@@ -123,7 +123,7 @@
 	return changed, knowsMore
 }
 
-// noteSuspect keeps a record among the suspects if it may be or become convicted.
+// noteSuspect keeps a record among the suspects if it may be or become quarantined.
 func (a *Attributor) noteSuspect(r *record) {
 	if !r.isSuspect() {
 		return
@@ -153,7 +153,7 @@
 	return r
 }
 
-// evict makes room for a record. It drops the one whose last crash is the oldest, convicted ones last.
+// evict makes room for a record. It drops the one whose last crash is the oldest, quarantined ones last.
 func (a *Attributor) evict(now time.Duration) {
 	a.Expire(now)
 	if len(a.records) < maxRecords {
@@ -161,7 +161,7 @@
 	}
 	var oldest *record
 	for _, r := range a.records {
-		if oldest == nil || cmp.Or(cmp.Compare(r.Convictions, oldest.Convictions), cmp.Compare(r.lastCrash(), oldest.lastCrash()), r.Trait.Compare(oldest.Trait)) < 0 {
+		if oldest == nil || cmp.Or(cmp.Compare(r.Quarantines, oldest.Quarantines), cmp.Compare(r.lastCrash(), oldest.lastCrash()), r.Trait.Compare(oldest.Trait)) < 0 {
 			oldest = r
 		}
 	}
@@ -172,8 +172,8 @@
 func (a *Attributor) Expire(now time.Duration) {
 	for t, r := range a.records {
 		expiresAt := max(r.lastCrash(), r.AnsweredAt) + evidenceTTL
-		if r.Convicted() {
-			expiresAt = r.HeldUntil + convictionTTL
+		if r.Quarantined() {
+			expiresAt = r.HeldUntil + quarantineTTL
 		}
 		if now > expiresAt {
 			a.drop(t)
@@ -203,20 +203,20 @@
 }
 
 // Suspected reports whether several servers have ended under requests with a trait since one was last answered, or it is
-// convicted.
+// quarantined.
 func (a *Attributor) Suspected(t Trait) bool {
 	r, ok := a.records[t]
-	return ok && (r.Convicted() || len(r.servers(nil)) >= convictingCrashes-1)
+	return ok && (r.Quarantined() || len(r.servers(nil)) >= quarantineCrashes-1)
 }
 
-// Refute drops the crashes of servers that live. It returns the traits that are no longer convicted.
+// Refute drops the crashes of servers that live. It returns the traits that are no longer quarantined.
 func (a *Attributor) Refute(lives func(server uint64, at time.Duration) bool) []Trait {
 	var cleared []Trait
 	for t, r := range a.records {
 		before := len(r.Crashes)
 		r.Crashes = slices.DeleteFunc(r.Crashes, func(c Crash) bool { return lives(c.Server, c.At) })
-		if len(r.Crashes) < before && r.Convicted() && len(r.servers(nil)) < convictingCrashes {
-			r.Cleared = r.Convictions
+		if len(r.Crashes) < before && r.Quarantined() && len(r.servers(nil)) < quarantineCrashes {
+			r.Cleared = r.Quarantines
 			cleared = append(cleared, t)
 		}
 	}
@@ -234,20 +234,20 @@
 // HoldingTrait returns the trait for which a request is held back, if any, and for how much longer.
 func (a *Attributor) HoldingTrait(now time.Duration, traits []Trait) (Trait, time.Duration, bool) {
 	for _, t := range traits {
-		if r, ok := a.records[t]; ok && r.Convicted() {
+		if r, ok := a.records[t]; ok && r.Quarantined() {
 			return t, max(r.HeldUntil-now, 0), true
 		}
 	}
 	return Trait{}, 0, false
 }
 
-// StartTrial reports whether a request with a convicted trait may be sent to find out whether it still crashes servers. Only
+// StartProbe reports whether a request with a quarantined trait may be sent to find out whether it still crashes servers. Only
 // one daemon may call it for a trait.
-func (a *Attributor) StartTrial(now time.Duration, t Trait) bool {
+func (a *Attributor) StartProbe(now time.Duration, t Trait) bool {
 	r, ok := a.records[t]
-	if !ok || now <= r.HeldUntil || r.triedAt > 0 && now < r.triedAt+trialTimeout {
+	if !ok || now <= r.HeldUntil || r.probedAt > 0 && now < r.probedAt+probeTimeout {
 		return false
 	}
-	r.triedAt = now
+	r.probedAt = now
 	return true
 }
--- a/internal/decision/attributor/attributor_test.go
+++ b/internal/decision/attributor/attributor_test.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	shared = 1
-	guilty = 66
-	rare   = 7
+	shared   = 1
+	crashing = 66
+	rare     = 7
 )
 
 func part(hash uint64) Trait { return Trait{Kind: KindPart, Hash: hash} }
@@ -26,66 +26,66 @@
 	a.AddAnswer(at, Traits(uint64(at), append(parts, 1000)))
 }
 
-// convicted returns the parts that are convicted after a time.
-func convicted(a *Attributor, now time.Duration) []uint64 {
+// quarantined returns the parts that are quarantined after a time.
+func quarantined(a *Attributor, now time.Duration) []uint64 {
 	a.Judge(now)
 	var list []uint64
 	for _, t := range a.Traits() {
-		if e, _ := a.Evidence(t); t.Kind == KindPart && e.Convicted() {
+		if e, _ := a.Evidence(t); t.Kind == KindPart && e.Quarantined() {
 			list = append(list, t.Hash)
 		}
 	}
 	return list
 }
 
-func assertConvicted(t *testing.T, a *Attributor, now time.Duration, want ...uint64) {
+func assertQuarantined(t *testing.T, a *Attributor, now time.Duration, want ...uint64) {
 	t.Helper()
-	if got := convicted(a, now); !slices.Equal(got, want) {
-		t.Errorf("got parts %v convicted at %v, want %v", got, now, want)
+	if got := quarantined(a, now); !slices.Equal(got, want) {
+		t.Errorf("got parts %v quarantined at %v, want %v", got, now, want)
 	}
 }
 
 func TestParts(t *testing.T) {
 	second := time.Second
-	t.Run("a part under which three servers ended is convicted, and not the part that others share", func(t *testing.T) {
+	t.Run("a part under which three servers ended is quarantined, and not the part that others share", func(t *testing.T) {
 		var a Attributor
 		for i := range uint64(3) {
-			crash(&a, second*time.Duration(i+1), i, 10+i, shared, guilty)
+			crash(&a, second*time.Duration(i+1), i, 10+i, shared, crashing)
 			answer(&a, second*time.Duration(i+1)+100*time.Millisecond, shared, 5)
 		}
-		assertConvicted(t, &a, 3*second+settleTime, guilty)
+		assertQuarantined(t, &a, 3*second+settleTime, crashing)
 	})
-	t.Run("an answer before the conviction clears a part", func(t *testing.T) {
+	t.Run("an answer before the quarantine clears a part", func(t *testing.T) {
 		var a Attributor
 		for i := range uint64(3) {
-			crash(&a, second*time.Duration(i+1), i, 10+i, guilty)
+			crash(&a, second*time.Duration(i+1), i, 10+i, crashing)
 		}
-		assertConvicted(t, &a, 3*second)
-		answer(&a, 3*second+time.Millisecond, guilty)
-		assertConvicted(t, &a, 4*second)
+		assertQuarantined(t, &a, 3*second)
+		answer(&a, 3*second+time.Millisecond, crashing)
+		assertQuarantined(t, &a, 4*second)
 	})
-	t.Run("an answer after the conviction clears a part", func(t *testing.T) {
+	t.Run("an answer after the quarantine clears a part", func(t *testing.T) {
 		var a Attributor
 		for i := range uint64(3) {
-			crash(&a, second*time.Duration(i+1), i, 10+i, guilty)
+			crash(&a, second*time.Duration(i+1), i, 10+i, crashing)
 		}
-		assertConvicted(t, &a, 4*second, guilty)
-		answer(&a, 5*second, guilty)
-		assertConvicted(t, &a, 6*second)
+		assertQuarantined(t, &a, 4*second, crashing)
+		answer(&a, 5*second, crashing)
+		assertQuarantined(t, &a, 6*second)
 	})
-	t.Run("servers that end together don't convict a part", func(t *testing.T) {
+	t.Run("servers that end together don't quarantine a part", func(t *testing.T) {
 		var a Attributor
 		for i := range uint64(9) {
 			crash(&a, second+time.Duration(i)*time.Millisecond, i, 10+i, rare)
 		}
-		assertConvicted(t, &a, 10*second)
+		assertQuarantined(t, &a, 10*second)
 	})
-	t.Run("one request that crashes servers again and again doesn't convict its parts", func(t *testing.T) {
+	t.Run("one request that crashes servers again and again doesn't quarantine its parts", func(t *testing.T) {
 		var a Attributor
 		for i := range uint64(5) {
 			crash(&a, second*time.Duration(i+1), i, 10, rare)
 		}
-		assertConvicted(t, &a, 10*second)
+		assertQuarantined(t, &a, 10*second)
 		if _, _, held := a.HoldingTrait(10*second, Traits(10, nil)); !held {
 			t.Error("got the request sent on, want it held back")
 		}
@@ -96,21 +96,21 @@
 			at := second * time.Duration(i+1)
 			crash(&a, at, i, 20+i, rare)
 		}
-		assertConvicted(t, &a, 4*second, rare)
+		assertQuarantined(t, &a, 4*second, rare)
 		for i := range uint64(5) {
-			crash(&a, second*time.Duration(i+1), i, 10+i, guilty)
+			crash(&a, second*time.Duration(i+1), i, 10+i, crashing)
 		}
-		assertConvicted(t, &a, 6*second, guilty)
+		assertQuarantined(t, &a, 6*second, crashing)
 	})
 	t.Run("a request that was at the same servers by chance is cleared too", func(t *testing.T) {
 		var a Attributor
 		for i := range uint64(3) {
 			at := second * time.Duration(i+1)
 			crash(&a, at, i, 20, 5)
-			crash(&a, at, i, 10+i, guilty)
+			crash(&a, at, i, 10+i, crashing)
 		}
 		a.Judge(3 * second)
-		assertConvicted(t, &a, 4*second, guilty)
+		assertQuarantined(t, &a, 4*second, crashing)
 		if _, _, held := a.HoldingTrait(4*second, Traits(20, nil)); held {
 			t.Error("got the request held back, want it sent")
 		}
@@ -119,49 +119,49 @@
 		var a Attributor
 		for i := range uint64(6) {
 			for n := range uint64(20) {
-				crash(&a, second*time.Duration(i+1), i, 100*i+n, guilty)
+				crash(&a, second*time.Duration(i+1), i, 100*i+n, crashing)
 			}
 		}
-		assertConvicted(t, &a, 7*second, guilty)
+		assertQuarantined(t, &a, 7*second, crashing)
 	})
 }
 
-func TestTrials(t *testing.T) {
-	newConvicted := func(t *testing.T) (*Attributor, time.Duration) {
+func TestProbes(t *testing.T) {
+	newQuarantined := func(t *testing.T) (*Attributor, time.Duration) {
 		t.Helper()
 		a := &Attributor{}
 		for i := range uint64(3) {
-			crash(a, time.Second*time.Duration(i+1), i, 10+i, guilty)
+			crash(a, time.Second*time.Duration(i+1), i, 10+i, crashing)
 		}
-		assertConvicted(t, a, 4*time.Second, guilty)
+		assertQuarantined(t, a, 4*time.Second, crashing)
 		return a, 4*time.Second + firstHold
 	}
 	t.Run("one request at a time is tried after the hold", func(t *testing.T) {
-		a, end := newConvicted(t)
+		a, end := newQuarantined(t)
 		for _, c := range []struct {
 			at   time.Duration
 			want bool
-		}{{end, false}, {end + 1, true}, {end + 2, false}, {end + 2 + trialTimeout, true}} {
-			if got := a.StartTrial(c.at, part(guilty)); got != c.want {
-				t.Errorf("got trial %t at %v, want %t", got, c.at, c.want)
+		}{{end, false}, {end + 1, true}, {end + 2, false}, {end + 2 + probeTimeout, true}} {
+			if got := a.StartProbe(c.at, part(crashing)); got != c.want {
+				t.Errorf("got probe %t at %v, want %t", got, c.at, c.want)
 			}
 		}
 	})
-	t.Run("a trial that crashes a server doubles the hold", func(t *testing.T) {
-		a, end := newConvicted(t)
-		a.StartTrial(end+1, part(guilty))
-		crash(a, end+time.Second, 9, 99, guilty)
-		assertConvicted(t, a, end+2*time.Second, guilty)
-		_, got, _ := a.HoldingTrait(end+2*time.Second, []Trait{part(guilty)})
+	t.Run("a probe that crashes a server doubles the hold", func(t *testing.T) {
+		a, end := newQuarantined(t)
+		a.StartProbe(end+1, part(crashing))
+		crash(a, end+time.Second, 9, 99, crashing)
+		assertQuarantined(t, a, end+2*time.Second, crashing)
+		_, got, _ := a.HoldingTrait(end+2*time.Second, []Trait{part(crashing)})
 		if want := 2 * firstHold; got != want {
 			t.Errorf("got hold %v, want %v", got, want)
 		}
 	})
-	t.Run("a trial that is answered ends the conviction", func(t *testing.T) {
-		a, end := newConvicted(t)
-		a.StartTrial(end+1, part(guilty))
-		answer(a, end+time.Second, guilty)
-		assertConvicted(t, a, end+2*time.Second)
+	t.Run("a probe that is answered ends the quarantine", func(t *testing.T) {
+		a, end := newQuarantined(t)
+		a.StartProbe(end+1, part(crashing))
+		answer(a, end+time.Second, crashing)
+		assertQuarantined(t, a, end+2*time.Second)
 	})
 }
 
@@ -195,12 +195,12 @@
 			for _, e := range order {
 				a.Merge(now, e)
 			}
-			return convicted(&a, now+settleTime)
+			return quarantined(&a, now+settleTime)
 		}
 		want := merged(evidence)
 		shuffled := rapid.Permutation(evidence).Draw(t, "order")
 		if got := merged(append(shuffled, shuffled...)); !reflect.DeepEqual(got, want) {
-			t.Fatalf("got %v convicted in another order, want %v", got, want)
+			t.Fatalf("got %v quarantined in another order, want %v", got, want)
 		}
 	})
 }
--- a/internal/decision/attributor/judge.go
+++ b/internal/decision/attributor/judge.go
@@ -5,72 +5,72 @@
 	"time"
 )
 
-// Judge convicts the traits that explain crashes, and clears those whose crashes another trait explains better. It returns
+// Judge quarantines the traits that explain crashes, and clears those whose crashes another trait explains better. It returns
 // the changes.
-func (a *Attributor) Judge(now time.Duration) []Verdict {
+func (a *Attributor) Judge(now time.Duration) []Decision {
 	explained := make(map[uint64]bool)
-	verdicts := a.judgeParts(now, explained)
+	decisions := a.decideParts(now, explained)
 	for _, r := range a.candidates(KindRequest) {
-		guilty := max(len(r.servers(explained)), r.ReportedCrashes) >= convictingCrashes
+		responsible := max(len(r.servers(explained)), r.ReportedCrashes) >= quarantineCrashes
 		switch {
-		case guilty && (!r.Convicted() || r.failedTrial()):
-			r.convict(now)
-		case !guilty && r.Convicted() && r.explainedBy(explained):
-			r.Cleared = r.Convictions
+		case responsible && (!r.Quarantined() || r.failedProbe()):
+			r.quarantine(now)
+		case !responsible && r.Quarantined() && r.explainedBy(explained):
+			r.Cleared = r.Quarantines
 		default:
 			continue
 		}
-		verdicts = append(verdicts, r.verdict())
+		decisions = append(decisions, r.decision())
 	}
-	return verdicts
+	return decisions
 }
 
-// judgeParts judges the parts, the guiltiest first, and adds the servers whose end they explain.
-func (a *Attributor) judgeParts(now time.Duration, explained map[uint64]bool) []Verdict {
-	var verdicts []Verdict
+// decideParts judges the parts, the most suspected first, and adds the servers whose end they explain.
+func (a *Attributor) decideParts(now time.Duration, explained map[uint64]bool) []Decision {
+	var decisions []Decision
 	var open []*record
 	for _, r := range a.candidates(KindPart) {
-		if at, ok := r.convictableAt(nil); r.Convicted() || ok && now >= at {
+		if at, ok := r.quarantinableAt(nil); r.Quarantined() || ok && now >= at {
 			open = append(open, r)
 		}
 	}
 	for len(open) > 0 {
-		r := slices.MinFunc(open, func(x, y *record) int { return compareGuilt(x, y, explained) })
+		r := slices.MinFunc(open, func(x, y *record) int { return compareSuspicion(x, y, explained) })
 		open = slices.DeleteFunc(open, func(other *record) bool { return other == r })
-		_, guilty := r.convictableAt(explained)
+		_, responsible := r.quarantinableAt(explained)
 		switch {
-		case guilty && !r.Convicted() || r.Convicted() && r.failedTrial():
-			r.convict(now)
-			verdicts = append(verdicts, r.verdict())
-		case !guilty && r.Convicted() && r.explainedBy(explained):
-			r.Cleared = r.Convictions
-			verdicts = append(verdicts, r.verdict())
+		case responsible && !r.Quarantined() || r.Quarantined() && r.failedProbe():
+			r.quarantine(now)
+			decisions = append(decisions, r.decision())
+		case !responsible && r.Quarantined() && r.explainedBy(explained):
+			r.Cleared = r.Quarantines
+			decisions = append(decisions, r.decision())
 		}
-		if r.Convicted() {
+		if r.Quarantined() {
 			for _, server := range r.servers(nil) {
 				explained[server] = true
 			}
 		}
 	}
-	return verdicts
+	return decisions
 }
 
-// NextAt returns when Judge may convict a trait without new evidence, false if it won't.
+// NextAt returns when Judge may quarantine a trait without new evidence, false if it won't.
 func (a *Attributor) NextAt() (time.Duration, bool) {
 	explained := a.explainedByParts()
 	next, found := time.Duration(0), false
 	for _, r := range a.candidates(KindPart) {
-		if r.Convicted() {
+		if r.Quarantined() {
 			continue
 		}
-		if at, ok := r.convictableAt(explained); ok && (!found || at < next) {
+		if at, ok := r.quarantinableAt(explained); ok && (!found || at < next) {
 			next, found = at, true
 		}
 	}
 	return next, found
 }
 
-// candidates returns the records of a kind that may be or become convicted, sorted. In a storm most records have the crashes of one
+// candidates returns the records of a kind that may be or become quarantined, sorted. In a storm most records have the crashes of one
 // or two servers.
 func (a *Attributor) candidates(kind Kind) []*record {
 	var list []*record
@@ -86,11 +86,11 @@
 	return list
 }
 
-// explainedByParts returns the servers whose end a convicted part explains.
+// explainedByParts returns the servers whose end a quarantined part explains.
 func (a *Attributor) explainedByParts() map[uint64]bool {
 	explained := make(map[uint64]bool)
 	for _, r := range a.candidates(KindPart) {
-		if r.Convicted() {
+		if r.Quarantined() {
 			for _, server := range r.servers(nil) {
 				explained[server] = true
 			}
@@ -99,14 +99,14 @@
 	return explained
 }
 
-// failedTrial reports whether a server has ended under a request with a convicted trait after its hold.
-func (r *record) failedTrial() bool { return r.lastCrash() > r.HeldUntil }
+// failedProbe reports whether a server has ended under a request with a quarantined trait after its hold.
+func (r *record) failedProbe() bool { return r.lastCrash() > r.HeldUntil }
 
 // explainedBy reports whether other traits explain the end of a server.
 func (r *record) explainedBy(explained map[uint64]bool) bool {
 	return len(r.servers(explained)) < len(r.servers(nil))
 }
 
-func (r *record) verdict() Verdict {
-	return Verdict{Trait: r.Trait, Convicted: r.Convicted(), Crashes: len(r.servers(nil)), Requests: r.requests(nil)}
+func (r *record) decision() Decision {
+	return Decision{Trait: r.Trait, Quarantined: r.Quarantined(), Crashes: len(r.servers(nil)), Requests: r.requests(nil)}
 }
--- a/internal/decision/attributor/record.go
+++ b/internal/decision/attributor/record.go
@@ -43,16 +43,16 @@
 	known := len(r.Crashes) + r.ReportedCrashes
 	r.Crashes = slices.DeleteFunc(r.Crashes, func(c Crash) bool { return c.At <= r.AnsweredAt })
 	r.ReportedCrashes = 0
-	cleared := r.Convicted() && r.AnsweredAt > r.ConvictedAt
+	cleared := r.Quarantined() && r.AnsweredAt > r.QuarantinedAt
 	if cleared {
-		r.Cleared = r.Convictions
+		r.Cleared = r.Quarantines
 	}
 	return cleared || len(r.Crashes) < known
 }
 
-// isSuspect reports whether the trait is or may become convicted.
+// isSuspect reports whether the trait is or may become quarantined.
 func (r *record) isSuspect() bool {
-	return r.Convicted() || max(len(r.Crashes), r.ReportedCrashes) >= convictingCrashes
+	return r.Quarantined() || max(len(r.Crashes), r.ReportedCrashes) >= quarantineCrashes
 }
 
 func (r *record) lastCrash() time.Duration {
@@ -85,9 +85,9 @@
 	return len(seen)
 }
 
-// convictableAt returns when the crashes that aren't explained convict a part, false if they don't.
-func (r *record) convictableAt(explained map[uint64]bool) (time.Duration, bool) {
-	if len(r.servers(explained)) < convictingCrashes || r.requests(explained) < convictingRequests {
+// quarantinableAt returns when the crashes that aren't explained quarantine a part, false if they don't.
+func (r *record) quarantinableAt(explained map[uint64]bool) (time.Duration, bool) {
+	if len(r.servers(explained)) < quarantineCrashes || r.requests(explained) < quarantineRequests {
 		return 0, false
 	}
 	var times []time.Duration
@@ -103,16 +103,16 @@
 			continue
 		}
 		moments, moment = moments+1, at
-		if moments == convictingCrashes {
+		if moments == quarantineCrashes {
 			return at + settleTime, true
 		}
 	}
 	return 0, false
 }
 
-// compareGuilt orders parts by how likely they are the one that crashes servers, most likely first. Among parts with the same
+// compareSuspicion orders parts by how likely they are the one that crashes servers, most likely first. Among parts with the same
 // crashes, that is one of which no answer is known, or the one which the fewest other requests have.
-func compareGuilt(a, b *record, explained map[uint64]bool) int {
+func compareSuspicion(a, b *record, explained map[uint64]bool) int {
 	return cmp.Or(
 		cmp.Compare(len(b.servers(explained)), len(a.servers(explained))),
 		cmp.Compare(a.AnsweredAt, b.AnsweredAt),
@@ -121,11 +121,11 @@
 	)
 }
 
-func (r *record) convict(now time.Duration) {
-	r.Convictions++
-	r.ConvictedAt, r.HeldUntil, r.triedAt = r.lastCrash(), now+holdTime(r.Convictions-r.Cleared), 0
+func (r *record) quarantine(now time.Duration) {
+	r.Quarantines++
+	r.QuarantinedAt, r.HeldUntil, r.probedAt = r.lastCrash(), now+holdTime(r.Quarantines-r.Cleared), 0
 }
 
-func holdTime(convictions int) time.Duration {
-	return min(firstHold<<min(convictions-1, 10), maxHold)
+func holdTime(quarantines int) time.Duration {
+	return min(firstHold<<min(quarantines-1, 10), maxHold)
 }
--- a/internal/decision/attributor/trait.go
+++ b/internal/decision/attributor/trait.go
@@ -70,13 +70,13 @@
 	// AnsweredAt is when a request with the trait was last answered, valid if Answered.
 	Answered   bool
 	AnsweredAt time.Duration
-	// Convictions is how often the trait was convicted, ConvictedAt when the last server ended that convicted it, and HeldUntil until
-	// when no request with it is sent. The first Cleared of the convictions no longer hold.
-	Convictions int
-	Cleared     int
-	ConvictedAt time.Duration
-	HeldUntil   time.Duration
+	// Quarantines is how often the trait was quarantined, QuarantinedAt when the last server ended that quarantined it, and HeldUntil until
+	// when no request with it is sent. The first Cleared of the quarantines no longer hold.
+	Quarantines   int
+	Cleared       int
+	QuarantinedAt time.Duration
+	HeldUntil     time.Duration
 }
 
-// Convicted reports whether requests with the trait are held back, apart from trials.
-func (e *Evidence) Convicted() bool { return e.Convictions > e.Cleared }
+// Quarantined reports whether requests with the trait are held back, apart from probes.
+func (e *Evidence) Quarantined() bool { return e.Quarantines > e.Cleared }
--- a/internal/decision/conductor/control.go
+++ b/internal/decision/conductor/control.go
@@ -204,7 +204,7 @@
 // serverReported handles an engine's report. Its values may be older than the answer, so a report that was requested
 // too shortly after an order is ignored.
 func (m *Machine) serverReported(e ServerReported) {
-	m.probeAnswered(e)
+	m.crashPollAnswered(e)
 	if known, ok := m.servers[e.Server]; ok && e.OK && (e.StartedAt == 0 || e.StartedAt == known.entry.StartedAt) {
 		m.serverAlive(known, e.SentAt)
 	}
--- a/internal/decision/conductor/crash.go
+++ b/internal/decision/conductor/crash.go
@@ -14,9 +14,9 @@
 // A crashState is what this daemon knows of requests that crash servers.
 type crashState struct {
 	attributor attributor.Attributor
-	// broken holds broken connections whose server may turn out to have crashed, probes the polls that find out.
+	// broken holds broken connections whose server may turn out to have crashed, polls those that find out.
 	broken []brokenConnection
-	probes []crashProbe
+	polls  []crashPoll
 	// changed reports whether there is new evidence to judge; judgeAt is when there is something to judge without any, 0 for
 	// never.
 	changed  bool
@@ -24,7 +24,7 @@
 	expireAt time.Duration
 
 	exchange    evidenceExchange
-	convictions convictionRecords
+	quarantines quarantineRecords
 }
 
 type brokenConnection struct {
@@ -34,8 +34,8 @@
 	at      time.Duration
 }
 
-// A crashProbe is a poll of a server whose connection broke.
-type crashProbe struct {
+// A crashPoll is a poll of a server whose connection broke.
+type crashPoll struct {
 	server string
 	at     time.Duration
 	// left is the number of polls, including this one.
@@ -51,18 +51,18 @@
 	c.broken = slices.DeleteFunc(c.broken, func(b brokenConnection) bool { return m.now > b.at+m.crashWindow() })
 	c.broken = append(c.broken, brokenConnection{server: s.entry.ID, request: r.Fingerprint, traits: r.traits, at: m.now})
 	if r.needsModel() {
-		m.probeLater(s, m.now+crashProbeDelay, crashProbes)
+		m.pollLater(s, m.now+crashPollDelay, crashPolls)
 	}
 }
 
-// probeLater schedules polls of a server that may have ended, unless one is due earlier.
-func (m *Machine) probeLater(s *server, at time.Duration, polls int) {
+// pollLater schedules polls of a server that may have ended, unless one is due earlier.
+func (m *Machine) pollLater(s *server, at time.Duration, polls int) {
 	c := &m.crashes
-	if slices.ContainsFunc(c.probes, func(p crashProbe) bool { return p.server == s.entry.ID && p.at <= at }) {
+	if slices.ContainsFunc(c.polls, func(p crashPoll) bool { return p.server == s.entry.ID && p.at <= at }) {
 		return
 	}
-	c.probes = slices.DeleteFunc(c.probes, func(p crashProbe) bool { return p.server == s.entry.ID })
-	c.probes = append(c.probes, crashProbe{server: s.entry.ID, at: at, left: polls})
+	c.polls = slices.DeleteFunc(c.polls, func(p crashPoll) bool { return p.server == s.entry.ID })
+	c.polls = append(c.polls, crashPoll{server: s.entry.ID, at: at, left: polls})
 }
 
 // awaitsEnd reports whether the end of a server would be evidence.
@@ -70,11 +70,11 @@
 	return len(s.ended) > 0 || slices.ContainsFunc(m.crashes.broken, func(b brokenConnection) bool { return b.server == s.entry.ID })
 }
 
-// tickProbes polls the servers that may have ended. A server that has ended accepts no connection.
-func (m *Machine) tickProbes() {
+// tickCrashPolls polls the servers that may have ended. A server that has ended accepts no connection.
+func (m *Machine) tickCrashPolls() {
 	c := &m.crashes
-	var due []crashProbe
-	c.probes = slices.DeleteFunc(c.probes, func(p crashProbe) bool {
+	var due []crashPoll
+	c.polls = slices.DeleteFunc(c.polls, func(p crashPoll) bool {
 		if m.now >= p.at {
 			due = append(due, p)
 		}
@@ -88,13 +88,13 @@
 		m.countSend(s)
 		m.emit(PollServer{Server: s.entry.ID, Address: s.entry.Address})
 		if p.left > 1 {
-			c.probes = append(c.probes, crashProbe{server: p.server, at: m.now + crashProbeInterval, left: p.left - 1})
+			c.polls = append(c.polls, crashPoll{server: p.server, at: m.now + crashPollInterval, left: p.left - 1})
 		}
 	}
 }
 
-// probeAnswered handles the answer to a poll of a server that may have ended.
-func (m *Machine) probeAnswered(e ServerReported) {
+// crashPollAnswered handles the answer to a poll of a server that may have ended.
+func (m *Machine) crashPollAnswered(e ServerReported) {
 	s, ok := m.servers[e.Server]
 	if !ok || !m.awaitsEnd(s) {
 		return
@@ -170,15 +170,15 @@
 func (m *Machine) logTrait(t attributor.Trait, change, reason string) {
 	e, _ := m.crashes.attributor.Evidence(t)
 	m.emit(LogStateChange{
-		Subject: t.Kind.String(), Change: change, Reason: reason, Version: int64(len(e.Crashes)), Warning: change == "Convicted",
-		Detail: "hash " + strconv.FormatUint(t.Hash, 16) + ", convictions " + itoa(int64(e.Convictions)),
+		Subject: t.Kind.String(), Change: change, Reason: reason, Version: int64(len(e.Crashes)), Warning: change == "Quarantined",
+		Detail: "hash " + strconv.FormatUint(t.Hash, 16) + ", quarantines " + itoa(int64(e.Quarantines)),
 	})
 }
 
 // tickCrashes does what is due with crashes and the evidence of them.
 func (m *Machine) tickCrashes() {
 	c := &m.crashes
-	m.tickProbes()
+	m.tickCrashPolls()
 	if c.changed || c.judgeAt > 0 && m.now >= c.judgeAt {
 		m.judge()
 	}
@@ -189,7 +189,7 @@
 		c.expireAt = m.now + expiryInterval
 	}
 	m.tickEvidence()
-	m.tickConvictions()
+	m.tickQuarantines()
 }
 
 // refuteCrashes drops the crashes of servers that are still registered though their entries would have expired by now. A daemon that
@@ -208,17 +208,17 @@
 		return registered[server] && m.now > at+m.crashWindow()
 	}) {
 		m.shareEvidence(t)
-		m.convictionChanged(t, "servers that were taken for ended are registered")
+		m.quarantineChanged(t, "servers that were taken for ended are registered")
 	}
 }
 
-// judge convicts what explains the crashes.
+// judge quarantines what explains the crashes.
 func (m *Machine) judge() {
 	c := &m.crashes
 	c.changed = false
 	for _, v := range c.attributor.Judge(m.now) {
 		m.shareEvidence(v.Trait)
-		m.convictionChanged(v.Trait, itoa(int64(v.Crashes))+" servers ended under "+itoa(int64(v.Requests))+" requests")
+		m.quarantineChanged(v.Trait, itoa(int64(v.Crashes))+" servers ended under "+itoa(int64(v.Requests))+" requests")
 	}
 	c.judgeAt = 0
 	if at, ok := c.attributor.NextAt(); ok {
@@ -227,11 +227,11 @@
 }
 
 func (c *crashState) nextAt(m *Machine) time.Duration {
-	next := min(c.exchange.nextAt(m), c.convictions.nextAt())
+	next := min(c.exchange.nextAt(m), c.quarantines.nextAt())
 	if c.judgeAt > 0 {
 		next = min(next, c.judgeAt)
 	}
-	for _, p := range c.probes {
+	for _, p := range c.polls {
 		next = min(next, p.at)
 	}
 	return next
--- a/internal/decision/conductor/ended.go
+++ b/internal/decision/conductor/ended.go
@@ -25,7 +25,7 @@
 	}
 	s.ended = append(s.ended, endedAttempt{request: r.Fingerprint, traits: r.traits, at: m.now, answered: answered})
 	if r.needsModel() && slices.ContainsFunc(r.traits, m.crashes.attributor.Questioned) {
-		m.probeLater(s, m.now+crashLag, 1)
+		m.pollLater(s, m.now+crashLag, 1)
 	}
 }
 
@@ -36,7 +36,7 @@
 		s := m.servers[id]
 		i := slices.IndexFunc(s.ended, func(e endedAttempt) bool { return e.answered && slices.Contains(e.traits, t) })
 		if i >= 0 && m.engineSettings(s.entry.Service) != nil {
-			m.probeLater(s, max(m.now, s.ended[i].at+crashLag), 1)
+			m.pollLater(s, max(m.now, s.ended[i].at+crashLag), 1)
 		}
 	}
 }
@@ -67,7 +67,7 @@
 	}
 	for _, t := range m.crashes.attributor.AddAnswer(e.at, e.traits) {
 		m.shareEvidence(t)
-		m.convictionChanged(t, "answered by a server")
+		m.quarantineChanged(t, "answered by a server")
 	}
 }
 
@@ -84,7 +84,7 @@
 	}
 	var list []brokenConnection
 	for _, e := range ended {
-		near := e.at >= endedAt-crashLag-crashProbeDelay
+		near := e.at >= endedAt-crashLag-crashPollDelay
 		switch {
 		case s.entry.State == registrar.StateDraining || known && !near:
 			m.releaseEnded(e)
--- a/internal/decision/conductor/event.go
+++ b/internal/decision/conductor/event.go
@@ -170,8 +170,8 @@
 type DaemonsListed struct {
 	Daemons []DaemonChanged
 	Leader  *Leader
-	// Convictions are the records of what crashes servers.
-	Convictions []Conviction
+	// Quarantines are the records of what crashes servers.
+	Quarantines []Quarantine
 	// MixedServices are the services with a record that they have had several software versions lately.
 	MixedServices []string
 	// Revision is that of the list.
--- a/internal/decision/conductor/evidence.go
+++ b/internal/decision/conductor/evidence.go
@@ -10,8 +10,8 @@
 )
 
 // Evidence of crashes has to come together soon, also while there is no leader. Each daemon sends its own to the keepers, the
-// first of the followers, which convict by all of it and record that in the store. What the store doesn't take, and what ends a
-// conviction, they send to all daemons by way of the followers.
+// first of the followers, which quarantine by all of it and record that in the store. What the store doesn't take, and what ends a
+// quarantine, they send to all daemons by way of the followers.
 
 // An evidenceExchange is the evidence that has to be sent.
 type evidenceExchange struct {
@@ -22,7 +22,7 @@
 	reported map[attributor.Trait]bool
 	// keepers are the keepers that have got this daemon's evidence.
 	keepers []string
-	// announceAt is when a keeper sends all convictions again.
+	// announceAt is when a keeper sends all quarantines again.
 	announceAt time.Duration
 }
 
@@ -39,7 +39,7 @@
 			next = min(next, r.at)
 		}
 	}
-	if len(m.crashes.convictions.convicted) > 0 && m.isKeeper() {
+	if len(m.crashes.quarantines.quarantined) > 0 && m.isKeeper() {
 		next = min(next, x.announceAt)
 	}
 	return next
@@ -69,18 +69,18 @@
 	schedule(&m.crashes.exchange.reports, t, m.now+evidenceDelay)
 }
 
-// broadcastLater has a keeper send a changed conviction to all daemons if the store hasn't told them by then.
+// broadcastLater has a keeper send a changed quarantine to all daemons if the store hasn't told them by then.
 func (m *Machine) broadcastLater(t attributor.Trait) {
 	if !m.isKeeper() {
 		return
 	}
 	at := m.now
-	if e, _ := m.crashes.attributor.Evidence(t); e.Convicted() && !m.store.unavailable {
+	if e, _ := m.crashes.attributor.Evidence(t); e.Quarantined() && !m.store.unavailable {
 		at += broadcastDelay
 	}
 	x := &m.crashes.exchange
 	schedule(&x.broadcasts, t, at)
-	x.announceAt = max(x.announceAt, m.now+convictionInterval)
+	x.announceAt = max(x.announceAt, m.now+quarantineInterval)
 }
 
 func schedule(list *map[attributor.Trait]*repetition, t attributor.Trait, at time.Duration) {
@@ -121,9 +121,9 @@
 		m.sendTo(m.keeperNames(), message)
 	}
 	due := takeDue(x.broadcasts, m.now)
-	if len(m.crashes.convictions.convicted) > 0 && m.now >= x.announceAt && m.isKeeper() {
-		x.announceAt = m.now + convictionInterval
-		due = slices.AppendSeq(due, maps.Keys(m.crashes.convictions.convicted))
+	if len(m.crashes.quarantines.quarantined) > 0 && m.now >= x.announceAt && m.isKeeper() {
+		x.announceAt = m.now + quarantineInterval
+		due = slices.AppendSeq(due, maps.Keys(m.crashes.quarantines.quarantined))
 	}
 	due = slices.DeleteFunc(due, m.isStored)
 	if len(due) == 0 || !m.isKeeper() {
@@ -144,7 +144,7 @@
 	}
 	return slices.DeleteFunc(traits, func(t attributor.Trait) bool {
 		e, _ := m.crashes.attributor.Evidence(t)
-		if len(e.Crashes) > 0 || e.Convictions > 0 {
+		if len(e.Crashes) > 0 || e.Quarantines > 0 {
 			x.reported[t] = true
 			return false
 		}
@@ -154,10 +154,10 @@
 	})
 }
 
-// isStored reports whether a trait's conviction is recorded in the store, so that all daemons learn of it from there.
+// isStored reports whether a trait's quarantine is recorded in the store, so that all daemons learn of it from there.
 func (m *Machine) isStored(t attributor.Trait) bool {
 	e, _ := m.crashes.attributor.Evidence(t)
-	return e.Convicted() && m.crashes.convictions.stored[t].Convictions >= e.Convictions && !m.store.unavailable
+	return e.Quarantined() && m.crashes.quarantines.stored[t].Quarantines >= e.Quarantines && !m.store.unavailable
 }
 
 // sendTo sends a message to daemons, without this one.
@@ -192,13 +192,13 @@
 		}
 		s := messenger.Suspect{
 			Fingerprint: t.Hash, Part: t.Kind == attributor.KindPart, Depth: e.Depth, Crashes: e.ReportedCrashes,
-			Answered: e.Answered, Convictions: e.Convictions, Cleared: e.Cleared,
+			Answered: e.Answered, Quarantines: e.Quarantines, Cleared: e.Cleared,
 		}
 		if e.Answered {
 			s.AnsweredAgo = m.now - e.AnsweredAt
 		}
-		if e.Convictions > 0 {
-			s.ConvictedAgo, s.Hold = m.now-e.ConvictedAt, e.HeldUntil-m.now
+		if e.Quarantines > 0 {
+			s.QuarantinedAgo, s.Hold = m.now-e.QuarantinedAt, e.HeldUntil-m.now
 		}
 		for _, c := range e.Crashes {
 			s.Servers, s.Requests, s.Ages = append(s.Servers, c.Server), append(s.Requests, c.Request), append(s.Ages, m.now-c.At)
@@ -211,8 +211,8 @@
 // evidenceOf returns the evidence in a message. An earlier version of the daemon doesn't send requests and ages.
 func (m *Machine) evidenceOf(s messenger.Suspect) attributor.Evidence {
 	e := attributor.Evidence{
-		Trait: attributor.Trait{Kind: attributor.KindRequest, Hash: s.Fingerprint}, Depth: s.Depth, Answered: s.Answered, Convictions: s.Convictions, Cleared: s.Cleared,
-		AnsweredAt: m.now - s.AnsweredAgo, ConvictedAt: m.now - s.ConvictedAgo, HeldUntil: m.now + s.Hold,
+		Trait: attributor.Trait{Kind: attributor.KindRequest, Hash: s.Fingerprint}, Depth: s.Depth, Answered: s.Answered, Quarantines: s.Quarantines, Cleared: s.Cleared,
+		AnsweredAt: m.now - s.AnsweredAgo, QuarantinedAt: m.now - s.QuarantinedAgo, HeldUntil: m.now + s.Hold,
 	}
 	if s.Part {
 		e.Trait.Kind = attributor.KindPart
@@ -249,6 +249,6 @@
 			continue
 		}
 		m.crashes.changed = true
-		m.convictionChanged(e.Trait, "another daemon's evidence")
+		m.quarantineChanged(e.Trait, "another daemon's evidence")
 	}
 }
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -160,11 +160,11 @@
 
 	// crashDetectionMargin is how long after the removal of a crashed server's entry it is known here at the latest.
 	crashDetectionMargin = 2 * time.Second
-	// crashProbeDelay is how long after a broken connection a server is polled to find out whether it has ended, crashProbes
-	// how often and crashProbeInterval the time in between.
-	crashProbeDelay    = 20 * time.Millisecond
-	crashProbes        = 2
-	crashProbeInterval = 200 * time.Millisecond
+	// crashPollDelay is how long after a broken connection a server is polled to find out whether it has ended, crashPolls
+	// how often and crashPollInterval the time in between.
+	crashPollDelay    = 20 * time.Millisecond
+	crashPolls        = 2
+	crashPollInterval = 200 * time.Millisecond
 	// crashLag is how long after the end of an attempt its server may end because of it. An answer counts for a request only
 	// once its server has outlived it.
 	crashLag = 250 * time.Millisecond
@@ -179,20 +179,20 @@
 	evidenceRepeatInterval = 300 * time.Millisecond
 	// maxReportedTraits bounds the traits that are remembered as reported.
 	maxReportedTraits = 4096
-	// broadcastDelay is how long a keeper waits for the store to take a conviction before it tells all daemons itself.
+	// broadcastDelay is how long a keeper waits for the store to take a quarantine before it tells all daemons itself.
 	broadcastDelay = 200 * time.Millisecond
 	// expiryInterval is how often old evidence and origins are dropped.
 	expiryInterval = time.Second
-	// convictionInterval is how often a keeper sends all convictions again that the store doesn't have.
-	convictionInterval = 5 * time.Second
-	// convictionRecordTTL is how long a conviction's record outlives its last writing. Leases last no longer.
-	convictionRecordTTL = 10 * time.Minute
+	// quarantineInterval is how often a keeper sends all quarantines again that the store doesn't have.
+	quarantineInterval = 5 * time.Second
+	// quarantineRecordTTL is how long a quarantine's record outlives its last writing. Leases last no longer.
+	quarantineRecordTTL = 10 * time.Minute
 	// secondKeeperDelay is how long the second keeper waits for a record of the first one in the store, recordRetryDelay how long a
 	// keeper waits for its own before it writes that again.
 	secondKeeperDelay = 500 * time.Millisecond
 	recordRetryDelay  = time.Second
-	// trialRetryDelay is the least retry delay for a request that is held back because such requests crash servers.
-	trialRetryDelay = 5 * time.Second
+	// probeRetryDelay is the least retry delay for a request that is held back because such requests crash servers.
+	probeRetryDelay = 5 * time.Second
 
 	// originTTL is how long after its start a stream may be taken up.
 	originTTL = 2 * time.Minute
--- a/internal/decision/conductor/link.go
+++ b/internal/decision/conductor/link.go
@@ -162,7 +162,7 @@
 	l.down, l.downSince = true, m.now
 	l.unreachable = nil
 	m.emit(LogStateChange{Subject: "Link", Change: "Lost", Reason: itoa(int64(len(l.tried))) + " servers can't be reached", Warning: true})
-	m.crashes.probes = nil
+	m.crashes.polls = nil
 	m.demand.absences = slices.DeleteFunc(m.demand.absences, isServerAbsence)
 	for _, s := range m.servers {
 		s.failures, s.avoidUntil, s.downUntil = 0, 0, 0
--- a/internal/decision/conductor/link_by_link_test.go
+++ b/internal/decision/conductor/link_by_link_test.go
@@ -46,7 +46,7 @@
 					t.Errorf("seed %d: got %d requests held back and engines taken for down %d times by hosts with links, want none: no engine has ended", seed, refused, f.falseDowns)
 				}
 				for _, d := range f.daemons {
-					if got := len(d.machine.crashes.convictions.convicted); got > 0 {
+					if got := len(d.machine.crashes.quarantines.quarantined); got > 0 {
 						t.Errorf("seed %d: got %d traits held back by %s, want none", seed, got, d.machine.settings.Self.Name)
 					}
 				}
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -198,10 +198,10 @@
 		m.peerReceived(e.Message)
 	case UpdatesReceived:
 		m.updatesReceived(e)
-	case ConvictionChanged:
-		m.convictionStored(e.Conviction)
-	case StoreConvictionEnded:
-		m.storeConvictionEnded(e)
+	case QuarantineChanged:
+		m.quarantineStored(e.Quarantine)
+	case StoreQuarantineEnded:
+		m.storeQuarantineEnded(e)
 	case VersionsRecorded:
 		m.versionsRecorded(e.Service)
 	case VersionsRecordRemoved:
--- a/internal/decision/conductor/measuring.go
+++ b/internal/decision/conductor/measuring.go
@@ -23,8 +23,8 @@
 	FleetAge time.Duration
 	// ConfigurationAge is how long the configuration has been in force, zero if there is none.
 	ConfigurationAge time.Duration
-	// Convictions is the number of requests and parts of prompts that are held back, by kind.
-	Convictions map[attributor.Kind]int
+	// Quarantines is the number of requests and parts of prompts that are held back, by kind.
+	Quarantines map[attributor.Kind]int
 	// Daemons is the number of registered daemons, including this one.
 	Daemons int
 	// LinkDown reports whether the daemon reaches no server.
@@ -71,9 +71,9 @@
 	if m.configuration != nil {
 		e.ConfigurationAge = m.now - m.configuredAt
 	}
-	e.Convictions = make(map[attributor.Kind]int)
-	for t := range m.crashes.convictions.convicted {
-		e.Convictions[t.Kind]++
+	e.Quarantines = make(map[attributor.Kind]int)
+	for t := range m.crashes.quarantines.quarantined {
+		e.Quarantines[t.Kind]++
 	}
 	for _, name := range m.serviceNames() {
 		e.Services[name] = m.measureService(name)
--- a/internal/decision/conductor/conviction.go
+++ b/internal/decision/conductor/quarantine.go
@@ -9,12 +9,12 @@
 	"samphirewharf/internal/decision/attributor"
 )
 
-// A Conviction is the record in the store that requests with a trait crash servers. Daemons that start later find it there.
-type Conviction struct {
+// A Quarantine is the record in the store that requests with a trait crash servers. Daemons that start later find it there.
+type Quarantine struct {
 	Trait       attributor.Trait
 	Depth       int
-	Convictions int
-	// EvidenceAge is the time from the last crash that convicted the trait to the writing.
+	Quarantines int
+	// EvidenceAge is the time from the last crash that quarantined the trait to the writing.
 	EvidenceAge time.Duration
 	// Hold is for how long from the writing on no request with the trait is sent.
 	Hold time.Duration
@@ -22,63 +22,63 @@
 	Revision int64
 }
 
-// A ConvictionChanged event carries a conviction's record that was written.
-type ConvictionChanged struct{ Conviction Conviction }
+// A QuarantineChanged event carries a quarantine's record that was written.
+type QuarantineChanged struct{ Quarantine Quarantine }
 
-// A StoreConvictionEnded event answers StoreConviction.
-type StoreConvictionEnded struct {
+// A StoreQuarantineEnded event answers StoreQuarantine.
+type StoreQuarantineEnded struct {
 	Trait attributor.Trait
 	OK    bool
 }
 
-// A StoreConviction effect writes the record of a conviction. It is answered by StoreConvictionEnded.
-type StoreConviction struct {
-	Conviction Conviction
+// A StoreQuarantine effect writes the record of a quarantine. It is answered by StoreQuarantineEnded.
+type StoreQuarantine struct {
+	Quarantine Quarantine
 	// TTL is how long the record outlives its last writing.
 	TTL time.Duration
 }
 
-// A DeleteConviction effect deletes the record of a conviction.
-type DeleteConviction struct{ Conviction Conviction }
+// A DeleteQuarantine effect deletes the record of a quarantine.
+type DeleteQuarantine struct{ Quarantine Quarantine }
 
-func (ConvictionChanged) event()    {}
-func (StoreConvictionEnded) event() {}
-func (StoreConviction) effect()     {}
-func (DeleteConviction) effect()    {}
+func (QuarantineChanged) event()    {}
+func (StoreQuarantineEnded) event() {}
+func (StoreQuarantine) effect()     {}
+func (DeleteQuarantine) effect()    {}
 
-// convictionRecords compares the convictions that this daemon knows of with their records in the store.
-type convictionRecords struct {
-	// convicted holds the traits that requests are held back for, with how often they were convicted.
-	convicted map[attributor.Trait]int
+// quarantineRecords compares the quarantines that this daemon knows of with their records in the store.
+type quarantineRecords struct {
+	// quarantined holds the traits that requests are held back for, with how often they were quarantined.
+	quarantined map[attributor.Trait]int
 	// stored holds the records in the store.
-	stored map[attributor.Trait]Conviction
+	stored map[attributor.Trait]Quarantine
 	// checkAt is when the records are compared again, 0 for never.
 	checkAt time.Duration
 }
 
-func (c *convictionRecords) nextAt() time.Duration {
+func (c *quarantineRecords) nextAt() time.Duration {
 	if c.checkAt == 0 {
 		return never
 	}
 	return c.checkAt
 }
 
-// convictionChanged handles new evidence of a trait, which may begin or end that requests are held back.
-func (m *Machine) convictionChanged(t attributor.Trait, reason string) {
-	c := &m.crashes.convictions
+// quarantineChanged handles new evidence of a trait, which may begin or end that requests are held back.
+func (m *Machine) quarantineChanged(t attributor.Trait, reason string) {
+	c := &m.crashes.quarantines
 	e, _ := m.crashes.attributor.Evidence(t)
-	if e.Convicted() && e.Convictions == c.convicted[t] || !e.Convicted() && c.convicted[t] == 0 {
+	if e.Quarantined() && e.Quarantines == c.quarantined[t] || !e.Quarantined() && c.quarantined[t] == 0 {
 		return
 	}
 	change := "Cleared"
-	if e.Convicted() {
-		change = "Convicted"
-		if c.convicted == nil {
-			c.convicted = make(map[attributor.Trait]int)
+	if e.Quarantined() {
+		change = "Quarantined"
+		if c.quarantined == nil {
+			c.quarantined = make(map[attributor.Trait]int)
 		}
-		c.convicted[t] = e.Convictions
+		c.quarantined[t] = e.Quarantines
 	} else {
-		delete(c.convicted, t)
+		delete(c.quarantined, t)
 	}
 	m.logTrait(t, change, reason)
 	c.checkAt = m.now
@@ -86,7 +86,7 @@
 		c.checkAt = m.now + secondKeeperDelay
 	}
 	m.broadcastLater(t)
-	if e.Convicted() {
+	if e.Quarantined() {
 		m.confirmAnswers(t)
 		m.refuseQueued(t)
 	}
@@ -110,28 +110,28 @@
 }
 
 // heldBack reports whether a request isn't sent because requests with the same trait crash servers. A request may be sent as a
-// trial after the hold.
+// probe after the hold.
 func (m *Machine) heldBack(r *request) bool {
 	t, left, held := m.crashes.attributor.HoldingTrait(m.now, r.traits)
-	if !held || r.trial && r.sends == 0 {
+	if !held || r.probe && r.sends == 0 {
 		return false
 	}
-	if left > 0 || r.trial || !m.triesTrait(t) || !m.crashes.attributor.StartTrial(m.now, t) {
+	if left > 0 || r.probe || !m.probesTrait(t) || !m.crashes.attributor.StartProbe(m.now, t) {
 		return true
 	}
-	r.trial = true
-	m.logTrait(t, "Tried", "request "+r.ID)
+	r.probe = true
+	m.logTrait(t, "Probed", "request "+r.ID)
 	return false
 }
 
 // holdTime returns the time after which a request that is held back may be tried again.
 func (m *Machine) holdTime(r *request) time.Duration {
 	_, left, _ := m.crashes.attributor.HoldingTrait(m.now, r.traits)
-	return max(left, trialRetryDelay)
+	return max(left, probeRetryDelay)
 }
 
-// triesTrait reports whether this daemon is the one that sends trials for a trait.
-func (m *Machine) triesTrait(t attributor.Trait) bool {
+// probesTrait reports whether this daemon is the one that sends probes for a trait.
+func (m *Machine) probesTrait(t attributor.Trait) bool {
 	rank := func(name string) uint64 { return xxhash.Sum64String(name + " " + itoa(int64(t.Hash))) }
 	own := rank(m.settings.Self.Name)
 	for name := range m.daemons {
@@ -142,46 +142,46 @@
 	return true
 }
 
-// convictionStored handles a conviction's record in the store.
-func (m *Machine) convictionStored(c Conviction) {
-	records := &m.crashes.convictions
+// quarantineStored handles a quarantine's record in the store.
+func (m *Machine) quarantineStored(c Quarantine) {
+	records := &m.crashes.quarantines
 	if records.stored == nil {
-		records.stored = make(map[attributor.Trait]Conviction)
+		records.stored = make(map[attributor.Trait]Quarantine)
 	}
 	if known, ok := records.stored[c.Trait]; ok && known.Revision >= c.Revision {
 		return
 	}
 	records.stored[c.Trait] = c
-	if e, ok := m.crashes.attributor.Evidence(c.Trait); ok && e.Cleared >= c.Convictions {
+	if e, ok := m.crashes.attributor.Evidence(c.Trait); ok && e.Cleared >= c.Quarantines {
 		records.checkAt = m.now
 		return
 	}
 	changed, knowsMore := m.crashes.attributor.Merge(m.now, attributor.Evidence{
-		Trait: c.Trait, Depth: c.Depth, Convictions: c.Convictions, ConvictedAt: m.now - c.EvidenceAge, HeldUntil: m.now + c.Hold,
+		Trait: c.Trait, Depth: c.Depth, Quarantines: c.Quarantines, QuarantinedAt: m.now - c.EvidenceAge, HeldUntil: m.now + c.Hold,
 	})
 	if knowsMore {
 		m.shareEvidence(c.Trait)
 	}
 	if changed || knowsMore {
-		m.convictionChanged(c.Trait, "recorded in the store")
+		m.quarantineChanged(c.Trait, "recorded in the store")
 	}
 }
 
-// convictionsListed handles a complete list of the records.
-func (m *Machine) convictionsListed(list []Conviction) {
-	records := &m.crashes.convictions
+// quarantinesListed handles a complete list of the records.
+func (m *Machine) quarantinesListed(list []Quarantine) {
+	records := &m.crashes.quarantines
 	clear(records.stored)
 	for _, c := range list {
-		m.convictionStored(c)
+		m.quarantineStored(c)
 	}
-	if len(records.convicted)+len(records.stored) > 0 {
+	if len(records.quarantined)+len(records.stored) > 0 {
 		records.checkAt = m.now
 	}
 }
 
-// tickConvictions has the keepers write the records that the store lacks and delete those of traits that were cleared.
-func (m *Machine) tickConvictions() {
-	c := &m.crashes.convictions
+// tickQuarantines has the keepers write the records that the store lacks and delete those of traits that were cleared.
+func (m *Machine) tickQuarantines() {
+	c := &m.crashes.quarantines
 	if c.checkAt == 0 || m.now < c.checkAt {
 		return
 	}
@@ -191,20 +191,20 @@
 	}
 	for _, t := range m.crashes.attributor.Traits() {
 		e, _ := m.crashes.attributor.Evidence(t)
-		if stored := c.stored[t]; e.Convicted() && stored.Convictions < e.Convictions {
+		if stored := c.stored[t]; e.Quarantined() && stored.Quarantines < e.Quarantines {
 			c.checkAt = m.now + recordRetryDelay
-			m.emit(StoreConviction{TTL: convictionRecordTTL, Conviction: Conviction{Trait: t, Depth: e.Depth, Convictions: e.Convictions, EvidenceAge: m.now - e.ConvictedAt, Hold: max(e.HeldUntil-m.now, 0)}})
+			m.emit(StoreQuarantine{TTL: quarantineRecordTTL, Quarantine: Quarantine{Trait: t, Depth: e.Depth, Quarantines: e.Quarantines, EvidenceAge: m.now - e.QuarantinedAt, Hold: max(e.HeldUntil-m.now, 0)}})
 		}
 	}
 	for t, stored := range c.stored {
-		if e, ok := m.crashes.attributor.Evidence(t); ok && e.Cleared >= stored.Convictions {
+		if e, ok := m.crashes.attributor.Evidence(t); ok && e.Cleared >= stored.Quarantines {
 			delete(c.stored, t)
-			m.emit(DeleteConviction{Conviction: stored})
+			m.emit(DeleteQuarantine{Quarantine: stored})
 		}
 	}
 }
 
-func (m *Machine) storeConvictionEnded(e StoreConvictionEnded) {
+func (m *Machine) storeQuarantineEnded(e StoreQuarantineEnded) {
 	if !e.OK {
 		m.logTrait(e.Trait, "Unrecorded", "the store didn't take the record")
 	}
--- a/internal/decision/conductor/request.go
+++ b/internal/decision/conductor/request.go
@@ -63,8 +63,8 @@
 	pinned          bool
 	softwareVersion string
 	originAsks      int
-	// trial reports whether the request is sent though requests with one of its traits have crashed servers.
-	trial bool
+	// probe reports whether the request is sent though requests with one of its traits have crashed servers.
+	probe bool
 
 	// timer is set to when the request has to be handled next.
 	timer waker.Timer[*request]
--- a/internal/decision/conductor/role.go
+++ b/internal/decision/conductor/role.go
@@ -174,7 +174,7 @@
 			m.daemonRemoved(name, e.Revision)
 		}
 	}
-	m.convictionsListed(e.Convictions)
+	m.quarantinesListed(e.Quarantines)
 	m.versionsListed(e.MixedServices)
 	if e.Leader != nil {
 		m.leaderChanged(*e.Leader)
--- a/internal/decision/conductor/virtual_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -134,8 +134,8 @@
 	slots       int
 	withoutLead bool
 	traffic     traffic
-	// convictions are the records in the store; storeAway reports whether the store takes none.
-	convictions map[string]Conviction
+	// quarantines are the records in the store; storeAway reports whether the store takes none.
+	quarantines map[string]Quarantine
 	storeAway   bool
 	// mixedServices are the records of services with several versions in the store.
 	mixedServices []string
@@ -186,8 +186,8 @@
 // shared returns what the daemons share in the store.
 func (f *virtualFleet) shared() DaemonsListed {
 	list := DaemonsListed{Revision: f.revision, MixedServices: f.mixedServices}
-	for _, c := range f.convictions {
-		list.Convictions = append(list.Convictions, c)
+	for _, c := range f.quarantines {
+		list.Quarantines = append(list.Quarantines, c)
 	}
 	for i := range f.daemons {
 		list.Daemons = append(list.Daemons, DaemonChanged{Daemon: f.record(i), Revision: int64(i + 1)})
@@ -281,12 +281,12 @@
 				f.after(fleetPeerDelay, func() { f.step(other, PeerReceived{Message: e.Message}) })
 			}
 		}
-	case StoreConviction:
-		f.after(fleetConnectDelay, func() { f.storeConviction(d, e.Conviction) })
+	case StoreQuarantine:
+		f.after(fleetConnectDelay, func() { f.storeQuarantine(d, e.Quarantine) })
 	case RecordVersions:
 		f.after(fleetConnectDelay, func() { f.recordVersions(e.Service) })
-	case DeleteConviction:
-		delete(f.convictions, fmt.Sprint(e.Conviction.Trait))
+	case DeleteQuarantine:
+		delete(f.quarantines, fmt.Sprint(e.Quarantine.Trait))
 	case LogStateChange:
 		f.falseDowns += boolToInt(e.Change == "Down" && !d.cutOff && len(d.cutLinks) == 0)
 	case Subscribe:
@@ -296,19 +296,19 @@
 	}
 }
 
-func (f *virtualFleet) storeConviction(d *virtualDaemon, c Conviction) {
+func (f *virtualFleet) storeQuarantine(d *virtualDaemon, c Quarantine) {
 	if f.storeAway {
-		f.step(d, StoreConvictionEnded{Trait: c.Trait})
+		f.step(d, StoreQuarantineEnded{Trait: c.Trait})
 		return
 	}
 	f.revision++
 	c.Revision = f.revision
-	if f.convictions == nil {
-		f.convictions = make(map[string]Conviction)
+	if f.quarantines == nil {
+		f.quarantines = make(map[string]Quarantine)
 	}
-	f.convictions[fmt.Sprint(c.Trait)] = c
-	f.step(d, StoreConvictionEnded{Trait: c.Trait, OK: true})
-	f.tell(ConvictionChanged{Conviction: c})
+	f.quarantines[fmt.Sprint(c.Trait)] = c
+	f.step(d, StoreQuarantineEnded{Trait: c.Trait, OK: true})
+	f.tell(QuarantineChanged{Quarantine: c})
 }
 
 func (f *virtualFleet) recordVersions(service string) {
--- a/internal/edge/follower/follower_test.go
+++ b/internal/edge/follower/follower_test.go
@@ -118,14 +118,14 @@
 	if err != nil || got != want {
 		t.Errorf("got %+v, %v, want %+v", got, err, want)
 	}
-	conviction := conductor.Conviction{Trait: attributor.Trait{Kind: attributor.KindPart, Hash: 1 << 63}, Depth: 1, Convictions: 2, EvidenceAge: time.Second, Hold: time.Minute, Revision: 9}
-	convictionValue, err := EncodeConviction(conviction)
+	quarantine := conductor.Quarantine{Trait: attributor.Trait{Kind: attributor.KindPart, Hash: 1 << 63}, Depth: 1, Quarantines: 2, EvidenceAge: time.Second, Hold: time.Minute, Revision: 9}
+	quarantineValue, err := EncodeQuarantine(quarantine)
 	if err != nil {
 		t.Fatal(err)
 	}
-	gotConviction, err := decodeConviction(storer.Entry{Key: ConvictionKey(conviction.Trait), Value: convictionValue, Revision: 9})
-	if err != nil || gotConviction != conviction {
-		t.Errorf("got %+v, %v, want %+v", gotConviction, err, conviction)
+	gotQuarantine, err := decodeQuarantine(storer.Entry{Key: QuarantineKey(quarantine.Trait), Value: quarantineValue, Revision: 9})
+	if err != nil || gotQuarantine != quarantine {
+		t.Errorf("got %+v, %v, want %+v", gotQuarantine, err, quarantine)
 	}
 	leaderValue, err := EncodeLeader(conductor.Leader{Name: "a", Instance: "i"})
 	if err != nil {
--- a/internal/edge/follower/record.go
+++ b/internal/edge/follower/record.go
@@ -19,8 +19,8 @@
 	daemonsPrefix = SharedPrefix + "daemons/"
 	// LeaderKey is the key of the leader's record, which is tied to the leader's lease.
 	LeaderKey = SharedPrefix + "role"
-	// convictionsPrefix is the prefix of the records of what crashes servers.
-	convictionsPrefix = SharedPrefix + "convictions/"
+	// quarantinesPrefix is the prefix of the records of what crashes servers. Earlier versions read it too.
+	quarantinesPrefix = SharedPrefix + "convictions/"
 	// versionsPrefix is the prefix of the records that services have had several software versions lately.
 	versionsPrefix = SharedPrefix + "versions/"
 )
@@ -44,10 +44,10 @@
 	Instance string
 }
 
-// A convictionRecord is the record that requests with a trait crash servers. Its key names the trait.
-type convictionRecord struct {
+// A quarantineRecord is the record that requests with a trait crash servers. Its key names the trait.
+type quarantineRecord struct {
 	Depth       int
-	Convictions int
+	Quarantines int `json:"Convictions"`
 	// EvidenceAgeMS is the time since the last crash, HoldMS for how much longer requests are held back.
 	EvidenceAgeMS int64
 	HoldMS        int64
@@ -91,36 +91,36 @@
 	return conductor.Leader{Name: r.Name, Instance: r.Instance, FencingToken: e.Revision}, nil
 }
 
-// ConvictionKey returns the key of the record that requests with a trait crash servers.
-func ConvictionKey(t attributor.Trait) string {
-	return convictionsPrefix + t.Kind.String() + "/" + strconv.FormatUint(t.Hash, 16)
+// QuarantineKey returns the key of the record that requests with a trait crash servers.
+func QuarantineKey(t attributor.Trait) string {
+	return quarantinesPrefix + t.Kind.String() + "/" + strconv.FormatUint(t.Hash, 16)
 }
 
-// EncodeConviction returns the encoded record that requests with a trait crash servers.
-func EncodeConviction(c conductor.Conviction) ([]byte, error) {
-	value, err := json.Marshal(convictionRecord{Depth: c.Depth, Convictions: c.Convictions, EvidenceAgeMS: c.EvidenceAge.Milliseconds(), HoldMS: c.Hold.Milliseconds()})
+// EncodeQuarantine returns the encoded record that requests with a trait crash servers.
+func EncodeQuarantine(c conductor.Quarantine) ([]byte, error) {
+	value, err := json.Marshal(quarantineRecord{Depth: c.Depth, Quarantines: c.Quarantines, EvidenceAgeMS: c.EvidenceAge.Milliseconds(), HoldMS: c.Hold.Milliseconds()})
 	if err != nil {
-		return nil, fmt.Errorf("encode conviction: %w", err)
+		return nil, fmt.Errorf("encode quarantine: %w", err)
 	}
 	return value, nil
 }
 
-func decodeConviction(e storer.Entry) (conductor.Conviction, error) {
-	kind, hash, _ := strings.Cut(strings.TrimPrefix(e.Key, convictionsPrefix), "/")
+func decodeQuarantine(e storer.Entry) (conductor.Quarantine, error) {
+	kind, hash, _ := strings.Cut(strings.TrimPrefix(e.Key, quarantinesPrefix), "/")
 	t := attributor.Trait{Kind: attributor.KindRequest}
 	if kind == attributor.KindPart.String() {
 		t.Kind = attributor.KindPart
 	}
 	var err error
 	if t.Hash, err = strconv.ParseUint(hash, 16, 64); err != nil {
-		return conductor.Conviction{}, fmt.Errorf("decode %s: %w", e.Key, err)
+		return conductor.Quarantine{}, fmt.Errorf("decode %s: %w", e.Key, err)
 	}
-	var r convictionRecord
+	var r quarantineRecord
 	if err := json.Unmarshal(e.Value, &r); err != nil {
-		return conductor.Conviction{}, fmt.Errorf("decode %s: %w", e.Key, err)
+		return conductor.Quarantine{}, fmt.Errorf("decode %s: %w", e.Key, err)
 	}
-	return conductor.Conviction{
-		Trait: t, Depth: r.Depth, Convictions: r.Convictions, EvidenceAge: time.Duration(r.EvidenceAgeMS) * time.Millisecond,
+	return conductor.Quarantine{
+		Trait: t, Depth: r.Depth, Quarantines: r.Quarantines, EvidenceAge: time.Duration(r.EvidenceAgeMS) * time.Millisecond,
 		Hold: time.Duration(r.HoldMS) * time.Millisecond, Revision: e.Revision,
 	}, nil
 }
@@ -128,6 +128,6 @@
 // VersionsKey returns the key of the record that a service has had several software versions lately.
 func VersionsKey(service string) string { return versionsPrefix + service }
 
-func isConvictionKey(key string) bool { return strings.HasPrefix(key, convictionsPrefix) }
+func isQuarantineKey(key string) bool { return strings.HasPrefix(key, quarantinesPrefix) }
 
 func isDaemonKey(key string) bool { return strings.HasPrefix(key, daemonsPrefix) }
--- a/internal/edge/follower/views.go
+++ b/internal/edge/follower/views.go
@@ -70,9 +70,9 @@
 			}
 		case strings.HasPrefix(e.Key, versionsPrefix):
 			event.MixedServices = append(event.MixedServices, e.Key[len(versionsPrefix):])
-		case isConvictionKey(e.Key):
-			if conviction, err := decodeConviction(e); err == nil {
-				event.Convictions = append(event.Convictions, conviction)
+		case isQuarantineKey(e.Key):
+			if quarantine, err := decodeQuarantine(e); err == nil {
+				event.Quarantines = append(event.Quarantines, quarantine)
 			} else {
 				p.logUnusable(e, err)
 			}
@@ -100,13 +100,13 @@
 		p.Post(conductor.DaemonChanged{Daemon: daemon, Revision: e.Revision})
 	case strings.HasPrefix(e.Key, versionsPrefix):
 		p.Post(conductor.VersionsRecorded{Service: e.Key[len(versionsPrefix):]})
-	case isConvictionKey(e.Key):
-		conviction, err := decodeConviction(e)
+	case isQuarantineKey(e.Key):
+		quarantine, err := decodeQuarantine(e)
 		if err != nil {
 			p.logUnusable(e, err)
 			return
 		}
-		p.Post(conductor.ConvictionChanged{Conviction: conviction})
+		p.Post(conductor.QuarantineChanged{Quarantine: quarantine})
 	}
 }
 
--- a/internal/edge/launcher/effects.go
+++ b/internal/edge/launcher/effects.go
@@ -76,12 +76,12 @@
 		err := d.platform.Engines.Reach(d.ctx, e.Address, e.HealthPath)
 		d.logger.Debug().Err(err).Str("Server", e.Server).Msg("server checked")
 		d.post(conductor.ServerChecked{Server: e.Server, OK: err == nil})
-	case conductor.StoreConviction:
-		d.storeConviction(e)
+	case conductor.StoreQuarantine:
+		d.storeQuarantine(e)
 	case conductor.RecordVersions:
 		d.recordVersions(e)
-	case conductor.DeleteConviction:
-		d.platform.Store.Delete(d.ctx, follower.ConvictionKey(e.Conviction.Trait), e.Conviction.Revision)
+	case conductor.DeleteQuarantine:
+		d.platform.Store.Delete(d.ctx, follower.QuarantineKey(e.Quarantine.Trait), e.Quarantine.Revision)
 	}
 }
 
@@ -150,19 +150,19 @@
 	d.post(conductor.ServerReported{Server: e.Server, StartedAt: startedAt, SentAt: sentAt, OK: err == nil, Refused: errors.Is(err, sender.ErrNotSent) && !dialer.TimedOut(err), Report: report})
 }
 
-// storeConviction writes the record of a conviction under a lease of its own, since it outlives this daemon.
-func (d *Daemon) storeConviction(e conductor.StoreConviction) {
-	value, err := follower.EncodeConviction(e.Conviction)
+// storeQuarantine writes the record of a quarantine under a lease of its own, since it outlives this daemon.
+func (d *Daemon) storeQuarantine(e conductor.StoreQuarantine) {
+	value, err := follower.EncodeQuarantine(e.Quarantine)
 	if err != nil {
-		d.logger.Error().Err(err).Msg("conviction can't be recorded")
-		d.post(conductor.StoreConvictionEnded{Trait: e.Conviction.Trait})
+		d.logger.Error().Err(err).Msg("quarantine can't be recorded")
+		d.post(conductor.StoreQuarantineEnded{Trait: e.Quarantine.Trait})
 		return
 	}
 	lease, result := d.platform.Store.Grant(d.ctx, e.TTL)
 	if result == storer.ResultOK {
-		result = d.platform.Store.Put(d.ctx, follower.ConvictionKey(e.Conviction.Trait), value, lease)
+		result = d.platform.Store.Put(d.ctx, follower.QuarantineKey(e.Quarantine.Trait), value, lease)
 	}
-	d.post(conductor.StoreConvictionEnded{Trait: e.Conviction.Trait, OK: result == storer.ResultOK})
+	d.post(conductor.StoreQuarantineEnded{Trait: e.Quarantine.Trait, OK: result == storer.ResultOK})
 }
 
 // recordVersions writes the record that a service has had several software versions lately, under a lease of its own.
--- a/internal/edge/launcher/metrics.go
+++ b/internal/edge/launcher/metrics.go
@@ -66,8 +66,8 @@
 		"view_age_seconds":             func(e *conductor.UpdateGauges) float64 { return e.ViewAge.Seconds() },
 		"fleet_age_seconds":            func(e *conductor.UpdateGauges) float64 { return e.FleetAge.Seconds() },
 		"configuration_age_seconds":    func(e *conductor.UpdateGauges) float64 { return e.ConfigurationAge.Seconds() },
-		`held_back{kind="Request"}`:    func(e *conductor.UpdateGauges) float64 { return float64(e.Convictions[attributor.KindRequest]) },
-		`held_back{kind="PromptPart"}`: func(e *conductor.UpdateGauges) float64 { return float64(e.Convictions[attributor.KindPart]) },
+		`held_back{kind="Request"}`:    func(e *conductor.UpdateGauges) float64 { return float64(e.Quarantines[attributor.KindRequest]) },
+		`held_back{kind="PromptPart"}`: func(e *conductor.UpdateGauges) float64 { return float64(e.Quarantines[attributor.KindPart]) },
 		"link_down":                    func(e *conductor.UpdateGauges) float64 { return boolToFloat(e.LinkDown) },
 		"daemons":                      func(e *conductor.UpdateGauges) float64 { return float64(e.Daemons) },
 	} {
--- a/internal/peer/messenger/evidence.go
+++ b/internal/peer/messenger/evidence.go
@@ -25,13 +25,13 @@
 	// AnsweredAgo is the time since a request with the trait was last answered, valid if Answered.
 	Answered    bool
 	AnsweredAgo time.Duration
-	// Convictions is how often the trait was convicted, ConvictedAgo the time since then, and Hold for how much longer no request
+	// Quarantines is how often the trait was quarantined, QuarantinedAgo the time since then, and Hold for how much longer no request
 	// with it is sent; negative after that.
-	Convictions int
-	// Cleared is how many of the convictions no longer hold.
-	Cleared      int
-	ConvictedAgo time.Duration
-	Hold         time.Duration
+	Quarantines int
+	// Cleared is how many of the quarantines no longer hold.
+	Cleared        int
+	QuarantinedAgo time.Duration
+	Hold           time.Duration
 }
 
 func encodeEvidence(e *Evidence) *EvidencePart {
@@ -53,7 +53,7 @@
 		Fingerprint: s.Fingerprint, Part: s.Part, Depth: int64(s.Depth), Crashes: int64(s.Crashes), Servers: s.Servers, Requests: s.Requests,
 		AgesNanoseconds: convert(s.Ages, func(age time.Duration) int64 { return int64(age) }),
 		Answered:        s.Answered, AnsweredAgoNanoseconds: int64(s.AnsweredAgo),
-		Convictions: int64(s.Convictions), ConvictedAgoNanoseconds: int64(s.ConvictedAgo), HoldNanoseconds: int64(s.Hold), Cleared: int64(s.Cleared),
+		Convictions: int64(s.Quarantines), ConvictedAgoNanoseconds: int64(s.QuarantinedAgo), HoldNanoseconds: int64(s.Hold), Cleared: int64(s.Cleared),
 	}
 }
 
@@ -62,6 +62,6 @@
 		Fingerprint: s.GetFingerprint(), Part: s.GetPart(), Depth: int(s.GetDepth()), Crashes: int(s.GetCrashes()), Servers: s.GetServers(), Requests: s.GetRequests(),
 		Ages:     convert(s.GetAgesNanoseconds(), func(age int64) time.Duration { return time.Duration(age) }),
 		Answered: s.GetAnswered(), AnsweredAgo: time.Duration(s.GetAnsweredAgoNanoseconds()),
-		Convictions: int(s.GetConvictions()), ConvictedAgo: time.Duration(s.GetConvictedAgoNanoseconds()), Hold: time.Duration(s.GetHoldNanoseconds()), Cleared: int(s.GetCleared()),
+		Quarantines: int(s.GetConvictions()), QuarantinedAgo: time.Duration(s.GetConvictedAgoNanoseconds()), Hold: time.Duration(s.GetHoldNanoseconds()), Cleared: int(s.GetCleared()),
 	}
 }
--- a/internal/peer/messenger/fleet_test.go
+++ b/internal/peer/messenger/fleet_test.go
@@ -29,7 +29,7 @@
 		},
 		Evidence: &Evidence{Broadcast: true, Suspects: []Suspect{{
 			Fingerprint: 7, Part: true, Depth: 1, Servers: []uint64{4}, Requests: []uint64{5}, Ages: []time.Duration{time.Second},
-			Answered: true, AnsweredAgo: 2 * time.Second, Convictions: 2, Cleared: 1, ConvictedAgo: 3 * time.Second, Hold: -time.Second,
+			Answered: true, AnsweredAgo: 2 * time.Second, Quarantines: 2, Cleared: 1, QuarantinedAgo: 3 * time.Second, Hold: -time.Second,
 		}}},
 		Origins:   &Origins{Origins: []StreamOrigin{{Stream: 1 << 63, SoftwareVersion: "v1.2"}}, Asked: []uint64{7}},
 		Subscribe: &Subscribe{Stream: "i", Sequence: 4},
