fix: a request is refused at once if no daemon has a link to the servers

With its link down and no other daemon to pass requests on to, a daemon tried up to six servers for each request, with up to a second for each connection, before it refused. It knows that none is reached, so it now refuses at once, with the time until the next check, unless a server has answered over an open connection since. The new case of TestUnreachableServers failed before (it sent).

--- a/internal/decision/conductor/ended.go
+++ b/internal/decision/conductor/ended.go
@@ -44,6 +44,7 @@
 // serverAlive releases the attempts that a server has outlived. It showed life at the given time.
 func (m *Machine) serverAlive(s *server, at time.Duration) {
 	s.aliveAt = max(s.aliveAt, at)
+	m.link.contactAt = max(m.link.contactAt, at)
 	s.ended = slices.DeleteFunc(s.ended, func(e endedAttempt) bool {
 		if at < e.at+crashLag {
 			return false
--- a/internal/decision/conductor/link.go
+++ b/internal/decision/conductor/link.go
@@ -13,6 +13,8 @@
 	// down reports whether the daemon reaches no server, downSince since when it is known.
 	down      bool
 	downSince time.Duration
+	// contactAt is when a server last showed life. Open connections may live on in a host that can't open others.
+	contactAt time.Duration
 	// pending holds the servers whose checks haven't ended, tried those that were checked since the last conclusion.
 	pending map[string]bool
 	tried   map[string]bool
--- a/internal/decision/conductor/link_test.go
+++ b/internal/decision/conductor/link_test.go
@@ -199,6 +199,18 @@
 		assertEqual(t, "down", h.isDown("e1") || h.isDown("e2"), false)
 		assertEqual(t, "record says that the link is down", one[Register](h).Daemon.LinkDown, true)
 	})
+	t.Run("a request is refused at once if neither this daemon nor another one has a link", func(t *testing.T) {
+		h := newLeader(t)
+		id := h.request(quick, "m1", "")
+		h.end(id, 1, reducer.AttemptNotSent, CauseConnect)
+		h.step(ServerChecked{Server: one[CheckServer](h).Server})
+		h.request(quick, "m1", "")
+		none[Send](h)
+		refused := one[Refuse](h)
+		assertEqual(t, "reason", refused.Reason, RefusedLink)
+		assertEqual(t, "may have run", refused.MayHaveRun, false)
+		assertBetween(t, "retry after", refused.RetryAfter, linkRetryDelay, linkRetryDelay)
+	})
 	t.Run("a server that is silent for a connection doesn't count as crashed", func(t *testing.T) {
 		h := newLeader(t)
 		for _, timedOut := range []bool{true, false} {
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -62,6 +62,10 @@
 	if m.mustDelegate(r) && m.delegate(r) {
 		return
 	}
+	if m.link.down && m.link.contactAt <= m.link.downSince {
+		m.giveUp(r, RefusedLink, linkRetryDelay)
+		return
+	}
 	if r.sends >= maxSends || r.connectFailures >= maxConnectFailures {
 		m.giveUp(r, RefusedFull, fullRetryDelay)
 		return
