--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -56,7 +56,9 @@
 	a.ctx, a.cancel = context.WithCancelCause(context.Background())
 	a.timeoutTimer = time.AfterFunc(max(send.Timeout, minAttemptTimeout), a.onTimeout)
 	if send.FirstTimeout > 0 {
-		a.firstTimer = time.AfterFunc(send.FirstTimeout, a.onFirstSilence)
+		// The function uses firstTimer, so it is started only once that is set.
+		a.firstTimer = time.AfterFunc(send.Timeout+send.FirstTimeout, a.onFirstSilence)
+		a.firstTimer.Reset(send.FirstTimeout)
 	}
 	return a
 }
