test: a request that crashes engines still does when another daemon delegates it

The virtual fleet forgot, for a delegated request, that it crashes engines: it was answered, which cleared the part. The check is as strict; the product is unchanged.

--- a/internal/decision/conductor/link_test.go
+++ b/internal/decision/conductor/link_test.go
@@ -57,7 +57,7 @@
 			request := f.requests[e.Request]
 			f.attempts++
 			id := reducer.RequestID(f.attempts)
-			r := &virtualRequest{arrivedAt: f.now, from: request, fromDaemon: d, fromAttempt: e}
+			r := &virtualRequest{poison: request.poison, crashing: request.crashing, arrivedAt: f.now, from: request, fromDaemon: d, fromAttempt: e}
 			f.requests[id] = r
 			other.requests = append(other.requests, r)
 			arrived := request.event
