fix: daemons with different evidence no longer undo each other's quarantines

Cause: one daemon knew a quarantined part of prompts that explains the crashes of a request, and cleared the request; another one had the same crashes of the request but not those of the part, and quarantined it again; the first one cleared it again, and so on with each message.

Now only the first keeper clears what another trait explains, and crashes that were known when another daemon cleared a trait don't quarantine it again on their own. A further crash does, and so does an answer that clears the part.

Ruled out: failed conditional writes; no record was written under a condition.

--- a/internal/decision/attributor/attributor.go
+++ b/internal/decision/attributor/attributor.go
@@ -48,6 +48,9 @@
 	Evidence
 	// probedAt is when a request was last sent as a probe, zero for never.
 	probedAt time.Duration
+	// settledServers are the servers whose ends were known when another daemon cleared the trait. They don't quarantine it again
+	// on their own.
+	settledServers []uint64
 }
 
 // A Decision is a change of whether requests with a trait are held back.
@@ -78,7 +81,7 @@
 		if t.Kind == KindPart {
 			a.answered[t] = now
 		}
-		if r, ok := a.records[t]; ok && r.answer(now) {
+		if r, ok := a.records[t]; ok && a.answer(r, now) {
 			matters = append(matters, t)
 		}
 	}
@@ -86,6 +89,21 @@
 	return matters
 }
 
+// answer records that a request with the trait was answered. If that clears a part, the ends of servers that the part had explained
+// count again for the requests. It reports whether there was anything to clear.
+func (a *Attributor) answer(r *record, at time.Duration) bool {
+	held := r.Quarantined()
+	changed := r.answer(at)
+	if held && !r.Quarantined() && r.Trait.Kind == KindPart {
+		for t, other := range a.records {
+			if t.Kind == KindRequest {
+				other.settledServers = nil
+			}
+		}
+	}
+	return changed
+}
+
 func (a *Attributor) pruneAnswered(now time.Duration) {
 	if len(a.answered) <= maxAnswered {
 		return
@@ -110,14 +128,17 @@
 	if e.Quarantines > r.Quarantines {
 		r.Quarantines, r.QuarantinedAt, r.HeldUntil, changed = e.Quarantines, e.QuarantinedAt, e.HeldUntil, true
 	}
-	if e.Cleared > r.Cleared {
-		r.Cleared, changed = e.Cleared, true
-	}
 	if e.Answered && (!r.Answered || e.AnsweredAt > r.AnsweredAt) {
-		changed = r.answer(e.AnsweredAt) || changed
+		changed = a.answer(r, e.AnsweredAt) || changed
 	}
 	if own, ok := a.answered[e.Trait]; ok && (!r.Answered || own > r.AnsweredAt) {
-		knowsMore = r.answer(own)
+		knowsMore = a.answer(r, own)
+	}
+	if e.Cleared > r.Cleared {
+		r.Cleared, changed = e.Cleared, true
+		if !r.Quarantined() {
+			r.settledServers = r.servers(nil)
+		}
 	}
 	a.noteSuspect(r)
 	return changed, knowsMore
--- a/internal/decision/attributor/attributor_test.go
+++ b/internal/decision/attributor/attributor_test.go
@@ -28,7 +28,7 @@
 
 // quarantined returns the parts that are quarantined after a time.
 func quarantined(a *Attributor, now time.Duration) []uint64 {
-	a.Judge(now)
+	a.Judge(now, true)
 	var list []uint64
 	for _, t := range a.Traits() {
 		if e, _ := a.Evidence(t); t.Kind == KindPart && e.Quarantined() {
@@ -109,7 +109,7 @@
 			crash(&a, at, i, 20, 5)
 			crash(&a, at, i, 10+i, crashing)
 		}
-		a.Judge(3 * second)
+		a.Judge(3 * second, true)
 		assertQuarantined(t, &a, 4*second, crashing)
 		if _, _, held := a.HoldingTrait(4*second, Traits(20, nil)); held {
 			t.Error("got the request held back, want it sent")
--- a/internal/decision/attributor/judge.go
+++ b/internal/decision/attributor/judge.go
@@ -5,17 +5,18 @@
 	"time"
 )
 
-// Judge quarantines the traits that explain crashes, and clears those whose crashes another trait explains better. It returns
-// the changes.
-func (a *Attributor) Judge(now time.Duration) []Decision {
+// Judge quarantines the traits that explain crashes and, if clears is set, clears those whose crashes another trait explains better.
+// It returns the changes. Only one of the daemons that exchange evidence may clear: those with different evidence would undo
+// each other's decisions without end.
+func (a *Attributor) Judge(now time.Duration, clears bool) []Decision {
 	explained := make(map[uint64]bool)
-	decisions := a.decideParts(now, explained)
+	decisions := a.decideParts(now, explained, clears)
 	for _, r := range a.candidates(KindRequest) {
 		responsible := max(len(r.servers(explained)), r.ReportedCrashes) >= quarantineCrashes
 		switch {
-		case responsible && (!r.Quarantined() || r.failedProbe()):
+		case responsible && (!r.Quarantined() && !r.settled() || r.failedProbe()):
 			r.quarantine(now)
-		case !responsible && r.Quarantined() && r.explainedBy(explained):
+		case clears && !responsible && r.Quarantined() && r.explainedBy(explained):
 			r.Cleared = r.Quarantines
 		default:
 			continue
@@ -26,7 +27,7 @@
 }
 
 // decideParts judges the parts, the most suspected first, and adds the servers whose end they explain.
-func (a *Attributor) decideParts(now time.Duration, explained map[uint64]bool) []Decision {
+func (a *Attributor) decideParts(now time.Duration, explained map[uint64]bool, clears bool) []Decision {
 	var decisions []Decision
 	var open []*record
 	for _, r := range a.candidates(KindPart) {
@@ -39,10 +40,10 @@
 		open = slices.DeleteFunc(open, func(other *record) bool { return other == r })
 		_, responsible := r.quarantinableAt(explained)
 		switch {
-		case responsible && !r.Quarantined() || r.Quarantined() && r.failedProbe():
+		case responsible && !r.Quarantined() && !r.settled() || r.failedProbe():
 			r.quarantine(now)
 			decisions = append(decisions, r.decision())
-		case !responsible && r.Quarantined() && r.explainedBy(explained):
+		case clears && !responsible && r.Quarantined() && r.explainedBy(explained):
 			r.Cleared = r.Quarantines
 			decisions = append(decisions, r.decision())
 		}
@@ -60,7 +61,7 @@
 	explained := a.explainedByParts()
 	next, found := time.Duration(0), false
 	for _, r := range a.candidates(KindPart) {
-		if r.Quarantined() {
+		if r.Quarantined() || r.settled() {
 			continue
 		}
 		if at, ok := r.quarantinableAt(explained); ok && (!found || at < next) {
@@ -100,7 +101,12 @@
 }
 
 // failedProbe reports whether a server has ended under a request with a quarantined trait after its hold.
-func (r *record) failedProbe() bool { return r.lastCrash() > r.HeldUntil }
+func (r *record) failedProbe() bool { return r.Quarantined() && r.lastCrash() > r.HeldUntil }
+
+// settled reports whether another daemon has cleared the trait since the last crash.
+func (r *record) settled() bool {
+	return len(r.settledServers) > 0 && !slices.ContainsFunc(r.Crashes, func(c Crash) bool { return !slices.Contains(r.settledServers, c.Server) })
+}
 
 // explainedBy reports whether other traits explain the end of a server.
 func (r *record) explainedBy(explained map[uint64]bool) bool {
--- a/internal/decision/conductor/crash.go
+++ b/internal/decision/conductor/crash.go
@@ -216,7 +216,7 @@
 func (m *Machine) judge() {
 	c := &m.crashes
 	c.changed = false
-	for _, v := range c.attributor.Judge(m.now) {
+	for _, v := range c.attributor.Judge(m.now, m.isFirstKeeper()) {
 		m.shareEvidence(v.Trait)
 		m.quarantineChanged(v.Trait, itoa(int64(v.Crashes))+" servers ended under "+itoa(int64(v.Requests))+" requests")
 	}
