fix: the records of quarantines are written at a bounded rate

Now a keeper writes or deletes at most 4 a second (8 at once), and each record at most once a second; the rest follow in order. Until then the keepers' messages carry the quarantines, as while the store is away.

--- a/internal/decision/conductor/crash_after_end_test.go
+++ b/internal/decision/conductor/crash_after_end_test.go
@@ -26,6 +26,8 @@
 	leaveAfter time.Duration
 	// timeLimit is how long the caller waits, zero for as long as the route allows.
 	timeLimit time.Duration
+	// part is a part that the request shares with others, zero for none.
+	part uint64
 }
 
 // arriveCrashing sends the crashing request to a random daemon.
@@ -41,9 +43,13 @@
 	if c.timeLimit > 0 {
 		limit = c.timeLimit
 	}
+	parts := []PromptPart{{ID: firstPart, Tokens: 100}}
+	if c.part > 0 {
+		parts = append(parts, PromptPart{ID: c.part, Tokens: 100})
+	}
 	f.step(d, RequestArrived{
 		Request: id, ID: attemptName(id), Route: quick, Version: 1, Service: engineService, Model: "m1", TimeLimit: limit,
-		Fingerprint: crashingFingerprint, Parts: []PromptPart{{ID: firstPart, Tokens: 100}, {ID: crashingFingerprint, Tokens: 100}},
+		Fingerprint: crashingFingerprint, Parts: append(parts, PromptPart{ID: crashingFingerprint, Tokens: 100}),
 	})
 	if c.leaveAfter > 0 {
 		f.after(c.leaveAfter, func() { f.step(d, CallerLeft{Request: id}) })
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -191,6 +191,11 @@
 	// keeper waits for its own before it writes that again.
 	secondKeeperDelay = 500 * time.Millisecond
 	recordRetryDelay  = time.Second
+	// recordWritesPerSecond and recordWriteBurst bound the records of quarantines that a keeper writes or deletes, whatever crashes.
+	// recordWriteInterval is how often the records that had to wait are compared again.
+	recordWritesPerSecond = 4
+	recordWriteBurst      = 8
+	recordWriteInterval   = 250 * time.Millisecond
 	// probeRetryDelay is the least retry delay for a request that is held back because such requests crash servers.
 	probeRetryDelay = 5 * time.Second
 
--- a/internal/decision/conductor/quarantine.go
+++ b/internal/decision/conductor/quarantine.go
@@ -1,10 +1,12 @@
 package conductor
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
 
 	"samphirewharf/internal/decision/attributor"
 )
@@ -54,6 +56,10 @@
 	stored map[attributor.Trait]Quarantine
 	// checkAt is when the records are compared again, 0 for never.
 	checkAt time.Duration
+	// writtenAt holds when each trait's record was last written or deleted by this daemon, until recordRetryDelay later.
+	writtenAt map[attributor.Trait]time.Duration
+	// limiter bounds the writes of all records, nil before the first one.
+	limiter *rate.Limiter
 }
 
 func (c *quarantineRecords) nextAt() time.Duration {
@@ -81,9 +87,10 @@
 		delete(c.quarantined, t)
 	}
 	m.logTrait(t, change, reason)
-	c.checkAt = m.now
-	if !m.isFirstKeeper() {
-		c.checkAt = m.now + secondKeeperDelay
+	if m.isFirstKeeper() {
+		m.checkRecordsBy(m.now)
+	} else {
+		m.checkRecordsBy(m.now + secondKeeperDelay)
 	}
 	m.broadcastLater(t)
 	if e.Quarantined() {
@@ -189,21 +196,53 @@
 	if !m.isKeeper() {
 		return
 	}
+	maps.DeleteFunc(c.writtenAt, func(_ attributor.Trait, at time.Duration) bool { return m.now >= at+recordRetryDelay })
 	for _, t := range m.crashes.attributor.Traits() {
 		e, _ := m.crashes.attributor.Evidence(t)
-		if stored := c.stored[t]; e.Quarantined() && stored.Quarantines < e.Quarantines {
-			c.checkAt = m.now + recordRetryDelay
-			m.emit(StoreQuarantine{TTL: quarantineRecordTTL, Quarantine: Quarantine{Trait: t, Depth: e.Depth, Quarantines: e.Quarantines, EvidenceAge: m.now - e.QuarantinedAt, Hold: max(e.HeldUntil-m.now, 0)}})
-		}
-	}
-	for t, stored := range c.stored {
-		if e, ok := m.crashes.attributor.Evidence(t); ok && e.Cleared >= stored.Quarantines {
+		stored, isStored := c.stored[t]
+		switch {
+		case e.Quarantined() && stored.Quarantines < e.Quarantines:
+			if m.mayWriteRecord(t) {
+				m.emit(StoreQuarantine{TTL: quarantineRecordTTL, Quarantine: Quarantine{Trait: t, Depth: e.Depth, Quarantines: e.Quarantines, EvidenceAge: m.now - e.QuarantinedAt, Hold: max(e.HeldUntil-m.now, 0)}})
+			}
+			// The record may turn out not to be written.
+			m.checkRecordsBy(m.now + recordRetryDelay)
+		case isStored && e.Cleared >= stored.Quarantines && m.mayWriteRecord(t):
 			delete(c.stored, t)
 			m.emit(DeleteQuarantine{Quarantine: stored})
 		}
 	}
 }
 
+// mayWriteRecord reports whether a trait's record may be written or deleted now. If not, the records are compared again when it may.
+func (m *Machine) mayWriteRecord(t attributor.Trait) bool {
+	c := &m.crashes.quarantines
+	if at, ok := c.writtenAt[t]; ok {
+		m.checkRecordsBy(at + recordRetryDelay)
+		return false
+	}
+	if c.limiter == nil {
+		c.limiter = rate.NewLimiter(recordWritesPerSecond, recordWriteBurst)
+	}
+	if !c.limiter.AllowN(time.Unix(0, int64(m.now)), 1) {
+		m.checkRecordsBy(m.now + recordWriteInterval)
+		return false
+	}
+	if c.writtenAt == nil {
+		c.writtenAt = make(map[attributor.Trait]time.Duration)
+	}
+	c.writtenAt[t] = m.now
+	return true
+}
+
+// checkRecordsBy has the records compared at a time at the latest.
+func (m *Machine) checkRecordsBy(at time.Duration) {
+	c := &m.crashes.quarantines
+	if c.checkAt == 0 || at < c.checkAt {
+		c.checkAt = at
+	}
+}
+
 func (m *Machine) storeQuarantineEnded(e StoreQuarantineEnded) {
 	if !e.OK {
 		m.logTrait(e.Trait, "Unrecorded", "the store didn't take the record")
--- a/internal/decision/conductor/virtual_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -137,6 +137,10 @@
 	// quarantines are the records in the store; storeAway reports whether the store takes none.
 	quarantines map[string]Quarantine
 	storeAway   bool
+	// recordWrites holds the times at which daemons wrote or deleted records of quarantines, quarantineChanges how often a daemon
+	// began or ended to hold requests back.
+	recordWrites      []time.Duration
+	quarantineChanges int
 	// mixedServices are the records of services with several versions in the store.
 	mixedServices []string
 }
@@ -282,13 +286,16 @@
 			}
 		}
 	case StoreQuarantine:
+		f.recordWrites = append(f.recordWrites, f.now)
 		f.after(fleetConnectDelay, func() { f.storeQuarantine(d, e.Quarantine) })
 	case RecordVersions:
 		f.after(fleetConnectDelay, func() { f.recordVersions(e.Service) })
 	case DeleteQuarantine:
+		f.recordWrites = append(f.recordWrites, f.now)
 		delete(f.quarantines, fmt.Sprint(e.Quarantine.Trait))
 	case LogStateChange:
 		f.falseDowns += boolToInt(e.Change == "Down" && !d.cutOff && len(d.cutLinks) == 0)
+		f.quarantineChanges += boolToInt(e.Change == "Quarantined" || e.Change == "Cleared")
 	case Subscribe:
 		f.upstreams[self.PeerAddress] = e.Address
 	case Forward:
