--- a/internal/decision/attributor/attributor_test.go
+++ b/internal/decision/attributor/attributor_test.go
@@ -109,7 +109,7 @@
 			crash(&a, at, i, 20, 5)
 			crash(&a, at, i, 10+i, crashing)
 		}
-		a.Judge(3 * second, true)
+		a.Judge(3*second, true)
 		assertQuarantined(t, &a, 4*second, crashing)
 		if _, _, held := a.HoldingTrait(4*second, Traits(20, nil)); held {
 			t.Error("got the request held back, want it sent")
--- a/internal/decision/attributor/benchmark_test.go
+++ b/internal/decision/attributor/benchmark_test.go
@@ -13,7 +13,7 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		a.Judge(4 * time.Second, true)
+		a.Judge(4*time.Second, true)
 		a.NextAt()
 	}
 }
