fix: a daemon that starts asks others what crashes servers before it sends a request

What a daemon knew ended with it; the store had no record; and a keeper that started again under its name wasn't told what the others knew, since the names of the keepers were the same.

Now a daemon that has its configuration and servers asks up to four others, two of them followers, queues requests until they have answered or 400 ms have passed, says what it lacked, and is ready only then. Evidence is also reported again to a keeper whose process is new.

TestRequestThatCrashesServersAmidKillsAndOutages plays six patterns of kills and silences in virtual time. Kills alone and silences alone held before. A daemon of an earlier version doesn't answer; the wait is bounded.

--- a/internal/decision/conductor/evidence.go
+++ b/internal/decision/conductor/evidence.go
@@ -20,7 +20,7 @@
 	broadcasts map[attributor.Trait]*repetition
 	// reported holds the traits that were reported to the keepers.
 	reported map[attributor.Trait]bool
-	// keepers are the keepers that have got this daemon's evidence.
+	// keepers are the processes that have got this daemon's evidence as keepers.
 	keepers []string
 	// announceAt is when a keeper sends all quarantines again.
 	announceAt time.Duration
@@ -169,14 +169,18 @@
 	}
 }
 
-// reportToNewKeepers has all evidence reported again when other daemons have become keepers, which may not know of it.
+// reportToNewKeepers has all evidence reported again when other daemons have become keepers, or have started again. They may not know
+// of it.
 func (m *Machine) reportToNewKeepers() {
 	x := &m.crashes.exchange
-	names := m.keeperNames()
-	if slices.Equal(names, x.keepers) {
+	var keepers []string
+	for _, name := range m.keeperNames() {
+		keepers = append(keepers, name+" "+m.daemons[name].Instance)
+	}
+	if slices.Equal(keepers, x.keepers) {
 		return
 	}
-	x.keepers = slices.Clone(names)
+	x.keepers = keepers
 	for _, t := range m.crashes.attributor.Traits() {
 		schedule(&x.reports, t, m.now+evidenceDelay)
 	}
--- a/internal/decision/conductor/fleet.go
+++ b/internal/decision/conductor/fleet.go
@@ -130,7 +130,13 @@
 		m.originsReceived(message.Address, message.Origins)
 	}
 	if message.Evidence != nil {
+		if message.Evidence.Requested {
+			m.replyWithEvidence(message.Address)
+		}
 		m.evidenceReceived(message.Evidence, false)
+		if message.Evidence.Reply {
+			m.evidenceReplied(message.From)
+		}
 	}
 	if message.Feed != nil && message.Feed.Evidence != nil {
 		m.evidenceReceived(message.Feed.Evidence, true)
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -177,6 +177,11 @@
 	evidenceDelay          = 100 * time.Millisecond
 	evidenceRepetitions    = 2
 	evidenceRepeatInterval = 300 * time.Millisecond
+	// maxEvidenceSources is the number of daemons that one that has just started asks for evidence, catchUpTimeout how long it waits
+	// for them, and maxSentTraits the number of traits in an answer.
+	maxEvidenceSources = 4
+	catchUpTimeout     = 400 * time.Millisecond
+	maxSentTraits      = 64
 	// maxReportedTraits bounds the traits that are remembered as reported.
 	maxReportedTraits = 4096
 	// broadcastDelay is how long a keeper waits for the store to take a quarantine before it tells all daemons itself.
--- a/internal/decision/conductor/link.go
+++ b/internal/decision/conductor/link.go
@@ -175,12 +175,7 @@
 		m.emit(Resign{FencingToken: m.election.leader.FencingToken})
 		m.stopLeading("no link to the servers")
 	}
-	for _, name := range m.serviceNames() {
-		for _, r := range slices.Clone(m.service(name).queue) {
-			m.dequeue(r)
-			m.route(r)
-		}
-	}
+	m.routeQueues()
 }
 
 // publishLink has the other daemons learn of a change of the link by this daemon's record.
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -82,6 +82,7 @@
 	daemonRevisions map[string]int64
 	link            linkState
 	crashes         crashState
+	catchUp         catchUpState
 	origins         originState
 	stop            stopState
 	// versions holds the software versions of each service's servers; versionsAt is when they are noted next.
@@ -159,7 +160,7 @@
 	if at, ok := m.timers.Next(); ok {
 		next = min(next, at)
 	}
-	return min(next, m.lease.nextAt(), m.election.nextAt(m.now), m.link.nextAt(), m.demand.nextAt(m), m.fleet.nextAt(m), m.relay.nextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.origins.nextAt(), m.stop.nextAt(m.now))
+	return min(next, m.lease.nextAt(), m.election.nextAt(m.now), m.link.nextAt(), m.demand.nextAt(m), m.fleet.nextAt(m), m.relay.nextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.catchUp.nextAt(), m.origins.nextAt(), m.stop.nextAt(m.now))
 }
 
 func (m *Machine) apply(event Event) {
@@ -254,6 +255,7 @@
 	m.tickDemand()
 	m.tickFleet()
 	m.tickCrashes()
+	m.tickCatchUp()
 	m.tickVersions()
 	m.tickOrigins()
 	m.tickRateShares()
@@ -337,7 +339,7 @@
 
 // publish emits the published daemons if they have changed.
 func (m *Machine) publish() {
-	ready := m.configuration != nil && m.serversLoaded && !m.stop.requested
+	ready := m.configuration != nil && m.serversLoaded && m.catchUp.done && !m.stop.requested
 	if m.publishedOnce && ready == m.published.Ready && !m.daemonsChanged {
 		return
 	}
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -51,6 +51,11 @@
 		m.giveUp(r, RefusedExpired, m.retryAfter(r))
 		return
 	}
+	if !m.catchUp.done {
+		m.logDecision(r, LogDecision{Action: "Queue", Reason: "CatchingUp"})
+		m.enqueue(r, min(r.deadline, m.now+catchUpTimeout))
+		return
+	}
 	if m.heldBack(r) {
 		m.giveUp(r, RefusedPoison, m.holdTime(r))
 		return
@@ -302,7 +307,7 @@
 // dispatchQueue routes the queued requests of a service again.
 func (m *Machine) dispatchQueue(service string) {
 	state, ok := m.services[service]
-	if !ok || len(state.queue) == 0 {
+	if !ok || len(state.queue) == 0 || !m.catchUp.done {
 		return
 	}
 	queue := state.queue
@@ -346,6 +351,16 @@
 	}
 }
 
+// routeQueues decides anew on all queued requests.
+func (m *Machine) routeQueues() {
+	for _, name := range m.serviceNames() {
+		for _, r := range slices.Clone(m.service(name).queue) {
+			m.dequeue(r)
+			m.route(r)
+		}
+	}
+}
+
 // slotFreeIn predicts when a slot becomes free for the request, from the rate at which running requests end.
 func (m *Machine) slotFreeIn(r *request) time.Duration {
 	earliest := never
--- a/internal/decision/conductor/virtual_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -43,6 +43,8 @@
 	fleetRestartDelay = 3 * time.Second
 	fleetEntryTTL     = 3600 * time.Millisecond
 	fleetDrainTime    = 5 * time.Second
+	// storeCallTimeout is how long a call to a silent store takes to fail.
+	storeCallTimeout = 900 * time.Millisecond
 	// fleetRetryDelay is how long after a broken connection a caller takes its stream up at another daemon.
 	fleetRetryDelay = 20 * time.Millisecond
 )
@@ -137,6 +139,8 @@
 	// quarantines are the records in the store; storeAway reports whether the store takes none.
 	quarantines map[string]Quarantine
 	storeAway   bool
+	// storeSilentUntil is until when the store answers nobody.
+	storeSilentUntil time.Duration
 	// recordWrites holds the times at which daemons wrote or deleted records of quarantines, quarantineChanges how often a daemon
 	// began or ended to hold requests back.
 	recordWrites      []time.Duration
@@ -173,8 +177,12 @@
 	return Daemon{Name: name, Instance: name, CallerAddress: name + ":1", PeerAddress: name + ":2", Zone: fmt.Sprintf("z%d", i%3)}
 }
 
-// startDaemon starts a daemon, which knows nothing but what is in the store.
+// startDaemon starts a daemon, which knows nothing but what is in the store, once the store answers.
 func (f *virtualFleet) startDaemon(i int) {
+	if f.now < f.storeSilentUntil {
+		f.after(f.storeSilentUntil-f.now, func() { f.startDaemon(i) })
+		return
+	}
 	settings := testSettings()
 	settings.Self, settings.Seed, settings.EntryTTL = f.record(i), uint64(i+1), fleetEntryTTL
 	d := f.daemons[i]
@@ -205,7 +213,20 @@
 // tell passes a change of the store to all daemons.
 func (f *virtualFleet) tell(e Event) {
 	for _, d := range f.daemons {
-		f.after(fleetRelayDelay, func() { f.step(d, e) })
+		f.after(max(f.storeSilentUntil-f.now, 0)+fleetRelayDelay, func() { f.step(d, e) })
+	}
+}
+
+// silenceStore has the store answer nobody for a time.
+func (f *virtualFleet) silenceStore(duration time.Duration) {
+	f.storeSilentUntil = f.now + duration
+	for _, d := range f.daemons {
+		f.after(storeCallTimeout, func() {
+			if f.now < f.storeSilentUntil {
+				f.step(d, StoreLost{Reason: "timeout"})
+			}
+		})
+		f.after(duration+fleetPeerDelay, func() { f.step(d, StoreReached{}) })
 	}
 }
 
@@ -275,6 +296,10 @@
 		f.unqueue(e)
 		f.step(d, AttemptEnded{Request: e.Request, Attempt: e.Attempt, Outcome: reducer.AttemptCancelled})
 	case RenewLease:
+		if sentAt := f.now; f.now < f.storeSilentUntil {
+			f.after(storeCallTimeout, func() { f.step(d, LeaseRenewed{SentAt: sentAt}) })
+			return
+		}
 		f.step(d, LeaseRenewed{SentAt: f.now, OK: true})
 	case PollServer:
 		f.after(fleetConnectDelay, func() { f.polled(d, e) })
@@ -304,6 +329,10 @@
 }
 
 func (f *virtualFleet) storeQuarantine(d *virtualDaemon, c Quarantine) {
+	if f.now < f.storeSilentUntil {
+		f.after(storeCallTimeout, func() { f.step(d, StoreQuarantineEnded{Trait: c.Trait}) })
+		return
+	}
 	if f.storeAway {
 		f.step(d, StoreQuarantineEnded{Trait: c.Trait})
 		return
--- a/internal/peer/messenger/evidence.go
+++ b/internal/peer/messenger/evidence.go
@@ -7,6 +7,10 @@
 type Evidence struct {
 	Broadcast bool
 	Suspects  []Suspect
+	// Requested reports whether the sender, which has just started, asks for the receiver's evidence, Reply whether this is the answer.
+	// Earlier versions do neither.
+	Requested bool
+	Reply     bool
 }
 
 // A Suspect is the evidence that requests with a trait crash servers.
@@ -38,14 +42,14 @@
 	if e == nil {
 		return nil
 	}
-	return &EvidencePart{Broadcast: e.Broadcast, Suspects: convert(e.Suspects, encodeSuspect)}
+	return &EvidencePart{Broadcast: e.Broadcast, Suspects: convert(e.Suspects, encodeSuspect), Requested: e.Requested, Reply: e.Reply}
 }
 
 func decodeEvidence(p *EvidencePart) *Evidence {
 	if p == nil {
 		return nil
 	}
-	return &Evidence{Broadcast: p.GetBroadcast(), Suspects: convert(p.GetSuspects(), decodeSuspect)}
+	return &Evidence{Broadcast: p.GetBroadcast(), Suspects: convert(p.GetSuspects(), decodeSuspect), Requested: p.GetRequested(), Reply: p.GetReply()}
 }
 
 func encodeSuspect(s Suspect) *SuspectPart {
--- a/internal/peer/messenger/fleet_test.go
+++ b/internal/peer/messenger/fleet_test.go
@@ -27,7 +27,7 @@
 			Loading:  []Loading{{Service: "s", Model: "n", ReadyIn: time.Second, SoftwareVersion: "v2"}},
 			Suspects: []Suspect{{Fingerprint: 5, Crashes: 3}}, RateLimits: []RateLimit{{Server: "i-1", StartedAt: 9}},
 		},
-		Evidence: &Evidence{Broadcast: true, Suspects: []Suspect{{
+		Evidence: &Evidence{Broadcast: true, Requested: true, Reply: true, Suspects: []Suspect{{
 			Fingerprint: 7, Part: true, Depth: 1, Servers: []uint64{4}, Requests: []uint64{5}, Ages: []time.Duration{time.Second},
 			Answered: true, AnsweredAgo: 2 * time.Second, Quarantines: 2, Cleared: 1, QuarantinedAgo: 3 * time.Second, Hold: -time.Second,
 		}}},
