--- a/internal/edge/launcher/daemon.go
+++ b/internal/edge/launcher/daemon.go
@@ -59,6 +59,7 @@
 	endpoints      []*endpoint
 	callerEndpoint *endpoint
 	metrics        edgeMetrics
+	traffic        trafficMeter
 	storeMonitor   storeMonitor
 	relayer        *relayer.Relayer
 	// stopWatches stops the watches of the store, nil if there are none.
@@ -126,10 +127,10 @@
 		s.Seed = rand.Uint64()
 	}
 	d.metrics.register(d)
-	d.peers.Logger = d.logger
+	d.peers.Logger, d.peers.OnSent = d.logger, d.messageSent
 	d.client.IdentityHeader = d.platform.Translator.IdentityHeader
 	d.client.NotRun = d.platform.Translator.NotRun
-	d.storeMonitor = storeMonitor{post: d.post, count: d.metrics.countStoreCall}
+	d.storeMonitor = storeMonitor{post: d.post, count: d.storeCalled}
 	d.platform.SetObserver(d.storeMonitor.observe)
 	d.platform.SetOnRestored(d.storeRestored)
 	d.relayer = relayer.New(s.Self.Instance, d.handlers())
--- a/internal/edge/launcher/effects.go
+++ b/internal/edge/launcher/effects.go
@@ -28,6 +28,7 @@
 		d.logStateChange(e)
 	case conductor.UpdateGauges:
 		d.metrics.updateGauges(&e)
+		d.logTraffic()
 	case conductor.PublishDaemons:
 		d.publishedDaemons.Store(&e)
 	case conductor.SetKeepAlive:
--- a/internal/edge/launcher/metrics.go
+++ b/internal/edge/launcher/metrics.go
@@ -163,11 +163,26 @@
 	m.set.GetOrCreateCounter(`samphirewharf_edge_orders_total{operation="` + o.Operation.String() + `",kind="` + kind + `",result="` + result.String() + `"}`).Inc()
 }
 
-// countStoreCall counts a call to the store by its name, without the arguments that follow it.
-func (m *edgeMetrics) countStoreCall(call string, err error) {
+// callName returns the name of a call to the store, without the arguments that follow it.
+func callName(call string) string {
 	if end := strings.IndexAny(call, "?/"); end >= 0 {
-		call = call[:end]
+		return call[:end]
+	}
+	return call
+}
+
+// countMessage counts a message to another daemon and its bytes.
+func (m *edgeMetrics) countMessage(kind string, size int, err error) {
+	result := "Sent"
+	if err != nil {
+		result = "Lost"
 	}
+	m.set.GetOrCreateCounter(`samphirewharf_edge_peer_messages_total{kind="` + kind + `",result="` + result + `"}`).Inc()
+	m.set.GetOrCreateCounter(`samphirewharf_edge_peer_sent_bytes_total{kind="` + kind + `"}`).Add(size)
+}
+
+// countStoreCall counts a call to the store by its name.
+func (m *edgeMetrics) countStoreCall(call string, err error) {
 	result := "Answered"
 	if err != nil {
 		result = "Unanswered"
--- /dev/null
+++ b/internal/edge/launcher/traffic.go
@@ -0,0 +1,72 @@
+package launcher
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"samphirewharf/internal/peer/messenger"
+)
+
+// trafficInterval is the time between log lines of what the daemon has cost the store and the other daemons.
+const trafficInterval = 10 * time.Second
+
+// A trafficMeter counts calls to the store and messages to other daemons between two log lines. The zero value is ready to use.
+type trafficMeter struct {
+	mu       sync.Mutex
+	loggedAt time.Time
+	counts   map[string]int
+}
+
+func (m *trafficMeter) add(name string, n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.counts == nil {
+		m.counts = make(map[string]int)
+	}
+	m.counts[name] += n
+}
+
+// take returns the counts and resets them, nil if trafficInterval hasn't passed since it last returned some.
+func (m *trafficMeter) take(now time.Time) map[string]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.loggedAt) < trafficInterval || len(m.counts) == 0 {
+		return nil
+	}
+	counts := m.counts
+	m.loggedAt, m.counts = now, nil
+	return counts
+}
+
+// messageSent counts a message to another daemon.
+func (d *Daemon) messageSent(m messenger.Message, size int, err error) {
+	kind := string(m.Kind())
+	d.metrics.countMessage(kind, size, err)
+	d.traffic.add("Messages"+kind, 1)
+	d.traffic.add("Bytes"+kind, size)
+	if err != nil {
+		d.traffic.add("Lost"+kind, 1)
+	}
+}
+
+// storeCalled counts a call to the store.
+func (d *Daemon) storeCalled(call string, err error) {
+	call = callName(call)
+	d.metrics.countStoreCall(call, err)
+	d.traffic.add("Store "+call, 1)
+}
+
+// logTraffic logs what was counted since the last line.
+func (d *Daemon) logTraffic() {
+	counts := d.traffic.take(time.Now())
+	if counts == nil {
+		return
+	}
+	line := d.logger.Info()
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		line = line.Int(name, counts[name])
+	}
+	line.Msg("traffic")
+}
--- a/internal/peer/messenger/client.go
+++ b/internal/peer/messenger/client.go
@@ -33,6 +33,8 @@
 	Timeout time.Duration
 	// QueueLimit is the number of messages that may be queued for one daemon; zero means DefaultQueueLimit.
 	QueueLimit int
+	// OnSent is called after each message with its encoded size in bytes, and an error if it may not have arrived. It may be nil.
+	OnSent func(m Message, size int, err error)
 	// Logger is the logger; nil means log.DefaultLogger.
 	Logger *log.Logger
 
--- a/internal/peer/messenger/peer.go
+++ b/internal/peer/messenger/peer.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"slices"
+
+	"google.golang.org/protobuf/proto"
 )
 
 // maxMergedReports is the largest number of reports in one message after merging.
@@ -36,7 +38,12 @@
 func (p *peer) deliver(sender Messenger, queued queuedMessage) {
 	ctx, cancel := context.WithTimeout(queued.ctx, p.client.timeout())
 	defer cancel()
-	if _, err := sender.Deliver(ctx, queued.message.Envelope()); err != nil {
+	envelope := queued.message.Envelope()
+	_, err := sender.Deliver(ctx, envelope)
+	if p.client.OnSent != nil {
+		p.client.OnSent(queued.message, proto.Size(envelope), err)
+	}
+	if err != nil {
 		p.client.logger().Debug().Err(err).Str("Address", p.address).Msg("could not deliver message to daemon")
 	}
 }
