fix: a refused request is forgotten once its attempt has ended

A request that was refused after its attempt had ended stayed in the daemon's table for good, since its state still said that an attempt ran. Memory grew with refusals, and a planned stop after any of them lasted until its time was up, as requests seemed to run.

TestFinalAnswers failed before: 1 request kept, want 0.

--- a/internal/decision/conductor/attempt.go
+++ b/internal/decision/conductor/attempt.go
@@ -55,6 +55,7 @@
 		return
 	}
 	m.clearTimer(r)
+	r.state = stateQueued
 	if r.peer != "" {
 		m.delegationEnded(r, e)
 	} else {
