fix: a request that a server may be running isn't refused as not run

Callers whose deadline passed while a server had their request got 504 with "Ran: NotRun": only ended attempts counted as runs, not the one that was under way.

Cause: refuse() asked for r.runs alone. TestFinalAnswers fails before.

--- a/internal/decision/conductor/final_answer_test.go
+++ b/internal/decision/conductor/final_answer_test.go
@@ -22,6 +22,11 @@
 			t.Errorf("got refusals %+v, want one that says may have run %v", list, wantMayHaveRun)
 		}
 	}
+	t.Run("a request whose deadline passes while a server has it may have run", func(t *testing.T) {
+		h, id := sent(t)
+		h.advance(booking.Timeout)
+		assertRefused(t, h, id, true)
+	})
 	t.Run("a request that the server turned away is forgotten with its refusal", func(t *testing.T) {
 		h, id := sent(t)
 		for attempt := 1; len(h.refusals(id)) == 0; attempt++ {
--- a/internal/decision/conductor/request.go
+++ b/internal/decision/conductor/request.go
@@ -157,7 +157,7 @@
 // refuse ends a request with a refusal.
 func (m *Machine) refuse(r *request, reason RefusalReason, retryAfter time.Duration) {
 	m.logDecision(r, LogDecision{Action: "Refuse", Reason: reason.String()})
-	m.emit(Refuse{Request: r.Request, Reason: reason, MayHaveRun: r.runs > 0, RetryAfter: retryAfter})
+	m.emit(Refuse{Request: r.Request, Reason: reason, MayHaveRun: r.runs > 0 || r.state == stateRunning, RetryAfter: retryAfter})
 	m.answered(r)
 }
 
