fix: subscribers of the store's view are sent what has changed, not all of it again

Now a list of the same epoch is compared with the view that subscribers have, and a subscriber without news gets a heartbeat only when one is due.

Its new form and the one for a new subscription fail on the code before.

--- a/internal/edge/relayer/relayer.go
+++ b/internal/edge/relayer/relayer.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"samphirewharf/internal/external/storer"
+	"samphirewharf/internal/fleet/sequencer"
 	"samphirewharf/internal/peer/messenger"
 )
 
@@ -79,9 +81,11 @@
 type subscriber struct {
 	sequence  int64
 	expiresAt time.Time
-	// needsSnapshot reports whether it has received nothing yet or missed an update, or a new list was read from the
-	// store.
+	// needsSnapshot reports whether it has received nothing yet or missed an update, or a restored store was listed.
 	needsSnapshot bool
+	// sentAt is when it was last sent an update, sentFresh whether that said that the view is up to date.
+	sentAt    time.Time
+	sentFresh bool
 }
 
 // New returns a relayer that passes received updates to the handlers. Stream identifies the process.
@@ -222,19 +226,41 @@
 func (r *Relayer) recordList(prefix string, entries []storer.Entry, revision int64) {
 	r.mu.Lock()
 	s := r.prefixes[prefix]
-	s.listed, s.revision, s.pendingChanges = true, revision, nil
+	if s.listed && sequencer.Epoch(s.revision) == sequencer.Epoch(revision) {
+		s.addDifference(entries, revision)
+	} else {
+		// Subscribers have another view, or one of another epoch, so all of them need a snapshot.
+		s.pendingChanges = nil
+		for _, sub := range r.subscribers {
+			sub.needsSnapshot = true
+		}
+	}
+	s.listed, s.revision = true, revision
 	clear(s.entries)
 	for _, e := range entries {
 		s.entries[e.Key] = e
 	}
-	// How the list differs from the state that subscribers have is unknown, so all of them need a snapshot.
-	for _, sub := range r.subscribers {
-		sub.needsSnapshot = true
-	}
 	r.mu.Unlock()
 	r.signal()
 }
 
+// addDifference adds to the pending changes how a list differs from the entries, which subscribers have once they have got the
+// pending changes.
+func (s *prefixState) addDifference(entries []storer.Entry, revision int64) {
+	present := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		present[e.Key] = true
+		if known, ok := s.entries[e.Key]; !ok || known.Revision != e.Revision {
+			s.pendingChanges = append(s.pendingChanges, messenger.ViewEntry{Key: e.Key, Value: e.Value, Revision: e.Revision})
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(s.entries)) {
+		if !present[key] {
+			s.pendingChanges = append(s.pendingChanges, messenger.ViewEntry{Key: key, Revision: revision, Removed: true})
+		}
+	}
+}
+
 func (r *Relayer) recordChange(prefix string, e messenger.ViewEntry) {
 	r.mu.Lock()
 	s := r.prefixes[prefix]
@@ -251,7 +277,8 @@
 	r.signal()
 }
 
-// sendUpdates sends each subscriber the pending changes, or a snapshot if it needs one and all prefixes are listed.
+// sendUpdates sends each subscriber the pending changes, or a snapshot if it needs one and all prefixes are listed. One without news
+// is sent a heartbeat if one is due.
 func (r *Relayer) sendUpdates(now time.Time) {
 	type delivery struct {
 		address string
@@ -261,14 +288,20 @@
 	var deliveries []delivery
 	allListed := r.allListed()
 	changes := r.takeChanges()
+	fresh := allListed && r.StoreReachable()
 	var snapshot []messenger.View
 	for address, sub := range r.subscribers {
 		if now.After(sub.expiresAt) {
 			delete(r.subscribers, address)
 			continue
 		}
+		hasNews := r.pendingFleet != nil || r.pendingEvidence != nil || sub.needsSnapshot && allListed || !sub.needsSnapshot && len(changes) > 0 || fresh != sub.sentFresh
+		if !hasNews && now.Sub(sub.sentAt) < heartbeatInterval/2 {
+			continue
+		}
 		sub.sequence++
-		feed := &messenger.Feed{Stream: r.stream, Sequence: sub.sequence, Fresh: allListed && r.StoreReachable(), Fleet: r.pendingFleet, Evidence: r.pendingEvidence}
+		sub.sentAt, sub.sentFresh = now, fresh
+		feed := &messenger.Feed{Stream: r.stream, Sequence: sub.sequence, Fresh: fresh, Fleet: r.pendingFleet, Evidence: r.pendingEvidence}
 		switch {
 		case sub.needsSnapshot && allListed:
 			if snapshot == nil {
