fix: daemons don't watch a store that they can't reach in place of their upstream

Now a daemon that can't reach the store either keeps its upstream and lists nothing; the renewals of its lease show when the store is back, and it gives its upstream a second to be up to date. A daemon whose lease ended in the outage isn't taken for one that has just started. If only the upstream has lost the store, the daemon watches the store at once, as before. Three subtests of TestFeed.

--- a/internal/decision/conductor/feed.go
+++ b/internal/decision/conductor/feed.go
@@ -24,6 +24,9 @@
 	// upstreamTimeout is how long an upstream may be silent before the daemon subscribes to another one and meanwhile
 	// watches the store itself.
 	upstreamTimeout = 1200 * time.Millisecond
+	// upstreamReturnTime is how long after an outage of the store a daemon waits for its upstream to be up to date again before it
+	// watches the store itself. Entries that expired in the outage are written again for some two seconds.
+	upstreamReturnTime = time.Second
 	// removalTTL is how long removals of entries are remembered, to reject older updates of these entries.
 	removalTTL = 2 * time.Minute
 )
@@ -44,6 +47,8 @@
 	subscribedAt time.Duration
 	receivedAt   time.Duration
 	received     bool
+	// heardAt is when the upstream last sent anything.
+	heardAt time.Duration
 	// upstreamStale reports whether the upstream has said that it is out of date itself.
 	upstreamStale bool
 	subscribeAt   time.Duration
@@ -184,7 +189,7 @@
 // tickRelay chooses the source of updates of the store.
 func (m *Machine) tickRelay() {
 	r := &m.relay
-	planned := !m.lease.registered || slices.Contains(m.followerNames(), m.settings.Self.Name)
+	planned := !m.lease.wasRegistered || slices.Contains(m.followerNames(), m.settings.Self.Name)
 	if planned && !m.store.unavailable {
 		r.upstream, r.received = "", false
 		m.setFollowing(true, "planned")
@@ -196,6 +201,12 @@
 		m.setFollowing(true, "planned")
 	case r.upToDate(m.now):
 		m.setFollowing(false, "fed by "+r.upstream)
+	case r.upstream != "" && m.store.unavailable:
+		// Calls to the store would fail like those of the upstream. The renewals of the lease show when it is back.
+		m.setFollowing(false, "store unavailable")
+		m.setViewStale(true)
+	case r.upstream != "" && m.awaitsUpstream():
+		m.setFollowing(false, "store is back")
 	default:
 		m.setFollowing(true, "not fed")
 	}
@@ -211,7 +222,8 @@
 		return
 	}
 	known := slices.ContainsFunc(list, func(d Daemon) bool { return d.Name == r.upstream })
-	failed := r.upstream != "" && (r.upstreamStale || m.now > max(r.subscribedAt, r.receivedAt)+upstreamTimeout)
+	// While the store is unavailable, other upstreams are out of date as well.
+	failed := r.upstream != "" && (r.upstreamStale && !m.store.unavailable && !m.awaitsUpstream() || m.now > max(r.subscribedAt, r.receivedAt, r.heardAt)+upstreamTimeout)
 	if !known || failed {
 		if failed {
 			r.failedUpstreams++
@@ -225,6 +237,11 @@
 	}
 }
 
+// awaitsUpstream reports whether the store has returned only a moment ago, so that upstreams may not be up to date yet.
+func (m *Machine) awaitsUpstream() bool {
+	return m.store.reachedAt > 0 && m.now < m.store.reachedAt+upstreamReturnTime
+}
+
 // setFollowing emits a change of whether the daemon watches the store.
 func (m *Machine) setFollowing(on bool, reason string) {
 	r := &m.relay
@@ -246,6 +263,7 @@
 	if e.From != r.upstream {
 		return
 	}
+	r.heardAt = m.now
 	if e.Fresh {
 		r.received, r.receivedAt = true, m.now
 		r.failedUpstreams = 0
--- a/internal/decision/conductor/feed_test.go
+++ b/internal/decision/conductor/feed_test.go
@@ -75,6 +75,43 @@
 			t.Errorf("got upstream %s again, want another", first)
 		}
 	})
+	t.Run("a daemon that can't reach the store either doesn't watch it, and keeps its upstream", func(t *testing.T) {
+		h := newFleetHarness(t)
+		first := h.upstream()
+		h.step(UpdatesReceived{From: first, Fresh: true})
+		h.step(StoreLost{Reason: "busy"})
+		subscriptions := len(findIn[Subscribe](h.all))
+		for range 10 {
+			h.step(UpdatesReceived{From: first, Fresh: false})
+			h.advance(500 * time.Millisecond)
+			assertEqual(t, "following", h.following(), false)
+			assertEqual(t, "upstream", h.upstream(), first)
+		}
+		if got := len(findIn[Subscribe](h.all)) - subscriptions; got > 6 {
+			t.Errorf("got %d subscriptions in 5 s, want one a second", got)
+		}
+	})
+	t.Run("after an outage it waits a moment for its upstream before it watches the store itself", func(t *testing.T) {
+		h := newFleetHarness(t)
+		first := h.upstream()
+		h.step(StoreLost{Reason: "busy"})
+		h.step(UpdatesReceived{From: first, Fresh: false})
+		h.advance(3 * time.Second)
+		h.step(StoreReached{})
+		assertEqual(t, "following", h.following(), false)
+		h.advance(upstreamReturnTime / 2)
+		h.step(UpdatesReceived{From: h.upstream(), Fresh: true})
+		h.advance(upstreamReturnTime)
+		assertEqual(t, "following", h.following(), false)
+	})
+	t.Run("after an outage it watches the store if its upstream stays out of date", func(t *testing.T) {
+		h := newFleetHarness(t)
+		h.step(StoreLost{Reason: "busy"})
+		h.advance(3 * time.Second)
+		h.step(StoreReached{})
+		h.advance(upstreamReturnTime + 10*time.Millisecond)
+		assertEqual(t, "following", h.following(), true)
+	})
 	t.Run("a follower that the store refuses receives updates from another one", func(t *testing.T) {
 		h := newHarness(t)
 		h.step(DaemonChanged{Daemon: Daemon{Name: "d2", PeerAddress: "10.0.1.2:2", Zone: "b"}})
--- a/internal/decision/conductor/lease.go
+++ b/internal/decision/conductor/lease.go
@@ -11,6 +11,8 @@
 	// registered reports whether the daemon's record is written, registering whether a write is in progress.
 	registered  bool
 	registering bool
+	// wasRegistered reports whether this process has been registered before.
+	wasRegistered bool
 	// outdated reports whether the record has changed while it was being written.
 	outdated bool
 	// registerAt is when the record may be written again after a failure.
@@ -65,6 +67,7 @@
 	l := &m.lease
 	l.registering = false
 	l.registered = e.OK && !l.outdated
+	l.wasRegistered = l.wasRegistered || e.OK
 	l.outdated = false
 	if e.OK {
 		m.emit(LogStateChange{Subject: "Daemon " + m.settings.Self.Name, Change: "Registered"})
