--- a/internal/decision/conductor/feed.go
+++ b/internal/decision/conductor/feed.go
@@ -265,7 +265,7 @@
 	}
 	r.heardAt = m.now
 	if e.Fresh {
-		r.received, r.receivedAt = true, m.now
+		r.received, r.receivedAt, r.upstreamStale = true, m.now, false
 		r.failedUpstreams = 0
 	} else {
 		r.received, r.upstreamStale = false, true
--- a/internal/decision/conductor/feed_test.go
+++ b/internal/decision/conductor/feed_test.go
@@ -104,6 +104,20 @@
 		h.advance(upstreamReturnTime)
 		assertEqual(t, "following", h.following(), false)
 	})
+	t.Run("an upstream that is up to date again is kept", func(t *testing.T) {
+		h := newFleetHarness(t)
+		first := h.upstream()
+		h.step(StoreLost{Reason: "busy"})
+		h.step(UpdatesReceived{From: first, Fresh: false})
+		h.advance(time.Second)
+		h.step(StoreReached{})
+		for range 6 {
+			h.step(UpdatesReceived{From: first, Fresh: true})
+			h.advance(400 * time.Millisecond)
+			assertEqual(t, "upstream", h.upstream(), first)
+			assertEqual(t, "following", h.following(), false)
+		}
+	})
 	t.Run("after an outage it watches the store if its upstream stays out of date", func(t *testing.T) {
 		h := newFleetHarness(t)
 		h.step(StoreLost{Reason: "busy"})
