fix: slow streams aren't cut while their callers still wait

A resumable stream whose server paused for longer than two seconds, or eight of the route's gaps, was cut and begun again at another server, which had to read the whole prompt once more, or was broken off if there was none. Callers wait for four objectives as well: 12 s for a route with an objective of 3 s, the kind that engines preempt first. Now an event may take as long as callers wait. TestEventTimeout fails before (1.9 s, want 11.9 s).

--- a/internal/decision/conductor/request.go
+++ b/internal/decision/conductor/request.go
@@ -77,12 +77,16 @@
 	r.deadline = now + max(min(e.TimeLimit, e.Route.Timeout)-deadlineMargin, deadlineMargin)
 	r.firstDeadline = r.deadline
 	if e.Route.Kind == matcher.KindStream {
-		limit := max(minEventTimeout, eventTimeoutObjectives*e.Route.LatencyObjective, eventTimeoutGaps*e.Route.EventGapObjective)
-		r.firstDeadline = min(r.deadline, now+limit-eventTimeoutMargin)
+		r.firstDeadline = min(r.deadline, now+eventTimeout(e.Route)-eventTimeoutMargin)
 	}
 	return r
 }
 
+// eventTimeout returns how long callers wait for the next event of a stream, the first one included.
+func eventTimeout(route matcher.Route) time.Duration {
+	return max(minEventTimeout, eventTimeoutObjectives*route.LatencyObjective, eventTimeoutGaps*route.EventGapObjective)
+}
+
 // traitsOf returns what a request has in common with others.
 func traitsOf(e RequestArrived) []attributor.Trait {
 	parts := make([]uint64, 0, len(e.Parts))
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -273,7 +273,7 @@
 		e.FirstTimeout = m.firstTimeout(r)
 	}
 	if r.Route.Kind == matcher.KindStream && r.Route.Resumable {
-		e.EventGapTimeout = max(minEventTimeout, eventTimeoutGaps*r.Route.EventGapObjective) - eventTimeoutMargin
+		e.EventGapTimeout = eventTimeout(r.Route) - eventTimeoutMargin
 	}
 	m.emit(e)
 }
