--- a/internal/decision/reducer/forwarding.go
+++ b/internal/decision/reducer/forwarding.go
@@ -10,6 +10,10 @@
 // forwardMargin is how much earlier the deadline of a forwarded request is at the other daemon.
 const forwardMargin = 50 * time.Millisecond
 
+// suspectForwardDelay is how long a suspect that another daemon has refused waits before it is forwarded again. Daemons differ for a
+// moment on which of them runs the suspects of a server, after one has joined or ended.
+const suspectForwardDelay = 250 * time.Millisecond
+
 // forwardToCell forwards a request to a daemon that serves its cell, over one hop at most.
 func (m *Machine) forwardToCell(r *request) {
 	if r.arrival.ForwardedBy != "" {
@@ -87,6 +91,7 @@
 	retryable := refusal.Code == refuser.CodeDaemonStopping || refusal.Code == refuser.CodeForwardFailed ||
 		refusal.Code == refuser.CodeNoConfiguration
 	if retryable && refusal.Ran == refuser.NotRun && r.attempt < maxAttempts {
+		r.forwardAt = m.now.Monotonic + suspectForwardDelay
 		m.retryForward(r)
 		return
 	}
--- a/internal/decision/reducer/request.go
+++ b/internal/decision/reducer/request.go
@@ -64,6 +64,8 @@
 	tokens        int
 	// avoid is the server or daemon of the last failed attempt.
 	avoid string
+	// forwardAt is when a suspect that another daemon has refused may be forwarded again, zero before.
+	forwardAt time.Duration
 
 	// timer is when the request is checked next.
 	timer waker.Timer[*request]
@@ -95,6 +97,11 @@
 			m.handleVerifyTimeout(r)
 			continue
 		}
+		if r.state == stateQueued && m.now.Monotonic < r.deadline {
+			m.setTimer(r, r.deadline)
+			m.dispatchQueue(r.queue)
+			continue
+		}
 		m.expire(r)
 	}
 }
--- a/internal/decision/reducer/verifying.go
+++ b/internal/decision/reducer/verifying.go
@@ -110,6 +110,10 @@
 		if r.attempt >= maxAttempts-1 || !m.isolator.Suspected(r.hash, m.now.Monotonic) {
 			continue
 		}
+		if m.now.Monotonic < r.forwardAt {
+			m.setTimer(r, min(r.deadline, r.forwardAt))
+			continue
+		}
 		q.remove(r)
 		if r.arrival.ForwardedBy != "" {
 			m.refuse(r, refuser.CodeForwardFailed, r.ran(), time.Second, "suspects of the server are run by another daemon")
