fix: refusals for lack of links are logged as such

They had the name of the first reason, NoServer, since the list of names lacked the last one (TestRefusalReasons fails before). explain knows the reasons Link, LinkDown, Origin and CatchingUp.

--- a/internal/daemon/explainer/explainer.go
+++ b/internal/daemon/explainer/explainer.go
@@ -190,6 +190,8 @@
 	"Connect": "the server accepted no connection", "Absent": "the server doesn't have the model or adapter",
 	"Misdirected": "another server has the address", "Silent": "the server sent nothing for too long",
 	"Invalid": "the data received was not the server's response to it", "Error": "the server answered with an error",
+	"Origin": "no daemon knows which software version began the stream", "Link": "the daemon reaches no server, and no other daemon that does",
+	"LinkDown": "the daemon reaches no server", "CatchingUp": "the daemon has just started and asks others what crashes servers",
 	"Stopping": "the daemon is stopping", "Held": "the error response of the server, which had been buffered",
 }
 
--- a/internal/decision/conductor/effect.go
+++ b/internal/decision/conductor/effect.go
@@ -82,7 +82,7 @@
 
 // String returns the reason's name in logs, metrics and answers.
 func (r RefusalReason) String() string {
-	names := [...]string{"NoServer", "Cold", "Full", "Expired", "Timeout", "Broken", "Budget", "Poison", "Stopping", "Origin"}
+	names := [...]string{"NoServer", "Cold", "Full", "Expired", "Timeout", "Broken", "Budget", "Poison", "Stopping", "Origin", "Link"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/internal/decision/conductor/final_answer_test.go
+++ b/internal/decision/conductor/final_answer_test.go
@@ -6,6 +6,17 @@
 	"samphirewharf/internal/decision/reducer"
 )
 
+func TestRefusalReasons(t *testing.T) {
+	seen := make(map[string]RefusalReason)
+	for reason := RefusedNoServer; reason <= RefusedLink; reason++ {
+		name := reason.String()
+		if other, ok := seen[name]; ok {
+			t.Errorf("got name %s for %d and %d, want one each", name, other, reason)
+		}
+		seen[name] = reason
+	}
+}
+
 func TestFinalAnswers(t *testing.T) {
 	sent := func(t *testing.T) (*harness, reducer.RequestID) {
 		t.Helper()
