fix: a planned stop answers the connections that wait at the listener

The server now accepts until none has arrived for 20 ms, for at most 150 ms, takes what still waits without the poller, since an Accept with an expired deadline doesn't look, and then closes the listener. What is accepted then is served like other connections of a stop.

--- a/internal/entry/acceptor/server.go
+++ b/internal/entry/acceptor/server.go
@@ -20,6 +20,10 @@
 const (
 	// acceptRetryDelay is the delay before accepting again after an error such as too many open files.
 	acceptRetryDelay = 50 * time.Millisecond
+	// backlogQuietTime is how long no connection may arrive during shutdown until the listener is closed, backlogTimeout bounds the time
+	// until then. Closing it resets the connections that the kernel has accepted and the server hasn't.
+	backlogQuietTime = 20 * time.Millisecond
+	backlogTimeout   = 150 * time.Millisecond
 	// stopPollInterval is the interval between checks for open connections during shutdown.
 	stopPollInterval = 10 * time.Millisecond
 	// refuseTimeout bounds the time for writing a refusal.
@@ -51,6 +55,10 @@
 	listener    net.Listener
 	connections map[*connection]struct{}
 	stopping    bool
+	// acceptUntil is when the listener is closed at the latest, valid if stopping.
+	acceptUntil time.Time
+	// accepting reports whether Serve runs.
+	accepting bool
 }
 
 // Connections returns the number of open connections.
@@ -66,12 +74,18 @@
 // Serve accepts connections until Stop is called, and then returns nil.
 func (s *Server) Serve(listener net.Listener) error {
 	s.start(listener)
+	defer s.ended()
 	for {
 		conn, err := listener.Accept()
 		switch {
 		case err == nil:
 			s.accept(conn)
+			s.awaitBacklog(listener)
 		case s.isStopping():
+			for _, waiting := range takeBacklog(listener) {
+				s.accept(waiting)
+			}
+			_ = listener.Close()
 			return nil
 		case errors.Is(err, net.ErrClosed):
 			return fmt.Errorf("accept on %s: %w", listener.Addr(), err)
@@ -102,14 +116,14 @@
 // SetIdleTimeout changes how long connections may wait for their next request.
 func (s *Server) SetIdleTimeout(d time.Duration) { s.idleOverride.Store(int64(d)) }
 
-// Stop drains the server, closes the listener and idle connections, and waits until the others have finished their
-// request. When the context ends, it closes the remaining connections and returns the context's error.
+// Stop drains the server, closes the listener once no connection waits there, closes idle connections, and waits until the others
+// have finished their request. When the context ends, it closes the remaining connections and returns the context's error.
 func (s *Server) Stop(ctx context.Context) error {
 	s.Drain()
-	s.closeListener()
+	s.stopAccepting()
 	ticker := time.NewTicker(stopPollInterval)
 	defer ticker.Stop()
-	for s.Connections() > 0 {
+	for s.Connections() > 0 || s.isAccepting() {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -129,6 +143,9 @@
 	c := newConnection(s, conn)
 	switch {
 	case s.add(c):
+		if s.isStopping() {
+			c.stop()
+		}
 		go c.run()
 	case s.rejections.Add(1) <= maxRejections:
 		go rejection{c}.run()
@@ -141,7 +158,7 @@
 func (s *Server) add(c *connection) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopping || len(s.connections) >= s.limits.MaxConnections {
+	if len(s.connections) >= s.limits.MaxConnections {
 		return false
 	}
 	s.connections[c] = struct{}{}
@@ -151,21 +168,53 @@
 func (s *Server) closeConnections() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
 	for c := range s.connections {
 		c.abort()
 	}
 }
 
-func (s *Server) closeListener() {
+// stopAccepting has Serve end once no connection waits to be accepted.
+func (s *Server) stopAccepting() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stopping = true
-	if s.listener != nil {
-		_ = s.listener.Close()
-	}
+	s.stopping, s.acceptUntil = true, time.Now().Add(backlogTimeout)
+	listener := s.listener
 	for c := range s.connections {
 		c.stop()
 	}
+	s.mu.Unlock()
+	if listener != nil {
+		s.awaitBacklog(listener)
+	}
+}
+
+// awaitBacklog limits the wait for the next connection if the server is stopping.
+func (s *Server) awaitBacklog(listener net.Listener) {
+	s.mu.Lock()
+	stopping, until := s.stopping, s.acceptUntil
+	s.mu.Unlock()
+	if !stopping {
+		return
+	}
+	limited, ok := listener.(interface{ SetDeadline(time.Time) error })
+	if !ok || limited.SetDeadline(earliest(time.Now().Add(backlogQuietTime), until)) != nil {
+		_ = listener.Close()
+	}
+}
+
+// ended records the end of Serve.
+func (s *Server) ended() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accepting = false
+}
+
+func (s *Server) isAccepting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accepting
 }
 
 func (s *Server) idleTimeout() time.Duration {
@@ -197,6 +246,7 @@
 	defer s.mu.Unlock()
 	s.limits = s.Limits.withDefaults()
 	s.listener = listener
+	s.accepting = true
 	s.connections = make(map[*connection]struct{})
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Handler:           s,
