--- a/internal/decision/conductor/feed.go
+++ b/internal/decision/conductor/feed.go
@@ -205,8 +205,8 @@
 		// Calls to the store would fail like those of the upstream. The renewals of the lease show when it is back.
 		m.setFollowing(false, "store unavailable")
 		m.setViewStale(true)
-	case r.upstream != "" && m.awaitsUpstream():
-		m.setFollowing(false, "store is back")
+	case r.upstream != "" && !r.following && m.awaitsUpstream():
+		// The upstream lists the store now as well.
 	default:
 		m.setFollowing(true, "not fed")
 	}
--- a/internal/decision/conductor/feed_test.go
+++ b/internal/decision/conductor/feed_test.go
@@ -118,6 +118,19 @@
 			assertEqual(t, "following", h.following(), false)
 		}
 	})
+	t.Run("after an outage a daemon that watches the store goes on until it is fed", func(t *testing.T) {
+		h := newFleetHarness(t)
+		h.machine.followers = []string{h.machine.settings.Self.Name, "c0"}
+		h.step(StoreLost{Reason: "busy"})
+		h.advance(time.Second)
+		assertEqual(t, "following in the outage", h.following(), true)
+		h.step(StoreReached{})
+		h.machine.daemonSetChanged()
+		h.step(Ticked{})
+		assertEqual(t, "following", h.following(), true)
+		h.step(UpdatesReceived{From: h.upstream(), Fresh: true})
+		assertEqual(t, "following once fed", h.following(), false)
+	})
 	t.Run("after an outage it watches the store if its upstream stays out of date", func(t *testing.T) {
 		h := newFleetHarness(t)
 		h.step(StoreLost{Reason: "busy"})
