fix: an older view of another daemon doesn't bring back what a list lacked

Now what isn't known and isn't newer than the latest list is passed over. Four subtests of TestUpdatesOlderThanTheList fail before. Ruled out: an entry written again (its revision is that from before the removal).

--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -65,8 +65,9 @@
 	// serversByService holds the servers by service; nil after the set of servers has changed.
 	serversByService map[string][]*server
 	services         map[string]*serviceState
-	// serversLoaded reports whether all entries have been listed once.
-	serversLoaded bool
+	// serversLoaded reports whether all entries have been listed once, serversRevision is the latest revision as of which they were.
+	serversLoaded   bool
+	serversRevision int64
 
 	store     storeState
 	daemons   map[string]Daemon
@@ -80,6 +81,8 @@
 	removals  map[string]removal
 	// daemonRevisions are the revisions of the daemons' records, by daemon name.
 	daemonRevisions map[string]int64
+	// daemonsRevision is the latest revision as of which the records of daemons and leader were listed.
+	daemonsRevision int64
 	link            linkState
 	crashes         crashState
 	catchUp         catchUpState
--- a/internal/decision/conductor/role.go
+++ b/internal/decision/conductor/role.go
@@ -94,6 +94,10 @@
 	if s.leader != nil && leader.FencingToken <= s.leader.FencingToken || leader.FencingToken < s.previous.FencingToken {
 		return
 	}
+	if s.leader == nil && leader.FencingToken <= m.daemonsRevision && leader.Instance != m.settings.Self.Instance {
+		// A later list lacked the record.
+		return
+	}
 	previous := s.previous
 	if s.leader != nil {
 		previous = *s.leader
@@ -181,6 +185,7 @@
 	} else {
 		m.leaderRemoved(e.Revision)
 	}
+	m.daemonsRevision = max(m.daemonsRevision, e.Revision)
 }
 
 func (m *Machine) daemonChanged(e DaemonChanged) {
@@ -188,6 +193,10 @@
 	if m.predatesRemoval(daemonKey(d.Name), e.Revision) || e.Revision < m.daemonRevisions[d.Name] {
 		return
 	}
+	if _, ok := m.daemons[d.Name]; !ok && e.Revision > 0 && e.Revision <= m.daemonsRevision {
+		// A later list lacked it.
+		return
+	}
 	m.daemonRevisions[d.Name] = e.Revision
 	if known, ok := m.daemons[d.Name]; ok && known == d {
 		return
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -153,6 +153,7 @@
 			m.serverRemoved(id, e.Revision)
 		}
 	}
+	m.serversRevision = max(m.serversRevision, e.Revision)
 	if first {
 		m.emit(LogStateChange{Subject: "Servers", Change: "Listed", Version: int64(len(e.Entries))})
 	}
@@ -160,10 +161,10 @@
 }
 
 // serverChanged handles a written entry. Entries of an earlier incarnation, or older than the current one, are
-// ignored.
+// ignored, and so are those that a later list lacked. They come from daemons whose view is older.
 func (m *Machine) serverChanged(e registrar.Entry) {
 	s, ok := m.servers[e.ID]
-	if !ok && m.predatesRemoval(serverKey(e.ID), e.Revision) {
+	if !ok && (m.predatesRemoval(serverKey(e.ID), e.Revision) || e.Revision > 0 && e.Revision <= m.serversRevision) {
 		return
 	}
 	if ok && (e.StartedAt < s.entry.StartedAt || e.Revision <= s.entry.Revision && s.keepUntil == 0) {
