--- a/internal/edge/launcher/traffic.go
+++ b/internal/edge/launcher/traffic.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -55,7 +56,18 @@
 func (d *Daemon) storeCalled(call string, err error) {
 	call = callName(call)
 	d.metrics.countStoreCall(call, err)
-	d.traffic.add("Store "+call, 1)
+	d.traffic.add("Calls"+pascalCase(call), 1)
+}
+
+// pascalCase returns a name whose words are separated by hyphens in Pascal case.
+func pascalCase(name string) string {
+	var b strings.Builder
+	for word := range strings.SplitSeq(name, "-") {
+		if word != "" {
+			b.WriteString(strings.ToUpper(word[:1]) + word[1:])
+		}
+	}
+	return b.String()
 }
 
 // logTraffic logs what was counted since the last line.
--- a/internal/edge/launcher/traffic_test.go
+++ b/internal/edge/launcher/traffic_test.go
@@ -6,6 +6,14 @@
 	"time"
 )
 
+func TestPascalCase(t *testing.T) {
+	for name, want := range map[string]string{"": "", "kv-keep": "KvKeep", "list": "List", "-a--b": "AB"} {
+		if got := pascalCase(name); got != want {
+			t.Errorf("got %q for %q, want %q", got, name, want)
+		}
+	}
+}
+
 func TestTrafficMeter(t *testing.T) {
 	now := time.Unix(1000, 0)
 	assertCounts := func(t *testing.T, got, want map[string]int) {
