fix: the end of a server counts at one moment, also for requests that had ended before

What callers saw: all requests that share the first part of their prompts were refused for two minutes (reason Poison), while another part, which a tenth of them had, crashed the servers.

Cause, from the log of one: an answer counts once its server has outlived it by 250 ms. Bursts ended all servers sooner than that, so the requests that had been answered counted as running, at the time of their answers. A part is quarantined after three moments at which servers ended; two bursts and the answers before the second looked like three. All requests had that part, so it explained one server more than the right one did.

Ruled out: load (the machine was idle), and evidence that was late: all three daemons had it.

Now a server ends once for a trait, at its latest crash, and a request that was answered shortly before counts at the time of the end where that is known.

--- a/internal/decision/attributor/attributor_test.go
+++ b/internal/decision/attributor/attributor_test.go
@@ -80,6 +80,14 @@
 		}
 		assertQuarantined(t, &a, 10*second)
 	})
+	t.Run("requests that ended at different times shortly before their servers don't make one moment several", func(t *testing.T) {
+		var a Attributor
+		for i := range uint64(9) {
+			crash(&a, second-time.Duration(i)*40*time.Millisecond, i, 10+i, rare)
+			crash(&a, second, i, 20+i, rare)
+		}
+		assertQuarantined(t, &a, 10*second)
+	})
 	t.Run("one request that crashes servers again and again doesn't quarantine its parts", func(t *testing.T) {
 		var a Attributor
 		for i := range uint64(5) {
--- a/internal/decision/attributor/record.go
+++ b/internal/decision/attributor/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -74,6 +75,18 @@
 	return list
 }
 
+// endTimes returns when the servers ended whose end isn't explained, the earliest first. A request may have ended before its server did,
+// so the latest crash of each tells.
+func (r *record) endTimes(explained map[uint64]bool) []time.Duration {
+	last := make(map[uint64]time.Duration)
+	for _, c := range r.Crashes {
+		if !explained[c.Server] {
+			last[c.Server] = max(last[c.Server], c.At)
+		}
+	}
+	return slices.Sorted(maps.Values(last))
+}
+
 // requests returns the number of different requests under which servers ended.
 func (r *record) requests(explained map[uint64]bool) int {
 	seen := make(map[uint64]bool)
@@ -90,13 +103,7 @@
 	if len(r.servers(explained)) < quarantineCrashes || r.requests(explained) < quarantineRequests {
 		return 0, false
 	}
-	var times []time.Duration
-	for _, c := range r.Crashes {
-		if !explained[c.Server] {
-			times = append(times, c.At)
-		}
-	}
-	slices.Sort(times)
+	times := r.endTimes(explained)
 	moments, moment := 1, times[0]
 	for _, at := range times[1:] {
 		if at < moment+momentGap {
--- a/internal/decision/conductor/crash_parts_test.go
+++ b/internal/decision/conductor/crash_parts_test.go
@@ -101,3 +101,32 @@
 		})
 	}
 }
+
+// Requests with the part come in bursts that end all engines at once, again before any of them has outlived the answers that it has given.
+func TestBurstsThatEndAllServers(t *testing.T) {
+	const (
+		subjects  = 5
+		perSecond = 40
+		perBurst  = 4
+		bursts    = 12
+		pause     = time.Second / perSecond
+	)
+	for _, away := range []time.Duration{300 * time.Millisecond, 550 * time.Millisecond, 650 * time.Millisecond, 750 * time.Millisecond} {
+		t.Run(fmt.Sprintf("engines are away for %v", away), func(t *testing.T) {
+			for seed := range uint64(12) {
+				f := newVirtualFleet(t, 3, 4, seed)
+				f.restartDelay, f.streamTime = away, 100*time.Millisecond
+				f.press(3*time.Second, perSecond, 0)
+				for n := range bursts * perSecond {
+					parts := []uint64{firstPart, uint64(100 + n%subjects)}
+					if n%perSecond < perBurst {
+						parts[1] = poisonPart
+					}
+					f.after(time.Duration(n)*pause, func() { f.arrive(parts...) })
+				}
+				f.run(bursts * time.Second)
+				f.assertPartHeldBack(t, 0, 3*time.Second)
+			}
+		})
+	}
+}
--- a/internal/decision/conductor/ended.go
+++ b/internal/decision/conductor/ended.go
@@ -89,6 +89,8 @@
 		switch {
 		case s.entry.State == registrar.StateDraining || known && !near:
 			m.releaseEnded(e)
+		case near && known:
+			list = append(list, brokenConnection{server: s.entry.ID, request: e.request, traits: e.traits, at: endedAt})
 		case near:
 			list = append(list, brokenConnection{server: s.entry.ID, request: e.request, traits: e.traits, at: e.at})
 		default:
--- a/internal/decision/conductor/virtual_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -132,10 +132,13 @@
 	route  matcher.Route
 	// abandonedSends holds the attempts that daemons have abandoned.
 	abandonedSends map[attemptOf]bool
-	// slots is the number of slots of each engine.
-	slots       int
-	withoutLead bool
-	traffic     traffic
+	// slots is the number of slots of each engine, restartDelay how long one is away after a crash, streamTime the time of a stream after
+	// its first event, 0 for 0.2 to 2.7 s.
+	slots        int
+	restartDelay time.Duration
+	streamTime   time.Duration
+	withoutLead  bool
+	traffic      traffic
 	// quarantines are the records in the store; storeAway reports whether the store takes none.
 	quarantines map[string]Quarantine
 	storeAway   bool
@@ -157,7 +160,7 @@
 func newVirtualFleet(t *testing.T, daemons, servers int, seed uint64) *virtualFleet {
 	t.Helper()
 	f := &virtualFleet{
-		t: t, rng: rand.New(rand.NewPCG(seed, seed)), servers: make(map[string]*virtualServer), revision: 100, slots: 32, route: quick,
+		t: t, rng: rand.New(rand.NewPCG(seed, seed)), servers: make(map[string]*virtualServer), revision: 100, slots: 32, restartDelay: fleetRestartDelay, route: quick,
 		upstreams: make(map[string]string), requests: make(map[reducer.RequestID]*virtualRequest),
 	}
 	for range servers {
--- a/internal/decision/conductor/virtual_server_test.go
+++ b/internal/decision/conductor/virtual_server_test.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -86,7 +87,7 @@
 		delete(f.servers, s.entry.ID)
 		f.tell(ServerRemoved{ID: s.entry.ID, Revision: f.revision})
 	})
-	f.after(fleetRestartDelay, func() { f.startVersion(s.entry.SoftwareVersion) })
+	f.after(f.restartDelay, func() { f.startVersion(s.entry.SoftwareVersion) })
 }
 
 // end ends an engine's process.
@@ -152,7 +153,7 @@
 			f.step(d, AttemptStarted{Request: e.Request, Attempt: e.Attempt})
 		}
 	})
-	f.after(fleetFirstEvent+time.Duration(200+f.rng.IntN(2500))*time.Millisecond, func() {
+	f.after(fleetFirstEvent+cmp.Or(f.streamTime, time.Duration(200+f.rng.IntN(2500))*time.Millisecond), func() {
 		if running() {
 			delete(s.running, e.Request)
 			f.ended(request)
