perf: daemons are sent what has changed of the leader's view of the engines, not all of it each second

Cause: each second the leader sent all engines with what they have loaded, and with each change in between, up to 50 a second, all loads that are expected and all rate limits.

Now it sends changes with the number of the message before. Who has missed one asks the daemon that sent the next, or the leader, for its whole view; a fact that an older message brings doesn't replace a newer one, since both ways may cross. Numbers of requests are sent each second where they have changed. While a daemon of an earlier version is registered all get the whole view each second as before, and changes travel in a part that earlier versions don't read.

--- a/internal/decision/conductor/advice.go
+++ b/internal/decision/conductor/advice.go
@@ -162,18 +162,14 @@
 
 // rateLimitsReceived handles the leader's rates. What a server has told this daemon itself shortly before takes precedence,
 // and is reported again if the leader says otherwise.
-func (m *Machine) rateLimitsReceived(list []messenger.RateLimit) {
-	if len(list) == 0 && !m.hasRateLimits() {
+func (m *Machine) rateLimitsReceived(limits map[string]reportedLimit) {
+	if len(limits) == 0 && !m.hasRateLimits() {
 		return
 	}
-	limits := make(map[string]messenger.RateLimit, len(list))
-	for _, l := range list {
-		limits[l.Server] = l
-	}
 	for _, id := range m.serverIDs() {
 		s := m.servers[id]
-		l, limited := limits[id]
-		limited = limited && l.Limited && l.StartedAt == s.entry.StartedAt
+		l := limits[id].limit
+		limited := l.Limited && l.StartedAt == s.entry.StartedAt
 		if !limited {
 			l.PerSecond = 0
 		}
--- a/internal/decision/conductor/event.go
+++ b/internal/decision/conductor/event.go
@@ -213,6 +213,8 @@
 	Stopping bool
 	// LinkDown reports whether the daemon reaches no server.
 	LinkDown bool
+	// FleetChanges reports whether the daemon takes changes of the leader's view. Earlier versions need the whole view each second.
+	FleetChanges bool
 }
 
 // A Leader is the daemon that gives orders to engines.
--- a/internal/decision/conductor/fleet.go
+++ b/internal/decision/conductor/fleet.go
@@ -10,8 +10,11 @@
 	"samphirewharf/internal/peer/messenger"
 )
 
-// A fleetState is the latest view of the servers that the leader sent, and the state of sending it if this daemon is
-// the leader.
+// A fleetState is the view of the servers that the leader has sent, and the state of sending it if this daemon is the leader.
+//
+// The leader sends what has changed to the followers, which relay it. A daemon that has missed a message asks the one from which it got
+// the next for its whole view. Messages that were sent on different ways may arrive in any order, so each fact has the sequence number of
+// the message that brought it, and an older message doesn't replace it.
 type fleetState struct {
 	// fencingToken and sequence identify the newest message.
 	fencingToken int64
@@ -20,36 +23,47 @@
 	// ignoredToken is the fencing token of the last leader whose messages were ignored as outdated.
 	ignoredToken int64
 	servers      map[string]reportedServer
-	loading      map[modelKey]time.Duration
-
-	// sent counts the messages that this daemon sent as the leader. pendingSince is when the first change that hasn't
-	// been sent occurred, 0 if there is none.
-	sent         int64
-	sentAt       time.Duration
-	fullSentAt   time.Duration
-	pendingSince time.Duration
+	loading      map[modelKey]reportedLoading
+	limits       map[string]reportedLimit
+	// complete reports whether the view lacks no message up to sequence. If not, one that lacks none up to needed is awaited.
+	complete bool
+	needed   int64
+	// wholeSequence is that of the newest whole view, 0 for none of this leader's.
+	wholeSequence int64
+	// completeAt is when the last message arrived while the view was complete.
+	completeAt time.Duration
+	// requestedAt is when a whole view was last asked for, requests how often since the view was last complete.
+	requestedAt time.Duration
+	requests    int
+	sending     fleetSender
 }
 
 // A reportedServer is what the leader reported of one server.
 type reportedServer struct {
+	sequence   int64
 	receivedAt time.Duration
 	startedAt  int64
 	weights    registrar.Weights
+	// inFlight is the number of requests of all daemons at the server.
+	inFlight int
+	// gone reports whether the server is no longer in the leader's view.
+	gone bool
 }
 
-func newFleetState() fleetState {
-	return fleetState{servers: make(map[string]reportedServer), loading: make(map[modelKey]time.Duration)}
+// A reportedLoading is when a model or adapter is expected to be loaded.
+type reportedLoading struct {
+	sequence int64
+	at       time.Duration
 }
 
-func (f *fleetState) nextAt(m *Machine) time.Duration {
-	if !m.isLeader() {
-		return never
-	}
-	next := f.sentAt + fleetInterval
-	if f.pendingSince > 0 {
-		next = min(next, f.pendingSince+fleetDelay)
-	}
-	return next
+// A reportedLimit is the rate limit that the leader knows of a server.
+type reportedLimit struct {
+	sequence int64
+	limit    messenger.RateLimit
+}
+
+func newFleetState() fleetState {
+	return fleetState{servers: make(map[string]reportedServer), loading: make(map[modelKey]reportedLoading), limits: make(map[string]reportedLimit)}
 }
 
 // age returns the age of the leader's last message.
@@ -64,57 +78,12 @@
 		}
 		return s.entry.Weights
 	}
-	if reported, ok := m.fleet.servers[s.entry.ID]; ok && reported.startedAt == s.entry.StartedAt && m.now < reported.receivedAt+fleetTTL {
+	if reported, ok := m.fleet.servers[s.entry.ID]; ok && !reported.gone && reported.startedAt == s.entry.StartedAt && m.now < max(reported.receivedAt, m.fleet.completeAt)+fleetTTL {
 		return reported.weights
 	}
 	return s.entry.Weights
 }
 
-// tickFleet sends the leader's view to the followers, which relay it. The whole view is sent at intervals, and changes
-// in between.
-func (m *Machine) tickFleet() {
-	f := &m.fleet
-	if !m.isLeader() || m.now < f.nextAt(m) || m.lacksEngines() {
-		return
-	}
-	full := m.now >= f.fullSentAt+fleetInterval
-	if full {
-		f.fullSentAt = m.now
-	}
-	f.sentAt, f.pendingSince = m.now, 0
-	f.sent++
-	message := m.newMessage()
-	message.Fleet = m.fleetMessage(full)
-	for _, name := range m.followerNames() {
-		if name != m.settings.Self.Name {
-			m.emit(SendPeer{Address: m.daemons[name].PeerAddress, Message: message})
-		}
-	}
-	m.emit(Forward{Fleet: message.Fleet})
-}
-
-func (m *Machine) fleetMessage(full bool) *messenger.Fleet {
-	fleet := &messenger.Fleet{Holder: m.settings.Self.Name, Fence: m.election.leader.FencingToken, Sequence: m.fleet.sent, Loading: m.loadings(), RateLimits: m.rateLimits()}
-	if m.configuration != nil {
-		fleet.ConfigurationVersion = m.configuration.Version
-	}
-	inFlight := m.sumInFlight()
-	for _, id := range m.placement.engineIDs() {
-		engine := m.placement.engines[id]
-		if !full && !engine.unreported {
-			continue
-		}
-		engine.unreported = false
-		fleet.Servers = append(fleet.Servers, messenger.FleetServer{
-			Server: id, StartedAt: engine.startedAt, Models: engine.available(m.now).Models, InFlight: inFlight[id],
-		})
-	}
-	for _, s := range m.servers {
-		s.updateOtherRequests(inFlight[s.entry.ID])
-	}
-	return fleet
-}
-
 func (m *Machine) daemonNames() []string {
 	return slices.Sorted(maps.Keys(m.daemons))
 }
@@ -124,7 +93,10 @@
 		m.demandReceived(message.From, *message.Demand)
 	}
 	if message.Fleet != nil {
-		m.fleetReceived(message.Fleet)
+		m.fleetReceived(message.From, message.Fleet)
+	}
+	if message.FleetRequested {
+		m.replyWithFleet(message.Address)
 	}
 	if message.Origins != nil {
 		m.originsReceived(message.Address, message.Origins)
@@ -143,45 +115,6 @@
 	}
 }
 
-// fleetReceived handles a message of the leader, directly or relayed, unless it is older than the last one.
-func (m *Machine) fleetReceived(fleet *messenger.Fleet) {
-	f := &m.fleet
-	if fleet.Fence < f.fencingToken {
-		m.logOutdatedLeader(fleet)
-		return
-	}
-	if fleet.Fence == f.fencingToken && fleet.Sequence <= f.sequence {
-		return
-	}
-	if m.isLeader() && fleet.Fence > m.election.leader.FencingToken {
-		m.stopLeading("another leader, " + fleet.Holder + ", has a higher fencing token")
-	}
-	f.fencingToken, f.sequence, f.receivedAt = fleet.Fence, fleet.Sequence, m.now
-	m.emit(Forward{Fleet: fleet})
-	if m.election.leader == nil && m.store.unavailable {
-		// The leader's record can't be read, but the message shows which daemon it is.
-		m.leaderChanged(Leader{Name: fleet.Holder, FencingToken: fleet.Fence})
-	}
-	for _, s := range fleet.Servers {
-		m.fleet.servers[s.Server] = reportedServer{receivedAt: m.now, startedAt: s.StartedAt, weights: registrar.Weights{Models: s.Models}}
-		if known, ok := m.servers[s.Server]; ok {
-			known.updateOtherRequests(s.InFlight)
-		}
-	}
-	clear(f.loading)
-	for _, l := range fleet.Loading {
-		k := modelKey{service: l.Service, model: l.Model, adapter: l.Adapter}
-		f.loading[k] = m.now + l.ReadyIn
-		if l.SoftwareVersion != "" {
-			k.softwareVersion, k.pinned = l.SoftwareVersion, true
-			f.loading[k] = m.now + l.ReadyIn
-		}
-	}
-	m.mergeSuspects(fleet.Suspects)
-	m.rateLimitsReceived(fleet.RateLimits)
-	m.dispatchQueues()
-}
-
 // logOutdatedLeader logs once per fencing token that the messages of a leader are ignored.
 func (m *Machine) logOutdatedLeader(fleet *messenger.Fleet) {
 	if fleet.Fence == m.fleet.ignoredToken {
@@ -213,11 +146,11 @@
 	if m.isLeader() {
 		return m.loadingUntilByOrders(k)
 	}
-	at, ok := m.fleet.loading[k]
-	if !ok || m.now > at+loadTimeMargin+demandInterval {
+	reported, ok := m.fleet.loading[k]
+	if !ok || m.now > reported.at+loadTimeMargin+demandInterval {
 		return 0, false
 	}
-	return at, true
+	return reported.at, true
 }
 
 // takeoverTime returns how long it takes until the next order can be given, 0 if a leader may give orders now.
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -108,10 +108,16 @@
 	refusalTTL = 8 * time.Second
 	// rateTimeConstant is the time constant of the exponential decay of arrival rates.
 	rateTimeConstant = 6 * time.Second
-	// fleetInterval is how often the leader sends its whole view, fleetDelay how long after a change it sends that
+	// fleetInterval is how often the leader sends the numbers of requests, fleetDelay how long after a change it sends that
 	// change.
 	fleetInterval = time.Second
 	fleetDelay    = 10 * time.Millisecond
+	// loadingTolerance is by how much a load may be expected at another time than the other daemons know.
+	loadingTolerance = 100 * time.Millisecond
+	// fleetRequestInterval is the least time between two requests for a whole view, goneServerTTL how long a server that is no longer in the
+	// leader's view is remembered.
+	fleetRequestInterval = 300 * time.Millisecond
+	goneServerTTL        = time.Minute
 	// forecastInterval is how often the ready times of models that get no order are forecast again.
 	forecastInterval = 200 * time.Millisecond
 	// fleetTTL is how long the leader's report of a server takes precedence over the server's own entry.
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -128,6 +128,7 @@
 
 // New returns a Machine without servers, daemons or a configuration.
 func New(settings Settings) *Machine {
+	settings.Self.FleetChanges = true
 	return &Machine{
 		settings:        settings,
 		rng:             rand.New(rand.NewPCG(settings.Seed, settings.Seed^0x9e3779b97f4a7c15)),
--- a/internal/decision/conductor/malformed_test.go
+++ b/internal/decision/conductor/malformed_test.go
@@ -21,8 +21,12 @@
 		Holder: "d2", Fence: 60, Sequence: 3, Servers: []messenger.FleetServer{{Server: "e1", StartedAt: 1, InFlight: 2}},
 		Loading: []messenger.Loading{{Service: engineService, Model: "m1", ReadyIn: time.Second}}, RateLimits: []messenger.RateLimit{{Server: "e1", StartedAt: 1, Limited: true, PerSecond: 3}},
 	}
+	changes := *fleet
+	changes.Sequence, changes.Changes, changes.Previous, changes.Gone, changes.InFlight, changes.Counted = 4, true, 3, []string{"e2"}, map[string]int{"e1": 4}, true
 	return []messenger.Message{
 		{Evidence: evidence},
+		{Fleet: &changes},
+		{FleetRequested: true},
 		{Evidence: &messenger.Evidence{Requested: true}},
 		{Fleet: fleet},
 		{Feed: &messenger.Feed{Stream: "s", Sequence: 1, Whole: true, Fleet: fleet, Evidence: evidence}},
--- a/internal/decision/conductor/placing.go
+++ b/internal/decision/conductor/placing.go
@@ -147,8 +147,8 @@
 	for _, s := range m.servers {
 		m.engineChanged(s)
 	}
-	m.fleet.fullSentAt = 0
-	m.fleet.pendingSince = m.now
+	m.fleet.sending.changes, m.fleet.sending.countedAt = false, 0
+	m.fleet.sending.pendingSince = m.now
 }
 
 // markUnreported records that an engine's state has to be sent to the other daemons.
@@ -291,8 +291,8 @@
 
 // scheduleFleetMessage schedules an early message of the leader to the other daemons.
 func (m *Machine) scheduleFleetMessage() {
-	if m.fleet.pendingSince == 0 {
-		m.fleet.pendingSince = m.now
+	if m.fleet.sending.pendingSince == 0 {
+		m.fleet.sending.pendingSince = m.now
 	}
 }
 
--- a/internal/decision/conductor/virtual_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -177,7 +177,7 @@
 
 func (f *virtualFleet) record(i int) Daemon {
 	name := fmt.Sprintf("d%03d", i)
-	return Daemon{Name: name, Instance: name, CallerAddress: name + ":1", PeerAddress: name + ":2", Zone: fmt.Sprintf("z%d", i%3)}
+	return Daemon{Name: name, Instance: name, CallerAddress: name + ":1", PeerAddress: name + ":2", Zone: fmt.Sprintf("z%d", i%3), FleetChanges: true}
 }
 
 // startDaemon starts a daemon, which knows nothing but what is in the store, once the store answers.
--- a/internal/edge/follower/record.go
+++ b/internal/edge/follower/record.go
@@ -36,6 +36,8 @@
 	Processor int
 	// LinkDown reports whether the daemon reaches no server.
 	LinkDown bool `json:",omitempty"`
+	// FleetChanges reports whether the daemon takes changes of the leader's view. Earlier versions need the whole view each second.
+	FleetChanges bool `json:",omitempty"`
 }
 
 // A leaderRecord is the record of the leader, which sends orders to engines.
@@ -58,7 +60,7 @@
 
 // EncodeDaemon returns the encoded record of a daemon.
 func EncodeDaemon(d conductor.Daemon) ([]byte, error) {
-	value, err := json.Marshal(daemonRecord{Name: d.Name, Instance: d.Instance, Front: d.CallerAddress, Peer: d.PeerAddress, Zone: d.Zone, Processor: d.CPUMillicores, LinkDown: d.LinkDown})
+	value, err := json.Marshal(daemonRecord{Name: d.Name, Instance: d.Instance, Front: d.CallerAddress, Peer: d.PeerAddress, Zone: d.Zone, Processor: d.CPUMillicores, LinkDown: d.LinkDown, FleetChanges: d.FleetChanges})
 	if err != nil {
 		return nil, fmt.Errorf("encode record of daemon %s: %w", d.Name, err)
 	}
@@ -79,7 +81,7 @@
 	if err := json.Unmarshal(e.Value, &r); err != nil {
 		return conductor.Daemon{}, fmt.Errorf("decode %s: %w", e.Key, err)
 	}
-	return conductor.Daemon{Name: r.Name, Instance: r.Instance, CallerAddress: r.Front, PeerAddress: r.Peer, Zone: r.Zone, CPUMillicores: r.Processor, LinkDown: r.LinkDown}, nil
+	return conductor.Daemon{Name: r.Name, Instance: r.Instance, CallerAddress: r.Front, PeerAddress: r.Peer, Zone: r.Zone, CPUMillicores: r.Processor, LinkDown: r.LinkDown, FleetChanges: r.FleetChanges}, nil
 }
 
 func decodeLeader(e storer.Entry) (conductor.Leader, error) {
--- a/internal/edge/relayer/relayer.go
+++ b/internal/edge/relayer/relayer.go
@@ -383,28 +383,6 @@
 	}
 }
 
-// mergeFleet merges a later message of the leader with one that has not been relayed yet.
-func mergeFleet(earlier, later *messenger.Fleet) *messenger.Fleet {
-	if later == nil {
-		return earlier
-	}
-	if earlier == nil || earlier.Fence != later.Fence {
-		return later
-	}
-	merged := *later
-	inLater := make(map[string]bool, len(later.Servers))
-	for _, s := range later.Servers {
-		inLater[s.Server] = true
-	}
-	merged.Servers = append([]messenger.FleetServer(nil), later.Servers...)
-	for _, s := range earlier.Servers {
-		if !inLater[s.Server] {
-			merged.Servers = append(merged.Servers, s)
-		}
-	}
-	return &merged
-}
-
 // mergeEvidence merges later evidence with some that has not been relayed yet.
 func mergeEvidence(earlier, later *messenger.Evidence) *messenger.Evidence {
 	if earlier == nil || later == nil {
--- a/internal/peer/messenger/encode.go
+++ b/internal/peer/messenger/encode.go
@@ -7,24 +7,27 @@
 
 // Envelope encodes the message for the wire.
 func (m Message) Envelope() *Envelope {
+	fleet, changes := encodeFleets(m.Fleet)
 	return &Envelope{
-		From:      m.From,
-		Instance:  m.Instance,
-		Address:   m.Address,
-		Zone:      m.Zone,
-		Heartbeat: encodeHeartbeat(m.Heartbeat),
-		Reports:   convert(m.Reports, encodeServerReport),
-		Needs:     encodeNeeds(m.Needs),
-		Placement: encodePlacement(m.Placement),
-		Verdict:   encodeVerdict(m.Verdict),
-		Region:    m.Region,
-		Forecasts: convert(m.Forecasts, encodeForecast),
-		Demand:    encodeDemand(m.Demand),
-		Fleet:     encodeFleet(m.Fleet),
-		Subscribe: encodeSubscribe(m.Subscribe),
-		Feed:      encodeFeed(m.Feed),
-		Evidence:  encodeEvidence(m.Evidence),
-		Origins:   encodeOrigins(m.Origins),
+		From:           m.From,
+		Instance:       m.Instance,
+		Address:        m.Address,
+		Zone:           m.Zone,
+		Heartbeat:      encodeHeartbeat(m.Heartbeat),
+		Reports:        convert(m.Reports, encodeServerReport),
+		Needs:          encodeNeeds(m.Needs),
+		Placement:      encodePlacement(m.Placement),
+		Verdict:        encodeVerdict(m.Verdict),
+		Region:         m.Region,
+		Forecasts:      convert(m.Forecasts, encodeForecast),
+		Demand:         encodeDemand(m.Demand),
+		Fleet:          fleet,
+		FleetChanges:   changes,
+		Subscribe:      encodeSubscribe(m.Subscribe),
+		Feed:           encodeFeed(m.Feed),
+		Evidence:       encodeEvidence(m.Evidence),
+		FleetRequested: m.FleetRequested,
+		Origins:        encodeOrigins(m.Origins),
 	}
 }
 
--- a/internal/peer/messenger/feed.go
+++ b/internal/peer/messenger/feed.go
@@ -54,9 +54,10 @@
 	if f == nil {
 		return nil
 	}
+	fleet, changes := encodeFleets(f.Fleet)
 	return &FeedPart{
 		Stream: f.Stream, Sequence: f.Sequence, Fresh: f.Fresh, Whole: f.Whole,
-		Views: convert(f.Views, encodeView), Fleet: encodeFleet(f.Fleet), Evidence: encodeEvidence(f.Evidence),
+		Views: convert(f.Views, encodeView), Fleet: fleet, FleetChanges: changes, Evidence: encodeEvidence(f.Evidence),
 	}
 }
 
@@ -66,7 +67,7 @@
 	}
 	return &Feed{
 		Stream: p.GetStream(), Sequence: p.GetSequence(), Fresh: p.GetFresh(), Whole: p.GetWhole(),
-		Views: convert(p.GetViews(), decodeView), Fleet: decodeFleet(p.GetFleet()), Evidence: decodeEvidence(p.GetEvidence()),
+		Views: convert(p.GetViews(), decodeView), Fleet: decodeFleets(p.GetFleet(), p.GetFleetChanges()), Evidence: decodeEvidence(p.GetEvidence()),
 	}
 }
 
--- a/internal/peer/messenger/fleet.go
+++ b/internal/peer/messenger/fleet.go
@@ -55,7 +55,8 @@
 	Adapter   string
 }
 
-// A Fleet is the leader's view of the servers. For a server that it leaves out, the server's own entry applies.
+// A Fleet is the leader's view of the servers, or what has changed of it. For a server that isn't in the view, the server's own entry
+// applies.
 type Fleet struct {
 	// Holder is the name of the leader. Other daemons relay its message.
 	Holder string
@@ -69,8 +70,19 @@
 	Suspects []Suspect
 	// ConfigurationVersion is the configuration version in force at the sender.
 	ConfigurationVersion int64
-	// RateLimits are those of all servers that have one.
+	// RateLimits are those of all servers that have one or, among changes, those that have changed.
 	RateLimits []RateLimit
+	// Whole reports whether this is the whole view, Changes whether it is what has changed since the message with the Previous sequence
+	// number. If neither is set, all but some of the servers is in it, as earlier versions expect it.
+	Whole    bool
+	Changes  bool
+	Previous int64
+	// Gone are, among changes, the servers that are no longer in the view.
+	Gone []string
+	// InFlight holds, among changes, the numbers of requests that have changed since those before were counted, by server; valid if
+	// Counted.
+	InFlight map[string]int
+	Counted  bool
 }
 
 // A FleetServer is the state of one server.
@@ -90,6 +102,8 @@
 	// SoftwareVersion is that of the server that loads it, empty if none does yet.
 	SoftwareVersion string
 	ReadyIn         time.Duration
+	// Ended reports, among changes, whether it is no longer expected.
+	Ended bool
 }
 
 func encodeDemand(d *Demand) *DemandPart {
@@ -99,7 +113,7 @@
 	part := &DemandPart{
 		ConfigurationVersion: d.ConfigurationVersion,
 		Suspects:             convert(d.Suspects, encodeSuspect),
-		InFlight:             make(map[string]int64, len(d.InFlight)),
+		InFlight:             encodeInFlight(d.InFlight),
 		Models: convert(d.Models, func(m ModelDemand) *ModelDemandPart {
 			return &ModelDemandPart{
 				Service: m.Service, Model: m.Model, Adapter: m.Adapter, Waiting: int64(m.Waiting), Running: int64(m.Running),
@@ -112,9 +126,6 @@
 		}),
 		RateLimits: convert(d.RateLimits, encodeRateLimit),
 	}
-	for server, n := range d.InFlight {
-		part.InFlight[server] = int64(n)
-	}
 	return part
 }
 
@@ -136,27 +147,60 @@
 			return Absence{Server: a.GetServer(), StartedAt: a.GetStartedAt(), Model: a.GetModel(), Adapter: a.GetAdapter()}
 		}),
 		RateLimits: convert(p.GetRateLimits(), decodeRateLimit),
-	}
-	if len(p.GetInFlight()) > 0 {
-		d.InFlight = make(map[string]int, len(p.GetInFlight()))
-	}
-	for server, n := range p.GetInFlight() {
-		d.InFlight[server] = int(n)
+		InFlight:   decodeInFlight(p.GetInFlight()),
 	}
 	return d
 }
 
-func encodeFleet(f *Fleet) *FleetPart {
-	if f == nil {
+func encodeInFlight(byServer map[string]int) map[string]int64 {
+	encoded := make(map[string]int64, len(byServer))
+	for server, n := range byServer {
+		encoded[server] = int64(n)
+	}
+	return encoded
+}
+
+func decodeInFlight(encoded map[string]int64) map[string]int {
+	if len(encoded) == 0 {
 		return nil
 	}
+	byServer := make(map[string]int, len(encoded))
+	for server, n := range encoded {
+		byServer[server] = int(n)
+	}
+	return byServer
+}
+
+// encodeFleets returns the parts for a whole view and for changes, one of which is nil.
+func encodeFleets(f *Fleet) (whole, changes *FleetPart) {
+	switch {
+	case f == nil:
+		return nil, nil
+	case f.Changes:
+		return nil, encodeFleet(f)
+	default:
+		return encodeFleet(f), nil
+	}
+}
+
+func decodeFleets(whole, changes *FleetPart) *Fleet {
+	if changes == nil {
+		return decodeFleet(whole)
+	}
+	f := decodeFleet(changes)
+	f.Changes = true
+	return f
+}
+
+func encodeFleet(f *Fleet) *FleetPart {
 	return &FleetPart{
 		Holder: f.Holder, Fence: f.Fence, Sequence: f.Sequence, ConfigurationVersion: f.ConfigurationVersion,
 		Suspects:   convert(f.Suspects, encodeSuspect),
 		Servers:    convert(f.Servers, encodeFleetServer),
 		RateLimits: convert(f.RateLimits, encodeRateLimit),
+		Whole:      f.Whole, Previous: f.Previous, Gone: f.Gone, InFlight: encodeInFlight(f.InFlight), Counted: f.Counted,
 		Loading: convert(f.Loading, func(l Loading) *LoadingPart {
-			return &LoadingPart{Service: l.Service, Model: l.Model, Adapter: l.Adapter, ReadyInNanoseconds: int64(l.ReadyIn), SoftwareVersion: l.SoftwareVersion}
+			return &LoadingPart{Service: l.Service, Model: l.Model, Adapter: l.Adapter, ReadyInNanoseconds: int64(l.ReadyIn), SoftwareVersion: l.SoftwareVersion, Ended: l.Ended}
 		}),
 	}
 }
@@ -170,10 +214,11 @@
 		Suspects:   convert(p.GetSuspects(), decodeSuspect),
 		Servers:    convert(p.GetServers(), decodeFleetServer),
 		RateLimits: convert(p.GetRateLimits(), decodeRateLimit),
+		Whole:      p.GetWhole(), Previous: p.GetPrevious(), Gone: p.GetGone(), InFlight: decodeInFlight(p.GetInFlight()), Counted: p.GetCounted(),
 		Loading: convert(p.GetLoading(), func(l *LoadingPart) Loading {
 			return Loading{
 				Service: l.GetService(), Model: l.GetModel(), Adapter: l.GetAdapter(),
-				ReadyIn: time.Duration(l.GetReadyInNanoseconds()), SoftwareVersion: l.GetSoftwareVersion(),
+				ReadyIn: time.Duration(l.GetReadyInNanoseconds()), SoftwareVersion: l.GetSoftwareVersion(), Ended: l.GetEnded(),
 			}
 		}),
 	}
--- a/internal/peer/messenger/fleet_test.go
+++ b/internal/peer/messenger/fleet_test.go
@@ -40,6 +40,27 @@
 			}}},
 		},
 	}
+	assertTravelsWhole(t, want)
+}
+
+func TestFleetChangesTravelWhole(t *testing.T) {
+	changes := &Fleet{
+		Holder: "h", Fence: 41, Sequence: 2, Changes: true, Previous: 1, Gone: []string{"i-2"}, InFlight: map[string]int{"i-1": 0}, Counted: true,
+		Loading: []Loading{{Service: "s", Model: "n", Ended: true}},
+	}
+	assertTravelsWhole(t, Message{From: "a", FleetRequested: true, Fleet: changes})
+	assertTravelsWhole(t, Message{From: "a", Feed: &Feed{Stream: "i", Fleet: changes}})
+	assertTravelsWhole(t, Message{From: "a", Fleet: &Fleet{Fence: 41, Whole: true}})
+	t.Run("earlier versions don't take them for the whole view", func(t *testing.T) {
+		envelope := Message{Fleet: changes, Feed: &Feed{Fleet: changes}}.Envelope()
+		if envelope.GetFleet() != nil || envelope.GetFeed().GetFleet() != nil {
+			t.Error("got changes in the part that earlier versions read, want none")
+		}
+	})
+}
+
+func assertTravelsWhole(t *testing.T, want Message) {
+	t.Helper()
 	bytes, err := proto.Marshal(want.Envelope())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/peer/messenger/kind.go
+++ b/internal/peer/messenger/kind.go
@@ -24,7 +24,7 @@
 		return m.Feed.kind()
 	case m.Demand != nil:
 		return KindDemand
-	case m.Fleet != nil:
+	case m.Fleet != nil || m.FleetRequested:
 		return KindFleet
 	case m.Subscribe != nil:
 		return KindSubscribe
--- a/internal/peer/messenger/message.go
+++ b/internal/peer/messenger/message.go
@@ -29,6 +29,8 @@
 	Feed      *Feed
 	Evidence  *Evidence
 	Origins   *Origins
+	// FleetRequested reports whether the sender asks for the receiver's whole view of the servers.
+	FleetRequested bool
 }
 
 // A Heartbeat signals that the sender is alive.
