test: the wait for 400 streams is bounded

TestManyStreams waited for all streams at the engine without a bound, and stood still for six minutes when attempts passed their time limit beside heavy load. It now fails after waitTimeout and says how many arrived.

--- a/internal/entry/responder/responder_test.go
+++ b/internal/entry/responder/responder_test.go
@@ -334,14 +334,14 @@
 // TestManyStreams checks that long streams don't block other requests.
 func TestManyStreams(t *testing.T) {
 	const streams = 400
-	var open sync.WaitGroup
-	open.Add(streams)
-	release := make(chan struct{})
+	arrived, release := make(chan struct{}, streams), make(chan struct{})
+	end := sync.OnceFunc(func() { close(release) })
 	address := engine(t, func(w http.ResponseWriter, r *http.Request) {
-		open.Done()
+		arrived <- struct{}{}
 		<-release
 		streamEvents(3, false)(w, r)
 	})
+	t.Cleanup(end)
 	h := newHarness(t, dispatchTo(failed, address))
 	conns := make([]net.Conn, 0, streams)
 	for range streams {
@@ -349,10 +349,17 @@
 		send(t, conn, request("/v1/completions", `{"model":"small","stream":true}`))
 		conns = append(conns, conn)
 	}
-	open.Wait()
+	timeout := time.After(waitTimeout)
+	for n := range streams {
+		select {
+		case <-arrived:
+		case <-timeout:
+			t.Fatalf("got %d of %d streams at the engine after %v, want all", n, streams, waitTimeout)
+		}
+	}
 	_, body := do(t, newRequest(t, h.address, "/healthz", ""))
 	assertEqual(t, "body", body, "ok\n")
-	close(release)
+	end()
 	want := eventOf(0) + eventOf(1) + eventOf(2) + "data: [DONE]\n\n"
 	for _, conn := range conns {
 		assertEqual(t, "stream", readStream(t, conn), want)
