fix: a booking whose claim partition moves while its claim is written isn't refused

Cause: when the partition goes to another daemon, claims that haven't been sent go there too. One whose write is on the way stays. If the new owner writes first, that write fails, and the claim was then denied for good, since the partition is no longer owned here.

Now the claimer says that the claim isn't in the store and that only the ownership is missing, and the request is claimed again, at the new owner or, if another daemon had forwarded it, here. A claim whose write may have happened is still denied as before.

--- a/internal/decision/claimer/action.go
+++ b/internal/decision/claimer/action.go
@@ -42,6 +42,9 @@
 	Code       refuser.Code
 	Ran        refuser.RunState
 	RetryAfter time.Duration
+	// Moved reports whether the only reason is that the process no longer owns the partition. There is no claim of the request in the
+	// key-value service, so it may be claimed at the new owner.
+	Moved bool
 }
 
 // A Replayed action answers a repeated request with the recorded answer of the first one.
--- a/internal/decision/claimer/decide.go
+++ b/internal/decision/claimer/decide.go
@@ -186,10 +186,15 @@
 // read now.
 func (m *Machine) queueWaiting(c *claim) {
 	p := c.partition
-	if p.storeDown || !p.owned {
+	if p.storeDown {
 		m.deny(c, refuser.CodeClaimUnavailable, refuser.NotRun, m.settings.RetryInterval)
 		return
 	}
+	if !p.owned {
+		delete(m.requests, c.request.ID)
+		m.emit(Denied{Request: c.request.ID, Code: refuser.CodeClaimUnavailable, Ran: refuser.NotRun, RetryAfter: m.settings.RetryInterval, Moved: true})
+		return
+	}
 	c.state = StateWaiting
 	p.waiting = append(p.waiting, c)
 }
--- a/internal/decision/reducer/claiming.go
+++ b/internal/decision/reducer/claiming.go
@@ -143,6 +143,10 @@
 	if a.Code == refuser.CodeAlreadyInProgress && m.awaitFirst(r) {
 		return
 	}
+	if a.Moved {
+		m.claim(r)
+		return
+	}
 	after := a.RetryAfter
 	if a.Code == refuser.CodeDeadlineExpired && after == 0 {
 		after = m.retryAfter(r)
