feat: missed messages of the leader are logged

A daemon logs when it has missed a message of the leader and asks for the whole view, and when it has it, once for each gap.

--- a/internal/decision/conductor/fleet_receiver.go
+++ b/internal/decision/conductor/fleet_receiver.go
@@ -40,6 +40,7 @@
 	m.mergeSuspects(fleet.Suspects)
 	m.takeRateLimits(fleet)
 	if f.complete {
+		m.logCompleted()
 		f.completeAt, f.requests = m.now, 0
 	} else if fleet.Changes {
 		m.requestFleet(from, fleet.Holder)
@@ -183,6 +184,9 @@
 	if f.requests%2 == 1 {
 		name = holder
 	}
+	if f.requests == 0 {
+		m.emit(LogStateChange{Subject: "LeaderView", Change: "Incomplete", Reason: "a message was missed", Version: f.needed, Age: m.now - f.completeAt, Detail: "asks " + name})
+	}
 	f.requestedAt = m.now
 	f.requests++
 	message := m.newMessage()
@@ -192,6 +196,13 @@
 	}
 }
 
+// logCompleted logs that a view that lacked messages lacks none any more.
+func (m *Machine) logCompleted() {
+	if f := &m.fleet; f.requests > 0 {
+		m.emit(LogStateChange{Subject: "LeaderView", Change: "Completed", Version: f.sequence, Age: m.now - f.requestedAt, Detail: itoa(int64(f.requests)) + " requests"})
+	}
+}
+
 // replyWithFleet sends a daemon this one's whole view, unless it lacks messages itself.
 func (m *Machine) replyWithFleet(address string) {
 	message := m.newMessage()
--- a/internal/decision/conductor/fleet_test.go
+++ b/internal/decision/conductor/fleet_test.go
@@ -188,6 +188,29 @@
 			t.Errorf("got %d whole views, want 1", f.wholes)
 		}
 	})
+	t.Run("a missed message is logged once, and so is that the view is complete again", func(t *testing.T) {
+		f := newViewFleet(t, 1, false)
+		f.play(1)
+		missed := f.leader.newMessage()
+		missed.Fleet = f.leader.fleetMessage()
+		next := f.leader.newMessage()
+		next.Fleet = f.leader.fleetMessage()
+		var got []string
+		note := func(effects []Effect) {
+			for _, e := range effects {
+				if change, ok := e.(LogStateChange); ok && change.Subject == "LeaderView" {
+					got = append(got, change.Change)
+				}
+			}
+		}
+		note(f.others[0].Step(f.now, PeerReceived{Message: next}))
+		whole := f.leader.newMessage()
+		whole.Fleet = f.leader.wholeFleet()
+		note(f.others[0].Step(f.now, PeerReceived{Message: whole}))
+		if want := []string{"Incomplete", "Completed"}; !slices.Equal(got, want) {
+			t.Errorf("got changes %v logged, want %v", got, want)
+		}
+	})
 	t.Run("a daemon that has the whole view answers for the leader", func(t *testing.T) {
 		f := newViewFleet(t, 2, false)
 		f.play(2)
