fix: a leader doesn't ask others for the view that it has sent itself

A leader that subscribes to a follower gets its own messages back, and took the first one for a gap. Found by reading; the subtest of TestFleetView failed before.

--- a/internal/decision/conductor/fleet_receiver.go
+++ b/internal/decision/conductor/fleet_receiver.go
@@ -42,7 +42,7 @@
 	if f.complete {
 		m.logCompleted()
 		f.completeAt, f.requests = m.now, 0
-	} else if fleet.Changes {
+	} else if fleet.Changes && !m.isLeader() {
 		m.requestFleet(from, fleet.Holder)
 	}
 	m.dispatchQueues()
--- a/internal/decision/conductor/fleet_test.go
+++ b/internal/decision/conductor/fleet_test.go
@@ -211,6 +211,16 @@
 			t.Errorf("got changes %v logged, want %v", got, want)
 		}
 	})
+	t.Run("a leader doesn't ask for what it has sent itself", func(t *testing.T) {
+		f := newViewFleet(t, 1, false)
+		f.play(1)
+		relayed := messenger.Message{From: "d001", Fleet: f.leader.fleetMessage()}
+		for _, e := range f.leader.Step(f.now, PeerReceived{Message: relayed}) {
+			if sent, ok := e.(SendPeer); ok && sent.Message.FleetRequested {
+				t.Error("got a request for the whole view, want none")
+			}
+		}
+	})
 	t.Run("a daemon that has the whole view answers for the leader", func(t *testing.T) {
 		f := newViewFleet(t, 2, false)
 		f.play(2)
