fix: a daemon that gets no whole view of the engines asks ever less often

A whole view has some 600 KB there and may take longer than the 300 ms after which it was asked for again, so that several would be on the way to each daemon.

Now the interval is 500 ms and doubles four times.

--- a/internal/decision/conductor/fleet_receiver.go
+++ b/internal/decision/conductor/fleet_receiver.go
@@ -177,7 +177,7 @@
 // requestFleet asks for a whole view after a message was missed: the daemon from which the next one came and the leader in turn.
 func (m *Machine) requestFleet(from, holder string) {
 	f := &m.fleet
-	if f.requests > 0 && m.now < f.requestedAt+fleetRequestInterval {
+	if f.requests > 0 && m.now < f.requestedAt+fleetRequestInterval<<min(f.requests-1, fleetRequestDoublings) {
 		return
 	}
 	name := from
--- a/internal/decision/conductor/fleet_test.go
+++ b/internal/decision/conductor/fleet_test.go
@@ -221,6 +221,24 @@
 			}
 		}
 	})
+	t.Run("a daemon that gets no whole view asks ever less often", func(t *testing.T) {
+		f := newViewFleet(t, 1, false)
+		f.play(1)
+		other, requests := newViewFleet(t, 1, false).others[0], 0
+		for range 100 {
+			f.now += 100 * time.Millisecond
+			f.leader.now = f.now
+			message := f.leader.newMessage()
+			message.Fleet = f.leader.fleetMessage()
+			for _, e := range other.Step(f.now, PeerReceived{Message: message}) {
+				sent, ok := e.(SendPeer)
+				requests += boolToInt(ok && sent.Message.FleetRequested)
+			}
+		}
+		if requests < 3 || requests > 6 {
+			t.Errorf("got %d requests in 10 s, want 3 to 6", requests)
+		}
+	})
 	t.Run("a daemon that has the whole view answers for the leader", func(t *testing.T) {
 		f := newViewFleet(t, 2, false)
 		f.play(2)
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -114,10 +114,12 @@
 	fleetDelay    = 10 * time.Millisecond
 	// loadingTolerance is by how much a load may be expected at another time than the other daemons know.
 	loadingTolerance = 100 * time.Millisecond
-	// fleetRequestInterval is the least time between two requests for a whole view, goneServerTTL how long a server that is no longer in the
-	// leader's view is remembered.
-	fleetRequestInterval = 300 * time.Millisecond
-	goneServerTTL        = time.Minute
+	// fleetRequestInterval is the least time between the first two requests for a whole view. It doubles fleetRequestDoublings times, since
+	// the view may take long to arrive at a large fleet.
+	fleetRequestInterval  = 500 * time.Millisecond
+	fleetRequestDoublings = 4
+	// goneServerTTL is how long a server that is no longer in the leader's view is remembered.
+	goneServerTTL = time.Minute
 	// forecastInterval is how often the ready times of models that get no order are forecast again.
 	forecastInterval = 200 * time.Millisecond
 	// fleetTTL is how long the leader's report of a server takes precedence over the server's own entry.
