--- a/internal/edge/relayer/merge_test.go
+++ b/internal/edge/relayer/merge_test.go
@@ -1,9 +1,13 @@
 package relayer
 
 import (
+	"fmt"
+	"maps"
 	"reflect"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"samphirewharf/internal/peer/messenger"
 )
 
@@ -54,3 +58,77 @@
 		assertMerged(t, mergeFleet(changes(4, server("b", 1)), later), later)
 	})
 }
+
+// A receivedView is what a receiver knows after messages of the leader, by kind and name.
+type receivedView map[string]string
+
+func (v receivedView) apply(f *messenger.Fleet) {
+	if f.Whole {
+		clear(v)
+	}
+	for _, s := range f.Servers {
+		v["server "+s.Server] = fmt.Sprint(s.StartedAt)
+	}
+	for _, id := range f.Gone {
+		delete(v, "server "+id)
+	}
+	for id, n := range f.InFlight {
+		v["in flight "+id] = fmt.Sprint(n)
+	}
+	for _, l := range f.Loading {
+		v["loading "+l.Model+l.SoftwareVersion] = fmt.Sprint(l.ReadyIn)
+		if l.Ended {
+			delete(v, "loading "+l.Model+l.SoftwareVersion)
+		}
+	}
+	for _, l := range f.RateLimits {
+		v["limit "+l.Server] = fmt.Sprint(l.Limited, l.PerSecond)
+	}
+}
+
+// drawFleet draws the leader's message with a sequence number.
+func drawFleet(t *rapid.T, sequence int64) *messenger.Fleet {
+	name := rapid.SampledFrom([]string{"a", "b", "c"})
+	whole := rapid.IntRange(0, 5).Draw(t, "whole") == 0
+	f := &messenger.Fleet{Fence: 1, Sequence: sequence, Whole: whole, Changes: !whole, InFlight: map[string]int{name.Draw(t, "server in flight"): int(sequence)}}
+	if !whole {
+		f.Previous = sequence - 1
+	}
+	changed, gone := name.Draw(t, "changed"), name.Draw(t, "gone")
+	f.Servers = []messenger.FleetServer{{Server: changed, StartedAt: sequence}}
+	if gone != changed && !whole {
+		f.Gone = []string{gone}
+	}
+	f.Loading = []messenger.Loading{{Model: name.Draw(t, "model"), SoftwareVersion: name.Draw(t, "version"), Ended: !whole && rapid.Bool().Draw(t, "ended")}}
+	f.RateLimits = []messenger.RateLimit{{Server: name.Draw(t, "limited"), Limited: rapid.Bool().Draw(t, "has limit"), PerSecond: float64(sequence)}}
+	return f
+}
+
+// TestMergedFleets checks that receivers of merged messages know the same as those of all of them.
+func TestMergedFleets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		one, merged := receivedView{}, receivedView{}
+		var pending *messenger.Fleet
+		received := int64(0)
+		for sequence := range int64(rapid.IntRange(1, 12).Draw(t, "messages")) {
+			f := drawFleet(t, sequence+1)
+			one.apply(f)
+			pending = mergeFleet(pending, f)
+			if sequence > 0 && rapid.Bool().Draw(t, "waits") {
+				continue
+			}
+			if pending.Changes && pending.Previous != received {
+				t.Fatalf("got changes since message %d, want since %d", pending.Previous, received)
+			}
+			received = pending.Sequence
+			merged.apply(pending)
+			pending = nil
+		}
+		if pending != nil {
+			merged.apply(pending)
+		}
+		if !maps.Equal(one, merged) {
+			t.Fatalf("got %v, want %v", merged, one)
+		}
+	})
+}
