--- a/internal/decision/conductor/fleet_sender.go
+++ b/internal/decision/conductor/fleet_sender.go
@@ -13,7 +13,6 @@
 type fleetSender struct {
 	// sent counts the messages. pendingSince is when the first change that hasn't been sent occurred, 0 if there is none.
 	sent         int64
-	sentAt       time.Duration
 	pendingSince time.Duration
 	// countedAt is when the numbers of requests were last sent.
 	countedAt time.Duration
@@ -62,7 +61,7 @@
 		s.countedAt = m.now
 	}
 	s.sent++
-	s.sentAt, s.pendingSince = m.now, 0
+	s.pendingSince = 0
 	var fleet *messenger.Fleet
 	switch {
 	case !m.allTakeChanges():
