--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -142,7 +142,7 @@
 // Start starts serving.
 func (d *Daemon) Start() {
 	d.driver.Start(d.ctx)
-	go d.runServer()
+	go d.run()
 }
 
 // Stop starts a planned stop: requests are finished and roles are handed over before the channel of Exited is closed.
@@ -217,7 +217,7 @@
 // exit starts the exit once, even if the reducer asks for it repeatedly.
 func (d *Daemon) exit() {
 	if d.exiting.CompareAndSwap(false, true) {
-		go d.runExit()
+		go exit{daemon: d}.run()
 	}
 }
 
@@ -251,8 +251,12 @@
 
 func (d *Daemon) ready() bool { return d.catalog.Load() != nil }
 
-// runExit closes the server and ends the daemon after a planned stop.
-func (d *Daemon) runExit() {
+// An exit is the end of a planned stop.
+type exit struct{ daemon *Daemon }
+
+// run closes the server and ends the daemon.
+func (e exit) run() {
+	d := e.daemon
 	ctx, cancel := context.WithTimeout(context.Background(), exitTimeout)
 	defer cancel()
 	if err := d.server.Stop(ctx); err != nil {
@@ -263,8 +267,8 @@
 	close(d.exited)
 }
 
-// runServer accepts connections until the daemon ends.
-func (d *Daemon) runServer() {
+// run accepts connections until the daemon ends.
+func (d *Daemon) run() {
 	if err := d.server.Serve(d.listener); err != nil && d.ctx.Err() == nil {
 		d.settings.Logger.Error().Err(err).Msg("listener failed")
 	}
--- a/internal/standin/booker/booker.go
+++ b/internal/standin/booker/booker.go
@@ -104,7 +104,7 @@
 	s.counts.Crashes++
 	s.server.Stop()
 	close(s.ended)
-	go s.restartLoop(s.stopped)
+	go s.loop(s.stopped)
 }
 
 // SetFaults replaces all faults.
@@ -159,8 +159,8 @@
 	return mux
 }
 
-// restartLoop restarts the server at its address after a crash. It retries until it succeeds or the server is stopped.
-func (s *PlainServer) restartLoop(stopped <-chan struct{}) {
+// loop restarts the server at its address after a crash. It retries until it succeeds or the server is stopped.
+func (s *PlainServer) loop(stopped <-chan struct{}) {
 	wait := s.RestartAfter
 	for responder.Sleep(wait, stopped) {
 		if s.restart(stopped) {
--- a/internal/standin/inferrer/control.go
+++ b/internal/standin/inferrer/control.go
@@ -152,7 +152,7 @@
 	e.counts.LoadsOf[order.Deployment]++
 	e.counts.PeakReplicas = max(e.counts.PeakReplicas, len(i.replicas))
 	e.counts.PeakBytes = max(e.counts.PeakBytes, i.usedBytes)
-	go r.load(e.checkpoints.fastestSource(r.checkpoint()))
+	go r.run(e.checkpoints.fastestSource(r.checkpoint()))
 	return orderResult{}
 }
 
@@ -188,7 +188,7 @@
 	if duration == 0 {
 		duration = i.engine.AdapterLoad
 	}
-	go slot.load(duration)
+	go slot.run(duration)
 	return orderResult{}
 }
 
--- a/internal/standin/inferrer/engine.go
+++ b/internal/standin/inferrer/engine.go
@@ -218,8 +218,8 @@
 	return time.Duration(float64(d) * e.TimeScale)
 }
 
-// restartLoop restarts the engine at its address after a crash. It retries until it succeeds or the engine is stopped.
-func (e *Engine) restartLoop(stopped <-chan struct{}) {
+// loop restarts the engine at its address after a crash. It retries until it succeeds or the engine is stopped.
+func (e *Engine) loop(stopped <-chan struct{}) {
 	wait := e.RestartAfter
 	for responder.Sleep(wait, stopped) {
 		if e.restart(stopped) {
--- a/internal/standin/inferrer/instance.go
+++ b/internal/standin/inferrer/instance.go
@@ -52,7 +52,7 @@
 	}
 	e.counts.Crashes++
 	e.endInstance()
-	go e.restartLoop(e.stopped)
+	go e.loop(e.stopped)
 }
 
 // find returns a ready replica with the ID.
--- a/internal/standin/inferrer/replica.go
+++ b/internal/standin/inferrer/replica.go
@@ -69,8 +69,8 @@
 	return checkpoint{r.order.Deployment, r.order.ModelVersion}
 }
 
-// load loads the replica from a source, which is an index of Order.LoadMilliseconds.
-func (r *replica) load(source int) {
+// run loads the replica from a source, which is an index of Order.LoadMilliseconds.
+func (r *replica) run(source int) {
 	e := r.instance.engine
 	duration := e.scaled(r.order.LoadMilliseconds[source])
 	if source == sourceStore {
@@ -92,7 +92,8 @@
 	}
 }
 
-func (s *adapterSlot) load(duration time.Duration) {
+// run loads the adapter.
+func (s *adapterSlot) run(duration time.Duration) {
 	inst := s.replica.instance
 	e := inst.engine
 	if e.Store.LoadAdapter(s.replica.ctx, duration) != nil || !inst.waitForFaults(s.replica.ctx.Done(), noDelay) {
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -109,7 +109,7 @@
 		return err
 	}
 	k.stop = make(chan struct{})
-	go k.expireLeases(k.stop)
+	go k.loop(k.stop)
 	return nil
 }
 
@@ -244,8 +244,8 @@
 	return Header{ClusterID: 1, MemberID: 1, Revision: Int64(k.store.revision), RaftTerm: 1}
 }
 
-// expireLeases removes expired leases periodically until stop is closed.
-func (k *KeyValueService) expireLeases(stop <-chan struct{}) {
+// loop removes expired leases periodically until stop is closed.
+func (k *KeyValueService) loop(stop <-chan struct{}) {
 	for responder.Sleep(expiryInterval, stop) {
 		k.mu.Lock()
 		k.store.expire(k.now())
--- a/internal/standin/responder/server.go
+++ b/internal/standin/responder/server.go
@@ -53,7 +53,7 @@
 	s.listener = listener
 	s.address = listener.Addr().String()
 	s.server = &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-	go s.serve(s.server, listener)
+	go s.run(s.server, listener)
 	return nil
 }
 
@@ -70,7 +70,8 @@
 	s.server = nil
 }
 
-func (s *Server) serve(server *http.Server, listener net.Listener) {
+// run accepts connections until the server is stopped.
+func (s *Server) run(server *http.Server, listener net.Listener) {
 	err := server.Serve(listener)
 	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		log.Error().Err(err).Str("address", listener.Addr().String()).Msg("stand-in stopped serving")
