feat: configurations hold workspaces with keys and quotas

Nothing decodes or uses them yet: the parts that check keys, keep quotas and share capacity are built on these types. Without workspaces a configuration is as before.

--- a/internal/caller/refuser/code.go
+++ b/internal/caller/refuser/code.go
@@ -19,6 +19,7 @@
 	CodeRequestTimeout      Code = 1007
 	CodeTooManyConnections  Code = 1008
 	CodeUnsupportedEncoding Code = 1009
+	CodeUnauthenticated     Code = 1010
 
 	CodeDeadlineUnreachable Code = 2001
 	CodeDeadlineExpired     Code = 2002
@@ -27,6 +28,8 @@
 	CodeNoCapacity          Code = 2005
 	CodeDaemonStopping      Code = 2006
 	CodeOverloaded          Code = 2007
+	CodeQuotaExceeded       Code = 2008
+	CodeQuotaUnknown        Code = 2009
 
 	CodeServerFailed        Code = 3001
 	CodeStreamBroken        Code = 3002
@@ -74,6 +77,7 @@
 	{CodeRequestTimeout, "RequestTimeout", http.StatusRequestTimeout, "The caller sent its request too slowly."},
 	{CodeTooManyConnections, "TooManyConnections", http.StatusServiceUnavailable, "The daemon holds as many connections as it may."},
 	{CodeUnsupportedEncoding, "UnsupportedEncoding", http.StatusUnsupportedMediaType, "The content type or encoding is not accepted."},
+	{CodeUnauthenticated, "Unauthenticated", http.StatusUnauthorized, "The request has no key, or one that no workspace of the configuration in force has."},
 	{CodeDeadlineUnreachable, "DeadlineUnreachable", http.StatusServiceUnavailable, "The predicted finish is past the request's deadline."},
 	{CodeDeadlineExpired, "DeadlineExpired", http.StatusGatewayTimeout, "The deadline passed before the request was served."},
 	{CodeQueueFull, "QueueFull", http.StatusTooManyRequests, "The deployment's queue is full."},
@@ -81,6 +85,8 @@
 	{CodeNoCapacity, "NoCapacity", http.StatusServiceUnavailable, "No backend server has memory for the deployment now."},
 	{CodeDaemonStopping, "DaemonStopping", http.StatusServiceUnavailable, "The daemon is stopping; ask for addresses again."},
 	{CodeOverloaded, "Overloaded", http.StatusTooManyRequests, "The daemon has as many requests as it may hold."},
+	{CodeQuotaExceeded, "QuotaExceeded", http.StatusTooManyRequests, "The request exceeds the quota of its workspace; it was not run."},
+	{CodeQuotaUnknown, "QuotaUnknown", http.StatusServiceUnavailable, "No daemon that keeps the quota of the workspace answers; it was not run."},
 	{CodeServerFailed, "ServerFailed", http.StatusBadGateway, "The backend server failed and the request may not or can't be retried."},
 	{CodeStreamBroken, "StreamBroken", http.StatusBadGateway, "The answer broke off and could not be resumed."},
 	{CodeRetryBudgetSpent, "RetryBudgetSpent", http.StatusServiceUnavailable, "The backend server failed and the retry budget is spent."},
--- a/internal/decision/conductor/effect.go
+++ b/internal/decision/conductor/effect.go
@@ -78,11 +78,15 @@
 	RefusedOrigin
 	// RefusedLink: the daemon reaches no server, and no other daemon that does.
 	RefusedLink
+	// RefusedQuota: the request exceeds the quota of its workspace.
+	RefusedQuota
+	// RefusedQuotaUnknown: no daemon that keeps the quota of the workspace answers.
+	RefusedQuotaUnknown
 )
 
 // String returns the reason's name in logs, metrics and answers.
 func (r RefusalReason) String() string {
-	names := [...]string{"NoServer", "Cold", "Full", "Expired", "Timeout", "Broken", "Budget", "Poison", "Stopping", "Origin", "Link"}
+	names := [...]string{"NoServer", "Cold", "Full", "Expired", "Timeout", "Broken", "Budget", "Poison", "Stopping", "Origin", "Link", "Quota", "QuotaUnknown"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/internal/decision/conductor/event.go
+++ b/internal/decision/conductor/event.go
@@ -29,6 +29,8 @@
 	// Version is the version of the configuration that the route belongs to.
 	Version int64
 	Service string
+	// Workspace is the name of the caller's workspace, empty on public routes and in deployments without workspaces.
+	Workspace string
 	// Model and Adapter are empty for plain services.
 	Model   string
 	Adapter string
--- a/internal/edge/gateway/exchange.go
+++ b/internal/edge/gateway/exchange.go
@@ -228,6 +228,9 @@
 	conductor.RefusedStopping: refuser.CodeDaemonStopping,
 	conductor.RefusedOrigin:   refuser.CodeStreamOriginUnknown,
 	conductor.RefusedLink:     refuser.CodeNoLink,
+
+	conductor.RefusedQuota:        refuser.CodeQuotaExceeded,
+	conductor.RefusedQuotaUnknown: refuser.CodeQuotaUnknown,
 }
 
 // refusalFor returns the refusal that is sent to the caller. If the request may have run, it replaces codes whose
--- a/internal/fleet/matcher/configuration.go
+++ b/internal/fleet/matcher/configuration.go
@@ -33,6 +33,10 @@
 	Version  int64
 	Services map[string]Service
 	Limits   Limits
+	// Workspaces holds the workspaces by name. It is empty in a deployment that doesn't tell its callers apart.
+	Workspaces map[string]Workspace
+	// workspaceNames holds the names of the workspaces by the digests of their keys.
+	workspaceNames map[KeyDigest]string
 	// routes holds the routes of each host, those with the longest prefix first.
 	routes map[string][]Route
 }
@@ -69,6 +73,8 @@
 	Sticky bool
 	// Resumable reports whether a stream may continue at another server.
 	Resumable bool
+	// Public reports whether callers need no key of a workspace.
+	Public bool
 }
 
 // A Share is one service's part of a route's requests.
