feat: read the bounds of quotas from the settings

The settings quota-window-s, quota-overage and quota-slack reach the conductor's settings. They are zero where the platform sets no bound. Nothing uses them yet.

--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -39,6 +39,12 @@
 	LoadWindow  time.Duration
 	LoadOverage float64
 
+	// QuotaWindow, QuotaOverage and QuotaSlack bound what servers may run for a workspace: in each window its quota times 1 +
+	// QuotaOverage, plus QuotaSlack in the quota's unit. They are zero where the platform sets no bound.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
+
 	// StopTimeout bounds a planned stop.
 	StopTimeout time.Duration
 	// AddressTTL is how long callers keep the addresses that they resolve.
