feat: requests are checked for a key of a workspace

If the configuration in force has workspaces and the route isn't public, a request without a key that a workspace holds is refused with 401 before its body is read or the conductor sees it. The configuration is looked up for each request, so keys that are added or removed apply on kept connections too. Servers get the name of the workspace and never the key; without workspaces both fields are forwarded as before.

The priority of a workspace replaces that of the route in the request's own copy of the route, so that the queue and the engines' priority follow it without a change of the conductor.

A request that another daemon passes on carries the key in its own header and is checked again. If it has no workspaces yet, it drops the key, which a server would get otherwise.

--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -129,6 +129,7 @@
 	x := a.exchange
 	header := x.header.Forward.Clone()
 	attemptHeader := AttemptHeader{Server: a.send.Server, TimeLimit: a.send.RemainingTime, Priority: a.send.Priority, LastEventID: x.header.LastEventID}
+	attemptHeader.Workspace = x.arrived.Workspace
 	if x.firstHeader != nil {
 		attemptHeader.Resuming, attemptHeader.FirstHeader = true, x.firstHeader
 		attemptHeader.LastEventID = strconv.Itoa(x.progress.lastID)
--- a/internal/edge/gateway/delegating.go
+++ b/internal/edge/gateway/delegating.go
@@ -17,6 +17,9 @@
 	serverHeader = "Samphirewharf-Server"
 	// rejectedHeader marks the refusal of a daemon that can't serve the requests of others, which didn't run the request.
 	rejectedHeader = "Samphirewharf-Rejected"
+	// keyedHeader marks a request with the key of a workspace, which a daemon whose configuration has no workspaces yet must not
+	// pass on to a server.
+	keyedHeader = "Samphirewharf-Keyed"
 )
 
 // takeDelegator returns the daemon that has passed a request on, and removes its name from the header that servers get.
@@ -26,6 +29,13 @@
 	return name
 }
 
+// takeKeyed reports whether a request has the key of a workspace according to another daemon, and removes the mark.
+func takeKeyed(header http.Header) bool {
+	keyed := header.Get(keyedHeader) != ""
+	header.Del(keyedHeader)
+	return keyed
+}
+
 // takeServer returns the server that has answered another daemon, and removes it from the header that callers get. It returns an
 // empty ID if the daemon has answered itself.
 func takeServer(header http.Header) (id string, startedAt int64) {
@@ -41,7 +51,11 @@
 // setDelegator sets the header of a request that is passed on to another daemon.
 func (a *attempt) setDelegator(header http.Header, attempt *AttemptHeader) {
 	header.Set(delegatorHeader, a.exchange.gateway.Name)
-	attempt.Server = ""
+	attempt.Server, attempt.Workspace = "", ""
+	if a.exchange.arrived.Workspace != "" {
+		attempt.Key = a.exchange.header.Key
+		header.Set(keyedHeader, "1")
+	}
 	if attempt.Resuming {
 		attempt.OriginID = a.exchange.header.OriginID
 		if attempt.OriginID == "" {
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -97,6 +97,11 @@
 		g.reject(writer, header.ID, refuser.Refusal{Code: refuser.CodeUnknownPath, Detail: "no route of " + hostOf(r) + " begins the path"})
 		return
 	}
+	workspace, ok := authenticate(configuration, route, header.Key)
+	if !ok {
+		g.rejectKey(writer, header)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		g.reject(writer, header.ID, refuser.Refusal{Code: refuser.CodeMalformedRequest, Detail: "the body can't be read"})
@@ -104,9 +109,13 @@
 	}
 	x := &exchange{gateway: g, writer: writer, callerCtx: r.Context(), header: header, method: r.Method, uri: r.RequestURI, body: body, start: time.Now()}
 	x.header.Forward = filter.EndToEnd(header.Forward)
+	if keyed := takeKeyed(x.header.Forward); keyed || len(configuration.Workspaces) > 0 {
+		g.Translator.DropCredentials(x.header.Forward)
+	}
 	x.delegatedBy = takeDelegator(x.header.Forward)
 	x.host = r.Host
-	x.arrived = newRequestArrived(header, route, configuration.Version, r, body)
+	x.arrived = newRequestArrived(header, route.WithPriorityOf(workspace), configuration.Version, r, body)
+	x.arrived.Workspace = workspace.Name
 	x.arrived.Service = route.PickService(g.Random())
 	x.arrived.Delegated = x.delegatedBy != ""
 	x.id, x.effects = g.Open()
--- a/internal/edge/gateway/gateway_test.go
+++ b/internal/edge/gateway/gateway_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,22 +38,35 @@
 	lastID   reducer.RequestID
 	decide   func(e conductor.Event) []conductor.Effect
 	outcomes []Outcome
+	// configuration is the one in force.
+	configuration atomic.Pointer[matcher.Configuration]
 }
 
 func testTranslator() Translator {
 	return Translator{
 		ReadHeader: func(r *http.Request) RequestHeader {
-			return RequestHeader{ID: r.Header.Get("X-Id"), Forward: r.Header, LastEventID: r.Header.Get("Last-Event-Id")}
+			return RequestHeader{ID: r.Header.Get("X-Id"), Forward: r.Header, LastEventID: r.Header.Get("Last-Event-Id"), Key: []byte(r.Header.Get("X-Key"))}
 		},
 		SetHeader: func(h http.Header, s AttemptHeader) {
 			h.Set("X-Server", s.Server)
+			if s.Workspace != "" {
+				h.Set("X-Workspace", s.Workspace)
+			}
+			if len(s.Key) > 0 {
+				h.Set("X-Key", string(s.Key))
+			}
 			if s.LastEventID != "" {
 				h.Set("Last-Event-Id", s.LastEventID)
 			}
 		},
-		Classify: func(int, http.Header, string) conductor.Cause { return conductor.CauseFull },
-		Valid:    func(status int, h http.Header, _ string) bool { return status != 200 || h.Get("X-Seal") != "" },
-		NotRun:   func(status int, h http.Header) bool { return status == 503 && h.Get("X-Not-Run") != "" },
+		DropCredentials: func(h http.Header) {
+			h.Del("X-Key")
+			h.Del("X-Workspace")
+		},
+		Challenge: "Bearer",
+		Classify:  func(int, http.Header, string) conductor.Cause { return conductor.CauseFull },
+		Valid:     func(status int, h http.Header, _ string) bool { return status != 200 || h.Get("X-Seal") != "" },
+		NotRun:    func(status int, h http.Header) bool { return status == 503 && h.Get("X-Not-Run") != "" },
 		ReadAdvice: func(_ int, h http.Header) conductor.Advice {
 			return conductor.Advice{RateLimited: h.Get("X-Limited") != ""}
 		},
@@ -66,14 +80,16 @@
 	share := []matcher.Share{{Service: "s", Weight: 1}}
 	c, err := matcher.New(3, []matcher.Route{
 		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: matcher.KindStream, Resumable: true, Timeout: time.Second, Shares: share},
+		{Name: "open", Host: "h", Prefix: "/open/", Kind: matcher.KindIdempotent, Timeout: time.Second, Shares: share, Public: true, Priority: 3},
 		{Name: "read", Host: "h", Prefix: "/read/", Kind: matcher.KindIdempotent, Timeout: time.Second, Shares: share},
 	}, []matcher.Service{{Name: "s"}}, matcher.Limits{})
 	if err != nil {
 		t.Fatal(err)
 	}
+	h.configuration.Store(c)
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	g := &Gateway{
-		Open: h.open, Close: func(reducer.RequestID) {}, Post: h.post, Configuration: func() *matcher.Configuration { return c },
+		Name: "d", Open: h.open, Close: func(reducer.RequestID) {}, Post: h.post, Configuration: h.configuration.Load,
 		Random: func() float64 { return 0 }, Count: h.count, Translator: testTranslator(), Client: &streamer.Client{IdentityHeader: "X-Id", NotRun: testTranslator().NotRun, MaxAnswerBytes: testMaxAnswerBytes}, Logger: logger,
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/edge/gateway/translator.go
+++ b/internal/edge/gateway/translator.go
@@ -15,6 +15,9 @@
 	ReadHeader func(r *http.Request) RequestHeader
 	// SetHeader sets the header fields of a request to a server.
 	SetHeader func(header http.Header, attempt AttemptHeader)
+	// DropCredentials removes a caller's key and workspace from the header of a request. It is not called in a deployment without
+	// workspaces, where the fields have no meaning to a daemon.
+	DropCredentials func(header http.Header)
 	// Classify returns why the server with the given ID didn't run a request, according to its answer.
 	Classify func(status int, header http.Header, server string) conductor.Cause
 	// Valid reports whether an answer was made by the server for the request with the given ID.
@@ -25,6 +28,8 @@
 	ReadAdvice func(status int, header http.Header) conductor.Advice
 	// IdentityHeader is the name of the header field with the request's ID.
 	IdentityHeader string
+	// Challenge names the scheme of keys, for callers without a valid one.
+	Challenge string
 }
 
 // A RequestHeader is the parsed header of a caller's request.
@@ -42,6 +47,8 @@
 	LastEventID string
 	// OriginID is the ID of the caller's attempt that brought the first event of that stream.
 	OriginID string
+	// Key is the caller's key, nil if there is none or it is malformed. It must not be logged or passed on to a server.
+	Key []byte
 	// Forward holds the fields to pass on to the server, without those that only the system may set.
 	Forward http.Header
 }
@@ -60,4 +67,8 @@
 	FirstHeader http.Header
 	// OriginID is the ID of the caller's attempt that brought the first event, set if another daemon resumes the stream.
 	OriginID string
+	// Workspace is the name of the caller's workspace, empty for none.
+	Workspace string
+	// Key is the caller's key, set if another daemon serves the request of a workspace.
+	Key []byte
 }
--- a/internal/fleet/matcher/workspace.go
+++ b/internal/fleet/matcher/workspace.go
@@ -30,6 +30,14 @@
 	Quota       Quota
 }
 
+// WithPriorityOf returns the route with the priority of a workspace, if that has one.
+func (r Route) WithPriorityOf(w Workspace) Route {
+	if w.HasPriority {
+		r.Priority = w.Priority
+	}
+	return r
+}
+
 // A Quota limits what the servers run for a workspace, over all daemons together. The zero value sets no limit.
 type Quota struct {
 	// Tokens reports whether tokens are counted instead of requests.
