feat: waiting workspaces share a service by their quotas

The queue of a service is ordered by start tag after priority and latency objective. Requests that are sent at once are not charged, and refused ones are returned to their workspace. Without workspaces all tags are equal and the order is as before.

--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -8,6 +8,7 @@
 
 	"samphirewharf/internal/decision/allotter"
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/decision/sharer"
 	"samphirewharf/internal/decision/waker"
 	"samphirewharf/internal/fleet/matcher"
 	"samphirewharf/internal/peer/messenger"
@@ -130,6 +131,7 @@
 	queue   []*request
 	budget  allotter.RetryBudget
 	brittle brittleState
+	sharer  sharer.Sharer
 }
 
 // New returns a Machine without servers, daemons or a configuration.
--- a/internal/decision/conductor/request.go
+++ b/internal/decision/conductor/request.go
@@ -7,6 +7,7 @@
 
 	"samphirewharf/internal/decision/attributor"
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/decision/sharer"
 	"samphirewharf/internal/decision/waker"
 	"samphirewharf/internal/fleet/matcher"
 )
@@ -66,6 +67,9 @@
 	// probe reports whether the request is sent though requests with one of its traits have crashed servers.
 	probe bool
 
+	// share is the request's place among the workspaces whose requests wait.
+	share sharer.Ticket
+
 	// timer is set to when the request has to be handled next.
 	timer waker.Timer[*request]
 }
@@ -148,11 +152,12 @@
 	}
 }
 
-// compareUrgency orders requests by priority, latency objective and arrival.
+// compareUrgency orders requests by priority, latency objective, fair share and arrival.
 func compareUrgency(a, b *request) int {
 	return cmp.Or(
 		cmp.Compare(a.Route.Priority, b.Route.Priority),
 		cmp.Compare(a.Route.LatencyObjective, b.Route.LatencyObjective),
+		cmp.Compare(a.share.Start, b.share.Start),
 		cmp.Compare(a.arrivedAt, b.arrivedAt),
 		cmp.Compare(a.Request, b.Request),
 	)
@@ -178,6 +183,7 @@
 func (m *Machine) removeRequest(r *request) {
 	m.clearTimer(r)
 	m.detachServer(r)
+	m.service(r.Service).sharer.Leave(&r.share)
 	r.state = stateAnswered
 	delete(m.requests, r.Request)
 	m.stop.lastRequestEnd = m.now
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -32,6 +32,7 @@
 func (m *Machine) requestArrived(e RequestArrived) {
 	r := newRequest(e, m.now)
 	m.requests[e.Request] = r
+	r.share = m.service(e.Service).sharer.Join(m.now, m.configuration, e.Workspace, e.Route, e.InputTokens+e.OutputTokens)
 	if !m.link.down {
 		// A request that is delegated counts where it is served.
 		m.service(e.Service).budget.CountRequest(m.now)
@@ -252,6 +253,7 @@
 	}
 	s.requests[r.Request] = r
 	m.countSend(s)
+	m.service(r.Service).sharer.Serve(m.now, &r.share)
 	s.cachedParts.add(r.Parts)
 	m.setTimer(r, r.deadline)
 	d := LogDecision{Action: "Send", Score: c.score, Age: m.now - s.seenAt, Routine: r.attempt == 1}
