fix: names of workspaces have no control characters

A name is sent to servers in a header field. A name with a line break would begin another field, or make every request of the workspace fail.

--- a/internal/fleet/matcher/workspace.go
+++ b/internal/fleet/matcher/workspace.go
@@ -8,6 +8,8 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
+	"unicode"
 )
 
 // ErrInvalidWorkspace is wrapped by the errors for invalid workspaces.
@@ -82,6 +84,8 @@
 	switch _, known := c.Workspaces[w.Name]; {
 	case w.Name == "":
 		return fmt.Errorf("no name: %w", ErrInvalidWorkspace)
+	case strings.ContainsFunc(w.Name, unicode.IsControl):
+		return fmt.Errorf("name has control characters, which the header of a request can't hold: %w", ErrInvalidWorkspace)
 	case known:
 		return fmt.Errorf("another one has the same name: %w", ErrInvalidWorkspace)
 	case !validRate(w.Quota.PerSecond) || !validRate(w.Quota.Burst) || w.Quota.PlainTokens < 0:
