feat: lines and metrics name the workspace of a request

Lines about decisions have Workspace, and explain names it. Requests are counted by workspace and result code for the first 64 workspaces that a daemon sees, the others together, so that the page of metrics doesn't grow with them. explain says what Unauthenticated and the reasons of quotas mean.

--- a/internal/daemon/explainer/explainer.go
+++ b/internal/daemon/explainer/explainer.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -26,12 +27,14 @@
 	Action  string
 	Reason  string
 	Service string
-	Model   string
-	Server  string
-	Detail  string
-	Other   string
-	Attempt int
-	Status  int
+	// Workspace is the caller's, empty for none.
+	Workspace string
+	Model     string
+	Server    string
+	Detail    string
+	Other     string
+	Attempt   int
+	Status    int
 
 	Score, OtherScore                    float64
 	WaitedMs, LeftMs, BeliefAgeMs, AgeMs int64
@@ -97,7 +100,8 @@
 	slices.SortStableFunc(e.lines, byTime)
 	var b strings.Builder
 	first, last := e.lines[0], e.lines[len(e.lines)-1]
-	fmt.Fprintf(&b, "Request %s, service %s%s, configuration %d\n", e.Request, first.Service, prefixed(" model ", first.Model), first.Configuration)
+	fmt.Fprintf(&b, "Request %s, service %s%s%s, configuration %d\n",
+		e.Request, first.Service, prefixed(" model ", first.Model), prefixed(", workspace ", first.Workspace), first.Configuration)
 	for _, l := range e.lines {
 		fmt.Fprintf(&b, "%s %s%s\n", formatTime(l), prefixed("", l.source+" "), describe(l))
 	}
@@ -174,7 +178,7 @@
 	case "CallerLeft":
 		return fmt.Sprintf("the caller left after %d ms, with %d ms left", l.WaitedMs, l.LeftMs)
 	case "Reject":
-		return "refused before any decision: " + l.Reason + prefixed(", ", l.Detail)
+		return "refused before any decision: " + cmp.Or(rejectTexts[l.Reason], l.Reason) + prefixed(", ", l.Detail)
 	default:
 		return l.Action + prefixed(" ", l.Reason)
 	}
@@ -192,9 +196,16 @@
 	"Invalid": "the data received was not the server's response to it", "Error": "the server answered with an error",
 	"Origin": "no daemon knows which software version began the stream", "Link": "the daemon reaches no server, and no other daemon that does",
 	"LinkDown": "the daemon reaches no server", "CatchingUp": "the daemon has just started and asks others what crashes servers",
+	"Quota": "the quota of the workspace is used up", "QuotaUnknown": "no daemon that keeps the quota of the workspace answers",
 	"Stopping": "the daemon is stopping", "Held": "the error response of the server, which had been buffered",
 }
 
+// rejectTexts maps result codes of requests that were refused before any decision to their descriptions, where the name of the code
+// doesn't say enough.
+var rejectTexts = map[string]string{
+	"Unauthenticated": "Unauthenticated, it has no key, or one that no workspace of the configuration in force has",
+}
+
 func formatTime(l line) string { return l.Time.UTC().Format("15:04:05.000") }
 
 func byTime(a, b line) int {
--- a/internal/decision/conductor/effect.go
+++ b/internal/decision/conductor/effect.go
@@ -160,8 +160,10 @@
 	Action  string
 	Reason  string
 	Service string
-	Model   string
-	Server  string
+	// Workspace is the name of the caller's workspace, empty for none.
+	Workspace string
+	Model     string
+	Server    string
 	Attempt int
 	// Score is the chosen server's, OtherScore that of the best alternative, Other.
 	Score      float64
--- a/internal/decision/conductor/request.go
+++ b/internal/decision/conductor/request.go
@@ -193,6 +193,7 @@
 func (m *Machine) logDecision(r *request, d LogDecision) {
 	d.ID = r.ID
 	d.Service = r.Service
+	d.Workspace = r.Workspace
 	d.Model = modelName(r.Model, r.Adapter)
 	d.Attempt = r.attempt
 	d.Waited = m.now - r.arrivedAt
--- a/internal/edge/gateway/exchange.go
+++ b/internal/edge/gateway/exchange.go
@@ -192,7 +192,7 @@
 // countOutcome reports the outcome. It leaves out the latencies while an attempt runs, whose goroutine owns them.
 func (x *exchange) countOutcome(code refuser.Code, status int) {
 	o := Outcome{
-		Kind: x.arrived.Route.Kind, Route: x.arrived.Route.Name, Code: code, Status: status,
+		Kind: x.arrived.Route.Kind, Route: x.arrived.Route.Name, Workspace: x.arrived.Workspace, Code: code, Status: status,
 		TotalLatency: time.Since(x.start), Attempts: x.attempts,
 	}
 	if x.attempt == nil {
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -62,9 +62,11 @@
 type Outcome struct {
 	Kind matcher.Kind
 	// Route is empty if there was none.
-	Route  string
-	Code   refuser.Code
-	Status int
+	Route string
+	// Workspace is the name of the caller's workspace, empty for none.
+	Workspace string
+	Code      refuser.Code
+	Status    int
 	// FirstLatency is the time to the answer or its first event, TotalLatency to its end. FirstLatency is zero if there was
 	// no answer.
 	FirstLatency time.Duration
--- a/internal/edge/launcher/logging.go
+++ b/internal/edge/launcher/logging.go
@@ -22,6 +22,9 @@
 		Str("Server", e.Server).Int("Attempt", e.Attempt).Str("Reason", e.Reason).
 		Int64("WaitedMs", e.Waited.Milliseconds()).Int64("LeftMs", e.Remaining.Milliseconds()).
 		Int64("BeliefAgeMs", e.Age.Milliseconds()).Int64("Configuration", e.Version)
+	if e.Workspace != "" {
+		line = line.Str("Workspace", e.Workspace)
+	}
 	if e.Other != "" {
 		line = line.Str("Other", e.Other).Float64("OtherScore", e.OtherScore)
 	}
--- a/internal/edge/launcher/metrics.go
+++ b/internal/edge/launcher/metrics.go
@@ -17,8 +17,8 @@
 	"samphirewharf/internal/fleet/registrar"
 )
 
-// edgeMetrics are the daemon's metrics. Apart from the services, of which there are at most maxServices, label values
-// come from fixed sets.
+// edgeMetrics are the daemon's metrics. Apart from the services and workspaces, of which there are at most maxServices and
+// maxWorkspaces, label values come from fixed sets.
 type edgeMetrics struct {
 	set *metrics.Set
 	// gauges are the conductor's latest gauges, nil before the first update.
@@ -27,11 +27,22 @@
 	mu sync.Mutex
 	// services are the services that have gauges.
 	services map[string]bool
+	// workspaces holds the label values of the workspaces with counters, by name.
+	workspaces map[string]string
 }
 
 // maxServices bounds the number of services with gauges.
 const maxServices = 64
 
+// maxWorkspaces bounds the number of workspaces with counters. Those that come later are counted together as otherWorkspaces.
+const (
+	maxWorkspaces   = 64
+	otherWorkspaces = "(others)"
+)
+
+// labelEscaper escapes the value of a label in the Prometheus text format.
+var labelEscaper = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
 func (m *edgeMetrics) register(d *Daemon) {
 	m.set = metrics.NewSet()
 	m.set.NewGauge(`samphirewharf_edge_configuration_version`, func() float64 {
@@ -131,6 +142,9 @@
 		kind = "None"
 	}
 	m.set.GetOrCreateCounter(`samphirewharf_edge_requests_total{kind="` + kind + `",code="` + o.Code.String() + `",class="` + strconv.Itoa(o.Status/100) + `xx"}`).Inc()
+	if o.Workspace != "" {
+		m.set.GetOrCreateCounter(`samphirewharf_edge_workspace_requests_total{workspace="` + m.workspaceLabel(o.Workspace) + `",code="` + o.Code.String() + `"}`).Inc()
+	}
 	if o.FirstLatency > 0 {
 		m.set.GetOrCreateHistogram(`samphirewharf_edge_first_seconds{kind="` + kind + `"}`).Update(o.FirstLatency.Seconds())
 		m.set.GetOrCreateHistogram(`samphirewharf_edge_total_seconds{kind="` + kind + `"}`).Update(o.TotalLatency.Seconds())
@@ -141,6 +155,23 @@
 	m.set.GetOrCreateHistogram(`samphirewharf_edge_attempts_per_request`).Update(float64(o.Attempts))
 }
 
+// workspaceLabel returns the label value of a workspace.
+func (m *edgeMetrics) workspaceLabel(name string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	label, ok := m.workspaces[name]
+	switch {
+	case ok:
+		return label
+	case len(m.workspaces) >= maxWorkspaces:
+		return otherWorkspaces
+	case m.workspaces == nil:
+		m.workspaces = make(map[string]string)
+	}
+	m.workspaces[name] = labelEscaper.Replace(name)
+	return m.workspaces[name]
+}
+
 // countAttempt counts the ends of attempts at servers.
 func (m *edgeMetrics) countAttempt(event conductor.Event) {
 	if e, ok := event.(conductor.AttemptEnded); ok {
