--- a/internal/fleet/matcher/workspace.go
+++ b/internal/fleet/matcher/workspace.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"maps"
@@ -18,6 +19,20 @@
 // A KeyDigest is the SHA-256 digest of a workspace's key. The key itself isn't kept.
 type KeyDigest [sha256.Size]byte
 
+// MarshalText returns the digest in hexadecimal.
+func (d KeyDigest) MarshalText() ([]byte, error) { return hex.AppendEncode(nil, d[:]), nil }
+
+// UnmarshalText sets the digest from the output of MarshalText.
+func (d *KeyDigest) UnmarshalText(text []byte) error {
+	if len(text) != hex.EncodedLen(len(d)) {
+		return fmt.Errorf("digest of a key has %d characters: %w", len(text), ErrInvalidWorkspace)
+	}
+	if _, err := hex.Decode(d[:], text); err != nil {
+		return fmt.Errorf("digest of a key: %w", err)
+	}
+	return nil
+}
+
 // DigestKey returns the digest of a key.
 func DigestKey(key []byte) KeyDigest { return sha256.Sum256(key) }
 
