--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -8,6 +8,7 @@
 
 	"samphirewharf/internal/decision/allotter"
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/decision/sharer"
 	"samphirewharf/internal/decision/waker"
 	"samphirewharf/internal/fleet/matcher"
 	"samphirewharf/internal/peer/messenger"
@@ -39,6 +40,12 @@
 	LoadWindow  time.Duration
 	LoadOverage float64
 
+	// QuotaWindow, QuotaOverage and QuotaSlack bound what servers may run for a workspace: in each window its quota times 1 +
+	// QuotaOverage, plus QuotaSlack in the quota's unit. They are zero where the platform sets no bound.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
+
 	// StopTimeout bounds a planned stop.
 	StopTimeout time.Duration
 	// AddressTTL is how long callers keep the addresses that they resolve.
@@ -124,6 +131,7 @@
 	queue   []*request
 	budget  allotter.RetryBudget
 	brittle brittleState
+	sharer  sharer.Sharer
 }
 
 // New returns a Machine without servers, daemons or a configuration.
--- a/internal/fleet/matcher/workspace.go
+++ b/internal/fleet/matcher/workspace.go
@@ -3,11 +3,14 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"maps"
 	"math"
 	"slices"
+	"strings"
+	"unicode"
 )
 
 // ErrInvalidWorkspace is wrapped by the errors for invalid workspaces.
@@ -16,6 +19,20 @@
 // A KeyDigest is the SHA-256 digest of a workspace's key. The key itself isn't kept.
 type KeyDigest [sha256.Size]byte
 
+// MarshalText returns the digest in hexadecimal.
+func (d KeyDigest) MarshalText() ([]byte, error) { return hex.AppendEncode(nil, d[:]), nil }
+
+// UnmarshalText sets the digest from the output of MarshalText.
+func (d *KeyDigest) UnmarshalText(text []byte) error {
+	if len(text) != hex.EncodedLen(len(d)) {
+		return fmt.Errorf("digest of a key has %d characters: %w", len(text), ErrInvalidWorkspace)
+	}
+	if _, err := hex.Decode(d[:], text); err != nil {
+		return fmt.Errorf("digest of a key: %w", err)
+	}
+	return nil
+}
+
 // DigestKey returns the digest of a key.
 func DigestKey(key []byte) KeyDigest { return sha256.Sum256(key) }
 
@@ -30,6 +47,14 @@
 	Quota       Quota
 }
 
+// WithPriorityOf returns the route with the priority of a workspace, if that has one.
+func (r Route) WithPriorityOf(w Workspace) Route {
+	if w.HasPriority {
+		r.Priority = w.Priority
+	}
+	return r
+}
+
 // A Quota limits what the servers run for a workspace, over all daemons together. The zero value sets no limit.
 type Quota struct {
 	// Tokens reports whether tokens are counted instead of requests.
@@ -74,6 +99,8 @@
 	switch _, known := c.Workspaces[w.Name]; {
 	case w.Name == "":
 		return fmt.Errorf("no name: %w", ErrInvalidWorkspace)
+	case strings.ContainsFunc(w.Name, unicode.IsControl):
+		return fmt.Errorf("name has control characters, which the header of a request can't hold: %w", ErrInvalidWorkspace)
 	case known:
 		return fmt.Errorf("another one has the same name: %w", ErrInvalidWorkspace)
 	case !validRate(w.Quota.PerSecond) || !validRate(w.Quota.Burst) || w.Quota.PlainTokens < 0:
