--- a/internal/decision/regulator/spender.go
+++ b/internal/decision/regulator/spender.go
@@ -16,8 +16,11 @@
 
 	sequence uint64
 	accounts map[string]*account
-	asks     []Outgoing
-	results  []Result
+	// due is when Tick has something to do at the earliest, valid if scheduled.
+	scheduled bool
+	due       time.Duration
+	asks      []Outgoing
+	results   []Result
 }
 
 // An Outgoing is an ask that has to be sent to the keeper of its workspace or, if Fallback is set, to the next daemon.
@@ -88,10 +91,12 @@
 	if len(a.waiting) == 0 && a.held >= size {
 		a.held -= size
 		a.spent(now, size)
+		s.schedule(a)
 		return Granted
 	}
 	a.waiting = append(a.waiting, waiting{request: request, size: size, since: now})
 	s.askFor(now, workspace, a)
+	s.schedule(a)
 	return Waiting
 }
 
@@ -118,11 +123,7 @@
 		return
 	}
 	a.expire(now)
-	if a.held <= 0 {
-		a.heldUntil = grantedAt + grantTTL
-	}
-	a.held += size
-	a.heldUntil = min(a.heldUntil, grantedAt+grantTTL)
+	a.hold(size, grantedAt+grantTTL)
 }
 
 // Receive takes an answer.
@@ -165,10 +166,15 @@
 	}
 	s.serveWaiting(now, g.Workspace, a)
 	s.askFor(now, g.Workspace, a)
+	s.schedule(a)
 }
 
 // Tick does what is due.
 func (s *Spender) Tick(now time.Duration) {
+	if !s.scheduled || now < s.due {
+		return
+	}
+	s.scheduled = false
 	for _, workspace := range slices.Sorted(maps.Keys(s.accounts)) {
 		a := s.accounts[workspace]
 		a.expire(now)
@@ -178,29 +184,34 @@
 			a.waiting = slices.Delete(a.waiting, a.asked, a.asked+1)
 		}
 		s.askFor(now, workspace, a)
-		if len(a.waiting) == 0 && a.held <= 0 && now > a.usedAt+bucketTTL {
+		if len(a.waiting) == 0 && a.held <= 0 && now >= a.usedAt+bucketTTL {
 			delete(s.accounts, workspace)
+			continue
 		}
+		s.schedule(a)
 	}
 }
 
-// NextAt returns when Tick is due, or false if nothing is.
-func (s *Spender) NextAt() (time.Duration, bool) {
-	next := time.Duration(math.MaxInt64)
-	for _, a := range s.accounts {
-		if a.asked > 0 {
-			next = min(next, a.sentAt+askTimeout)
-		}
-		if len(a.waiting) > a.asked {
-			next = min(next, a.waiting[a.asked].since+maxWait)
-			if a.asked == 0 {
-				next = min(next, a.askAt)
-			}
+// schedule has Tick called when an account next needs it.
+func (s *Spender) schedule(a *account) {
+	at := a.usedAt + bucketTTL
+	if a.asked > 0 {
+		at = min(at, a.sentAt+askTimeout)
+	}
+	if len(a.waiting) > a.asked {
+		at = min(at, a.waiting[a.asked].since+maxWait)
+		if a.asked == 0 {
+			at = min(at, a.askAt)
 		}
 	}
-	return next, next < math.MaxInt64
+	if !s.scheduled || at < s.due {
+		s.scheduled, s.due = true, at
+	}
 }
 
+// NextAt returns when Tick is due, or false if it isn't.
+func (s *Spender) NextAt() (time.Duration, bool) { return s.due, s.scheduled }
+
 // TakeAsks returns the asks that have to be sent.
 func (s *Spender) TakeAsks() []Outgoing {
 	asks := s.asks
--- a/internal/peer/messenger/decode.go
+++ b/internal/peer/messenger/decode.go
@@ -28,6 +28,9 @@
 		Evidence:       decodeEvidence(x.GetEvidence()),
 		FleetRequested: x.GetFleetRequested(),
 		Origins:        decodeOrigins(x.GetOrigins()),
+		QuotaAsk:       decodeQuotaAsk(x.GetQuotaAsk()),
+		QuotaGrant:     decodeQuotaGrant(x.GetQuotaGrant()),
+		Standing:       decodeStanding(x.GetStanding()),
 	}
 }
 
--- a/internal/peer/messenger/encode.go
+++ b/internal/peer/messenger/encode.go
@@ -28,6 +28,9 @@
 		Evidence:       encodeEvidence(m.Evidence),
 		FleetRequested: m.FleetRequested,
 		Origins:        encodeOrigins(m.Origins),
+		QuotaAsk:       encodeQuotaAsk(m.QuotaAsk),
+		QuotaGrant:     encodeQuotaGrant(m.QuotaGrant),
+		Standing:       encodeStanding(m.Standing),
 	}
 }
 
--- a/internal/peer/messenger/kind.go
+++ b/internal/peer/messenger/kind.go
@@ -14,6 +14,7 @@
 	KindHeartbeat Kind = "Heartbeat"
 	KindEvidence  Kind = "Evidence"
 	KindOrigins   Kind = "Origins"
+	KindQuota     Kind = "Quota"
 	KindOther     Kind = "Other"
 )
 
@@ -32,6 +33,8 @@
 		return KindEvidence
 	case m.Origins != nil:
 		return KindOrigins
+	case m.QuotaAsk != nil || m.QuotaGrant != nil || m.Standing != nil:
+		return KindQuota
 	case m.Heartbeat != nil:
 		return KindHeartbeat
 	default:
--- a/internal/peer/messenger/message.go
+++ b/internal/peer/messenger/message.go
@@ -29,6 +29,10 @@
 	Feed      *Feed
 	Evidence  *Evidence
 	Origins   *Origins
+	// QuotaAsk, QuotaGrant and Standing are about the quotas of workspaces.
+	QuotaAsk   *QuotaAsk
+	QuotaGrant *QuotaGrant
+	Standing   *Standing
 	// FleetRequested reports whether the sender asks for the receiver's whole view of the servers.
 	FleetRequested bool
 }
--- a/internal/peer/messenger/message_test.go
+++ b/internal/peer/messenger/message_test.go
@@ -10,6 +10,7 @@
 
 	"samphirewharf/internal/backend/orderer"
 	"samphirewharf/internal/decision/planner"
+	"samphirewharf/internal/decision/regulator"
 )
 
 // drawDuration draws a duration, which may be negative.
@@ -105,12 +106,32 @@
 	}
 }
 
+func drawAmount(t *rapid.T) float64 { return rapid.Float64Range(0, 1e9).Draw(t, "amount") }
+
+func drawQuotaAsk(t *rapid.T) QuotaAsk {
+	return QuotaAsk{ReplyAddress: drawText(t), Forwarded: drawBool(t), Ask: regulator.Ask{
+		Workspace: drawText(t), Spender: drawText(t), Sequence: drawHash(t), Sizes: drawList(t, drawAmount), Extra: drawAmount(t), Returned: drawAmount(t),
+		Quota: regulator.Quota{PerSecond: drawAmount(t), Burst: drawAmount(t), Version: drawNumber(t)}, Fallback: drawBool(t),
+	}}
+}
+
+func drawQuotaGrant(t *rapid.T) QuotaGrant {
+	return QuotaGrant{Spender: drawText(t), Grant: regulator.Grant{
+		Workspace: drawText(t), Sequence: drawHash(t), Delays: drawList(t, drawDuration), Extra: drawAmount(t), Fallback: drawBool(t),
+	}}
+}
+
+func drawStanding(t *rapid.T) Standing {
+	return Standing{Inquiry: drawHash(t), Answer: drawBool(t), Registered: drawBool(t), Revision: drawNumber(t)}
+}
+
 func drawMessage(t *rapid.T) Message {
 	return Message{
 		From: drawText(t), Instance: drawText(t), Address: drawText(t), Zone: drawText(t),
 		Heartbeat: drawOptional(t, drawHeartbeat), Reports: drawList(t, drawReport), Needs: drawOptional(t, drawNeeds),
 		Placement: drawOptional(t, drawPlacement), Verdict: drawOptional(t, drawVerdict),
 		Region: drawText(t), Forecasts: drawList(t, drawForecast),
+		QuotaAsk: drawOptional(t, drawQuotaAsk), QuotaGrant: drawOptional(t, drawQuotaGrant), Standing: drawOptional(t, drawStanding),
 	}
 }
 
