feat: daemons keep the quotas of workspaces

A request of a workspace with a quota asks the spender for tokens when it arrives and waits in a state of its own, stateMetered. It doesn't ask again for a retry, unless a server may have run it, or its tokens are older than 500 ms when a server is found: a queue that empties at once would otherwise run in one window what was granted in two. Tokens of requests that are refused or delegated go back to the keeper with the next ask.

go test ./internal/decision/conductor passes as before.

--- a/internal/decision/conductor/attempt.go
+++ b/internal/decision/conductor/attempt.go
@@ -198,6 +198,7 @@
 	switch r.state {
 	case stateQueued:
 		m.dequeue(r)
+		m.returnTokens(r)
 		m.removeRequest(r)
 	case stateRunning:
 		if r.Route.Kind != matcher.KindNonIdempotent {
@@ -207,6 +208,9 @@
 	case stateAsking:
 		m.stopAsking(r)
 		m.removeRequest(r)
+	case stateMetered:
+		m.stopMetering(r)
+		m.removeRequest(r)
 	case stateAnswered:
 	}
 }
--- a/internal/decision/conductor/delegating.go
+++ b/internal/decision/conductor/delegating.go
@@ -21,6 +21,8 @@
 	if !ok {
 		return false
 	}
+	// The other daemon counts the request in its workspace's quota.
+	m.returnTokens(r)
 	r.attempt++
 	r.state = stateRunning
 	r.peer = peer.Name
--- a/internal/decision/conductor/fleet.go
+++ b/internal/decision/conductor/fleet.go
@@ -101,6 +101,7 @@
 	if message.Origins != nil {
 		m.originsReceived(message.Address, message.Origins)
 	}
+	m.quotaReceived(message)
 	if message.Evidence != nil {
 		if message.Evidence.Requested {
 			m.replyWithEvidence(message.Address)
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -229,6 +229,12 @@
 	// originAskInterval is how long a daemon waits for an origin that it has asked for, maxOriginAsks how often it asks.
 	originAskInterval = 150 * time.Millisecond
 	maxOriginAsks     = 3
+	// maxTokenAge is how long after its tokens were granted a request may be sent. One that waits longer asks again, so that a queue which
+	// empties at once doesn't exceed the quota.
+	maxTokenAge = 500 * time.Millisecond
+	// quotaRetryDelay is the retry delay if no keeper of a quota answers, quotaLogInterval the least time between two log lines on that.
+	quotaRetryDelay  = 300 * time.Millisecond
+	quotaLogInterval = 10 * time.Second
 	// versionInterval is how often the registered versions are noted.
 	versionInterval = time.Second
 
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -39,6 +39,12 @@
 	LoadWindow  time.Duration
 	LoadOverage float64
 
+	// QuotaWindow, QuotaOverage and QuotaSlack bound the requests of a workspace with a quota: in each window the servers run at most
+	// what the quota allows plus QuotaOverage of that, plus QuotaSlack in the quota's unit.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
+
 	// StopTimeout bounds a planned stop.
 	StopTimeout time.Duration
 	// AddressTTL is how long callers keep the addresses that they resolve.
@@ -87,6 +93,7 @@
 	crashes         crashState
 	catchUp         catchUpState
 	origins         originState
+	quotas          quotaState
 	stop            stopState
 	// versions holds the software versions of each service's servers; versionsAt is when they are noted next.
 	versions   map[string]*versionState
@@ -142,6 +149,7 @@
 		removals:        make(map[string]removal),
 		daemonRevisions: make(map[string]int64),
 		departed:        make(map[string]time.Duration),
+		quotas:          newQuotaState(settings),
 	}
 }
 
@@ -164,7 +172,7 @@
 	if at, ok := m.timers.Next(); ok {
 		next = min(next, at)
 	}
-	return min(next, m.lease.nextAt(), m.election.nextAt(m.now), m.link.nextAt(), m.demand.nextAt(m), m.fleet.nextAt(m), m.relay.nextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.catchUp.nextAt(), m.origins.nextAt(), m.stop.nextAt(m.now))
+	return min(next, m.lease.nextAt(), m.election.nextAt(m.now), m.link.nextAt(), m.demand.nextAt(m), m.fleet.nextAt(m), m.relay.nextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.catchUp.nextAt(), m.origins.nextAt(), m.quotas.nextAt(m), m.stop.nextAt(m.now))
 }
 
 func (m *Machine) apply(event Event) {
@@ -233,6 +241,7 @@
 }
 
 func (m *Machine) applyMembership(event Event) {
+	m.noteRevision(event)
 	switch e := event.(type) {
 	case DaemonsListed:
 		m.daemonsListed(e)
@@ -262,6 +271,7 @@
 	m.tickCatchUp()
 	m.tickVersions()
 	m.tickOrigins()
+	m.tickQuotas()
 	m.tickRateShares()
 	m.tickStop()
 	m.publish()
--- a/internal/decision/conductor/request.go
+++ b/internal/decision/conductor/request.go
@@ -21,6 +21,8 @@
 	stateRunning
 	// stateAsking: the request waits for the version that began its stream.
 	stateAsking
+	// stateMetered: the request waits for the tokens that it counts in its workspace's quota.
+	stateMetered
 	// stateAnswered: the caller has its final answer or has disconnected, but the attempt has not ended yet.
 	stateAnswered
 )
@@ -66,6 +68,9 @@
 	// probe reports whether the request is sent though requests with one of its traits have crashed servers.
 	probe bool
 
+	// tokens are those of its workspace's quota.
+	tokens tokenState
+
 	// timer is set to when the request has to be handled next.
 	timer waker.Timer[*request]
 }
@@ -120,6 +125,9 @@
 			m.expireRunning(r)
 		case stateAsking:
 			m.originUnanswered(r)
+		case stateMetered:
+			m.stopMetering(r)
+			m.giveUp(r, RefusedQuotaUnknown, quotaRetryDelay)
 		case stateAnswered:
 		}
 	}
@@ -160,6 +168,7 @@
 
 // refuse ends a request with a refusal.
 func (m *Machine) refuse(r *request, reason RefusalReason, retryAfter time.Duration) {
+	m.returnTokens(r)
 	m.logDecision(r, LogDecision{Action: "Refuse", Reason: reason.String()})
 	m.emit(Refuse{Request: r.Request, Reason: reason, MayHaveRun: r.runs > 0 || r.state == stateRunning, RetryAfter: retryAfter})
 	m.answered(r)
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -78,11 +78,19 @@
 	if !m.pinVersion(r) {
 		return
 	}
+	if !r.tokens.asked && !m.takeTokens(r) {
+		return
+	}
 	c, reason := m.choose(r)
 	if c.server != nil {
-		m.send(r, c)
+		if m.takeTokens(r) {
+			m.send(r, c)
+		}
 		return
 	}
+	if !m.hasTokens(r) {
+		m.returnTokens(r)
+	}
 	switch {
 	case m.link.down:
 		m.giveUp(r, RefusedLink, linkRetryDelay)
@@ -316,7 +324,9 @@
 		m.clearTimer(r)
 		c, reason := m.choose(r)
 		if c.server != nil {
-			m.send(r, c)
+			if m.takeTokens(r) {
+				m.send(r, c)
+			}
 			continue
 		}
 		m.requeue(r, reason)
--- a/internal/decision/regulator/spender.go
+++ b/internal/decision/regulator/spender.go
@@ -55,6 +55,9 @@
 	// held are tokens in hand, which may be spent until heldUntil.
 	held      float64
 	heldUntil time.Duration
+	// returned are tokens of requests that have not run. They go back with the next ask, until returnedUntil.
+	returned      float64
+	returnedUntil time.Duration
 	// recent is what was spent, decaying over rateTime, as of recentAt. lastSize is what the last request counts.
 	recent   float64
 	recentAt time.Duration
@@ -116,14 +119,18 @@
 	}
 }
 
-// GiveBack takes the tokens of a request that was granted at a time and has not run. They go back to the keeper with the next ask.
+// GiveBack takes the tokens of a request that was granted at a time and has not run. They go back to the keeper with the next ask. They
+// aren't spent here, where they could be given back and spent again without end.
 func (s *Spender) GiveBack(now time.Duration, workspace string, size float64, grantedAt time.Duration) {
 	a, ok := s.accounts[workspace]
 	if !ok || now >= grantedAt+grantTTL {
 		return
 	}
-	a.expire(now)
-	a.hold(size, grantedAt+grantTTL)
+	if now >= a.returnedUntil {
+		a.returned, a.returnedUntil = 0, grantedAt+grantTTL
+	}
+	a.returned += size
+	a.returnedUntil = min(a.returnedUntil, grantedAt+grantTTL)
 }
 
 // Receive takes an answer.
@@ -248,11 +255,11 @@
 	}
 	s.sequence++
 	a.asked = min(len(a.waiting), maxSizes)
-	a.ask = Ask{Workspace: workspace, Spender: s.Name, Sequence: s.sequence, Extra: a.expected(now), Returned: a.held, Quota: a.quota, Fallback: now < a.silentUntil}
+	a.ask = Ask{Workspace: workspace, Spender: s.Name, Sequence: s.sequence, Extra: a.expected(now), Returned: a.held + a.returned, Quota: a.quota, Fallback: now < a.silentUntil}
 	for _, w := range a.waiting[:a.asked] {
 		a.ask.Sizes = append(a.ask.Sizes, w.size)
 	}
-	a.held = 0
+	a.held, a.returned = 0, 0
 	a.firstSentAt, a.sentAt = now, now
 	s.asks = append(s.asks, Outgoing{Ask: a.ask})
 }
@@ -309,6 +316,9 @@
 	if now >= a.heldUntil {
 		a.held = 0
 	}
+	if now >= a.returnedUntil {
+		a.returned = 0
+	}
 }
 
 func (a *account) decayed(now time.Duration) float64 {
