--- a/internal/decision/conductor/virtual_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -56,6 +56,8 @@
 	// cutOff reports whether the daemon reaches no engine, wasCutOff whether it has lost its links in this play.
 	cutOff    bool
 	wasCutOff bool
+	// peerless reports whether no message passes between the daemon and others.
+	peerless bool
 	// cutLinks holds the engines to which the daemon has lost its link.
 	cutLinks map[string]bool
 	// requests are those that the process has got.
@@ -150,6 +152,13 @@
 	quarantineChanges int
 	// mixedServices are the records of services with several versions in the store.
 	mixedServices []string
+	// workspaces are those of the configuration, of the version configured, 0 for 1; onSend and onPeer see what daemons send.
+	workspaces []matcher.Workspace
+	configured int64
+	onSend     func(Send)
+	onPeer     func(messenger.Message)
+	// peerLoss is the share of messages between daemons that are lost.
+	peerLoss float64
 }
 
 const (
@@ -190,7 +199,7 @@
 	settings.Self, settings.Seed, settings.EntryTTL = f.record(i), uint64(i+1), fleetEntryTTL
 	d := f.daemons[i]
 	d.machine, d.down, d.startedAt = New(settings), false, f.now
-	f.step(d, ConfigurationChanged{Configuration: testConfiguration(f.t, 1)})
+	f.step(d, ConfigurationChanged{Configuration: f.configuration()})
 	f.step(d, ServersListed{Entries: f.entries(), Revision: f.revision})
 	f.step(d, f.shared())
 	f.step(d, LeaseRenewed{SentAt: f.now, OK: true, Lost: true})
@@ -198,6 +207,15 @@
 	f.wake(d)
 }
 
+// configuration returns the configuration in force.
+func (f *virtualFleet) configuration() *matcher.Configuration {
+	c, err := testConfiguration(f.t, max(f.configured, 1)).WithWorkspaces(f.workspaces)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return c
+}
+
 // shared returns what the daemons share in the store.
 func (f *virtualFleet) shared() DaemonsListed {
 	list := DaemonsListed{Revision: f.revision, MixedServices: f.mixedServices}
@@ -274,6 +292,9 @@
 		if e.ToDaemon {
 			f.delegated(d, e)
 		} else {
+			if f.onSend != nil {
+				f.onSend(e)
+			}
 			f.sent(d, e)
 		}
 	case CheckServer:
@@ -308,8 +329,14 @@
 		f.after(fleetConnectDelay, func() { f.polled(d, e) })
 	case SendPeer:
 		f.traffic.count(f.now, e.Message, self.PeerAddress, e.Address)
+		if f.onPeer != nil {
+			f.onPeer(e.Message)
+		}
+		if f.peerLoss > 0 && f.rng.Float64() < f.peerLoss {
+			return
+		}
 		for _, other := range f.daemons {
-			if other.machine != nil && other.machine.settings.Self.PeerAddress == e.Address {
+			if other.machine != nil && other.machine.settings.Self.PeerAddress == e.Address && !d.peerless && !other.peerless {
 				f.after(fleetPeerDelay, func() { f.step(other, PeerReceived{Message: e.Message}) })
 			}
 		}
