--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -94,6 +94,7 @@
 	crashes         crashState
 	catchUp         catchUpState
 	origins         originState
+	quotas          quotaState
 	stop            stopState
 	// versions holds the software versions of each service's servers; versionsAt is when they are noted next.
 	versions   map[string]*versionState
@@ -150,6 +151,7 @@
 		removals:        make(map[string]removal),
 		daemonRevisions: make(map[string]int64),
 		departed:        make(map[string]time.Duration),
+		quotas:          newQuotaState(settings),
 	}
 }
 
@@ -172,7 +174,7 @@
 	if at, ok := m.timers.Next(); ok {
 		next = min(next, at)
 	}
-	return min(next, m.lease.nextAt(), m.election.nextAt(m.now), m.link.nextAt(), m.demand.nextAt(m), m.fleet.nextAt(m), m.relay.nextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.catchUp.nextAt(), m.origins.nextAt(), m.stop.nextAt(m.now))
+	return min(next, m.lease.nextAt(), m.election.nextAt(m.now), m.link.nextAt(), m.demand.nextAt(m), m.fleet.nextAt(m), m.relay.nextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.catchUp.nextAt(), m.origins.nextAt(), m.quotas.nextAt(m), m.stop.nextAt(m.now))
 }
 
 func (m *Machine) apply(event Event) {
@@ -241,6 +243,7 @@
 }
 
 func (m *Machine) applyMembership(event Event) {
+	m.noteRevision(event)
 	switch e := event.(type) {
 	case DaemonsListed:
 		m.daemonsListed(e)
@@ -270,6 +273,7 @@
 	m.tickCatchUp()
 	m.tickVersions()
 	m.tickOrigins()
+	m.tickQuotas()
 	m.tickRateShares()
 	m.tickStop()
 	m.publish()
