feat: daemons leave upstreams that are out of date also while the store doesn't answer them

TestVersionsInOutages runs the launcher's daemons with their own relays, watches and monitors of the store in virtual time and measures how long after its acknowledgement each version of the configuration reaches each daemon.

Causes: a daemon that the store doesn't answer kept an upstream that was out of date; a follower that it doesn't answer told its subscribers that it is out of date although another daemon fed it; no daemon learned which others are up to date; heartbeats of the upstream before, whose subscription lasts for 3 s, broke the order of the new one's updates; a follower counted as up to date as soon as the store answered again, though its watches or lists might hang for up to 10 s.

Change: package subscriber takes over the choice of the source from the conductor. A daemon leaves an upstream that is out of date for one that has said that it is up to date, or for the next one, with few moves at once and then one subscription a second at most. A follower that the store doesn't answer relays what another daemon sends it, to daemons that are no followers. Daemons that watch the store in place of their upstream, and followers to which other followers subscribe, announce that they are up to date by an update without entries, which earlier builds ignore. Watches start anew when the store answers again. Messages have no new fields.

--- a/internal/decision/conductor/feed.go
+++ b/internal/decision/conductor/feed.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"samphirewharf/internal/decision/subscriber"
 	"samphirewharf/internal/fleet/sequencer"
 	"samphirewharf/internal/peer/messenger"
 )
@@ -19,41 +20,10 @@
 	daemonsPerFollower = 8
 	// minFollowers is the minimum number of followers.
 	minFollowers = 2
-	// subscribeInterval is how often a subscription is renewed.
-	subscribeInterval = time.Second
-	// upstreamTimeout is how long an upstream may be silent before the daemon subscribes to another one and meanwhile
-	// watches the store itself.
-	upstreamTimeout = 1200 * time.Millisecond
-	// upstreamReturnTime is how long after an outage of the store a daemon waits for its upstream to be up to date again before it
-	// watches the store itself. Entries that expired in the outage are written again for some two seconds.
-	upstreamReturnTime = time.Second
 	// removalTTL is how long removals of entries are remembered, to reject older updates of these entries.
 	removalTTL = 2 * time.Minute
 )
 
-// A relayState describes where this daemon gets updates of the store from.
-type relayState struct {
-	// following reports whether the daemon watches the store itself, followSent whether a Follow effect was emitted.
-	following  bool
-	followSent bool
-	// upstream is the daemon that relays updates to this one, empty if there is none. failedUpstreams counts the
-	// previous ones that failed.
-	upstream        string
-	failedUpstreams int
-	// candidates are the possible upstreams; nil after the set of daemons has changed.
-	candidates []Daemon
-	// subscribedAt is when the daemon first subscribed to the upstream, receivedAt when the upstream last sent updates
-	// that were up to date.
-	subscribedAt time.Duration
-	receivedAt   time.Duration
-	received     bool
-	// heardAt is when the upstream last sent anything.
-	heardAt time.Duration
-	// upstreamStale reports whether the upstream has said that it is out of date itself.
-	upstreamStale bool
-	subscribeAt   time.Duration
-}
-
 // A viewState describes whether this daemon's view of the store is up to date, from whichever source.
 type viewState struct {
 	stale bool
@@ -71,11 +41,27 @@
 	Fresh bool
 }
 
-// A Follow effect starts or stops watching the store.
+// A Subscribed event reports that another daemon has subscribed to this one.
+type Subscribed struct{ From string }
+
+// A StoreListed event reports that this daemon's watches of the store are up to date.
+type StoreListed struct{}
+
+// A Follow effect starts or stops watching the store. If it is watched already, the watches start anew.
 type Follow struct{ On bool }
 
 // A Subscribe effect subscribes to the updates that a daemon relays.
-type Subscribe struct{ Address string }
+type Subscribe struct{ Name, Address string }
+
+// An Announce effect tells daemons that this one is up to date by its own watches.
+type Announce struct{ Addresses []string }
+
+// A Relay effect says whether the updates of the upstream keep this daemon up to date, so that it is so for its subscribers as well. It
+// isn't for Followers, which are addresses: if two of them took each other for up to date, nothing would end that.
+type Relay struct {
+	On        bool
+	Followers []string
+}
 
 // A Forward effect relays a message of the leader, or evidence of crashes, to the daemons that subscribe to this one.
 type Forward struct {
@@ -84,22 +70,14 @@
 }
 
 func (UpdatesReceived) event() {}
+func (Subscribed) event()      {}
+func (StoreListed) event()     {}
 func (Follow) effect()         {}
 func (Subscribe) effect()      {}
+func (Announce) effect()       {}
+func (Relay) effect()          {}
 func (Forward) effect()        {}
 
-func (r *relayState) nextAt() time.Duration {
-	if r.upstream == "" {
-		return never
-	}
-	return r.subscribeAt
-}
-
-// upToDate reports whether the upstream keeps this daemon up to date.
-func (r *relayState) upToDate(now time.Duration) bool {
-	return r.received && now <= r.receivedAt+upstreamTimeout
-}
-
 // Followers returns the names of the daemons that watch the store, taking the one with the most CPU from each zone in
 // turn.
 func Followers(daemons []Daemon) []string {
@@ -139,9 +117,9 @@
 
 // upstreams returns the daemons that may relay updates to this one, in order of preference: those of its own zone
 // first, and within a zone in a pseudorandom order that differs between daemons.
-func (m *Machine) upstreams() []Daemon {
-	if m.relay.candidates != nil {
-		return m.relay.candidates
+func (m *Machine) upstreams() []subscriber.Candidate {
+	if m.candidates != nil {
+		return m.candidates
 	}
 	self := m.settings.Self
 	var list []Daemon
@@ -156,8 +134,10 @@
 			cmp.Compare(xxhash.Sum64String(self.Name+a.Name), xxhash.Sum64String(self.Name+b.Name)),
 		)
 	})
-	m.relay.candidates = list
-	return list
+	for _, d := range list {
+		m.candidates = append(m.candidates, subscriber.Candidate{Name: d.Name, Address: d.PeerAddress})
+	}
+	return m.candidates
 }
 
 // followerNames returns the names of the daemons that watch the store.
@@ -172,7 +152,7 @@
 func (m *Machine) daemonSetChanged() {
 	m.followers, m.keepers = nil, nil
 	m.origins.registrars = nil
-	m.relay.candidates = nil
+	m.candidates = nil
 	m.daemonsChanged = true
 	m.rateSharesAt = m.now
 }
@@ -188,67 +168,48 @@
 
 // tickRelay chooses the source of updates of the store.
 func (m *Machine) tickRelay() {
-	r := &m.relay
-	planned := !m.lease.wasRegistered || slices.Contains(m.followerNames(), m.settings.Self.Name)
-	if planned && !m.store.unavailable {
-		r.upstream, r.received = "", false
-		m.setFollowing(true, "planned")
-		return
+	followed := m.followSent && m.subscriber.Following()
+	d := m.subscriber.Decide(subscriber.Situation{
+		Now: m.now, Follower: !m.lease.wasRegistered || slices.Contains(m.followerNames(), m.settings.Self.Name),
+		StoreLost: m.store.unavailable, StoreReachedAt: m.store.reachedAt, Candidates: m.upstreams(),
+		Address: func(name string) string { return m.daemons[name].PeerAddress },
+	})
+	if d.Left != "" {
+		m.emit(LogStateChange{Subject: "Upstream", Change: "Left", Reason: d.LeftReason, Detail: d.Left + " for " + m.subscriber.Upstream()})
 	}
-	m.subscribeUpstream()
-	switch {
-	case planned:
-		m.setFollowing(true, "planned")
-	case r.upToDate(m.now):
-		m.setFollowing(false, "fed by "+r.upstream)
-	case r.upstream != "" && m.store.unavailable:
-		// Calls to the store would fail like those of the upstream. The renewals of the lease show when it is back.
-		m.setFollowing(false, "store unavailable")
+	if d.Subscribe != nil {
+		m.emit(Subscribe{Name: d.Subscribe.Name, Address: d.Subscribe.Address})
+	}
+	if d.Outdated {
 		m.setViewStale(true)
-	case r.upstream != "" && !r.following && m.awaitsUpstream():
-		// The upstream lists the store now as well.
-	default:
-		m.setFollowing(true, "not fed")
 	}
-}
-
-// subscribeUpstream subscribes to the preferred upstream, and to the next one if the current one times out or is
-// stale.
-func (m *Machine) subscribeUpstream() {
-	r := &m.relay
-	list := m.upstreams()
-	if len(list) == 0 {
-		r.upstream = ""
-		return
+	if d.Follow != followed || !m.followSent {
+		m.followChanged(d.Follow, d.Reason)
+	} else if d.Restart {
+		m.emit(LogStateChange{Subject: "Store", Change: "Followed", Reason: "store reached again"})
+		m.emit(Follow{On: true})
 	}
-	known := slices.ContainsFunc(list, func(d Daemon) bool { return d.Name == r.upstream })
-	// While the store is unavailable, other upstreams are out of date as well.
-	failed := r.upstream != "" && (r.upstreamStale && !m.store.unavailable && !m.awaitsUpstream() || m.now > max(r.subscribedAt, r.receivedAt, r.heardAt)+upstreamTimeout)
-	if !known || failed {
-		if failed {
-			r.failedUpstreams++
-		}
-		r.upstream = list[r.failedUpstreams%len(list)].Name
-		r.subscribedAt, r.subscribeAt, r.received, r.upstreamStale = m.now, m.now, false, false
+	if len(d.Announce) > 0 {
+		m.emit(Announce{Addresses: addressesOf(d.Announce)})
 	}
-	if m.now >= r.subscribeAt {
-		r.subscribeAt = m.now + subscribeInterval
-		m.emit(Subscribe{Address: m.daemons[r.upstream].PeerAddress})
+	if d.Relay != m.relays {
+		m.relays = d.Relay
+		m.emit(LogStateChange{Subject: "Store", Change: map[bool]string{true: "Relayed", false: "NotRelayed"}[d.Relay], Reason: m.subscriber.Upstream()})
+		m.emit(Relay{On: d.Relay, Followers: addressesOf(m.upstreams())})
 	}
 }
 
-// awaitsUpstream reports whether the store has returned only a moment ago, so that upstreams may not be up to date yet.
-func (m *Machine) awaitsUpstream() bool {
-	return m.store.reachedAt > 0 && m.now < m.store.reachedAt+upstreamReturnTime
+func addressesOf(list []subscriber.Candidate) []string {
+	addresses := make([]string, 0, len(list))
+	for _, c := range list {
+		addresses = append(addresses, c.Address)
+	}
+	return addresses
 }
 
-// setFollowing emits a change of whether the daemon watches the store.
-func (m *Machine) setFollowing(on bool, reason string) {
-	r := &m.relay
-	if r.followSent && r.following == on {
-		return
-	}
-	r.followSent, r.following = true, on
+// followChanged emits a change of whether the daemon watches the store.
+func (m *Machine) followChanged(on bool, reason string) {
+	m.followSent = true
 	change := "Fed"
 	if on {
 		change = "Followed"
@@ -259,18 +220,10 @@
 }
 
 func (m *Machine) updatesReceived(e UpdatesReceived) {
-	r := &m.relay
-	if e.From != r.upstream {
+	if !m.subscriber.Received(m.now, e.From, e.Fresh) {
 		return
 	}
-	r.heardAt = m.now
-	if e.Fresh {
-		r.received, r.receivedAt, r.upstreamStale = true, m.now, false
-		r.failedUpstreams = 0
-	} else {
-		r.received, r.upstreamStale = false, true
-	}
-	if !r.following || m.store.unavailable {
+	if !m.subscriber.Following() || m.store.unavailable {
 		// The upstream may be the only daemon that has lost the store. This daemon's own calls show whether the store is
 		// down.
 		m.setViewStale(!e.Fresh && m.store.unavailable)
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -8,6 +8,7 @@
 
 	"samphirewharf/internal/decision/allotter"
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/decision/subscriber"
 	"samphirewharf/internal/decision/waker"
 	"samphirewharf/internal/fleet/matcher"
 	"samphirewharf/internal/peer/messenger"
@@ -76,9 +77,14 @@
 	fleet     fleetState
 	demand    demandState
 	placement placementState
-	relay     relayState
 	view      viewState
-	removals  map[string]removal
+	// subscriber chooses the source of updates of the store; candidates are its possible upstreams, nil after the set of daemons has
+	// changed. followSent reports whether a Follow effect was emitted, relays the last Relay effect.
+	subscriber subscriber.Subscriber
+	candidates []subscriber.Candidate
+	followSent bool
+	relays     bool
+	removals   map[string]removal
 	// daemonRevisions are the revisions of the daemons' records, by daemon name.
 	daemonRevisions map[string]int64
 	// daemonsRevision is the latest revision as of which the records of daemons and leader were listed.
@@ -164,7 +170,7 @@
 	if at, ok := m.timers.Next(); ok {
 		next = min(next, at)
 	}
-	return min(next, m.lease.nextAt(), m.election.nextAt(m.now), m.link.nextAt(), m.demand.nextAt(m), m.fleet.nextAt(m), m.relay.nextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.catchUp.nextAt(), m.origins.nextAt(), m.stop.nextAt(m.now))
+	return min(next, m.lease.nextAt(), m.election.nextAt(m.now), m.link.nextAt(), m.demand.nextAt(m), m.fleet.nextAt(m), m.subscriber.NextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.catchUp.nextAt(), m.origins.nextAt(), m.stop.nextAt(m.now))
 }
 
 func (m *Machine) apply(event Event) {
@@ -203,6 +209,10 @@
 		m.peerReceived(e.Message)
 	case UpdatesReceived:
 		m.updatesReceived(e)
+	case Subscribed:
+		m.subscriber.Subscribed(m.now, slices.Contains(m.followerNames(), e.From))
+	case StoreListed:
+		m.subscriber.StoreListed()
 	case QuarantineChanged:
 		m.quarantineStored(e.Quarantine)
 	case StoreQuarantineEnded:
--- a/internal/decision/conductor/measuring.go
+++ b/internal/decision/conductor/measuring.go
@@ -60,10 +60,10 @@
 	m.updateGaugesAt = m.now + measureInterval
 	e := UpdateGauges{Services: make(map[string]ServiceGauges, len(m.services)), LinkDown: m.link.down, IsLeader: m.isLeader(), MayOrder: m.mayOrder(), Daemons: m.registeredCount()}
 	switch {
-	case m.relay.following && m.store.unavailable:
+	case m.subscriber.Following() && m.store.unavailable:
 		e.ViewAge = m.now - m.store.lostAt
-	case !m.relay.following && !m.relay.upToDate(m.now):
-		e.ViewAge = m.now - m.relay.receivedAt
+	case !m.subscriber.Following() && !m.subscriber.UpToDate(m.now):
+		e.ViewAge = m.now - m.subscriber.ReceivedAt()
 	}
 	if !e.IsLeader {
 		e.FleetAge = m.fleet.age(m.now)
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -268,9 +268,10 @@
 	}
 	m.store.unavailable = false
 	m.store.reachedAt = m.now
-	if m.relay.following {
+	if m.subscriber.Following() {
 		m.setViewStale(false)
 	}
+	m.subscriber.StoreReached(m.now)
 	m.emit(LogStateChange{Subject: "Store", Change: "Reached", Age: m.now - m.store.lostAt})
 }
 
@@ -280,9 +281,10 @@
 	}
 	m.store.unavailable = true
 	m.store.lostAt = m.now
-	if m.relay.following {
+	if m.subscriber.Following() {
 		m.setViewStale(true)
 	}
+	m.subscriber.StoreLost()
 	m.emit(LogStateChange{Subject: "Store", Change: "Lost", Reason: e.Reason, Warning: true})
 }
 
--- a/internal/edge/launcher/daemon.go
+++ b/internal/edge/launcher/daemon.go
@@ -64,6 +64,9 @@
 	relayer        *relayer.Relayer
 	// stopWatches stops the watches of the store, nil if there are none.
 	stopWatches context.CancelFunc
+	// send sends a message to another daemon, and clock returns the time since the host booted.
+	send  func(ctx context.Context, address string, m messenger.Message) error
+	clock func() (time.Duration, error)
 	// startedAt is when the daemon started, as time since the host booted.
 	startedAt time.Duration
 	exitOnce  sync.Once
@@ -87,9 +90,10 @@
 
 // New opens the listeners and returns a daemon that is ready to start.
 func New(settings Settings, platform Platform, logger *log.Logger) (*Daemon, error) {
-	d := &Daemon{settings: settings, platform: platform, logger: logger, exited: make(chan struct{})}
+	d := &Daemon{settings: settings, platform: platform, logger: logger, clock: bootTime, exited: make(chan struct{})}
+	d.send = d.peers.Send
 	d.ctx, d.cancel = context.WithCancel(context.Background())
-	now, err := bootTime()
+	now, err := d.clock()
 	if err != nil {
 		return nil, err
 	}
@@ -130,12 +134,12 @@
 	d.peers.Logger, d.peers.OnSent = d.logger, d.messageSent
 	d.client.IdentityHeader = d.platform.Translator.IdentityHeader
 	d.client.NotRun = d.platform.Translator.NotRun
-	d.storeMonitor = storeMonitor{post: d.post, count: d.storeCalled}
+	d.storeMonitor = storeMonitor{post: d.storeChanged, count: d.storeCalled}
 	d.platform.SetObserver(d.storeMonitor.observe)
 	d.platform.SetOnRestored(d.storeRestored)
 	d.relayer = relayer.New(s.Self.Instance, d.handlers())
 	d.relayer.Send, d.relayer.Message, d.relayer.StoreReachable = d.sendPeer, d.newMessage, d.storeReachable
-	d.relayer.OnFleet, d.relayer.OnFeed, d.relayer.Logger = d.fleetReceived, d.updateReceived, d.logger
+	d.relayer.OnFleet, d.relayer.OnFeed, d.relayer.OnListed, d.relayer.Logger = d.fleetReceived, d.updateReceived, d.storeListed, d.logger
 	d.machine = conductor.New(*s)
 	d.driver = driver.Driver[conductor.Event, conductor.Effect]{
 		Step: d.step, TickDelay: d.tickDelay, Tick: conductor.Ticked{}, RequestOf: requestOf, UndeliveredEvent: undeliveredEvent, Execute: d.execute,
@@ -198,6 +202,7 @@
 	switch {
 	case m.Subscribe != nil:
 		d.relayer.HandleSubscribe(m.Address, m.Subscribe)
+		d.post(conductor.Subscribed{From: m.From})
 	case m.Feed != nil:
 		d.relayer.HandleFeed(m.From, m.Feed)
 		if m.Feed.Evidence != nil {
@@ -220,6 +225,29 @@
 	d.post(conductor.UpdatesReceived{From: from, Fresh: fresh})
 }
 
+// storeChanged handles that the store was lost or reached again.
+func (d *Daemon) storeChanged(event conductor.Event) {
+	if _, ok := event.(conductor.StoreLost); ok {
+		d.relayer.StoreLost()
+	}
+	d.post(event)
+}
+
+func (d *Daemon) storeListed() { d.post(conductor.StoreListed{}) }
+
+// announce tells other daemons that this one is up to date by its own watches, if it is.
+func (d *Daemon) announce(addresses []string) {
+	feed := d.relayer.Announcement()
+	if feed == nil {
+		return
+	}
+	for _, address := range addresses {
+		m := d.newMessage()
+		m.Feed = feed
+		d.sendPeer(address, m)
+	}
+}
+
 func (d *Daemon) fleetReceived(from string, fleet *messenger.Fleet) {
 	d.post(conductor.PeerReceived{Message: messenger.Message{From: from, Fleet: fleet}})
 }
@@ -232,7 +260,7 @@
 
 // sendPeer sends a message to another daemon; it may be lost.
 func (d *Daemon) sendPeer(address string, m messenger.Message) {
-	if err := d.peers.Send(d.ctx, address, m); err != nil && d.ctx.Err() == nil {
+	if err := d.send(d.ctx, address, m); err != nil && d.ctx.Err() == nil {
 		d.logger.Warn().Err(err).Str("Address", address).Msg("message to another daemon was dropped")
 	}
 }
@@ -261,8 +289,8 @@
 		d.stopWatches()
 		d.stopWatches = nil
 	}
+	d.relayer.Follow(on)
 	if !on {
-		d.relayer.ClearEntries()
 		return
 	}
 	ctx, cancel := context.WithCancel(d.ctx)
@@ -323,7 +351,7 @@
 // now returns the time since the daemon started. Unlike the monotonic clock of the Go runtime, it includes the time for
 // which the host was suspended.
 func (d *Daemon) now() time.Duration {
-	now, err := bootTime()
+	now, err := d.clock()
 	if err != nil {
 		d.logger.Error().Err(err).Msg("clock can't be read")
 	}
--- a/internal/edge/launcher/effects.go
+++ b/internal/edge/launcher/effects.go
@@ -41,8 +41,12 @@
 		d.follow(e.On)
 	case conductor.Subscribe:
 		m := d.newMessage()
-		m.Subscribe = d.relayer.Subscription()
+		m.Subscribe = d.relayer.Subscription(e.Name)
 		d.sendPeer(e.Address, m)
+	case conductor.Announce:
+		d.announce(e.Addresses)
+	case conductor.Relay:
+		d.relayer.Relay(e.On, e.Followers)
 	case conductor.Forward:
 		d.relayer.Forward(e.Fleet, e.Evidence)
 	case conductor.Exit:
--- /dev/null
+++ b/internal/edge/launcher/outage_store_test.go
@@ -0,0 +1,281 @@
+package launcher
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"samphirewharf/internal/external/storer"
+)
+
+const (
+	// These are the times of the platform's client of the store.
+	storeCallTime     = 4 * time.Millisecond
+	storeCallTimeout  = 900 * time.Millisecond
+	storeListTimeout  = 2 * time.Second
+	storeWatchPoll    = 8 * time.Second
+	storeWatchTimeout = storeWatchPoll + storeListTimeout
+	storeBatchDelay   = 150 * time.Millisecond
+)
+
+var (
+	errRefused = errors.New("status 503")
+	errTimeout = errors.New("no answer in time")
+)
+
+// An outageStore is a store in the memory of a test that leaves some daemons without answers for a time.
+type outageStore struct {
+	mu       sync.Mutex
+	revision int64
+	items    map[string]storer.Entry
+	// leaseTTL is the time to which leases are renewed.
+	leaseTTL time.Duration
+	// leases holds when each lease expires, leased the lease of each key that has one.
+	leases map[int64]time.Time
+	leased map[string]int64
+	// history holds all changes.
+	history []storeChange
+	// changed is closed at the next change, of the items or of who gets answers.
+	changed chan struct{}
+	// silent reports whether daemons without answers wait for their time-outs; otherwise they are refused at once.
+	silent   bool
+	unserved map[string]bool
+}
+
+type storeChange struct {
+	entry   storer.Entry
+	removed bool
+}
+
+func newOutageStore() *outageStore {
+	return &outageStore{
+		items: make(map[string]storer.Entry), leases: make(map[int64]time.Time), leased: make(map[string]int64),
+		changed: make(chan struct{}), unserved: make(map[string]bool),
+	}
+}
+
+// setUnserved sets which daemons get no answers.
+func (s *outageStore) setUnserved(names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.unserved)
+	for _, name := range names {
+		s.unserved[name] = true
+	}
+	s.signal()
+}
+
+func (s *outageStore) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// put writes a key and returns when the store has acknowledged that.
+func (s *outageStore) put(key string, value []byte, lease int64) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(storer.Entry{Key: key, Value: value}, lease)
+	return time.Now()
+}
+
+func (s *outageStore) write(e storer.Entry, lease int64) {
+	s.revision++
+	e.Revision = s.revision
+	s.items[e.Key] = e
+	delete(s.leased, e.Key)
+	if lease != 0 {
+		s.leased[e.Key] = lease
+	}
+	s.history = append(s.history, storeChange{entry: e})
+	s.signal()
+}
+
+// expireLeases removes the keys whose leases have expired.
+func (s *outageStore) expireLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, lease := range s.leased {
+		if time.Now().After(s.leases[lease]) {
+			s.revision++
+			delete(s.items, key)
+			delete(s.leased, key)
+			s.history = append(s.history, storeChange{entry: storer.Entry{Key: key, Revision: s.revision}, removed: true})
+			s.signal()
+		}
+	}
+}
+
+// A storeView is the store as one daemon reaches it.
+type storeView struct {
+	store   *outageStore
+	daemon  string
+	observe func(call string, err error)
+}
+
+func (v storeView) calls() Store {
+	return Store{Delete: v.delete, Grant: v.grant, KeepAlive: v.keepAlive, List: v.list, Put: v.put, Revoke: v.revoke, CompareAndSwap: v.compareAndSwap, Watch: v.watch}
+}
+
+// call waits as a call does and has it carried out if the store answers the daemon.
+func (v storeView) call(ctx context.Context, name string, timeout time.Duration, do func()) error {
+	err := v.try(ctx, timeout, do)
+	if ctx.Err() == nil {
+		v.observe(name, err)
+	}
+	return err
+}
+
+func (v storeView) try(ctx context.Context, timeout time.Duration, do func()) error {
+	v.store.mu.Lock()
+	unserved, silent := v.store.unserved[v.daemon], v.store.silent
+	v.store.mu.Unlock()
+	wait := storeCallTime
+	if unserved && silent {
+		wait = timeout
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return fmt.Errorf("call: %w", ctx.Err())
+	}
+	switch {
+	case unserved && silent:
+		return errTimeout
+	case unserved:
+		return errRefused
+	}
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	do()
+	return nil
+}
+
+func resultOf(err error) storer.Result {
+	switch {
+	case err == nil:
+		return storer.ResultOK
+	case errors.Is(err, errRefused):
+		return storer.ResultNotSent
+	default:
+		return storer.ResultUnknown
+	}
+}
+
+func (v storeView) delete(ctx context.Context, _ string, _ int64) storer.Result {
+	return resultOf(v.call(ctx, "kv-txn", storeCallTimeout, func() {}))
+}
+
+func (v storeView) revoke(ctx context.Context, _ int64) storer.Result {
+	return resultOf(v.call(ctx, "kv-lease-end", storeCallTimeout, func() {}))
+}
+
+func (v storeView) grant(ctx context.Context, _ time.Duration) (lease int64, result storer.Result) {
+	err := v.call(ctx, "kv-lease", storeCallTimeout, func() {
+		lease = int64(len(v.store.leases) + 1)
+		v.store.leases[lease] = time.Now().Add(v.store.leaseTTL)
+	})
+	return lease, resultOf(err)
+}
+
+func (v storeView) keepAlive(ctx context.Context, lease int64) (alive bool, result storer.Result) {
+	err := v.call(ctx, "kv-keep", storeCallTimeout, func() {
+		if alive = !time.Now().After(v.store.leases[lease]); alive {
+			v.store.leases[lease] = time.Now().Add(v.store.leaseTTL)
+		}
+	})
+	return alive, resultOf(err)
+}
+
+func (v storeView) put(ctx context.Context, key string, value []byte, lease int64) storer.Result {
+	return resultOf(v.call(ctx, "kv-txn", storeCallTimeout, func() { v.store.write(storer.Entry{Key: key, Value: value}, lease) }))
+}
+
+func (v storeView) compareAndSwap(ctx context.Context, key string, value []byte, revision, lease int64) (newRevision int64, result storer.Result) {
+	matched := false
+	err := v.call(ctx, "kv-txn", storeCallTimeout, func() {
+		if matched = v.store.items[key].Revision == revision; matched {
+			v.store.write(storer.Entry{Key: key, Value: value}, lease)
+			newRevision = v.store.revision
+		}
+	})
+	if err == nil && !matched {
+		return 0, storer.ResultConflict
+	}
+	return newRevision, resultOf(err)
+}
+
+func (v storeView) list(ctx context.Context, prefix string) (entries []storer.Entry, revision int64, result storer.Result) {
+	err := v.call(ctx, "kv-range", storeListTimeout, func() {
+		for key, e := range v.store.items {
+			if strings.HasPrefix(key, prefix) {
+				entries = append(entries, e)
+			}
+		}
+		revision = v.store.revision
+	})
+	slices.SortFunc(entries, func(a, b storer.Entry) int { return cmp.Compare(a.Key, b.Key) })
+	return entries, revision, resultOf(err)
+}
+
+func (v storeView) watch(ctx context.Context, prefix string, from int64, report func(storer.Entry, bool)) (int64, error) {
+	for {
+		changes, next, err := v.poll(ctx, prefix, from)
+		if ctx.Err() == nil {
+			v.observe("kv-watch", err)
+		}
+		if err != nil {
+			return from, err
+		}
+		for _, c := range changes {
+			report(c.entry, c.removed)
+		}
+		from = next
+		select {
+		case <-time.After(storeBatchDelay):
+		case <-ctx.Done():
+			return from, fmt.Errorf("watch: %w", ctx.Err())
+		}
+	}
+}
+
+// poll waits for changes as one call of a watch does. The call ends with an error if the store begins to refuse the daemon, and has no
+// answer once it has become silent for it.
+func (v storeView) poll(ctx context.Context, prefix string, from int64) (changes []storeChange, next int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, storeWatchTimeout)
+	defer cancel()
+	end := time.After(storeWatchPoll)
+	ended := false
+	for {
+		v.store.mu.Lock()
+		unserved, silent, changed := v.store.unserved[v.daemon], v.store.silent, v.store.changed
+		first, _ := slices.BinarySearchFunc(v.store.history, from, func(c storeChange, revision int64) int { return cmp.Compare(c.entry.Revision, revision) })
+		for _, c := range v.store.history[first:] {
+			if strings.HasPrefix(c.entry.Key, prefix) {
+				changes = append(changes, c)
+			}
+		}
+		next = v.store.revision + 1
+		v.store.mu.Unlock()
+		switch {
+		case unserved && silent:
+			<-ctx.Done()
+			return nil, from, errTimeout
+		case unserved:
+			return nil, from, errRefused
+		case len(changes) > 0 || ended:
+			return changes, next, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			ended = true
+		case <-ctx.Done():
+			return nil, from, errTimeout
+		}
+	}
+}
--- a/internal/edge/relayer/relayer.go
+++ b/internal/edge/relayer/relayer.go
@@ -47,10 +47,12 @@
 	StoreReachable func() bool
 	// OnFleet is called with the leader's message in an update.
 	OnFleet func(from string, fleet *messenger.Fleet)
-	// OnFeed is called for each update that arrived in order. Fresh reports whether the sender has listed all prefixes and
-	// the store answers it.
+	// OnFeed is called for each update of the upstream that arrived in order or says that the upstream is out of date, and for each
+	// update of another daemon. Fresh reports whether the sender is up to date.
 	OnFeed func(from string, fresh bool)
-	Logger *log.Logger
+	// OnListed is called when all prefixes have been listed since Follow or StoreLost was called last. It may be nil.
+	OnListed func()
+	Logger   *log.Logger
 
 	handlers []Handler
 	stream   string
@@ -60,18 +62,30 @@
 	prefixes map[string]*prefixState
 	// subscribers are the daemons that updates are sent to, by address.
 	subscribers map[string]*subscriber
-	// receivedStream and receivedSequence are those of the last update that arrived in order.
+	// upstream is the name of the daemon that this one has subscribed to. receivedStream and receivedSequence are those of its
+	// last update that arrived in order. The sequence is -1 if that came from another daemon than the current upstream.
+	upstream         string
 	receivedStream   string
 	receivedSequence int64
-	pendingFleet     *messenger.Fleet
-	pendingEvidence  *messenger.Evidence
+	// following reports whether this daemon watches the store. recordedStream is the stream whose updates are recorded besides, empty
+	// if there is none. Only updates that follow a recorded snapshot are.
+	following      bool
+	recordedStream string
+	// relaying reports whether the upstream's updates keep this daemon up to date. For followers they don't, whose addresses
+	// these are.
+	relaying        bool
+	followers       []string
+	pendingFleet    *messenger.Fleet
+	pendingEvidence *messenger.Evidence
 
 	wake chan struct{}
 }
 
 // A prefixState holds the entries with one prefix.
 type prefixState struct {
-	listed   bool
+	listed bool
+	// current reports whether this daemon has listed the prefix since it lost the store last.
+	current  bool
 	revision int64
 	entries  map[string]storer.Entry
 	// pendingChanges are the changes that have not been sent to subscribers yet.
@@ -83,6 +97,8 @@
 	expiresAt time.Time
 	// needsSnapshot reports whether it has received nothing yet or missed an update, or a restored store was listed.
 	needsSnapshot bool
+	// hasView reports whether it has a view of the store, from whichever daemon.
+	hasView bool
 	// sentAt is when it was last sent an update, sentFresh whether that said that the view is up to date.
 	sentAt    time.Time
 	sentFresh bool
@@ -120,15 +136,48 @@
 	}
 }
 
-// ClearEntries drops the entries that this daemon has read from the store itself. It is called when the daemon stops
-// watching the store and relies on another daemon's updates.
-func (r *Relayer) ClearEntries() {
+// Follow prepares for the start or the end of this daemon's watches of the store. At their end it drops the entries that it has read.
+func (r *Relayer) Follow(on bool) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.following, r.recordedStream = on, ""
 	for _, s := range r.prefixes {
-		s.listed, s.pendingChanges = false, nil
-		clear(s.entries)
+		s.current = false
+		if !on {
+			s.listed, s.pendingChanges = false, nil
+			clear(s.entries)
+		}
+	}
+	r.mu.Unlock()
+	r.signal()
+}
+
+// StoreLost handles that the store doesn't answer this daemon any more. What it has listed counts as out of date until it is listed
+// again, since a watch may hang.
+func (r *Relayer) StoreLost() {
+	r.mu.Lock()
+	for _, s := range r.prefixes {
+		s.current = false
+	}
+	r.mu.Unlock()
+	r.signal()
+}
+
+// Relay sets whether the upstream's updates keep this daemon up to date, and the addresses of the followers, for which they don't.
+func (r *Relayer) Relay(on bool, followers []string) {
+	r.mu.Lock()
+	r.relaying, r.followers = on, followers
+	r.mu.Unlock()
+	r.signal()
+}
+
+// Announcement returns a message that tells another daemon that this one is up to date by its own watches, nil if it isn't.
+func (r *Relayer) Announcement() *messenger.Feed {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.upToDate() {
+		return nil
 	}
+	return &messenger.Feed{Stream: r.stream, Fresh: true}
 }
 
 // Forward relays a message of the leader, or evidence of crashes, to the subscribers. Either may be nil.
@@ -144,10 +193,14 @@
 	r.signal()
 }
 
-// Subscription returns the subscribe message for another daemon, with the last update that was received.
-func (r *Relayer) Subscription() *messenger.Subscribe {
+// Subscription returns the subscribe message for another daemon, which becomes the upstream, with the last update that was received.
+func (r *Relayer) Subscription(upstream string) *messenger.Subscribe {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if upstream != r.upstream {
+		// Updates of another daemon don't continue the last one, also not those of a daemon that was the upstream before.
+		r.upstream, r.receivedSequence = upstream, -1
+	}
 	return &messenger.Subscribe{Stream: r.receivedStream, Sequence: r.receivedSequence}
 }
 
@@ -161,6 +214,7 @@
 		r.subscribers[address] = sub
 	}
 	sub.expiresAt = time.Now().Add(subscriptionTTL)
+	sub.hasView = s.Stream != ""
 	// The last update may still be in flight, so only an earlier one counts as missed.
 	if s.Stream != r.stream || s.Sequence < sub.sequence-1 {
 		sub.needsSnapshot = true
@@ -173,26 +227,51 @@
 }
 
 // HandleFeed handles an update of another daemon. It ignores the entries of an update that follows a gap; the next
-// subscription then asks for a snapshot.
+// subscription then asks for a snapshot. Of daemons other than the upstream, whose subscriptions may not have expired yet, it takes
+// only the leader's messages and whether they are up to date.
 func (r *Relayer) HandleFeed(from string, feed *messenger.Feed) {
-	r.mu.Lock()
-	inOrder := feed.Whole || feed.Stream == r.receivedStream && feed.Sequence == r.receivedSequence+1
-	if inOrder {
-		r.receivedStream, r.receivedSequence = feed.Stream, feed.Sequence
-	} else {
-		r.receivedStream, r.receivedSequence = "", 0
-	}
-	r.mu.Unlock()
+	inOrder, fromUpstream := r.receive(from, feed)
 	if feed.Fleet != nil {
 		r.OnFleet(from, feed.Fleet)
 	}
-	if !inOrder {
-		return
+	if inOrder {
+		for _, view := range feed.Views {
+			r.apply(view, feed.Whole)
+		}
+	}
+	if inOrder || !fromUpstream || !feed.Fresh {
+		r.OnFeed(from, feed.Fresh)
 	}
-	for _, view := range feed.Views {
-		r.apply(view, feed.Whole)
+}
+
+// receive records the position of an update of the upstream, and its entries if this daemon records them.
+func (r *Relayer) receive(from string, feed *messenger.Feed) (inOrder, fromUpstream bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if from != r.upstream {
+		return false, false
+	}
+	inOrder = feed.Whole || feed.Stream == r.receivedStream && r.receivedSequence >= 0 && feed.Sequence == r.receivedSequence+1
+	switch {
+	case inOrder:
+		r.receivedStream, r.receivedSequence = feed.Stream, feed.Sequence
+	case feed.Stream == r.receivedStream && r.receivedSequence >= 0:
+		r.receivedStream, r.receivedSequence = "", 0
+	}
+	switch {
+	case !inOrder:
+		r.recordedStream = ""
+	case r.following && feed.Whole:
+		r.recordedStream = feed.Stream
+		for _, view := range feed.Views {
+			r.recordSnapshot(view)
+		}
+	case r.following && feed.Stream == r.recordedStream:
+		for _, view := range feed.Views {
+			r.recordChanges(view)
+		}
 	}
-	r.OnFeed(from, feed.Fresh)
+	return inOrder, true
 }
 
 // Run sends updates to the subscribers until the context is done.
@@ -223,12 +302,59 @@
 	}
 }
 
+// recordList records a list that this daemon has read from the store.
 func (r *Relayer) recordList(prefix string, entries []storer.Entry, revision int64) {
 	r.mu.Lock()
+	wasUpToDate := r.allCurrent()
 	s := r.prefixes[prefix]
-	if s.listed && sequencer.Epoch(s.revision) == sequencer.Epoch(revision) {
+	s.current = true
+	r.replace(s, entries, revision)
+	becameUpToDate := !wasUpToDate && r.allCurrent()
+	r.mu.Unlock()
+	if becameUpToDate && r.OnListed != nil {
+		r.OnListed()
+	}
+	r.signal()
+}
+
+// recordSnapshot records all entries with a prefix that the upstream has sent.
+func (r *Relayer) recordSnapshot(view messenger.View) {
+	s, ok := r.prefixes[view.Prefix]
+	if !ok {
+		return
+	}
+	entries := make([]storer.Entry, 0, len(view.Entries))
+	for _, e := range view.Entries {
+		entries = append(entries, storer.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision})
+	}
+	r.replace(s, entries, view.Revision)
+	r.signal()
+}
+
+// recordChanges records changes that the upstream has sent, which may not be in the order of their revisions.
+func (r *Relayer) recordChanges(view messenger.View) {
+	s, ok := r.prefixes[view.Prefix]
+	if !ok || !s.listed {
+		return
+	}
+	known := s.revision
+	for _, e := range view.Entries {
+		if e.Revision >= known {
+			r.record(s, e)
+		}
+	}
+	s.revision = max(s.revision, view.Revision)
+	r.signal()
+}
+
+// replace replaces the entries by those as of a revision, unless they are known as of a later one, from another source.
+func (r *Relayer) replace(s *prefixState, entries []storer.Entry, revision int64) {
+	switch {
+	case s.listed && revision < s.revision:
+		return
+	case s.listed && sequencer.Epoch(s.revision) == sequencer.Epoch(revision):
 		s.addDifference(entries, revision)
-	} else {
+	default:
 		// Subscribers have another view, or one of another epoch, so all of them need a snapshot.
 		s.pendingChanges = nil
 		for _, sub := range r.subscribers {
@@ -240,8 +366,6 @@
 	for _, e := range entries {
 		s.entries[e.Key] = e
 	}
-	r.mu.Unlock()
-	r.signal()
 }
 
 // addDifference adds to the pending changes how a list differs from the entries, which subscribers have once they have got the
@@ -261,9 +385,17 @@
 	}
 }
 
+// recordChange records a change that this daemon has read from the store, unless it is known from the upstream already.
 func (r *Relayer) recordChange(prefix string, e messenger.ViewEntry) {
 	r.mu.Lock()
-	s := r.prefixes[prefix]
+	if s := r.prefixes[prefix]; e.Revision >= s.revision {
+		r.record(s, e)
+	}
+	r.mu.Unlock()
+	r.signal()
+}
+
+func (r *Relayer) record(s *prefixState, e messenger.ViewEntry) {
 	s.revision = max(s.revision, e.Revision)
 	if e.Removed {
 		delete(s.entries, e.Key)
@@ -273,8 +405,6 @@
 	if len(r.subscribers) > 0 {
 		s.pendingChanges = append(s.pendingChanges, e)
 	}
-	r.mu.Unlock()
-	r.signal()
 }
 
 // sendUpdates sends each subscriber the pending changes, or a snapshot if it needs one and all prefixes are listed. One without news
@@ -288,14 +418,17 @@
 	var deliveries []delivery
 	allListed := r.allListed()
 	changes := r.takeChanges()
-	fresh := allListed && r.StoreReachable()
+	upToDate := r.upToDate()
 	var snapshot []messenger.View
 	for address, sub := range r.subscribers {
 		if now.After(sub.expiresAt) {
 			delete(r.subscribers, address)
 			continue
 		}
-		hasNews := r.pendingFleet != nil || r.pendingEvidence != nil || sub.needsSnapshot && allListed || !sub.needsSnapshot && len(changes) > 0 || fresh != sub.sentFresh
+		fresh := upToDate || allListed && r.relaysTo(address)
+		// Of a view that is out of date, a subscriber that has one from another daemon gets no snapshot.
+		sendSnapshot := sub.needsSnapshot && allListed && (fresh || !sub.hasView)
+		hasNews := r.pendingFleet != nil || r.pendingEvidence != nil || sendSnapshot || !sub.needsSnapshot && len(changes) > 0 || fresh != sub.sentFresh
 		if !hasNews && now.Sub(sub.sentAt) < heartbeatInterval/2 {
 			continue
 		}
@@ -303,7 +436,7 @@
 		sub.sentAt, sub.sentFresh = now, fresh
 		feed := &messenger.Feed{Stream: r.stream, Sequence: sub.sequence, Fresh: fresh, Fleet: r.pendingFleet, Evidence: r.pendingEvidence}
 		switch {
-		case sub.needsSnapshot && allListed:
+		case sendSnapshot:
 			if snapshot == nil {
 				snapshot = r.snapshot()
 			}
@@ -333,6 +466,24 @@
 	return true
 }
 
+// allCurrent reports whether this daemon has listed all prefixes since it lost the store last.
+func (r *Relayer) allCurrent() bool {
+	for _, s := range r.prefixes {
+		if !s.current {
+			return false
+		}
+	}
+	return true
+}
+
+// upToDate reports whether this daemon is up to date by its own watches.
+func (r *Relayer) upToDate() bool { return r.allCurrent() && r.StoreReachable() }
+
+// relaysTo reports whether the updates that the upstream sends keep a subscriber up to date as well.
+func (r *Relayer) relaysTo(address string) bool {
+	return r.relaying && r.recordedStream != "" && !slices.Contains(r.followers, address)
+}
+
 // takeChanges returns the pending changes and clears them.
 func (r *Relayer) takeChanges() []messenger.View {
 	var list []messenger.View
