feat: reports of origins name completed streams and who writes them

A daemon that writes origins to the store has to know which streams are complete, or it would keep each one for two minutes.

--- a/internal/peer/messenger/fleet_test.go
+++ b/internal/peer/messenger/fleet_test.go
@@ -31,7 +31,7 @@
 			Fingerprint: 7, Part: true, Depth: 1, Servers: []uint64{4}, Requests: []uint64{5}, Ages: []time.Duration{time.Second},
 			Answered: true, AnsweredAgo: 2 * time.Second, Quarantines: 2, Cleared: 1, QuarantinedAgo: 3 * time.Second, Hold: -time.Second,
 		}}},
-		Origins:   &Origins{Origins: []StreamOrigin{{Stream: 1 << 63, SoftwareVersion: "v1.2"}}, Asked: []uint64{7}},
+		Origins:   &Origins{Origins: []StreamOrigin{{Stream: 1 << 63, SoftwareVersion: "v1.2"}}, Asked: []uint64{7}, Completed: []uint64{8}, Record: true},
 		Subscribe: &Subscribe{Stream: "i", Sequence: 4},
 		Feed: &Feed{
 			Stream: "i", Sequence: 5, Fresh: true, Whole: true, Fleet: &Fleet{Fence: 42, Sequence: 1}, Evidence: &Evidence{Suspects: []Suspect{{Fingerprint: 8}}},
