feat: streams go on at their version after all daemons have lost power

The version that began a stream was known in the memory of daemons only. When all of them ended together, each stream that a caller took up was refused.

The package resumer takes over the state of origin.go and versions.go. While a service has several versions, writers record the origins of live streams in the store, in batches under leases; a daemon that doesn't know an origin asks others, and reads the records before it refuses. A record begins anew each ten seconds with the streams that are still open, and replaces the one before. A stopped or refused writer loses its registration, and the others report all their streams to the next one.

--- a/internal/decision/conductor/feed.go
+++ b/internal/decision/conductor/feed.go
@@ -171,7 +171,7 @@
 // daemonSetChanged invalidates what depends on the set of daemons.
 func (m *Machine) daemonSetChanged() {
 	m.followers, m.keepers = nil, nil
-	m.origins.registrars = nil
+	m.registrarsKnown = false
 	m.relay.candidates = nil
 	m.daemonsChanged = true
 	m.rateSharesAt = m.now
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -194,7 +194,7 @@
 	maxReportedTraits = 4096
 	// broadcastDelay is how long a keeper waits for the store to take a quarantine before it tells all daemons itself.
 	broadcastDelay = 200 * time.Millisecond
-	// expiryInterval is how often old evidence and origins are dropped.
+	// expiryInterval is how often old evidence is dropped.
 	expiryInterval = time.Second
 	// quarantineInterval is how often a keeper sends all quarantines again that the store doesn't have.
 	quarantineInterval = 5 * time.Second
@@ -212,23 +212,11 @@
 	// probeRetryDelay is the least retry delay for a request that is held back because such requests crash servers.
 	probeRetryDelay = 5 * time.Second
 
-	// originTTL is how long after its start a stream may be taken up.
-	originTTL = 2 * time.Minute
-	// maxOrigins bounds the streams whose origins are kept.
-	maxOrigins = 1 << 16
-	// minRegistrars is the minimum number of daemons that hold origins, daemonsPerRegistrar the number of daemons for each of them,
-	// originHolders the number of those that hold the origins of one daemon.
+	// minRegistrars is the minimum number of daemons that hold origins, daemonsPerRegistrar the number of daemons for each of them.
 	minRegistrars       = 4
 	daemonsPerRegistrar = 4
-	originHolders       = 3
-	// largeFleet is the number of daemons from which on one holder less is enough, and reports are sent less often.
-	largeFleet = 32
-	// originReportDelay is how long streams are collected before they are reported, largeFleetReportDelay the same in a large fleet.
-	originReportDelay     = 200 * time.Millisecond
-	largeFleetReportDelay = 400 * time.Millisecond
-	// originAskInterval is how long a daemon waits for an origin that it has asked for, maxOriginAsks how often it asks.
-	originAskInterval = 150 * time.Millisecond
-	maxOriginAsks     = 3
+	// loadPollInterval is how often a resumption checks whether the records of services with several versions have been read.
+	loadPollInterval = 150 * time.Millisecond
 	// versionInterval is how often the registered versions are noted.
 	versionInterval = time.Second
 
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -8,6 +8,7 @@
 
 	"samphirewharf/internal/decision/allotter"
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/decision/resumer"
 	"samphirewharf/internal/decision/waker"
 	"samphirewharf/internal/fleet/matcher"
 	"samphirewharf/internal/peer/messenger"
@@ -86,10 +87,12 @@
 	link            linkState
 	crashes         crashState
 	catchUp         catchUpState
-	origins         originState
+	origins         resumer.Resumer
+	// registrarsKnown is false after the set of daemons has changed.
+	registrarsKnown bool
 	stop            stopState
 	// versions holds the software versions of each service's servers; versionsAt is when they are noted next.
-	versions   map[string]*versionState
+	versions   resumer.Versions
 	versionsAt time.Duration
 
 	// departed holds when the records of daemons that are no longer registered were removed, by daemon name.
@@ -129,7 +132,7 @@
 // New returns a Machine without servers, daemons or a configuration.
 func New(settings Settings) *Machine {
 	settings.Self.FleetChanges = true
-	return &Machine{
+	m := &Machine{
 		settings:        settings,
 		rng:             rand.New(rand.NewPCG(settings.Seed, settings.Seed^0x9e3779b97f4a7c15)),
 		requests:        make(map[reducer.RequestID]*request),
@@ -143,6 +146,8 @@
 		daemonRevisions: make(map[string]int64),
 		departed:        make(map[string]time.Duration),
 	}
+	m.origins = newResumer(m)
+	return m
 }
 
 // Step applies one event. Now is the time since the start, including time during which the host was suspended. The
@@ -164,7 +169,7 @@
 	if at, ok := m.timers.Next(); ok {
 		next = min(next, at)
 	}
-	return min(next, m.lease.nextAt(), m.election.nextAt(m.now), m.link.nextAt(), m.demand.nextAt(m), m.fleet.nextAt(m), m.relay.nextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.catchUp.nextAt(), m.origins.nextAt(), m.stop.nextAt(m.now))
+	return min(next, m.lease.nextAt(), m.election.nextAt(m.now), m.link.nextAt(), m.demand.nextAt(m), m.fleet.nextAt(m), m.relay.nextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.catchUp.nextAt(), m.originsNextAt(), m.stop.nextAt(m.now))
 }
 
 func (m *Machine) apply(event Event) {
@@ -210,7 +215,11 @@
 	case VersionsRecorded:
 		m.versionsRecorded(e.Service)
 	case VersionsRecordRemoved:
-		m.versionsRecordRemoved(e.Service)
+		m.versions.RecordRemoved(m.now, e.Service)
+	case OriginsRecorded:
+		m.origins.Recorded(m.now, e.Record, e.OK)
+	case OriginsRead:
+		m.origins.ReadEnded(m.now, e.Origins, e.OK)
 	case StopRequested:
 		m.stopRequested()
 	case Ticked:
--- a/internal/decision/conductor/request.go
+++ b/internal/decision/conductor/request.go
@@ -58,11 +58,9 @@
 
 	// traits are what the request has in common with others.
 	traits []attributor.Trait
-	// pinned reports whether the request's stream has begun, softwareVersion is that of the server that began it. originAsks counts
-	// how often other daemons were asked for it.
+	// pinned reports whether the request's stream has begun, softwareVersion is that of the server that began it.
 	pinned          bool
 	softwareVersion string
-	originAsks      int
 	// probe reports whether the request is sent though requests with one of its traits have crashed servers.
 	probe bool
 
--- a/internal/decision/conductor/versions.go
+++ b/internal/decision/conductor/versions.go
@@ -1,10 +1,10 @@
 package conductor
 
 import (
-	"maps"
 	"slices"
 	"time"
 
+	"samphirewharf/internal/decision/resumer"
 	"samphirewharf/internal/fleet/registrar"
 )
 
@@ -26,76 +26,28 @@
 func (VersionsRecordRemoved) event() {}
 func (RecordVersions) effect()       {}
 
-// A versionState is what this daemon knows of the software versions of a service's servers.
-type versionState struct {
-	// seenAt holds when a server of a version was last registered.
-	seenAt map[string]time.Duration
-	// mixedUntil is until when streams of several versions may be taken up.
-	mixedUntil time.Duration
-	// recorded reports whether the store has the record that there are several versions, recordAt when it is due next.
-	recorded bool
-	recordAt time.Duration
-}
-
-func (m *Machine) versionsOf(service string) *versionState {
-	v, ok := m.versions[service]
-	if !ok {
-		v = &versionState{seenAt: make(map[string]time.Duration)}
-		if m.versions == nil {
-			m.versions = make(map[string]*versionState)
-		}
-		m.versions[service] = v
-	}
-	return v
-}
-
 // versionsMixed reports whether streams of several software versions of a service may be taken up.
 func (m *Machine) versionsMixed(service string) bool {
-	if !m.election.loaded {
-		// The records in the store haven't been read.
-		return true
-	}
-	v, ok := m.versions[service]
-	return ok && (v.recorded || m.now < v.mixedUntil)
+	// Before the records in the store were read, a service may have had several.
+	return !m.election.loaded || m.versions.Mixed(m.now, service)
 }
 
 func (m *Machine) mixedServices() []string {
-	var list []string
-	for service := range m.versions {
-		if m.versionsMixed(service) {
-			list = append(list, service)
-		}
-	}
-	slices.Sort(list)
-	return list
+	return slices.DeleteFunc(m.versions.Services(), func(service string) bool { return !m.versionsMixed(service) })
 }
 
 // versionSeen records that a server of a version is registered, or was until now.
 func (m *Machine) versionSeen(e registrar.Entry) {
-	v := m.versionsOf(e.Service)
-	v.seenAt[e.SoftwareVersion] = m.now
-	if len(v.seenAt) < 2 {
-		return
-	}
-	maps.DeleteFunc(v.seenAt, func(_ string, at time.Duration) bool { return m.now > at+originTTL })
-	if len(v.seenAt) < 2 {
-		return
+	if count := m.versions.Seen(m.now, e.Service, e.SoftwareVersion, m.isFirstKeeper()); count > 0 {
+		m.serviceMixed(e.Service, LogStateChange{Version: int64(count)})
 	}
-	times := slices.Sorted(maps.Values(v.seenAt))
-	m.setMixed(e.Service, v, times[len(times)-2]+originTTL)
 }
 
-func (m *Machine) setMixed(service string, v *versionState, until time.Duration) {
-	before := v.recorded || m.now < v.mixedUntil
-	v.mixedUntil = max(v.mixedUntil, until)
-	if before || m.now >= v.mixedUntil {
-		return
-	}
-	m.emit(LogStateChange{Subject: "Service " + service, Change: "VersionsMixed", Version: int64(len(v.seenAt))})
-	if v.recordAt = m.now; !m.isFirstKeeper() {
-		v.recordAt = m.now + secondKeeperDelay
-	}
-	m.reportStreams(service)
+// serviceMixed handles that a service has several versions now. Its streams that wait for a server may need their origins.
+func (m *Machine) serviceMixed(service string, change LogStateChange) {
+	change.Subject, change.Change = "Service "+service, "VersionsMixed"
+	m.emit(change)
+	m.origins.Mixed(m.now, service)
 }
 
 // tickVersions notes the versions that are registered, and has the keepers record the services that have several.
@@ -106,54 +58,22 @@
 			m.versionSeen(s.entry)
 		}
 	}
-	for service, v := range m.versions {
-		if v.recordAt == 0 || m.now < v.recordAt {
-			continue
-		}
-		v.recordAt = 0
-		if m.now < v.mixedUntil && m.isKeeper() {
-			v.recordAt = m.now + originTTL/2
-			if !v.recorded {
-				v.recordAt = m.now + recordRetryDelay
-			}
-			if m.isFirstKeeper() || !v.recorded {
-				m.emit(RecordVersions{Service: service, TTL: originTTL})
-			}
-		}
+	for _, service := range m.versions.Due(m.now, m.isKeeper(), m.isFirstKeeper()) {
+		m.emit(RecordVersions{Service: service, TTL: resumer.OriginTTL})
 	}
 }
 
 func (m *Machine) versionsRecorded(service string) {
-	v := m.versionsOf(service)
 	wasMixed := m.versionsMixed(service)
-	v.recorded = true
-	if v.recordAt > 0 {
-		v.recordAt = m.now + originTTL/2
-	}
+	m.versions.Recorded(m.now, service)
 	if !wasMixed {
-		m.emit(LogStateChange{Subject: "Service " + service, Change: "VersionsMixed", Reason: "recorded in the store"})
-		m.reportStreams(service)
+		m.serviceMixed(service, LogStateChange{Reason: "recorded in the store"})
 	}
 }
 
-// versionsRecordRemoved handles the removal of a record. It may have lapsed in an outage of the store.
-func (m *Machine) versionsRecordRemoved(service string) {
-	v := m.versionsOf(service)
-	if !v.recorded {
-		return
-	}
-	v.recorded = false
-	v.mixedUntil = max(v.mixedUntil, m.now+originTTL)
-	v.recordAt = m.now
-}
-
 // versionsListed handles a complete list of the records.
 func (m *Machine) versionsListed(services []string) {
-	for service, v := range m.versions {
-		if v.recorded && !slices.Contains(services, service) {
-			m.versionsRecordRemoved(service)
-		}
-	}
+	m.versions.Listed(m.now, services)
 	for _, service := range services {
 		m.versionsRecorded(service)
 	}
--- a/internal/decision/conductor/virtual_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -102,6 +102,12 @@
 	// resumedOn whether it went on then.
 	resumed   bool
 	resumedOn bool
+	// takenUpAt is when the caller took the stream up after all daemons had been killed, 0 for never.
+	takenUpAt time.Duration
+	// begunAt is when the first event came.
+	begunAt time.Duration
+	// wentOnAt is when the first event after that came.
+	wentOnAt time.Duration
 	// version is that of the server that began the stream.
 	version string
 }
@@ -150,6 +156,8 @@
 	quarantineChanges int
 	// mixedServices are the records of services with several versions in the store.
 	mixedServices []string
+	// origins are the records of streams' origins in the store.
+	origins originStore
 }
 
 const (
@@ -318,6 +326,10 @@
 		f.after(fleetConnectDelay, func() { f.storeQuarantine(d, e.Quarantine) })
 	case RecordVersions:
 		f.after(fleetConnectDelay, func() { f.recordVersions(e.Service) })
+	case RecordOrigins:
+		f.recordOrigins(d, e)
+	case ReadOrigins:
+		f.readOrigins(d)
 	case DeleteQuarantine:
 		f.recordWrites = append(f.recordWrites, f.now)
 		delete(f.quarantines, fmt.Sprint(e.Quarantine.Trait))
--- /dev/null
+++ b/internal/decision/resumer/versions.go
@@ -0,0 +1,129 @@
+package resumer
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// secondKeeperDelay is how long the second keeper waits for a record of the first one in the store, recordRetryDelay how long a
+	// keeper waits for its own before it writes that again.
+	secondKeeperDelay = 500 * time.Millisecond
+	recordRetryDelay  = time.Second
+)
+
+// Versions is what a daemon knows of the software versions of the services' servers. The zero value is ready to use.
+type Versions struct {
+	services map[string]*serviceVersions
+}
+
+// A serviceVersions is what is known of the versions of one service.
+type serviceVersions struct {
+	// seenAt holds when a server of a version was last registered.
+	seenAt map[string]time.Duration
+	// mixedUntil is until when streams of several versions may be resumed.
+	mixedUntil time.Duration
+	// recorded reports whether the store has the record that there are several versions, recordAt when it is due next.
+	recorded bool
+	recordAt time.Duration
+}
+
+func (v *Versions) of(service string) *serviceVersions {
+	s, ok := v.services[service]
+	if !ok {
+		s = &serviceVersions{seenAt: make(map[string]time.Duration)}
+		if v.services == nil {
+			v.services = make(map[string]*serviceVersions)
+		}
+		v.services[service] = s
+	}
+	return s
+}
+
+func (s *serviceVersions) mixed(now time.Duration) bool { return s.recorded || now < s.mixedUntil }
+
+// Mixed reports whether streams of several software versions of a service may be resumed.
+func (v *Versions) Mixed(now time.Duration, service string) bool {
+	s, ok := v.services[service]
+	return ok && s.mixed(now)
+}
+
+// Services returns the names of all services of which a version was seen or recorded, sorted.
+func (v *Versions) Services() []string { return slices.Sorted(maps.Keys(v.services)) }
+
+// Seen records that a server of a version is registered, or was until now. If the service has several versions only since now, it
+// returns their number; otherwise 0.
+func (v *Versions) Seen(now time.Duration, service, version string, firstKeeper bool) int {
+	s := v.of(service)
+	s.seenAt[version] = now
+	if len(s.seenAt) < 2 {
+		return 0
+	}
+	maps.DeleteFunc(s.seenAt, func(_ string, at time.Duration) bool { return now > at+OriginTTL })
+	if len(s.seenAt) < 2 {
+		return 0
+	}
+	times := slices.Sorted(maps.Values(s.seenAt))
+	before := s.mixed(now)
+	s.mixedUntil = max(s.mixedUntil, times[len(times)-2]+OriginTTL)
+	if before || now >= s.mixedUntil {
+		return 0
+	}
+	if s.recordAt = now; !firstKeeper {
+		s.recordAt = now + secondKeeperDelay
+	}
+	return len(s.seenAt)
+}
+
+// Due returns the services whose record a keeper has to write now.
+func (v *Versions) Due(now time.Duration, keeper, firstKeeper bool) []string {
+	var list []string
+	for _, service := range v.Services() {
+		s := v.services[service]
+		if s.recordAt == 0 || now < s.recordAt {
+			continue
+		}
+		s.recordAt = 0
+		if now >= s.mixedUntil || !keeper {
+			continue
+		}
+		s.recordAt = now + OriginTTL/2
+		if !s.recorded {
+			s.recordAt = now + recordRetryDelay
+		}
+		if firstKeeper || !s.recorded {
+			list = append(list, service)
+		}
+	}
+	return list
+}
+
+// Recorded handles a record in the store.
+func (v *Versions) Recorded(now time.Duration, service string) {
+	s := v.of(service)
+	s.recorded = true
+	if s.recordAt > 0 {
+		s.recordAt = now + OriginTTL/2
+	}
+}
+
+// RecordRemoved handles the removal of a record. It may have lapsed in an outage of the store.
+func (v *Versions) RecordRemoved(now time.Duration, service string) {
+	s := v.of(service)
+	if !s.recorded {
+		return
+	}
+	s.recorded = false
+	s.mixedUntil = max(s.mixedUntil, now+OriginTTL)
+	s.recordAt = now
+}
+
+// Listed handles a complete list of the records.
+func (v *Versions) Listed(now time.Duration, services []string) {
+	for service, s := range v.services {
+		if s.recorded && !slices.Contains(services, service) {
+			v.RecordRemoved(now, service)
+		}
+	}
+}
--- a/internal/edge/launcher/daemon.go
+++ b/internal/edge/launcher/daemon.go
@@ -67,6 +67,8 @@
 	// startedAt is when the daemon started, as time since the host booted.
 	startedAt time.Duration
 	exitOnce  sync.Once
+	// originLeases are the leases of this process's records of origins.
+	originLeases originLeases
 
 	configuration    atomic.Pointer[matcher.Configuration]
 	publishedDaemons atomic.Pointer[conductor.PublishDaemons]
@@ -272,6 +274,8 @@
 		f := &follower.Follower{
 			Prefix: h.Prefix, List: d.platform.Store.List, Watch: d.platform.Store.Watch,
 			Listed: wrapped.Listed, Changed: wrapped.Changed, Removed: wrapped.Removed, Logger: d.logger,
+			// They are read only when a stream is resumed, and would take most of the relayed bytes.
+			Ignored: follower.OriginsPrefix,
 		}
 		go f.Run(ctx)
 	}
--- a/internal/edge/launcher/effects.go
+++ b/internal/edge/launcher/effects.go
@@ -81,6 +81,10 @@
 		d.storeQuarantine(e)
 	case conductor.RecordVersions:
 		d.recordVersions(e)
+	case conductor.RecordOrigins:
+		d.recordOrigins(e)
+	case conductor.ReadOrigins:
+		d.readOrigins()
 	case conductor.DeleteQuarantine:
 		d.platform.Store.Delete(d.ctx, follower.QuarantineKey(e.Quarantine.Trait), e.Quarantine.Revision)
 	}
--- a/internal/edge/launcher/metrics.go
+++ b/internal/edge/launcher/metrics.go
@@ -163,6 +163,26 @@
 	m.set.GetOrCreateCounter(`samphirewharf_edge_orders_total{operation="` + o.Operation.String() + `",kind="` + kind + `",result="` + result.String() + `"}`).Inc()
 }
 
+// countOrigins counts a write of a record of origins, with its streams and bytes.
+func (m *edgeMetrics) countOrigins(streams, size int, ok bool) {
+	result := "Written"
+	if !ok {
+		result = "Failed"
+	}
+	m.set.GetOrCreateCounter(`samphirewharf_edge_origin_records_total{result="` + result + `"}`).Inc()
+	m.set.GetOrCreateHistogram(`samphirewharf_edge_origin_record_streams`).Update(float64(streams))
+	m.set.GetOrCreateHistogram(`samphirewharf_edge_origin_record_bytes`).Update(float64(size))
+}
+
+// countOriginReads counts the reads of the records of origins.
+func (m *edgeMetrics) countOriginReads(ok bool) {
+	result := "Read"
+	if !ok {
+		result = "Failed"
+	}
+	m.set.GetOrCreateCounter(`samphirewharf_edge_origin_reads_total{result="` + result + `"}`).Inc()
+}
+
 // callName returns the name of a call to the store, without the arguments that follow it.
 func callName(call string) string {
 	if end := strings.IndexAny(call, "?/"); end >= 0 {
