--- a/internal/decision/conductor/effect.go
+++ b/internal/decision/conductor/effect.go
@@ -164,7 +164,7 @@
 	Workspace string
 	Model     string
 	Server    string
-	Attempt int
+	Attempt   int
 	// Score is the chosen server's, OtherScore that of the best alternative, Other.
 	Score      float64
 	Other      string
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -8,6 +8,7 @@
 
 	"samphirewharf/internal/decision/allotter"
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/decision/resumer"
 	"samphirewharf/internal/decision/sharer"
 	"samphirewharf/internal/decision/subscriber"
 	"samphirewharf/internal/decision/waker"
@@ -99,11 +100,14 @@
 	link            linkState
 	crashes         crashState
 	catchUp         catchUpState
-	origins         originState
 	quotas          quotaState
+	origins         resumer.Resumer
+	// registrars are the daemons that hold origins, valid if registrarsKnown, which is false after the set of daemons has changed.
+	registrars      []string
+	registrarsKnown bool
 	stop            stopState
 	// versions holds the software versions of each service's servers; versionsAt is when they are noted next.
-	versions   map[string]*versionState
+	versions   resumer.Versions
 	versionsAt time.Duration
 
 	// departed holds when the records of daemons that are no longer registered were removed, by daemon name.
@@ -144,7 +148,7 @@
 // New returns a Machine without servers, daemons or a configuration.
 func New(settings Settings) *Machine {
 	settings.Self.FleetChanges = true
-	return &Machine{
+	m := &Machine{
 		settings:        settings,
 		rng:             rand.New(rand.NewPCG(settings.Seed, settings.Seed^0x9e3779b97f4a7c15)),
 		requests:        make(map[reducer.RequestID]*request),
@@ -159,6 +163,8 @@
 		departed:        make(map[string]time.Duration),
 		quotas:          newQuotaState(settings),
 	}
+	m.origins = newResumer(m)
+	return m
 }
 
 // Step applies one event. Now is the time since the start, including time during which the host was suspended. The
@@ -180,7 +186,7 @@
 	if at, ok := m.timers.Next(); ok {
 		next = min(next, at)
 	}
-	return min(next, m.lease.nextAt(), m.election.nextAt(m.now), m.link.nextAt(), m.demand.nextAt(m), m.fleet.nextAt(m), m.subscriber.NextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.catchUp.nextAt(), m.origins.nextAt(), m.quotas.nextAt(m), m.stop.nextAt(m.now))
+	return min(next, m.lease.nextAt(), m.election.nextAt(m.now), m.link.nextAt(), m.demand.nextAt(m), m.fleet.nextAt(m), m.subscriber.NextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.catchUp.nextAt(), m.originsNextAt(), m.quotas.nextAt(m), m.stop.nextAt(m.now))
 }
 
 func (m *Machine) apply(event Event) {
@@ -230,7 +236,11 @@
 	case VersionsRecorded:
 		m.versionsRecorded(e.Service)
 	case VersionsRecordRemoved:
-		m.versionsRecordRemoved(e.Service)
+		m.versions.RecordRemoved(m.now, e.Service)
+	case OriginsRecorded:
+		m.origins.Recorded(m.now, e.Record, e.OK)
+	case OriginsRead:
+		m.origins.ReadEnded(m.now, e.Origins, e.OK)
 	case StopRequested:
 		m.stopRequested()
 	case Ticked:
--- a/internal/decision/conductor/virtual_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -104,6 +104,12 @@
 	// resumedOn whether it went on then.
 	resumed   bool
 	resumedOn bool
+	// takenUpAt is when the caller took the stream up after all daemons had been killed, 0 for never.
+	takenUpAt time.Duration
+	// begunAt is when the first event came.
+	begunAt time.Duration
+	// wentOnAt is when the first event after that came.
+	wentOnAt time.Duration
 	// version is that of the server that began the stream.
 	version string
 }
@@ -159,6 +165,8 @@
 	onPeer     func(messenger.Message)
 	// peerLoss is the share of messages between daemons that are lost.
 	peerLoss float64
+	// origins are the records of streams' origins in the store.
+	origins originStore
 }
 
 const (
@@ -345,6 +353,10 @@
 		f.after(fleetConnectDelay, func() { f.storeQuarantine(d, e.Quarantine) })
 	case RecordVersions:
 		f.after(fleetConnectDelay, func() { f.recordVersions(e.Service) })
+	case RecordOrigins:
+		f.recordOrigins(d, e)
+	case ReadOrigins:
+		f.readOrigins(d)
 	case DeleteQuarantine:
 		f.recordWrites = append(f.recordWrites, f.now)
 		delete(f.quarantines, fmt.Sprint(e.Quarantine.Trait))
