--- a/internal/edge/gateway/authenticating_test.go
+++ b/internal/edge/gateway/authenticating_test.go
@@ -140,6 +140,18 @@
 	})
 }
 
+// Guards against a log that callers without a key fill, and against keys in it.
+func TestLinesWithoutKey(t *testing.T) {
+	h := newHarness(t, nil)
+	h.setWorkspace("w", "key-1")
+	for range 3 * testMaxLines {
+		status, _ := h.sendKey("/read/a", http.Header{"X-Key": {"key-2"}})
+		assertEqual(t, "status", status, http.StatusUnauthorized)
+	}
+	assertEqual(t, "lines", strings.Count(h.log.String(), "Unauthenticated"), testMaxLines)
+	assertEqual(t, "lines with a key", strings.Count(h.log.String(), "key-"), 0)
+}
+
 func TestDelegatedKeys(t *testing.T) {
 	servers := &backendLog{}
 	near := newHarness(t, nil)
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -50,6 +50,10 @@
 	// Count is called with the outcome of each request.
 	Count func(Outcome)
 
+	// AllowLine reports whether a line of a kind that callers without a key can cause may be written now, and how many were omitted
+	// since the last one. It may be nil for no limit.
+	AllowLine func(kind string) (omitted int, ok bool)
+
 	Translator Translator
 	Client     *streamer.Client
 	Logger     *log.Logger
@@ -157,11 +161,27 @@
 
 // reject refuses a request without passing it to the conductor.
 func (g *Gateway) reject(w *acceptor.Writer, id string, refusal refuser.Refusal) {
-	g.Logger.Info().Str("Request", id).Str("Action", "Reject").Str("Reason", refusal.Code.String()).Str("Detail", refusal.Detail).Msg("request")
+	g.logRejection(id, refusal)
 	g.Count(Outcome{Code: refusal.Code, Status: refusal.Code.HTTPStatus()})
 	g.writeRefusal(w, refusal)
 }
 
+// logRejection logs a refusal. Of those of requests without a valid key it logs some a second, since anyone can send them.
+func (g *Gateway) logRejection(id string, refusal refuser.Refusal) {
+	omitted := 0
+	if refusal.Code == refuser.CodeUnauthenticated && g.AllowLine != nil {
+		var ok bool
+		if omitted, ok = g.AllowLine(refusal.Code.String()); !ok {
+			return
+		}
+	}
+	line := g.Logger.Info().Str("Request", id).Str("Action", "Reject").Str("Reason", refusal.Code.String()).Str("Detail", refusal.Detail)
+	if omitted > 0 {
+		line = line.Int("Omitted", omitted)
+	}
+	line.Msg("request")
+}
+
 func (g *Gateway) writeRefusal(w *acceptor.Writer, refusal refuser.Refusal) {
 	body := refusal.Problem()
 	refusal.SetHeader(w.Header())
--- a/internal/edge/gateway/gateway_test.go
+++ b/internal/edge/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -38,10 +39,34 @@
 	lastID   reducer.RequestID
 	decide   func(e conductor.Event) []conductor.Effect
 	outcomes []Outcome
+	// log holds the lines written, lines counts those that were limited.
+	log   logBuffer
+	lines atomic.Int64
 	// configuration is the one in force.
 	configuration atomic.Pointer[matcher.Configuration]
 }
 
+// testMaxLines is how many limited lines a gateway may write in a test.
+const testMaxLines = 5
+
+// A logBuffer keeps what is written to it.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 func testTranslator() Translator {
 	return Translator{
 		ReadHeader: func(r *http.Request) RequestHeader {
@@ -87,9 +112,10 @@
 		t.Fatal(err)
 	}
 	h.configuration.Store(c)
-	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: &h.log}}
 	g := &Gateway{
-		Name: "d", Open: h.open, Close: func(reducer.RequestID) {}, Post: h.post, Configuration: h.configuration.Load,
+		AllowLine: func(string) (omitted int, ok bool) { return 0, h.lines.Add(1) <= testMaxLines },
+		Name:      "d", Open: h.open, Close: func(reducer.RequestID) {}, Post: h.post, Configuration: h.configuration.Load,
 		Random: func() float64 { return 0 }, Count: h.count, Translator: testTranslator(), Client: &streamer.Client{IdentityHeader: "X-Id", NotRun: testTranslator().NotRun, MaxAnswerBytes: testMaxAnswerBytes}, Logger: logger,
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/edge/launcher/daemon.go
+++ b/internal/edge/launcher/daemon.go
@@ -182,6 +182,7 @@
 		Name: d.settings.Conductor.Self.Name,
 		Open: d.driver.Open, Close: d.driver.Close, Post: d.countAndPost, Configuration: d.configuration.Load, Random: rand.Float64,
 		Count: d.metrics.countRequest, Translator: d.platform.Translator, Client: &d.client, Logger: d.logger,
+		AllowLine: func(kind string) (omitted int, ok bool) { return d.sampler.Allow(kind, time.Now()) },
 	}
 }
 
