feat: log lines, metrics and explanations of quotas

A refusal because of a quota says what the request counts, the quota, when it fits and which daemon is the keeper, and samphirewharf explain prints that. Such lines are sampled like routine ones, as refusals beyond a quota have no bound. Counts by workspace are kept for the first 64 that exceed their quota.

--- a/internal/daemon/explainer/explainer.go
+++ b/internal/daemon/explainer/explainer.go
@@ -134,6 +134,9 @@
 // concerns reports whether a view change concerns the request: its servers, its model, the role, the store or the
 // configuration.
 func (e *Explainer) concerns(l line) bool {
+	if l.Subject == "Quota" && slices.ContainsFunc(e.lines, func(r line) bool { return strings.HasPrefix(r.Reason, "Quota") }) {
+		return true
+	}
 	if l.Subject == "Role" || l.Subject == "Store" || l.Subject == "Configuration" {
 		return true
 	}
@@ -164,7 +167,7 @@
 	case "Queue":
 		return fmt.Sprintf("waits: %s; the last message of the leader was %d ms old, %d ms left", reasonTexts[l.Reason], l.BeliefAgeMs, l.LeftMs)
 	case "Refuse":
-		return fmt.Sprintf("refused after %d ms: %s", l.WaitedMs, reasonTexts[l.Reason])
+		return fmt.Sprintf("refused after %d ms: %s%s", l.WaitedMs, reasonTexts[l.Reason], prefixed("; ", l.Detail))
 	case "Rejected":
 		return fmt.Sprintf("%s did not run it (status %d): %s", l.Server, l.Status, reasonTexts[l.Reason])
 	case "Failed":
@@ -192,6 +195,7 @@
 	"Invalid": "the data received was not the server's response to it", "Error": "the server answered with an error",
 	"Origin": "no daemon knows which software version began the stream", "Link": "the daemon reaches no server, and no other daemon that does",
 	"LinkDown": "the daemon reaches no server", "CatchingUp": "the daemon has just started and asks others what crashes servers",
+	"Quota": "it exceeds the quota of its workspace", "QuotaUnknown": "no daemon that keeps the quota of its workspace answers",
 	"Stopping": "the daemon is stopping", "Held": "the error response of the server, which had been buffered",
 }
 
--- a/internal/daemon/explainer/explainer_test.go
+++ b/internal/daemon/explainer/explainer_test.go
@@ -73,6 +73,15 @@
 			t.Errorf("got\n%s\nwant nothing about a server that doesn't concern the request", got)
 		}
 	})
+	t.Run("a request beyond its workspace's quota", func(t *testing.T) {
+		got, err := explain(t, "q1", `{"time":"2026-09-06T10:04:36.701Z","Request":"q1","Action":"Refuse","Reason":"Quota","WaitedMs":4,"Detail":"workspace w, counts 900","message":"request"}
+{"time":"2026-09-06T10:04:36.700Z","Subject":"Quota","Change":"HandedOver","message":"belief"}
+`)
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertText(t, got, "refused after 4 ms: it exceeds the quota of its workspace; workspace w, counts 900", "Quota: HandedOver")
+	})
 	t.Run("an unknown request", func(t *testing.T) {
 		if _, err := explain(t, "f2", daemonA); !errors.Is(err, ErrUnknownRequest) {
 			t.Errorf("got %v, want %v", err, ErrUnknownRequest)
--- a/internal/decision/conductor/effect.go
+++ b/internal/decision/conductor/effect.go
@@ -180,6 +180,8 @@
 	// SoftwareVersion is that of the server, OriginID that of the caller's attempt that began the stream.
 	SoftwareVersion string
 	OriginID        string
+	// Detail says more of the reason.
+	Detail string
 	// Fingerprint and Parts identify what the request has in common with others. They are set where a server may have crashed.
 	Fingerprint uint64
 	Parts       []PromptPart
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -235,6 +235,8 @@
 	// quotaRetryDelay is the retry delay if no keeper of a quota answers, quotaLogInterval the least time between two log lines on that.
 	quotaRetryDelay  = 300 * time.Millisecond
 	quotaLogInterval = 10 * time.Second
+	// maxCountedWorkspaces bounds the workspaces with a count of their own.
+	maxCountedWorkspaces = 64
 	// versionInterval is how often the registered versions are noted.
 	versionInterval = time.Second
 
--- a/internal/decision/conductor/measuring.go
+++ b/internal/decision/conductor/measuring.go
@@ -29,6 +29,8 @@
 	Daemons int
 	// LinkDown reports whether the daemon reaches no server.
 	LinkDown bool
+	// Quotas are the gauges of workspaces' quotas.
+	Quotas QuotaGauges
 }
 
 // ServiceGauges are the gauges of one service. Running requests are this daemon's; slots and tokens are those of all
@@ -58,7 +60,7 @@
 		return
 	}
 	m.updateGaugesAt = m.now + measureInterval
-	e := UpdateGauges{Services: make(map[string]ServiceGauges, len(m.services)), LinkDown: m.link.down, IsLeader: m.isLeader(), MayOrder: m.mayOrder(), Daemons: m.registeredCount()}
+	e := UpdateGauges{Services: make(map[string]ServiceGauges, len(m.services)), LinkDown: m.link.down, IsLeader: m.isLeader(), MayOrder: m.mayOrder(), Daemons: m.registeredCount(), Quotas: m.measureQuotas()}
 	switch {
 	case m.relay.following && m.store.unavailable:
 		e.ViewAge = m.now - m.store.lostAt
--- a/internal/decision/conductor/quota.go
+++ b/internal/decision/conductor/quota.go
@@ -1,6 +1,8 @@
 package conductor
 
 import (
+	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -35,6 +37,47 @@
 	// Denied are the requests beyond their quota, Unanswered those without an answer of a keeper.
 	Denied     int
 	Unanswered int
+	// DeniedBy has the requests beyond their quota by workspace, for the first maxCountedWorkspaces that have any.
+	DeniedBy map[string]int
+}
+
+// QuotaGauges are what a daemon has of quotas now, with the counts since the start.
+type QuotaGauges struct {
+	QuotaCounts
+	// Kept is the number of workspaces whose bucket the daemon holds, Spent that of those which it has had requests of lately.
+	Kept  int
+	Spent int
+	// Suspended reports whether the daemon keeps no buckets, since its registration is in doubt.
+	Suspended bool
+}
+
+// measureQuotas returns the gauges of quotas.
+func (m *Machine) measureQuotas() QuotaGauges {
+	q := &m.quotas
+	g := QuotaGauges{QuotaCounts: q.counts, Kept: q.keeper.Workspaces(), Spent: q.spender.Workspaces(), Suspended: q.suspended}
+	g.DeniedBy = maps.Clone(q.counts.DeniedBy)
+	return g
+}
+
+func (c *QuotaCounts) denied(workspace string) {
+	c.Denied++
+	if _, ok := c.DeniedBy[workspace]; !ok && len(c.DeniedBy) >= maxCountedWorkspaces {
+		return
+	}
+	if c.DeniedBy == nil {
+		c.DeniedBy = make(map[string]int)
+	}
+	c.DeniedBy[workspace]++
+}
+
+// quotaDetail returns what the log says of a refusal because of a quota, empty for other refusals.
+func (m *Machine) quotaDetail(r *request, reason RefusalReason, retryAfter time.Duration) string {
+	if reason != RefusedQuota && reason != RefusedQuotaUnknown {
+		return ""
+	}
+	quota, size := m.quotaFor(r)
+	first, _ := regulator.Keepers(m.quotas.names, r.Workspace)
+	return fmt.Sprintf("workspace %s, counts %.0f of %.0f a second and a burst of %.0f, fits in %d ms, keeper %s", r.Workspace, size, quota.PerSecond, quota.Burst, retryAfter.Milliseconds(), first)
 }
 
 // A tokenState is the state of a request's tokens.
@@ -173,7 +216,7 @@
 		m.tokensGranted(r, size)
 		m.route(r)
 	case regulator.Denied:
-		q.counts.Denied++
+		q.counts.denied(r.Workspace)
 		m.giveUp(r, RefusedQuota, result.RetryAfter)
 	default:
 		q.counts.Unanswered++
--- a/internal/decision/conductor/request.go
+++ b/internal/decision/conductor/request.go
@@ -169,7 +169,7 @@
 // refuse ends a request with a refusal.
 func (m *Machine) refuse(r *request, reason RefusalReason, retryAfter time.Duration) {
 	m.returnTokens(r)
-	m.logDecision(r, LogDecision{Action: "Refuse", Reason: reason.String()})
+	m.logDecision(r, LogDecision{Action: "Refuse", Reason: reason.String(), Detail: m.quotaDetail(r, reason, retryAfter), Routine: reason == RefusedQuota})
 	m.emit(Refuse{Request: r.Request, Reason: reason, MayHaveRun: r.runs > 0 || r.state == stateRunning, RetryAfter: retryAfter})
 	m.answered(r)
 }
--- a/internal/edge/launcher/logging.go
+++ b/internal/edge/launcher/logging.go
@@ -43,6 +43,9 @@
 	if e.Fingerprint != 0 {
 		line = line.Str("Fingerprint", strconv.FormatUint(e.Fingerprint, 16)).Str("Parts", formatParts(e.Parts))
 	}
+	if e.Detail != "" {
+		line = line.Str("Detail", e.Detail)
+	}
 	if omitted > 0 {
 		line = line.Int("Omitted", omitted)
 	}
--- a/internal/edge/launcher/metrics.go
+++ b/internal/edge/launcher/metrics.go
@@ -69,6 +69,13 @@
 		`held_back{kind="Request"}`:    func(e *conductor.UpdateGauges) float64 { return float64(e.Quarantines[attributor.KindRequest]) },
 		`held_back{kind="PromptPart"}`: func(e *conductor.UpdateGauges) float64 { return float64(e.Quarantines[attributor.KindPart]) },
 		"link_down":                    func(e *conductor.UpdateGauges) float64 { return boolToFloat(e.LinkDown) },
+		"quota_kept":                   func(e *conductor.UpdateGauges) float64 { return float64(e.Quotas.Kept) },
+		"quota_spent":                  func(e *conductor.UpdateGauges) float64 { return float64(e.Quotas.Spent) },
+		"quota_suspended":              func(e *conductor.UpdateGauges) float64 { return boolToFloat(e.Quotas.Suspended) },
+		"quota_asked":                  func(e *conductor.UpdateGauges) float64 { return float64(e.Quotas.Asked) },
+		"quota_answered":               func(e *conductor.UpdateGauges) float64 { return float64(e.Quotas.Answered) },
+		"quota_denied":                 func(e *conductor.UpdateGauges) float64 { return float64(e.Quotas.Denied) },
+		"quota_unanswered":             func(e *conductor.UpdateGauges) float64 { return float64(e.Quotas.Unanswered) },
 		"daemons":                      func(e *conductor.UpdateGauges) float64 { return float64(e.Daemons) },
 	} {
 		m.set.NewGauge("samphirewharf_edge_"+name, func() float64 {
@@ -92,6 +99,15 @@
 	m.gauges.Store(gauges)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	for workspace := range gauges.Quotas.DeniedBy {
+		// The conductor bounds their number.
+		m.set.GetOrCreateGauge("samphirewharf_edge_quota_denied_by{workspace="+strconv.Quote(workspace)+"}", func() float64 {
+			if e := m.gauges.Load(); e != nil {
+				return float64(e.Quotas.DeniedBy[workspace])
+			}
+			return 0
+		})
+	}
 	for service := range gauges.Services {
 		if m.services[service] || len(m.services) >= maxServices {
 			continue
