--- a/internal/decision/conductor/quota_test.go
+++ b/internal/decision/conductor/quota_test.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -177,21 +178,32 @@
 	}
 }
 
+var largeQuotas = flag.Bool("quota.large", false, "play all failures of TestQuotaFailures at 420 daemons too")
+
+// failureSizes returns the numbers of daemons at which a failure is played. All failures at 420 daemons together take more than a minute.
+func failureSizes(failure string) []int {
+	if *largeQuotas || failure == "keeper killed" || failure == "all killed" {
+		return []int{3, 81, 420}
+	}
+	return []int{3, 81}
+}
+
 // TestQuotaFailures guards against a quota that is granted twice, or no longer, when something fails.
 func TestQuotaFailures(t *testing.T) {
-	const daemons = 12
 	play := func(name string, least float64, fail func(p *quotaPlay)) {
-		t.Run(name, func(t *testing.T) {
-			p := newQuotaPlay(t, daemons, 90_000)
-			p.load(3*time.Second, 2, p.anyDaemon)
-			fail(p)
-			p.load(12*time.Second, 2, p.anyDaemon)
-			p.countFromNow()
-			p.load(8*time.Second, 2, p.anyDaemon)
-			p.run(time.Second)
-			p.assertBound()
-			p.assertShare(least)
-		})
+		for _, daemons := range failureSizes(name) {
+			t.Run(fmt.Sprintf("%s, %d daemons", name, daemons), func(t *testing.T) {
+				p := newQuotaPlay(t, daemons, 90_000)
+				p.load(3*time.Second, 2, p.anyDaemon)
+				fail(p)
+				p.load(10*time.Second, 2, p.anyDaemon)
+				p.countFromNow()
+				p.load(6*time.Second, 2, p.anyDaemon)
+				p.run(time.Second)
+				p.assertBound()
+				p.assertShare(least)
+			})
+		}
 	}
 	play("keeper killed", 0.9, func(p *quotaPlay) {
 		k := p.keeper()
