--- a/internal/decision/conductor/quota.go
+++ b/internal/decision/conductor/quota.go
@@ -166,6 +166,10 @@
 // tickQuotas does what is due for quotas and carries out what follows from it.
 func (m *Machine) tickQuotas() {
 	q := &m.quotas
+	if !m.metersRequests() && q.keeper.Workspaces() == 0 && q.spender.Workspaces() == 0 {
+		// If another daemon asks later, the keeper begins anew after this interval.
+		return
+	}
 	q.keeper.Advance(m.now)
 	q.spender.Pause = regulator.PauseFor(m.registeredCount())
 	m.updateStanding()
