--- a/internal/decision/regulator/network_test.go
+++ b/internal/decision/regulator/network_test.go
@@ -18,6 +18,8 @@
 	settings Settings
 	nodes    []*node
 	quotas   map[string]Quota
+	// sizeFactors multiply what the requests of a workspace count, where they are set.
+	sizeFactors map[string]float64
 	// ideals hold the ideal buckets, offered what they admitted, spends what the daemons did.
 	ideals   map[string]*ideal
 	admitted map[string]float64
@@ -375,6 +377,9 @@
 			return
 		}
 		size := 300 + 1200*n.rng.Float64()
+		if factor, ok := n.sizeFactors[workspace]; ok {
+			size *= factor
+		}
 		n.after(at, func() { n.request(pick(n.now), workspace, size) })
 	}
 }
