--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -223,6 +223,8 @@
 	quotaLogInterval = 10 * time.Second
 	// loadPollInterval is how often a resumption checks whether the records of services with several versions have been read.
 	loadPollInterval = 150 * time.Millisecond
+	// maxCountedWorkspaces bounds the workspaces with a count of their own.
+	maxCountedWorkspaces = 64
 	// versionInterval is how often the registered versions are noted.
 	versionInterval = time.Second
 
