--- a/internal/edge/launcher/outage_store_test.go
+++ b/internal/edge/launcher/outage_store_test.go
@@ -117,10 +117,6 @@
 	observe func(call string, err error)
 }
 
-func (v storeView) calls() Store {
-	return Store{Delete: v.delete, Grant: v.grant, KeepAlive: v.keepAlive, List: v.list, Put: v.put, Revoke: v.revoke, CompareAndSwap: v.compareAndSwap, Watch: v.watch}
-}
-
 // call waits as a call does and has it carried out if the store answers the daemon.
 func (v storeView) call(ctx context.Context, name string, timeout time.Duration, do func()) error {
 	err := v.try(ctx, timeout, do)
--- a/internal/edge/launcher/outage_test.go
+++ b/internal/edge/launcher/outage_test.go
@@ -67,7 +67,7 @@
 
 func outageRecord(i int) conductor.Daemon {
 	name := fmt.Sprintf("d%03d", i)
-	return conductor.Daemon{Name: name, Zone: fmt.Sprintf("z%d", i%4), CPUMillicores: 200 + i*7%5*100, CallerAddress: name + ":1", PeerAddress: name + ":2"}
+	return conductor.Daemon{Name: name, Zone: fmt.Sprintf("z%d", i%4), CPUMillicores: 200 + i*7%5*100, CallerAddress: name + ":1", PeerAddress: name + ":2", FleetChanges: true}
 }
 
 func newOutageFleet(t *testing.T, o outage) *outageFleet {
