--- a/internal/edge/launcher/outage_store_test.go
+++ b/internal/edge/launcher/outage_store_test.go
@@ -59,10 +59,11 @@
 	}
 }
 
-// setUnserved sets which daemons get no answers.
-func (s *outageStore) setUnserved(names []string) {
+// setUnserved sets which daemons get no answers, and whether they wait for them.
+func (s *outageStore) setUnserved(names []string, silent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.silent = silent
 	clear(s.unserved)
 	for _, name := range names {
 		s.unserved[name] = true
--- a/internal/edge/launcher/outage_test.go
+++ b/internal/edge/launcher/outage_test.go
@@ -57,8 +57,11 @@
 	begun     time.Time
 	leaseTTL  time.Duration
 
-	mu  sync.Mutex
-	rng *rand.Rand
+	// choices are the random choices of the test, delays those of messages.
+	choices *rand.Rand
+
+	mu     sync.Mutex
+	delays *rand.Rand
 	// subscriptions counts those that each daemon has sent in each second.
 	subscriptions map[string]map[int]int
 	// snapshots counts the whole views that daemons have sent.
@@ -73,7 +76,7 @@
 func newOutageFleet(t *testing.T, o outage) *outageFleet {
 	t.Helper()
 	f := &outageFleet{
-		store: newOutageStore(), byAddress: make(map[string]*Daemon), begun: time.Now(), rng: rand.New(rand.NewPCG(o.seed, 7)),
+		store: newOutageStore(), byAddress: make(map[string]*Daemon), begun: time.Now(), choices: rand.New(rand.NewPCG(o.seed, 7)), delays: rand.New(rand.NewPCG(o.seed, 8)),
 		leaseTTL: outageLeaseTTL, subscriptions: make(map[string]map[int]int),
 	}
 	if o.longLeases {
@@ -169,7 +172,7 @@
 	if m.Feed != nil && m.Feed.Whole {
 		f.snapshots++
 	}
-	delay := 2*time.Millisecond + time.Duration(f.rng.Int64N(int64(3*time.Millisecond)))
+	delay := 2*time.Millisecond + time.Duration(f.delays.Int64N(int64(3*time.Millisecond)))
 	f.mu.Unlock()
 	time.AfterFunc(delay, func() {
 		if d, ok := f.byAddress[address]; ok && d.ctx.Err() == nil {
@@ -188,7 +191,7 @@
 		return conductor.Followers(records)
 	}
 	var names []string
-	for _, i := range f.rng.Perm(len(records))[:int(o.share*float64(len(records)))] {
+	for _, i := range f.choices.Perm(len(records))[:int(o.share*float64(len(records)))] {
 		names = append(names, records[i].Name)
 	}
 	return names
@@ -257,9 +260,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go f.run(ctx)
 	meter := &delayMeter{fleet: f, reached: make([]int64, len(f.daemons)), limit: o.limit}
-	time.Sleep(outageSettleTime + time.Duration(f.rng.Int64N(int64(time.Second))))
-	f.store.silent = o.silent
-	f.store.setUnserved(f.unserved(o))
+	time.Sleep(outageSettleTime + time.Duration(f.choices.Int64N(int64(time.Second))))
+	f.store.setUnserved(f.unserved(o), o.silent)
 	from := time.Now()
 	meter.outageEnd = from.Add(outageTime)
 	meter.anyAnswer = o.share < 1
@@ -271,7 +273,7 @@
 		}
 		if !ended && time.Since(from) >= outageTime {
 			ended = true
-			f.store.setUnserved(nil)
+			f.store.setUnserved(nil, false)
 		}
 		meter.observe()
 	}
@@ -293,7 +295,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newOutageFleet(t, o)
 		meter := f.play(o)
+		f.mu.Lock()
 		t.Logf("longest delay %v at %s, %d snapshots", meter.worst, meter.worstAt, f.snapshots)
+		f.mu.Unlock()
 		if meter.worst > o.limit {
 			t.Errorf("got %d versions later than %v, the latest after %v at %s, want none", meter.late, o.limit, meter.worst, meter.worstAt)
 		}
@@ -307,6 +311,8 @@
 func (f *outageFleet) assertFewSubscriptions(t *testing.T, from int) {
 	t.Helper()
 	const firstMoves = 3
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	most := int(outageTime/time.Second) + firstMoves
 	for name, perSecond := range f.subscriptions {
 		sum := 0
