fix: origins are written at once if the last write is long enough ago

Up to 10 daemons write for themselves, as 12 and the leases of their records took 73 calls in a second, above 64; the writers' records don't begin in the same second any more.

--- a/internal/decision/conductor/message_size_test.go
+++ b/internal/decision/conductor/message_size_test.go
@@ -93,8 +93,8 @@
 	if got, want := slices.Max(slices.Collect(maps.Values(holders))), 24; got > want {
 		t.Errorf("got a daemon that holds the origins of %d others, want at most %d", got, want)
 	}
-	// 64 write calls a second within half a second of each stream leave room for 10 writers, each of which has 42 daemons on average.
-	if got, want := slices.Max(slices.Collect(maps.Values(reporters))), 2*42; got > want {
+	// 64 write calls a second within half a second of each stream leave room for 12 writers, each of which has 35 daemons.
+	if got, want := slices.Max(slices.Collect(maps.Values(reporters))), 36; got > want {
 		t.Errorf("got a daemon that writes the origins of %d, want at most %d", got, want)
 	}
 }
--- a/internal/decision/conductor/virtual_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -53,6 +53,8 @@
 	machine   *Machine
 	down      bool
 	startedAt time.Duration
+	// wakesAt is when the daemon is ticked next.
+	wakesAt time.Duration
 	// cutOff reports whether the daemon reaches no engine, wasCutOff whether it has lost its links in this play.
 	cutOff    bool
 	wasCutOff bool
@@ -144,7 +146,9 @@
 	restartDelay time.Duration
 	streamTime   time.Duration
 	withoutLead  bool
-	traffic      traffic
+	// exactWakes reports whether daemons are ticked when they ask for it, also if an event has made that earlier.
+	exactWakes bool
+	traffic    traffic
 	// quarantines are the records in the store; storeAway reports whether the store takes none.
 	quarantines map[string]Quarantine
 	storeAway   bool
@@ -273,6 +277,14 @@
 	for _, effect := range slices.Clone(d.machine.Step(f.now, e)) {
 		f.carryOut(d, effect)
 	}
+	if machine, next := d.machine, d.machine.NextWake(); f.exactWakes && (next < d.wakesAt || d.wakesAt <= f.now) {
+		d.wakesAt = max(next, f.now+time.Millisecond)
+		f.after(d.wakesAt-f.now, func() {
+			if d.machine == machine {
+				f.step(d, Ticked{})
+			}
+		})
+	}
 }
 
 func (f *virtualFleet) carryOut(d *virtualDaemon, effect Effect) {
--- a/internal/decision/conductor/virtual_origins_test.go
+++ b/internal/decision/conductor/virtual_origins_test.go
@@ -36,6 +36,14 @@
 	return f.now >= f.storeSilentUntil && !f.storeAway && !f.origins.refused[name]
 }
 
+// failureTime returns how long a call takes that fails. A store that refuses a daemon answers at once.
+func (f *virtualFleet) failureTime(name string) time.Duration {
+	if f.origins.refused[name] {
+		return storeCallTime
+	}
+	return storeCallTimeout
+}
+
 // recordOrigins writes a record, which costs a call, and the lease of a new one another call.
 func (f *virtualFleet) recordOrigins(d *virtualDaemon, e RecordOrigins) {
 	s, self := &f.origins, d.machine.settings.Self
@@ -43,7 +51,7 @@
 		s.records, s.writtenAt = make(map[string]originRecord), make(map[uint64]time.Duration)
 	}
 	if !f.storeAnswers(self.Name) {
-		f.after(storeCallTimeout, func() { f.step(d, OriginsRecorded{Record: e.Record}) })
+		f.after(f.failureTime(self.Name), func() { f.step(d, OriginsRecorded{Record: e.Record}) })
 		return
 	}
 	key := func(number int64) string { return fmt.Sprintf("%s %v %d", self.Name, d.startedAt, number) }
@@ -77,7 +85,7 @@
 
 func (f *virtualFleet) readOrigins(d *virtualDaemon) {
 	if !f.storeAnswers(d.machine.settings.Self.Name) {
-		f.after(storeCallTimeout, func() { f.step(d, OriginsRead{}) })
+		f.after(f.failureTime(d.machine.settings.Self.Name), func() { f.step(d, OriginsRead{}) })
 		return
 	}
 	f.origins.reads = append(f.origins.reads, f.now)
--- a/internal/decision/resumer/resumer.go
+++ b/internal/decision/resumer/resumer.go
@@ -24,15 +24,17 @@
 	maxOrigins = 1 << 16
 	// expiryInterval is how often old origins are dropped.
 	expiryInterval = time.Second
-	// maxSelfWriters is the largest number of daemons that all write their own origins. 16 of them would exceed 64 write calls a
-	// second at the interval that 250 ms from the first event to the store allow.
-	maxSelfWriters = 12
-	// maxMediumFleet is the largest number of daemons with the writers and delays of a medium fleet: above it, writers would get
-	// more than some 200 messages a second.
-	maxMediumFleet = 128
+	// maxSelfWriters is the largest number of daemons that all write their own origins. 12 and their first leases would exceed
+	// 64 write calls a second at the interval that 250 ms from the first event to the store allow.
+	maxSelfWriters = 10
+	// maxMediumFleet is the largest number of daemons in which an origin is in the store within 250 ms; 500 ms are allowed in larger
+	// ones.
+	maxMediumFleet = 32
 	// fewHoldersFleet is the number of daemons from which on one holder less is enough.
 	fewHoldersFleet = 32
-	// unregisteredReportDelay is how long a daemon that isn't registered collects streams.
+	// collectDelay is how long streams are collected at least before they are reported or written.
+	collectDelay = 10 * time.Millisecond
+	// unregisteredReportDelay is the report delay of a daemon that isn't registered.
 	unregisteredReportDelay = 10 * time.Millisecond
 )
 
@@ -65,9 +67,14 @@
 	// reportAt is when the next report is due, 0 for none. expireAt is when old origins are dropped.
 	reportAt time.Duration
 	expireAt time.Duration
-	fleet    fleet
-	writer   writer
-	reader   reader
+	// reportedAt is when the last report was due.
+	reportedAt time.Duration
+	// forOthers are the origins to report to the holders that don't write them, at othersAt or later.
+	forOthers []messenger.StreamOrigin
+	othersAt  time.Duration
+	fleet     fleet
+	writer    writer
+	reader    reader
 }
 
 // A fleet is the daemons that hold and write origins.
@@ -80,7 +87,7 @@
 	changed bool
 }
 
-// SetFleet sets the registered daemons and those of them that hold origins.
+// SetFleet sets the registered daemons, sorted, and those of them that hold origins.
 func (s *Resumer) SetFleet(daemons, registrars []string) {
 	f := fleet{plan: planOf(len(daemons)), registrars: registrars}
 	registered := slices.Contains(daemons, s.Self)
@@ -96,7 +103,9 @@
 			// long as for its own streams.
 			f.plan.reportDelay = unregisteredReportDelay
 		}
-		f.writer = writers[hash%uint64(len(writers))]
+		// All writers have the same number of daemons, and few change theirs if another daemon registers.
+		position, _ := slices.BinarySearch(daemons, s.Self)
+		f.writer = writers[min(position*len(writers)/len(daemons), len(writers)-1)]
 	}
 	if f.writer != "" && f.writer != s.Self {
 		f.holders = append(f.holders, f.writer)
@@ -109,14 +118,16 @@
 	}
 	f.changed = s.fleet.changed || f.writer != s.fleet.writer || !slices.Equal(f.holders, s.fleet.holders)
 	s.fleet = f
+	s.writer.offset = time.Duration(hash % uint64(recordPeriod))
 }
 
 // Holders returns the names of the daemons that hold this one's origins, and of the one that writes them to the store.
 func (s *Resumer) Holders() (holders []string, writer string) { return s.fleet.holders, s.fleet.writer }
 
-// A plan is how origins get to the store in a fleet of a size. Streams are collected for reportDelay before they are reported to the
-// writers, and for writeDelay before they are written. The sum of both is less than the 250 ms in which an origin has to be in the
-// store (500 ms above 32 daemons), and writers / writeDelay less than 60 of the 64 write calls a second for all daemons together.
+// A plan is how origins get to the store in a fleet of a size. Streams are reported to the writers once in reportDelay
+// at most, and written once in writeDelay. The sum of both is less than the 250 ms in which an origin has to be in the
+// store (500 ms above 32 daemons), and the writes and leases of all writers are at most 60 of the 64 write
+// calls in any second for all daemons together.
 type plan struct {
 	writers     int
 	holders     int
@@ -125,12 +136,12 @@
 }
 
 func planOf(size int) plan {
-	p := plan{writers: 6, holders: 3, reportDelay: 100 * time.Millisecond, writeDelay: 110 * time.Millisecond}
+	p := plan{writers: 6, holders: 3, reportDelay: 110 * time.Millisecond, writeDelay: 120 * time.Millisecond}
 	switch {
 	case size <= maxSelfWriters:
-		p.reportDelay, p.writeDelay = 200*time.Millisecond, 225*time.Millisecond
+		p.reportDelay, p.writeDelay = 280*time.Millisecond, 225*time.Millisecond
 	case size > maxMediumFleet:
-		p.writers, p.reportDelay, p.writeDelay = 10, 120*time.Millisecond, 180*time.Millisecond
+		p.writers, p.reportDelay, p.writeDelay = 12, 230*time.Millisecond, 250*time.Millisecond
 	}
 	if size >= fewHoldersFleet {
 		p.holders--
@@ -161,7 +172,7 @@
 	s.forget(stream)
 	reported := !s.unreported[stream]
 	delete(s.unreported, stream)
-	if mixed && reported && len(s.fleet.holders) > 0 {
+	if mixed && reported && len(s.fleet.holders) > 0 && s.fleet.writer != s.Self {
 		if s.completed == nil {
 			s.completed = make(map[uint64]bool)
 		}
@@ -220,8 +231,8 @@
 }
 
 func (s *Resumer) scheduleReport(now time.Duration) {
-	if s.reportAt == 0 {
-		s.reportAt = now + s.fleet.plan.reportDelay
+	if at := max(now+collectDelay, s.reportedAt+s.fleet.plan.reportDelay); s.reportAt == 0 || at < s.reportAt && s.reportAt == s.othersAt {
+		s.reportAt = at
 	}
 }
 
@@ -238,7 +249,8 @@
 		}
 	}
 	if s.reportAt > 0 && now >= s.reportAt {
-		s.report()
+		s.reportedAt = now
+		s.report(now)
 	}
 	if r, ok := s.writer.next(now); ok {
 		s.Record(r)
@@ -260,7 +272,7 @@
 }
 
 // report sends the streams that have begun or were completed since the last report to the holders.
-func (s *Resumer) report() {
+func (s *Resumer) report(now time.Duration) {
 	s.reportAt = 0
 	if len(s.fleet.holders) == 0 {
 		// They are reported when other daemons are known.
@@ -276,18 +288,23 @@
 	}
 	clear(s.unreported)
 	clear(s.completed)
-	if len(o.Origins)+len(o.Completed) == 0 {
-		return
-	}
-	others := s.fleet.holders
-	if s.fleet.writer != "" && s.fleet.writer != s.Self {
-		toWriter := o
-		toWriter.Record = true
-		s.Send(others[:1], toWriter)
-		others = others[1:]
+	others, interval := s.fleet.holders, s.fleet.plan.reportDelay
+	if s.fleet.writer != s.Self {
+		if len(o.Origins)+len(o.Completed) > 0 {
+			s.Send(others[:1], messenger.Origins{Origins: o.Origins, Completed: o.Completed, Record: true})
+		}
+		others, interval = others[1:], 3*interval
 	}
-	if len(others) > 0 {
-		s.Send(others, o)
+	s.forOthers = append(s.forOthers, o.Origins...)
+	switch {
+	case len(s.forOthers) == 0:
+	case now < s.othersAt:
+		s.reportAt = s.othersAt
+	default:
+		if len(others) > 0 {
+			s.Send(others, messenger.Origins{Origins: s.forOthers})
+		}
+		s.forOthers, s.othersAt = nil, now+interval
 	}
 }
 
--- a/internal/decision/resumer/writer.go
+++ b/internal/decision/resumer/writer.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"samphirewharf/internal/peer/messenger"
 )
 
@@ -47,6 +49,8 @@
 	streams  map[uint64]origin
 	// full reports whether the open record has no room for a further stream.
 	full bool
+	// offset is by how much the first record is shorter than recordPeriod.
+	offset time.Duration
 	// pending holds the streams that are added with the next write.
 	pending map[uint64]origin
 	// lastBegin is when the last stream began that the open record has.
@@ -55,9 +59,15 @@
 	at      time.Duration
 	delay   time.Duration
 	writing bool
+	// wroteAt is when the last write began.
+	wroteAt time.Duration
+	// unwritten holds the streams that were added since the last write that succeeded, true for those that other daemons were asked
+	// to write.
+	unwritten map[uint64]bool
+	failures  int
 }
 
-// add has a stream written after a delay at the latest.
+// add has a stream written. Two writes begin a delay apart at least.
 func (w *writer) add(now time.Duration, stream uint64, version string, delay time.Duration) {
 	if known, ok := w.streams[stream]; ok && known.version == version && now < known.at+OriginTTL/2 {
 		return
@@ -71,7 +81,7 @@
 	w.pending[stream] = origin{version: version, at: now}
 	w.delay = delay
 	if w.at == 0 {
-		w.at = now + delay
+		w.at = max(now+collectDelay, w.wroteAt+delay)
 	}
 }
 
@@ -93,7 +103,7 @@
 	if w.writing || w.at == 0 || now < w.at {
 		return Record{}, false
 	}
-	w.at = 0
+	w.at, w.wroteAt = 0, now
 	w.expire(now)
 	if len(w.pending) == 0 {
 		return Record{}, false
@@ -122,7 +132,10 @@
 	if w.streams == nil || w.size(make(map[string]bool)) > recordBytes/2 {
 		w.streams, w.replaces, w.lastBegin = make(map[uint64]origin), w.number, 0
 	}
-	w.openedAt, w.full = now, false
+	if w.openedAt, w.full = now, false; w.number == 1 {
+		// The writers' later records don't begin in the same second.
+		w.openedAt -= w.offset
+	}
 }
 
 // fill adds the pending streams for which the open record has room. The others are written to the next record.
@@ -144,6 +157,12 @@
 		w.streams[stream] = o
 		w.lastBegin = max(w.lastBegin, o.at)
 		delete(w.pending, stream)
+		if w.unwritten == nil {
+			w.unwritten = make(map[uint64]bool)
+		}
+		if _, ok := w.unwritten[stream]; !ok {
+			w.unwritten[stream] = false
+		}
 	}
 }
 
@@ -163,12 +182,12 @@
 func (s *Resumer) Recorded(now time.Duration, number int64, ok bool) {
 	w := &s.writer
 	w.writing = false
-	if ok || number != w.number {
-		if ok && number == w.number {
-			w.replaces = number
-		}
+	if ok {
+		w.replaces, w.failures = number, 0
+		clear(w.unwritten)
 		return
 	}
+	s.handOver()
 	if w.pending == nil {
 		w.pending = make(map[uint64]origin)
 	}
@@ -177,3 +196,20 @@
 	}
 	w.at = now + max(w.delay, writeRetryDelay)
 }
+
+// handOver asks another daemon to write what this one couldn't, once for each stream, as the store may refuse only some daemons.
+func (s *Resumer) handOver() {
+	w := &s.writer
+	o := messenger.Origins{Record: true}
+	for _, stream := range slices.Sorted(maps.Keys(w.unwritten)) {
+		if known, ok := w.streams[stream]; ok && !w.unwritten[stream] {
+			w.unwritten[stream] = true
+			o.Origins = append(o.Origins, messenger.StreamOrigin{Stream: stream, SoftwareVersion: known.version})
+		}
+	}
+	others := slices.DeleteFunc(slices.Clone(s.fleet.registrars), func(name string) bool { return name == s.Self })
+	if w.failures++; len(o.Origins) > 0 && len(others) > 0 {
+		i := (int(xxhash.Sum64String(s.Self)%uint64(len(others))) + w.failures) % len(others)
+		s.Send(others[i:i+1], o)
+	}
+}
