--- a/internal/decision/conductor/versions.go
+++ b/internal/decision/conductor/versions.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// serviceMixed handles that a service has several versions now. Its streams that wait for a server may need their origins.
+// serviceMixed logs that a service has several versions now, and shares the origins of its streams.
 func (m *Machine) serviceMixed(service string, change LogStateChange) {
 	change.Subject, change.Change = "Service "+service, "VersionsMixed"
 	m.emit(change)
