feat: the choice of a server is a package of its own

The scoring of servers moves from conductor/routing.go and limits.go to internal/decision/selector, which takes plain values. Forecasts of pauses will be added there, and the conductor must not grow. Order and number of random draws stay, so every choice is as before.

--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -54,22 +54,9 @@
 	maxConnectFailures = 6
 	// answerWeight is the weight of the latest answer in the moving averages of a server's error share and latency.
 	answerWeight = 0.1
-	// crossZoneCost is the cost of a server in another zone than the daemon's, in units of a server's full load.
-	crossZoneCost = 0.15
 	// otherRequestsWeight is the weight of the latest count in the moving average of other daemons' requests at a
 	// server.
 	otherRequestsWeight = 0.15
-	// maxScoreJitter is the range of the random part of a server's score where fullJitterDaemons or more choose by
-	// outdated counts of each other's requests, so that they don't all choose the same server. With fewer daemons it
-	// is proportionally smaller.
-	maxScoreJitter    = 0.6
-	fullJitterDaemons = 30.0
-	// cachedPromptBonus is the score bonus of a server that has the whole prompt in its cache.
-	cachedPromptBonus = 0.3
-	// latencyCost weighs how much slower a server answers than the fastest one, relative to that one's latency and up
-	// to maxRelativeLatency.
-	latencyCost        = 0.3
-	maxRelativeLatency = 2.0
 	// maxCachedParts bounds the prompt parts that are remembered for each server.
 	maxCachedParts = 2048
 
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphirewharf/internal/decision/allotter"
+	"samphirewharf/internal/decision/selector"
 	"samphirewharf/internal/fleet/matcher"
 )
 
@@ -163,64 +164,50 @@
 		}
 	}
 	if len(candidates) == 0 {
-		candidates = m.leastAvoided(avoided)
+		candidates = leastAvoided(avoided)
 	}
 	return m.best(r, candidates), reason
 }
 
-// leastAvoided returns the server whose backoff ends first, since a possibly failing server is better than none.
-func (m *Machine) leastAvoided(avoided []*server) []*server {
-	if len(avoided) == 0 {
-		return nil
+// leastAvoided returns the server whose backoff ends first.
+func leastAvoided(avoided []*server) []*server {
+	until := make([]time.Duration, 0, len(avoided))
+	for _, s := range avoided {
+		until = append(until, s.avoidUntil)
 	}
-	return []*server{slices.MinFunc(avoided, func(a, b *server) int { return int(a.avoidUntil - b.avoidUntil) })}
-}
-
-// best returns the server with the lowest score, after a random part is added to each score.
-func (m *Machine) best(r *request, candidates []*server) choice {
-	var c choice
-	fastest := fastestOf(candidates)
-	jitter := maxScoreJitter * min(1, float64(m.daemonCount())/fullJitterDaemons)
-	for _, i := range m.rng.Perm(len(candidates)) {
-		s := candidates[i]
-		score := m.score(r, s, fastest) + jitter*m.rng.Float64()
-		switch {
-		case c.server == nil || score < c.score:
-			c.other, c.otherScore = c.server, c.score
-			c.server, c.score = s, score
-		case c.other == nil || score < c.otherScore:
-			c.other, c.otherScore = s, score
-		}
+	if i := selector.LeastAvoided(until); i >= 0 {
+		return avoided[i : i+1]
 	}
-	return c
+	return nil
 }
 
-// score returns the cost of sending the request to the server, in units of a server's full load.
-func (m *Machine) score(r *request, s *server, fastest time.Duration) float64 {
-	score := s.load() + s.errorShare
-	if s.entry.Zone != m.settings.Self.Zone {
-		score += crossZoneCost
-	}
-	if r.Route.Sticky {
-		score -= cachedPromptBonus * s.cachedParts.cachedShare(r.Parts)
+// best returns the best of the servers that could run the request.
+func (m *Machine) best(r *request, servers []*server) choice {
+	candidates := make([]selector.Candidate, 0, len(servers))
+	for _, s := range servers {
+		candidates = append(candidates, m.candidate(r, s))
 	}
-	if fastest > 0 && s.latency > fastest {
-		score += latencyCost * min(maxRelativeLatency, float64(s.latency-fastest)/float64(fastest))
+	picked := selector.Choose(candidates, m.daemonCount(), m.rng)
+	c := choice{score: picked.Score, otherScore: picked.OtherScore}
+	if picked.Index >= 0 {
+		c.server = servers[picked.Index]
 	}
-	if slices.Contains(r.tried, s.entry.ID) {
-		score++
+	if picked.Other >= 0 {
+		c.other = servers[picked.Other]
 	}
-	return score
+	return c
 }
 
-func fastestOf(list []*server) time.Duration {
-	var fastest time.Duration
-	for _, s := range list {
-		if s.latency > 0 && (fastest == 0 || s.latency < fastest) {
-			fastest = s.latency
-		}
+// candidate returns what the choice of a server depends on.
+func (m *Machine) candidate(r *request, s *server) selector.Candidate {
+	c := selector.Candidate{
+		Load: s.load(), ErrorShare: s.errorShare, Latency: s.latency,
+		OtherZone: s.entry.Zone != m.settings.Self.Zone, Tried: slices.Contains(r.tried, s.entry.ID),
 	}
-	return fastest
+	if r.Route.Sticky {
+		c.CachedShare = s.cachedParts.cachedShare(r.Parts)
+	}
+	return c
 }
 
 // hasModel reports whether the server is assumed to have the model and adapter loaded.
