--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -187,7 +187,7 @@
 	for _, s := range servers {
 		candidates = append(candidates, m.candidate(r, s))
 	}
-	picked := selector.Choose(candidates, m.daemonCount(), m.rng)
+	picked := selector.Choose(candidates, selector.Criteria{Daemons: m.daemonCount()}, m.rng)
 	c := choice{score: picked.Score, otherScore: picked.OtherScore}
 	if picked.Index >= 0 {
 		c.server = servers[picked.Index]
--- a/internal/decision/selector/selector.go
+++ b/internal/decision/selector/selector.go
@@ -24,6 +24,17 @@
 	// to maxRelativeLatency.
 	latencyCost        = 0.3
 	maxRelativeLatency = 2.0
+	// longReadShare is the share of the gap objective from which on the reading of a prompt counts as long.
+	longReadShare = 0.25
+	// recentBonus is the bonus of a server to which a connection is probably open.
+	recentBonus = 0.05
+	// pauseCost and firstCost weigh the expected pause and first event, relative to their objectives and up to maxExpected. The costs of
+	// longer answers, which have more pauses, count more, by minLength to maxLength.
+	pauseCost   = 1.0
+	firstCost   = 1.0
+	maxExpected = 3.0
+	minLength   = 0.5
+	maxLength   = 2.0
 	// triedCost is the cost of a server that the request was sent to before.
 	triedCost = 1
 )
@@ -41,6 +52,32 @@
 	CachedShare float64
 	// Tried reports whether the request was sent to the server before.
 	Tried bool
+	// Recent reports whether this daemon has sent the server a request lately, so that a connection is probably open.
+	Recent bool
+	// Forecast is what is expected of the server, zero if nothing is known.
+	Forecast Forecast
+}
+
+// A Forecast is what is expected of a server if it gets the request.
+type Forecast struct {
+	// Pause is the longest pause of streams, First the time to the first event.
+	Pause time.Duration
+	First time.Duration
+	// Read is the time in which the prompt is read, which delays running streams. ReadsLong reports whether this daemon has just sent
+	// another long prompt.
+	Read      time.Duration
+	ReadsLong bool
+}
+
+// Criteria are what a choice depends on besides the candidates.
+type Criteria struct {
+	// Daemons is the number of daemons that choose among the same servers.
+	Daemons int
+	// EventGap and First are the objectives for pauses and the first event. Forecasts count only if EventGap is above 0.
+	EventGap time.Duration
+	First    time.Duration
+	// Length is the length of the answer relative to the mean.
+	Length float64
 }
 
 // A Choice is the chosen candidate and the best alternative. The indexes are negative for none.
@@ -49,14 +86,22 @@
 	Score, OtherScore float64
 }
 
-// Choose returns the candidate with the lowest score after a random part is added to each score. Daemons is the number of daemons
-// that choose among the same servers.
-func Choose(candidates []Candidate, daemons int, rng *rand.Rand) Choice {
+// Choose returns the candidate with the lowest score after a random part is added to each score.
+func Choose(candidates []Candidate, criteria Criteria, rng *rand.Rand) Choice {
 	c := Choice{Index: -1, Other: -1}
 	fastest := fastestOf(candidates)
-	jitter := maxJitter * min(1, float64(daemons)/fullJitterDaemons)
+	jitter := maxJitter * min(1, float64(criteria.Daemons)/fullJitterDaemons)
+	mayChoose := allowed(candidates, criteria)
 	for _, i := range rng.Perm(len(candidates)) {
-		score := candidates[i].score(fastest) + jitter*rng.Float64()
+		if !mayChoose[i] {
+			continue
+		}
+		score := jitter * rng.Float64()
+		if criteria.EventGap > 0 && candidates[i].Forecast.Pause > 0 {
+			score += candidates[i].forecastScore(criteria)
+		} else {
+			score += candidates[i].score(fastest)
+		}
 		switch {
 		case c.Index < 0 || score < c.Score:
 			c.Other, c.OtherScore = c.Index, c.Score
@@ -70,19 +115,78 @@
 
 // score returns the cost of sending the request to the server. Fastest is the lowest latency of all candidates.
 func (c *Candidate) score(fastest time.Duration) float64 {
-	score := c.Load + c.ErrorShare - cachedPromptBonus*c.CachedShare
-	if c.OtherZone {
-		score += crossZoneCost
-	}
+	score := c.placeScore() + c.Load
 	if fastest > 0 && c.Latency > fastest {
 		score += latencyCost * min(maxRelativeLatency, float64(c.Latency-fastest)/float64(fastest))
 	}
+	return score
+}
+
+// placeScore returns the part of the score that doesn't depend on load and speed.
+func (c *Candidate) placeScore() float64 {
+	score := c.ErrorShare - cachedPromptBonus*c.CachedShare
+	if c.OtherZone {
+		score += crossZoneCost
+	}
 	if c.Tried {
 		score += triedCost
 	}
 	return score
 }
 
+// forecastScore returns the cost by what is expected of the server. Within the objectives a server's load counts as well, so that
+// equally fast servers get equal numbers of requests.
+func (c *Candidate) forecastScore(criteria Criteria) float64 {
+	length := max(minLength, min(maxLength, criteria.Length))
+	score := c.placeScore() + c.Load + pauseCost*length*relative(c.Forecast.Pause, criteria.EventGap)
+	if criteria.First > 0 {
+		score += firstCost * relative(c.Forecast.First, criteria.First)
+	}
+	if c.Recent {
+		score -= recentBonus
+	}
+	return score
+}
+
+func relative(expected, objective time.Duration) float64 {
+	return min(maxExpected, float64(expected)/float64(objective))
+}
+
+// allowed reports which candidates may get the request: those that are expected to stay within the gap objective, if there are any, and
+// among these not those that have just got another long prompt.
+func allowed(candidates []Candidate, criteria Criteria) []bool {
+	all := make([]bool, len(candidates))
+	for i := range all {
+		all[i] = true
+	}
+	if criteria.EventGap <= 0 {
+		return all
+	}
+	narrow(all, func(i int) bool { return !candidates[i].Tried })
+	narrow(all, func(i int) bool { return candidates[i].Forecast.Pause <= criteria.EventGap })
+	narrow(all, func(i int) bool {
+		f := candidates[i].Forecast
+		return !f.ReadsLong || float64(f.Read) < longReadShare*float64(criteria.EventGap)
+	})
+	return all
+}
+
+// narrow removes the candidates that don't meet a condition unless none would be left.
+func narrow(all []bool, meets func(i int) bool) {
+	left := 0
+	for i, in := range all {
+		if in && meets(i) {
+			left++
+		}
+	}
+	if left == 0 {
+		return
+	}
+	for i, in := range all {
+		all[i] = in && meets(i)
+	}
+}
+
 func fastestOf(candidates []Candidate) time.Duration {
 	var fastest time.Duration
 	for i := range candidates {
