feat: streams go where pauses are expected to be short

The conductor asks the calibrator where a route has a gap objective and the service has engines. The gateway reports the times between events when an attempt ends, and at most once a second while it runs. The line of a Send decision has the expected pause and first event, and so has a histogram. All other requests are assigned as before.

--- a/internal/decision/conductor/advice.go
+++ b/internal/decision/conductor/advice.go
@@ -77,6 +77,11 @@
 	}
 }
 
+// sentSince reports whether this daemon has sent the server a request after the given time.
+func (s *server) sentSince(at time.Duration) bool {
+	return len(s.recentSends) > 0 && s.recentSends[len(s.recentSends)-1] > at
+}
+
 // tickRateShares sets this daemon's shares, which change when daemons register or have been away for some time.
 func (m *Machine) tickRateShares() {
 	if m.now < m.rateSharesAt {
--- a/internal/decision/conductor/attempt.go
+++ b/internal/decision/conductor/attempt.go
@@ -13,6 +13,7 @@
 		return
 	}
 	r.answerStarted = true
+	m.recordFirst(r)
 	if r.server != nil {
 		r.server.answeredSentAt = max(r.server.answeredSentAt, r.sentAt)
 		m.serverAlive(r.server, m.now)
@@ -47,6 +48,7 @@
 		return
 	}
 	s := r.server
+	m.recordPace(r, e.Pace)
 	m.recordOutcome(r, s, e)
 	m.detachServer(r)
 	if r.state == stateAnswered {
--- a/internal/decision/conductor/effect.go
+++ b/internal/decision/conductor/effect.go
@@ -35,6 +35,8 @@
 	NewConnection bool
 	// ReportAdvice asks for a ServerAdvised event even if the server asks for nothing.
 	ReportAdvice bool
+	// ReportPace asks for AttemptProgressed events.
+	ReportPace bool
 	// BufferErrors asks the executor to buffer an answer that reports a server error, in case another server does
 	// better.
 	BufferErrors bool
@@ -167,6 +169,9 @@
 	Score      float64
 	Other      string
 	OtherScore float64
+	// ExpectedPause and ExpectedFirst are the expected longest pause and time to the first event, zero if unknown.
+	ExpectedPause time.Duration
+	ExpectedFirst time.Duration
 	// Age is the age of the state that the decision is based on.
 	Age time.Duration
 	// Waited is the time since the request arrived, Remaining the time until its deadline.
--- a/internal/decision/conductor/event.go
+++ b/internal/decision/conductor/event.go
@@ -11,6 +11,7 @@
 import (
 	"time"
 
+	"samphirewharf/internal/decision/calibrator"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/fleet/matcher"
 	"samphirewharf/internal/fleet/registrar"
@@ -116,6 +117,8 @@
 	Status int
 	// Events is the number of events that the caller has received over all attempts.
 	Events int
+	// Pace is that of the stream since the last AttemptProgressed event.
+	Pace calibrator.Window
 	// Latency is the time to the answer, or to the first event of a stream; zero if there was neither.
 	Latency time.Duration
 	// RetryAfter is the delay that a refusing server asked for.
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"samphirewharf/internal/decision/allotter"
+	"samphirewharf/internal/decision/calibrator"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/decision/waker"
 	"samphirewharf/internal/fleet/matcher"
@@ -65,6 +66,8 @@
 	// serversByService holds the servers by service; nil after the set of servers has changed.
 	serversByService map[string][]*server
 	services         map[string]*serviceState
+	// speeds holds what is known of the speeds of engines, by service.
+	speeds map[string]*calibrator.Service
 	// serversLoaded reports whether all entries have been listed once, serversRevision is the latest revision as of which they were.
 	serversLoaded   bool
 	serversRevision int64
@@ -135,6 +138,7 @@
 		requests:        make(map[reducer.RequestID]*request),
 		servers:         make(map[string]*server),
 		services:        make(map[string]*serviceState),
+		speeds:          make(map[string]*calibrator.Service),
 		daemons:         make(map[string]Daemon),
 		fleet:           newFleetState(),
 		demand:          newDemandState(),
@@ -177,6 +181,8 @@
 		m.attemptStarted(e)
 	case AttemptSilent:
 		m.attemptSilent(e)
+	case AttemptProgressed:
+		m.attemptProgressed(e)
 	case AttemptEnded:
 		m.attemptEnded(e)
 	case ServerAdvised:
--- a/internal/decision/conductor/request.go
+++ b/internal/decision/conductor/request.go
@@ -38,7 +38,9 @@
 
 	attempt int
 	server  *server
-	sentAt  time.Duration
+	// unread is the number of tokens of the prompt that the server had not cached.
+	unread int
+	sentAt time.Duration
 	// sends counts the sends that may have reached a server, runs those that a server may have run.
 	sends int
 	runs  int
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -187,7 +187,7 @@
 	for _, s := range servers {
 		candidates = append(candidates, m.candidate(r, s))
 	}
-	picked := selector.Choose(candidates, selector.Criteria{Daemons: m.daemonCount()}, m.rng)
+	picked := selector.Choose(candidates, m.criteria(r), m.rng)
 	c := choice{score: picked.Score, otherScore: picked.OtherScore}
 	if picked.Index >= 0 {
 		c.server = servers[picked.Index]
@@ -207,6 +207,9 @@
 	if r.Route.Sticky {
 		c.CachedShare = s.cachedParts.cachedShare(r.Parts)
 	}
+	if m.forecasts(r) {
+		c.Forecast, c.Recent = m.forecast(r, s), s.sentSince(m.now-recentSendTime)
+	}
 	return c
 }
 
@@ -237,11 +240,12 @@
 	if !slices.Contains(r.tried, s.entry.ID) {
 		r.tried = append(r.tried, s.entry.ID)
 	}
+	expected := m.recordSend(r, s)
 	s.requests[r.Request] = r
 	m.countSend(s)
 	s.cachedParts.add(r.Parts)
 	m.setTimer(r, r.deadline)
-	d := LogDecision{Action: "Send", Score: c.score, Age: m.now - s.seenAt, Routine: r.attempt == 1}
+	d := LogDecision{Action: "Send", Score: c.score, Age: m.now - s.seenAt, Routine: r.attempt == 1, ExpectedPause: expected.Pause, ExpectedFirst: expected.First}
 	if c.other != nil {
 		d.Other, d.OtherScore = c.other.entry.ID, c.otherScore
 	}
@@ -256,6 +260,7 @@
 	if r.needsModel() {
 		e.Priority = priority(r.Route)
 	}
+	e.ReportPace = m.forecasts(r)
 	if r.Route.Repeatable() {
 		e.FirstTimeout = m.firstTimeout(r)
 	}
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -61,6 +61,7 @@
 	// ended holds the attempts that the server hasn't outlived yet, as far as is known.
 	ended       []endedAttempt
 	cachedParts partsCache
+	speed       serverSpeed
 }
 
 // An attemptEnd is how and when an attempt ended, zero for none.
@@ -205,6 +206,7 @@
 	}
 	if e.Service != s.entry.Service {
 		m.serverSetChanged()
+		m.forgetSpeed(s)
 	}
 	s.entry = e
 	s.unconfirmedUntil = 0
@@ -260,7 +262,10 @@
 }
 
 // serverEnded handles the end of an incarnation. Requests whose connections broke shortly before may have crashed it.
-func (m *Machine) serverEnded(s *server) { m.serverCrashed(s) }
+func (m *Machine) serverEnded(s *server) {
+	m.serverCrashed(s)
+	m.forgetSpeed(s)
+}
 
 func (m *Machine) storeReached() {
 	if !m.store.unavailable {
--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -46,6 +46,8 @@
 	buffered bool
 	// ended receives the attempt's end. Its buffer of one keeps the attempt's goroutine from blocking.
 	ended chan conductor.AttemptEnded
+	// pace is that of the stream since it was last reported.
+	pace pace
 	// server and startedAt identify the server that has answered, which another daemon may have chosen.
 	server    string
 	startedAt int64
@@ -289,7 +291,9 @@
 }
 
 func (a *attempt) writeEvent(event streamer.Event, flush bool) error {
-	a.exchange.recordPause(time.Now())
+	now := time.Now()
+	a.exchange.recordPause(now)
+	a.recordPace(now)
 	w := a.exchange.writer
 	_, err := w.Write(event.Raw)
 	if err == nil && flush {
@@ -332,7 +336,7 @@
 func (a *attempt) newAttemptEnded(err error) conductor.AttemptEnded {
 	ended := conductor.AttemptEnded{
 		Request: a.exchange.id, Attempt: a.send.Attempt, Status: a.status, Latency: a.latency, Buffered: a.buffered,
-		Events: a.exchange.progress.count,
+		Events: a.exchange.progress.count, Pace: a.pace.window,
 	}
 	if err == nil {
 		return ended
--- a/internal/edge/launcher/logging.go
+++ b/internal/edge/launcher/logging.go
@@ -28,6 +28,9 @@
 	if e.Action == "Send" {
 		line = line.Float64("Score", e.Score)
 	}
+	if e.ExpectedPause > 0 {
+		line = line.Int64("ExpectedPauseMs", e.ExpectedPause.Milliseconds()).Int64("ExpectedFirstMs", e.ExpectedFirst.Milliseconds())
+	}
 	if e.SoftwareVersion != "" {
 		line = line.Str("SoftwareVersion", e.SoftwareVersion)
 	}
--- a/internal/edge/launcher/metrics.go
+++ b/internal/edge/launcher/metrics.go
@@ -153,6 +153,9 @@
 	if e.Action == "Send" {
 		m.set.GetOrCreateHistogram(`samphirewharf_edge_queue_seconds`).UpdateDuration(time.Now().Add(-e.Waited))
 	}
+	if e.ExpectedPause > 0 {
+		m.set.GetOrCreateHistogram(`samphirewharf_edge_expected_pause_seconds`).Update(e.ExpectedPause.Seconds())
+	}
 }
 
 func (m *edgeMetrics) countOrder(o registrar.Order, result registrar.OrderResult) {
