--- a/internal/decision/conductor/calibrating.go
+++ b/internal/decision/conductor/calibrating.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -85,7 +86,7 @@
 
 // unreadTokens returns the number of tokens of the prompt that the server has not cached.
 func unreadTokens(r *request, s *server) int {
-	return int(float64(r.InputTokens) * (1 - s.cachedParts.cachedShare(r.Parts)))
+	return int(math.Round(float64(r.InputTokens) * (1 - s.cachedParts.cachedShare(r.Parts))))
 }
 
 // batch returns the number of requests at the server.
--- a/internal/decision/selector/selector.go
+++ b/internal/decision/selector/selector.go
@@ -29,7 +29,8 @@
 	// equalPauses is the ratio up to which pauses beyond the objective count as equal, so that daemons with the same view don't all choose
 	// one server.
 	equalPauses = 1.1
-	// recentBonus is the bonus of a server to which a connection is probably open.
+	// recentBonus is the bonus of a server to which a connection is probably open. It is at most half of the range of the random part, as a
+	// single daemon would otherwise never try the other servers while there is little load.
 	recentBonus = 0.02
 	// pauseCost and firstCost weigh the squares of the expected pause and first event relative to their objectives, up to maxExpected.
 	// Pauses of longer answers, which have more of them, count more, by minLength to maxLength. With a linear cost of 1 the busiest of equal
@@ -103,6 +104,9 @@
 		score := jitter * rng.Float64()
 		if criteria.EventGap > 0 && candidates[i].Forecast.Pause > 0 {
 			score += candidates[i].forecastScore(criteria)
+			if candidates[i].Recent {
+				score -= min(recentBonus, jitter/2)
+			}
 		} else {
 			score += candidates[i].score(fastest)
 		}
@@ -146,9 +150,6 @@
 	if criteria.First > 0 {
 		score += firstCost * relative(c.Forecast.First, criteria.First)
 	}
-	if c.Recent {
-		score -= recentBonus
-	}
 	return score
 }
 
