--- a/internal/decision/calibrator/calibrator.go
+++ b/internal/decision/calibrator/calibrator.go
@@ -140,21 +140,27 @@
 	if e.unit == 0 || median == 0 {
 		return median
 	}
-	keep := math.Exp(-max(0, float64(now-e.seenAt-estimateGrace)) / float64(estimateTime))
+	if now <= e.seenAt+estimateGrace {
+		return e.unit
+	}
+	keep := math.Exp(-float64(now-e.seenAt-estimateGrace) / float64(estimateTime))
 	return time.Duration(float64(median) * math.Pow(float64(e.unit)/float64(median), keep))
 }
 
 // Slowness returns how much longer the engine takes than one of median speed.
-func (e *Estimate) Slowness(now time.Duration) float64 {
+func (e *Estimate) Slowness(now time.Duration) float64 { return e.slowness(e.unitAt(now)) }
+
+// slowness returns the same for the engine's unit.
+func (e *Estimate) slowness(unit time.Duration) float64 {
 	if e.service.median == 0 {
 		return 1
 	}
-	return float64(e.unitAt(now)) / float64(e.service.median)
+	return float64(unit) / float64(e.service.median)
 }
 
 // gap returns the expected mean time between events of a stream.
-func (e *Estimate) gap(now time.Duration, w Work) time.Duration {
-	return time.Duration(float64(e.unitAt(now)) * (1 + requestShare*max(w.Batch, 1)))
+func gap(unit time.Duration, w Work) time.Duration {
+	return time.Duration(float64(unit) * (1 + requestShare*max(w.Batch, 1)))
 }
 
 // Known reports whether any engine of the service was observed.
@@ -173,7 +179,7 @@
 		s.observed()
 		return
 	}
-	ratio := clamp(float64(mean)/float64(e.gap(now, w)), minRatio, maxRatio)
+	ratio := clamp(float64(mean)/float64(gap(e.unitAt(now), w)), minRatio, maxRatio)
 	e.adjust(now, ratio, o.Span)
 	s.observeSpread(o, mean)
 	s.observed()
@@ -215,7 +221,7 @@
 
 // ObserveSend records a prompt that this daemon sends to the engine, for a stream with a gap objective.
 func (e *Estimate) ObserveSend(now time.Duration, prompt int, objective time.Duration) {
-	read := e.readTime(now, prompt)
+	read := e.readTime(e.unitAt(now), prompt)
 	e.readUntil = max(e.readUntil, now) + read
 	if float64(read) >= longPromptShare*float64(objective) {
 		e.longUntil = max(now+objective, e.readUntil)
@@ -223,21 +229,29 @@
 }
 
 // readTime returns the time in which the engine reads a prompt if it does nothing else.
-func (e *Estimate) readTime(now time.Duration, prompt int) time.Duration {
-	return time.Duration(float64(prompt) * e.service.reading.slope() * e.Slowness(now))
+func (e *Estimate) readTime(unit time.Duration, prompt int) time.Duration {
+	return time.Duration(float64(prompt) * e.service.reading.slope() * e.slowness(unit))
 }
 
 // Pause returns the expected longest pause of streams at the engine, including the new one. Prompts are read in chunks between steps, so
 // that a long one at most doubles a pause.
 func (e *Estimate) Pause(now time.Duration, w Work) time.Duration {
-	gap := e.gap(now, w)
-	read := max(0, e.readUntil-now) + e.readTime(now, w.Prompt)
-	return time.Duration(float64(gap)*max(e.service.spread, 1)) + min(read, gap)
+	unit := e.unitAt(now)
+	return e.pause(now, unit, e.readTime(unit, w.Prompt), w)
+}
+
+func (e *Estimate) pause(now, unit, read time.Duration, w Work) time.Duration {
+	mean := gap(unit, w)
+	return time.Duration(float64(mean)*max(e.service.spread, 1)) + min(max(0, e.readUntil-now)+read, mean)
 }
 
 // First returns the expected time to the first event of a new request.
 func (e *Estimate) First(now time.Duration, w Work) time.Duration {
-	return max(0, e.readUntil-now) + time.Duration(e.service.reading.at(float64(w.Prompt))*e.Slowness(now))
+	return e.first(now, e.unitAt(now), w)
+}
+
+func (e *Estimate) first(now, unit time.Duration, w Work) time.Duration {
+	return max(0, e.readUntil-now) + time.Duration(e.service.reading.at(float64(w.Prompt))*e.slowness(unit))
 }
 
 func clamp(v, least, most float64) float64 { return max(least, min(most, v)) }
--- a/internal/decision/calibrator/calibrator_test.go
+++ b/internal/decision/calibrator/calibrator_test.go
@@ -45,7 +45,7 @@
 	})
 	t.Run("a cold engine has the median speed", func(t *testing.T) {
 		s, list, now := engines(steadyGap/2, steadyGap, 2*steadyGap)
-		assertNear(t, "gap", float64(s.NewEstimate().gap(now, Work{Batch: 8})), float64(list[1].gap(now, Work{Batch: 8})))
+		assertNear(t, "pause", float64(s.NewEstimate().Pause(now, Work{Batch: 8})), float64(list[1].Pause(now, Work{Batch: 8})))
 	})
 	t.Run("pauses grow with the batch, the prompt and slowness", func(t *testing.T) {
 		_, list, now := engines(steadyGap/2, steadyGap, 2*steadyGap)
--- a/internal/decision/calibrator/forecast.go
+++ b/internal/decision/calibrator/forecast.go
@@ -11,8 +11,10 @@
 	if !e.Known() {
 		return selector.Forecast{}
 	}
+	unit := e.unitAt(now)
+	read := e.readTime(unit, w.Prompt)
 	return selector.Forecast{
-		Pause: e.Pause(now, w), First: e.First(now, w),
-		Read: e.readTime(now, w.Prompt), ReadsLong: e.longUntil > now,
+		Pause: e.pause(now, unit, read, w), First: e.first(now, unit, w),
+		Read: read, ReadsLong: e.longUntil > now,
 	}
 }
--- a/internal/decision/conductor/bench_test.go
+++ b/internal/decision/conductor/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"samphirewharf/internal/decision/calibrator"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/peer/messenger"
 )
@@ -40,7 +41,7 @@
 			Parts: []PromptPart{{ID: uint64(i % 50), Tokens: 100}, {ID: uint64(i), Tokens: 400}},
 		})
 		m.Step(now, AttemptStarted{Request: id, Attempt: 1})
-		m.Step(now, AttemptEnded{Request: id, Attempt: 1, Outcome: reducer.AttemptDone, Latency: time.Millisecond})
+		m.Step(now, AttemptEnded{Request: id, Attempt: 1, Outcome: reducer.AttemptDone, Latency: time.Millisecond, Pace: calibrator.Window{Gaps: 10, Span: time.Second, Longest: 120 * time.Millisecond}})
 		m.NextWake()
 		now += time.Millisecond
 	}
--- a/internal/decision/conductor/calibrating.go
+++ b/internal/decision/conductor/calibrating.go
@@ -80,13 +80,13 @@
 }
 
 // forecast returns what is expected of a server that gets the request.
-func (m *Machine) forecast(r *request, s *server) selector.Forecast {
-	return m.estimateOf(s).Forecast(m.now, calibrator.Work{Batch: s.batch() + 1, Prompt: unreadTokens(r, s)})
+func (m *Machine) forecast(s *server, unread int) selector.Forecast {
+	return m.estimateOf(s).Forecast(m.now, calibrator.Work{Batch: s.batch() + 1, Prompt: unread})
 }
 
-// unreadTokens returns the number of tokens of the prompt that the server has not cached.
-func unreadTokens(r *request, s *server) int {
-	return int(math.Round(float64(r.InputTokens) * (1 - s.cachedParts.cachedShare(r.Parts))))
+// unreadTokens returns the number of tokens of the prompt that a server has to read that has cached a share of it.
+func unreadTokens(r *request, cachedShare float64) int {
+	return int(math.Round(float64(r.InputTokens) * (1 - cachedShare)))
 }
 
 // batch returns the number of requests at the server.
@@ -94,11 +94,11 @@
 
 // recordSend notes what a server has to read for a request that is about to be sent, and returns what is expected.
 func (m *Machine) recordSend(r *request, s *server) selector.Forecast {
-	r.unread = unreadTokens(r, s)
 	if !m.forecasts(r) {
 		return selector.Forecast{}
 	}
-	f := m.forecast(r, s)
+	r.unread = unreadTokens(r, s.cachedParts.cachedShare(r.Parts))
+	f := m.forecast(s, r.unread)
 	m.estimateOf(s).ObserveSend(m.now, r.unread, r.Route.EventGapObjective)
 	m.speedsOf(r.Service).ObserveLength(r.OutputTokens)
 	return f
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -9,6 +9,7 @@
 	"samphirewharf/internal/decision/allotter"
 	"samphirewharf/internal/decision/calibrator"
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/decision/selector"
 	"samphirewharf/internal/decision/waker"
 	"samphirewharf/internal/fleet/matcher"
 	"samphirewharf/internal/peer/messenger"
@@ -68,6 +69,8 @@
 	services         map[string]*serviceState
 	// speeds holds what is known of the speeds of engines, by service.
 	speeds map[string]*calibrator.Service
+	// candidates is memory for the choice of a server, valid only during it.
+	candidates []selector.Candidate
 	// serversLoaded reports whether all entries have been listed once, serversRevision is the latest revision as of which they were.
 	serversLoaded   bool
 	serversRevision int64
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -183,11 +183,26 @@
 
 // best returns the best of the servers that could run the request.
 func (m *Machine) best(r *request, servers []*server) choice {
-	candidates := make([]selector.Candidate, 0, len(servers))
+	criteria := m.criteria(r)
+	m.candidates = m.candidates[:0]
 	for _, s := range servers {
-		candidates = append(candidates, m.candidate(r, s))
+		c := selector.Candidate{
+			Load: s.load(), ErrorShare: s.errorShare, Latency: s.latency,
+			OtherZone: s.entry.Zone != m.settings.Self.Zone, Tried: slices.Contains(r.tried, s.entry.ID),
+		}
+		cached := 0.0
+		if r.Route.Sticky || criteria.EventGap > 0 {
+			cached = s.cachedParts.cachedShare(r.Parts)
+		}
+		if r.Route.Sticky {
+			c.CachedShare = cached
+		}
+		if criteria.EventGap > 0 {
+			c.Forecast, c.Recent = m.forecast(s, unreadTokens(r, cached)), s.sentSince(m.now-recentSendTime)
+		}
+		m.candidates = append(m.candidates, c)
 	}
-	picked := selector.Choose(candidates, m.criteria(r), m.rng)
+	picked := selector.Choose(m.candidates, criteria, m.rng)
 	c := choice{score: picked.Score, otherScore: picked.OtherScore}
 	if picked.Index >= 0 {
 		c.server = servers[picked.Index]
@@ -198,21 +213,6 @@
 	return c
 }
 
-// candidate returns what the choice of a server depends on.
-func (m *Machine) candidate(r *request, s *server) selector.Candidate {
-	c := selector.Candidate{
-		Load: s.load(), ErrorShare: s.errorShare, Latency: s.latency,
-		OtherZone: s.entry.Zone != m.settings.Self.Zone, Tried: slices.Contains(r.tried, s.entry.ID),
-	}
-	if r.Route.Sticky {
-		c.CachedShare = s.cachedParts.cachedShare(r.Parts)
-	}
-	if m.forecasts(r) {
-		c.Forecast, c.Recent = m.forecast(r, s), s.sentSince(m.now-recentSendTime)
-	}
-	return c
-}
-
 // hasModel reports whether the server is assumed to have the model and adapter loaded.
 func (m *Machine) hasModel(s *server, model, adapter string) bool {
 	if model == "" {
--- a/internal/decision/selector/selector.go
+++ b/internal/decision/selector/selector.go
@@ -173,7 +173,7 @@
 	limit := pauseLimit(candidates, all, criteria.EventGap)
 	narrow(all, func(i int) bool { return candidates[i].Forecast.Pause <= limit })
 	narrow(all, func(i int) bool {
-		f := candidates[i].Forecast
+		f := &candidates[i].Forecast
 		return !f.ReadsLong || float64(f.Read) < longReadShare*float64(criteria.EventGap)
 	})
 	return all
@@ -183,9 +183,9 @@
 // expected one.
 func pauseLimit(candidates []Candidate, in []bool, objective time.Duration) time.Duration {
 	least := time.Duration(-1)
-	for i, c := range candidates {
-		if in[i] && (least < 0 || c.Forecast.Pause < least) {
-			least = c.Forecast.Pause
+	for i := range candidates {
+		if pause := candidates[i].Forecast.Pause; in[i] && (least < 0 || pause < least) {
+			least = pause
 		}
 	}
 	return max(objective, time.Duration(equalPauses*float64(least)))
