--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"samphirewharf/internal/decision/allotter"
+	"samphirewharf/internal/decision/calibrator"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/decision/resumer"
+	"samphirewharf/internal/decision/selector"
 	"samphirewharf/internal/decision/sharer"
 	"samphirewharf/internal/decision/subscriber"
 	"samphirewharf/internal/decision/waker"
@@ -74,6 +76,10 @@
 	// serversByService holds the servers by service; nil after the set of servers has changed.
 	serversByService map[string][]*server
 	services         map[string]*serviceState
+	// speeds holds what is known of the speeds of engines, by service.
+	speeds map[string]*calibrator.Service
+	// choices is memory for the choice of a server, valid only during it.
+	choices []selector.Candidate
 	// serversLoaded reports whether all entries have been listed once, serversRevision is the latest revision as of which they were.
 	serversLoaded   bool
 	serversRevision int64
@@ -154,6 +160,7 @@
 		requests:        make(map[reducer.RequestID]*request),
 		servers:         make(map[string]*server),
 		services:        make(map[string]*serviceState),
+		speeds:          make(map[string]*calibrator.Service),
 		daemons:         make(map[string]Daemon),
 		fleet:           newFleetState(),
 		demand:          newDemandState(),
@@ -199,6 +206,8 @@
 		m.attemptStarted(e)
 	case AttemptSilent:
 		m.attemptSilent(e)
+	case AttemptProgressed:
+		m.attemptProgressed(e)
 	case AttemptEnded:
 		m.attemptEnded(e)
 	case ServerAdvised:
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphirewharf/internal/decision/allotter"
+	"samphirewharf/internal/decision/selector"
 	"samphirewharf/internal/fleet/matcher"
 )
 
@@ -172,64 +173,53 @@
 		}
 	}
 	if len(candidates) == 0 {
-		candidates = m.leastAvoided(avoided)
+		candidates = leastAvoided(avoided)
 	}
 	return m.best(r, candidates), reason
 }
 
-// leastAvoided returns the server whose backoff ends first, since a possibly failing server is better than none.
-func (m *Machine) leastAvoided(avoided []*server) []*server {
-	if len(avoided) == 0 {
-		return nil
+// leastAvoided returns the server whose backoff ends first.
+func leastAvoided(avoided []*server) []*server {
+	until := make([]time.Duration, 0, len(avoided))
+	for _, s := range avoided {
+		until = append(until, s.avoidUntil)
 	}
-	return []*server{slices.MinFunc(avoided, func(a, b *server) int { return int(a.avoidUntil - b.avoidUntil) })}
-}
-
-// best returns the server with the lowest score, after a random part is added to each score.
-func (m *Machine) best(r *request, candidates []*server) choice {
-	var c choice
-	fastest := fastestOf(candidates)
-	jitter := maxScoreJitter * min(1, float64(m.daemonCount())/fullJitterDaemons)
-	for _, i := range m.rng.Perm(len(candidates)) {
-		s := candidates[i]
-		score := m.score(r, s, fastest) + jitter*m.rng.Float64()
-		switch {
-		case c.server == nil || score < c.score:
-			c.other, c.otherScore = c.server, c.score
-			c.server, c.score = s, score
-		case c.other == nil || score < c.otherScore:
-			c.other, c.otherScore = s, score
-		}
+	if i := selector.LeastAvoided(until); i >= 0 {
+		return avoided[i : i+1]
 	}
-	return c
+	return nil
 }
 
-// score returns the cost of sending the request to the server, in units of a server's full load.
-func (m *Machine) score(r *request, s *server, fastest time.Duration) float64 {
-	score := s.load() + s.errorShare
-	if s.entry.Zone != m.settings.Self.Zone {
-		score += crossZoneCost
-	}
-	if r.Route.Sticky {
-		score -= cachedPromptBonus * s.cachedParts.cachedShare(r.Parts)
-	}
-	if fastest > 0 && s.latency > fastest {
-		score += latencyCost * min(maxRelativeLatency, float64(s.latency-fastest)/float64(fastest))
+// best returns the best of the servers that could run the request.
+func (m *Machine) best(r *request, servers []*server) choice {
+	criteria := m.criteria(r)
+	m.choices = m.choices[:0]
+	for _, s := range servers {
+		c := selector.Candidate{
+			Load: s.load(), ErrorShare: s.errorShare, Latency: s.latency,
+			OtherZone: s.entry.Zone != m.settings.Self.Zone, Tried: slices.Contains(r.tried, s.entry.ID),
+		}
+		cached := 0.0
+		if r.Route.Sticky || criteria.EventGap > 0 {
+			cached = s.cachedParts.cachedShare(r.Parts)
+		}
+		if r.Route.Sticky {
+			c.CachedShare = cached
+		}
+		if criteria.EventGap > 0 {
+			c.Forecast, c.Recent = m.forecast(s, unreadTokens(r, cached)), s.sentSince(m.now-recentSendTime)
+		}
+		m.choices = append(m.choices, c)
 	}
-	if slices.Contains(r.tried, s.entry.ID) {
-		score++
+	picked := selector.Choose(m.choices, criteria, m.rng)
+	c := choice{score: picked.Score, otherScore: picked.OtherScore}
+	if picked.Index >= 0 {
+		c.server = servers[picked.Index]
 	}
-	return score
-}
-
-func fastestOf(list []*server) time.Duration {
-	var fastest time.Duration
-	for _, s := range list {
-		if s.latency > 0 && (fastest == 0 || s.latency < fastest) {
-			fastest = s.latency
-		}
+	if picked.Other >= 0 {
+		c.other = servers[picked.Other]
 	}
-	return fastest
+	return c
 }
 
 // hasModel reports whether the server is assumed to have the model and adapter loaded.
@@ -259,12 +249,13 @@
 	if !slices.Contains(r.tried, s.entry.ID) {
 		r.tried = append(r.tried, s.entry.ID)
 	}
+	expected := m.recordSend(r, s)
 	s.requests[r.Request] = r
 	m.countSend(s)
 	m.service(r.Service).sharer.Serve(m.now, &r.share)
 	s.cachedParts.add(r.Parts)
 	m.setTimer(r, r.deadline)
-	d := LogDecision{Action: "Send", Score: c.score, Age: m.now - s.seenAt, Routine: r.attempt == 1}
+	d := LogDecision{Action: "Send", Score: c.score, Age: m.now - s.seenAt, Routine: r.attempt == 1, ExpectedPause: expected.Pause, ExpectedFirst: expected.First}
 	if c.other != nil {
 		d.Other, d.OtherScore = c.other.entry.ID, c.otherScore
 	}
@@ -279,6 +270,7 @@
 	if r.needsModel() {
 		e.Priority = priority(r.Route)
 	}
+	e.ReportPace = m.forecasts(r)
 	if r.Route.Repeatable() {
 		e.FirstTimeout = m.firstTimeout(r)
 	}
