--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -238,18 +238,8 @@
 		m.subscriber.Subscribed(m.now, slices.Contains(m.followerNames(), e.From))
 	case StoreListed:
 		m.subscriber.StoreListed()
-	case QuarantineChanged:
-		m.quarantineStored(e.Quarantine)
-	case StoreQuarantineEnded:
-		m.storeQuarantineEnded(e)
-	case VersionsRecorded:
-		m.versionsRecorded(e.Service)
-	case VersionsRecordRemoved:
-		m.versions.RecordRemoved(m.now, e.Service)
-	case OriginsRecorded:
-		m.origins.Recorded(m.now, e.Record, e.OK)
-	case OriginsRead:
-		m.origins.ReadEnded(m.now, e.Origins, e.OK)
+	case QuarantineChanged, StoreQuarantineEnded, VersionsRecorded, VersionsRecordRemoved, OriginsRecorded, OriginsRead:
+		m.applyRecord(event)
 	case StopRequested:
 		m.stopRequested()
 	case Ticked:
@@ -271,6 +261,24 @@
 	}
 }
 
+// applyRecord applies an event about records in the store that outlive the daemons.
+func (m *Machine) applyRecord(event Event) {
+	switch e := event.(type) {
+	case QuarantineChanged:
+		m.quarantineStored(e.Quarantine)
+	case StoreQuarantineEnded:
+		m.storeQuarantineEnded(e)
+	case VersionsRecorded:
+		m.versionsRecorded(e.Service)
+	case VersionsRecordRemoved:
+		m.versions.RecordRemoved(m.now, e.Service)
+	case OriginsRecorded:
+		m.origins.Recorded(m.now, e.Record, e.OK)
+	case OriginsRead:
+		m.origins.ReadEnded(m.now, e.Origins, e.OK)
+	}
+}
+
 func (m *Machine) applyMembership(event Event) {
 	m.noteRevision(event)
 	switch e := event.(type) {
