--- a/internal/decision/conductor/workspaces_test.go
+++ b/internal/decision/conductor/workspaces_test.go
@@ -34,7 +34,8 @@
 	h := newHarness(t)
 	var list []matcher.Workspace
 	for i, c := range contenders {
-		list = append(list, matcher.Workspace{Name: fmt.Sprint("w", i), Quota: matcher.Quota{Tokens: true, PerSecond: c.quota, Burst: c.quota}})
+		// The burst keeps the quotas from refusing requests: the shares of waiting ones are tested here, with the quotas as weights.
+		list = append(list, matcher.Workspace{Name: fmt.Sprint("w", i), Quota: matcher.Quota{Tokens: true, PerSecond: c.quota, Burst: 1e9}})
 	}
 	if withWorkspaces {
 		c, err := testConfiguration(t, 2).WithWorkspaces(list)
