feat: logs and metrics tell how long messages to other daemons take, and where a configuration came from

Traffic lines counted lost messages only, so that they didn't tell messages that wait for seconds from ones that are lost. LongestMs is the longest time from queueing to the answer, by kind; a configuration in force names its source.

--- a/internal/decision/conductor/feed.go
+++ b/internal/decision/conductor/feed.go
@@ -199,6 +199,19 @@
 	}
 }
 
+// viewSource describes where updates of the store come from, for logs.
+func (m *Machine) viewSource() string {
+	upstream := m.subscriber.Upstream()
+	switch {
+	case upstream == "":
+		return "watched"
+	case m.subscriber.Following():
+		return "watched, or from " + upstream
+	default:
+		return "from " + upstream
+	}
+}
+
 func addressesOf(list []subscriber.Candidate) []string {
 	addresses := make([]string, 0, len(list))
 	for _, c := range list {
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -322,7 +322,7 @@
 		return
 	}
 	m.configuration, m.configuredAt = c, m.now
-	m.emit(LogStateChange{Subject: "Configuration", Change: "InForce", Version: c.Version})
+	m.emit(LogStateChange{Subject: "Configuration", Change: "InForce", Version: c.Version, Reason: m.viewSource()})
 	m.dispatchQueues()
 }
 
--- a/internal/edge/launcher/metrics.go
+++ b/internal/edge/launcher/metrics.go
@@ -15,6 +15,7 @@
 	"samphirewharf/internal/decision/conductor"
 	"samphirewharf/internal/edge/gateway"
 	"samphirewharf/internal/fleet/registrar"
+	"samphirewharf/internal/peer/messenger"
 )
 
 // edgeMetrics are the daemon's metrics. Apart from the services and workspaces, of which there are at most maxServices and
@@ -241,14 +242,15 @@
 	return call
 }
 
-// countMessage counts a message to another daemon and its bytes.
-func (m *edgeMetrics) countMessage(kind string, size int, err error) {
+// countMessage counts a message to another daemon, its bytes and how long it took.
+func (m *edgeMetrics) countMessage(kind string, sent messenger.Delivery) {
 	result := "Sent"
-	if err != nil {
+	if sent.Err != nil {
 		result = "Lost"
 	}
 	m.set.GetOrCreateCounter(`samphirewharf_edge_peer_messages_total{kind="` + kind + `",result="` + result + `"}`).Inc()
-	m.set.GetOrCreateCounter(`samphirewharf_edge_peer_sent_bytes_total{kind="` + kind + `"}`).Add(size)
+	m.set.GetOrCreateCounter(`samphirewharf_edge_peer_sent_bytes_total{kind="` + kind + `"}`).Add(sent.Size)
+	m.set.GetOrCreateHistogram(`samphirewharf_edge_peer_delivery_seconds{kind="` + kind + `"}`).Update(sent.Duration.Seconds())
 }
 
 // countStoreCall counts a call to the store by its name.
--- a/internal/edge/launcher/traffic.go
+++ b/internal/edge/launcher/traffic.go
@@ -29,6 +29,16 @@
 	m.counts[name] += n
 }
 
+// raise sets a count to n if it is lower.
+func (m *trafficMeter) raise(name string, n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.counts == nil {
+		m.counts = make(map[string]int)
+	}
+	m.counts[name] = max(m.counts[name], n)
+}
+
 // take returns the counts and resets them, nil if trafficInterval hasn't passed since it last returned some.
 func (m *trafficMeter) take(now time.Time) map[string]int {
 	m.mu.Lock()
@@ -42,12 +52,13 @@
 }
 
 // messageSent counts a message to another daemon.
-func (d *Daemon) messageSent(m messenger.Message, size int, err error) {
-	kind := string(m.Kind())
-	d.metrics.countMessage(kind, size, err)
+func (d *Daemon) messageSent(sent messenger.Delivery) {
+	kind := string(sent.Message.Kind())
+	d.metrics.countMessage(kind, sent)
 	d.traffic.add("Messages"+kind, 1)
-	d.traffic.add("Bytes"+kind, size)
-	if err != nil {
+	d.traffic.add("Bytes"+kind, sent.Size)
+	d.traffic.raise("LongestMs"+kind, int(sent.Duration.Milliseconds()))
+	if sent.Err != nil {
 		d.traffic.add("Lost"+kind, 1)
 	}
 }
--- a/internal/edge/launcher/traffic_test.go
+++ b/internal/edge/launcher/traffic_test.go
@@ -35,6 +35,12 @@
 		m.add("a", 1)
 		assertCounts(t, m.take(now.Add(trafficInterval)), map[string]int{"a": 1})
 	})
+	t.Run("of durations the longest is kept", func(t *testing.T) {
+		var m trafficMeter
+		m.raise("a", 3)
+		m.raise("a", 2)
+		assertCounts(t, m.take(now), map[string]int{"a": 3})
+	})
 	t.Run("there is no line before the interval has passed", func(t *testing.T) {
 		var m trafficMeter
 		m.add("a", 1)
--- a/internal/peer/messenger/client.go
+++ b/internal/peer/messenger/client.go
@@ -33,8 +33,8 @@
 	Timeout time.Duration
 	// QueueLimit is the number of messages that may be queued for one daemon; zero means DefaultQueueLimit.
 	QueueLimit int
-	// OnSent is called after each message with its encoded size in bytes, and an error if it may not have arrived. It may be nil.
-	OnSent func(m Message, size int, err error)
+	// OnSent is called after each message that was sent. It may be nil.
+	OnSent func(d Delivery)
 	// Logger is the logger; nil means log.DefaultLogger.
 	Logger *log.Logger
 
@@ -46,6 +46,19 @@
 	peers map[string]*peer
 }
 
+// A Delivery is the outcome of sending one message.
+type Delivery struct {
+	// Address is that of the receiver.
+	Address string
+	Message Message
+	// Size is the encoded size in bytes.
+	Size int
+	// Duration is the time from queueing to the answer or the error.
+	Duration time.Duration
+	// Err is not nil if the message may not have arrived.
+	Err error
+}
+
 // Do sends a request without the header fields that daemons don't need. It is called by the twirp client only.
 func (c *Client) Do(r *http.Request) (*http.Response, error) {
 	c.once.Do(c.initTransport)
@@ -89,13 +102,13 @@
 		return fmt.Errorf("send message to %s: %w", address, ErrQueueFull)
 	}
 	if ok {
-		p.queue = append(p.queue, queuedMessage{ctx, m})
+		p.queue = append(p.queue, queuedMessage{ctx, m, time.Now()})
 		return nil
 	}
 	if c.peers == nil {
 		c.peers = make(map[string]*peer)
 	}
-	p = &peer{client: c, address: address, queue: []queuedMessage{{ctx, m}}}
+	p = &peer{client: c, address: address, queue: []queuedMessage{{ctx, m, time.Now()}}}
 	c.peers[address] = p
 	go p.run()
 	return nil
--- a/internal/peer/messenger/peer.go
+++ b/internal/peer/messenger/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 )
@@ -19,8 +20,9 @@
 
 // A queuedMessage is a message that waits to be sent.
 type queuedMessage struct {
-	ctx     context.Context
-	message Message
+	ctx      context.Context
+	message  Message
+	queuedAt time.Time
 }
 
 // run sends until the queue is empty.
@@ -41,7 +43,7 @@
 	envelope := queued.message.Envelope()
 	_, err := sender.Deliver(ctx, envelope)
 	if p.client.OnSent != nil {
-		p.client.OnSent(queued.message, proto.Size(envelope), err)
+		p.client.OnSent(Delivery{Address: p.address, Message: queued.message, Size: proto.Size(envelope), Duration: time.Since(queued.queuedAt), Err: err})
 	}
 	if err != nil {
 		p.client.logger().Debug().Err(err).Str("Address", p.address).Msg("could not deliver message to daemon")
@@ -84,7 +86,7 @@
 	}
 	for i := range p.queue {
 		if p.queue[i].message.isHeartbeatOnly() {
-			p.queue[i] = queuedMessage{ctx, m}
+			p.queue[i] = queuedMessage{ctx, m, time.Now()}
 			return true
 		}
 	}
