--- a/internal/edge/launcher/outage_test.go
+++ b/internal/edge/launcher/outage_test.go
@@ -45,6 +45,8 @@
 	// longLeases reports whether the records of these daemons outlast the outage, so that the followers stay the same.
 	longLeases bool
 	seed       uint64
+	// slowLinks reports whether the daemons have links of slowLinkRate, and entries of servers that change.
+	slowLinks bool
 	// limit is the longest time for which a version may be missing at a daemon.
 	limit time.Duration
 }
@@ -56,6 +58,8 @@
 	byAddress map[string]*Daemon
 	begun     time.Time
 	leaseTTL  time.Duration
+	// changesServers reports whether there are entries of servers, which change.
+	changesServers bool
 
 	// choices are the random choices of the test, delays those of messages.
 	choices *rand.Rand
@@ -77,15 +81,27 @@
 	t.Helper()
 	f := &outageFleet{
 		store: newOutageStore(), byAddress: make(map[string]*Daemon), begun: time.Now(), choices: rand.New(rand.NewPCG(o.seed, 7)), delays: rand.New(rand.NewPCG(o.seed, 8)),
-		leaseTTL: outageLeaseTTL, subscriptions: make(map[string]map[int]int),
+		leaseTTL: outageLeaseTTL, subscriptions: make(map[string]map[int]int), changesServers: o.slowLinks,
 	}
 	if o.longLeases {
 		f.leaseTTL = outageLongLeaseTTL
 	}
 	f.store.leaseTTL = f.leaseTTL
 	f.store.put(configurationKey, []byte("1"), 0)
+	for i := range linkServers {
+		if o.slowLinks {
+			f.store.put(serverEntryKey(i), make([]byte, linkEntryBytes), 0)
+		}
+	}
 	for i := range o.daemons {
 		d := f.newDaemon(i)
+		if o.slowLinks {
+			d.peers.Transport = newSlowLink(f)
+			d.send = func(ctx context.Context, address string, m messenger.Message) error {
+				f.count(m)
+				return d.peers.Send(ctx, address, m)
+			}
+		}
 		f.daemons = append(f.daemons, d)
 		f.byAddress[d.settings.PeerAddress] = d
 		// Records of an earlier start spare the fleet the changes of its registration.
@@ -162,7 +178,25 @@
 
 // send delivers a message some milliseconds later.
 func (f *outageFleet) send(address string, m messenger.Message) {
+	f.count(m)
+	time.AfterFunc(f.latency(), func() {
+		if d, ok := f.byAddress[address]; ok && d.ctx.Err() == nil {
+			d.receive(m)
+		}
+	})
+}
+
+// latency returns that of one message.
+func (f *outageFleet) latency() time.Duration {
 	f.mu.Lock()
+	defer f.mu.Unlock()
+	return 2*time.Millisecond + time.Duration(f.delays.Int64N(int64(3*time.Millisecond)))
+}
+
+// count counts a message that a daemon sends.
+func (f *outageFleet) count(m messenger.Message) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if m.Subscribe != nil {
 		if f.subscriptions[m.From] == nil {
 			f.subscriptions[m.From] = make(map[int]int)
@@ -172,13 +206,6 @@
 	if m.Feed != nil && m.Feed.Whole {
 		f.snapshots++
 	}
-	delay := 2*time.Millisecond + time.Duration(f.delays.Int64N(int64(3*time.Millisecond)))
-	f.mu.Unlock()
-	time.AfterFunc(delay, func() {
-		if d, ok := f.byAddress[address]; ok && d.ctx.Err() == nil {
-			d.receive(m)
-		}
-	})
 }
 
 // unserved chooses the daemons that get no answers.
@@ -205,6 +232,9 @@
 		d.driver.Post(conductor.Ticked{})
 	}
 	for ctx.Err() == nil {
+		if f.changesServers {
+			f.changeServer()
+		}
 		f.store.expireLeases()
 		time.Sleep(50 * time.Millisecond)
 	}
--- a/internal/peer/messenger/client.go
+++ b/internal/peer/messenger/client.go
@@ -33,13 +33,14 @@
 	Timeout time.Duration
 	// QueueLimit is the number of messages that may be queued for one daemon; zero means DefaultQueueLimit.
 	QueueLimit int
+	// Transport sends the requests; nil means by TCP.
+	Transport http.RoundTripper
 	// OnSent is called after each message that was sent. It may be nil.
 	OnSent func(d Delivery)
 	// Logger is the logger; nil means log.DefaultLogger.
 	Logger *log.Logger
 
-	once      sync.Once
-	transport *http.Transport
+	once sync.Once
 
 	mu sync.Mutex
 	// peers are the daemons with queued or pending messages, by address.
@@ -64,7 +65,7 @@
 	c.once.Do(c.initTransport)
 	r.Header.Set("User-Agent", "")
 	r.Header.Del("Accept")
-	response, err := c.transport.RoundTrip(r)
+	response, err := c.Transport.RoundTrip(r)
 	if err != nil {
 		return nil, fmt.Errorf("send to daemon: %w", err)
 	}
@@ -133,7 +134,10 @@
 }
 
 func (c *Client) initTransport() {
-	c.transport = &http.Transport{DialContext: dialer.Dialer{}.Dial, DisableCompression: true, MaxResponseHeaderBytes: bounder.MaxHeaderBytes, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
+	if c.Transport != nil {
+		return
+	}
+	c.Transport = &http.Transport{DialContext: dialer.Dialer{}.Dial, DisableCompression: true, MaxResponseHeaderBytes: bounder.MaxHeaderBytes, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
 }
 
 func (c *Client) timeout() time.Duration {
