fix: an announcement of the upstream is no gap in its updates

A daemon that is up to date tells others so in a message without a position. Announcements, and updates that arrive after a later one, now leave the order as it is.

--- a/internal/edge/relayer/relayer.go
+++ b/internal/edge/relayer/relayer.go
@@ -230,37 +230,53 @@
 // subscription then asks for a snapshot. Of daemons other than the upstream, whose subscriptions may not have expired yet, it takes
 // only the leader's messages and whether they are up to date.
 func (r *Relayer) HandleFeed(from string, feed *messenger.Feed) {
-	inOrder, fromUpstream := r.receive(from, feed)
+	position := r.receive(from, feed)
 	if feed.Fleet != nil {
 		r.OnFleet(from, feed.Fleet)
 	}
-	if inOrder {
+	if position == positionNext {
 		for _, view := range feed.Views {
 			r.apply(view, feed.Whole)
 		}
 	}
-	if inOrder || !fromUpstream || !feed.Fresh {
+	if position == positionNext || position == positionForeign || position == positionGap && !feed.Fresh {
 		r.OnFeed(from, feed.Fresh)
 	}
 }
 
+// A position is that of an update among those of the upstream.
+type position int
+
+const (
+	// positionForeign is that of an update of another daemon.
+	positionForeign position = iota
+	positionNext
+	// positionGap is that of one before which another is missing, positionPast that of one that arrived late, or of an announcement.
+	positionGap
+	positionPast
+)
+
 // receive records the position of an update of the upstream, and its entries if this daemon records them.
-func (r *Relayer) receive(from string, feed *messenger.Feed) (inOrder, fromUpstream bool) {
+func (r *Relayer) receive(from string, feed *messenger.Feed) position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if from != r.upstream {
-		return false, false
+		return positionForeign
 	}
-	inOrder = feed.Whole || feed.Stream == r.receivedStream && r.receivedSequence >= 0 && feed.Sequence == r.receivedSequence+1
+	continues := feed.Stream == r.receivedStream && r.receivedSequence >= 0
 	switch {
-	case inOrder:
-		r.receivedStream, r.receivedSequence = feed.Stream, feed.Sequence
-	case feed.Stream == r.receivedStream && r.receivedSequence >= 0:
-		r.receivedStream, r.receivedSequence = "", 0
+	case feed.Whole || continues && feed.Sequence == r.receivedSequence+1:
+	case continues && feed.Sequence <= r.receivedSequence:
+		return positionPast
+	default:
+		if continues {
+			r.receivedStream, r.receivedSequence = "", 0
+		}
+		r.recordedStream = ""
+		return positionGap
 	}
+	r.receivedStream, r.receivedSequence = feed.Stream, feed.Sequence
 	switch {
-	case !inOrder:
-		r.recordedStream = ""
 	case r.following && feed.Whole:
 		r.recordedStream = feed.Stream
 		for _, view := range feed.Views {
@@ -271,7 +287,7 @@
 			r.recordChanges(view)
 		}
 	}
-	return inOrder, true
+	return positionNext
 }
 
 // Run sends updates to the subscribers until the context is done.
--- a/internal/edge/relayer/relayer_test.go
+++ b/internal/edge/relayer/relayer_test.go
@@ -144,6 +144,15 @@
 			t.Errorf("got %d updates, want a heartbeat", got)
 		}
 	})
+	t.Run("an announcement of the upstream is no gap in its updates", func(t *testing.T) {
+		follower, subscriber, wrapped := start()
+		subscriber.relayer.HandleFeed("follower", follower.relayer.Announcement())
+		wrapped.Changed(storer.Entry{Key: "p/b", Revision: 8})
+		deliver(follower, subscriber, false)
+		subscribe(follower, subscriber)
+		deliver(follower, subscriber, false)
+		assertCalls(t, subscriber, "list p/a at 7", "change p/b at 8")
+	})
 	t.Run("a follower reports that the store doesn't answer it", func(t *testing.T) {
 		follower, subscriber, _ := start()
 		follower.storeReachable = false
