fix: a follower that an update takes off the followers goes on relaying

In an outage for some daemons their records expire. Its subscribers then looked for another source, one each three seconds: in TestVersionsInOutages they had versions 10 s late in some interleavings. That the update is up to date is now known before its entries.

--- a/internal/edge/relayer/relayer.go
+++ b/internal/edge/relayer/relayer.go
@@ -234,14 +234,15 @@
 	if feed.Fleet != nil {
 		r.OnFleet(from, feed.Fleet)
 	}
+	// The entries may show that this daemon is no longer a follower. It goes on for its subscribers only if it is known to be up to date.
+	if position == positionNext || position == positionForeign || position == positionGap && !feed.Fresh {
+		r.OnFeed(from, feed.Fresh)
+	}
 	if position == positionNext {
 		for _, view := range feed.Views {
 			r.apply(view, feed.Whole)
 		}
 	}
-	if position == positionNext || position == positionForeign || position == positionGap && !feed.Fresh {
-		r.OnFeed(from, feed.Fresh)
-	}
 }
 
 // A position is that of an update among those of the upstream.
--- a/internal/edge/relayer/relayer_test.go
+++ b/internal/edge/relayer/relayer_test.go
@@ -153,6 +153,15 @@
 		deliver(follower, subscriber, false)
 		assertCalls(t, subscriber, "list p/a at 7", "change p/b at 8")
 	})
+	t.Run("an update counts as up to date before its entries are handled", func(t *testing.T) {
+		follower, subscriber, wrapped := start()
+		subscriber.relayer.OnFeed = func(_ string, fresh bool) {
+			subscriber.calls = append(subscriber.calls, fmt.Sprintf("fresh %t", fresh))
+		}
+		wrapped.Changed(storer.Entry{Key: "p/b", Revision: 8})
+		deliver(follower, subscriber, false)
+		assertCalls(t, subscriber, "list p/a at 7", "fresh true", "change p/b at 8")
+	})
 	t.Run("a follower reports that the store doesn't answer it", func(t *testing.T) {
 		follower, subscriber, _ := start()
 		follower.storeReachable = false
