fix: offers that are out of date by now don't delay the search for an upstream

A daemon that lost the store asked the daemons that had announced to be up to date first, and each of those that no longer were counted as one of its three immediate moves, so that it waited a second for each further one.

--- a/internal/decision/subscriber/subscriber.go
+++ b/internal/decision/subscriber/subscriber.go
@@ -326,9 +326,9 @@
 	ok = ok && (x.StoreLost || s.relisting || slices.Contains(x.Candidates, offer))
 	switch {
 	case ok:
+		// Each offer is used once, so it doesn't count as a move. It may have become out of date.
 		delete(s.offers, offer.Name)
 		s.upstream, s.offered = offer, true
-		s.moves++
 	case len(x.Candidates) == 0:
 		s.upstream, s.offered = Candidate{}, false
 	default:
