fix: updates of the store no longer wait behind each other at an upstream with a slow link

A lost update is known by its delivery, not by what a renewal says. As an update is made only once the one before was received, its age is bounded by the pause before it, after which a subscriber takes its upstream for silent. A large message has more time.

--- a/internal/edge/launcher/daemon.go
+++ b/internal/edge/launcher/daemon.go
@@ -140,7 +140,7 @@
 	d.platform.SetObserver(d.storeMonitor.observe)
 	d.platform.SetOnRestored(d.storeRestored)
 	d.relayer = relayer.New(s.Self.Instance, d.handlers())
-	d.relayer.Send, d.relayer.Message, d.relayer.StoreReachable = d.sendPeer, d.newMessage, d.storeReachable
+	d.relayer.Send, d.relayer.Message, d.relayer.StoreReachable = d.sendUpdate, d.newMessage, d.storeReachable
 	d.relayer.OnFleet, d.relayer.OnFeed, d.relayer.OnListed, d.relayer.Logger = d.fleetReceived, d.updateReceived, d.storeListed, d.logger
 	d.machine = conductor.New(*s)
 	d.driver = driver.Driver[conductor.Event, conductor.Effect]{
@@ -261,6 +261,11 @@
 	return messenger.Message{From: self.Name, Instance: self.Instance, Address: self.PeerAddress, Zone: self.Zone}
 }
 
+// sendUpdate sends an update to a subscriber.
+func (d *Daemon) sendUpdate(address string, m messenger.Message) error {
+	return d.send(d.ctx, address, m)
+}
+
 // sendPeer sends a message to another daemon; it may be lost.
 func (d *Daemon) sendPeer(address string, m messenger.Message) {
 	if err := d.send(d.ctx, address, m); err != nil && d.ctx.Err() == nil {
--- a/internal/edge/launcher/outage_test.go
+++ b/internal/edge/launcher/outage_test.go
@@ -180,9 +180,13 @@
 func (f *outageFleet) send(address string, m messenger.Message) {
 	f.count(m)
 	time.AfterFunc(f.latency(), func() {
+		var err error
 		if d, ok := f.byAddress[address]; ok && d.ctx.Err() == nil {
 			d.receive(m)
+		} else {
+			err = errTimeout
 		}
+		f.byAddress[m.Address].messageSent(messenger.Delivery{Address: address, Message: m, Err: err})
 	})
 }
 
--- a/internal/edge/launcher/traffic.go
+++ b/internal/edge/launcher/traffic.go
@@ -51,8 +51,11 @@
 	return counts
 }
 
-// messageSent counts a message to another daemon.
+// messageSent handles the end of the delivery of a message to another daemon.
 func (d *Daemon) messageSent(sent messenger.Delivery) {
+	if sent.Message.Feed != nil {
+		d.relayer.Delivered(sent.Address, sent.Message.Feed, sent.Err == nil)
+	}
 	kind := string(sent.Message.Kind())
 	d.metrics.countMessage(kind, sent)
 	d.traffic.add("Messages"+kind, 1)
--- a/internal/edge/relayer/relayer.go
+++ b/internal/edge/relayer/relayer.go
@@ -3,7 +3,6 @@
 package relayer
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -12,19 +11,14 @@
 
 	"github.com/phuslu/log"
 
+	"samphirewharf/internal/decision/feeder"
 	"samphirewharf/internal/external/storer"
 	"samphirewharf/internal/fleet/sequencer"
 	"samphirewharf/internal/peer/messenger"
 )
 
-const (
-	// heartbeatInterval is the longest time between two updates to a subscriber, also without changes.
-	heartbeatInterval = 500 * time.Millisecond
-	// batchDelay is how long changes are batched before they are sent.
-	batchDelay = 20 * time.Millisecond
-	// subscriptionTTL is how long a subscription is valid without a renewal.
-	subscriptionTTL = 3 * time.Second
-)
+// batchDelay is how long changes are batched before they are sent.
+const batchDelay = 20 * time.Millisecond
 
 // A Handler handles the entries with one prefix.
 type Handler struct {
@@ -39,8 +33,8 @@
 // A Relayer keeps the entries with some prefixes, sends them to subscribers, and receives updates of other daemons. New
 // returns one. Set the exported fields before using it.
 type Relayer struct {
-	// Send sends a message to a daemon; it may be lost.
-	Send func(address string, message messenger.Message)
+	// Send queues a message for a daemon. Unless it returns an error, Delivered is to be called once the message was sent.
+	Send func(address string, message messenger.Message) error
 	// Message returns an empty message of this daemon.
 	Message func() messenger.Message
 	// StoreReachable reports whether the store answers this daemon.
@@ -60,8 +54,8 @@
 	mu sync.Mutex
 	// prefixes holds this daemon's own view of the store by prefix.
 	prefixes map[string]*prefixState
-	// subscribers are the daemons that updates are sent to, by address.
-	subscribers map[string]*subscriber
+	// feeder keeps the daemons that updates are sent to.
+	feeder feeder.Feeder
 	// upstream is the name of the daemon that this one has subscribed to. receivedStream and receivedSequence are those of its
 	// last update that arrived in order. The sequence is -1 if that came from another daemon than the current upstream.
 	upstream         string
@@ -73,10 +67,8 @@
 	recordedStream string
 	// relaying reports whether the upstream's updates keep this daemon up to date. For followers they don't, whose addresses
 	// these are.
-	relaying        bool
-	followers       []string
-	pendingFleet    *messenger.Fleet
-	pendingEvidence *messenger.Evidence
+	relaying  bool
+	followers []string
 
 	wake chan struct{}
 }
@@ -88,27 +80,12 @@
 	current  bool
 	revision int64
 	entries  map[string]storer.Entry
-	// pendingChanges are the changes that have not been sent to subscribers yet.
-	pendingChanges []messenger.ViewEntry
-}
-
-type subscriber struct {
-	sequence  int64
-	expiresAt time.Time
-	// needsSnapshot reports whether it has received nothing yet or missed an update, or a restored store was listed.
-	needsSnapshot bool
-	// hasView reports whether it has a view of the store, from whichever daemon.
-	hasView bool
-	// sentAt is when it was last sent an update, sentFresh whether that said that the view is up to date.
-	sentAt    time.Time
-	sentFresh bool
 }
 
 // New returns a relayer that passes received updates to the handlers. Stream identifies the process.
 func New(stream string, handlers []Handler) *Relayer {
 	r := &Relayer{
-		handlers: handlers, stream: stream, prefixes: make(map[string]*prefixState), subscribers: make(map[string]*subscriber),
-		wake: make(chan struct{}, 1),
+		handlers: handlers, stream: stream, prefixes: make(map[string]*prefixState), wake: make(chan struct{}, 1),
 	}
 	for _, h := range handlers {
 		r.prefixes[h.Prefix] = &prefixState{entries: make(map[string]storer.Entry)}
@@ -143,10 +120,13 @@
 	for _, s := range r.prefixes {
 		s.current = false
 		if !on {
-			s.listed, s.pendingChanges = false, nil
+			s.listed = false
 			clear(s.entries)
 		}
 	}
+	if !on {
+		r.feeder.Reset(time.Now())
+	}
 	r.mu.Unlock()
 	r.signal()
 }
@@ -170,11 +150,12 @@
 	r.signal()
 }
 
-// Announcement returns a message that tells another daemon that this one is up to date by its own watches, nil if it isn't.
+// Announcement returns a message that tells another daemon that this one is up to date by its own watches, nil if it isn't or has more
+// subscribers than it can send snapshots.
 func (r *Relayer) Announcement() *messenger.Feed {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.upToDate() {
+	if !r.upToDate() || r.feeder.Congested() {
 		return nil
 	}
 	return &messenger.Feed{Stream: r.stream, Fresh: true}
@@ -183,12 +164,15 @@
 // Forward relays a message of the leader, or evidence of crashes, to the subscribers. Either may be nil.
 func (r *Relayer) Forward(fleet *messenger.Fleet, evidence *messenger.Evidence) {
 	r.mu.Lock()
-	if len(r.subscribers) == 0 {
-		r.mu.Unlock()
-		return
-	}
-	r.pendingFleet = mergeFleet(r.pendingFleet, fleet)
-	r.pendingEvidence = mergeEvidence(r.pendingEvidence, evidence)
+	r.feeder.Forward(fleet, evidence)
+	r.mu.Unlock()
+	r.signal()
+}
+
+// Delivered handles the end of the delivery of an update, which may not have arrived unless ok is true.
+func (r *Relayer) Delivered(address string, feed *messenger.Feed, ok bool) {
+	r.mu.Lock()
+	r.feeder.Delivered(time.Now(), address, feed.Sequence, ok)
 	r.mu.Unlock()
 	r.signal()
 }
@@ -208,22 +192,10 @@
 // a snapshot.
 func (r *Relayer) HandleSubscribe(address string, s *messenger.Subscribe) {
 	r.mu.Lock()
-	sub, ok := r.subscribers[address]
-	if !ok {
-		sub = &subscriber{needsSnapshot: true}
-		r.subscribers[address] = sub
-	}
-	sub.expiresAt = time.Now().Add(subscriptionTTL)
-	sub.hasView = s.Stream != ""
-	// The last update may still be in flight, so only an earlier one counts as missed.
-	if s.Stream != r.stream || s.Sequence < sub.sequence-1 {
-		sub.needsSnapshot = true
-	}
-	needsSnapshot := sub.needsSnapshot
+	// Until an update has arrived, the subscriber names the one before. Lost updates are known by their delivery.
+	r.feeder.Subscribe(time.Now(), address, feeder.Subscription{InOrder: s.Stream == r.stream && s.Sequence >= 0, HasView: s.Stream != ""})
 	r.mu.Unlock()
-	if needsSnapshot {
-		r.signal()
-	}
+	r.signal()
 }
 
 // HandleFeed handles an update of another daemon. It ignores the entries of an update that follows a gap; the next
@@ -293,7 +265,7 @@
 
 // Run sends updates to the subscribers until the context is done.
 func (r *Relayer) Run(ctx context.Context) {
-	ticker := time.NewTicker(heartbeatInterval)
+	ticker := time.NewTicker(feeder.HeartbeatInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -323,9 +295,8 @@
 func (r *Relayer) recordList(prefix string, entries []storer.Entry, revision int64) {
 	r.mu.Lock()
 	wasUpToDate := r.allCurrent()
-	s := r.prefixes[prefix]
-	s.current = true
-	r.replace(s, entries, revision)
+	r.prefixes[prefix].current = true
+	r.replace(prefix, entries, revision)
 	becameUpToDate := !wasUpToDate && r.allCurrent()
 	r.mu.Unlock()
 	if becameUpToDate && r.OnListed != nil {
@@ -336,15 +307,14 @@
 
 // recordSnapshot records all entries with a prefix that the upstream has sent.
 func (r *Relayer) recordSnapshot(view messenger.View) {
-	s, ok := r.prefixes[view.Prefix]
-	if !ok {
+	if _, ok := r.prefixes[view.Prefix]; !ok {
 		return
 	}
 	entries := make([]storer.Entry, 0, len(view.Entries))
 	for _, e := range view.Entries {
 		entries = append(entries, storer.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision})
 	}
-	r.replace(s, entries, view.Revision)
+	r.replace(view.Prefix, entries, view.Revision)
 	r.signal()
 }
 
@@ -357,7 +327,7 @@
 	known := s.revision
 	for _, e := range view.Entries {
 		if e.Revision >= known {
-			r.record(s, e)
+			r.record(view.Prefix, e)
 		}
 	}
 	s.revision = max(s.revision, view.Revision)
@@ -365,18 +335,16 @@
 }
 
 // replace replaces the entries by those as of a revision, unless they are known as of a later one, from another source.
-func (r *Relayer) replace(s *prefixState, entries []storer.Entry, revision int64) {
+func (r *Relayer) replace(prefix string, entries []storer.Entry, revision int64) {
+	s := r.prefixes[prefix]
 	switch {
 	case s.listed && revision < s.revision:
 		return
 	case s.listed && sequencer.Epoch(s.revision) == sequencer.Epoch(revision):
-		s.addDifference(entries, revision)
+		r.addDifference(prefix, s, entries, revision)
 	default:
-		// Subscribers have another view, or one of another epoch, so all of them need a snapshot.
-		s.pendingChanges = nil
-		for _, sub := range r.subscribers {
-			sub.needsSnapshot = true
-		}
+		// Subscribers have another view, or one of another epoch.
+		r.feeder.Reset(time.Now())
 	}
 	s.listed, s.revision = true, revision
 	clear(s.entries)
@@ -385,19 +353,18 @@
 	}
 }
 
-// addDifference adds to the pending changes how a list differs from the entries, which subscribers have once they have got the
-// pending changes.
-func (s *prefixState) addDifference(entries []storer.Entry, revision int64) {
+// addDifference adds for the subscribers how a list differs from the entries.
+func (r *Relayer) addDifference(prefix string, s *prefixState, entries []storer.Entry, revision int64) {
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		present[e.Key] = true
 		if known, ok := s.entries[e.Key]; !ok || known.Revision != e.Revision {
-			s.pendingChanges = append(s.pendingChanges, messenger.ViewEntry{Key: e.Key, Value: e.Value, Revision: e.Revision})
+			r.feeder.Append(feeder.Change{Prefix: prefix, Entry: messenger.ViewEntry{Key: e.Key, Value: e.Value, Revision: e.Revision}})
 		}
 	}
 	for _, key := range slices.Sorted(maps.Keys(s.entries)) {
 		if !present[key] {
-			s.pendingChanges = append(s.pendingChanges, messenger.ViewEntry{Key: key, Revision: revision, Removed: true})
+			r.feeder.Append(feeder.Change{Prefix: prefix, Entry: messenger.ViewEntry{Key: key, Revision: revision, Removed: true}})
 		}
 	}
 }
@@ -406,70 +373,49 @@
 func (r *Relayer) recordChange(prefix string, e messenger.ViewEntry) {
 	r.mu.Lock()
 	if s := r.prefixes[prefix]; e.Revision >= s.revision {
-		r.record(s, e)
+		r.record(prefix, e)
 	}
 	r.mu.Unlock()
 	r.signal()
 }
 
-func (r *Relayer) record(s *prefixState, e messenger.ViewEntry) {
+func (r *Relayer) record(prefix string, e messenger.ViewEntry) {
+	s := r.prefixes[prefix]
 	s.revision = max(s.revision, e.Revision)
 	if e.Removed {
 		delete(s.entries, e.Key)
 	} else {
 		s.entries[e.Key] = storer.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision}
 	}
-	if len(r.subscribers) > 0 {
-		s.pendingChanges = append(s.pendingChanges, e)
-	}
+	r.feeder.Append(feeder.Change{Prefix: prefix, Entry: e})
 }
 
-// sendUpdates sends each subscriber the pending changes, or a snapshot if it needs one and all prefixes are listed. One without news
-// is sent a heartbeat if one is due.
+// sendUpdates sends the subscribers what is due.
 func (r *Relayer) sendUpdates(now time.Time) {
-	type delivery struct {
-		address string
-		feed    *messenger.Feed
-	}
 	r.mu.Lock()
-	var deliveries []delivery
-	allListed := r.allListed()
-	changes := r.takeChanges()
-	upToDate := r.upToDate()
+	allListed, upToDate := r.allListed(), r.upToDate()
+	updates := r.feeder.Next(now, allListed, func(address string) bool { return upToDate || allListed && r.relaysTo(address) })
 	var snapshot []messenger.View
-	for address, sub := range r.subscribers {
-		if now.After(sub.expiresAt) {
-			delete(r.subscribers, address)
-			continue
-		}
-		fresh := upToDate || allListed && r.relaysTo(address)
-		// Of a view that is out of date, a subscriber that has one from another daemon gets no snapshot.
-		sendSnapshot := sub.needsSnapshot && allListed && (fresh || !sub.hasView)
-		hasNews := r.pendingFleet != nil || r.pendingEvidence != nil || sendSnapshot || !sub.needsSnapshot && len(changes) > 0 || fresh != sub.sentFresh
-		if !hasNews && now.Sub(sub.sentAt) < heartbeatInterval/2 {
-			continue
-		}
-		sub.sequence++
-		sub.sentAt, sub.sentFresh = now, fresh
-		feed := &messenger.Feed{Stream: r.stream, Sequence: sub.sequence, Fresh: fresh, Fleet: r.pendingFleet, Evidence: r.pendingEvidence}
-		switch {
-		case sendSnapshot:
+	messages := make([]messenger.Message, len(updates))
+	for i, u := range updates {
+		feed := &messenger.Feed{Stream: r.stream, Sequence: u.Sequence, Fresh: u.Fresh, Whole: u.Snapshot, Fleet: u.Fleet, Evidence: u.Evidence}
+		if u.Snapshot {
 			if snapshot == nil {
 				snapshot = r.snapshot()
 			}
-			feed.Whole, feed.Views = true, snapshot
-			sub.needsSnapshot = false
-		case !sub.needsSnapshot:
-			feed.Views = changes
+			feed.Views = snapshot
+		} else {
+			feed.Views = r.views(u.Changes)
 		}
-		deliveries = append(deliveries, delivery{address, feed})
+		messages[i] = r.Message()
+		messages[i].Feed = feed
 	}
-	r.pendingFleet, r.pendingEvidence = nil, nil
 	r.mu.Unlock()
-	for _, d := range deliveries {
-		message := r.Message()
-		message.Feed = d.feed
-		r.Send(d.address, message)
+	for i, u := range updates {
+		if err := r.Send(u.Address, messages[i]); err != nil {
+			r.Logger.Warn().Err(err).Str("Address", u.Address).Msg("update wasn't sent")
+			r.Delivered(u.Address, messages[i].Feed, false)
+		}
 	}
 }
 
@@ -501,15 +447,19 @@
 	return r.relaying && r.recordedStream != "" && !slices.Contains(r.followers, address)
 }
 
-// takeChanges returns the pending changes and clears them.
-func (r *Relayer) takeChanges() []messenger.View {
+// views returns changes by prefix.
+func (r *Relayer) views(changes []feeder.Change) []messenger.View {
 	var list []messenger.View
 	for _, h := range r.handlers {
-		s := r.prefixes[h.Prefix]
-		if len(s.pendingChanges) > 0 {
-			list = append(list, messenger.View{Prefix: h.Prefix, Revision: s.revision, Entries: s.pendingChanges})
+		view := messenger.View{Prefix: h.Prefix, Revision: r.prefixes[h.Prefix].revision}
+		for _, c := range changes {
+			if c.Prefix == h.Prefix {
+				view.Entries = append(view.Entries, c.Entry)
+			}
+		}
+		if len(view.Entries) > 0 {
+			list = append(list, view)
 		}
-		s.pendingChanges = nil
 	}
 	return list
 }
@@ -550,17 +500,3 @@
 		}
 	}
 }
-
-// mergeEvidence merges later evidence with some that has not been relayed yet.
-func mergeEvidence(earlier, later *messenger.Evidence) *messenger.Evidence {
-	if earlier == nil || later == nil {
-		return cmp.Or(later, earlier)
-	}
-	merged := *later
-	for _, s := range earlier.Suspects {
-		if !slices.ContainsFunc(later.Suspects, func(l messenger.Suspect) bool { return l.Part == s.Part && l.Fingerprint == s.Fingerprint }) {
-			merged.Suspects = append(merged.Suspects[:len(merged.Suspects):len(merged.Suspects)], s)
-		}
-	}
-	return &merged
-}
--- a/internal/edge/relayer/relayer_test.go
+++ b/internal/edge/relayer/relayer_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/phuslu/log"
 
+	"samphirewharf/internal/decision/feeder"
 	"samphirewharf/internal/external/storer"
 	"samphirewharf/internal/fleet/registrar"
 	"samphirewharf/internal/fleet/sequencer"
@@ -30,7 +31,10 @@
 func newTestDaemon(stream string) *testDaemon {
 	s := &testDaemon{storeReachable: true}
 	s.relayer = New(stream, []Handler{s.handler()})
-	s.relayer.Send = func(_ string, m messenger.Message) { s.sent = append(s.sent, m.Feed) }
+	s.relayer.Send = func(_ string, m messenger.Message) error {
+		s.sent = append(s.sent, m.Feed)
+		return nil
+	}
 	s.relayer.Message = func() messenger.Message { return messenger.Message{From: stream} }
 	s.relayer.StoreReachable = func() bool { return s.storeReachable }
 	s.relayer.OnFeed = func(_ string, fresh bool) { s.freshFlags = append(s.freshFlags, fresh) }
@@ -61,11 +65,11 @@
 func deliver(from, to *testDaemon, lost bool) {
 	from.sent = nil
 	from.relayer.sendUpdates(time.Now())
-	if lost {
-		return
-	}
 	for _, f := range from.sent {
-		to.relayer.HandleFeed("follower", f)
+		if !lost {
+			to.relayer.HandleFeed("follower", f)
+		}
+		from.relayer.Delivered("subscriber", f, !lost)
 	}
 }
 
@@ -139,7 +143,7 @@
 	t.Run("a subscriber without news is sent a heartbeat in time", func(t *testing.T) {
 		follower, _, _ := start()
 		follower.sent = nil
-		follower.relayer.sendUpdates(time.Now().Add(heartbeatInterval))
+		follower.relayer.sendUpdates(time.Now().Add(feeder.HeartbeatInterval))
 		if got := len(follower.sent); got != 1 {
 			t.Errorf("got %d updates, want a heartbeat", got)
 		}
@@ -182,7 +186,7 @@
 	t.Run("a subscription expires", func(t *testing.T) {
 		follower, _, _ := start()
 		follower.sent = nil
-		follower.relayer.sendUpdates(time.Now().Add(subscriptionTTL + time.Second))
+		follower.relayer.sendUpdates(time.Now().Add(feeder.SubscriptionTTL + time.Second))
 		if got := len(follower.sent); got != 0 {
 			t.Errorf("got %d updates, want none", got)
 		}
--- a/internal/peer/messenger/client.go
+++ b/internal/peer/messenger/client.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	// DefaultTimeout is the time limit for the delivery of one message.
+	// DefaultTimeout is the time limit for the delivery of one small message. A large one has the time in addition that it takes at
+	// minRate bytes a second, which is a fifth of a link of 10 Mbit/s.
 	DefaultTimeout = 500 * time.Millisecond
+	minRate        = 250_000
 	// DefaultQueueLimit is the number of messages that may be queued for one daemon.
 	DefaultQueueLimit = 32
 	// maxAnswerBytes bounds an answer of another daemon, the largest of which is a compressed configuration.
@@ -29,7 +31,7 @@
 
 // A Client sends messages to other daemons, with a queue for each daemon. The zero value is ready to use.
 type Client struct {
-	// Timeout is the time limit for the delivery of one message; zero means DefaultTimeout.
+	// Timeout is the time limit for the delivery of one small message; zero means DefaultTimeout.
 	Timeout time.Duration
 	// QueueLimit is the number of messages that may be queued for one daemon; zero means DefaultQueueLimit.
 	QueueLimit int
@@ -140,9 +142,11 @@
 	c.Transport = &http.Transport{DialContext: dialer.Dialer{}.Dial, DisableCompression: true, MaxResponseHeaderBytes: bounder.MaxHeaderBytes, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
 }
 
-func (c *Client) timeout() time.Duration {
-	if c.Timeout > 0 {
-		return c.Timeout
+// timeout returns the time limit for the delivery of a message of a size in bytes.
+func (c *Client) timeout(size int) time.Duration {
+	timeout := c.Timeout
+	if timeout <= 0 {
+		timeout = DefaultTimeout
 	}
-	return DefaultTimeout
+	return timeout + time.Duration(size)*time.Second/minRate
 }
--- a/internal/peer/messenger/peer.go
+++ b/internal/peer/messenger/peer.go
@@ -38,12 +38,13 @@
 }
 
 func (p *peer) deliver(sender Messenger, queued queuedMessage) {
-	ctx, cancel := context.WithTimeout(queued.ctx, p.client.timeout())
-	defer cancel()
 	envelope := queued.message.Envelope()
+	size := proto.Size(envelope)
+	ctx, cancel := context.WithTimeout(queued.ctx, p.client.timeout(size))
+	defer cancel()
 	_, err := sender.Deliver(ctx, envelope)
 	if p.client.OnSent != nil {
-		p.client.OnSent(Delivery{Address: p.address, Message: queued.message, Size: proto.Size(envelope), Duration: time.Since(queued.queuedAt), Err: err})
+		p.client.OnSent(Delivery{Address: p.address, Message: queued.message, Size: size, Duration: time.Since(queued.queuedAt), Err: err})
 	}
 	if err != nil {
 		p.client.logger().Debug().Err(err).Str("Address", p.address).Msg("could not deliver message to daemon")
