fix: large updates of the store are compressed

Views of 2 KB or more are now compressed, once for all subscribers that are sent the same; daemons of earlier versions don't ask for that and get them as before.

--- a/internal/decision/feeder/feeder.go
+++ b/internal/decision/feeder/feeder.go
@@ -36,6 +36,8 @@
 	// store, from whichever daemon.
 	InOrder bool
 	HasView bool
+	// Compressed reports whether it takes compressed views.
+	Compressed bool
 }
 
 // An Update is what a subscriber is to be sent.
@@ -47,8 +49,12 @@
 	// Snapshot reports whether it holds all entries. Otherwise it holds the changes, the newest for each key.
 	Snapshot bool
 	Changes  []Change
-	Fleet    *messenger.Fleet
-	Evidence *messenger.Evidence
+	// Compressed reports whether the subscriber takes compressed views. First is the number of the first change, which is the same for
+	// updates with the same changes.
+	Compressed bool
+	First      int
+	Fleet      *messenger.Fleet
+	Evidence   *messenger.Evidence
 }
 
 // A Feeder keeps the subscribers of one daemon. The zero value is ready to use.
@@ -64,6 +70,8 @@
 	sequence  int64
 	expiresAt time.Time
 	hasView   bool
+	// compressed reports whether it takes compressed views.
+	compressed bool
 	// needsSnapshot reports whether it has no view of this daemon, or one that lacks an update. It has needed one since waitingSince.
 	needsSnapshot bool
 	waitingSince  time.Time
@@ -93,7 +101,7 @@
 		f.subscribers[address] = sub
 	}
 	sub.expiresAt = now.Add(SubscriptionTTL)
-	sub.hasView, sub.unreachable = s.HasView, false
+	sub.hasView, sub.compressed, sub.unreachable = s.HasView, s.Compressed, false
 	if !s.InOrder && !(sub.pending > 0 && sub.sendsSnapshot) {
 		sub.requireSnapshot(now)
 	}
@@ -183,7 +191,7 @@
 		if wantsSnapshot && snapshots >= maxSnapshots {
 			continue
 		}
-		u := Update{Address: s.address, Fresh: isFresh, Snapshot: wantsSnapshot, Fleet: s.fleet, Evidence: s.evidence}
+		u := Update{Address: s.address, Fresh: isFresh, Snapshot: wantsSnapshot, Compressed: s.compressed, First: s.next, Fleet: s.fleet, Evidence: s.evidence}
 		if !s.needsSnapshot {
 			u.Changes = f.changesSince(s.next)
 		}
--- a/internal/edge/launcher/outage_link_test.go
+++ b/internal/edge/launcher/outage_link_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -63,9 +64,20 @@
 // changeServer changes the entry of one server.
 func (f *outageFleet) changeServer() {
 	f.mu.Lock()
-	server := f.delays.IntN(linkServers)
+	server, seed := f.delays.IntN(linkServers), f.delays.Uint64()
 	f.mu.Unlock()
-	f.store.put(serverEntryKey(server), make([]byte, linkEntryBytes), 0)
+	f.store.put(serverEntryKey(server), serverEntry(seed), 0)
+}
+
+// serverEntry returns the entry of a server as a platform may write it, of about linkEntryBytes.
+func serverEntry(seed uint64) []byte {
+	choices := rand.New(rand.NewPCG(seed, 9))
+	var b strings.Builder
+	fmt.Fprintf(&b, `{"service":"llm","address":"10.2.64.%d:8103","zone":"z1","version":"v1","slots":12,"state":"ready","seq":%d,"born":%d`, seed%200, seed%1000, seed)
+	for b.Len() < linkEntryBytes {
+		fmt.Fprintf(&b, `,{"name":"model%04x","version":1,"adapters":["a%d","a%d"]}`, choices.IntN(265), choices.IntN(50), choices.IntN(50))
+	}
+	return []byte(b.String())
 }
 
 func serverEntryKey(i int) string { return fmt.Sprintf("servers/i-%03d", i) }
--- a/internal/edge/launcher/outage_test.go
+++ b/internal/edge/launcher/outage_test.go
@@ -90,7 +90,7 @@
 	f.store.put(configurationKey, []byte("1"), 0)
 	for i := range linkServers {
 		if o.slowLinks {
-			f.store.put(serverEntryKey(i), make([]byte, linkEntryBytes), 0)
+			f.store.put(serverEntryKey(i), serverEntry(o.seed*linkServers+uint64(i)), 0)
 		}
 	}
 	for i := range o.daemons {
--- a/internal/edge/relayer/relayer.go
+++ b/internal/edge/relayer/relayer.go
@@ -17,8 +17,12 @@
 	"samphirewharf/internal/peer/messenger"
 )
 
-// batchDelay is how long changes are batched before they are sent.
-const batchDelay = 20 * time.Millisecond
+const (
+	// batchDelay is how long changes are batched before they are sent.
+	batchDelay = 20 * time.Millisecond
+	// minCompressedBytes is the size from which views are compressed.
+	minCompressedBytes = 2 << 10
+)
 
 // A Handler handles the entries with one prefix.
 type Handler struct {
@@ -71,6 +75,8 @@
 	followers []string
 
 	wake chan struct{}
+	// compressor is used only by sendUpdates.
+	compressor messenger.Compressor
 }
 
 // A prefixState holds the entries with one prefix.
@@ -185,7 +191,7 @@
 		// Updates of another daemon don't continue the last one, also not those of a daemon that was the upstream before.
 		r.upstream, r.receivedSequence = upstream, -1
 	}
-	return &messenger.Subscribe{Stream: r.receivedStream, Sequence: r.receivedSequence}
+	return &messenger.Subscribe{Stream: r.receivedStream, Sequence: r.receivedSequence, Compressed: true}
 }
 
 // HandleSubscribe adds or renews a subscription. A subscriber that has received nothing yet or missed an update is sent
@@ -193,7 +199,7 @@
 func (r *Relayer) HandleSubscribe(address string, s *messenger.Subscribe) {
 	r.mu.Lock()
 	// Until an update has arrived, the subscriber names the one before. Lost updates are known by their delivery.
-	r.feeder.Subscribe(time.Now(), address, feeder.Subscription{InOrder: s.Stream == r.stream && s.Sequence >= 0, HasView: s.Stream != ""})
+	r.feeder.Subscribe(time.Now(), address, feeder.Subscription{InOrder: s.Stream == r.stream && s.Sequence >= 0, HasView: s.Stream != "", Compressed: s.Compressed})
 	r.mu.Unlock()
 	r.signal()
 }
@@ -238,6 +244,10 @@
 	}
 	continues := feed.Stream == r.receivedStream && r.receivedSequence >= 0
 	switch {
+	case feed.Damaged:
+		r.Logger.Error().Str("From", from).Msg("views can't be read")
+		r.receivedStream, r.receivedSequence, r.recordedStream = "", 0, ""
+		return positionGap
 	case feed.Whole || continues && feed.Sequence == r.receivedSequence+1:
 	case continues && feed.Sequence <= r.receivedSequence:
 		return positionPast
@@ -395,6 +405,19 @@
 	r.mu.Lock()
 	allListed, upToDate := r.allListed(), r.upToDate()
 	updates := r.feeder.Next(now, allListed, func(address string) bool { return upToDate || allListed && r.relaysTo(address) })
+	messages := r.newUpdates(updates)
+	r.mu.Unlock()
+	r.compress(updates, messages)
+	for i, u := range updates {
+		if err := r.Send(u.Address, messages[i]); err != nil {
+			r.Logger.Warn().Err(err).Str("Address", u.Address).Msg("update wasn't sent")
+			r.Delivered(u.Address, messages[i].Feed, false)
+		}
+	}
+}
+
+// newUpdates returns the messages for updates.
+func (r *Relayer) newUpdates(updates []feeder.Update) []messenger.Message {
 	var snapshot []messenger.View
 	messages := make([]messenger.Message, len(updates))
 	for i, u := range updates {
@@ -410,13 +433,45 @@
 		messages[i] = r.Message()
 		messages[i].Feed = feed
 	}
-	r.mu.Unlock()
+	return messages
+}
+
+// compress compresses large views for the subscribers that take that. Those with the same views share the result.
+func (r *Relayer) compress(updates []feeder.Update, messages []messenger.Message) {
+	type content struct {
+		snapshot bool
+		first    int
+	}
+	compressed := make(map[content][]byte)
 	for i, u := range updates {
-		if err := r.Send(u.Address, messages[i]); err != nil {
-			r.Logger.Warn().Err(err).Str("Address", u.Address).Msg("update wasn't sent")
-			r.Delivered(u.Address, messages[i].Feed, false)
+		feed := messages[i].Feed
+		if !u.Compressed || viewsBytes(feed.Views) < minCompressedBytes {
+			continue
+		}
+		c := content{snapshot: u.Snapshot}
+		if !u.Snapshot {
+			c.first = u.First
+		}
+		if _, ok := compressed[c]; !ok {
+			data, err := r.compressor.Compress(feed.Views)
+			if err != nil {
+				r.Logger.Error().Err(err).Msg("views weren't compressed")
+			}
+			compressed[c] = data
+		}
+		feed.CompressedViews = compressed[c]
+	}
+}
+
+// viewsBytes returns about how large views are.
+func viewsBytes(views []messenger.View) int {
+	n := 0
+	for _, v := range views {
+		for _, e := range v.Entries {
+			n += len(e.Key) + len(e.Value)
 		}
 	}
+	return n
 }
 
 // allListed reports whether all prefixes have been listed.
--- a/internal/edge/relayer/relayer_test.go
+++ b/internal/edge/relayer/relayer_test.go
@@ -166,6 +166,30 @@
 		deliver(follower, subscriber, false)
 		assertCalls(t, subscriber, "list p/a at 7", "fresh true", "change p/b at 8")
 	})
+	t.Run("large views are compressed for a subscriber that takes that", func(t *testing.T) {
+		for _, compressed := range []bool{false, true} {
+			follower, subscriber, wrapped := start()
+			wrapped.Listed([]storer.Entry{{Key: "p/a", Revision: 8, Value: make([]byte, minCompressedBytes)}}, 9)
+			follower.relayer.HandleSubscribe("subscriber", &messenger.Subscribe{Compressed: compressed})
+			follower.relayer.sendUpdates(time.Now())
+			sent := messenger.Message{Feed: follower.sent[len(follower.sent)-1]}.Envelope()
+			if got := len(sent.GetFeed().GetViews()) == 0; got != compressed {
+				t.Errorf("got compressed %t, want %t", got, compressed)
+			}
+			subscriber.calls = nil
+			subscriber.relayer.HandleFeed("follower", sent.Message().Feed)
+			assertCalls(t, subscriber, "list p/a at 9")
+		}
+	})
+	t.Run("views that can't be read are a gap", func(t *testing.T) {
+		follower, subscriber, wrapped := start()
+		wrapped.Changed(storer.Entry{Key: "p/b", Revision: 8})
+		feed := messenger.Message{Feed: &messenger.Feed{Stream: "f", Sequence: 2, Fresh: true, CompressedViews: []byte("x")}}.Envelope().Message().Feed
+		subscriber.relayer.HandleFeed("follower", feed)
+		subscribe(follower, subscriber)
+		deliver(follower, subscriber, false)
+		assertCalls(t, subscriber, "list p/a at 7", "list p/a,p/b at 8")
+	})
 	t.Run("a follower reports that the store doesn't answer it", func(t *testing.T) {
 		follower, subscriber, _ := start()
 		follower.storeReachable = false
--- a/internal/peer/messenger/feed.go
+++ b/internal/peer/messenger/feed.go
@@ -5,6 +5,8 @@
 	// Stream and Sequence are those of the last feed that was received; empty and 0 if there was none.
 	Stream   string
 	Sequence int64
+	// Compressed reports whether the sender takes compressed views. Daemons of earlier versions don't.
+	Compressed bool
 }
 
 // A Feed is an update of the sender's view of the key-value service.
@@ -15,10 +17,14 @@
 	// Fresh reports whether the sender has a complete view and the key-value service answers it.
 	Fresh bool
 	// Whole reports whether the views are a complete snapshot. Otherwise they hold the changes since the previous feed.
-	Whole    bool
-	Views    []View
-	Fleet    *Fleet
-	Evidence *Evidence
+	Whole bool
+	Views []View
+	// CompressedViews are the views in the form that CompressViews returns. If they are set, a sent message lacks the views, and a
+	// received one has both. Damaged reports whether they couldn't be read.
+	CompressedViews []byte
+	Damaged         bool
+	Fleet           *Fleet
+	Evidence        *Evidence
 }
 
 // A View holds the entries with one prefix in the key-value service, as of a revision.
@@ -40,14 +46,14 @@
 	if s == nil {
 		return nil
 	}
-	return &SubscribePart{Stream: s.Stream, Sequence: s.Sequence}
+	return &SubscribePart{Stream: s.Stream, Sequence: s.Sequence, Compressed: s.Compressed}
 }
 
 func decodeSubscribe(p *SubscribePart) *Subscribe {
 	if p == nil {
 		return nil
 	}
-	return &Subscribe{Stream: p.GetStream(), Sequence: p.GetSequence()}
+	return &Subscribe{Stream: p.GetStream(), Sequence: p.GetSequence(), Compressed: p.GetCompressed()}
 }
 
 func encodeFeed(f *Feed) *FeedPart {
@@ -55,20 +61,29 @@
 		return nil
 	}
 	fleet, changes := encodeFleets(f.Fleet)
-	return &FeedPart{
-		Stream: f.Stream, Sequence: f.Sequence, Fresh: f.Fresh, Whole: f.Whole,
-		Views: convert(f.Views, encodeView), Fleet: fleet, FleetChanges: changes, Evidence: encodeEvidence(f.Evidence),
+	part := &FeedPart{
+		Stream: f.Stream, Sequence: f.Sequence, Fresh: f.Fresh, Whole: f.Whole, CompressedViews: f.CompressedViews,
+		Fleet: fleet, FleetChanges: changes, Evidence: encodeEvidence(f.Evidence),
 	}
+	if len(f.CompressedViews) == 0 {
+		part.Views = convert(f.Views, encodeView)
+	}
+	return part
 }
 
 func decodeFeed(p *FeedPart) *Feed {
 	if p == nil {
 		return nil
 	}
-	return &Feed{
-		Stream: p.GetStream(), Sequence: p.GetSequence(), Fresh: p.GetFresh(), Whole: p.GetWhole(),
+	f := &Feed{
+		Stream: p.GetStream(), Sequence: p.GetSequence(), Fresh: p.GetFresh(), Whole: p.GetWhole(), CompressedViews: p.GetCompressedViews(),
 		Views: convert(p.GetViews(), decodeView), Fleet: decodeFleets(p.GetFleet(), p.GetFleetChanges()), Evidence: decodeEvidence(p.GetEvidence()),
 	}
+	if len(f.CompressedViews) > 0 {
+		views, err := decompressViews(f.CompressedViews)
+		f.Views, f.Damaged = views, err != nil
+	}
+	return f
 }
 
 func encodeView(v View) *ViewPart {
