fix: a request that another daemon passes on isn't handled by an older configuration

A daemon that can't connect to servers passes requests on, and the other one chose the route by its own configuration: an added route was answered with 404 as a final answer, a moved one was run by the old service, though the daemon that had received the request had the newer version. The version now travels with the request, and a daemon with an older one rejects it as not run, so that a third one is asked. Daemons of earlier versions ignore the field.

TestDelegatedToOlderConfiguration failed before: 404 was the answer.

--- a/internal/edge/gateway/authenticating_test.go
+++ b/internal/edge/gateway/authenticating_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"samphirewharf/internal/decision/conductor"
+	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/fleet/matcher"
 )
 
@@ -198,3 +199,43 @@
 		}
 	})
 }
+
+// Guards against requests that another daemon serves by an older configuration than the one that received them.
+func TestDelegatedToOlderConfiguration(t *testing.T) {
+	servers := &backendLog{}
+	far := newHarness(t, sendOnceTo(backend(t, servers.handle)))
+	near := newHarness(t, nil)
+	near.decide = func(e conductor.Event) []conductor.Effect {
+		if _, ok := e.(conductor.RequestArrived); ok {
+			s := sendTo(far.address)
+			s.ToDaemon = true
+			return []conductor.Effect{s}
+		}
+		return sendOnceTo("")(e)
+	}
+	for i, test := range []struct {
+		name string
+		far  *matcher.Configuration
+		want int
+	}{
+		{"an older one", &matcher.Configuration{Version: 2}, 0},
+		{"none", nil, 0},
+		{"the same", far.configuration.Load(), 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			far.configuration.Store(test.far)
+			status, _ := near.sendKey("/read/a", http.Header{})
+			if status == http.StatusNotFound {
+				t.Error("got status 404, want the request to be tried elsewhere")
+			}
+			got := servers.take()
+			assertEqual(t, "requests at servers", len(got), test.want)
+			ended := near.ended(i + 1)
+			if test.want == 0 {
+				assertEqual(t, "outcome", ended[i].Outcome, reducer.AttemptNotRun)
+			} else {
+				assertEqual(t, "version at the server", got[0].Get(versionHeader), "")
+			}
+		})
+	}
+}
--- a/internal/edge/gateway/delegating.go
+++ b/internal/edge/gateway/delegating.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"samphirewharf/internal/decision/conductor"
+	"samphirewharf/internal/fleet/matcher"
 )
 
 // The header fields between daemons, on requests that one without links to the servers has passed on to another one.
@@ -20,15 +21,27 @@
 	// keyedHeader marks a request with the key of a workspace, which a daemon whose configuration has no workspaces yet must not
 	// pass on to a server.
 	keyedHeader = "Samphirewharf-Keyed"
+	// versionHeader holds the version of the configuration by which a request was passed on.
+	versionHeader = "Samphirewharf-Configuration"
 )
 
 // takeDelegator returns the daemon that has passed a request on, and removes its name from the header that servers get.
 func takeDelegator(header http.Header) string {
 	name := header.Get(delegatorHeader)
 	header.Del(delegatorHeader)
+	header.Del(versionHeader)
 	return name
 }
 
+// hasOlder reports whether a configuration is older than the one by which another daemon has passed a request on. It may be nil.
+func hasOlder(c *matcher.Configuration, header http.Header) bool {
+	if header.Get(delegatorHeader) == "" {
+		return false
+	}
+	version, err := strconv.ParseInt(header.Get(versionHeader), 10, 64)
+	return c == nil || err == nil && c.Version < version
+}
+
 // takeKeyed reports whether a request has the key of a workspace according to another daemon, and removes the mark.
 func takeKeyed(header http.Header) bool {
 	keyed := header.Get(keyedHeader) != ""
@@ -51,6 +64,7 @@
 // setDelegator sets the header of a request that is passed on to another daemon.
 func (a *attempt) setDelegator(header http.Header, attempt *AttemptHeader) {
 	header.Set(delegatorHeader, a.exchange.gateway.Name)
+	header.Set(versionHeader, strconv.FormatInt(a.exchange.arrived.Version, 10))
 	attempt.Server, attempt.Workspace = "", ""
 	if a.exchange.arrived.Workspace != "" {
 		attempt.Key = a.exchange.header.Key
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -93,6 +93,11 @@
 		writer.Header().Set(g.Translator.IdentityHeader, header.ID)
 	}
 	configuration := g.Configuration()
+	if hasOlder(configuration, header.Forward) {
+		writer.Header().Set(rejectedHeader, "1")
+		g.reject(writer, header.ID, refuser.Refusal{Code: refuser.CodeNoConfiguration, RetryAfter: noConfigurationRetryDelay, Detail: "the daemon that has passed the request on has a newer one"})
+		return
+	}
 	if configuration == nil {
 		g.reject(writer, header.ID, refuser.Refusal{Code: refuser.CodeNoConfiguration, RetryAfter: noConfigurationRetryDelay})
 		return
