fix: the head of a response among the events of a stream ends the attempt

Report of other operators: a stream broke off, the next server answered with an error, and callers found its text in the middle of their stream. No field of an event begins like a status line, so such a line now ends the attempt, and the stream goes on at another server or is cut plainly.

--- a/internal/entry/streamer/client_test.go
+++ b/internal/entry/streamer/client_test.go
@@ -124,6 +124,9 @@
 		{name: "done", text: "data: [DONE]\n\n", want: []Event{{Done: true}}, err: io.EOF},
 		{name: "cut off", text: "data: a\n\ndata: b\n", want: []Event{{}}, err: io.ErrUnexpectedEOF},
 		{name: "cut off within a line", text: "data: [DONE", err: io.ErrUnexpectedEOF},
+		{name: "a response after an event", text: "data: a\n\nHTTP/1.1 500 Internal Server Error\r\nid: 7\r\n\r\n", want: []Event{{}}, err: ErrResponseInEvent},
+		{name: "a response within an event", text: "id: 7\ndata: a\nHTTP/1.1 500 Internal Server Error\r\n\r\n", err: ErrResponseInEvent},
+		{name: "data like a response", text: "data: HTTP/1.1 500\n\n", want: []Event{{}}, err: io.EOF},
 		{name: "too large", text: "data: " + strings.Repeat("x", MaxEventBytes), err: ErrEventTooLarge},
 	}
 	for _, test := range tests {
--- a/internal/entry/streamer/events.go
+++ b/internal/entry/streamer/events.go
@@ -15,12 +15,17 @@
 	MaxEvents = 1 << 16
 )
 
-// ErrEventTooLarge is returned for an event larger than MaxEventBytes, ErrTooManyEvents for a body of more than MaxEvents.
+// ErrEventTooLarge is returned for an event larger than MaxEventBytes, ErrTooManyEvents for a body of more than MaxEvents, and
+// ErrResponseInEvent for the head of a response among events, which a server may write when it fails in the middle of a stream.
 var (
-	ErrEventTooLarge = errors.New("server-sent event is too large")
-	ErrTooManyEvents = errors.New("too many server-sent events")
+	ErrEventTooLarge   = errors.New("server-sent event is too large")
+	ErrTooManyEvents   = errors.New("too many server-sent events")
+	ErrResponseInEvent = errors.New("head of a response in a server-sent event")
 )
 
+// statusLinePrefix begins the head of a response. No field of an event begins like that.
+const statusLinePrefix = "HTTP/1."
+
 // An Event is one server-sent event.
 type Event struct {
 	// Raw is the event as received, including the empty line at the end. It is valid until the next call of Next.
@@ -62,6 +67,9 @@
 		if err != nil {
 			return Event{}, err
 		}
+		if bytes.HasPrefix(line, []byte(statusLinePrefix)) {
+			return Event{}, ErrResponseInEvent
+		}
 		if len(line) > 0 {
 			event.parseField(line)
 			continue
