--- a/internal/decision/feeder/feeder.go
+++ b/internal/decision/feeder/feeder.go
@@ -102,11 +102,14 @@
 	}
 	sub.expiresAt = now.Add(SubscriptionTTL)
 	sub.hasView, sub.compressed, sub.unreachable = s.HasView, s.Compressed, false
-	if !s.InOrder && !(sub.pending > 0 && sub.sendsSnapshot) {
+	if !s.InOrder && !sub.isSentSnapshot() {
 		sub.requireSnapshot(now)
 	}
 }
 
+// isSentSnapshot reports whether a snapshot is on its way to the subscriber.
+func (s *subscriber) isSentSnapshot() bool { return s.pending > 0 && s.sendsSnapshot }
+
 func (s *subscriber) requireSnapshot(now time.Time) {
 	if !s.needsSnapshot {
 		s.needsSnapshot, s.waitingSince = true, now
@@ -172,7 +175,7 @@
 func (f *Feeder) snapshotsPending() int {
 	n := 0
 	for _, s := range f.subscribers {
-		if s.pending > 0 && s.sendsSnapshot {
+		if s.isSentSnapshot() {
 			n++
 		}
 	}
