--- a/internal/caller/refuser/code.go
+++ b/internal/caller/refuser/code.go
@@ -106,7 +106,7 @@
 	{CodeClaimUnavailable, "ClaimUnavailable", http.StatusServiceUnavailable, "The claim could not be written, so the request was not run."},
 	{CodeIdempotencyKeyExpired, "IdempotencyKeyExpired", http.StatusBadRequest, "The time in the Idempotency-Key is older than claims are kept."},
 	{CodeIdempotencyKeyInvalid, "IdempotencyKeyInvalid", http.StatusBadRequest, "The Idempotency-Key is empty, too long or not printable."},
-	{CodeNoConfiguration, "NoConfiguration", http.StatusServiceUnavailable, "The daemon has no configuration yet."},
+	{CodeNoConfiguration, "NoConfiguration", http.StatusServiceUnavailable, "The daemon has no configuration yet, or an older one than the daemon that passed the request on."},
 	{CodeStoreUnavailable, "StoreUnavailable", http.StatusServiceUnavailable, "The key-value service does not answer."},
 	{CodeVersionConflict, "VersionConflict", http.StatusConflict, "Another operator's change came first; the detail names its version."},
 	{CodeInvalidSettings, "InvalidSettings", http.StatusBadRequest, "A setting has a value that is not accepted."},
--- a/internal/peer/messenger/client.go
+++ b/internal/peer/messenger/client.go
@@ -17,9 +17,9 @@
 
 const (
 	// DefaultTimeout is the time limit for the delivery of one small message. A large one has the time in addition that it takes at
-	// minRate bytes a second, which is a fifth of a link of 10 Mbit/s.
-	DefaultTimeout = 500 * time.Millisecond
-	minRate        = 250_000
+	// minDeliveryRate bytes a second, which is a fifth of a link of 10 Mbit/s.
+	DefaultTimeout  = 500 * time.Millisecond
+	minDeliveryRate = 250_000
 	// DefaultQueueLimit is the number of messages that may be queued for one daemon.
 	DefaultQueueLimit = 32
 	// maxAnswerBytes bounds an answer of another daemon, the largest of which is a compressed configuration.
@@ -148,5 +148,5 @@
 	if timeout <= 0 {
 		timeout = DefaultTimeout
 	}
-	return timeout + time.Duration(size)*time.Second/minRate
+	return timeout + time.Duration(size)*time.Second/minDeliveryRate
 }
--- a/internal/peer/messenger/feed.go
+++ b/internal/peer/messenger/feed.go
@@ -19,7 +19,7 @@
 	// Whole reports whether the views are a complete snapshot. Otherwise they hold the changes since the previous feed.
 	Whole bool
 	Views []View
-	// CompressedViews are the views in the form that CompressViews returns. If they are set, a sent message lacks the views, and a
+	// CompressedViews are the views in the form that a Compressor returns. If they are set, a sent message lacks the views, and a
 	// received one has both. Damaged reports whether they couldn't be read.
 	CompressedViews []byte
 	Damaged         bool
