--- a/review/harness/configuration.go
+++ b/review/harness/configuration.go
@@ -91,7 +91,7 @@
 		}
 		proxies = append(proxies, p)
 		zone := zones[i%2]
-		d, err := startDaemon(t.folder, fmt.Sprintf("edge-%s-%d", zone, i/2+1), zone, p.address)
+		d, err := newDaemon(t.folder, fmt.Sprintf("edge-%s-%d", zone, i/2+1), zone, p.address, true)
 		if err != nil {
 			return nil, err
 		}
--- a/review/harness/daemon.go
+++ b/review/harness/daemon.go
@@ -56,7 +56,7 @@
 recovery-s = 12
 pass-ms = 120
 retry-after-s = 0
-require-fence = true
+require-fence = %[9]t
 lease-ms = 3000
 thaw-slack-ms = 300
 ceiling-window-s = 5
@@ -78,28 +78,39 @@
 	front   string
 	ready   string
 	command *exec.Cmd
+	// settings is the path of the settings file, log that of the log.
+	settings string
+	log      string
 }
 
-// startDaemon starts a process as the deploy file does. The log goes to a file in the folder.
-func startDaemon(folder, name, zone, storeAddress string) (*daemon, error) {
+// newDaemon starts a daemon. Its settings and its log are files in the folder.
+func newDaemon(folder, name, zone, storeAddress string, enginesCheckFences bool) (*daemon, error) {
 	ports, err := freePorts(5)
 	if err != nil {
 		return nil, err
 	}
-	path := filepath.Join(folder, name+".toml")
-	text := fmt.Sprintf(settingsFormat, name, zone, ports[0], ports[1], ports[2], ports[3], ports[4], storeAddress)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+	d := &daemon{
+		name: name, front: loopback(ports[1]), ready: loopback(ports[2]),
+		settings: filepath.Join(folder, name+".toml"), log: filepath.Join(folder, name+".log"),
+	}
+	text := fmt.Sprintf(settingsFormat, name, zone, ports[0], ports[1], ports[2], ports[3], ports[4], storeAddress, enginesCheckFences)
+	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(folder, name+".log"))
+	return d, d.start()
+}
+
+// start starts a process as the deploy file does.
+func (d *daemon) start() error {
+	log, err := os.OpenFile(d.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer func() { _ = log.Close() }()
-	d := &daemon{name: name, front: loopback(ports[1]), ready: loopback(ports[2]), command: exec.Command("target/samphirewharf", "edge")}
-	d.command.Env = append(os.Environ(), "SAMPHIREWHARF_SETTINGS="+path)
+	d.command = exec.Command("target/samphirewharf", "edge")
+	d.command.Env = append(os.Environ(), "SAMPHIREWHARF_SETTINGS="+d.settings)
 	d.command.Stdout, d.command.Stderr = log, log
-	return d, d.command.Start()
+	return d.command.Start()
 }
 
 // awaitReady waits until the daemon says that it is ready.
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -12,7 +12,7 @@
 type run struct {
 	service string
 	server  string
-	path    string
+	status  int
 }
 
 // A ledger holds which requests servers ran, by request ID.
@@ -87,13 +87,13 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	s.ledger.add(id, run{service: s.service, server: s.id, path: r.URL.Path})
-	time.Sleep(15 * time.Millisecond)
-	w.Header().Set("Response-Seal", "seal."+s.id+"."+id)
 	status := http.StatusOK
 	if s.status != nil {
 		status = s.status()
 	}
+	s.ledger.add(id, run{service: s.service, server: s.id, status: status})
+	time.Sleep(15 * time.Millisecond)
+	w.Header().Set("Response-Seal", "seal."+s.id+"."+id)
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, "answer of "+s.service+" to "+id+"\n")
 }
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -42,6 +42,17 @@
 	lastLease int64
 	// changed is closed and replaced on each change.
 	changed chan struct{}
+	// era rises with each restoration from a copy. away reports whether the store answers nobody.
+	era  int64
+	away bool
+}
+
+// A storeCopy is a copy of the store's state.
+type storeCopy struct {
+	revision  int64
+	items     map[string]item
+	leases    map[int64]*lease
+	lastLease int64
 }
 
 // newStore starts a store on a free port of the loopback address.
@@ -116,12 +127,69 @@
 	s.put(key, data, 0)
 }
 
+// get returns the value of a key, nil if it doesn't exist.
+func (s *store) get(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
+
+// copy returns a copy of the state.
+func (s *store) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := storeCopy{revision: s.revision, items: maps.Clone(s.items), leases: make(map[int64]*lease), lastLease: s.lastLease}
+	for id, l := range s.leases {
+		copied := *l
+		c.leases[id] = &copied
+	}
+	return c
+}
+
+// leave has the store answer nobody.
+func (s *store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+}
+
+// restore brings the store back from a copy. Leases of the copy begin anew. What the operator and the servers wrote since is written
+// again, and what the system wrote since is gone.
+func (s *store) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.away = false
+	lost := s.items
+	s.revision, s.items, s.leases, s.lastLease = c.revision, c.items, c.leases, c.lastLease
+	for _, l := range s.leases {
+		l.expiresAt = time.Now().Add(l.ttl)
+	}
+	s.history = slices.DeleteFunc(s.history, func(i item) bool { return i.Revision > c.revision })
+	for _, key := range slices.Sorted(maps.Keys(lost)) {
+		bySystem := !strings.HasPrefix(key, "op/") && !strings.HasPrefix(key, "servers/")
+		if !bySystem && string(s.items[key].Value) != string(lost[key].Value) {
+			s.put(key, lost[key].Value, 0)
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // ServeHTTP answers a daemon's call.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
+	s.mu.Lock()
+	away := s.away
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+	s.mu.Unlock()
+	if away {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	switch path := strings.TrimPrefix(r.URL.Path, "/samphirewharf/"); path {
 	case "kv-watch":
 		s.watch(w, r)
@@ -211,7 +279,7 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		changed, current := s.changed, s.revision
+		changed, current, era := s.changed, s.revision, s.era
 		events := []item{}
 		for _, i := range s.history {
 			if i.Revision > after && strings.HasPrefix(i.Key, query.Get("prefix")) {
@@ -219,6 +287,11 @@
 			}
 		}
 		s.mu.Unlock()
+		w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
+		if after > current {
+			reply(w, http.StatusGone, nil)
+			return
+		}
 		if len(events) > 0 {
 			reply(w, http.StatusOK, map[string]any{"events": events, "current-rev": current})
 			return
