test: review case 1, streams go on at another software version

The case takes the place of the one on statuses that aren't registered; the others are numbered anew, the gravest first.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/review-harness ] && [ -x target/samphirewharf ] || exit 2
-exec target/review-harness configuration "$here"
+exec target/review-harness leaders "$here"
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -27,7 +27,7 @@
 func main() { os.Exit(execute()) }
 
 func execute() int {
-	cases := map[string]func(*trial) (int, error){"configuration": runConfiguration, "status": runStatus, "leaders": runLeaders}
+	cases := map[string]func(*trial) (int, error){"configuration": runConfiguration, "leaders": runLeaders, "versions": runVersions}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER")
 		return exitFailed
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -127,6 +127,13 @@
 	s.put(key, data, 0)
 }
 
+// delete removes a key.
+func (s *store) delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(key)
+}
+
 // get returns the value of a key, nil if it doesn't exist.
 func (s *store) get(key string) []byte {
 	s.mu.Lock()
