fix: streams that wait go on at the version that began them

Cause: a resumption at a service of one version was bound to no version. dispatchQueue sent what waited without looking at the versions again, and each call postponed the timer after which route would have done it. Ruled out: a wrong origin and a late report of one (no daemon asked for any; the log has no read of origins before the send).

Change: a resumption at a service of one version is bound to that version at once, so that it also holds for the placement of models. Every request passes the same check, dispatch, before each send, whether it has just arrived, has waited, or is sent again.

--- a/internal/decision/conductor/origin.go
+++ b/internal/decision/conductor/origin.go
@@ -82,6 +82,8 @@
 		return true
 	}
 	if !m.versionsMixed(r.Service) {
+		// Another version may appear before the request is sent, so it is bound to the only one now.
+		r.softwareVersion, r.pinned = m.versions.Only(r.Service)
 		return true
 	}
 	if r.OriginID == "" && m.election.loaded {
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -77,17 +77,8 @@
 		m.giveUp(r, RefusedFull, fullRetryDelay)
 		return
 	}
-	if !m.pinVersion(r) {
-		return
-	}
-	if !r.tokens.asked && !m.takeTokens(r) {
-		return
-	}
-	c, reason := m.choose(r)
-	if c.server != nil {
-		if m.takeTokens(r) {
-			m.send(r, c)
-		}
+	reason, done := m.dispatch(r)
+	if done {
 		return
 	}
 	if !m.hasTokens(r) {
@@ -107,6 +98,23 @@
 	}
 }
 
+// dispatch sends a request to the best server that may have it now. Each request passes here before each send, so that what it is bound
+// to holds for the servers of that moment. It returns false, and the reason, if there is no server; a request that waits for
+// something else, or was refused, needs none.
+func (m *Machine) dispatch(r *request) (reason unavailability, done bool) {
+	if !m.pinVersion(r) || !r.tokens.asked && !m.takeTokens(r) {
+		return 0, true
+	}
+	c, reason := m.choose(r)
+	if c.server == nil {
+		return reason, false
+	}
+	if m.takeTokens(r) {
+		m.send(r, c)
+	}
+	return reason, true
+}
+
 // waitCold queues a request whose model is expected to be loaded in time, and refuses others.
 func (m *Machine) waitCold(r *request) {
 	ready := m.readyIn(r)
@@ -316,14 +324,9 @@
 	state.queue = nil
 	for _, r := range queue {
 		m.clearTimer(r)
-		c, reason := m.choose(r)
-		if c.server != nil {
-			if m.takeTokens(r) {
-				m.send(r, c)
-			}
-			continue
+		if reason, done := m.dispatch(r); !done {
+			m.requeue(r, reason)
 		}
-		m.requeue(r, reason)
 	}
 }
 
--- a/internal/decision/resumer/versions.go
+++ b/internal/decision/resumer/versions.go
@@ -49,6 +49,15 @@
 	return ok && s.mixed(now)
 }
 
+// Only returns the version of a service's servers if just one was seen.
+func (v *Versions) Only(service string) (version string, ok bool) {
+	s, known := v.services[service]
+	if !known || len(s.seenAt) != 1 {
+		return "", false
+	}
+	return slices.Collect(maps.Keys(s.seenAt))[0], true
+}
+
 // Services returns the names of all services of which a version was seen or recorded, sorted.
 func (v *Versions) Services() []string { return slices.Sorted(maps.Keys(v.services)) }
 
