refactor: the election is a package of its own

conductor/role.go held who leads, the campaign, and when a leader may give its first order, next to the effects that follow from it. The decision moves to internal/decision/elector without a change of behaviour, so that the next fixes there are tested without a whole daemon.

Measured: the conductor's tests of roles, leaders, leases, orders, stops and links pass.

--- a/internal/decision/conductor/catchup.go
+++ b/internal/decision/conductor/catchup.go
@@ -43,7 +43,7 @@
 	if c.until == 0 && m.configuration != nil && m.serversLoaded {
 		c.until = m.now + catchUpTimeout
 	}
-	if !c.asked && m.election.loaded {
+	if !c.asked && m.election.Loaded() {
 		m.askForEvidence()
 	}
 	switch {
--- a/internal/decision/conductor/demand.go
+++ b/internal/decision/conductor/demand.go
@@ -76,7 +76,7 @@
 }
 
 func (d *demandState) nextAt(m *Machine) time.Duration {
-	if m.election.leader == nil {
+	if m.election.Leader() == nil {
 		return never
 	}
 	next := d.sentAt + demandInterval
@@ -150,7 +150,7 @@
 // tickDemand reports this daemon's demand to the leader, which may be this daemon itself.
 func (m *Machine) tickDemand() {
 	d := &m.demand
-	if m.election.leader == nil || m.now < d.nextAt(m) {
+	if m.election.Leader() == nil || m.now < d.nextAt(m) {
 		return
 	}
 	demand := m.ownDemand()
@@ -159,7 +159,7 @@
 		m.demandReceived(m.settings.Self.Name, demand)
 		return
 	}
-	leader, ok := m.daemons[m.election.leader.Name]
+	leader, ok := m.daemons[m.election.Leader().Name]
 	if !ok || m.lacksEngines() {
 		return
 	}
--- a/internal/decision/conductor/event.go
+++ b/internal/decision/conductor/event.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"samphirewharf/internal/decision/calibrator"
+	"samphirewharf/internal/decision/elector"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/fleet/matcher"
 	"samphirewharf/internal/fleet/registrar"
@@ -223,12 +224,7 @@
 }
 
 // A Leader is the daemon that gives orders to engines.
-type Leader struct {
-	Name     string
-	Instance string
-	// FencingToken rises with each change of leader.
-	FencingToken int64
-}
+type Leader = elector.Leader
 
 // A ConfigurationChanged event carries a configuration that was read.
 type ConfigurationChanged struct{ Configuration *matcher.Configuration }
--- a/internal/decision/conductor/fleet.go
+++ b/internal/decision/conductor/fleet.go
@@ -157,12 +157,12 @@
 // takeoverTime returns how long it takes until the next order can be given, 0 if a leader may give orders now.
 func (m *Machine) takeoverTime() time.Duration {
 	switch {
-	case m.election.leader == nil:
+	case m.election.Leader() == nil:
 		return m.settings.TakeoverDelay + electionTime
 	case !m.isLeader() && m.now > m.fleet.receivedAt+fleetTTL:
 		return m.settings.TakeoverDelay
 	default:
-		return max(0, m.election.ordersFrom-m.now)
+		return max(0, m.election.OrdersFrom()-m.now)
 	}
 }
 
--- a/internal/decision/conductor/fleet_receiver.go
+++ b/internal/decision/conductor/fleet_receiver.go
@@ -23,7 +23,7 @@
 	if !isNewer && (!fleet.Whole || f.complete) {
 		return
 	}
-	if m.isLeader() && fleet.Fence > m.election.leader.FencingToken {
+	if m.isLeader() && fleet.Fence > m.election.Leader().FencingToken {
 		m.stopLeading("another leader, " + fleet.Holder + ", has a higher fencing token")
 	}
 	f.receivedAt = m.now
@@ -31,7 +31,7 @@
 	if isNewer {
 		m.emit(Forward{Fleet: fleet})
 	}
-	if m.election.leader == nil && m.store.unavailable {
+	if m.election.Leader() == nil && m.store.unavailable {
 		// The leader's record can't be read, but the message shows which daemon it is.
 		m.leaderChanged(Leader{Name: fleet.Holder, FencingToken: fleet.Fence})
 	}
@@ -221,8 +221,8 @@
 func (m *Machine) receivedFleet() *messenger.Fleet {
 	f := &m.fleet
 	fleet := &messenger.Fleet{Whole: true, Fence: f.fencingToken, Sequence: max(f.sequence, f.wholeSequence)}
-	if m.election.leader != nil {
-		fleet.Holder = m.election.leader.Name
+	if m.election.Leader() != nil {
+		fleet.Holder = m.election.Leader().Name
 	}
 	if m.configuration != nil {
 		fleet.ConfigurationVersion = m.configuration.Version
--- a/internal/decision/conductor/fleet_sender.go
+++ b/internal/decision/conductor/fleet_sender.go
@@ -92,7 +92,7 @@
 }
 
 func (m *Machine) newFleetMessage() *messenger.Fleet {
-	fleet := &messenger.Fleet{Holder: m.settings.Self.Name, Fence: m.election.leader.FencingToken, Sequence: m.fleet.sending.sent}
+	fleet := &messenger.Fleet{Holder: m.settings.Self.Name, Fence: m.election.Leader().FencingToken, Sequence: m.fleet.sending.sent}
 	if m.configuration != nil {
 		fleet.ConfigurationVersion = m.configuration.Version
 	}
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -78,10 +78,6 @@
 	// electionStagger is the delay between the daemons' attempts to become the leader, in order of their election
 	// rank.
 	electionStagger = 150 * time.Millisecond
-	// electionRetryDelay is the delay before another attempt to become the leader.
-	electionRetryDelay = time.Second
-	// takeoverMargin is added to the delay between the orders of two leaders.
-	takeoverMargin = 150 * time.Millisecond
 	// maxOutageLeadership is how long a leader continues in an outage of the store if engines check fencing tokens.
 	maxOutageLeadership = 20 * time.Second
 
--- a/internal/decision/conductor/link.go
+++ b/internal/decision/conductor/link.go
@@ -172,7 +172,7 @@
 	}
 	m.publishLink()
 	if m.isLeader() && !m.store.unavailable {
-		m.emit(Resign{FencingToken: m.election.leader.FencingToken})
+		m.emit(Resign{FencingToken: m.election.Leader().FencingToken})
 		m.stopLeading("no link to the servers")
 	}
 	m.routeQueues()
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -8,6 +8,7 @@
 
 	"samphirewharf/internal/decision/allotter"
 	"samphirewharf/internal/decision/calibrator"
+	"samphirewharf/internal/decision/elector"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/decision/resumer"
 	"samphirewharf/internal/decision/selector"
@@ -87,7 +88,7 @@
 	store     storeState
 	daemons   map[string]Daemon
 	lease     leaseState
-	election  electionState
+	election  elector.Elector
 	fleet     fleetState
 	demand    demandState
 	placement placementState
@@ -171,6 +172,10 @@
 		quotas:          newQuotaState(settings),
 	}
 	m.origins = newResumer(m)
+	m.election = elector.Elector{
+		Self:  Leader{Name: settings.Self.Name, Instance: settings.Self.Instance},
+		Delay: settings.TakeoverDelay, LeaseTTL: settings.LeaseTTL, Fenced: settings.EnginesCheckFencing,
+	}
 	return m
 }
 
@@ -193,7 +198,7 @@
 	if at, ok := m.timers.Next(); ok {
 		next = min(next, at)
 	}
-	return min(next, m.lease.nextAt(), m.election.nextAt(m.now), m.link.nextAt(), m.demand.nextAt(m), m.fleet.nextAt(m), m.subscriber.NextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.catchUp.nextAt(), m.originsNextAt(), m.quotas.nextAt(m), m.stop.nextAt(m.now))
+	return min(next, m.lease.nextAt(), m.election.NextAt(m.now), m.link.nextAt(), m.demand.nextAt(m), m.fleet.nextAt(m), m.subscriber.NextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.catchUp.nextAt(), m.originsNextAt(), m.quotas.nextAt(m), m.stop.nextAt(m.now))
 }
 
 func (m *Machine) apply(event Event) {
@@ -257,7 +262,7 @@
 	case RegisterEnded:
 		m.registerEnded(e)
 	case BecomeLeaderEnded:
-		m.becomeLeaderEnded(e)
+		m.electionChanged(m.election.CampaignEnded(m.now, e.FencingToken))
 	}
 }
 
--- a/internal/decision/conductor/ordering.go
+++ b/internal/decision/conductor/ordering.go
@@ -30,7 +30,7 @@
 	}
 	order := registrar.Order{
 		Server: step.Server, Address: s.entry.Address, Operation: step.Operation, Model: step.Model, Adapter: step.Adapter,
-		ExpectedOrders: engine.ordersAccepted, Leader: m.settings.Self.Name, FencingToken: m.election.leader.FencingToken,
+		ExpectedOrders: engine.ordersAccepted, Leader: m.settings.Self.Name, FencingToken: m.election.Leader().FencingToken,
 	}
 	engine.pendingOrder = &order
 	name := modelName(step.Model, step.Adapter)
--- a/internal/decision/conductor/origin.go
+++ b/internal/decision/conductor/origin.go
@@ -86,7 +86,7 @@
 		r.softwareVersion, r.pinned = m.versions.Only(r.Service)
 		return true
 	}
-	if r.OriginID == "" && m.election.loaded {
+	if r.OriginID == "" && m.election.Loaded() {
 		m.refuse(r, RefusedOrigin, noServerRetryDelay)
 		return false
 	}
@@ -150,13 +150,13 @@
 
 // originUnanswered has a request wait on for the version that began its stream, or ends the wait.
 func (m *Machine) originUnanswered(r *request) {
-	if !m.versionsMixed(r.Service) || r.OriginID == "" && m.election.loaded {
+	if !m.versionsMixed(r.Service) || r.OriginID == "" && m.election.Loaded() {
 		m.stopAsking(r)
 		m.route(r)
 		return
 	}
 	next, waits := m.origins.Unanswered(m.now, r.Request)
-	if !waits && !m.election.loaded && m.now < r.firstDeadline {
+	if !waits && !m.election.Loaded() && m.now < r.firstDeadline {
 		// The service may have had one version only.
 		next, waits = min(r.firstDeadline, m.now+loadPollInterval), true
 	}
--- a/internal/decision/conductor/restored_leader_test.go
+++ b/internal/decision/conductor/restored_leader_test.go
@@ -1,6 +1,10 @@
 package conductor
 
-import "testing"
+import (
+	"testing"
+
+	"samphirewharf/internal/decision/elector"
+)
 
 func TestRestoredLeader(t *testing.T) {
 	self := func(h *harness) Leader {
@@ -40,7 +44,7 @@
 		if h.machine.mayOrder() {
 			t.Error("got orders while the lease of the leader before may last, want none")
 		}
-		h.advance(2 * takeoverMargin)
+		h.advance(2 * elector.Margin)
 		if !h.machine.mayOrder() {
 			t.Error("got no orders, want them")
 		}
@@ -50,7 +54,7 @@
 		leader := self(h)
 		leader.FencingToken = restoredRevision(45)
 		h.step(LeaderChanged{Leader: leader})
-		h.advance(h.machine.settings.TakeoverDelay + 2*takeoverMargin)
+		h.advance(h.machine.settings.TakeoverDelay + 2*elector.Margin)
 		if !h.machine.mayOrder() {
 			t.Error("got no orders, want them")
 		}
--- a/internal/decision/conductor/role.go
+++ b/internal/decision/conductor/role.go
@@ -4,46 +4,17 @@
 	"slices"
 	"time"
 
-	"samphirewharf/internal/fleet/sequencer"
+	"samphirewharf/internal/decision/elector"
 )
 
-// An electionState is the daemon's view of the leader, the one daemon that gives orders to engines. The leader is the
-// daemon whose leader record is in the store. Its fencing token is the revision of that record, so that it rises with
-// each change of leader.
-type electionState struct {
-	// loaded reports whether the record or its absence has been read once.
-	loaded bool
-	leader *Leader
-	// previous is the leader before the current one, if any was seen.
-	previous Leader
-	// campaignAt is when the daemon tries to become the leader; campaigning reports whether an attempt is in progress.
-	campaignAt  time.Duration
-	campaigning bool
-	// ordersFrom is when the leader, this daemon or another, may give its first order.
-	ordersFrom time.Duration
-	// lostToken is the fencing token of this daemon's last leadership that ended by a refusal, the end of the lease or
-	// a planned stop.
-	lostToken int64
-}
-
-func (s *electionState) nextAt(now time.Duration) time.Duration {
-	if s.leader != nil || s.campaigning || s.campaignAt <= now {
-		return never
-	}
-	return s.campaignAt
-}
-
 // isLeader reports whether this process is the leader, to its knowledge.
-func (m *Machine) isLeader() bool {
-	leader := m.election.leader
-	return leader != nil && leader.Instance == m.settings.Self.Instance && leader.FencingToken > m.election.lostToken
-}
+func (m *Machine) isLeader() bool { return m.election.Leads() }
 
 // mayOrder reports whether this process may give orders now: it is the leader, enough time has passed since the orders
 // of the previous one, and no other process can be the leader. If engines check fencing tokens, an outage of the store
 // doesn't end this, since nobody can become the leader during it.
 func (m *Machine) mayOrder() bool {
-	if !m.isLeader() || m.now < m.election.ordersFrom {
+	if !m.isLeader() || m.now < m.election.OrdersFrom() {
 		return false
 	}
 	if m.lease.valid(m.now) {
@@ -53,18 +24,12 @@
 }
 
 func (m *Machine) tickElection() {
-	s := &m.election
-	if s.leader != nil || !s.loaded || s.campaigning || m.stop.requested || m.link.down || !m.lease.registered || !m.lease.valid(m.now) {
+	if !m.election.Vacant() || m.stop.requested || m.link.down || !m.lease.registered || !m.lease.valid(m.now) {
 		return
 	}
-	if s.campaignAt == 0 {
-		s.campaignAt = m.now + m.electionRank()*electionStagger
+	if m.election.Campaign(m.now, m.electionRank()*electionStagger) {
+		m.emit(BecomeLeader{Leader: Leader{Name: m.settings.Self.Name, Instance: m.settings.Self.Instance}})
 	}
-	if m.now < s.campaignAt {
-		return
-	}
-	s.campaigning = true
-	m.emit(BecomeLeader{Leader: Leader{Name: m.settings.Self.Name, Instance: m.settings.Self.Instance}})
 }
 
 // electionRank returns the number of registered daemons that come before this one in an election, by CPU and name.
@@ -75,74 +40,33 @@
 	return time.Duration(max(index, 0))
 }
 
-func (m *Machine) becomeLeaderEnded(e BecomeLeaderEnded) {
-	m.election.campaigning = false
-	if e.FencingToken == 0 {
-		m.election.campaignAt = m.now + electionRetryDelay
-		return
-	}
-	m.leaderChanged(Leader{Name: m.settings.Self.Name, Instance: m.settings.Self.Instance, FencingToken: e.FencingToken})
+func (m *Machine) leaderChanged(leader Leader) {
+	m.electionChanged(m.election.Recorded(m.now, leader, m.daemonsRevision))
 }
 
-func (m *Machine) leaderChanged(leader Leader) {
-	s := &m.election
-	s.loaded = true
-	if m.isRestoredOwnRecord(leader) {
-		m.emit(Resign{FencingToken: leader.FencingToken})
-		return
+// electionChanged carries out what follows from an event of the election.
+func (m *Machine) electionChanged(o elector.Outcome) {
+	if o.Resign > 0 {
+		m.emit(Resign{FencingToken: o.Resign})
 	}
-	if s.leader != nil && leader.FencingToken <= s.leader.FencingToken || leader.FencingToken < s.previous.FencingToken {
+	if !o.Changed {
 		return
 	}
-	if s.leader == nil && leader.FencingToken <= m.daemonsRevision && leader.Instance != m.settings.Self.Instance {
-		// A later list lacked the record.
-		return
-	}
-	previous := s.previous
-	if s.leader != nil {
-		previous = *s.leader
-	}
-	s.leader = &leader
-	s.previous = leader
-	s.campaignAt = 0
+	leader := m.election.Leader()
 	m.emit(LogStateChange{Subject: "Role", Change: "HeldBy", Reason: leader.Name, Version: leader.FencingToken})
 	m.demand.reportNow()
-	isSelf := leader.Instance == m.settings.Self.Instance
-	s.ordersFrom = m.now + m.settings.TakeoverDelay + takeoverMargin
-	if previous.Name != "" && sequencer.Epoch(leader.FencingToken) > sequencer.Epoch(previous.FencingToken) {
-		// The restoration has removed the previous leader's record while its lease lasted.
-		s.ordersFrom += m.settings.LeaseTTL
-	}
-	if previous.Name == leader.Name || previous.Name == "" && !isSelf {
-		// Two processes on one host count as one leader. A leader that this daemon finds at its start has most likely
-		// been the leader for long.
-		s.ordersFrom = m.now
-	}
-	if !isSelf {
+	if leader.Instance != m.settings.Self.Instance {
 		m.placement.stop()
 		return
 	}
 	m.startPlacement()
 }
 
-// isRestoredOwnRecord reports whether a leader's record is that of this process's last leadership, which a restoration of
-// the store has brought back. The lease that it is tied to isn't renewed any more.
-func (m *Machine) isRestoredOwnRecord(leader Leader) bool {
-	lost := m.election.lostToken
-	return leader.Instance == m.settings.Self.Instance && leader.FencingToken > lost && sequencer.Number(leader.FencingToken) == sequencer.Number(lost)
-}
-
 func (m *Machine) leaderRemoved(revision int64) {
-	s := &m.election
-	s.loaded = true
-	if s.leader == nil || revision > 0 && revision < s.leader.FencingToken {
-		return
+	if removed := m.election.Removed(revision); removed != nil {
+		m.emit(LogStateChange{Subject: "Role", Change: "Free", Reason: removed.Name, Version: removed.FencingToken})
+		m.placement.stop()
 	}
-	m.emit(LogStateChange{Subject: "Role", Change: "Free", Reason: s.leader.Name, Version: s.leader.FencingToken})
-	s.previous = *s.leader
-	s.leader = nil
-	s.campaignAt = 0
-	m.placement.stop()
 }
 
 // leaseLost ends the leadership, whose record was removed with the lease. A restoration of the store may have brought the
@@ -151,18 +75,14 @@
 	if !m.isLeader() {
 		return
 	}
-	m.emit(Resign{FencingToken: m.election.leader.FencingToken})
+	m.emit(Resign{FencingToken: m.election.Leader().FencingToken})
 	m.stopLeading("lease ended")
 }
 
 // stopLeading ends the leadership under the current fencing token, even if the record is still there.
 func (m *Machine) stopLeading(reason string) {
-	s := &m.election
-	m.emit(LogStateChange{Subject: "Role", Change: "Lost", Reason: reason, Version: s.leader.FencingToken, Warning: true})
-	s.lostToken = s.leader.FencingToken
-	s.previous = *s.leader
-	s.leader = nil
-	s.campaignAt = m.now + electionRetryDelay
+	m.emit(LogStateChange{Subject: "Role", Change: "Lost", Reason: reason, Version: m.election.Leader().FencingToken, Warning: true})
+	m.election.Stop(m.now)
 	m.placement.stop()
 }
 
--- a/internal/decision/conductor/role_test.go
+++ b/internal/decision/conductor/role_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"samphirewharf/internal/decision/elector"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/fleet/registrar"
 	"samphirewharf/internal/peer/messenger"
@@ -380,7 +381,7 @@
 		h.assertRefusedWithin(id, RefusedCold, time.Millisecond, testSettings().TakeoverDelay, testSettings().TakeoverDelay+time.Second)
 	})
 	t.Run("a request waits again after the takeover delay", func(t *testing.T) {
-		h.advance(testSettings().TakeoverDelay + takeoverMargin)
+		h.advance(testSettings().TakeoverDelay + elector.Margin)
 		h.step(PeerReceived{Message: messenger.Message{From: "d3", Fleet: &messenger.Fleet{Holder: "d3", Fence: 8, Sequence: 2}}})
 		id := h.request(quick, "m1", "a3")
 		h.advance(10 * time.Millisecond)
--- a/internal/decision/conductor/routing_test.go
+++ b/internal/decision/conductor/routing_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"samphirewharf/internal/decision/elector"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/fleet/registrar"
 	"samphirewharf/internal/peer/messenger"
@@ -282,7 +283,7 @@
 	}
 	h.revision++
 	h.step(BecomeLeaderEnded{FencingToken: h.revision})
-	h.advance(testSettings().TakeoverDelay + 2*takeoverMargin)
+	h.advance(testSettings().TakeoverDelay + 2*elector.Margin)
 }
 
 // Many daemons choose among the replicas of a model by counts of each other's requests that are up to a second old. If
--- a/internal/decision/conductor/server_test.go
+++ b/internal/decision/conductor/server_test.go
@@ -268,7 +268,7 @@
 	t.Run("the leadership is given up first", func(t *testing.T) {
 		h := newHarness(t)
 		h.becomeLeader()
-		fencingToken := h.machine.election.leader.FencingToken
+		fencingToken := h.machine.election.Leader().FencingToken
 		h.step(StopRequested{})
 		assertEqual(t, "fencing token", one[Resign](h).FencingToken, fencingToken)
 		assertEqual(t, "may order", h.machine.mayOrder(), false)
--- a/internal/decision/conductor/stale_update_test.go
+++ b/internal/decision/conductor/stale_update_test.go
@@ -59,7 +59,7 @@
 	t.Run("a relayed record doesn't bring a leader back", func(t *testing.T) {
 		h := newListed(t)
 		h.step(LeaderChanged{Leader: Leader{Name: "d9", Instance: "i9", FencingToken: listRevision - 10}})
-		if leader := h.machine.election.leader; leader != nil {
+		if leader := h.machine.election.Leader(); leader != nil {
 			t.Errorf("got leader %s, want none", leader.Name)
 		}
 	})
--- a/internal/decision/conductor/stopping.go
+++ b/internal/decision/conductor/stopping.go
@@ -79,7 +79,7 @@
 		return
 	}
 	if m.isLeader() {
-		m.emit(Resign{FencingToken: m.election.leader.FencingToken})
+		m.emit(Resign{FencingToken: m.election.Leader().FencingToken})
 		m.stopLeading("planned stop")
 	}
 	m.lease.revoked = true
--- a/internal/decision/conductor/versions.go
+++ b/internal/decision/conductor/versions.go
@@ -29,7 +29,7 @@
 // versionsMixed reports whether streams of several software versions of a service may be taken up.
 func (m *Machine) versionsMixed(service string) bool {
 	// Before the records in the store were read, a service may have had several.
-	return !m.election.loaded || m.versions.Mixed(m.now, service)
+	return !m.election.Loaded() || m.versions.Mixed(m.now, service)
 }
 
 func (m *Machine) mixedServices() []string {
--- /dev/null
+++ b/internal/decision/elector/elector.go
@@ -0,0 +1,169 @@
+// Package elector decides who leads the daemons, to the knowledge of one of them, and when a leader may give its first order. The
+// leader is the daemon whose record is in the store, under its lease.
+package elector
+
+import (
+	"time"
+
+	"samphirewharf/internal/fleet/sequencer"
+)
+
+const (
+	// Margin is added to the delay between the orders of two leaders.
+	Margin = 150 * time.Millisecond
+	// retryDelay is the delay before another attempt to become the leader.
+	retryDelay = time.Second
+	// never is later than any time.
+	never = time.Duration(1<<63 - 1)
+)
+
+// A Leader is the daemon that gives orders to engines.
+type Leader struct {
+	Name     string
+	Instance string
+	// FencingToken is the revision of the leader's record, so that it rises with each change of leader.
+	FencingToken int64
+}
+
+// An Elector is a daemon's view of the leader. The zero value with Self, Delay and LeaseTTL set is ready to use.
+type Elector struct {
+	// Self has the name and instance of this process.
+	Self Leader
+	// Delay is the least time between the orders of two hosts, LeaseTTL the TTL of the leases.
+	Delay    time.Duration
+	LeaseTTL time.Duration
+	// Fenced reports whether engines refuse orders with a lower fencing token than one they have seen.
+	Fenced bool
+
+	// loaded reports whether the record or its absence has been read once.
+	loaded bool
+	leader *Leader
+	// previous is the leader before the current one, if any was seen.
+	previous Leader
+	// campaignAt is when the daemon tries to become the leader; campaigning reports whether an attempt is in progress.
+	campaignAt  time.Duration
+	campaigning bool
+	ordersFrom  time.Duration
+	// endedToken is the fencing token of this process's last leadership that has ended.
+	endedToken int64
+}
+
+// An Outcome is what an event has changed.
+type Outcome struct {
+	// Changed reports whether there is another leader.
+	Changed bool
+	// Resign is the fencing token of a record of this process that must be deleted, since it is not the leader by it; 0 for none.
+	Resign int64
+}
+
+// Loaded reports whether the leader's record or its absence has been read once.
+func (e *Elector) Loaded() bool { return e.loaded }
+
+// Leader returns the current leader, nil if there is none.
+func (e *Elector) Leader() *Leader { return e.leader }
+
+// OrdersFrom returns when the current leader, this daemon or another, may give its first order.
+func (e *Elector) OrdersFrom() time.Duration { return e.ordersFrom }
+
+// Leads reports whether this process is the leader, to its knowledge.
+func (e *Elector) Leads() bool {
+	return e.leader != nil && e.leader.Instance == e.Self.Instance && e.leader.FencingToken > e.endedToken
+}
+
+// NextAt returns when Campaign is due without an event.
+func (e *Elector) NextAt(now time.Duration) time.Duration {
+	if e.leader != nil || e.campaigning || e.campaignAt <= now {
+		return never
+	}
+	return e.campaignAt
+}
+
+// Vacant reports whether there is no leader, and no attempt to become it is in progress.
+func (e *Elector) Vacant() bool { return e.loaded && e.leader == nil && !e.campaigning }
+
+// Campaign reports whether to try to become the leader now, if there is none. The first attempt is made after the delay.
+func (e *Elector) Campaign(now, delay time.Duration) bool {
+	if e.campaignAt == 0 {
+		e.campaignAt = now + delay
+	}
+	if now < e.campaignAt {
+		return false
+	}
+	e.campaigning = true
+	return true
+}
+
+// CampaignEnded handles the end of an attempt to become the leader. The token is 0 if it has failed or its outcome is unknown.
+func (e *Elector) CampaignEnded(now time.Duration, token int64) Outcome {
+	e.campaigning = false
+	if token == 0 {
+		e.campaignAt = now + retryDelay
+		return Outcome{}
+	}
+	return e.Recorded(now, Leader{Name: e.Self.Name, Instance: e.Self.Instance, FencingToken: token}, 0)
+}
+
+// Recorded handles a leader's record. Listed is the revision of the last list of records, which are known to be there or not.
+func (e *Elector) Recorded(now time.Duration, leader Leader, listed int64) Outcome {
+	e.loaded = true
+	if e.isEnded(leader) {
+		return Outcome{Resign: leader.FencingToken}
+	}
+	if e.leader != nil && leader.FencingToken <= e.leader.FencingToken || leader.FencingToken < e.previous.FencingToken {
+		return Outcome{}
+	}
+	if e.leader == nil && leader.FencingToken <= listed && leader.Instance != e.Self.Instance {
+		// A later list lacked the record.
+		return Outcome{}
+	}
+	if e.leader != nil {
+		e.previous = *e.leader
+	}
+	e.ordersFrom = e.firstOrder(now, leader)
+	e.leader, e.previous, e.campaignAt = &leader, leader, 0
+	return Outcome{Changed: true}
+}
+
+// isEnded reports whether a record is that of this process's last leadership, which a restoration of the store has brought back.
+// The lease that it is tied to isn't renewed any more.
+func (e *Elector) isEnded(leader Leader) bool {
+	if leader.Instance != e.Self.Instance {
+		return false
+	}
+	return leader.FencingToken > e.endedToken && sequencer.Number(leader.FencingToken) == sequencer.Number(e.endedToken)
+}
+
+// Removed handles the removal of the leader's record at a revision, 0 for an unknown one. It returns the leader that was removed,
+// nil if there was none.
+func (e *Elector) Removed(revision int64) *Leader {
+	e.loaded = true
+	removed := e.leader
+	if removed == nil || revision > 0 && revision < removed.FencingToken {
+		return nil
+	}
+	e.previous, e.leader = *e.leader, nil
+	e.campaignAt = 0
+	return removed
+}
+
+// Stop ends the leadership of this process, even if its record is still there.
+func (e *Elector) Stop(now time.Duration) {
+	e.endedToken = e.leader.FencingToken
+	e.previous, e.leader = *e.leader, nil
+	e.campaignAt = now + retryDelay
+}
+
+// firstOrder returns when a leader that is recorded now may give its first order.
+func (e *Elector) firstOrder(now time.Duration, leader Leader) time.Duration {
+	if e.previous.Name == leader.Name || e.previous.Name == "" && leader.Instance != e.Self.Instance {
+		// Two processes on one host count as one leader. A leader that this daemon finds at its start has most likely
+		// been the leader for long.
+		return now
+	}
+	from := now + e.Delay + Margin
+	if e.previous.Name != "" && sequencer.Epoch(leader.FencingToken) > sequencer.Epoch(e.previous.FencingToken) {
+		// The restoration has removed the previous leader's record while its lease lasted.
+		from += e.LeaseTTL
+	}
+	return from
+}
