fix: a host doesn't give orders right after another one whose record was lost

Cause: two processes on one host count as one leader, so that a leader waits only if the record before its own names another host. The restored record was the one before; the host that had led until the drill was forgotten, and as the restored record already had the new epoch, neither was the lease of the leader of before the drill waited for. Ruled out: orders on their way (all gaps end with the first order of a leadership) and a lease that went on (the gaps begin with the drill).

Change: package elector remembers until when each host may have given orders. A restoration, seen in any revision, adds the time of a lease to it, since the leader of before may not know of it until then. Where engines don't check fencing tokens, also a host that led before waits, since another one may have led without its knowledge: its view may be out of date, it may have stood still, or its process may have started later; a process that starts in a later epoch counts the lease from its start. Where engines check tokens, a host that has led before still goes on at once unless it knows of another one. The log says when the first order is due.

--- a/internal/decision/conductor/bed_test.go
+++ b/internal/decision/conductor/bed_test.go
@@ -81,7 +81,12 @@
 // newHarness returns a machine with a configuration, a lease and no servers.
 func newHarness(t *testing.T) *harness {
 	t.Helper()
-	h := &harness{t: t, machine: New(testSettings()), revision: 100}
+	return newHarnessWith(t, testSettings())
+}
+
+func newHarnessWith(t *testing.T, settings Settings) *harness {
+	t.Helper()
+	h := &harness{t: t, machine: New(settings), revision: 100}
 	h.step(ConfigurationChanged{Configuration: testConfiguration(t, 1)})
 	h.step(ServersListed{})
 	h.step(DaemonsListed{})
--- a/internal/decision/conductor/feed.go
+++ b/internal/decision/conductor/feed.go
@@ -265,6 +265,7 @@
 // observeEpoch handles the revision of a list. A list of a later epoch shows that the store was restored from a copy that
 // may lack the last entries, which get some time to be written again.
 func (m *Machine) observeEpoch(revision int64) {
+	m.election.Observe(m.now, revision)
 	view := &m.view
 	epoch := sequencer.Epoch(revision)
 	if view.known && epoch <= view.epoch {
--- a/internal/decision/conductor/restored_leader_test.go
+++ b/internal/decision/conductor/restored_leader_test.go
@@ -1,9 +1,12 @@
 package conductor
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"samphirewharf/internal/decision/elector"
+	"samphirewharf/internal/fleet/sequencer"
 )
 
 func TestRestoredLeader(t *testing.T) {
@@ -60,3 +63,82 @@
 		}
 	})
 }
+
+// Guards against two hosts that give orders in turn. Each case leads to the election of d1, whose host has led before, and at the
+// earliest some time after its begin another host may have given its last order.
+func TestHostsDontTakeTurns(t *testing.T) {
+	settings := testSettings()
+	elect := func(h *harness, token int64) {
+		h.t.Helper()
+		h.advance(200 * time.Millisecond)
+		h.step(BecomeLeaderEnded{FencingToken: token})
+	}
+	before := Leader{Name: settings.Self.Name, Instance: "before", FencingToken: 7}
+	other := Leader{Name: "d2", Instance: "i2", FencingToken: 32}
+	restored := func(leader Leader, epoch int64) Leader {
+		leader.FencingToken = sequencer.NewRevision(epoch, leader.FencingToken)
+		return leader
+	}
+	for _, c := range []struct {
+		name string
+		play func(h *harness)
+		// least is the least time from the begin to the first order, leastFenced that where engines check fencing tokens.
+		least, leastFenced time.Duration
+	}{
+		{"a restoration brings back the record of an earlier process, after another host has led", func(h *harness) {
+			h.step(LeaderChanged{Leader: before})
+			h.step(LeaderRemoved{})
+			h.step(LeaderChanged{Leader: other})
+			h.step(LeaderChanged{Leader: restored(before, 1)})
+			h.step(LeaderRemoved{})
+			elect(h, sequencer.NewRevision(1, 40))
+		}, settings.LeaseTTL + settings.TakeoverDelay, settings.LeaseTTL + settings.TakeoverDelay},
+		{"two restorations bring it back", func(h *harness) {
+			h.step(LeaderChanged{Leader: other})
+			h.step(LeaderChanged{Leader: restored(before, 1)})
+			h.step(LeaderChanged{Leader: restored(before, 2)})
+			h.step(LeaderRemoved{})
+			elect(h, sequencer.NewRevision(2, 40))
+		}, settings.LeaseTTL + settings.TakeoverDelay, settings.LeaseTTL + settings.TakeoverDelay},
+		{"the record of the other host is gone before the restoration is seen", func(h *harness) {
+			h.step(LeaderChanged{Leader: other})
+			h.step(LeaderRemoved{})
+			h.step(DaemonsListed{Revision: sequencer.NewRevision(1, 30), Leader: &Leader{Name: before.Name, Instance: before.Instance, FencingToken: sequencer.NewRevision(1, 7)}})
+			h.step(LeaderRemoved{})
+			elect(h, sequencer.NewRevision(1, 40))
+		}, settings.LeaseTTL + settings.TakeoverDelay, settings.LeaseTTL + settings.TakeoverDelay},
+		{"another host may have led unseen since the record of an earlier process", func(h *harness) {
+			h.step(LeaderChanged{Leader: before})
+			h.step(LeaderRemoved{})
+			elect(h, 40)
+		}, settings.TakeoverDelay, 0},
+		{"another host may have led unseen since the lease of this process ended", func(h *harness) {
+			elect(h, 40)
+			h.step(LeaseRenewed{SentAt: h.now, OK: true, Lost: true})
+			h.step(RegisterEnded{OK: true})
+			elect(h, 60)
+		}, settings.TakeoverDelay, 0},
+		{"the process starts after a restoration", func(h *harness) {
+			h.step(ServersListed{Revision: sequencer.NewRevision(1, 39)})
+			elect(h, sequencer.NewRevision(1, 40))
+		}, settings.LeaseTTL + settings.TakeoverDelay, settings.TakeoverDelay},
+	} {
+		for _, fenced := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, engines check fencing tokens: %v", c.name, fenced), func(t *testing.T) {
+				s := testSettings()
+				s.EnginesCheckFencing = fenced
+				h := newHarnessWith(t, s)
+				begin := h.now
+				c.play(h)
+				least := c.least
+				if fenced {
+					least = c.leastFenced
+				}
+				for !h.machine.mayOrder() && h.now < begin+time.Minute {
+					h.advance(10 * time.Millisecond)
+				}
+				assertBetween(t, "first order after", h.now-begin, least, least+time.Second)
+			})
+		}
+	}
+}
--- a/internal/decision/conductor/role.go
+++ b/internal/decision/conductor/role.go
@@ -53,7 +53,10 @@
 		return
 	}
 	leader := m.election.Leader()
-	m.emit(LogStateChange{Subject: "Role", Change: "HeldBy", Reason: leader.Name, Version: leader.FencingToken})
+	m.emit(LogStateChange{
+		Subject: "Role", Change: "HeldBy", Reason: leader.Name, Version: leader.FencingToken,
+		Detail: "first order in " + itoa(max(0, m.election.OrdersFrom()-m.now).Milliseconds()) + " ms",
+	})
 	m.demand.reportNow()
 	if leader.Instance != m.settings.Self.Instance {
 		m.placement.stop()
@@ -63,7 +66,7 @@
 }
 
 func (m *Machine) leaderRemoved(revision int64) {
-	if removed := m.election.Removed(revision); removed != nil {
+	if removed := m.election.Removed(m.now, revision); removed != nil {
 		m.emit(LogStateChange{Subject: "Role", Change: "Free", Reason: removed.Name, Version: removed.FencingToken})
 		m.placement.stop()
 	}
--- a/internal/decision/elector/elector.go
+++ b/internal/decision/elector/elector.go
@@ -46,6 +46,7 @@
 	ordersFrom  time.Duration
 	// endedToken is the fencing token of this process's last leadership that has ended.
 	endedToken int64
+	history    history
 }
 
 // An Outcome is what an event has changed.
@@ -106,6 +107,7 @@
 // Recorded handles a leader's record. Listed is the revision of the last list of records, which are known to be there or not.
 func (e *Elector) Recorded(now time.Duration, leader Leader, listed int64) Outcome {
 	e.loaded = true
+	e.Observe(now, leader.FencingToken)
 	if e.isEnded(leader) {
 		return Outcome{Resign: leader.FencingToken}
 	}
@@ -117,7 +119,7 @@
 		return Outcome{}
 	}
 	if e.leader != nil {
-		e.previous = *e.leader
+		e.end(now)
 	}
 	e.ordersFrom = e.firstOrder(now, leader)
 	e.leader, e.previous, e.campaignAt = &leader, leader, 0
@@ -135,13 +137,14 @@
 
 // Removed handles the removal of the leader's record at a revision, 0 for an unknown one. It returns the leader that was removed,
 // nil if there was none.
-func (e *Elector) Removed(revision int64) *Leader {
+func (e *Elector) Removed(now time.Duration, revision int64) *Leader {
 	e.loaded = true
+	e.Observe(now, revision)
 	removed := e.leader
 	if removed == nil || revision > 0 && revision < removed.FencingToken {
 		return nil
 	}
-	e.previous, e.leader = *e.leader, nil
+	e.end(now)
 	e.campaignAt = 0
 	return removed
 }
@@ -149,21 +152,39 @@
 // Stop ends the leadership of this process, even if its record is still there.
 func (e *Elector) Stop(now time.Duration) {
 	e.endedToken = e.leader.FencingToken
-	e.previous, e.leader = *e.leader, nil
+	e.end(now)
 	e.campaignAt = now + retryDelay
 }
 
-// firstOrder returns when a leader that is recorded now may give its first order.
+func (e *Elector) end(now time.Duration) {
+	e.history.ended(now, *e.leader)
+	e.previous, e.leader = *e.leader, nil
+}
+
+// Observe handles a revision of the store, which shows whether it was restored from a copy. Zero is none.
+func (e *Elector) Observe(now time.Duration, revision int64) {
+	if revision > 0 {
+		e.history.observe(now, sequencer.Epoch(revision), e.LeaseTTL)
+	}
+}
+
+// firstOrder returns when a leader that is recorded now may give its first order. The leader before gives none once its record is
+// gone, but for one that doesn't know yet that the store was restored: it goes on until its lease has ended.
 func (e *Elector) firstOrder(now time.Duration, leader Leader) time.Duration {
-	if e.previous.Name == leader.Name || e.previous.Name == "" && leader.Instance != e.Self.Instance {
-		// Two processes on one host count as one leader. A leader that this daemon finds at its start has most likely
-		// been the leader for long.
+	delay := e.Delay + Margin
+	others := e.history.othersUntil(leader.Name)
+	switch {
+	case e.previous.Name == "" && leader.Instance != e.Self.Instance:
+		// A leader that this daemon finds at its start has most likely been the leader for long.
 		return now
+	case e.Fenced && e.previous.Name == leader.Name:
+		// Two processes on one host count as one leader. If another one has led between them, unknown to this daemon, engines refuse
+		// its late orders.
+		return max(now, others+delay)
+	case e.Fenced && !e.history.restored:
+		return now + delay
+	default:
+		// Without fencing, what this daemon hasn't seen counts too: another host may have led since its own record was there.
+		return max(now, others, e.history.unknownUntil) + delay
 	}
-	from := now + e.Delay + Margin
-	if e.previous.Name != "" && sequencer.Epoch(leader.FencingToken) > sequencer.Epoch(e.previous.FencingToken) {
-		// The restoration has removed the previous leader's record while its lease lasted.
-		from += e.LeaseTTL
-	}
-	return from
 }
