fix: a daemon gives up the record of any of its ended leaderships

A daemon that had led twice took itself for the leader when a restoration of the store brought back its first record: it compared a restored record with that of its last leadership only. The lease of such a record isn't renewed, so that another host may lead soon; the daemon would give orders beside it if it didn't see the record's end.

Change: the fencing tokens of the last 16 leaderships of the process are kept, and a record that repeats one is deleted.

Evidence: the case of TestRestoredLeader for it failed before (no Resign, the daemon led).

--- a/internal/decision/conductor/restored_leader_test.go
+++ b/internal/decision/conductor/restored_leader_test.go
@@ -26,6 +26,22 @@
 			t.Error("got a leader under an ended lease, want none")
 		}
 	})
+	t.Run("a daemon gives up the record of an earlier leadership than its last one", func(t *testing.T) {
+		h := newHarness(t)
+		for _, token := range []int64{60, 70} {
+			leader := self(h)
+			leader.FencingToken = token
+			h.step(LeaderChanged{Leader: leader})
+			h.step(LeaseRenewed{SentAt: h.now, OK: true, Lost: true})
+		}
+		leader := self(h)
+		leader.FencingToken = restoredRevision(60)
+		h.step(LeaderChanged{Leader: leader})
+		assertEqual(t, "fencing token", one[Resign](h).FencingToken, leader.FencingToken)
+		if h.machine.isLeader() {
+			t.Error("got a leader under an ended lease, want none")
+		}
+	})
 	t.Run("a leader that hears of its record before it loses its lease gives it up then", func(t *testing.T) {
 		h := newHarness(t)
 		leader := self(h)
--- a/internal/decision/elector/elector.go
+++ b/internal/decision/elector/elector.go
@@ -3,6 +3,7 @@
 package elector
 
 import (
+	"slices"
 	"time"
 
 	"samphirewharf/internal/fleet/sequencer"
@@ -13,6 +14,9 @@
 	Margin = 150 * time.Millisecond
 	// retryDelay is the delay before another attempt to become the leader.
 	retryDelay = time.Second
+	// maxEndedTokens bounds the ended leaderships of this process that are remembered. A restoration of the store brings back one of
+	// those of the last seconds.
+	maxEndedTokens = 16
 	// never is later than any time.
 	never = time.Duration(1<<63 - 1)
 )
@@ -44,9 +48,9 @@
 	campaignAt  time.Duration
 	campaigning bool
 	ordersFrom  time.Duration
-	// endedToken is the fencing token of this process's last leadership that has ended.
-	endedToken int64
-	history    history
+	// endedTokens are those of this process's leaderships that have ended, the last one last.
+	endedTokens []int64
+	history     history
 }
 
 // An Outcome is what an event has changed.
@@ -68,7 +72,7 @@
 
 // Leads reports whether this process is the leader, to its knowledge.
 func (e *Elector) Leads() bool {
-	return e.leader != nil && e.leader.Instance == e.Self.Instance && e.leader.FencingToken > e.endedToken
+	return e.leader != nil && e.leader.Instance == e.Self.Instance && (len(e.endedTokens) == 0 || e.leader.FencingToken > e.endedTokens[len(e.endedTokens)-1])
 }
 
 // NextAt returns when Campaign is due without an event.
@@ -126,13 +130,15 @@
 	return Outcome{Changed: true}
 }
 
-// isEnded reports whether a record is that of this process's last leadership, which a restoration of the store has brought back.
-// The lease that it is tied to isn't renewed any more.
+// isEnded reports whether a record is one of this process by which it doesn't lead any more: a restoration of the store has brought
+// it back. The lease that it is tied to isn't renewed.
 func (e *Elector) isEnded(leader Leader) bool {
 	if leader.Instance != e.Self.Instance {
 		return false
 	}
-	return leader.FencingToken > e.endedToken && sequencer.Number(leader.FencingToken) == sequencer.Number(e.endedToken)
+	return slices.ContainsFunc(e.endedTokens, func(token int64) bool {
+		return leader.FencingToken > token && sequencer.Number(leader.FencingToken) == sequencer.Number(token)
+	})
 }
 
 // Removed handles the removal of the leader's record at a revision, 0 for an unknown one. It returns the leader that was removed,
@@ -151,11 +157,16 @@
 
 // Stop ends the leadership of this process, even if its record is still there.
 func (e *Elector) Stop(now time.Duration) {
-	e.endedToken = e.leader.FencingToken
+	e.markEnded(e.leader.FencingToken)
 	e.end(now)
 	e.campaignAt = now + retryDelay
 }
 
+func (e *Elector) markEnded(token int64) {
+	e.endedTokens = append(e.endedTokens, token)
+	e.endedTokens = e.endedTokens[max(0, len(e.endedTokens)-maxEndedTokens):]
+}
+
 func (e *Elector) end(now time.Duration) {
 	e.history.ended(now, *e.leader)
 	e.previous, e.leader = *e.leader, nil
