fix: a process whose lease has ended doesn't lead by an attempt of before

A process that stood still after it had sent its attempt to become the leader, and found its lease ended when it went on, led by the answer that came afterwards: the lease that counted was the new one, but the record was tied to the old one and gone. Another host might lead by then. Only the wait before the first order kept both from giving orders, as long as the daemon saw the other's record within it.

Change: the end of the lease makes an attempt that is on its way void.

--- a/internal/decision/conductor/restored_leader_test.go
+++ b/internal/decision/conductor/restored_leader_test.go
@@ -80,6 +80,44 @@
 	})
 }
 
+// Guards against a process that stands still in an attempt to become the leader, and leads by the record of an ended lease when it
+// goes on.
+func TestLeaseEndsDuringCampaign(t *testing.T) {
+	ended := func(t *testing.T) *harness {
+		t.Helper()
+		h := newHarness(t)
+		h.advance(200 * time.Millisecond)
+		if len(findIn[BecomeLeader](h.all)) != 1 {
+			t.Fatal("got no attempt to become the leader, want one")
+		}
+		h.step(LeaseRenewed{SentAt: h.now, OK: true, Lost: true})
+		return h
+	}
+	t.Run("the answer comes after the end", func(t *testing.T) {
+		h := ended(t)
+		h.step(BecomeLeaderEnded{FencingToken: 40})
+		assertEqual(t, "fencing token", one[Resign](h).FencingToken, 40)
+		assertEqual(t, "is leader", h.machine.isLeader(), false)
+	})
+	t.Run("the record is seen before the answer", func(t *testing.T) {
+		h := ended(t)
+		h.step(LeaderChanged{Leader: Leader{Name: h.machine.settings.Self.Name, Instance: h.machine.settings.Self.Instance, FencingToken: 40}})
+		assertEqual(t, "fencing token", one[Resign](h).FencingToken, 40)
+		assertEqual(t, "is leader", h.machine.isLeader(), false)
+	})
+	t.Run("the next attempt succeeds", func(t *testing.T) {
+		h := ended(t)
+		h.step(BecomeLeaderEnded{FencingToken: 40})
+		h.step(LeaderRemoved{Revision: 41})
+		h.step(RegisterEnded{OK: true})
+		h.all = nil
+		h.advance(2 * time.Second)
+		assertEqual(t, "attempts", len(findIn[BecomeLeader](h.all)), 1)
+		h.step(BecomeLeaderEnded{FencingToken: 50})
+		assertEqual(t, "is leader", h.machine.isLeader(), true)
+	})
+}
+
 // Guards against two hosts that give orders in turn. Each case leads to the election of d1, whose host has led before, and at the
 // earliest some time after its begin another host may have given its last order.
 func TestHostsDontTakeTurns(t *testing.T) {
--- a/internal/decision/conductor/role.go
+++ b/internal/decision/conductor/role.go
@@ -75,6 +75,7 @@
 // leaseLost ends the leadership, whose record was removed with the lease. A restoration of the store may have brought the
 // record back.
 func (m *Machine) leaseLost() {
+	m.election.LeaseEnded()
 	if !m.isLeader() {
 		return
 	}
--- a/internal/decision/elector/elector.go
+++ b/internal/decision/elector/elector.go
@@ -44,9 +44,11 @@
 	leader *Leader
 	// previous is the leader before the current one, if any was seen.
 	previous Leader
-	// campaignAt is when the daemon tries to become the leader; campaigning reports whether an attempt is in progress.
+	// campaignAt is when the daemon tries to become the leader; campaigning reports whether an attempt is in progress, void whether
+	// the lease of the last attempt has ended since.
 	campaignAt  time.Duration
 	campaigning bool
+	void        bool
 	ordersFrom  time.Duration
 	// endedTokens are those of this process's leaderships that have ended, the last one last.
 	endedTokens []int64
@@ -94,7 +96,7 @@
 	if now < e.campaignAt {
 		return false
 	}
-	e.campaigning = true
+	e.campaigning, e.void = true, false
 	return true
 }
 
@@ -105,7 +107,11 @@
 		e.campaignAt = now + retryDelay
 		return Outcome{}
 	}
-	return e.Recorded(now, Leader{Name: e.Self.Name, Instance: e.Self.Instance, FencingToken: token}, 0)
+	outcome := e.Recorded(now, Leader{Name: e.Self.Name, Instance: e.Self.Instance, FencingToken: token}, 0)
+	if outcome.Resign > 0 {
+		e.campaignAt = now + retryDelay
+	}
+	return outcome
 }
 
 // Recorded handles a leader's record. Listed is the revision of the last list of records, which are known to be there or not.
@@ -131,11 +137,15 @@
 }
 
 // isEnded reports whether a record is one of this process by which it doesn't lead any more: a restoration of the store has brought
-// it back. The lease that it is tied to isn't renewed.
+// it back, or its lease has ended while it was written. The lease that it is tied to isn't renewed.
 func (e *Elector) isEnded(leader Leader) bool {
 	if leader.Instance != e.Self.Instance {
 		return false
 	}
+	if e.void && (e.leader == nil || leader.FencingToken > e.leader.FencingToken) {
+		e.markEnded(leader.FencingToken)
+		return true
+	}
 	return slices.ContainsFunc(e.endedTokens, func(token int64) bool {
 		return leader.FencingToken > token && sequencer.Number(leader.FencingToken) == sequencer.Number(token)
 	})
@@ -155,6 +165,9 @@
 	return removed
 }
 
+// LeaseEnded handles the end of this daemon's lease. A record that is being written now is tied to it.
+func (e *Elector) LeaseEnded() { e.void = e.void || e.campaigning }
+
 // Stop ends the leadership of this process, even if its record is still there.
 func (e *Elector) Stop(now time.Duration) {
 	e.markEnded(e.leader.FencingToken)
