fix: a stream keeps its version when another daemon serves it

A daemon without links to the servers has another one serve its requests. When a stream broke off there, and the links were back or a third daemon took it, the stream went on at any version: the first daemon didn't know which server had begun it, and the daemon that it was passed on to wasn't told the version that the first one knew.

Change: the field Samphirewharf-Origin names the version on requests that are passed on and in their answers; servers and callers don't get it, and it counts from daemons only. A stream that has begun elsewhere without it, at a daemon of an earlier build, is asked about like one that the caller takes up.

Evidence: TestDelegatedStreamsKeepTheirVersion fails in three of five cases with the decisions of before (sent to e1, which has v1, after v2 had begun it; sent without a question; sent to v2 though bound to v1). TestDelegatedOrigin covers the way there and back.

--- a/internal/decision/conductor/attempt.go
+++ b/internal/decision/conductor/attempt.go
@@ -18,7 +18,7 @@
 		r.server.answeredSentAt = max(r.server.answeredSentAt, r.sentAt)
 		m.serverAlive(r.server, m.now)
 	}
-	m.streamStarted(r)
+	m.streamStarted(r, e.Origin)
 }
 
 // attemptSilent has a request tried elsewhere if its server may have failed. One that has shown life since, but has answered none that
--- a/internal/decision/conductor/bound_resumption_test.go
+++ b/internal/decision/conductor/bound_resumption_test.go
@@ -99,3 +99,68 @@
 		none[Send](h)
 	})
 }
+
+// Guards against a stream that another daemon has begun in this one's place and that goes on at another version, since the version isn't
+// passed on between daemons.
+func TestDelegatedStreamsKeepTheirVersion(t *testing.T) {
+	route := deep
+	route.Resumable, route.MaxServers = true, 2
+	// newDelegating returns a daemon without links that has passed a stream on to d2.
+	newDelegating := func(t *testing.T) (h *harness, id reducer.RequestID) {
+		t.Helper()
+		h = newHarness(t)
+		h.step(DaemonChanged{Daemon: Daemon{Name: "d2", Instance: "i2", CallerAddress: "d2:1", PeerAddress: "d2:2", Zone: "a"}})
+		h.versionedEngine("e1", "v1", loadedModel("m1"))
+		h.versionedEngine("e2", "v2", loadedModel("m1"))
+		h.machine.link.down = true
+		id = h.request(route, "m1", "")
+		assertEqual(t, "sent to a daemon", one[Send](h).ToDaemon, true)
+		return h, id
+	}
+	for _, version := range []string{"v1", "v2"} {
+		t.Run("after "+version+" has begun it at another daemon", func(t *testing.T) {
+			h, id := newDelegating(t)
+			h.step(AttemptStarted{Request: id, Attempt: 1, Origin: Origin{SoftwareVersion: version, Known: true}})
+			h.machine.link.down = false
+			h.all = nil
+			h.end(id, 1, reducer.AttemptFailed, CauseInvalid)
+			h.assertSentOnlyTo(id, map[string]string{"v1": "e1", "v2": "e2"}[version])
+		})
+	}
+	t.Run("after a daemon of an earlier build has begun it, whose answer doesn't tell the version", func(t *testing.T) {
+		h, id := newDelegating(t)
+		h.step(AttemptStarted{Request: id, Attempt: 1})
+		h.machine.link.down = false
+		h.end(id, 1, reducer.AttemptFailed, CauseInvalid)
+		none[Send](h)
+		asked := 0
+		for _, e := range find[SendPeer](h) {
+			if e.Message.Origins != nil {
+				asked += len(e.Message.Origins.Asked)
+			}
+		}
+		if asked == 0 {
+			t.Error("got no question for the version, want one")
+		}
+	})
+	t.Run("the daemon that it is passed on to is told the version", func(t *testing.T) {
+		h := newHarness(t)
+		h.step(DaemonChanged{Daemon: Daemon{Name: "d2", Instance: "i2", CallerAddress: "d2:1", PeerAddress: "d2:2", Zone: "a"}})
+		h.versionedEngine("e1", "v1", loadedModel("m1"))
+		id := h.request(route, "m1", "")
+		h.step(AttemptStarted{Request: id, Attempt: 1, Origin: Origin{SoftwareVersion: "v1", Known: true}})
+		h.machine.link.down = true
+		h.end(id, 1, reducer.AttemptFailed, CauseInvalid)
+		assertEqual(t, "origin", one[Send](h).Origin, Origin{SoftwareVersion: "v1", Known: true})
+	})
+	t.Run("and sends it to no other version", func(t *testing.T) {
+		h := newHarness(t)
+		h.versionedEngine("e2", "v2", loadedModel("m1"))
+		h.step(RequestArrived{
+			Request: 1, ID: "again", Route: route, Version: 1, Service: engineService, Model: "m1", TimeLimit: route.Timeout,
+			Resumes: true, OriginID: "first", Delegated: true, Origin: Origin{SoftwareVersion: "v1", Known: true},
+		})
+		none[Send](h)
+		assertEqual(t, "reason", one[Refuse](h).Reason, RefusedNoServer)
+	})
+}
--- a/internal/decision/conductor/delegating.go
+++ b/internal/decision/conductor/delegating.go
@@ -33,6 +33,7 @@
 	m.emit(Send{
 		Request: r.Request, Attempt: r.attempt, Server: peer.Name, Address: peer.CallerAddress, ToDaemon: true,
 		Timeout: r.deadline - m.now, RemainingTime: r.TimeLimit - (m.now - r.arrivedAt), Priority: -1, ConnectTimeout: m.connectTimeout(r), NewConnection: !r.Route.Repeatable(),
+		Origin: Origin{SoftwareVersion: r.softwareVersion, Known: r.pinned},
 	})
 	return true
 }
--- a/internal/decision/conductor/effect.go
+++ b/internal/decision/conductor/effect.go
@@ -42,6 +42,8 @@
 	BufferErrors bool
 	// ToDaemon reports whether Server and Address are those of another daemon, which serves the request in this one's place.
 	ToDaemon bool
+	// Origin is the software version of the server or, if ToDaemon is true, the one that the request's stream is bound to.
+	Origin Origin
 }
 
 // A Deliver effect passes on the buffered answer.
--- a/internal/decision/conductor/event.go
+++ b/internal/decision/conductor/event.go
@@ -50,6 +50,14 @@
 	Fingerprint uint64
 	// Delegated reports whether another daemon, which has no link to the servers, has passed the request on.
 	Delegated bool
+	// Origin is the version that the request's stream is bound to, known only if that daemon has passed it on.
+	Origin Origin
+}
+
+// An Origin is the software version of the server that began a stream.
+type Origin struct {
+	SoftwareVersion string
+	Known           bool
 }
 
 // A PromptPart is a part of a prompt that may be a prefix shared with other prompts.
@@ -65,6 +73,8 @@
 type AttemptStarted struct {
 	Request reducer.RequestID
 	Attempt int
+	// Origin is the software version of the server that answers. A daemon of an earlier build that has it answer doesn't name it.
+	Origin Origin
 }
 
 // An AttemptSilent event reports that the server has sent nothing for Send.FirstTimeout. It comes again after each such time.
--- a/internal/decision/conductor/link_test.go
+++ b/internal/decision/conductor/link_test.go
@@ -61,7 +61,7 @@
 			f.requests[id] = r
 			other.requests = append(other.requests, r)
 			arrived := request.event
-			arrived.Request, arrived.TimeLimit, arrived.Delegated = id, e.RemainingTime, true
+			arrived.Request, arrived.TimeLimit, arrived.Delegated, arrived.Origin = id, e.RemainingTime, true, e.Origin
 			f.step(other, arrived)
 		})
 		return
--- a/internal/decision/conductor/origin.go
+++ b/internal/decision/conductor/origin.go
@@ -71,13 +71,24 @@
 	return xxhash.Sum64String(r.ID)
 }
 
-// pinVersion finds out at which version a stream that the caller takes up may go on. It returns false if the request waits for
-// that, or was refused.
+// lacksOrigin reports whether the caller takes up a stream without naming its attempt that began it.
+func (r *request) lacksOrigin() bool { return r.Resumes && r.OriginID == "" }
+
+// originDeadline returns until when a request may wait for its stream's origin.
+func (r *request) originDeadline(now time.Duration) time.Duration {
+	if !r.answerStarted {
+		return r.firstDeadline
+	}
+	return min(r.deadline, now+eventTimeout(r.Route)-eventTimeoutMargin)
+}
+
+// pinVersion finds out at which version a stream may go on that the caller takes up, or that has begun at another daemon in this one's
+// place. It returns false if the request waits for that, or was refused.
 func (m *Machine) pinVersion(r *request) bool {
-	if !r.Resumes || r.pinned || r.Route.Kind != matcher.KindStream {
+	if !r.Resumes && !r.answerStarted || r.pinned || r.Route.Kind != matcher.KindStream {
 		return true
 	}
-	if version, ok := m.origins.Known(originOf(r)); ok && r.OriginID != "" {
+	if version, ok := m.origins.Known(originOf(r)); ok && !r.lacksOrigin() {
 		r.pinned, r.softwareVersion = true, version
 		return true
 	}
@@ -86,18 +97,24 @@
 		r.softwareVersion, r.pinned = m.versions.Only(r.Service)
 		return true
 	}
-	if r.OriginID == "" && m.election.Loaded() {
+	if r.lacksOrigin() && m.election.Loaded() {
 		m.refuse(r, RefusedOrigin, noServerRetryDelay)
 		return false
 	}
 	r.state = stateAsking
-	m.setTimer(r, m.origins.Ask(m.now, r.Request, originOf(r), r.firstDeadline))
+	m.setTimer(r, m.origins.Ask(m.now, r.Request, originOf(r), r.originDeadline(m.now)))
 	return false
 }
 
-// streamStarted records the version that began a stream.
-func (m *Machine) streamStarted(r *request) {
-	if r.Route.Kind != matcher.KindStream || r.server == nil {
+// streamStarted records the version that began a stream. If another daemon serves it, that one shares it.
+func (m *Machine) streamStarted(r *request, origin Origin) {
+	if r.Route.Kind != matcher.KindStream {
+		return
+	}
+	if r.server == nil {
+		if !r.pinned {
+			r.pinned, r.softwareVersion = origin.Known, origin.SoftwareVersion
+		}
 		return
 	}
 	if !r.pinned {
@@ -150,15 +167,15 @@
 
 // originUnanswered has a request wait on for the version that began its stream, or ends the wait.
 func (m *Machine) originUnanswered(r *request) {
-	if !m.versionsMixed(r.Service) || r.OriginID == "" && m.election.Loaded() {
+	if !m.versionsMixed(r.Service) || r.lacksOrigin() && m.election.Loaded() {
 		m.stopAsking(r)
 		m.route(r)
 		return
 	}
 	next, waits := m.origins.Unanswered(m.now, r.Request)
-	if !waits && !m.election.Loaded() && m.now < r.firstDeadline {
+	if deadline := r.originDeadline(r.arrivedAt); !waits && !m.election.Loaded() && m.now < deadline {
 		// The service may have had one version only.
-		next, waits = min(r.firstDeadline, m.now+loadPollInterval), true
+		next, waits = min(deadline, m.now+loadPollInterval), true
 	}
 	if waits {
 		m.setTimer(r, next)
--- a/internal/decision/conductor/request.go
+++ b/internal/decision/conductor/request.go
@@ -82,6 +82,7 @@
 	r := &request{RequestArrived: e, arrivedAt: now}
 	r.traits = traitsOf(e)
 	r.timer.Owner, r.timer.Number = r, uint64(e.Request)
+	r.pinned, r.softwareVersion = e.Origin.Known, e.Origin.SoftwareVersion
 	r.deadline = now + max(min(e.TimeLimit, e.Route.Timeout)-deadlineMargin, deadlineMargin)
 	r.firstDeadline = r.deadline
 	if e.Route.Kind == matcher.KindStream {
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -274,6 +274,7 @@
 		ConnectTimeout: m.connectTimeout(r), NewConnection: !r.Route.Repeatable(),
 		ReportAdvice: s.rateLimited || m.service(s.entry.Service).brittle.active,
 		BufferErrors: r.Route.Repeatable() && r.runs+1 < r.Route.MaxServers,
+		Origin:       Origin{SoftwareVersion: s.entry.SoftwareVersion, Known: true},
 	}
 	if r.needsModel() {
 		e.Priority = priority(r.Route)
--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -48,13 +48,14 @@
 	ended chan conductor.AttemptEnded
 	// pace is that of the stream since it was last reported.
 	pace pace
-	// server and startedAt identify the server that has answered, which another daemon may have chosen.
+	// server and startedAt identify the server that has answered, which another daemon may have chosen; origin is its software version.
 	server    string
 	startedAt int64
+	origin    conductor.Origin
 }
 
 func newAttempt(x *exchange, send conductor.Send) *attempt {
-	a := &attempt{exchange: x, send: send, ended: make(chan conductor.AttemptEnded, 1), sentAt: time.Now(), server: send.Server, startedAt: send.StartedAt}
+	a := &attempt{exchange: x, send: send, ended: make(chan conductor.AttemptEnded, 1), sentAt: time.Now(), server: send.Server, startedAt: send.StartedAt, origin: send.Origin}
 	a.ctx, a.cancel = context.WithCancelCause(context.Background())
 	a.timeoutTimer = time.AfterFunc(max(send.Timeout, minAttemptTimeout), a.onTimeout)
 	if send.FirstTimeout > 0 {
@@ -80,6 +81,7 @@
 	}
 	if a.send.ToDaemon {
 		a.server, a.startedAt = takeServer(reply.Header)
+		a.origin = takeOrigin(reply.Header)
 	}
 	a.reportAdvice(reply.StatusCode, reply.Header)
 	err = a.forward(reply)
@@ -313,7 +315,7 @@
 	x.firstLatency = time.Since(x.start)
 	x.setHeader(header)
 	a.nameServer()
-	x.gateway.Post(conductor.AttemptStarted{Request: x.id, Attempt: a.send.Attempt})
+	x.gateway.Post(conductor.AttemptStarted{Request: x.id, Attempt: a.send.Attempt, Origin: a.origin})
 }
 
 // eventReceived records the latency of the first event and restarts the timer for the next one.
--- a/internal/edge/gateway/delegating.go
+++ b/internal/edge/gateway/delegating.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 
@@ -16,6 +17,9 @@
 	// serverHeader names the server that has answered, as ID and start of its incarnation, so that the daemon in between learns
 	// what the server asks for in its answer.
 	serverHeader = "Samphirewharf-Server"
+	// originHeader holds the software version, escaped as in a query, that a stream is bound to: of a request that is passed on, or of
+	// the server that has answered.
+	originHeader = "Samphirewharf-Origin"
 	// rejectedHeader marks the refusal of a daemon that can't serve the requests of others, which didn't run the request.
 	rejectedHeader = "Samphirewharf-Rejected"
 	// keyedHeader marks a request with the key of a workspace, which a daemon whose configuration has no workspaces yet must not
@@ -61,10 +65,29 @@
 	return id, startedAt
 }
 
+// setOrigin names the software version that a stream is bound to, if it is known.
+func setOrigin(header http.Header, origin conductor.Origin) {
+	if origin.Known {
+		header.Set(originHeader, url.QueryEscape(origin.SoftwareVersion))
+	}
+}
+
+// takeOrigin returns the software version that another daemon names, and removes it from the header.
+func takeOrigin(header http.Header) conductor.Origin {
+	values, ok := header[originHeader]
+	header.Del(originHeader)
+	if !ok {
+		return conductor.Origin{}
+	}
+	version, err := url.QueryUnescape(values[0])
+	return conductor.Origin{SoftwareVersion: version, Known: err == nil}
+}
+
 // setDelegator sets the header of a request that is passed on to another daemon.
 func (a *attempt) setDelegator(header http.Header, attempt *AttemptHeader) {
 	header.Set(delegatorHeader, a.exchange.gateway.Name)
 	header.Set(versionHeader, strconv.FormatInt(a.exchange.arrived.Version, 10))
+	setOrigin(header, a.send.Origin)
 	attempt.Server, attempt.Workspace = "", ""
 	if a.exchange.arrived.Workspace != "" {
 		attempt.Key = a.exchange.header.Key
@@ -82,6 +105,7 @@
 func (a *attempt) nameServer() {
 	if x := a.exchange; x.delegatedBy != "" {
 		x.writer.Header().Set(serverHeader, a.server+" "+strconv.FormatInt(a.startedAt, 10))
+		setOrigin(x.writer.Header(), a.origin)
 	}
 }
 
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -124,11 +124,14 @@
 		g.Translator.DropCredentials(x.header.Forward)
 	}
 	x.delegatedBy = takeDelegator(x.header.Forward)
+	origin := takeOrigin(x.header.Forward)
 	x.host = r.Host
 	x.arrived = newRequestArrived(header, route.WithPriorityOf(workspace), configuration.Version, r, body)
 	x.arrived.Workspace = workspace.Name
 	x.arrived.Service = route.PickService(g.Random())
-	x.arrived.Delegated = x.delegatedBy != ""
+	if x.arrived.Delegated = x.delegatedBy != ""; x.arrived.Delegated {
+		x.arrived.Origin = origin
+	}
 	x.id, x.effects = g.Open()
 	defer g.Close(x.id)
 	x.run()
