fix: a daemon out of step doesn't take its only version for the only one

A daemon that had stood still, or was cut off, as servers of another version joined sent streams that callers took up there to the version that it knew, though servers of the other one had begun them at other daemons. Callers got 200 and saw nothing of it.

Cause: a service of which a daemon knows one version isn't asked about, and nothing tells how old that knowledge is.

Change: before a stream of unknown origin is bound to the only version, that is confirmed as of the request's arrival: by two of three other daemons that are up to date, by all that answer within 150 ms, or by the records in the store. Without an answer the stream is refused as not run. Inquiries are shared by the requests that come meanwhile, one a service at a time. A daemon that has stood still doesn't call its own view up to date before it has renewed its lease.

--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -280,6 +280,9 @@
 	case OriginsRecorded:
 		m.origins.Recorded(m.now, e.Record, e.OK)
 	case OriginsRead:
+		for _, service := range e.MixedServices {
+			m.versionsRecorded(service)
+		}
 		m.origins.ReadEnded(m.now, e.Origins, e.OK)
 	}
 }
--- a/internal/decision/conductor/origin.go
+++ b/internal/decision/conductor/origin.go
@@ -21,7 +21,7 @@
 	TTL time.Duration
 }
 
-// A ReadOrigins effect reads all records of origins. It is answered by OriginsRead.
+// A ReadOrigins effect reads all records of origins, and of services that have had several versions. It is answered by OriginsRead.
 type ReadOrigins struct{}
 
 // An OriginsRecorded event answers RecordOrigins.
@@ -33,7 +33,9 @@
 // An OriginsRead event answers ReadOrigins.
 type OriginsRead struct {
 	Origins []messenger.StreamOrigin
-	OK      bool
+	// MixedServices are the services that have had several software versions lately.
+	MixedServices []string
+	OK            bool
 }
 
 func (RecordOrigins) effect()  {}
@@ -75,11 +77,11 @@
 func (r *request) lacksOrigin() bool { return r.Resumes && r.OriginID == "" }
 
 // originDeadline returns until when a request may wait for its stream's origin.
-func (r *request) originDeadline(now time.Duration) time.Duration {
+func (r *request) originDeadline() time.Duration {
 	if !r.answerStarted {
 		return r.firstDeadline
 	}
-	return min(r.deadline, now+eventTimeout(r.Route)-eventTimeoutMargin)
+	return min(r.deadline, r.boundSince+eventTimeout(r.Route)-eventTimeoutMargin)
 }
 
 // pinVersion finds out at which version a stream may go on that the caller takes up, or that has begun at another daemon in this one's
@@ -92,17 +94,25 @@
 		r.pinned, r.softwareVersion = true, version
 		return true
 	}
-	if !m.versionsMixed(r.Service) {
+	if r.boundSince == 0 {
+		r.boundSince = m.now
+	}
+	switch mixed := m.versionsMixed(r.Service); {
+	case !mixed && m.origins.Confirmed(r.Service, r.boundSince):
 		// Another version may appear before the request is sent, so it is bound to the only one now.
-		r.softwareVersion, r.pinned = m.versions.Only(r.Service)
+		r.softwareVersion, r.pinned = m.versions.Latest(r.Service)
 		return true
+	case !mixed:
+		r.state = stateAsking
+		m.setTimer(r, m.origins.Confirm(m.now, r.Request, r.Service, r.boundSince, r.originDeadline()))
+		return false
 	}
 	if r.lacksOrigin() && m.election.Loaded() {
 		m.refuse(r, RefusedOrigin, noServerRetryDelay)
 		return false
 	}
 	r.state = stateAsking
-	m.setTimer(r, m.origins.Ask(m.now, r.Request, originOf(r), r.originDeadline(m.now)))
+	m.setTimer(r, m.origins.Ask(m.now, r.Request, originOf(r), r.originDeadline()))
 	return false
 }
 
@@ -167,13 +177,16 @@
 
 // originUnanswered has a request wait on for the version that began its stream, or ends the wait.
 func (m *Machine) originUnanswered(r *request) {
-	if !m.versionsMixed(r.Service) || r.lacksOrigin() && m.election.Loaded() {
+	next, waits := m.origins.Unanswered(m.now, r.Request)
+	if r.state != stateAsking {
+		return
+	}
+	if mixed := m.versionsMixed(r.Service); mixed == m.origins.Confirms(r.Request) || mixed && r.lacksOrigin() && m.election.Loaded() {
 		m.stopAsking(r)
 		m.route(r)
 		return
 	}
-	next, waits := m.origins.Unanswered(m.now, r.Request)
-	if deadline := r.originDeadline(r.arrivedAt); !waits && !m.election.Loaded() && m.now < deadline {
+	if deadline := r.originDeadline(); !waits && !m.election.Loaded() && m.now < deadline {
 		// The service may have had one version only.
 		next, waits = min(deadline, m.now+loadPollInterval), true
 	}
@@ -195,9 +208,26 @@
 // originsReceived handles the origins that another daemon reports or asks for.
 func (m *Machine) originsReceived(address string, origins *messenger.Origins) {
 	m.updateRegistrars()
-	if answer := m.origins.Received(m.now, origins); len(answer) > 0 {
+	reply := messenger.Origins{Origins: m.origins.Received(m.now, origins)}
+	if q := origins.Inquiry; q != nil && m.election.Loaded() {
+		versions := m.versions.Describe(m.now, q.Service)
+		versions.Inquiry, versions.Fresh = q.Number, m.followsStore()
+		reply.Versions = &versions
+	}
+	if v := origins.Versions; v != nil {
+		if count := m.versions.Learn(m.now, *v, m.isFirstKeeper()); count > 0 {
+			m.serviceMixed(v.Service, LogStateChange{Version: int64(count), Reason: "another daemon says so"})
+		}
+		m.origins.Answered(m.now, *v, m.versionsMixed(v.Service))
+	}
+	if len(reply.Origins) > 0 || reply.Versions != nil {
 		message := m.newMessage()
-		message.Origins = &messenger.Origins{Origins: answer}
+		message.Origins = &reply
 		m.emit(SendPeer{Address: address, Message: message})
 	}
 }
+
+// followsStore reports whether this daemon's view of the store is up to date. After a standstill it isn't until the lease is renewed.
+func (m *Machine) followsStore() bool {
+	return m.lease.valid(m.now) && (m.subscriber.UpToDate(m.now) || m.subscriber.Following() && !m.store.unavailable)
+}
--- a/internal/decision/conductor/request.go
+++ b/internal/decision/conductor/request.go
@@ -66,6 +66,8 @@
 	// pinned reports whether the request's stream has begun, softwareVersion is that of the server that began it.
 	pinned          bool
 	softwareVersion string
+	// boundSince is since when the request must go on at the version that began its stream, 0 if it needn't.
+	boundSince time.Duration
 	// probe reports whether the request is sent though requests with one of its traits have crashed servers.
 	probe bool
 
--- a/internal/decision/conductor/virtual_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -45,6 +45,8 @@
 	fleetDrainTime    = 5 * time.Second
 	// storeCallTimeout is how long a call to a silent store takes to fail.
 	storeCallTimeout = 900 * time.Millisecond
+	// fleetBacklogTime is how long a daemon that has stood still handles what has come meanwhile.
+	fleetBacklogTime = 50 * time.Millisecond
 	// fleetRetryDelay is how long after a broken connection a caller takes its stream up at another daemon.
 	fleetRetryDelay = 20 * time.Millisecond
 )
@@ -60,6 +62,9 @@
 	wasCutOff bool
 	// peerless reports whether no message passes between the daemon and others.
 	peerless bool
+	// stillUntil is until when the process stands still, deafUntil until when it hears of no change of the store.
+	stillUntil time.Duration
+	deafUntil  time.Duration
 	// cutLinks holds the engines to which the daemon has lost its link.
 	cutLinks map[string]bool
 	// requests are those that the process has got.
@@ -246,7 +251,7 @@
 // tell passes a change of the store to all daemons.
 func (f *virtualFleet) tell(e Event) {
 	for _, d := range f.daemons {
-		f.after(max(f.storeSilentUntil-f.now, 0)+fleetRelayDelay, func() { f.step(d, e) })
+		f.after(max(f.storeSilentUntil-f.now, d.deafUntil-f.now, 0)+fleetRelayDelay, func() { f.step(d, e) })
 	}
 }
 
@@ -292,6 +297,10 @@
 	if d.machine == nil || d.down {
 		return
 	}
+	if f.now < d.stillUntil {
+		f.after(d.stillUntil-f.now+time.Duration(f.rng.Int64N(int64(fleetBacklogTime))), func() { f.step(d, e) })
+		return
+	}
 	for _, effect := range slices.Clone(d.machine.Step(f.now, e)) {
 		f.carryOut(d, effect)
 	}
@@ -453,7 +462,10 @@
 
 // send sends a request, which begins or takes up a stream unless that is nil.
 func (f *virtualFleet) send(stream *virtualStream, parts ...uint64) {
-	d := f.daemons[f.rng.IntN(len(f.daemons))]
+	f.sendTo(f.daemons[f.rng.IntN(len(f.daemons))], stream, parts...)
+}
+
+func (f *virtualFleet) sendTo(d *virtualDaemon, stream *virtualStream, parts ...uint64) {
 	if d.machine == nil || d.down {
 		return
 	}
--- a/internal/decision/conductor/virtual_origins_test.go
+++ b/internal/decision/conductor/virtual_origins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"samphirewharf/internal/decision/resumer"
@@ -89,7 +90,7 @@
 		return
 	}
 	f.origins.reads = append(f.origins.reads, f.now)
-	read := OriginsRead{OK: true}
+	read := OriginsRead{OK: true, MixedServices: slices.Clone(f.mixedServices)}
 	for _, r := range f.origins.records {
 		if f.now < r.expires {
 			read.Origins = append(read.Origins, r.origins...)
--- a/internal/decision/resumer/reader.go
+++ b/internal/decision/resumer/reader.go
@@ -83,8 +83,14 @@
 }
 
 // Unanswered asks again for a request that still waits, since the report may be on its way, and has the records read. It returns when
-// it has to be called again, or false if neither the other daemons nor the records have the origin, or the deadline has passed.
+// it has to be called again, or false if neither the other daemons nor the records have the origin, or the deadline has passed. A request
+// that waits for a confirmation may be resolved meanwhile.
 func (s *Resumer) Unanswered(now time.Duration, id reducer.RequestID) (next time.Duration, waits bool) {
+	for service, c := range s.confirmations {
+		if i := slices.IndexFunc(c.waits, func(w confirmationWait) bool { return w.id == id }); i >= 0 {
+			return s.unconfirmed(now, service, c, c.waits[i])
+		}
+	}
 	i := slices.IndexFunc(s.reader.waits, func(w *wait) bool { return w.id == id })
 	if i < 0 {
 		return 0, false
@@ -100,6 +106,9 @@
 // StopAsking ends the wait of a request.
 func (s *Resumer) StopAsking(id reducer.RequestID) {
 	s.reader.waits = slices.DeleteFunc(s.reader.waits, func(w *wait) bool { return w.id == id })
+	for _, c := range s.confirmations {
+		c.waits = slices.DeleteFunc(c.waits, func(w confirmationWait) bool { return w.id == id })
+	}
 }
 
 // resolve has the requests that wait for a stream's origin routed.
@@ -124,6 +133,7 @@
 	for _, o := range origins {
 		d.stored[o.Stream] = o.SoftwareVersion
 	}
+	s.confirmRead(now, d.readAt)
 	for _, w := range slices.Clone(d.waits) {
 		switch _, known := d.stored[w.stream]; {
 		case known:
--- a/internal/decision/resumer/resumer.go
+++ b/internal/decision/resumer/resumer.go
@@ -75,12 +75,18 @@
 	fleet     fleet
 	writer    writer
 	reader    reader
+	// confirmations holds what is confirmed, by service. inquiries counts the inquiries, nextOther the daemons that were asked.
+	confirmations map[string]*confirmation
+	inquiries     uint64
+	nextOther     int
 }
 
 // A fleet is the daemons that hold and write origins.
 type fleet struct {
 	plan       plan
 	registrars []string
+	// others are the registrars but this daemon, or else all daemons but this one.
+	others []string
 	// writer is the daemon that writes this one's origins, empty for none. holders are those that hold them.
 	writer  string
 	holders []string
@@ -90,6 +96,11 @@
 // SetFleet sets the registered daemons, sorted, and those of them that hold origins.
 func (s *Resumer) SetFleet(daemons, registrars []string) {
 	f := fleet{plan: planOf(len(daemons)), registrars: registrars}
+	for _, names := range [][]string{registrars, daemons} {
+		if len(f.others) == 0 {
+			f.others = slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == s.Self })
+		}
+	}
 	registered := slices.Contains(daemons, s.Self)
 	hash := xxhash.Sum64String(s.Self)
 	writers := f.registrars[:min(len(f.registrars), f.plan.writers)]
--- a/internal/decision/resumer/versions.go
+++ b/internal/decision/resumer/versions.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"samphirewharf/internal/peer/messenger"
 )
 
 const (
@@ -49,13 +51,17 @@
 	return ok && s.mixed(now)
 }
 
-// Only returns the version of a service's servers if just one was seen.
-func (v *Versions) Only(service string) (version string, ok bool) {
-	s, known := v.services[service]
-	if !known || len(s.seenAt) != 1 {
-		return "", false
+// Latest returns the version that was seen last, which is the only one of a service that isn't mixed. It returns false if none was seen.
+func (v *Versions) Latest(service string) (version string, ok bool) {
+	var latest time.Duration
+	if s, known := v.services[service]; known {
+		for _, seen := range slices.Sorted(maps.Keys(s.seenAt)) {
+			if at := s.seenAt[seen]; !ok || at > latest {
+				version, latest, ok = seen, at, true
+			}
+		}
 	}
-	return slices.Collect(maps.Keys(s.seenAt))[0], true
+	return version, ok
 }
 
 // Services returns the names of all services of which a version was seen or recorded, sorted.
@@ -66,23 +72,60 @@
 func (v *Versions) Seen(now time.Duration, service, version string, firstKeeper bool) int {
 	s := v.of(service)
 	s.seenAt[version] = now
-	if len(s.seenAt) < 2 {
-		return 0
+	return s.update(now, 0, firstKeeper)
+}
+
+// Describe returns what is known of a service's versions, for another daemon.
+func (v *Versions) Describe(now time.Duration, service string) messenger.ServiceVersions {
+	described := messenger.ServiceVersions{Service: service}
+	s, ok := v.services[service]
+	if !ok {
+		return described
 	}
-	maps.DeleteFunc(s.seenAt, func(_ string, at time.Duration) bool { return now > at+OriginTTL })
-	if len(s.seenAt) < 2 {
-		return 0
+	for _, version := range slices.Sorted(maps.Keys(s.seenAt)) {
+		described.Seen = append(described.Seen, messenger.SeenVersion{SoftwareVersion: version, Ago: now - s.seenAt[version]})
+	}
+	described.MixedFor = max(0, s.mixedUntil-now)
+	if s.recorded {
+		// The record reaches the other daemon as well.
+		described.MixedFor = max(described.MixedFor, recordRetryDelay)
 	}
-	times := slices.Sorted(maps.Values(s.seenAt))
+	return described
+}
+
+// Learn handles what another daemon knows of a service's versions. It returns the same as Seen.
+func (v *Versions) Learn(now time.Duration, described messenger.ServiceVersions, firstKeeper bool) int {
+	s := v.of(described.Service)
+	for _, seen := range described.Seen {
+		at := now - max(0, seen.Ago)
+		if known, ok := s.seenAt[seen.SoftwareVersion]; !ok || at > known {
+			s.seenAt[seen.SoftwareVersion] = at
+		}
+	}
+	return s.update(now, min(described.MixedFor, OriginTTL), firstKeeper)
+}
+
+// update drops the versions that were seen long ago. If the service has several versions only since now, it returns their number;
+// otherwise 0. MixedFor is for how long it has several at least.
+func (s *serviceVersions) update(now, mixedFor time.Duration, firstKeeper bool) int {
 	before := s.mixed(now)
-	s.mixedUntil = max(s.mixedUntil, times[len(times)-2]+OriginTTL)
+	if mixedFor > 0 {
+		s.mixedUntil = max(s.mixedUntil, now+mixedFor)
+	}
+	if len(s.seenAt) > 1 {
+		maps.DeleteFunc(s.seenAt, func(_ string, at time.Duration) bool { return now > at+OriginTTL })
+	}
+	if len(s.seenAt) > 1 {
+		times := slices.Sorted(maps.Values(s.seenAt))
+		s.mixedUntil = max(s.mixedUntil, times[len(times)-2]+OriginTTL)
+	}
 	if before || now >= s.mixedUntil {
 		return 0
 	}
 	if s.recordAt = now; !firstKeeper {
 		s.recordAt = now + secondKeeperDelay
 	}
-	return len(s.seenAt)
+	return max(len(s.seenAt), 2)
 }
 
 // Due returns the services whose record a keeper has to write now.
--- a/internal/edge/follower/record.go
+++ b/internal/edge/follower/record.go
@@ -21,8 +21,8 @@
 	LeaderKey = SharedPrefix + "role"
 	// quarantinesPrefix is the prefix of the records of what crashes servers. Earlier versions read it too.
 	quarantinesPrefix = SharedPrefix + "convictions/"
-	// versionsPrefix is the prefix of the records that services have had several software versions lately.
-	versionsPrefix = SharedPrefix + "versions/"
+	// VersionsPrefix is the prefix of the records that services have had several software versions lately.
+	VersionsPrefix = SharedPrefix + "versions/"
 )
 
 // A daemonRecord is a daemon's record in the store.
@@ -128,7 +128,7 @@
 }
 
 // VersionsKey returns the key of the record that a service has had several software versions lately.
-func VersionsKey(service string) string { return versionsPrefix + service }
+func VersionsKey(service string) string { return VersionsPrefix + service }
 
 func isQuarantineKey(key string) bool { return strings.HasPrefix(key, quarantinesPrefix) }
 
--- a/internal/edge/follower/views.go
+++ b/internal/edge/follower/views.go
@@ -68,8 +68,8 @@
 			} else {
 				p.logUnusable(e, err)
 			}
-		case strings.HasPrefix(e.Key, versionsPrefix):
-			event.MixedServices = append(event.MixedServices, e.Key[len(versionsPrefix):])
+		case strings.HasPrefix(e.Key, VersionsPrefix):
+			event.MixedServices = append(event.MixedServices, e.Key[len(VersionsPrefix):])
 		case isQuarantineKey(e.Key):
 			if quarantine, err := decodeQuarantine(e); err == nil {
 				event.Quarantines = append(event.Quarantines, quarantine)
@@ -98,8 +98,8 @@
 			return
 		}
 		p.Post(conductor.DaemonChanged{Daemon: daemon, Revision: e.Revision})
-	case strings.HasPrefix(e.Key, versionsPrefix):
-		p.Post(conductor.VersionsRecorded{Service: e.Key[len(versionsPrefix):]})
+	case strings.HasPrefix(e.Key, VersionsPrefix):
+		p.Post(conductor.VersionsRecorded{Service: e.Key[len(VersionsPrefix):]})
 	case isQuarantineKey(e.Key):
 		quarantine, err := decodeQuarantine(e)
 		if err != nil {
@@ -115,8 +115,8 @@
 	switch {
 	case key == LeaderKey:
 		p.Post(conductor.LeaderRemoved{Revision: revision})
-	case strings.HasPrefix(key, versionsPrefix):
-		p.Post(conductor.VersionsRecordRemoved{Service: key[len(versionsPrefix):]})
+	case strings.HasPrefix(key, VersionsPrefix):
+		p.Post(conductor.VersionsRecordRemoved{Service: key[len(VersionsPrefix):]})
 	case isDaemonKey(key):
 		p.Post(conductor.DaemonRemoved{Name: key[len(daemonsPrefix):], Revision: revision})
 	}
--- a/internal/edge/launcher/origins.go
+++ b/internal/edge/launcher/origins.go
@@ -67,7 +67,7 @@
 	}
 }
 
-// readOrigins reads all records of origins. It skips those that can't be decoded.
+// readOrigins reads all records of origins, and of services that have had several versions. It skips those that can't be decoded.
 func (d *Daemon) readOrigins() {
 	entries, _, result := d.platform.Store.List(d.ctx, follower.OriginsPrefix)
 	var origins []messenger.StreamOrigin
@@ -81,5 +81,19 @@
 	}
 	d.logger.Info().Int("Records", len(entries)).Int("Streams", len(origins)).Bool("OK", result == storer.ResultOK).Msg("origins were read")
 	d.metrics.countOriginReads(result == storer.ResultOK)
-	d.post(conductor.OriginsRead{Origins: origins, OK: result == storer.ResultOK})
+	var mixed []string
+	if result == storer.ResultOK {
+		mixed, result = d.readMixedServices()
+	}
+	d.post(conductor.OriginsRead{Origins: origins, MixedServices: mixed, OK: result == storer.ResultOK})
+}
+
+// readMixedServices reads the names of the services that have had several versions.
+func (d *Daemon) readMixedServices() ([]string, storer.Result) {
+	entries, _, result := d.platform.Store.List(d.ctx, follower.VersionsPrefix)
+	var services []string
+	for _, e := range entries {
+		services = append(services, e.Key[len(follower.VersionsPrefix):])
+	}
+	return services, result
 }
