fix: requests without an answer are refused at the end of a planned stop

A stream that a daemon took in the first seconds of a planned stop, and whose server had sent no event by the end of the grace, was cut without an answer, also one that may not be repeated.

Cause: at its exit the daemon closed the connections of the requests that were still running; only the streams' own time limits, which are longer than the grace, would have answered them.

Change: right before the exit, requests whose answers haven't begun are refused: 502, may have run, where a server has got them, 503 where none has. Streams that have begun are cut, as before; they were sent within 2.5 s of the signal and their servers still work.

Evidence: TestStopAnswersRequests failed before in two of 32 cases (no refusal). With daemons as processes, TestPlannedStopAnswersLateRequests failed before in the case of streams that begin late: 32 of 60 requests that were passed on after the signal got no answer, 16 of them on a route that may not be repeated; 0 of 58 after. Its other cases (short work and long streams, bodies on their way, two daemons stopped together) passed before and after.

--- a/internal/decision/conductor/stopping.go
+++ b/internal/decision/conductor/stopping.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -97,8 +98,30 @@
 	idle := m.now >= s.addressesExpireAt && len(m.requests) == 0 && m.now >= s.lastRequestEnd+stopIdleTime
 	if idle || m.now >= s.exitBy {
 		s.exited = true
+		m.refuseUnanswered()
 		m.leaveCell()
 		m.emit(LogStateChange{Subject: "Daemon " + m.settings.Self.Name, Change: "Stopped", Version: int64(len(m.requests))})
 		m.emit(Exit{})
 	}
 }
+
+// refuseUnanswered refuses the requests whose answers haven't begun, since their callers would get none. Streams that have begun are cut.
+func (m *Machine) refuseUnanswered() {
+	for _, id := range slices.Sorted(maps.Keys(m.requests)) {
+		r := m.requests[id]
+		if r.answerStarted || r.state == stateAnswered {
+			continue
+		}
+		switch r.state {
+		case stateRunning:
+			m.emit(Cancel{Request: r.Request, Attempt: r.attempt})
+		case stateAsking:
+			m.stopAsking(r)
+		case stateMetered:
+			m.stopMetering(r)
+		case stateQueued:
+			m.dequeue(r)
+		}
+		m.giveUp(r, RefusedStopping, stopRetryDelay)
+	}
+}
