refactor: the progress of a planned stop is a package of its own

When a stopping daemon still takes a request, and when it exits, moves from the conductor to internal/decision/stopper without a change of behaviour.

--- a/internal/decision/conductor/lease.go
+++ b/internal/decision/conductor/lease.go
@@ -42,7 +42,7 @@
 		l.renewing = true
 		m.emit(RenewLease{TTL: m.settings.LeaseTTL})
 	}
-	if l.valid(m.now) && !l.registered && !l.registering && m.now >= l.registerAt && m.configuration != nil && m.serversLoaded && !m.stop.requested {
+	if l.valid(m.now) && !l.registered && !l.registering && m.now >= l.registerAt && m.configuration != nil && m.serversLoaded && !m.stop.Requested() {
 		l.registering = true
 		m.emit(Register{Daemon: m.settings.Self})
 	}
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -218,13 +218,4 @@
 	fullRetryDelay = 500 * time.Millisecond
 	// stopRetryDelay is the delay after which a caller of a stopping daemon may try another daemon.
 	stopRetryDelay = 50 * time.Millisecond
-	// stopStreamWindow is how long a stopping daemon accepts new streams. Later ones could not end in time.
-	stopStreamWindow = 2500 * time.Millisecond
-	// stopAnswerMargin is how long before the process exits the last answer has to be sent.
-	stopAnswerMargin = 100 * time.Millisecond
-	// stopExitMargin is how long before the end of a planned stop the process exits.
-	stopExitMargin = 600 * time.Millisecond
-	// stopIdleTime is how long after the last request a stopping daemon exits, once callers' copies of its address
-	// have expired.
-	stopIdleTime = 500 * time.Millisecond
 )
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -13,6 +13,7 @@
 	"samphirewharf/internal/decision/resumer"
 	"samphirewharf/internal/decision/selector"
 	"samphirewharf/internal/decision/sharer"
+	"samphirewharf/internal/decision/stopper"
 	"samphirewharf/internal/decision/subscriber"
 	"samphirewharf/internal/decision/waker"
 	"samphirewharf/internal/fleet/matcher"
@@ -112,7 +113,7 @@
 	// registrars are the daemons that hold origins, valid if registrarsKnown, which is false after the set of daemons has changed.
 	registrars      []string
 	registrarsKnown bool
-	stop            stopState
+	stop            stopper.Stopper
 	// versions holds the software versions of each service's servers; versionsAt is when they are noted next.
 	versions   resumer.Versions
 	versionsAt time.Duration
@@ -172,6 +173,7 @@
 		quotas:          newQuotaState(settings),
 	}
 	m.origins = newResumer(m)
+	m.stop = stopper.Stopper{Timeout: settings.StopTimeout, AddressTTL: settings.AddressTTL}
 	m.election = elector.Elector{
 		Self:  Leader{Name: settings.Self.Name, Instance: settings.Self.Instance},
 		Delay: settings.TakeoverDelay, LeaseTTL: settings.LeaseTTL, Fenced: settings.EnginesCheckFencing,
@@ -198,7 +200,7 @@
 	if at, ok := m.timers.Next(); ok {
 		next = min(next, at)
 	}
-	return min(next, m.lease.nextAt(), m.election.NextAt(m.now), m.link.nextAt(), m.demand.nextAt(m), m.fleet.nextAt(m), m.subscriber.NextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.catchUp.nextAt(), m.originsNextAt(), m.quotas.nextAt(m), m.stop.nextAt(m.now))
+	return min(next, m.lease.nextAt(), m.election.NextAt(m.now), m.link.nextAt(), m.demand.nextAt(m), m.fleet.nextAt(m), m.subscriber.NextAt(), m.placement.nextAt(m), m.crashes.nextAt(m), m.catchUp.nextAt(), m.originsNextAt(), m.quotas.nextAt(m), m.stop.NextAt(m.now))
 }
 
 func (m *Machine) apply(event Event) {
@@ -400,7 +402,7 @@
 
 // publish emits the published daemons if they have changed.
 func (m *Machine) publish() {
-	ready := m.configuration != nil && m.serversLoaded && m.catchUp.done && !m.stop.requested
+	ready := m.configuration != nil && m.serversLoaded && m.catchUp.done && !m.stop.Requested()
 	if m.publishedOnce && ready == m.published.Ready && !m.daemonsChanged {
 		return
 	}
--- a/internal/decision/conductor/request.go
+++ b/internal/decision/conductor/request.go
@@ -197,7 +197,7 @@
 	m.service(r.Service).sharer.Leave(&r.share)
 	r.state = stateAnswered
 	delete(m.requests, r.Request)
-	m.stop.lastRequestEnd = m.now
+	m.stop.RequestEnded(m.now)
 }
 
 // logDecision logs a decision about a request.
--- a/internal/decision/conductor/role.go
+++ b/internal/decision/conductor/role.go
@@ -24,7 +24,7 @@
 }
 
 func (m *Machine) tickElection() {
-	if !m.election.Vacant() || m.stop.requested || m.link.down || !m.lease.registered || !m.lease.valid(m.now) {
+	if !m.election.Vacant() || m.stop.Requested() || m.link.down || !m.lease.registered || !m.lease.valid(m.now) {
 		return
 	}
 	if m.election.Campaign(m.now, m.electionRank()*electionStagger) {
@@ -142,7 +142,7 @@
 	delete(m.demand.byDaemon, name)
 	m.recordRemoval(daemonKey(name), revision)
 	m.emit(LogStateChange{Subject: "Daemon " + name, Change: "Gone", Version: revision})
-	if name == m.settings.Self.Name && !m.stop.requested {
+	if name == m.settings.Self.Name && !m.stop.Requested() {
 		m.lease.registered = false
 	}
 }
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -40,7 +40,7 @@
 		m.countArrival(r)
 	}
 	switch {
-	case m.stop.rejects(r, m.now):
+	case r.Route.Kind == matcher.KindStream && m.stop.RejectsStream(m.now), r.Route.Kind != matcher.KindStream && m.stop.RejectsRequest(r.deadline):
 		m.refuse(r, RefusedStopping, stopRetryDelay)
 	default:
 		m.route(r)
@@ -89,7 +89,7 @@
 		m.giveUp(r, RefusedLink, linkRetryDelay)
 	case reason == unavailableNoServer:
 		m.giveUp(r, RefusedNoServer, noServerRetryDelay)
-	case m.stop.requested:
+	case m.stop.Requested():
 		m.giveUp(r, RefusedStopping, stopRetryDelay)
 	case reason == unavailableCold:
 		m.waitCold(r)
--- a/internal/decision/conductor/server_test.go
+++ b/internal/decision/conductor/server_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/decision/stopper"
 	"samphirewharf/internal/fleet/registrar"
 	"samphirewharf/internal/peer/messenger"
 )
@@ -243,7 +244,7 @@
 				refuse := one[Refuse](h)
 				assertEqual(t, "reason", refuse.Reason, RefusedStopping)
 				assertEqual(t, "may have run", refuse.MayHaveRun, false)
-			} else if end := h.now + reading.Timeout; end > testSettings().StopTimeout-stopExitMargin {
+			} else if end := h.now + reading.Timeout; end > testSettings().StopTimeout-stopper.ExitMargin {
 				t.Fatalf("got a request that may last until %v, want it refused as the process exits before", end)
 			} else {
 				h.end(id, 1, reducer.AttemptDone, CauseNone)
--- a/internal/edge/gateway/broken_off_test.go
+++ b/internal/edge/gateway/broken_off_test.go
@@ -103,7 +103,7 @@
 						server.texts <- answer[:cut]
 						status, got, _, err := h.send(path)
 						whole := name == "with chunks" && cut >= end-2 || name == "with a trailer" && cut >= end-2
-						if status == http.StatusOK && err == nil && !(whole && got == body) {
+						if status == http.StatusOK && err == nil && (!whole || got != body) {
 							t.Fatalf("got 200 and the whole body %q after %q, want a failure", got, answer[:cut])
 						}
 					}
