fix: a stream whose confirmation nobody is left to give goes on

A resumption that waited for other daemons' word on the versions of its service was refused after 450 ms if all of them had left meanwhile, though a daemon that is alone needs none. Found by reading.

Change: the wait ends when no other daemon is registered. TestConfirmations covers the waits; its case for this failed before.

--- a/internal/decision/resumer/confirmer.go
+++ b/internal/decision/resumer/confirmer.go
@@ -152,7 +152,7 @@
 // store read. It returns when it has to be called again, or false if there is no answer, or the deadline has passed.
 func (s *Resumer) unconfirmed(now time.Duration, service string, c *confirmation, w confirmationWait) (next time.Duration, waits bool) {
 	if now >= c.inquiry.sentAt+askInterval {
-		if c.inquiry.answers > 0 {
+		if c.inquiry.answers > 0 || len(s.fleet.others) == 0 {
 			// Those that have answered are out of date, as in an outage of the store, in which no daemon sees another version.
 			s.confirm(now, service, c, c.inquiry.sentAt)
 			return min(w.deadline, now+askInterval), true
