fix: a kept answer isn't delivered beside an attempt

At the end of a planned stop a request with a kept error answer may have another attempt under way. Deliver wrote the kept answer while that attempt's goroutine could use the same writer, and left the attempt running. Found by reading.

Change: Deliver ends the attempt first, as Refuse does. TestKeptAnswerEndsTheAttempt failed before (the attempt didn't end). The servers of TestAnswersThatBreakOff are set up once, since the race detector objected to a change between its cases.

--- a/internal/edge/gateway/broken_off_test.go
+++ b/internal/edge/gateway/broken_off_test.go
@@ -21,14 +21,14 @@
 	reset bool
 }
 
-func newBreakingServer(t *testing.T) *breakingServer {
+func newBreakingServer(t *testing.T, reset bool) *breakingServer {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	s := &breakingServer{listener: listener, texts: make(chan string, 2)}
+	s := &breakingServer{listener: listener, texts: make(chan string, 2), reset: reset}
 	go s.run()
 	return s
 }
@@ -86,11 +86,9 @@
 // Guards against a success that looks whole though the server has stopped in the middle of its answer, at any byte of the head or of a
 // framed body.
 func TestAnswersThatBreakOff(t *testing.T) {
-	server := newBreakingServer(t)
-	address := server.listener.Addr().String()
-	h := newHarness(t, sendOnceTo(address))
 	for _, ending := range []string{"closes", "resets"} {
-		server.reset = ending == "resets"
+		server := newBreakingServer(t, ending == "resets")
+		h := newHarness(t, sendOnceTo(server.listener.Addr().String()))
 		for path, body := range map[string]string{"/read/a": "whole answer", "/stream/a": event(1) + event(2)} {
 			for name, answer := range brokenOffAnswers(body, path == "/stream/a") {
 				t.Run(fmt.Sprintf("%s %s, %s", path, name, ending), func(t *testing.T) {
@@ -115,7 +113,7 @@
 
 // Guards against a resumption whose answer breaks off in its head, and that ends the stream as if it were complete.
 func TestResumptionsThatBreakOff(t *testing.T) {
-	server := newBreakingServer(t)
+	server := newBreakingServer(t, false)
 	address := server.listener.Addr().String()
 	attempts := 0
 	h := newHarness(t, func(e conductor.Event) []conductor.Effect {
@@ -158,3 +156,37 @@
 		assertEqual(t, "error", err, nil)
 	})
 }
+
+// Guards against a kept answer that is written while another attempt writes to the caller.
+func TestKeptAnswerEndsTheAttempt(t *testing.T) {
+	failing := backend(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Seal", "s")
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, "kept")
+	})
+	silent := backend(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	})
+	h := newHarness(t, func(e conductor.Event) []conductor.Effect {
+		switch e := e.(type) {
+		case conductor.RequestArrived:
+			s := sendTo(failing)
+			s.BufferErrors = true
+			return []conductor.Effect{s}
+		case conductor.AttemptEnded:
+			if e.Buffered {
+				s := sendTo(silent)
+				s.Attempt = 2
+				return []conductor.Effect{s, conductor.Deliver{}}
+			}
+		}
+		return nil
+	})
+	status, body, _, err := h.send("/read/a")
+	assertEqual(t, "error", err, nil)
+	assertEqual(t, "status", status, http.StatusInternalServerError)
+	assertEqual(t, "body", body, "kept")
+	assertEqual(t, "attempts that have ended", len(h.ended(2)), 2)
+}
--- a/internal/edge/gateway/exchange.go
+++ b/internal/edge/gateway/exchange.go
@@ -100,6 +100,7 @@
 		}
 		return false
 	case conductor.Deliver:
+		x.stopAttempt()
 		x.deliver()
 		return true
 	case conductor.Refuse:
