--- a/internal/caller/refuser/code.go
+++ b/internal/caller/refuser/code.go
@@ -96,7 +96,7 @@
 	{CodeServerRefused, "ServerRefused", http.StatusServiceUnavailable, "Every backend server tried refused the request before running it."},
 	{CodeCallerLeft, "CallerLeft", 499, "The caller closed its connection."},
 	{CodePoisonHeldBack, "PoisonHeldBack", http.StatusServiceUnavailable, "Earlier requests like this one crashed the backend servers that ran them; this one was not run."},
-	{CodeStreamOriginUnknown, "StreamOriginUnknown", http.StatusServiceUnavailable, "No daemon knows which software version began the stream, and servers of several versions serve; it was not resumed."},
+	{CodeStreamOriginUnknown, "StreamOriginUnknown", http.StatusServiceUnavailable, "No daemon knows which software version began the stream, and servers of several versions serve or may do so; it was not resumed."},
 	{CodeNoLink, "NoLink", http.StatusServiceUnavailable, "The daemon reaches no backend server, and no other daemon took the request; it was not run."},
 	{CodeIdempotencyKeyMissing, "IdempotencyKeyMissing", http.StatusBadRequest, "A request that must not be repeated carries no Idempotency-Key."},
 	{CodeIdempotencyKeyReused, "IdempotencyKeyReused", http.StatusUnprocessableEntity, "The Idempotency-Key was used before for another request."},
