fix: streams bound to the only version use the forecasts for any

Since a resumption at a service of one version is bound to it, so its demand was told as that of one version: the leader planned it apart, and the daemon that has it looked for forecasts of loads at servers of that version, of which there are none. It may have waited for a model that the leader doesn't expect in time, or moved ahead of other requests' models. Found by reading.

Change: while a service has one version, what a request needs is counted and forecast as before, for servers of any version.

Evidence: the case of TestResumptionsKeepTheirVersion for it failed before (pinned demand for one version).

--- a/internal/decision/conductor/bound_resumption_test.go
+++ b/internal/decision/conductor/bound_resumption_test.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -85,6 +86,27 @@
 		h.advance(500 * time.Millisecond)
 		h.assertSentOnlyTo(id, "e1")
 	})
+	t.Run("and count as the demand of any while there is one, so that forecasts hold for them", func(t *testing.T) {
+		h := newHarness(t)
+		h.versionedEngine("e1", "v1", loadedModel("m2"))
+		h.resume()
+		pinned := func() []bool {
+			var list []bool
+			for _, d := range h.machine.ownDemand().Models {
+				if d.Waiting > 0 {
+					list = append(list, d.Pinned)
+				}
+			}
+			return list
+		}
+		if got := pinned(); !slices.Equal(got, []bool{false}) {
+			t.Errorf("got pinned demand %v for one version, want none", got)
+		}
+		h.versionedEngine("e2", "v2")
+		if got := pinned(); !slices.Equal(got, []bool{true}) {
+			t.Errorf("got pinned demand %v for two versions, want one", got)
+		}
+	})
 	t.Run("when their version leaves, and are refused then", func(t *testing.T) {
 		h := newHarness(t)
 		h.versionedEngine("e1", "v1", loadedModel("m2"))
--- a/internal/decision/conductor/demand.go
+++ b/internal/decision/conductor/demand.go
@@ -104,19 +104,24 @@
 	return o
 }
 
-func keyOf(r *request) modelKey {
-	return modelKey{service: r.Service, model: r.Model, adapter: r.Adapter, softwareVersion: r.softwareVersion, pinned: r.pinned}
+// keyOf returns the key of what a request needs. While its service has one version, servers of any version will do.
+func (m *Machine) keyOf(r *request) modelKey {
+	k := modelKey{service: r.Service, model: r.Model, adapter: r.Adapter, softwareVersion: r.softwareVersion, pinned: r.pinned}
+	if !m.versionsMixed(r.Service) {
+		return k.unpinned()
+	}
+	return k
 }
 
 func (m *Machine) countArrival(r *request) {
 	if r.needsModel() {
-		m.demand.ownOf(keyOf(r)).arrived++
+		m.demand.ownOf(m.keyOf(r)).arrived++
 	}
 }
 
 func (m *Machine) countRefusal(r *request) {
 	if r.needsModel() {
-		m.demand.ownOf(keyOf(r)).refused++
+		m.demand.ownOf(m.keyOf(r)).refused++
 		m.expediteDemand(r)
 	}
 }
@@ -206,11 +211,11 @@
 		}
 		switch r.state {
 		case stateQueued:
-			d := entryFor(keyOf(r))
+			d := entryFor(m.keyOf(r))
 			d.Waiting++
 			d.Slack = min(d.Slack, r.firstDeadline-m.now)
 		case stateRunning:
-			entryFor(keyOf(r).unpinned()).Running++
+			entryFor(m.keyOf(r).unpinned()).Running++
 			demand.InFlight[r.server.entry.ID]++
 		case stateAnswered, stateAsking:
 		}
--- a/internal/decision/conductor/fleet.go
+++ b/internal/decision/conductor/fleet.go
@@ -127,7 +127,7 @@
 
 // readyIn predicts when the model and adapter of a request are loaded on some server.
 func (m *Machine) readyIn(r *request) time.Duration {
-	for _, key := range keyAndModel(keyOf(r)) {
+	for _, key := range keyAndModel(m.keyOf(r)) {
 		if at, ok := m.loadingUntil(key); ok {
 			return max(0, at-m.now) + adapterLoadTime
 		}
