fix: a daemon that hasn't listed the servers confirms no versions

A daemon that has just started and has listed the records of daemons, but not yet the servers, answered other daemons' inquiries that a service has no version at all, which counted as a confirmation of the one that they knew. Found by reading.

Change: it answers once it has listed both. TestInquiriesWaitForTheServers failed before (one answer, none wanted).

--- a/internal/decision/conductor/origin.go
+++ b/internal/decision/conductor/origin.go
@@ -209,7 +209,7 @@
 func (m *Machine) originsReceived(address string, origins *messenger.Origins) {
 	m.updateRegistrars()
 	reply := messenger.Origins{Origins: m.origins.Received(m.now, origins)}
-	if q := origins.Inquiry; q != nil && m.election.Loaded() {
+	if q := origins.Inquiry; q != nil && m.election.Loaded() && m.serversLoaded {
 		versions := m.versions.Describe(m.now, q.Service)
 		versions.Inquiry, versions.Fresh = q.Number, m.followsStore()
 		reply.Versions = &versions
--- a/internal/decision/conductor/out_of_step_test.go
+++ b/internal/decision/conductor/out_of_step_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"samphirewharf/internal/peer/messenger"
 )
 
 // outOfStepTime is how long a daemon is out of step.
@@ -110,3 +112,27 @@
 		t.Errorf("got a share of %.2f of %d streams of the first version going on, want at least %.2f", got, first, least)
 	}
 }
+
+// Guards against a daemon that has just started and tells others that a service has only the versions that it knows of yet.
+func TestInquiriesWaitForTheServers(t *testing.T) {
+	inquire := func(h *harness) []SendPeer {
+		h.step(PeerReceived{Message: messenger.Message{From: "d2", Address: "d2:2", Origins: &messenger.Origins{Inquiry: &messenger.VersionsInquiry{Number: 7, Service: engineService}}}})
+		return slices.DeleteFunc(find[SendPeer](h), func(e SendPeer) bool { return e.Message.Origins == nil || e.Message.Origins.Versions == nil })
+	}
+	h := &harness{t: t, machine: New(testSettings()), revision: 100}
+	h.step(DaemonsListed{})
+	assertEqual(t, "answers before the servers are listed", len(inquire(h)), 0)
+	h.step(ServersListed{})
+	h.versionedEngine("e1", "v1")
+	h.versionedEngine("e2", "v2")
+	answers := inquire(h)
+	if len(answers) != 1 {
+		t.Fatalf("got %d answers, want 1", len(answers))
+	}
+	versions := answers[0].Message.Origins.Versions
+	assertEqual(t, "inquiry", versions.Inquiry, 7)
+	assertEqual(t, "versions", len(versions.Seen), 2)
+	if versions.MixedFor <= 0 {
+		t.Error("got a service of one version, want two")
+	}
+}
--- a/internal/edge/gateway/broken_off_test.go
+++ b/internal/edge/gateway/broken_off_test.go
@@ -100,6 +100,7 @@
 					for cut := range end {
 						server.texts <- answer[:cut]
 						status, got, _, err := h.send(path)
+						// The last two bytes end the answer, whose body is complete before them.
 						whole := name == "with chunks" && cut >= end-2 || name == "with a trailer" && cut >= end-2
 						if status == http.StatusOK && err == nil && (!whole || got != body) {
 							t.Fatalf("got 200 and the whole body %q after %q, want a failure", got, answer[:cut])
