--- a/internal/decision/conductor/role.go
+++ b/internal/decision/conductor/role.go
@@ -27,17 +27,17 @@
 	if !m.election.Vacant() || m.stop.Requested() || m.link.down || !m.lease.registered || !m.lease.valid(m.now) {
 		return
 	}
-	if m.election.Campaign(m.now, m.electionRank()*electionStagger) {
+	if m.election.Campaign(m.now, m.electionDelay) {
 		m.emit(BecomeLeader{Leader: Leader{Name: m.settings.Self.Name, Instance: m.settings.Self.Instance}})
 	}
 }
 
-// electionRank returns the number of registered daemons that come before this one in an election, by CPU and name.
-func (m *Machine) electionRank() time.Duration {
+// electionDelay returns how long this daemon waits in an election for the registered daemons before it, by CPU and name.
+func (m *Machine) electionDelay() time.Duration {
 	list := m.registeredDaemons()
 	slices.SortFunc(list, compareByCPU)
 	index := slices.IndexFunc(list, func(d Daemon) bool { return d.Name == m.settings.Self.Name })
-	return time.Duration(max(index, 0))
+	return time.Duration(max(index, 0)) * electionStagger
 }
 
 func (m *Machine) leaderChanged(leader Leader) {
--- a/internal/decision/elector/elector.go
+++ b/internal/decision/elector/elector.go
@@ -88,10 +88,11 @@
 // Vacant reports whether there is no leader, and no attempt to become it is in progress.
 func (e *Elector) Vacant() bool { return e.loaded && e.leader == nil && !e.campaigning }
 
-// Campaign reports whether to try to become the leader now, if there is none. The first attempt is made after the delay.
-func (e *Elector) Campaign(now, delay time.Duration) bool {
+// Campaign reports whether to try to become the leader now, if there is none. The first attempt is made after the delay, which is asked
+// for once: it takes all daemons to work it out.
+func (e *Elector) Campaign(now time.Duration, delay func() time.Duration) bool {
 	if e.campaignAt == 0 {
-		e.campaignAt = now + delay
+		e.campaignAt = now + delay()
 	}
 	if now < e.campaignAt {
 		return false
