feat: the log says why an answer was given up

Cause: a Failed line with reason Invalid named neither the event after which an answer was given up nor what was wrong with it; the error was a debug line, which daemons don't write. Change: AttemptEnded carries the error, cut to 256 bytes, and the last event that the caller has; Failed lines and explain show both.

--- a/internal/daemon/explainer/explainer.go
+++ b/internal/daemon/explainer/explainer.go
@@ -175,7 +175,7 @@
 	case "Rejected":
 		return fmt.Sprintf("%s did not run it (status %d): %s", l.Server, l.Status, reasonTexts[l.Reason])
 	case "Failed":
-		return fmt.Sprintf("attempt %d at %s failed after %d ms: %s", l.Attempt, l.Server, l.WaitedMs, reasonTexts[l.Reason])
+		return fmt.Sprintf("attempt %d at %s failed after %d ms: %s%s", l.Attempt, l.Server, l.WaitedMs, reasonTexts[l.Reason], prefixed("; ", l.Detail))
 	case "Answer":
 		return fmt.Sprintf("answered by %s with status %d; first part after %d ms, all after %d ms", l.Server, l.Status, l.FirstMs, l.WaitedMs)
 	case "CallerLeft":
--- a/internal/daemon/explainer/explainer_test.go
+++ b/internal/daemon/explainer/explainer_test.go
@@ -82,6 +82,14 @@
 		}
 		assertText(t, got, "refused after 4 ms: it exceeds the quota of its workspace; workspace w, counts 900", "Quota: HandedOver")
 	})
+	t.Run("an answer that was given up as invalid", func(t *testing.T) {
+		got, err := explain(t, "v1", `{"time":"2026-09-06T10:04:36.701Z","Request":"v1","Action":"Failed","Server":"i-1","Attempt":1,"Reason":"Invalid","WaitedMs":4,"Detail":"after event 5: event without a number","message":"request"}
+`)
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertText(t, got, "attempt 1 at i-1 failed after 4 ms: the data received was not the server's response to it; after event 5: event without a number")
+	})
 	t.Run("an unknown request", func(t *testing.T) {
 		if _, err := explain(t, "f2", daemonA); !errors.Is(err, ErrUnknownRequest) {
 			t.Errorf("got %v, want %v", err, ErrUnknownRequest)
--- a/internal/decision/conductor/attempt.go
+++ b/internal/decision/conductor/attempt.go
@@ -135,7 +135,7 @@
 		m.removeRequest(r)
 	default:
 		r.runs++
-		d := LogDecision{Action: "Failed", Reason: e.Cause.String(), Server: server, Status: e.Status}
+		d := LogDecision{Action: "Failed", Reason: e.Cause.String(), Server: server, Status: e.Status, Detail: e.Detail}
 		if e.Cause == CauseBroken {
 			d.Fingerprint, d.Parts = r.Fingerprint, r.Parts
 		}
--- a/internal/decision/conductor/delegating.go
+++ b/internal/decision/conductor/delegating.go
@@ -84,7 +84,7 @@
 		m.route(r)
 	case reducer.AttemptFailed:
 		r.runs++
-		m.logDecision(r, LogDecision{Action: "Failed", Reason: e.Cause.String(), Server: peer, Status: e.Status})
+		m.logDecision(r, LogDecision{Action: "Failed", Reason: e.Cause.String(), Server: peer, Status: e.Status, Detail: e.Detail})
 		m.attemptFailed(r)
 	default:
 		m.handleOutcome(r, nil, e)
--- a/internal/decision/conductor/event.go
+++ b/internal/decision/conductor/event.go
@@ -136,6 +136,8 @@
 	RetryAfter time.Duration
 	// TimedOut reports whether a server that accepted no connection was silent rather than refusing.
 	TimedOut bool
+	// Detail says why an answer was given up, empty for failures that Cause describes in full.
+	Detail string
 }
 
 // A ServerAdvised event carries what a server asks for in the header of an answer, as soon as that has arrived.
--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"samphirewharf/internal/decision/conductor"
@@ -344,7 +345,7 @@
 	if err == nil {
 		return ended
 	}
-	ended.Outcome = reducer.AttemptFailed
+	ended.Outcome, ended.Detail = reducer.AttemptFailed, a.detail(err)
 	cause := context.Cause(a.ctx)
 	var failure *streamer.Failure
 	switch {
@@ -366,6 +367,18 @@
 	return ended
 }
 
+// maxDetailBytes bounds the part of a log line that says why an answer was given up. Errors may quote what a server sent.
+const maxDetailBytes = 256
+
+// detail returns why an answer was given up, and which part of it the caller has.
+func (a *attempt) detail(err error) string {
+	text := err.Error()
+	if progress := &a.exchange.progress; progress.numbered {
+		text = "after event " + strconv.Itoa(progress.lastID) + ": " + text
+	}
+	return strings.ToValidUTF8(text[:min(len(text), maxDetailBytes)], "")
+}
+
 // setFailure sets the fields of the event from the client's failure.
 func (a *attempt) setFailure(ended *conductor.AttemptEnded, failure *streamer.Failure) {
 	ended.Outcome = failure.Outcome
