--- a/internal/edge/gateway/gateway_test.go
+++ b/internal/edge/gateway/gateway_test.go
@@ -133,6 +133,13 @@
 	return h
 }
 
+// restart has the next request decided anew, as if it were the first one.
+func (h *harness) restart(decide func(e conductor.Event) []conductor.Effect) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.decide, h.events = decide, nil
+}
+
 func (h *harness) open() (reducer.RequestID, <-chan conductor.Effect) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -145,9 +152,9 @@
 func (h *harness) post(e conductor.Event) {
 	h.mu.Lock()
 	h.events = append(h.events, e)
-	effects := h.effects[h.lastID]
+	effects, decide := h.effects[h.lastID], h.decide
 	h.mu.Unlock()
-	for _, effect := range h.decide(e) {
+	for _, effect := range decide(e) {
 		effects <- effect
 	}
 }
@@ -180,11 +187,18 @@
 }
 
 func (h *harness) send(path string) (status int, body string, header http.Header, err error) {
+	return h.sendWith(path, nil)
+}
+
+func (h *harness) sendWith(path string, fields http.Header) (status int, body string, header http.Header, err error) {
 	r, err := http.NewRequest(http.MethodPost, "http://"+h.address+path, strings.NewReader("body"))
 	if err != nil {
 		h.t.Fatal(err)
 	}
 	r.Host = "h"
+	for name, values := range fields {
+		r.Header[name] = values
+	}
 	r.Header.Set("X-Id", "id-1")
 	response, err := h.client.Do(r)
 	if err != nil {
