fix: text that readers may interpret differently is no event

Cause: the reader of event streams split lines at line feeds only, took the last of several IDs, any spelling of a number, and any text as a field. A caller's reader splits lines at carriage returns too, and doesn't dispatch blocks without data. Change: a line that is no field, a second ID and a carriage return within a line end the attempt with ErrMalformedEvent; a number has one spelling; events say whether they have data.

--- a/internal/entry/streamer/client_test.go
+++ b/internal/entry/streamer/client_test.go
@@ -13,6 +13,7 @@
 	"testing"
 
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/decision/validator"
 )
 
 // A closingServer responds to the first request of each connection and closes the connection when the second arrives.
@@ -113,6 +114,8 @@
 	c.cancel()
 }
 
+func numberedEvent(id int) Event { return Event{Event: validator.Event{ID: id, HasID: true}} }
+
 func TestEvents(t *testing.T) {
 	tests := []struct {
 		name, text string
@@ -120,13 +123,19 @@
 		err        error
 	}{
 		{name: "empty", err: io.EOF},
-		{name: "events", text: "id: 3\ndata: a\n\n\nid:4\r\ndata:b\r\n\r\n", want: []Event{{ID: 3, HasID: true}, {ID: 4, HasID: true}}, err: io.EOF},
+		{name: "events", text: "id: 3\ndata: a\n\n\nid:4\r\ndata:b\r\n\r\n", want: []Event{numberedEvent(3), numberedEvent(4)}, err: io.EOF},
 		{name: "done", text: "data: [DONE]\n\n", want: []Event{{Done: true}}, err: io.EOF},
 		{name: "cut off", text: "data: a\n\ndata: b\n", want: []Event{{}}, err: io.ErrUnexpectedEOF},
 		{name: "cut off within a line", text: "data: [DONE", err: io.ErrUnexpectedEOF},
 		{name: "a response after an event", text: "data: a\n\nHTTP/1.1 500 Internal Server Error\r\nid: 7\r\n\r\n", want: []Event{{}}, err: ErrResponseInEvent},
 		{name: "a response within an event", text: "id: 7\ndata: a\nHTTP/1.1 500 Internal Server Error\r\n\r\n", err: ErrResponseInEvent},
 		{name: "data like a response", text: "data: HTTP/1.1 500\n\n", want: []Event{{}}, err: io.EOF},
+		{name: "text", text: "data: a\n\nodd text\n\n", want: []Event{{}}, err: ErrMalformedEvent},
+		{name: "a name that is no token", text: "odd text: a\n\n", err: ErrMalformedEvent},
+		{name: "two IDs", text: "id: 3\nid: 4\ndata: a\n\n", err: ErrMalformedEvent},
+		{name: "a carriage return within a line", text: "id: 3\ndata: a\rid: 4\n\n", err: ErrMalformedEvent},
+		{name: "a field of an extension, a comment and an empty field", text: "odd-field: 3\n: odd\nid: 4\ndata\n\n", want: []Event{numberedEvent(4)}, err: io.EOF},
+		{name: "spellings that are no number", text: "id: 03\ndata: a\n\nid: +3\ndata: a\n\nid: 3 \ndata: a\n\nid: -3\ndata: a\n\n", want: []Event{{}, {}, {}, {}}, err: io.EOF},
 		{name: "too large", text: "data: " + strings.Repeat("x", MaxEventBytes), err: ErrEventTooLarge},
 	}
 	for _, test := range tests {
--- a/internal/entry/streamer/events.go
+++ b/internal/entry/streamer/events.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
-	"strconv"
+
+	"samphirewharf/internal/decision/validator"
 )
 
 const (
@@ -21,18 +23,18 @@
 	ErrEventTooLarge   = errors.New("server-sent event is too large")
 	ErrTooManyEvents   = errors.New("too many server-sent events")
 	ErrResponseInEvent = errors.New("head of a response in a server-sent event")
+	// ErrMalformedEvent is returned for text that is no event, or that readers of event streams may interpret differently.
+	ErrMalformedEvent = errors.New("malformed server-sent event")
 )
 
 // statusLinePrefix begins the head of a response. No field of an event begins like that.
 const statusLinePrefix = "HTTP/1."
 
-// An Event is one server-sent event.
+// An Event is one server-sent event, or another block of lines, such as a comment.
 type Event struct {
+	validator.Event
 	// Raw is the event as received, including the empty line at the end. It is valid until the next call of Next.
 	Raw []byte
-	// ID is the number in the id field, if HasID.
-	ID    int
-	HasID bool
 	// Done is true if the data is "[DONE]", which ends a stream.
 	Done bool
 }
@@ -71,7 +73,9 @@
 			return Event{}, ErrResponseInEvent
 		}
 		if len(line) > 0 {
-			event.parseField(line)
+			if err := event.parseField(line); err != nil {
+				return Event{}, err
+			}
 			continue
 		}
 		if len(bytes.TrimSpace(e.raw)) == 0 {
@@ -97,7 +101,7 @@
 		case len(e.raw) > MaxEventBytes:
 			return nil, ErrEventTooLarge
 		case err == nil:
-			return bytes.TrimRight(e.raw[start:], "\r\n"), nil
+			return bytes.TrimSuffix(e.raw[start:len(e.raw)-1], []byte("\r")), nil
 		case errors.Is(err, bufio.ErrBufferFull):
 		case errors.Is(err, io.EOF) && len(e.raw) > 0:
 			return nil, io.ErrUnexpectedEOF
@@ -108,14 +112,34 @@
 }
 
 // parseField parses one field of the event.
-func (e *Event) parseField(line []byte) {
-	name, value, _ := bytes.Cut(line, []byte(":"))
+func (e *Event) parseField(line []byte) error {
+	name, value, valued := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
+	case "":
 	case "id":
-		id, err := strconv.Atoi(string(value))
-		e.ID, e.HasID = id, err == nil
+		if e.Identified {
+			return fmt.Errorf("second id field: %w", ErrMalformedEvent)
+		}
+		e.Identified = true
+		e.ID, e.HasID = validator.ParseNumber(string(value))
 	case "data":
+		e.HasData = true
 		e.Done = string(value) == "[DONE]"
+	case "event", "retry":
+	default:
+		// Fields of extensions are passed on. A line without a value, or whose name is no token, isn't a field.
+		if !valued || bytes.ContainsFunc(name, isNotToken) {
+			return fmt.Errorf("line that is no field: %w", ErrMalformedEvent)
+		}
 	}
+	if bytes.IndexByte(line, '\r') >= 0 {
+		return fmt.Errorf("carriage return within a line: %w", ErrMalformedEvent)
+	}
+	return nil
+}
+
+// isNotToken reports whether a character doesn't occur in names of fields.
+func isNotToken(r rune) bool {
+	return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && r != '-' && r != '_'
 }
