fix: the first event of an attempt follows what the caller has

Cause: an event was compared with the one before it, so that the first of an attempt was believed whatever it was: on a fresh stream, and on one that the caller took up, although it had said which event it has. An answer of another type passed whole. A number that no run has made was then what the next server was asked to go on after. Class: a first value that is believed since there is nothing yet to hold it against. Change: validator.Position is the one place that decides what may follow what a caller has, for each event of each attempt, also where another daemon passes the stream on. Numbers begin at 1 where a resumable route goes to the service, and after the caller's event on a take-up; services of which nothing says that they number events are served as before, but not with both forms in one stream. A success that is no event stream, or ends before its first event, is invalid. Comments are dropped from numbered streams, and don't restart the time limit between events. A caller that names no event of a numbered stream gets 400. An invalid answer ends the attempt with CauseInvalid as before: the server is avoided, and the request goes on elsewhere within the retry budget where it may. Why this works: the caller's position is known before the first byte of an answer, from the route, the service or the caller itself.

--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -137,7 +137,9 @@
 	attemptHeader.Workspace = x.arrived.Workspace
 	if x.firstHeader != nil {
 		attemptHeader.Resuming, attemptHeader.FirstHeader = true, x.firstHeader
-		attemptHeader.LastEventID = strconv.Itoa(x.progress.lastID)
+		if last, ok := x.position.Last(); ok {
+			attemptHeader.LastEventID = strconv.Itoa(last)
+		}
 	}
 	if a.send.ToDaemon {
 		a.setDelegator(header, &attemptHeader)
@@ -161,7 +163,10 @@
 		return fmt.Errorf("status %d: %w", reply.StatusCode, errInvalidAnswer)
 	}
 	success := reply.StatusCode >= 200 && reply.StatusCode < 300
-	if success && x.arrived.Route.Kind == matcher.KindStream && reply.IsEventStream() {
+	if success && x.arrived.Route.Kind == matcher.KindStream {
+		if !reply.IsEventStream() {
+			return fmt.Errorf("status %d with content type %q: %w", reply.StatusCode, reply.Header.Get("Content-Type"), errInvalidAnswer)
+		}
 		return a.forwardEvents(reply)
 	}
 	if x.firstHeader != nil {
@@ -244,7 +249,7 @@
 func (a *attempt) forwardEvents(reply *streamer.Reply) error {
 	x := a.exchange
 	header := filter.EndToEnd(reply.Header)
-	resuming := x.firstHeader != nil
+	x.position = x.position.WithAttempt()
 	events := streamer.NewEventReader(reply.Body)
 	for {
 		event, err := events.Next()
@@ -255,12 +260,16 @@
 			a.flushEvents()
 			return reply.Failure(err)
 		}
-		a.eventReceived()
-		next, err := x.progress.accept(event, resuming)
+		position, pass, err := x.position.Next(event.Event)
 		if err != nil {
-			return err
+			a.flushEvents()
+			return fmt.Errorf("%w: %w", errInvalidAnswer, err)
+		}
+		x.position = position
+		if pass || event.HasData {
+			a.eventReceived()
 		}
-		if !next {
+		if !pass {
 			continue
 		}
 		if x.firstHeader == nil {
@@ -273,9 +282,12 @@
 	}
 }
 
-// finishEvents ends a stream that the server has ended. A stream without events still gets a header.
+// finishEvents ends a stream that the server has ended.
 func (a *attempt) finishEvents(header http.Header) error {
 	x := a.exchange
+	if err := x.position.End(); err != nil {
+		return fmt.Errorf("%w: %w", errInvalidAnswer, err)
+	}
 	if x.firstHeader == nil {
 		a.startAnswer(header)
 		x.writer.WriteHeader(a.status)
@@ -340,7 +352,7 @@
 func (a *attempt) newAttemptEnded(err error) conductor.AttemptEnded {
 	ended := conductor.AttemptEnded{
 		Request: a.exchange.id, Attempt: a.send.Attempt, Status: a.status, Latency: a.latency, Buffered: a.buffered,
-		Events: a.exchange.progress.count, Pace: a.pace.window,
+		Events: a.exchange.position.Count(), Pace: a.pace.window,
 	}
 	if err == nil {
 		return ended
@@ -373,8 +385,8 @@
 // detail returns why an answer was given up, and which part of it the caller has.
 func (a *attempt) detail(err error) string {
 	text := err.Error()
-	if progress := &a.exchange.progress; progress.numbered {
-		text = "after event " + strconv.Itoa(progress.lastID) + ": " + text
+	if last, ok := a.exchange.position.Last(); ok {
+		text = "after event " + strconv.Itoa(last) + ": " + text
 	}
 	return strings.ToValidUTF8(text[:min(len(text), maxDetailBytes)], "")
 }
--- a/internal/edge/gateway/exchange.go
+++ b/internal/edge/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"samphirewharf/internal/caller/refuser"
 	"samphirewharf/internal/decision/conductor"
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/decision/validator"
 	"samphirewharf/internal/entry/acceptor"
 )
 
@@ -29,10 +30,10 @@
 	id          reducer.RequestID
 	effects     <-chan conductor.Effect
 
-	// attempt is the running attempt, nil if there is none. While one runs, only its goroutine uses writer, progress,
+	// attempt is the running attempt, nil if there is none. While one runs, only its goroutine uses writer, position,
 	// firstHeader, firstLatency, buffered, lastEventAt and longestPause.
 	attempt  *attempt
-	progress progress
+	position validator.Position
 	// firstHeader is the header of the answer that is being sent to the caller, nil until that starts.
 	firstHeader http.Header
 	// firstLatency is the time until the first part of the answer.
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"samphirewharf/internal/caller/refuser"
 	"samphirewharf/internal/decision/conductor"
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/decision/validator"
 	"samphirewharf/internal/entry/acceptor"
 	"samphirewharf/internal/entry/streamer"
 	"samphirewharf/internal/fleet/matcher"
@@ -132,11 +133,35 @@
 	if x.arrived.Delegated = x.delegatedBy != ""; x.arrived.Delegated {
 		x.arrived.Origin = origin
 	}
+	if x.position, ok = g.positionOf(x, configuration); !ok {
+		g.reject(writer, header.ID, refuser.Refusal{Code: refuser.CodeMalformedRequest, Detail: "the last event's ID is not the number of an event"})
+		return
+	}
 	x.id, x.effects = g.Open()
 	defer g.Close(x.id)
 	x.run()
 }
 
+// positionOf returns what the caller has of a stream. It returns false if the service numbers its events and the caller names none of
+// them.
+func (g *Gateway) positionOf(x *exchange, c *matcher.Configuration) (position validator.Position, ok bool) {
+	if x.arrived.Route.Kind != matcher.KindStream {
+		return position, true
+	}
+	numbered := c.NumbersEvents(x.arrived.Service)
+	if numbered {
+		position = position.WithNumbers(g.Translator.FirstEventID)
+	}
+	if x.header.LastEventID == "" {
+		return position, true
+	}
+	last, ok := validator.ParseNumber(x.header.LastEventID)
+	if ok {
+		position = position.WithLast(last)
+	}
+	return position, ok || !numbered
+}
+
 // newRequestArrived returns the event for a request. The caller sets Request and Service.
 func newRequestArrived(h RequestHeader, route matcher.Route, version int64, r *http.Request, body []byte) conductor.RequestArrived {
 	e := conductor.RequestArrived{
--- a/internal/edge/gateway/gateway_test.go
+++ b/internal/edge/gateway/gateway_test.go
@@ -96,6 +96,7 @@
 			return conductor.Advice{RateLimited: h.Get("X-Limited") != ""}
 		},
 		IdentityHeader: "X-Id",
+		FirstEventID:   1,
 	}
 }
 
@@ -105,9 +106,11 @@
 	share := []matcher.Share{{Service: "s", Weight: 1}}
 	c, err := matcher.New(3, []matcher.Route{
 		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: matcher.KindStream, Resumable: true, Timeout: time.Second, Shares: share},
+		{Name: "once", Host: "h", Prefix: "/once/", Kind: matcher.KindStream, Timeout: time.Second, Shares: share},
+		{Name: "plain", Host: "h", Prefix: "/plain/", Kind: matcher.KindStream, Timeout: time.Second, Shares: []matcher.Share{{Service: "p", Weight: 1}}},
 		{Name: "open", Host: "h", Prefix: "/open/", Kind: matcher.KindIdempotent, Timeout: time.Second, Shares: share, Public: true, Priority: 3},
 		{Name: "read", Host: "h", Prefix: "/read/", Kind: matcher.KindIdempotent, Timeout: time.Second, Shares: share},
-	}, []matcher.Service{{Name: "s"}}, matcher.Limits{})
+	}, []matcher.Service{{Name: "s"}, {Name: "p"}}, matcher.Limits{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/edge/gateway/odd_events_test.go
+++ b/internal/edge/gateway/odd_events_test.go
@@ -220,3 +220,55 @@
 		}
 	})
 }
+
+// TestStreamsWithoutNumbers guards against streams of servers that number no events, which are refused although nothing says that they
+// do, and against odd events on routes that can't be resumed of a service that does.
+func TestStreamsWithoutNumbers(t *testing.T) {
+	text := func(s string) string {
+		return backend(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Seal", "s")
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, s)
+		})
+	}
+	const plain = "data: a\n\n: comment\n\nid: opaque\ndata: b\n\nevent: end\ndata\n\n"
+	for _, c := range []struct {
+		name, path, last, text, want string
+		status                       int
+	}{
+		{"without numbers", "/plain/a", "", plain, plain, http.StatusOK},
+		{"without numbers, taken up after an ID that is no number", "/plain/a", "opaque", plain, plain, http.StatusOK},
+		{"without numbers, taken up after a number", "/plain/a", "5", plain, "", http.StatusBadGateway},
+		{"numbers from another start", "/plain/a", "", events(40, 44), events(40, 44), http.StatusOK},
+		{"numbers that begin within the stream", "/plain/a", "", "data: a\n\n" + events(1, 2), "data: a\n\n", 0},
+		{"a route that can't be resumed", "/once/a", "", events(1, 4), events(1, 4), http.StatusOK},
+		{"an odd event on a route that can't be resumed", "/once/a", "", plain, "", http.StatusBadGateway},
+		{"an odd event later on it", "/once/a", "", events(1, 4) + plain, events(1, 4), 0},
+		{"a stream that ends before its first event", "/stream/a", "", ": comment\n\n", "", http.StatusBadGateway},
+		{"a caller that has all events", "/stream/a", "8", "", "", http.StatusOK},
+		{"a server that begins anew", "/stream/a", "3", events(1, 5), events(4, 5), http.StatusOK},
+		{"a caller that names no event", "/stream/a", "opaque", events(1, 4), "", http.StatusBadRequest},
+		{"a caller that names a negative number", "/stream/a", "-1", events(1, 4), "", http.StatusBadRequest},
+		{"a caller that names the largest number", "/stream/a", "9223372036854775807", events(1, 4), "", http.StatusBadRequest},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, sendOnceTo(text(c.text)))
+			defer h.client.CloseIdleConnections()
+			header := http.Header{}
+			if c.last != "" {
+				header.Set("Last-Event-Id", c.last)
+			}
+			status, body, _, err := h.sendWith(c.path, header)
+			if c.status == 0 {
+				assertEqual(t, "broken off", err != nil, true)
+			} else {
+				assertEqual(t, "status", status, c.status)
+			}
+			if c.status < http.StatusBadRequest {
+				assertEqual(t, "events", body, c.want)
+			} else if strings.Contains(body, "data") {
+				t.Errorf("got %q, want none of the server's text", body)
+			}
+		})
+	}
+}
--- a/internal/edge/gateway/translator.go
+++ b/internal/edge/gateway/translator.go
@@ -28,6 +28,8 @@
 	ReadAdvice func(status int, header http.Header) conductor.Advice
 	// IdentityHeader is the name of the header field with the request's ID.
 	IdentityHeader string
+	// FirstEventID is the number of a stream's first event.
+	FirstEventID int
 	// Challenge names the scheme of keys, for callers without a valid one.
 	Challenge string
 }
--- a/internal/fleet/matcher/configuration.go
+++ b/internal/fleet/matcher/configuration.go
@@ -39,6 +39,8 @@
 	workspaceNames map[KeyDigest]string
 	// routes holds the routes of each host, those with the longest prefix first.
 	routes map[string][]Route
+	// numbered holds the services that a resumable route goes to.
+	numbered map[string]bool
 }
 
 // Limits bound callers' requests and connections.
--- a/internal/fleet/matcher/matcher.go
+++ b/internal/fleet/matcher/matcher.go
@@ -14,7 +14,7 @@
 // New returns a configuration. It returns an error for a route whose prefix doesn't begin and end with a slash, or
 // whose services are unknown.
 func New(version int64, routes []Route, services []Service, limits Limits) (*Configuration, error) {
-	c := &Configuration{Version: version, Limits: limits, Services: make(map[string]Service, len(services)), routes: make(map[string][]Route)}
+	c := &Configuration{Version: version, Limits: limits, Services: make(map[string]Service, len(services)), routes: make(map[string][]Route), numbered: make(map[string]bool)}
 	for _, s := range services {
 		c.Services[s.Name] = s
 	}
@@ -23,6 +23,9 @@
 			return nil, fmt.Errorf("configuration %d, route %q: %w", version, r.Name, err)
 		}
 		c.routes[r.Host] = append(c.routes[r.Host], r)
+		for _, s := range r.Shares {
+			c.numbered[s.Service] = c.numbered[s.Service] || r.Kind == KindStream && r.Resumable
+		}
 	}
 	for _, list := range c.routes {
 		slices.SortStableFunc(list, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -40,6 +43,10 @@
 	return Route{}, false
 }
 
+// NumbersEvents reports whether a service's servers number the events of their streams. They do so on all routes if streams of one of
+// them may be resumed.
+func (c *Configuration) NumbersEvents(service string) bool { return c.numbered[service] }
+
 func (c *Configuration) validate(r Route) error {
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
 		return fmt.Errorf("prefix %q: %w", r.Prefix, ErrInvalidRoute)
