fix: fields of a response aren't fields of an event

Cause: any name followed by a colon counted as a field of an extension. Change: such names are in lower case, as the fields of events are. The case in TestEvents failed before. Measured: TestStreamsThatBreakOff and TestHeadsThatBreakOff pass.

--- a/internal/entry/streamer/client_test.go
+++ b/internal/entry/streamer/client_test.go
@@ -132,6 +132,7 @@
 		{name: "data like a response", text: "data: HTTP/1.1 500\n\n", want: []Event{{}}, err: io.EOF},
 		{name: "text", text: "data: a\n\nodd text\n\n", want: []Event{{}}, err: ErrMalformedEvent},
 		{name: "a name that is no token", text: "odd text: a\n\n", err: ErrMalformedEvent},
+		{name: "fields of a response within an event", text: "id: 3\ndata: HTTP/1.1 500\r\nContent-Type: text/plain\r\n\r\n", err: ErrMalformedEvent},
 		{name: "two IDs", text: "id: 3\nid: 4\ndata: a\n\n", err: ErrMalformedEvent},
 		{name: "a carriage return within a line", text: "id: 3\ndata: a\rid: 4\n\n", err: ErrMalformedEvent},
 		{name: "a field of an extension, a comment and an empty field", text: "odd-field: 3\n: odd\nid: 4\ndata\n\n", want: []Event{numberedEvent(4)}, err: io.EOF},
--- a/internal/entry/streamer/events.go
+++ b/internal/entry/streamer/events.go
@@ -128,8 +128,8 @@
 		e.Done = string(value) == "[DONE]"
 	case "event", "retry":
 	default:
-		// Fields of extensions are passed on. A line without a value, or whose name is no token, isn't a field.
-		if !valued || bytes.ContainsFunc(name, isNotToken) {
+		// Fields of extensions are passed on. A line without a value, or with another name than theirs, may be a part of another answer.
+		if !valued || bytes.ContainsFunc(name, isNotFieldName) {
 			return fmt.Errorf("line that is no field: %w", ErrMalformedEvent)
 		}
 	}
@@ -139,7 +139,5 @@
 	return nil
 }
 
-// isNotToken reports whether a character doesn't occur in names of fields.
-func isNotToken(r rune) bool {
-	return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && r != '-' && r != '_'
-}
+// isNotFieldName reports whether a character doesn't occur in names of fields, which are in lower case, unlike those of a response.
+func isNotFieldName(r rune) bool { return (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-' && r != '_' }
