--- a/internal/daemon/explainer/explainer.go
+++ b/internal/daemon/explainer/explainer.go
@@ -24,6 +24,8 @@
 	Time    time.Time `json:"time"`
 	Message string    `json:"message"`
 	Request string
+	// Origin is the request that began the stream which Request takes up, empty for none.
+	Origin  string
 	Action  string
 	Reason  string
 	Service string
@@ -85,7 +87,7 @@
 		return
 	}
 	switch {
-	case l.Message == "request" && l.Request == e.Request:
+	case l.Message == "request" && (l.Request == e.Request || l.Origin == e.Request):
 		e.lines = append(e.lines, l)
 	case l.Message == "belief":
 		e.viewChanges = append(e.viewChanges, l)
@@ -103,7 +105,7 @@
 	fmt.Fprintf(&b, "Request %s, service %s%s%s, configuration %d\n",
 		e.Request, first.Service, prefixed(" model ", first.Model), prefixed(", workspace ", first.Workspace), first.Configuration)
 	for _, l := range e.lines {
-		fmt.Fprintf(&b, "%s %s%s\n", formatTime(l), prefixed("", l.source+" "), describe(l))
+		fmt.Fprintf(&b, "%s %s%s\n", formatTime(l), prefixed("", l.source+" "), e.takeUp(l)+describe(l))
 	}
 	e.writeViewChanges(&b, first, last)
 	if e.malformed > 0 {
@@ -159,6 +161,14 @@
 	return false
 }
 
+// takeUp returns what a line begins with that is about a later request of the caller for the rest of the stream.
+func (e *Explainer) takeUp(l line) string {
+	if l.Request == e.Request {
+		return ""
+	}
+	return "taken up by " + l.Request + ": "
+}
+
 // describe returns a description of one decision.
 func describe(l line) string {
 	switch l.Action {
--- a/internal/daemon/explainer/explainer_test.go
+++ b/internal/daemon/explainer/explainer_test.go
@@ -90,6 +90,15 @@
 		}
 		assertText(t, got, "attempt 1 at i-1 failed after 4 ms: the data received was not the server's response to it; after event 5: event without a number")
 	})
+	t.Run("a stream that was taken up", func(t *testing.T) {
+		got, err := explain(t, "s1", `{"time":"2026-09-06T10:04:36.701Z","Request":"s1","Action":"CallerLeft","WaitedMs":900,"LeftMs":100,"message":"request"}
+{"time":"2026-09-06T10:04:37.000Z","Request":"s2","Origin":"s1","Action":"Refuse","Reason":"Cold","WaitedMs":0,"message":"request"}
+`)
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertText(t, got, "the caller left after 900 ms", "taken up by s2: refused after 0 ms: no server has the model or adapter loaded")
+	})
 	t.Run("an unknown request", func(t *testing.T) {
 		if _, err := explain(t, "f2", daemonA); !errors.Is(err, ErrUnknownRequest) {
 			t.Errorf("got %v, want %v", err, ErrUnknownRequest)
