fix: a stream that begins anew and ends early isn't whole

What callers would see: a stream that they have taken up after event 3 ends as complete though the server's run had two events only. Cause: events that the caller has are left out, and the end of the answer was taken for the end of the stream. Change: an attempt whose last event is one that the caller has, but not its last, ended early. The case in TestStreamsWithoutNumbers failed before (200 with an empty stream, 502 wanted).

--- a/internal/decision/validator/position.go
+++ b/internal/decision/validator/position.go
@@ -13,6 +13,7 @@
 	ErrGap        = errors.New("events of the stream are missing")
 	ErrOrder      = errors.New("event is out of order")
 	ErrNoEvents   = errors.New("stream ended before its first event")
+	ErrShort      = errors.New("stream ended before the events that the caller has")
 )
 
 // numbering is whether the events of a stream have numbers.
@@ -108,12 +109,18 @@
 	return next, true, nil
 }
 
-// End returns an error if a stream that ends here can't be whole: a caller without any event gets at least one.
+// End returns an error if a stream that ends here can't be whole: a caller without any event gets at least one, and an attempt that
+// begins anew doesn't end before the events that the caller has.
 func (p Position) End() error {
-	if _, has := p.Last(); p.numbering == numbered && p.count == 0 && !has {
+	_, has := p.Last()
+	switch {
+	case p.numbering == numbered && p.count == 0 && !has:
 		return ErrNoEvents
+	case p.attemptBegun && p.attemptLast < p.last:
+		return fmt.Errorf("event %d was due: %w", p.due(), ErrShort)
+	default:
+		return nil
 	}
-	return nil
 }
 
 // invalid returns the error for an event.
--- a/internal/edge/gateway/odd_events_test.go
+++ b/internal/edge/gateway/odd_events_test.go
@@ -247,6 +247,7 @@
 		{"a stream that ends before its first event", "/stream/a", "", ": comment\n\n", "", http.StatusBadGateway},
 		{"a caller that has all events", "/stream/a", "8", "", "", http.StatusOK},
 		{"a server that begins anew", "/stream/a", "3", events(1, 5), events(4, 5), http.StatusOK},
+		{"a server that begins anew and ends before the caller's event", "/stream/a", "3", events(1, 2), "", http.StatusBadGateway},
 		{"a caller that names no event", "/stream/a", "opaque", events(1, 4), "", http.StatusBadRequest},
 		{"a caller that names a negative number", "/stream/a", "-1", events(1, 4), "", http.StatusBadRequest},
 		{"a caller that names the largest number", "/stream/a", "9223372036854775807", events(1, 4), "", http.StatusBadRequest},
