fix: the end of a stream is all of an event's data

Cause: an event was the end of a stream if the last of its data fields was [DONE]. Its reader joins all of them, and sees other data. Change: an event is the end of a stream if its only data field is [DONE]. Evidence: the new case of TestEvents failed before.

--- a/internal/entry/streamer/client_test.go
+++ b/internal/entry/streamer/client_test.go
@@ -125,6 +125,7 @@
 		{name: "empty", err: io.EOF},
 		{name: "events", text: "id: 3\ndata: a\n\n\nid:4\r\ndata:b\r\n\r\n", want: []Event{numberedEvent(3), numberedEvent(4)}, err: io.EOF},
 		{name: "done", text: "data: [DONE]\n\n", want: []Event{{Done: true}}, err: io.EOF},
+		{name: "done is all of the data", text: "data: a\ndata: [DONE]\n\ndata: [DONE]\ndata: a\n\n", want: []Event{{}, {}}, err: io.EOF},
 		{name: "cut off", text: "data: a\n\ndata: b\n", want: []Event{{}}, err: io.ErrUnexpectedEOF},
 		{name: "cut off within a line", text: "data: [DONE", err: io.ErrUnexpectedEOF},
 		{name: "a response after an event", text: "data: a\n\nHTTP/1.1 500 Internal Server Error\r\nid: 7\r\n\r\n", want: []Event{{}}, err: ErrResponseInEvent},
--- a/internal/entry/streamer/events.go
+++ b/internal/entry/streamer/events.go
@@ -124,8 +124,8 @@
 		e.Identified = true
 		e.ID, e.HasID = validator.ParseNumber(string(value))
 	case "data":
+		e.Done = !e.HasData && string(value) == "[DONE]"
 		e.HasData = true
-		e.Done = string(value) == "[DONE]"
 	case "event", "retry":
 	default:
 		// Fields of extensions are passed on. A line without a value, or whose name is no token, isn't a field.
