fix: the own interface's events follow what the caller has

The responder had rules of its own: it believed the first event's number and counted from it, took blocks without data and comments for events, and believed [DONE] wherever it came. Nothing says before its first event whether a stream is numbered, so numbers may be absent as a whole. An attempt that goes on begins with the next event or anew; one in between counts from another first number. [DONE] has no number, follows at least one event, as a completion has one with its finish reason at the least, and what the caller has. Why this works: what may come next is known from all that was passed on, not from the last event of one attempt.

--- a/internal/decision/validator/position.go
+++ b/internal/decision/validator/position.go
@@ -7,12 +7,13 @@
 
 // Reasons why an event isn't passed on.
 var (
-	ErrUnnumbered = errors.New("event without a number")
-	ErrNumbered   = errors.New("event with a number in a stream without numbers")
-	ErrNoData     = errors.New("event without data")
-	ErrGap        = errors.New("events of the stream are missing")
-	ErrOrder      = errors.New("event is out of order")
-	ErrNoEvents   = errors.New("stream ended before its first event")
+	ErrUnnumbered  = errors.New("event without a number")
+	ErrNumbered    = errors.New("event with a number in a stream without numbers")
+	ErrNoData      = errors.New("event without data")
+	ErrGap         = errors.New("events of the stream are missing")
+	ErrOrder       = errors.New("event is out of order")
+	ErrNoEvents    = errors.New("stream ended before its first event")
+	ErrNumberedEnd = errors.New("end of the stream has a number")
 )
 
 // numbering is whether the events of a stream have numbers.
@@ -33,6 +34,9 @@
 	// first-1 if the caller has none.
 	first, last int
 	known       bool
+	// least and most bound the number of the first event, if bounded is true and nothing else says what it is.
+	least, most int
+	bounded     bool
 	// count is the number of events passed on, over all attempts.
 	count int
 	// resumed reports whether the attempt goes on with a stream of which earlier attempts have passed on events.
@@ -48,6 +52,13 @@
 	return p
 }
 
+// WithFirst returns the position in a stream that may begin with an event without a number, or with one from least to most. An attempt
+// that goes on with it begins with the event after the last one, or anew: others may count from another first number.
+func (p Position) WithFirst(least, most int) Position {
+	p.least, p.most, p.bounded = least, most, true
+	return p
+}
+
 // WithLast returns the position of a caller that already has the events up to a number.
 func (p Position) WithLast(last int) Position {
 	p.numbering, p.last, p.known = numbered, max(last, p.first-1), true
@@ -90,13 +101,19 @@
 
 func (p Position) nextNumbered(e Event) (next Position, pass bool, err error) {
 	next = p
-	if !p.known {
+	switch {
+	case p.known:
+	case p.bounded && e.ID > p.most:
+		return p, false, fmt.Errorf("first event %d: %w", e.ID, ErrGap)
+	case p.bounded && e.ID < p.least:
+		return p, false, fmt.Errorf("first event %d: %w", e.ID, ErrOrder)
+	default:
 		next.first, next.last, next.known = e.ID, e.ID-1, true
 	}
 	switch {
 	case e.ID > next.last+1:
 		return p, false, p.invalid(e, ErrGap)
-	case p.attemptBegun && e.ID != p.attemptLast+1 || e.ID < next.first:
+	case e.ID < next.first, p.attemptBegun && e.ID != p.attemptLast+1, p.bounded && !p.attemptBegun && e.ID != next.first && e.ID != next.last+1:
 		return p, false, p.invalid(e, ErrOrder)
 	}
 	next.numbering, next.attemptLast, next.attemptBegun = numbered, e.ID, true
@@ -116,6 +133,24 @@
 	return nil
 }
 
+// Done returns an error if an event that marks the end of the stream can't come here. It has no number and follows at least one event,
+// in a stream that an attempt goes on with all those that the caller has.
+func (p Position) Done(e Event) error {
+	last, has := p.Last()
+	switch {
+	case e.HasID || e.Identified && p.numbering == numbered:
+		return ErrNumberedEnd
+	case p.count == 0 && !has:
+		return ErrNoEvents
+	case p.resumed && p.numbering != numbered:
+		return ErrUnnumbered
+	case p.attemptBegun && p.attemptLast < last:
+		return fmt.Errorf("end where event %d was due: %w", p.due(), ErrGap)
+	default:
+		return nil
+	}
+}
+
 // invalid returns the error for an event.
 func (p Position) invalid(e Event, reason error) error {
 	switch {
--- a/internal/decision/validator/position_test.go
+++ b/internal/decision/validator/position_test.go
@@ -71,6 +71,11 @@
 		{"comments", numbers, []Event{{}, numberedEvent(1), {}, numberedEvent(2)}, 2, nil},
 		{"no numbers", Position{}, []Event{{HasData: true}, {}, {HasData: true}}, 3, nil},
 		{"a number after events without", Position{}, []Event{{HasData: true}, numberedEvent(1)}, 1, ErrNumbered},
+		{"numbers from the least first one", Position{}.WithFirst(0, 1), []Event{numberedEvent(0), numberedEvent(1)}, 2, nil},
+		{"numbers from the largest first one", Position{}.WithFirst(0, 1), []Event{numberedEvent(1), numberedEvent(2)}, 2, nil},
+		{"numbers after the largest first one", Position{}.WithFirst(0, 1), []Event{numberedEvent(2)}, 0, ErrGap},
+		{"numbers before the least first one", Position{}.WithFirst(1, 1), []Event{numberedEvent(0)}, 0, ErrOrder},
+		{"no numbers where some may be", Position{}.WithFirst(0, 1), []Event{{HasData: true}, {HasData: true}}, 2, nil},
 		{"numbers that begin anywhere", Position{}, []Event{numberedEvent(40), numberedEvent(41), {HasData: true}}, 2, ErrUnnumbered},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -101,3 +106,50 @@
 		}
 	})
 }
+
+// TestAttemptsThatBeginWithin guards against events that are lost between attempts that count from different first numbers.
+func TestAttemptsThatBeginWithin(t *testing.T) {
+	p := Position{}.WithFirst(0, 1)
+	for n := range 3 {
+		p, _, _ = p.Next(numberedEvent(n + 1))
+	}
+	for n, want := range []error{ErrOrder, nil, ErrOrder, ErrOrder, nil, ErrGap} {
+		if _, _, err := p.WithAttempt().Next(numberedEvent(n)); !errors.Is(err, want) {
+			t.Errorf("got error %v for event %d, want %v", err, n, want)
+		}
+	}
+}
+
+func TestDone(t *testing.T) {
+	end, free := Event{HasData: true}, Position{}.WithFirst(0, 1)
+	after := func(p Position, events ...Event) Position {
+		p = p.WithAttempt()
+		for _, e := range events {
+			p, _, _ = p.Next(e)
+		}
+		return p
+	}
+	for _, test := range []struct {
+		name string
+		p    Position
+		end  Event
+		want error
+	}{
+		{"after numbers", after(free, numberedEvent(1)), end, nil},
+		{"after events without numbers", after(free, end, end), end, nil},
+		{"after an opaque ID", after(free, end), Event{HasData: true, Identified: true}, nil},
+		{"before any event", after(free, Event{}), end, ErrNoEvents},
+		{"with a number", after(free, numberedEvent(1)), numberedEvent(2), ErrNumberedEnd},
+		{"with an ID that is no number", after(free, numberedEvent(1)), Event{HasData: true, Identified: true}, ErrNumberedEnd},
+		{"at once in a numbered stream that is gone on with", after(after(free, numberedEvent(1))), end, nil},
+		{"at once in another stream that is gone on with", after(after(free, end)), end, ErrUnnumbered},
+		{"before an event that the caller has", after(after(free, numberedEvent(1), numberedEvent(2)), numberedEvent(1)), end, ErrGap},
+		{"at once for a caller that has all", after(Position{}.WithNumbers(1).WithLast(4)), end, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if err := test.p.Done(test.end); !errors.Is(err, test.want) {
+				t.Errorf("got error %v, want %v", err, test.want)
+			}
+		})
+	}
+}
--- a/internal/entry/responder/attempt.go
+++ b/internal/entry/responder/attempt.go
@@ -37,6 +37,7 @@
 	errPartlyRelayed    = errors.New("part of a response that can't be resumed was already sent")
 	errIncompleteStream = errors.New("the stream ended without [DONE]")
 	errCallerLeft       = errors.New("the caller disconnected")
+	errInvalidEvent     = errors.New("invalid event")
 	errInvalidRefusal   = errors.New("could not parse the daemon's refusal")
 )
 
@@ -47,8 +48,6 @@
 	call     streamer.Call
 	// forward is true if the call goes to another daemon.
 	forward bool
-	// resumed is true if the caller has already received events of this stream.
-	resumed bool
 	// answer is the response so far, if it is to be stored; it is at most reducer.MaxStoredAnswerBytes long.
 	answer answerBuffer
 	// ctx bounds the attempt. It ends when timer fires; each event of a stream resets the timer.
@@ -88,7 +87,7 @@
 	if header.Get(priorityHeader) == "" {
 		header.Set(priorityHeader, "u="+strconv.Itoa(maxUrgentLevel))
 	}
-	a.resume(max(e.ResumeFrom, x.progress.sent))
+	a.resume(max(e.ResumeFrom, x.position.Count()))
 	return a
 }
 
@@ -100,7 +99,7 @@
 	header := a.call.Header
 	header.Set(forwardedByHeader, x.responder.Daemon)
 	header.Set(timeoutHeader, strconv.FormatInt(max(e.Timeout, minAttemptTimeout).Milliseconds(), 10))
-	a.resume(x.progress.sent)
+	a.resume(x.position.Count())
 	return a
 }
 
@@ -182,7 +181,7 @@
 // endEvent returns the event for the end of the attempt. The error is nil if the caller has received the complete
 // response.
 func (a *attempt) endEvent(err error) reducer.AttemptEnded {
-	ended := reducer.AttemptEnded{Request: a.exchange.id, Attempt: a.number, Tokens: a.exchange.progress.sent}
+	ended := reducer.AttemptEnded{Request: a.exchange.id, Attempt: a.number, Tokens: a.exchange.position.Count()}
 	if err == nil {
 		return ended
 	}
@@ -253,40 +252,6 @@
 	return nil
 }
 
-// relayEvents relays the events of a stream that the caller has not received yet.
-func (a *attempt) relayEvents(reply *streamer.Reply) error {
-	a.postStarted()
-	events := streamer.NewEventReader(reply.Body)
-	for {
-		event, err := events.Next()
-		a.timer.Reset(streamStallTimeout)
-		switch {
-		case errors.Is(err, io.EOF):
-			return errIncompleteStream
-		case err != nil:
-			return reply.Failure(err)
-		case event.Done:
-			return a.writeEvent(reply, event, true)
-		}
-		if err := a.relayEvent(reply, event, !events.Buffered()); err != nil {
-			return err
-		}
-	}
-}
-
-func (a *attempt) relayEvent(reply *streamer.Reply, event streamer.Event, flush bool) error {
-	progress := &a.exchange.progress
-	next, err := progress.isNext(event, a.resumed)
-	if err != nil || !next {
-		return err
-	}
-	if err := a.writeEvent(reply, event, flush); err != nil {
-		return err
-	}
-	progress.sent++
-	return nil
-}
-
 // relayUnbuffered relays a response as it arrives, after the part that has already been read. If the response breaks
 // off, the caller's connection must be closed.
 func (a *attempt) relayUnbuffered(reply *streamer.Reply, part []byte) error {
@@ -310,8 +275,7 @@
 
 // resume asks the server to continue after the events that the caller has received.
 func (a *attempt) resume(from int) {
-	a.resumed = from > 0
-	if a.resumed {
+	if from > 0 {
 		a.call.Header.Set(resumeHeader, strconv.Itoa(from))
 	}
 }
@@ -330,14 +294,6 @@
 	return nil
 }
 
-// writeEvent writes an event, preceded by the status and header if it is the first one.
-func (a *attempt) writeEvent(reply *streamer.Reply, event streamer.Event, flush bool) error {
-	if !a.exchange.writer.Started() {
-		a.writeHeader(reply)
-	}
-	return a.write(event.Raw, flush)
-}
-
 // A refusedError is the error for a refusal by another daemon.
 type refusedError struct{ refusal refuser.Refusal }
 
--- a/internal/entry/responder/exchange.go
+++ b/internal/entry/responder/exchange.go
@@ -6,6 +6,7 @@
 
 	"samphirewharf/internal/caller/refuser"
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/decision/validator"
 	"samphirewharf/internal/entry/acceptor"
 )
 
@@ -19,10 +20,10 @@
 	id        reducer.RequestID
 	effects   <-chan reducer.Effect
 
-	// attempt is the running attempt, nil if there is none. While an attempt runs, only it uses writer, progress and
+	// attempt is the running attempt, nil if there is none. While an attempt runs, only it uses writer, position and
 	// partlyRelayed.
 	attempt  *attempt
-	progress progress
+	position validator.Position
 	// partlyRelayed is true if part of a response that can't be resumed was relayed.
 	partlyRelayed bool
 	// dispatched is true if an attempt was started.
--- a/internal/entry/responder/responder.go
+++ b/internal/entry/responder/responder.go
@@ -25,6 +25,9 @@
 	twirpPrefix = "/twirp/"
 	// servicesPrefix is followed by the name of a plain service.
 	servicesPrefix = "/services/"
+	// leastFirstEvent and mostFirstEvent are the numbers with which engines may begin their streams. X-Resume-From is how many events
+	// the caller has, so that it says nothing of the first one's number.
+	leastFirstEvent, mostFirstEvent = 0, 1
 )
 
 // A Responder is the handler of a daemon's acceptor.Server. Set the function fields before use.
@@ -84,6 +87,7 @@
 // exchange opens a request, runs its exchange and closes it.
 func (h *Responder) exchange(w *acceptor.Writer, r *http.Request, in *inbound) {
 	x := &exchange{responder: h, writer: w, inbound: in, callerCtx: r.Context()}
+	x.position = x.position.WithFirst(leastFirstEvent, mostFirstEvent)
 	x.id, x.effects = h.Open()
 	defer h.Close(x.id)
 	x.run()
