fix: an answer of another type is no answer to a request for a stream

Cause: an answer that is no event stream passed whole unless a part of a stream had been sent. Change: a success of another type is an invalid answer to a request for a stream, from an engine and from another daemon. It goes on elsewhere where it may, and is refused otherwise. An error status passes as before, but not within a stream that has begun, whatever its type. Evidence: before, 16 of the 32 new pairs of type and place failed in TestEventsThatFollowNone (all at fresh streams; resumed ones were refused already) and one case of TestStreamForms; all pass now.

--- a/internal/entry/responder/attempt.go
+++ b/internal/entry/responder/attempt.go
@@ -33,7 +33,7 @@
 
 var (
 	errServerError      = errors.New("server responded with an error")
-	errNotEventStream   = errors.New("the rest of the stream has another content type")
+	errNotEventStream   = errors.New("the answer is no event stream")
 	errPartlyRelayed    = errors.New("part of a response that can't be resumed was already sent")
 	errIncompleteStream = errors.New("the stream ended without [DONE]")
 	errCallerLeft       = errors.New("the caller disconnected")
@@ -216,12 +216,12 @@
 	case !a.forward && !x.inbound.event.Plain && reply.StatusCode >= http.StatusInternalServerError:
 		return fmt.Errorf("status %d: %w", reply.StatusCode, errServerError)
 	}
-	events := reply.IsEventStream()
+	events, success := reply.IsEventStream(), reply.StatusCode/100 == 2
 	switch {
+	case !events && success && x.inbound.event.Stream, x.writer.Started() && (!events || !success):
+		return fmt.Errorf("status %d and content type %q: %w", reply.StatusCode, reply.Header.Get("Content-Type"), errNotEventStream)
 	case events && !x.inbound.event.Plain:
 		return a.relayEvents(reply)
-	case x.writer.Started():
-		return errNotEventStream
 	case events:
 		return a.relayUnbuffered(reply, nil)
 	default:
--- a/internal/entry/responder/odd_events_test.go
+++ b/internal/entry/responder/odd_events_test.go
@@ -173,6 +173,12 @@
 				assertWhole(name, block, "text/event-stream")
 			}
 		}
+		if c.place != c.brokenAfter {
+			continue
+		}
+		for _, contentType := range []string{"text/plain", "application/json", "text/event-streams", ""} {
+			assertWhole("answer of type "+contentType, "id: @\ndata: odd\n\n", contentType)
+		}
 	}
 }
 
@@ -210,6 +216,7 @@
 		{"only a comment", sound, ": comment\n\n" + doneEvent, "", false},
 		{"an end with a number", sound, eventsOf(1, 2) + "id: 3\n" + doneEvent, eventsOf(1, 2), false},
 		{"no end", sound, eventsOf(1, 2), eventsOf(1, 2), false},
+		{"another type", "application/json", "{}", "", false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			h := newHarness(t, dispatchTo(failed, engine(t, func(w http.ResponseWriter, _ *http.Request) {
@@ -266,3 +273,14 @@
 		})
 	}
 }
+
+// TestErrorStatus guards against errors of engines that no longer reach callers that asked for a stream.
+func TestErrorStatus(t *testing.T) {
+	h := newHarness(t, dispatchTo(failed, engine(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusBadRequest)
+		_, _ = io.WriteString(w, "too long")
+	})))
+	response, got := do(t, newRequest(t, h.address, "/v1/completions", `{"model":"small","stream":true}`))
+	assertEqual(t, "status", response.StatusCode, http.StatusBadRequest)
+	assertEqual(t, "body", got, "too long")
+}
