--- a/internal/entry/responder/attempt.go
+++ b/internal/entry/responder/attempt.go
@@ -37,7 +37,6 @@
 	errPartlyRelayed    = errors.New("part of a response that can't be resumed was already sent")
 	errIncompleteStream = errors.New("the stream ended without [DONE]")
 	errCallerLeft       = errors.New("the caller disconnected")
-	errInvalidEvent     = errors.New("invalid event")
 	errInvalidRefusal   = errors.New("could not parse the daemon's refusal")
 )
 
@@ -46,6 +45,8 @@
 	exchange *exchange
 	number   int
 	call     streamer.Call
+	// server is the backend server or daemon that is called.
+	server string
 	// forward is true if the call goes to another daemon.
 	forward bool
 	// answer is the response so far, if it is to be stored; it is at most reducer.MaxStoredAnswerBytes long.
@@ -77,6 +78,7 @@
 
 func newDispatch(x *exchange, e reducer.Dispatch) *attempt {
 	a := newAttempt(x, e.Attempt, e.Address, e.Timeout)
+	a.server = e.Server
 	a.answer.enabled = e.KeepAnswer
 	a.call.Path = x.inbound.serverPath
 	a.call.NewConnection = e.KeepAnswer
@@ -93,7 +95,7 @@
 
 func newForward(x *exchange, e reducer.Forward) *attempt {
 	a := newAttempt(x, e.Attempt, e.Address, e.Timeout+forwardGracePeriod)
-	a.forward = true
+	a.server, a.forward = e.Daemon, true
 	a.call.Path = x.inbound.path
 	a.call.NewConnection = x.inbound.event.Key != ""
 	header := a.call.Header
@@ -200,8 +202,7 @@
 	case errors.Is(err, errCallerLeft):
 		ended.Outcome = reducer.AttemptCancelled
 	}
-	a.exchange.responder.logger().Debug().Err(err).Str("Request", a.call.ID).Str("Address", a.call.Address).
-		Str("Outcome", outcomeNames[ended.Outcome]).Msg("attempt ended")
+	a.logEnd(ended, err)
 	return ended
 }
 
--- a/internal/entry/responder/harness_test.go
+++ b/internal/entry/responder/harness_test.go
@@ -6,11 +6,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/entry/acceptor"
@@ -136,6 +139,32 @@
 
 func (h *harness) wake() { h.changed.Broadcast() }
 
+// logLines makes the responder log to the returned buffer at info level.
+func (h *harness) logLines() *lineBuffer {
+	lines := &lineBuffer{}
+	h.responder.Logger = &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: lines}}
+	return lines
+}
+
+// A lineBuffer holds log lines. It may be used by several goroutines.
+type lineBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write appends lines.
+func (b *lineBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lineBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // awaitEnd waits for the end of an attempt and returns it.
 func (h *harness) awaitEnd(attempt int) reducer.AttemptEnded {
 	h.t.Helper()
@@ -183,7 +212,7 @@
 			return []reducer.Effect{refuse}
 		}
 		return []reducer.Effect{reducer.Dispatch{
-			Request: requestOf(event), Attempt: attempt + 1, Address: addresses[attempt],
+			Request: requestOf(event), Attempt: attempt + 1, Server: "s" + strconv.Itoa(attempt+1), Address: addresses[attempt],
 			Replica: "r1", Timeout: waitTimeout, ResumeFrom: sent, KeepAnswer: true,
 		}}
 	}
--- a/internal/entry/responder/odd_events_test.go
+++ b/internal/entry/responder/odd_events_test.go
@@ -1,11 +1,13 @@
 package responder
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"samphirewharf/internal/caller/refuser"
 	"samphirewharf/internal/decision/reducer"
@@ -111,7 +113,7 @@
 
 // play sends a stream to servers of which one writes the block and the next one is sound. It returns what the caller got and the end of
 // the attempt with the block.
-func (c oddCase) play(t *testing.T, block, contentType string) (got string, ended reducer.AttemptEnded) {
+func (c oddCase) play(t *testing.T, block, contentType string) (got string, ended reducer.AttemptEnded, logged string) {
 	t.Helper()
 	var addresses []string
 	if c.brokenAfter > 0 {
@@ -123,13 +125,14 @@
 	if c.forward {
 		h.step = forwardOnce(h.step, odd)
 	}
+	lines := h.logLines()
 	front := h
 	if c.behind {
 		front = newHarness(t, forwardOnce(dispatchTo(failed, h.address), 1))
 	}
 	_, got = do(t, newRequest(t, front.address, "/v1/completions", `{"model":"small","stream":true}`, "X-Request-Id", "odd-1"))
 	ended = h.awaitEnd(odd)
-	return got, ended
+	return got, ended, lines.String()
 }
 
 // forwardOnce returns a step function that calls another daemon in one attempt.
@@ -145,11 +148,15 @@
 	}
 }
 
-// assertGivenUp checks that an attempt was given up after a number of events.
-func assertGivenUp(t *testing.T, ended reducer.AttemptEnded, events int) {
+// assertGivenUp checks that an attempt was given up, and that the log says at which server, after which event and why.
+func assertGivenUp(t *testing.T, ended reducer.AttemptEnded, logged string, events int) {
 	t.Helper()
 	assertEqual(t, "outcome", ended.Outcome, reducer.AttemptFailed)
 	assertEqual(t, "events", ended.Tokens, events)
+	assertContains(t, logged, `"level":"info"`)
+	assertContains(t, logged, fmt.Sprintf(`"Request":"odd-1","Attempt":%d,"Server":"s%d","Address":"127.0.0.1:`, ended.Attempt, ended.Attempt))
+	assertContains(t, logged, fmt.Sprintf(`"Events":%d,`, events))
+	assertContains(t, logged, `"Detail":"`)
 }
 
 // TestEventsThatFollowNone guards against callers that get events which no run has made, from engines that write something else in place
@@ -160,9 +167,9 @@
 		assertWhole := func(name, block, contentType string) {
 			t.Run(c.name+"/"+name, func(t *testing.T) {
 				t.Parallel()
-				got, ended := c.play(t, block, contentType)
+				got, ended, logged := c.play(t, block, contentType)
 				assertEqual(t, "stream", got, whole)
-				assertGivenUp(t, ended, c.place)
+				assertGivenUp(t, ended, logged, c.place)
 			})
 		}
 		for name, block := range oddBlocks {
@@ -187,11 +194,11 @@
 	for name, block := range unnumberedBlocks {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			got, ended := oddCase{first: 1}.play(t, block, "text/event-stream")
+			got, ended, logged := oddCase{first: 1}.play(t, block, "text/event-stream")
 			prefix, _, refused := strings.Cut(got, "event: error\ndata: {\"")
 			assertEqual(t, "events", prefix, strings.ReplaceAll(block, "@", "1"))
 			assertEqual(t, "refused", refused, true)
-			assertGivenUp(t, ended, 1)
+			assertGivenUp(t, ended, logged, 1)
 		})
 	}
 }
@@ -284,3 +291,8 @@
 	assertEqual(t, "status", response.StatusCode, http.StatusBadRequest)
 	assertEqual(t, "body", got, "too long")
 }
+
+func TestDetail(t *testing.T) {
+	got := detail(fmt.Errorf("a%s: %w", strings.Repeat("ü", maxDetailBytes), errInvalidEvent))
+	assertEqual(t, "size is bounded", len(got) <= maxDetailBytes && utf8.ValidString(got), true)
+}
