fix: a stream has started once its caller has an event

What callers saw: code 3002 (StreamBroken) instead of 3001 for a stream of which they had received nothing; and a plain refusal where another daemon's answer was invalid from its first event on, although a third daemon could have served them. Cause: AttemptStarted was posted when the header of a stream arrived, before its first event was checked. The reducer takes it for a start that the caller has received, and doesn't repeat a forwarded request after it. Change: it is posted when the header is written to the caller, with the first valid event. The time limit up to the first event is that of the attempt, as before.

--- a/internal/entry/responder/events.go
+++ b/internal/entry/responder/events.go
@@ -10,7 +10,6 @@
 
 // relayEvents relays the events of a stream that the caller has not received yet, up to the one that marks its end.
 func (a *attempt) relayEvents(reply *streamer.Reply) error {
-	a.postStarted()
 	x := a.exchange
 	x.position = x.position.WithAttempt()
 	events := streamer.NewEventReader(reply.Body)
@@ -54,6 +53,7 @@
 // writeEvent writes an event, preceded by the status and header if it is the first one.
 func (a *attempt) writeEvent(reply *streamer.Reply, event streamer.Event, flush bool) error {
 	if !a.exchange.writer.Started() {
+		a.postStarted()
 		a.writeHeader(reply)
 	}
 	return a.write(event.Raw, flush)
--- a/internal/entry/responder/odd_events_test.go
+++ b/internal/entry/responder/odd_events_test.go
@@ -237,6 +237,12 @@
 			}
 			events, _, _ := strings.Cut(got, "event: error\n")
 			if test.want == "" {
+				started := false
+				h.await("end", func(events []reducer.Event) bool {
+					started = hasStarted(events)
+					return countOf[reducer.AttemptEnded](events) == 1
+				})
+				assertEqual(t, "start reported", started, false)
 				assertEqual(t, "status", response.StatusCode, http.StatusBadGateway)
 				assertEqual(t, "type", response.Header.Get("Content-Type"), refuser.ProblemType)
 				return
