test: the port of an address without a listener stays taken

Seen: TestAnswers/not_sent got outcome Failed, want NotSent, in 1 of 12 runs of the package beside load (load average near 25 on 8 cores). Its log has "status 503" from the address that should refuse connections: the test had given its port back, and another process listened there. The check was right and stays as it is; the port is held by a socket that doesn't listen now. That no other process can take the port follows from the bound socket.

--- a/internal/entry/responder/harness_test.go
+++ b/internal/entry/responder/harness_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -230,15 +231,22 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-// closedAddress returns an address without a listener.
+// closedAddress returns an address that refuses connections. Its port stays taken, so that no other process can listen there.
 func closedAddress(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = listener.Close()
-	return listener.Addr().String()
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.(*syscall.SockaddrInet4).Port))
 }
 
 // streamEvents responds with numbered events after X-Resume-From up to count. If broken, it breaks off before [DONE].
