fix: requests on the own interface don't wait for the reader of the log

What callers could see: requests that stand still while the reader of the daemon's standard error stalls. Cause: serve wrote its lines directly, in the goroutines of requests and decisions. Change: serve uses scribe.Writer as edge does: a line that doesn't fit into its queue is dropped. serve has no counter of dropped lines yet. Lines that are still queued are lost when the process is killed.

--- a/internal/command/runner/serve.go
+++ b/internal/command/runner/serve.go
@@ -12,8 +12,6 @@
 	"syscall"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"samphirewharf/internal/daemon/assembler"
 	"samphirewharf/internal/entry/acceptor"
 )
@@ -45,7 +43,8 @@
 	if err := c.validate(r.settings); err != nil {
 		return err
 	}
-	logger := &log.Logger{Level: log.ParseLevel(c.LogLevel), Writer: &log.IOWriter{Writer: r.Stderr}}
+	logger, writer := r.newLogger(c.LogLevel)
+	defer func() { _ = writer.Close() }()
 	acceptor.RouteLogs(logger)
 	recording, err := c.createRecording()
 	if err != nil {
