--- a/internal/entry/responder/attempt.go
+++ b/internal/entry/responder/attempt.go
@@ -33,7 +33,7 @@
 
 var (
 	errServerError      = errors.New("server responded with an error")
-	errNotEventStream   = errors.New("the rest of the stream has another content type")
+	errNotEventStream   = errors.New("the answer is no event stream")
 	errPartlyRelayed    = errors.New("part of a response that can't be resumed was already sent")
 	errIncompleteStream = errors.New("the stream ended without [DONE]")
 	errCallerLeft       = errors.New("the caller disconnected")
@@ -45,10 +45,10 @@
 	exchange *exchange
 	number   int
 	call     streamer.Call
+	// server is the backend server or daemon that is called.
+	server string
 	// forward is true if the call goes to another daemon.
 	forward bool
-	// resumed is true if the caller has already received events of this stream.
-	resumed bool
 	// answer is the response so far, if it is to be stored; it is at most reducer.MaxStoredAnswerBytes long.
 	answer answerBuffer
 	// ctx bounds the attempt. It ends when timer fires; each event of a stream resets the timer.
@@ -78,6 +78,7 @@
 
 func newDispatch(x *exchange, e reducer.Dispatch) *attempt {
 	a := newAttempt(x, e.Attempt, e.Address, e.Timeout)
+	a.server = e.Server
 	a.answer.enabled = e.KeepAnswer
 	a.call.Path = x.inbound.serverPath
 	a.call.NewConnection = e.KeepAnswer
@@ -88,19 +89,19 @@
 	if header.Get(priorityHeader) == "" {
 		header.Set(priorityHeader, "u="+strconv.Itoa(maxUrgentLevel))
 	}
-	a.resume(max(e.ResumeFrom, x.progress.sent))
+	a.resume(max(e.ResumeFrom, x.position.Count()))
 	return a
 }
 
 func newForward(x *exchange, e reducer.Forward) *attempt {
 	a := newAttempt(x, e.Attempt, e.Address, e.Timeout+forwardGracePeriod)
-	a.forward = true
+	a.server, a.forward = e.Daemon, true
 	a.call.Path = x.inbound.path
 	a.call.NewConnection = x.inbound.event.Key != ""
 	header := a.call.Header
 	header.Set(forwardedByHeader, x.responder.Daemon)
 	header.Set(timeoutHeader, strconv.FormatInt(max(e.Timeout, minAttemptTimeout).Milliseconds(), 10))
-	a.resume(x.progress.sent)
+	a.resume(x.position.Count())
 	return a
 }
 
@@ -182,7 +183,7 @@
 // endEvent returns the event for the end of the attempt. The error is nil if the caller has received the complete
 // response.
 func (a *attempt) endEvent(err error) reducer.AttemptEnded {
-	ended := reducer.AttemptEnded{Request: a.exchange.id, Attempt: a.number, Tokens: a.exchange.progress.sent}
+	ended := reducer.AttemptEnded{Request: a.exchange.id, Attempt: a.number, Tokens: a.exchange.position.Count()}
 	if err == nil {
 		return ended
 	}
@@ -201,8 +202,7 @@
 	case errors.Is(err, errCallerLeft):
 		ended.Outcome = reducer.AttemptCancelled
 	}
-	a.exchange.responder.logger().Debug().Err(err).Str("Request", a.call.ID).Str("Address", a.call.Address).
-		Str("Outcome", outcomeNames[ended.Outcome]).Msg("attempt ended")
+	a.logEnd(ended, err)
 	return ended
 }
 
@@ -217,12 +217,12 @@
 	case !a.forward && !x.inbound.event.Plain && reply.StatusCode >= http.StatusInternalServerError:
 		return fmt.Errorf("status %d: %w", reply.StatusCode, errServerError)
 	}
-	events := reply.IsEventStream()
+	events, success := reply.IsEventStream(), reply.StatusCode/100 == 2
 	switch {
+	case !events && success && x.inbound.event.Stream, x.writer.Started() && (!events || !success):
+		return fmt.Errorf("status %d and content type %q: %w", reply.StatusCode, reply.Header.Get("Content-Type"), errNotEventStream)
 	case events && !x.inbound.event.Plain:
 		return a.relayEvents(reply)
-	case x.writer.Started():
-		return errNotEventStream
 	case events:
 		return a.relayUnbuffered(reply, nil)
 	default:
@@ -253,40 +253,6 @@
 	return nil
 }
 
-// relayEvents relays the events of a stream that the caller has not received yet.
-func (a *attempt) relayEvents(reply *streamer.Reply) error {
-	a.postStarted()
-	events := streamer.NewEventReader(reply.Body)
-	for {
-		event, err := events.Next()
-		a.timer.Reset(streamStallTimeout)
-		switch {
-		case errors.Is(err, io.EOF):
-			return errIncompleteStream
-		case err != nil:
-			return reply.Failure(err)
-		case event.Done:
-			return a.writeEvent(reply, event, true)
-		}
-		if err := a.relayEvent(reply, event, !events.Buffered()); err != nil {
-			return err
-		}
-	}
-}
-
-func (a *attempt) relayEvent(reply *streamer.Reply, event streamer.Event, flush bool) error {
-	progress := &a.exchange.progress
-	next, err := progress.isNext(event, a.resumed)
-	if err != nil || !next {
-		return err
-	}
-	if err := a.writeEvent(reply, event, flush); err != nil {
-		return err
-	}
-	progress.sent++
-	return nil
-}
-
 // relayUnbuffered relays a response as it arrives, after the part that has already been read. If the response breaks
 // off, the caller's connection must be closed.
 func (a *attempt) relayUnbuffered(reply *streamer.Reply, part []byte) error {
@@ -310,8 +276,7 @@
 
 // resume asks the server to continue after the events that the caller has received.
 func (a *attempt) resume(from int) {
-	a.resumed = from > 0
-	if a.resumed {
+	if from > 0 {
 		a.call.Header.Set(resumeHeader, strconv.Itoa(from))
 	}
 }
@@ -330,14 +295,6 @@
 	return nil
 }
 
-// writeEvent writes an event, preceded by the status and header if it is the first one.
-func (a *attempt) writeEvent(reply *streamer.Reply, event streamer.Event, flush bool) error {
-	if !a.exchange.writer.Started() {
-		a.writeHeader(reply)
-	}
-	return a.write(event.Raw, flush)
-}
-
 // A refusedError is the error for a refusal by another daemon.
 type refusedError struct{ refusal refuser.Refusal }
 
--- a/internal/entry/responder/harness_test.go
+++ b/internal/entry/responder/harness_test.go
@@ -6,11 +6,15 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"samphirewharf/internal/config/cataloger"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/entry/acceptor"
@@ -136,6 +140,32 @@
 
 func (h *harness) wake() { h.changed.Broadcast() }
 
+// logLines makes the responder log to the returned buffer at info level.
+func (h *harness) logLines() *lineBuffer {
+	lines := &lineBuffer{}
+	h.responder.Logger = &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: lines}}
+	return lines
+}
+
+// A lineBuffer holds log lines. It may be used by several goroutines.
+type lineBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write appends lines.
+func (b *lineBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lineBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // awaitEnd waits for the end of an attempt and returns it.
 func (h *harness) awaitEnd(attempt int) reducer.AttemptEnded {
 	h.t.Helper()
@@ -183,7 +213,7 @@
 			return []reducer.Effect{refuse}
 		}
 		return []reducer.Effect{reducer.Dispatch{
-			Request: requestOf(event), Attempt: attempt + 1, Address: addresses[attempt],
+			Request: requestOf(event), Attempt: attempt + 1, Server: "s" + strconv.Itoa(attempt+1), Address: addresses[attempt],
 			Replica: "r1", Timeout: waitTimeout, ResumeFrom: sent, KeepAnswer: true,
 		}}
 	}
@@ -201,15 +231,22 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-// closedAddress returns an address without a listener.
+// closedAddress returns an address that refuses connections. Its port stays taken, so that no other process can listen there.
 func closedAddress(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = listener.Close()
-	return listener.Addr().String()
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.(*syscall.SockaddrInet4).Port))
 }
 
 // streamEvents responds with numbered events after X-Resume-From up to count. If broken, it breaks off before [DONE].
--- a/internal/entry/streamer/events.go
+++ b/internal/entry/streamer/events.go
@@ -124,8 +124,8 @@
 		e.Identified = true
 		e.ID, e.HasID = validator.ParseNumber(string(value))
 	case "data":
+		e.Done = !e.HasData && string(value) == "[DONE]"
 		e.HasData = true
-		e.Done = string(value) == "[DONE]"
 	case "event", "retry":
 	default:
 		// Fields of extensions are passed on. A line without a value, or with another name than theirs, may be a part of another answer.
@@ -140,4 +140,6 @@
 }
 
 // isNotFieldName reports whether a character doesn't occur in names of fields, which are in lower case, unlike those of a response.
-func isNotFieldName(r rune) bool { return (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-' && r != '_' }
+func isNotFieldName(r rune) bool {
+	return (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-' && r != '_'
+}
