fix: what only daemons tell each other isn't taken from servers

A server's error that the second daemon keeps until it has tried others went back with the server's own Samphirewharf-Server, so that its advice counted for any server that it named: Server-Leaving has that one drain for the rest of its incarnation. Cause: the second daemon passed on all end-to-end fields of a server's answer. It overwrote the names of the server and of the version in most answers, but not in kept ones, and never removed the mark of a refusal. Change: exchange.setHeader, through which all servers' answers pass, leaves out fields whose names begin as those of daemons do. Why this works: a daemon sets its own fields after that, or in refusals of its own, which don't pass there.

--- a/internal/edge/gateway/delegating.go
+++ b/internal/edge/gateway/delegating.go
@@ -12,6 +12,8 @@
 
 // The header fields between daemons, on requests that one without links to the servers has passed on to another one.
 const (
+	// daemonFieldPrefix begins the names of all of them.
+	daemonFieldPrefix = "Samphirewharf-"
 	// delegatorHeader holds the name of the daemon that has passed a request on.
 	delegatorHeader = "Samphirewharf-Delegated-By"
 	// serverHeader names the server that has answered, as ID and start of its incarnation, so that the daemon in between learns
--- a/internal/edge/gateway/exchange.go
+++ b/internal/edge/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"samphirewharf/internal/caller/refuser"
@@ -211,9 +212,12 @@
 	x.lastEventAt = now
 }
 
+// setHeader sets the fields of a server's answer, without those that daemons write for each other. The server's own would be believed.
 func (x *exchange) setHeader(header http.Header) {
 	for name, values := range header {
-		x.writer.Header()[name] = values
+		if !strings.HasPrefix(name, daemonFieldPrefix) {
+			x.writer.Header()[name] = values
+		}
 	}
 }
 
