fix: engines that stay busy don't hold up the loads of others

Cause: an engine that is busy when a leader first hears of it counts as loading from the weight store until it says otherwise, since it may have an order of the leader before. A load of the leader's own counts until the engine reports the model or that it is idle. Two loads run at once at first. A load that doesn't end also lowers that number to one. Change: both count for four times the longest load of the service's models, since a leader has no more than four run at once. A load that has taken longer counts as lost, as at an engine that is idle without the model, so that the model is loaded elsewhere. The busy engine still gets no orders, so what it may be loading keeps its room. Evidence: TestEnginesThatStayBusy failed before in both parts: no load at the third engine in 31 s of virtual time, though requests for the model came all the while. Now it is loaded there once the others have taken 24 s, and not before. TestLoadsOfThePreviousLeader and TestRoom pass.

--- a/internal/decision/conductor/control.go
+++ b/internal/decision/conductor/control.go
@@ -38,9 +38,9 @@
 
 	// busy reports whether the engine has reported that it is carrying out an order, from whichever leader.
 	busy bool
-	// inheritedLoad reports whether the engine was busy with an order of another leader when this one first heard of it. That may
-	// be a load from the weight store.
-	inheritedLoad bool
+	// inheritedUntil is until when the engine, which was busy with an order of another leader when this one first heard of it, may be
+	// loading from the weight store by that; zero if it wasn't or has ended.
+	inheritedUntil time.Duration
 	// pendingOrder is an order whose answer is awaited; outcomeUnknown reports whether an order had no clear outcome.
 	pendingOrder   *registrar.Order
 	outcomeUnknown bool
@@ -90,8 +90,8 @@
 }
 
 // loadsFromWeightStore reports whether the engine is loading a model from the weight store.
-func (e *engineState) loadsFromWeightStore() bool {
-	return e.loading != "" && e.loadTier == placer.TierStore || e.inheritedLoad
+func (e *engineState) loadsFromWeightStore(now time.Duration) bool {
+	return e.loading != "" && e.loadTier == placer.TierStore || now < e.inheritedUntil
 }
 
 // available returns the models and adapters that requests are expected to find on the engine.
@@ -240,10 +240,12 @@
 		return
 	}
 	if !engine.countKnown && e.Report.Busy && engine.loading == "" && engine.orderedAt == 0 {
-		engine.inheritedLoad = true
+		engine.inheritedUntil = m.now + placer.LongestLoadTime(m.engineSettings(s.entry.Service))
 		m.countWeightStoreLoad(s.entry.Service)
 	}
-	engine.inheritedLoad = engine.inheritedLoad && e.Report.Busy
+	if !e.Report.Busy {
+		engine.inheritedUntil = 0
+	}
 	// The report is newer than all orders: what it contains is loaded, even if an order was to unload it.
 	clear(engine.removed)
 	engine.ordersAccepted, engine.countKnown, engine.outcomeUnknown, engine.busy = e.Report.OrdersAccepted, true, false, e.Report.Busy
@@ -258,7 +260,7 @@
 	})
 	m.updatePending(s, engine, e.Report.PendingAdapters)
 	engine.pollAt = m.now + reportInterval
-	if !e.Report.Busy {
+	if !e.Report.Busy || engine.loading != "" && m.now > engine.loadStartedAt+placer.LongestLoadTime(m.engineSettings(s.entry.Service)) {
 		m.workEnded(s, engine, e.Report)
 	}
 	if !e.Report.Busy && !engine.hasAdapterWork() {
@@ -300,7 +302,8 @@
 	return len(e.pendingAdapters)+len(e.unloadingAdapters) > 0
 }
 
-// workEnded clears the load and the unload that an idle engine was assumed to be carrying out.
+// workEnded clears the load and the unload that an engine was assumed to be carrying out, but is idle or has taken too long for. A busy
+// one gets no orders, so nothing else is loaded in its place.
 func (m *Machine) workEnded(s *server, engine *engineState, report registrar.Report) {
 	if engine.loading != "" && !report.HasLoaded(engine.loading, "") {
 		m.emit(LogStateChange{Subject: "Server " + s.entry.ID, Change: "LoadLost", Reason: engine.loading, Warning: true})
--- a/internal/decision/conductor/inherited_loads_test.go
+++ b/internal/decision/conductor/inherited_loads_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"samphirewharf/internal/decision/placer"
+	"samphirewharf/internal/fleet/registrar"
 )
 
 // Loads that the previous leader has started in the same window count to the weight store's ceiling.
@@ -42,3 +45,55 @@
 		assertEqual(t, "running loads", h.machine.runningWeightStoreLoads(engineService), 0)
 	})
 }
+
+// TestEnginesThatStayBusy guards against models that are never loaded because engines say for good that they carry out an order.
+func TestEnginesThatStayBusy(t *testing.T) {
+	// newLeader returns a leader of three engines, of which some are busy when it first hears of them.
+	newLeader := func(t *testing.T, busy int) *harness {
+		t.Helper()
+		h := newHarness(t)
+		for i := range 3 {
+			h.engine(fmt.Sprintf("e%d", i), "a", loadedModel("m1"))
+		}
+		h.becomeLeader()
+		for i := range 3 {
+			h.report(fmt.Sprintf("e%d", i), 0, i < busy, loadedModel("m1"))
+		}
+		return h
+	}
+	// play has the engines report for a time, during which requests for m2 come. Those that accept an order are stuck with it from then on.
+	// It returns the engines that were ordered to load m2.
+	play := func(h *harness, duration time.Duration, stuck map[string]bool) (loads []string) {
+		for end := h.now + duration; h.now < end; {
+			h.request(deep, "m2", "")
+			h.advance(250 * time.Millisecond)
+			orders := h.orders()
+			h.all = nil
+			for _, o := range orders {
+				if o.Order.Operation == registrar.OperationLoad && o.Order.Model == "m2" {
+					loads = append(loads, o.Order.Server)
+				}
+				stuck[o.Order.Server] = true
+				h.step(OrderEnded{Order: o.Order, Result: registrar.OrderAccepted})
+			}
+			h.advance(250 * time.Millisecond)
+			for _, id := range h.machine.placement.engineIDs() {
+				h.report(id, 0, stuck[id], loadedModel("m1"))
+			}
+		}
+		return loads
+	}
+	longest := placer.LongestLoadTime(testConfiguration(t, 1).Services[engineService].Engine)
+	t.Run("with orders of the leader before", func(t *testing.T) {
+		h := newLeader(t, 2)
+		stuck := map[string]bool{"e0": true, "e1": true}
+		assertEqual(t, "loads while theirs may go on", fmt.Sprint(play(h, longest-3*time.Second, stuck)), "[]")
+		assertEqual(t, "loads after that", fmt.Sprint(play(h, 10*time.Second, stuck)), "[e2]")
+	})
+	t.Run("with this leader's orders", func(t *testing.T) {
+		h := newLeader(t, 0)
+		stuck := make(map[string]bool)
+		assertEqual(t, "loads while the first may go on", fmt.Sprint(play(h, longest-3*time.Second, stuck)), "[e0 e1]")
+		assertEqual(t, "loads after that", fmt.Sprint(play(h, 10*time.Second, stuck)), "[e2]")
+	})
+}
--- a/internal/decision/conductor/measuring.go
+++ b/internal/decision/conductor/measuring.go
@@ -101,7 +101,7 @@
 		for _, r := range s.requests {
 			g.TokensRunning += int64(r.InputTokens + r.OutputTokens)
 		}
-		if engine, ok := m.placement.engines[s.entry.ID]; ok && engine.loadsFromWeightStore() {
+		if engine, ok := m.placement.engines[s.entry.ID]; ok && engine.loadsFromWeightStore(m.now) {
 			g.StoreLoads++
 		}
 	}
--- a/internal/decision/conductor/ordering.go
+++ b/internal/decision/conductor/ordering.go
@@ -166,7 +166,7 @@
 func (m *Machine) runningWeightStoreLoads(service string) int {
 	running := 0
 	for _, s := range m.serversOf(service) {
-		if engine, ok := m.placement.engines[s.entry.ID]; ok && engine.loadsFromWeightStore() {
+		if engine, ok := m.placement.engines[s.entry.ID]; ok && engine.loadsFromWeightStore(m.now) {
 			running++
 		}
 	}
@@ -189,7 +189,7 @@
 	running := m.runningWeightStoreLoads(service)
 	for _, s := range m.serversOf(service) {
 		engine, ok := m.placement.engines[s.entry.ID]
-		if !ok || !engine.loadsFromWeightStore() || engine.loading == "" {
+		if !ok || !engine.loadsFromWeightStore(m.now) || engine.loading == "" {
 			continue
 		}
 		engine.concurrentLoads = max(engine.concurrentLoads, running)
--- a/internal/decision/conductor/placing.go
+++ b/internal/decision/conductor/placing.go
@@ -234,7 +234,7 @@
 		if !ok || !s.usable() || s.keepUntil > 0 || s.downUntil > m.now {
 			continue
 		}
-		if engine.loadsFromWeightStore() {
+		if engine.loadsFromWeightStore(m.now) {
 			in.StoreLoads++
 		}
 		ps := placerServer(m.now, s, engine, running, in.Demands)
--- a/internal/decision/placer/placer.go
+++ b/internal/decision/placer/placer.go
@@ -36,6 +36,8 @@
 	evictCost = 4 * time.Second
 	// goalTimeout is how long a server is reserved for a model that makes no progress there.
 	goalTimeout = 15 * time.Second
+	// maxLoadSlowdown is how many times longer than alone a load takes at most. A leader has no more loads run at once.
+	maxLoadSlowdown = 4
 )
 
 // A Tier is the location that weights are loaded from.
@@ -479,6 +481,17 @@
 	}
 }
 
+// LongestLoadTime returns the time after which the load of any model of an engine has ended or never will, 0 for no engine.
+func LongestLoadTime(e *matcher.Engine) time.Duration {
+	var longest time.Duration
+	if e != nil {
+		for _, m := range e.Models {
+			longest = max(longest, m.StoreLoadTime)
+		}
+	}
+	return maxLoadSlowdown * longest
+}
+
 func (s Server) hasModel(model string) bool {
 	return slices.ContainsFunc(s.Models, func(m Model) bool { return m.Name == model })
 }
