test: odd events are tested with time to open connections

Seen: TestEventsThatFollowNone/middle/two_IDs,_the_second_due got outcome NotSent, want Failed, in 1 run with the race detector (load average 50 on 8 cores): opening the connection to the engine took longer than the client's second.

--- a/internal/entry/responder/odd_events_test.go
+++ b/internal/entry/responder/odd_events_test.go
@@ -130,6 +130,8 @@
 	if c.behind {
 		front = newHarness(t, forwardOnce(dispatchTo(failed, h.address), 1))
 	}
+	// A busy machine may take a while to open a connection, which is no end that these tests are about.
+	h.responder.Client.DialTimeout, front.responder.Client.DialTimeout = waitTimeout, waitTimeout
 	_, got = do(t, newRequest(t, front.address, "/v1/completions", `{"model":"small","stream":true}`, "X-Request-Id", "odd-1"))
 	ended = h.awaitEnd(odd)
 	return got, ended, lines.String()
