--- a/internal/decision/conductor/virtual_fleet_test.go
+++ b/internal/decision/conductor/virtual_fleet_test.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -145,6 +146,9 @@
 	// queues reports whether engines queue what they have no slot for, and route is that of the requests.
 	queues bool
 	route  matcher.Route
+	// model is that of the requests, empty for m1; answers reports whether it plays an engine's answer itself, nil for never.
+	model   string
+	answers func(*virtualDaemon, Send, *virtualServer) bool
 	// abandonedSends holds the attempts that daemons have abandoned.
 	abandonedSends map[attemptOf]bool
 	// slots is the number of slots of each engine, restartDelay how long one is away after a crash, streamTime the time of a stream after
@@ -474,7 +478,7 @@
 	r := &virtualRequest{poison: slices.Contains(parts, poisonPart), arrivedAt: f.now, stream: stream}
 	f.requests[id] = r
 	e := RequestArrived{
-		Request: id, ID: attemptName(id), Route: f.route, Version: 1, Service: engineService, Model: "m1", TimeLimit: f.route.Timeout, Fingerprint: uint64(id) << 8,
+		Request: id, ID: attemptName(id), Route: f.route, Version: 1, Service: engineService, Model: cmp.Or(f.model, "m1"), TimeLimit: f.route.Timeout, Fingerprint: uint64(id) << 8,
 	}
 	for _, p := range append(slices.Clone(parts), uint64(1<<32+f.attempts)) {
 		e.Parts = append(e.Parts, PromptPart{ID: p, Tokens: 100})
--- a/internal/decision/conductor/virtual_server_test.go
+++ b/internal/decision/conductor/virtual_server_test.go
@@ -123,7 +123,7 @@
 		})
 		return
 	}
-	if f.silentWhile(d, e, s) {
+	if f.silentWhile(d, e, s) || f.answers != nil && f.answers(d, e, s) {
 		return
 	}
 	if f.queues {
