fix: servers with invalid answers get probes only, until they are sound

Its backoff of 0.3 to 4 s ended in ordinary use, any good answer to an earlier request ended it too, and when the sound servers were full it got what could have waited for a slot. Requests that can't be repeated failed there; those that may be repeated failed at a second bad server. Once sound, it got next to nothing for as long as others had room: its share of errors in the score changes with its answers only. Cause: the backoff knows when a server failed, not how its recent answers were, and the end of the backoff is full use. Change: internal/decision/breaker. A Breaker keeps the last 16 answers of one server beside the backoff, which moves there. Two invalid answers in a row, or one in four, make it suspect until twice as many in a row are valid (eight at most), or seven in eight. Answers to requests sent before the invalid one don't count. While others have room a suspect server gets probes: requests that may be repeated, with two repeats left in the budget, in vain for one in 20 requests of the service at most; a valid answer gives back more than it cost. Where two servers are suspect, and one in ten, those without a valid answer in 10 s are in doubt and treated alike, so that daemons of a large fleet don't pay for each bad server with what can't be repeated. Where the others are full, a request waits. Where there is no other, a server with three invalid answers in a row gets one request each backoff; the others are refused at once as not run, with the time that is left. Nothing is sent between daemons. A restart ends the record. Decisions: a request that can't be repeated may probe a server that got no probe for 30 s, with two probes left: services whose routes all are of that kind would never use the server again. A request that a server has failed may still go on within the budget though all others are suspect (TestRetries). Ruled out: longer backoff (the sound server stays out longer, and its first use still is full use); a heavier share of errors in the score (it is what kept servers out for good).

--- a/internal/decision/conductor/attempt.go
+++ b/internal/decision/conductor/attempt.go
@@ -76,7 +76,7 @@
 	}
 	switch e.Outcome {
 	case reducer.AttemptDone:
-		s.recordAnswer(e.Latency, e.Status >= 500)
+		m.recordAnswer(s, r.sentAt, e.Latency, e.Status >= 500)
 		m.serverAlive(s, m.now)
 		s.answeredSentAt = max(s.answeredSentAt, r.sentAt)
 		m.recordEnd(r, s, e.Status < 300)
@@ -94,17 +94,20 @@
 		s.absentUntil[modelName(r.Model, r.Adapter)] = m.now + absentTTL
 		m.reportAbsent(s, r)
 	case CauseMisdirected:
-		m.serverFailed(s, e.Cause)
-		s.avoidUntil = m.now + maxServerBackoff
+		m.serverFailed(s, e.Cause, s.breaker.WithFailure(m.now))
+		s.breaker = s.breaker.WithPause(m.now)
 	case CauseBroken:
-		m.serverFailed(s, e.Cause)
+		m.serverFailed(s, e.Cause, s.breaker.WithFailure(m.now))
 		m.recordBrokenConnection(r, s)
 		m.doubtLink(s)
 	case CauseConnect:
-		m.serverFailed(s, e.Cause)
+		m.serverFailed(s, e.Cause, s.breaker.WithFailure(m.now))
 		m.serverUnreachable(s, e.TimedOut)
-	case CauseTimeout, CauseInvalid, CauseError:
-		m.serverFailed(s, e.Cause)
+	case CauseInvalid:
+		m.serverFailed(s, e.Cause, s.breaker.WithInvalid(m.now, r.sentAt))
+		m.recordEnd(r, s, false)
+	case CauseTimeout, CauseError:
+		m.serverFailed(s, e.Cause, s.breaker.WithFailure(m.now))
 		m.recordEnd(r, s, false)
 		if e.Cause == CauseTimeout {
 			m.doubtLink(s)
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -45,9 +45,8 @@
 	sendMargin = 50 * time.Millisecond
 	// rateRetryDelay is the retry delay for a service whose servers take no requests from this daemon at their rate.
 	rateRetryDelay = time.Second
-	// minServerBackoff and maxServerBackoff bound how long a server is avoided after consecutive failures.
-	minServerBackoff = 300 * time.Millisecond
-	maxServerBackoff = 4 * time.Second
+	// probeRepeats is the number of repeats that the budget must have left for a probe, so that other requests can be repeated as well.
+	probeRepeats = 2
 	// downTTL is how long a server that accepted no connection counts as down.
 	downTTL = 1500 * time.Millisecond
 	// maxConnectFailures bounds the failed connections of one request.
--- a/internal/decision/conductor/link.go
+++ b/internal/decision/conductor/link.go
@@ -167,7 +167,7 @@
 	m.crashes.polls = nil
 	m.demand.absences = slices.DeleteFunc(m.demand.absences, isServerAbsence)
 	for _, s := range m.servers {
-		s.failures, s.avoidUntil, s.downUntil = 0, 0, 0
+		s.breaker, s.downUntil = s.breaker.WithoutBackoff(), 0
 		s.ended = slices.DeleteFunc(s.ended, func(e endedAttempt) bool { return !e.answered })
 	}
 	m.publishLink()
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"samphirewharf/internal/decision/allotter"
+	"samphirewharf/internal/decision/breaker"
 	"samphirewharf/internal/decision/calibrator"
 	"samphirewharf/internal/decision/elector"
 	"samphirewharf/internal/decision/reducer"
@@ -80,8 +81,9 @@
 	services         map[string]*serviceState
 	// speeds holds what is known of the speeds of engines, by service.
 	speeds map[string]*calibrator.Service
-	// choices is memory for the choice of a server, valid only during it.
-	choices []selector.Candidate
+	// choices and breakers are memory for the latest choice of a server.
+	choices  []selector.Candidate
+	breakers []breaker.Breaker
 	// serversLoaded reports whether all entries have been listed once, serversRevision is the latest revision as of which they were.
 	serversLoaded   bool
 	serversRevision int64
@@ -150,6 +152,7 @@
 	queue   []*request
 	budget  allotter.RetryBudget
 	brittle brittleState
+	probes  breaker.Probes
 	sharer  sharer.Sharer
 }
 
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphirewharf/internal/decision/allotter"
+	"samphirewharf/internal/decision/breaker"
 	"samphirewharf/internal/decision/selector"
 	"samphirewharf/internal/fleet/matcher"
 )
@@ -20,6 +21,8 @@
 	unavailableCold
 	// unavailableFull: the servers that could run the request have no free slot.
 	unavailableFull
+	// unavailableInvalid: the servers that could run the request give invalid answers only, and have been probed lately.
+	unavailableInvalid
 )
 
 // A choice is a chosen server with its score, and the best alternative.
@@ -28,6 +31,8 @@
 	score      float64
 	other      *server
 	otherScore float64
+	// probe reports whether the request is to show whether the server is sound.
+	probe bool
 }
 
 func (m *Machine) requestArrived(e RequestArrived) {
@@ -37,6 +42,7 @@
 	if !m.link.down {
 		// A request that is delegated counts where it is served.
 		m.service(e.Service).budget.CountRequest(m.now)
+		m.service(e.Service).probes = m.service(e.Service).probes.WithRequest()
 		m.countArrival(r)
 	}
 	switch {
@@ -93,6 +99,9 @@
 		m.giveUp(r, RefusedStopping, stopRetryDelay)
 	case reason == unavailableCold:
 		m.waitCold(r)
+	case reason == unavailableInvalid:
+		m.countRefusal(r)
+		m.giveUp(r, RefusedNoServer, m.probedIn(r))
 	default:
 		m.waitFull(r)
 	}
@@ -159,8 +168,9 @@
 
 // choose returns the best server for a request now.
 func (m *Machine) choose(r *request) (choice, unavailability) {
-	var candidates, avoided []*server
-	reason := unavailableNoServer
+	var candidates []*server
+	reason, full := unavailableNoServer, false
+	m.breakers = m.breakers[:0]
 	for _, s := range m.serversOf(r.Service) {
 		if !m.maySend(r, s) || slices.Contains(r.tried, s.entry.ID) && r.runs > 0 {
 			continue
@@ -174,28 +184,36 @@
 			reason = max(reason, unavailableCold)
 		case s.busyUntil() > m.now || m.atCapacity(s, r) || m.rateHoldsBack(s, r) || m.brittleHoldsBack(s):
 			reason = unavailableFull
-		case s.avoidUntil > m.now:
-			avoided = append(avoided, s)
+			full = full || !s.breaker.Suspect()
 		default:
 			candidates = append(candidates, s)
+			m.breakers = append(m.breakers, s.breaker)
 		}
 	}
-	if len(candidates) == 0 {
-		candidates = leastAvoided(avoided)
+	if breaker.AllClosed(m.now, m.breakers) {
+		return m.best(r, candidates), reason
 	}
-	return m.best(r, candidates), reason
-}
-
-// leastAvoided returns the server whose backoff ends first.
-func leastAvoided(avoided []*server) []*server {
-	until := make([]time.Duration, 0, len(avoided))
-	for _, s := range avoided {
-		until = append(until, s.avoidUntil)
+	allowed := m.service(r.Service).probes.Choose(m.now, m.breakers, breaker.Request{Repeatable: m.mayProbe(r), Repeat: r.runs > 0, Full: full})
+	if allowed.Failing && reason != unavailableFull {
+		reason = unavailableInvalid
 	}
-	if i := selector.LeastAvoided(until); i >= 0 {
-		return avoided[i : i+1]
+	permitted := make([]*server, 0, len(allowed.Indexes))
+	for _, i := range allowed.Indexes {
+		permitted = append(permitted, candidates[i])
 	}
-	return nil
+	c := m.best(r, permitted)
+	c.probe = allowed.Probe
+	return c, reason
+}
+
+// mayProbe reports whether a request may be sent to another server if the next one fails.
+func (m *Machine) mayProbe(r *request) bool {
+	return r.Route.Repeatable() && r.runs+1 < r.Route.MaxServers && m.service(r.Service).budget.Remaining(m.now, m.daemonCount()) >= probeRepeats
+}
+
+// probedIn returns the time until one of the servers may get a request for which choose has just found only failing ones.
+func (m *Machine) probedIn(r *request) time.Duration {
+	return max(fullRetryDelay, breaker.RetryIn(m.now, m.breakers, breaker.Request{Repeatable: m.mayProbe(r)}))
 }
 
 // best returns the best of the servers that could run the request.
@@ -257,6 +275,10 @@
 	if !slices.Contains(r.tried, s.entry.ID) {
 		r.tried = append(r.tried, s.entry.ID)
 	}
+	if c.probe {
+		s.breaker = s.breaker.WithProbe(m.now)
+		m.service(r.Service).probes = m.service(r.Service).probes.WithProbe()
+	}
 	expected := m.recordSend(r, s)
 	s.requests[r.Request] = r
 	m.countSend(s)
@@ -336,7 +358,7 @@
 	var wait time.Duration
 	retryIn := demandInterval
 	switch reason {
-	case unavailableNoServer:
+	case unavailableNoServer, unavailableInvalid:
 		m.route(r)
 		return
 	case unavailableCold:
@@ -461,6 +483,8 @@
 		return m.readyIn(r)
 	case reason == unavailableFull:
 		return fullRetryAfter(m.slotFreeIn(r))
+	case reason == unavailableInvalid:
+		return m.probedIn(r)
 	default:
 		return fullRetryDelay
 	}
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"samphirewharf/internal/decision/allotter"
+	"samphirewharf/internal/decision/breaker"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/fleet/registrar"
 )
@@ -39,10 +40,9 @@
 	// rateShare is this daemon's share of the server's rate, valid if rateLimited.
 	rateShare allotter.RateShare
 
-	// failures counts consecutive failures; the server is avoided until avoidUntil.
-	failures   int
-	avoidUntil time.Duration
-	fullUntil  time.Duration
+	// breaker records the server's failures.
+	breaker   breaker.Breaker
+	fullUntil time.Duration
 	// rejections holds when the brittle server had no room for this daemon's requests in the last second.
 	rejections []time.Duration
 	// pausedUntil is until when the server wants nothing from this daemon.
@@ -301,26 +301,31 @@
 	}
 }
 
-// serverFailed records a failure of a server, which is avoided with exponential backoff.
-func (m *Machine) serverFailed(s *server, cause Cause) {
+// serverFailed records a failure of a server, and the state of its breaker after that.
+func (m *Machine) serverFailed(s *server, cause Cause, after breaker.Breaker) {
 	s.errorShare += answerWeight * (1 - s.errorShare)
-	if m.now < s.avoidUntil {
-		// Requests that fail together count as one failure.
+	failures := s.breaker.Failures()
+	s.breaker = after
+	if after.Failures() == failures {
 		return
 	}
-	s.failures++
-	backoff := min(minServerBackoff<<min(s.failures-1, 8), maxServerBackoff)
-	s.avoidUntil = m.now + backoff
 	m.emit(LogStateChange{
-		Subject: "Server " + s.entry.ID, Change: "Suspected", Reason: cause.String(), Version: int64(s.failures),
-		Age: m.now - s.seenAt, Detail: "avoided for " + backoff.String(),
+		Subject: "Server " + s.entry.ID, Change: "Suspected", Reason: cause.String(), Version: int64(after.Failures()),
+		Age: m.now - s.seenAt, Detail: "avoided for " + (after.OpenUntil() - m.now).String(),
 	})
 }
 
-// recordAnswer updates the averages after an answer and ends the backoff.
-func (s *server) recordAnswer(latency time.Duration, isError bool) {
-	s.failures = 0
-	s.avoidUntil = 0
+// recordAnswer updates the averages after an answer to a request that was sent at a time, and the breaker.
+func (m *Machine) recordAnswer(s *server, sentAt, latency time.Duration, isError bool) {
+	before := s.breaker
+	s.breaker = before.WithValid(m.now, sentAt)
+	if before.Probing() && !s.breaker.Probing() {
+		m.service(s.entry.Service).probes = m.service(s.entry.Service).probes.WithValid()
+	}
+	if before.Suspect() && !s.breaker.Suspect() {
+		// Otherwise it would be left alone for as long as others have room.
+		s.errorShare = 0
+	}
 	s.downUntil = 0
 	outcome := 0.0
 	if isError {
