--- a/internal/decision/breaker/probes.go
+++ b/internal/decision/breaker/probes.go
@@ -127,7 +127,9 @@
 	case doubt && len(c.proven) > 0:
 		return c.proven, c.unproven
 	case len(c.proven)+len(c.unproven) > 0:
-		return append(c.proven, c.unproven...), nil
+		sound = slices.Concat(c.proven, c.unproven)
+		slices.Sort(sound)
+		return sound, nil
 	}
 	until := make([]time.Duration, 0, len(c.open))
 	for _, i := range c.open {
