fix: an answer whose head readers may take for another one is invalid

What callers would see: a 101 with a server's bytes behind it, which a client may read as a sealed answer; an answer without the seal or of another type than was checked, since the server had named these fields in Connection; two types; events under a content coding. Cause: what was checked isn't what callers got. Statuses below 200 passed, fields of the connection were checked and then left out, only the first of several types and codings counted. Change: the client refuses statuses below 200 and drops fields of the connection before anything is checked; an event stream has one type and no coding.

--- a/internal/entry/streamer/client.go
+++ b/internal/entry/streamer/client.go
@@ -22,6 +22,7 @@
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/network/bounder"
 	"samphirewharf/internal/network/dialer"
+	"samphirewharf/internal/network/filter"
 )
 
 const (
@@ -119,6 +120,8 @@
 	if err != nil {
 		return nil, reply.newFailure(ctx, err)
 	}
+	// What the server names as fields of its connection only is checked by nobody, since callers don't get it.
+	response.Header = filter.EndToEnd(response.Header)
 	reply.Response = response
 	reply.ctx = ctx
 	response.Body = bounder.NewBody(response.Body, c.maxAnswerBytes())
--- a/internal/entry/streamer/failure.go
+++ b/internal/entry/streamer/failure.go
@@ -20,6 +20,9 @@
 // ErrOtherRequest is returned for a response with another request's X-Request-Id.
 var ErrOtherRequest = errors.New("response belongs to another request")
 
+// ErrNotFinal is returned for a response that is none to the request, such as a switch to another protocol, which no request asks for.
+var ErrNotFinal = errors.New("response is not final")
+
 // A Failure is the error of a failed call.
 type Failure struct {
 	// Outcome is never AttemptDone.
--- a/internal/entry/streamer/reply.go
+++ b/internal/entry/streamer/reply.go
@@ -48,10 +48,10 @@
 // Finish ends a reply whose body has been read to the end. Its connection may be reused.
 func (r *Reply) Finish() { _ = r.Body.Close() }
 
-// IsEventStream reports whether the body is an event stream.
+// IsEventStream reports whether the body is an event stream, for each reader of the header: it has one type and no coding.
 func (r *Reply) IsEventStream() bool {
 	media, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
-	return err == nil && media == eventStreamType
+	return err == nil && media == eventStreamType && len(r.Header["Content-Type"]) == 1 && len(r.Header["Content-Encoding"]) == 0
 }
 
 // ReadUpTo reads at most limit bytes of the body, and one more to detect a longer body. It returns true if the body
@@ -64,6 +64,9 @@
 // check returns a failure if the response belongs to another request, says that the request wasn't run, or announces a body
 // that is too large.
 func (r *Reply) check(id string) error {
+	if r.StatusCode < http.StatusOK {
+		return &Failure{Outcome: reducer.AttemptFailed, Err: fmt.Errorf("status %d: %w", r.StatusCode, ErrNotFinal)}
+	}
 	echoed := r.Header.Get(r.client.identityHeader())
 	refused := r.client.notRun(r.StatusCode, r.Header)
 	// On a connection that has carried another request, a refusal without ID may be the repeated answer to that.
