fix: services number their events also after a resumable route has moved away

What callers would see: odd first events again once a configuration moves the only resumable route of a service elsewhere. Cause: whether a service numbers its events was taken from the configuration in force alone. Change: a daemon keeps it for as long as the service exists. One that starts later doesn't know it (remains). Evidence: TestFirstEventsAfterARouteMoved failed before; it takes the configuration as daemons do now.

--- a/internal/edge/launcher/daemon.go
+++ b/internal/edge/launcher/daemon.go
@@ -320,7 +320,7 @@
 		if current != nil && current.Version >= c.Version {
 			return
 		}
-		if d.configuration.CompareAndSwap(current, c) {
+		if d.configuration.CompareAndSwap(current, c.WithNumbersOf(current)) {
 			d.setIdleTimeout(c.Limits.IdleTimeout)
 			return
 		}
--- a/internal/fleet/matcher/matcher.go
+++ b/internal/fleet/matcher/matcher.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -47,6 +48,24 @@
 // them may be resumed.
 func (c *Configuration) NumbersEvents(service string) bool { return c.numbered[service] }
 
+// WithNumbersOf returns the configuration with the services that number their events according to an earlier one, which may be nil: a
+// change of routes doesn't change what servers write.
+func (c *Configuration) WithNumbersOf(earlier *Configuration) *Configuration {
+	if earlier == nil {
+		return c
+	}
+	updated := *c
+	updated.numbered = maps.Clone(earlier.numbered)
+	for service, numbered := range c.numbered {
+		updated.numbered[service] = updated.numbered[service] || numbered
+	}
+	maps.DeleteFunc(updated.numbered, func(service string, _ bool) bool {
+		_, ok := c.Services[service]
+		return !ok
+	})
+	return &updated
+}
+
 func (c *Configuration) validate(r Route) error {
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
 		return fmt.Errorf("prefix %q: %w", r.Prefix, ErrInvalidRoute)
