fix: callers that say that they have no event are served

What callers saw since: 502 for Last-Event-Id 0 at a service without numbers, and 400 for an ID that is no number on a route that can't be resumed, where the field says nothing. Both passed on.

--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -142,8 +142,7 @@
 	x.run()
 }
 
-// positionOf returns what the caller has of a stream. It returns false if the service numbers its events and the caller names none of
-// them.
+// positionOf returns what the caller has of a stream. It returns false if the route may be resumed and the caller names no event.
 func (g *Gateway) positionOf(x *exchange, c *matcher.Configuration) (position validator.Position, ok bool) {
 	if x.arrived.Route.Kind != matcher.KindStream {
 		return position, true
@@ -156,10 +155,10 @@
 		return position, true
 	}
 	last, ok := validator.ParseNumber(x.header.LastEventID)
-	if ok {
+	if ok && (numbered || last > 0) {
 		position = position.WithLast(last)
 	}
-	return position, ok || !numbered
+	return position, ok || !x.arrived.Route.Resumable
 }
 
 // newRequestArrived returns the event for a request. The caller sets Request and Service.
