fix: events aren't held back by text that comes with them

What callers saw: an event that came with a comment, an empty line or a part of the next event waited for the next one, up to a whole pause. Cause: events were flushed only if nothing else had been received. Change: on both entries they are flushed unless another whole block is there. Besides, an answer to HEAD has no events, which was taken for an invalid stream since, and on the own interface an event stream is no answer to a request for none.

--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -14,7 +14,6 @@
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/entry/streamer"
 	"samphirewharf/internal/fleet/matcher"
-	"samphirewharf/internal/network/filter"
 )
 
 // minAttemptTimeout is the shortest timeout of an attempt.
@@ -45,6 +44,8 @@
 	status       int
 	// buffered reports whether the answer was kept in exchange.buffered instead of being sent to the caller.
 	buffered bool
+	// unflushed reports whether an event was written that the caller hasn't been sent.
+	unflushed bool
 	// ended receives the attempt's end. Its buffer of one keeps the attempt's goroutine from blocking.
 	ended chan conductor.AttemptEnded
 	// pace is that of the stream since it was last reported.
@@ -163,7 +164,7 @@
 		return fmt.Errorf("status %d: %w", reply.StatusCode, errInvalidAnswer)
 	}
 	success := reply.StatusCode >= 200 && reply.StatusCode < 300
-	if success && x.arrived.Route.Kind == matcher.KindStream {
+	if success && x.arrived.Route.Kind == matcher.KindStream && x.method != http.MethodHead {
 		if !reply.IsEventStream() {
 			return fmt.Errorf("status %d with content type %q: %w", reply.StatusCode, reply.Header.Get("Content-Type"), errInvalidAnswer)
 		}
@@ -189,7 +190,7 @@
 		return reply.Failure(err)
 	}
 	a.latency = time.Since(a.sentAt)
-	header := filter.EndToEnd(reply.Header)
+	header := reply.Header
 	if !whole {
 		return a.forwardLarge(reply, header, body)
 	}
@@ -248,40 +249,51 @@
 // forwardEvents passes on each event of a stream as it arrives, without the events that the caller already has.
 func (a *attempt) forwardEvents(reply *streamer.Reply) error {
 	x := a.exchange
-	header := filter.EndToEnd(reply.Header)
 	x.position = x.position.WithAttempt()
 	events := streamer.NewEventReader(reply.Body)
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			return a.finishEvents(header)
+			return a.finishEvents(reply.Header)
 		}
 		if err != nil {
 			a.flushEvents()
 			return reply.Failure(err)
 		}
-		position, pass, err := x.position.Next(event.Event)
-		if err != nil {
+		if err := a.forwardEvent(reply, event); err != nil {
 			a.flushEvents()
-			return fmt.Errorf("%w: %w", errInvalidAnswer, err)
-		}
-		x.position = position
-		if pass || event.HasData {
-			a.eventReceived()
-		}
-		if !pass {
-			continue
-		}
-		if x.firstHeader == nil {
-			a.startAnswer(header)
-			x.writer.WriteHeader(reply.StatusCode)
-		}
-		if err := a.writeEvent(event, !events.Buffered()); err != nil {
 			return err
 		}
+		if a.unflushed && !events.HasNext() {
+			a.unflushed = false
+			if err := x.writer.Flush(); err != nil {
+				return fmt.Errorf("%w: %w", errCallerLeft, err)
+			}
+		}
 	}
 }
 
+// forwardEvent writes an event for the caller if it follows those that the caller has.
+func (a *attempt) forwardEvent(reply *streamer.Reply, event streamer.Event) error {
+	x := a.exchange
+	position, pass, err := x.position.Next(event.Event)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errInvalidAnswer, err)
+	}
+	x.position = position
+	if pass || event.HasData {
+		a.eventReceived()
+	}
+	if !pass {
+		return nil
+	}
+	if x.firstHeader == nil {
+		a.startAnswer(reply.Header)
+		x.writer.WriteHeader(reply.StatusCode)
+	}
+	return a.writeEvent(event)
+}
+
 // finishEvents ends a stream that the server has ended.
 func (a *attempt) finishEvents(header http.Header) error {
 	x := a.exchange
@@ -306,18 +318,14 @@
 	a.exchange.gateway.logCallerLeft(a.exchange.writer.Flush())
 }
 
-func (a *attempt) writeEvent(event streamer.Event, flush bool) error {
+func (a *attempt) writeEvent(event streamer.Event) error {
 	now := time.Now()
 	a.exchange.recordPause(now)
 	a.recordPace(now)
-	w := a.exchange.writer
-	_, err := w.Write(event.Raw)
-	if err == nil && flush {
-		err = w.Flush()
-	}
-	if err != nil {
+	if _, err := a.exchange.writer.Write(event.Raw); err != nil {
 		return fmt.Errorf("%w: %w", errCallerLeft, err)
 	}
+	a.unflushed = true
 	return nil
 }
 
--- a/internal/entry/responder/attempt.go
+++ b/internal/entry/responder/attempt.go
@@ -12,7 +12,6 @@
 	"samphirewharf/internal/caller/refuser"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/entry/streamer"
-	"samphirewharf/internal/network/filter"
 )
 
 const (
@@ -47,6 +46,8 @@
 	call     streamer.Call
 	// server is the backend server or daemon that is called.
 	server string
+	// unflushed is true if an event was written that the caller hasn't been sent.
+	unflushed bool
 	// forward is true if the call goes to another daemon.
 	forward bool
 	// answer is the response so far, if it is to be stored; it is at most reducer.MaxStoredAnswerBytes long.
@@ -130,7 +131,7 @@
 // writeHeader writes the status and header of the response.
 func (a *attempt) writeHeader(reply *streamer.Reply) {
 	w := a.exchange.writer
-	for name, values := range filter.EndToEnd(reply.Header) {
+	for name, values := range reply.Header {
 		switch name {
 		case requestIDHeader, refusalHeader:
 		default:
@@ -219,7 +220,7 @@
 	}
 	events, success := reply.IsEventStream(), reply.StatusCode/100 == 2
 	switch {
-	case !events && success && x.inbound.event.Stream, x.writer.Started() && (!events || !success):
+	case success && !x.inbound.event.Plain && events != x.inbound.event.Stream, x.writer.Started() && (!events || !success):
 		return fmt.Errorf("status %d and content type %q: %w", reply.StatusCode, reply.Header.Get("Content-Type"), errNotEventStream)
 	case events && !x.inbound.event.Plain:
 		return a.relayEvents(reply)
--- a/internal/entry/responder/events.go
+++ b/internal/entry/responder/events.go
@@ -27,22 +27,25 @@
 			}
 			err = fmt.Errorf("%w: %w", errInvalidEvent, err)
 		default:
-			err = a.relayEvent(reply, event, !events.Buffered())
+			err = a.relayEvent(reply, event)
+		}
+		if err == nil && !events.HasNext() {
+			err = a.flushEvents()
 		}
 		if err != nil {
-			a.flushEvents()
+			_ = a.flushEvents()
 			return err
 		}
 	}
 }
 
-func (a *attempt) relayEvent(reply *streamer.Reply, event streamer.Event, flush bool) error {
+func (a *attempt) relayEvent(reply *streamer.Reply, event streamer.Event) error {
 	next, pass, err := a.exchange.position.Next(event.Event)
 	if err != nil {
 		return fmt.Errorf("%w: %w", errInvalidEvent, err)
 	}
 	if pass {
-		if err := a.writeEvent(reply, event, flush); err != nil {
+		if err := a.writeEvent(reply, event, false); err != nil {
 			return err
 		}
 	}
@@ -56,12 +59,15 @@
 		a.postStarted()
 		a.writeHeader(reply)
 	}
+	a.unflushed = !flush
 	return a.write(event.Raw, flush)
 }
 
-// flushEvents sends the caller what was written before the attempt failed, since the next attempt may take a while.
-func (a *attempt) flushEvents() {
-	if a.exchange.writer.Started() {
-		_ = a.write(nil, true)
+// flushEvents sends the caller what was written so far, since the next event or attempt may take a while.
+func (a *attempt) flushEvents() error {
+	if !a.unflushed {
+		return nil
 	}
+	a.unflushed = false
+	return a.write(nil, true)
 }
--- a/internal/entry/streamer/events.go
+++ b/internal/entry/streamer/events.go
@@ -52,8 +52,12 @@
 	return &EventReader{reader: bufio.NewReaderSize(body, bufferBytes)}
 }
 
-// Buffered reports whether more data has already been received.
-func (e *EventReader) Buffered() bool { return e.reader.Buffered() > 0 }
+// HasNext reports whether another whole block has already been received, so that Next doesn't wait for the server.
+func (e *EventReader) HasNext() bool {
+	received, _ := e.reader.Peek(e.reader.Buffered())
+	received = bytes.TrimLeft(received, "\r\n")
+	return bytes.Contains(received, []byte("\n\n")) || bytes.Contains(received, []byte("\n\r\n"))
+}
 
 // Next returns the next event. The error is io.EOF at the end of the body, and io.ErrUnexpectedEOF if the body ends
 // within an event.
