--- a/internal/decision/validator/event.go
+++ b/internal/decision/validator/event.go
@@ -23,6 +23,6 @@
 	HasID bool
 	// HasData reports whether the event has data. Readers of event streams don't dispatch others, such as comments.
 	HasData bool
-	// Identified reports whether there is an ID that may be no number.
-	Identified bool
+	// HasIDField reports whether there is an ID, which may be no number.
+	HasIDField bool
 }
--- a/internal/decision/validator/position.go
+++ b/internal/decision/validator/position.go
@@ -28,20 +28,22 @@
 )
 
 // A Position is what a caller has of a stream, and what the attempt that goes on with it has sent. The zero value is the start of a
-// stream of which nothing says whether its events have numbers.
+// stream of which nothing says whether its events have numbers, or from which number on; WithFirst bounds that number, WithNumbers and
+// WithLast say it.
 type Position struct {
 	numbering numbering
-	// first is the least number of an event, last that of the last event that the caller has. last is valid if known is true, and is
-	// first-1 if the caller has none.
+	// known reports whether the next number is known: from the start, or since the first event.
+	known bool
+	// first is the number of the stream's first event, last that of the last event that the caller has, first-1 if it has none. Both are
+	// valid if known is true.
 	first, last int
-	known       bool
-	// least and most bound the number of the first event, if bounded is true and nothing else says what it is.
-	least, most int
-	bounded     bool
+	// minFirst and maxFirst bound the number of the first event, if bounded is true and known is false.
+	minFirst, maxFirst int
+	bounded            bool
 	// count is the number of events passed on, over all attempts.
 	count int
-	// resumed reports whether the attempt goes on with a stream of which earlier attempts have passed on events.
-	resumed bool
+	// continued reports whether earlier attempts have passed on events.
+	continued bool
 	// attemptLast is the number of the attempt's last event, valid if attemptBegun is true.
 	attemptLast  int
 	attemptBegun bool
@@ -53,10 +55,10 @@
 	return p
 }
 
-// WithFirst returns the position in a stream that may begin with an event without a number, or with one from least to most. An attempt
+// WithFirst returns the position in a stream that may begin with an event without a number, or with one from minFirst to maxFirst. An attempt
 // that goes on with it begins with the event after the last one, or anew: others may count from another first number.
-func (p Position) WithFirst(least, most int) Position {
-	p.least, p.most, p.bounded = least, most, true
+func (p Position) WithFirst(minFirst, maxFirst int) Position {
+	p.minFirst, p.maxFirst, p.bounded = minFirst, maxFirst, true
 	return p
 }
 
@@ -68,7 +70,7 @@
 
 // WithAttempt returns the position before another attempt goes on with the stream.
 func (p Position) WithAttempt() Position {
-	p.resumed, p.attemptBegun = p.count > 0, false
+	p.continued, p.attemptBegun = p.count > 0, false
 	return p
 }
 
@@ -82,12 +84,12 @@
 // has it. The error says why the attempt's answer isn't valid; the position then stays as it was.
 func (p Position) Next(e Event) (next Position, pass bool, err error) {
 	switch {
-	case !e.HasData && !e.Identified:
+	case !e.HasData && !e.HasIDField:
 		// A comment or a reconnection time is no event, and takes no place in the stream.
-		return p, p.numbering == unnumbered && !p.resumed, nil
+		return p, p.numbering == unnumbered && !p.continued, nil
 	case !e.HasData && p.numbering != unnumbered:
 		return p, false, p.invalid(e, ErrNoData)
-	case !e.HasID && (p.numbering == numbered || p.resumed):
+	case !e.HasID && (p.numbering == numbered || p.continued):
 		return p, false, p.invalid(e, ErrUnnumbered)
 	case !e.HasID:
 		p.numbering = unnumbered
@@ -104,9 +106,9 @@
 	next = p
 	switch {
 	case p.known:
-	case p.bounded && e.ID > p.most:
+	case p.bounded && e.ID > p.maxFirst:
 		return p, false, fmt.Errorf("first event %d: %w", e.ID, ErrGap)
-	case p.bounded && e.ID < p.least:
+	case p.bounded && e.ID < p.minFirst:
 		return p, false, fmt.Errorf("first event %d: %w", e.ID, ErrOrder)
 	default:
 		next.first, next.last, next.known = e.ID, e.ID-1, true
@@ -114,7 +116,12 @@
 	switch {
 	case e.ID > next.last+1:
 		return p, false, p.invalid(e, ErrGap)
-	case e.ID < next.first, p.attemptBegun && e.ID != p.attemptLast+1, p.bounded && !p.attemptBegun && e.ID != next.first && e.ID != next.last+1:
+	case e.ID < next.first:
+		return p, false, p.invalid(e, ErrOrder)
+	case p.attemptBegun && e.ID != p.attemptLast+1:
+		return p, false, p.invalid(e, ErrOrder)
+	case !p.attemptBegun && p.bounded && e.ID != next.first && e.ID != next.last+1:
+		// The server may count from another first number, so that its numbers in between are those of other events.
 		return p, false, p.invalid(e, ErrOrder)
 	}
 	next.numbering, next.attemptLast, next.attemptBegun = numbered, e.ID, true
@@ -145,11 +152,11 @@
 func (p Position) Done(e Event) error {
 	_, has := p.Last()
 	switch {
-	case e.HasID || e.Identified && p.numbering == numbered:
+	case e.HasID || e.HasIDField && p.numbering == numbered:
 		return ErrNumberedEnd
 	case p.count == 0 && !has:
 		return ErrNoEvents
-	case p.resumed && p.numbering != numbered:
+	case p.continued && p.numbering != numbered:
 		return ErrUnnumbered
 	default:
 		return p.End()
--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"samphirewharf/internal/decision/conductor"
@@ -387,16 +386,13 @@
 	return ended
 }
 
-// maxDetailBytes bounds the part of a log line that says why an answer was given up. Errors may quote what a server sent.
-const maxDetailBytes = 256
-
 // detail returns why an answer was given up, and which part of it the caller has.
 func (a *attempt) detail(err error) string {
-	text := err.Error()
+	text := streamer.Detail(err)
 	if last, ok := a.exchange.position.Last(); ok {
 		text = "after event " + strconv.Itoa(last) + ": " + text
 	}
-	return strings.ToValidUTF8(text[:min(len(text), maxDetailBytes)], "")
+	return text
 }
 
 // setFailure sets the fields of the event from the client's failure.
--- a/internal/entry/responder/invalid.go
+++ b/internal/entry/responder/invalid.go
@@ -3,23 +3,19 @@
 import (
 	"errors"
 	"slices"
-	"strings"
 
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/entry/streamer"
 	"samphirewharf/internal/network/bounder"
 )
 
-// maxDetailBytes bounds the part of a log line that says why an answer was given up. Errors may quote what a server sent.
-const maxDetailBytes = 256
-
 // errInvalidEvent is returned for an event that doesn't follow those that the caller has.
 var errInvalidEvent = errors.New("invalid event")
 
 // invalidAnswers are the errors for answers that a server sent, but that aren't valid.
 var invalidAnswers = []error{
 	errInvalidEvent, errNotEventStream, errIncompleteStream, errInvalidRefusal, bounder.ErrTooLarge, streamer.ErrEventTooLarge,
-	streamer.ErrMalformedEvent, streamer.ErrOtherRequest, streamer.ErrResponseInEvent, streamer.ErrTooManyEvents,
+	streamer.ErrMalformedEvent, streamer.ErrNotFinal, streamer.ErrOtherRequest, streamer.ErrResponseInEvent, streamer.ErrTooManyEvents,
 }
 
 // isInvalid reports whether an attempt ended because the answer isn't valid.
@@ -41,11 +37,5 @@
 	if last, ok := a.exchange.position.Last(); ok {
 		entry = entry.Int("LastEvent", last)
 	}
-	entry.Str("Detail", detail(err)).Msg("invalid answer given up")
-}
-
-// detail returns the start of an error's text.
-func detail(err error) string {
-	text := err.Error()
-	return strings.ToValidUTF8(text[:min(len(text), maxDetailBytes)], "")
+	entry.Str("Detail", streamer.Detail(err)).Msg("invalid answer given up")
 }
--- a/internal/entry/streamer/events.go
+++ b/internal/entry/streamer/events.go
@@ -122,10 +122,10 @@
 	switch string(name) {
 	case "":
 	case "id":
-		if e.Identified {
+		if e.HasIDField {
 			return fmt.Errorf("second id field: %w", ErrMalformedEvent)
 		}
-		e.Identified = true
+		e.HasIDField = true
 		e.ID, e.HasID = validator.ParseNumber(string(value))
 	case "data":
 		e.Done = !e.HasData && string(value) == "[DONE]"
--- a/internal/entry/streamer/failure.go
+++ b/internal/entry/streamer/failure.go
@@ -23,6 +23,15 @@
 // ErrNotFinal is returned for a response that is none to the request, such as a switch to another protocol, which no request asks for.
 var ErrNotFinal = errors.New("response is not final")
 
+// maxDetailBytes bounds the part of a log line that says why an answer was given up.
+const maxDetailBytes = 256
+
+// Detail returns the start of an error's text for a log line. Errors may quote what a server sent.
+func Detail(err error) string {
+	text := err.Error()
+	return strings.ToValidUTF8(text[:min(len(text), maxDetailBytes)], "")
+}
+
 // A Failure is the error of a failed call.
 type Failure struct {
 	// Outcome is never AttemptDone.
