--- a/internal/daemon/scribe/writer.go
+++ b/internal/daemon/scribe/writer.go
@@ -2,6 +2,8 @@
 package scribe
 
 import (
+	"bytes"
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -21,29 +23,60 @@
 )
 
 // A Writer passes lines to its own goroutine. A line that doesn't fit into the queue is dropped and counted.
+//
+// log.AsyncWriter isn't used since it reads an entry after it has passed it on, which the race detector reports.
 type Writer struct {
-	async   log.AsyncWriter
+	output io.Writer
+	// lines ends with a nil line.
+	lines   chan []byte
+	ended   chan struct{}
+	close   sync.Once
 	dropped atomic.Uint64
 }
 
 // NewWriter returns a writer to an output that may block.
-func NewWriter(w io.Writer) *Writer {
-	return &Writer{async: log.AsyncWriter{
-		Writer: &log.IOWriter{Writer: w}, ChannelSize: maxQueuedLines, DiscardOnFull: true,
-	}}
+func NewWriter(output io.Writer) *Writer {
+	w := &Writer{output: output, lines: make(chan []byte, maxQueuedLines), ended: make(chan struct{})}
+	go w.run()
+	return w
 }
 
-// Close writes the queued lines.
-func (w *Writer) Close() error { return w.async.Close() }
+// run writes the queued lines. An error of the output leaves nowhere to report it.
+func (w *Writer) run() {
+	defer close(w.ended)
+	for line := range w.lines {
+		if line == nil {
+			return
+		}
+		_, _ = w.output.Write(line)
+	}
+}
+
+// Close writes the queued lines. Later ones are lost.
+func (w *Writer) Close() error {
+	w.close.Do(func() { w.lines <- nil })
+	<-w.ended
+	return nil
+}
 
 // Dropped returns the number of dropped lines.
 func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
 
+// Write queues one line.
+func (w *Writer) Write(line []byte) (int, error) {
+	select {
+	case w.lines <- bytes.Clone(line):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
 // WriteEntry queues one line.
 func (w *Writer) WriteEntry(e *log.Entry) (int, error) {
-	n, err := w.async.WriteEntry(e)
+	n, err := log.IOWriter{Writer: w}.WriteEntry(e)
 	if err != nil {
-		w.dropped.Add(1)
+		return n, fmt.Errorf("queue line: %w", err)
 	}
 	return n, nil
 }
