--- a/internal/entry/streamer/client.go
+++ b/internal/entry/streamer/client.go
@@ -120,7 +120,7 @@
 	if err != nil {
 		return nil, reply.newFailure(ctx, err)
 	}
-	// What the server names as fields of its connection only is checked by nobody, since callers don't get it.
+	// Fields of the connection are dropped before anything is checked, since callers don't get them.
 	response.Header = filter.EndToEnd(response.Header)
 	reply.Response = response
 	reply.ctx = ctx
