feat: logs tell as of when a view of the store is proved, and by whom

Each view now has the time as of which it is known to hold all that the store had accepted: when the call of a watch or list was sent that was answered, or what the upstream says. Daemons have no common clock, so a subscriber names each of its subscriptions, and the upstream says how long after that its view was proved: the time for which messages are on their way makes a proof older, never newer. Lines of Send have the revision of the server's entry, the source of the view and since when it is proved, lines of Reject the same for the configuration; a view that wasn't proved for 2 s is logged when it is again; lines of servers that leave say how this daemon uses them. samphirewharf_edge_view_proved_seconds shows the ages.

The loop of a watch moved from platform to the follower, so that the platform only translates one call. No decision depends on proofs yet. TestProofsTravel holds the order of times under different clocks.

--- a/internal/daemon/explainer/explainer.go
+++ b/internal/daemon/explainer/explainer.go
@@ -40,9 +40,12 @@
 
 	Score, OtherScore                    float64
 	WaitedMs, LeftMs, BeliefAgeMs, AgeMs int64
-	FirstMs                              int64
-	Configuration, Version               int64
-	Subject, Change                      string
+	// Source is who keeps the view of the servers up to date, which was last proved ProvedMs ago.
+	Source                 string
+	ProvedMs               int64
+	FirstMs                int64
+	Configuration, Version int64
+	Subject, Change        string
 
 	// source is the text before the line's JSON, such as a host name.
 	source   string
@@ -177,7 +180,11 @@
 		if l.Other != "" {
 			text += fmt.Sprintf("; next best %s, %.2f", l.Other, l.OtherScore)
 		}
-		return text + fmt.Sprintf("; the view of its state was %d ms old) after %d ms, %d ms left", l.BeliefAgeMs, l.WaitedMs, l.LeftMs)
+		text += fmt.Sprintf("; the view of its state was %d ms old", l.BeliefAgeMs)
+		if l.Source != "" {
+			text += fmt.Sprintf(", proved %d ms before by %s", l.ProvedMs, l.Source)
+		}
+		return text + fmt.Sprintf(") after %d ms, %d ms left", l.WaitedMs, l.LeftMs)
 	case "Queue":
 		return fmt.Sprintf("waits: %s; the last message of the leader was %d ms old, %d ms left", reasonTexts[l.Reason], l.BeliefAgeMs, l.LeftMs)
 	case "Refuse":
--- a/internal/decision/conductor/effect.go
+++ b/internal/decision/conductor/effect.go
@@ -176,8 +176,9 @@
 	// ExpectedPause and ExpectedFirst are the expected longest pause and time to the first event, zero if unknown.
 	ExpectedPause time.Duration
 	ExpectedFirst time.Duration
-	// Age is the age of the state that the decision is based on.
-	Age time.Duration
+	// Age is the age of the state that the decision is based on. Entry is the revision of the chosen server's entry.
+	Age   time.Duration
+	Entry int64
 	// Waited is the time since the request arrived, Remaining the time until its deadline.
 	Waited    time.Duration
 	Remaining time.Duration
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -285,7 +285,7 @@
 	m.service(r.Service).sharer.Serve(m.now, &r.share)
 	s.cachedParts.add(r.Parts)
 	m.setTimer(r, r.deadline)
-	d := LogDecision{Action: "Send", Score: c.score, Age: m.now - s.seenAt, Routine: r.attempt == 1, ExpectedPause: expected.Pause, ExpectedFirst: expected.First}
+	d := LogDecision{Action: "Send", Score: c.score, Age: m.now - s.seenAt, Entry: s.entry.Revision, Routine: r.attempt == 1, ExpectedPause: expected.Pause, ExpectedFirst: expected.First}
 	if c.other != nil {
 		d.Other, d.OtherScore = c.other.entry.ID, c.otherScore
 	}
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"samphirewharf/internal/decision/allotter"
@@ -202,7 +203,7 @@
 		e.State = registrar.StateDraining
 	}
 	if e.State != s.entry.State {
-		m.emit(LogStateChange{Subject: "Server " + e.ID, Change: "Draining", Version: e.Revision})
+		m.emit(LogStateChange{Subject: "Server " + e.ID, Change: "Draining", Version: e.Revision, Detail: m.useOf(s)})
 	}
 	if e.Service != s.entry.Service {
 		m.serverSetChanged()
@@ -225,14 +226,14 @@
 		if m.view.stale {
 			s.keepUntil = m.now + time.Hour
 		}
-		m.emit(LogStateChange{Subject: "Server " + id, Change: "Doubted", Reason: "entry removed near an outage", Version: revision})
+		m.emit(LogStateChange{Subject: "Server " + id, Change: "Doubted", Reason: "entry removed near an outage", Version: revision, Detail: m.useOf(s)})
 		return
 	}
 	m.dropServer(s, revision)
 }
 
 func (m *Machine) dropServer(s *server, revision int64) {
-	m.emit(LogStateChange{Subject: "Server " + s.entry.ID, Change: "Gone", Version: revision})
+	m.emit(LogStateChange{Subject: "Server " + s.entry.ID, Change: "Gone", Version: revision, Detail: m.useOf(s)})
 	m.versionSeen(s.entry)
 	m.serverEnded(s)
 	m.recordServerRemoval(s, revision)
@@ -242,6 +243,15 @@
 	m.dispatchQueue(s.entry.Service)
 }
 
+// useOf returns how this daemon uses a server, for logs.
+func (m *Machine) useOf(s *server) string {
+	text := strconv.Itoa(len(s.requests)) + " requests running"
+	if n := len(s.recentSends); n > 0 {
+		text += ", the last one sent " + (m.now - s.recentSends[n-1]).String() + " ago"
+	}
+	return text
+}
+
 // expireServers drops the servers whose entries have not been registered again after an outage, and confirms those whose
 // entries outlived a restoration.
 func (m *Machine) expireServers() {
--- a/internal/decision/feeder/feeder.go
+++ b/internal/decision/feeder/feeder.go
@@ -38,6 +38,9 @@
 	HasView bool
 	// Compressed reports whether it takes compressed views.
 	Compressed bool
+	// Token identifies the message, ReceivedAt is when it arrived.
+	Token      uint64
+	ReceivedAt time.Duration
 }
 
 // An Update is what a subscriber is to be sent.
@@ -49,12 +52,12 @@
 	// Snapshot reports whether it holds all entries. Otherwise it holds the changes, the newest for each key.
 	Snapshot bool
 	Changes  []Change
-	// Compressed reports whether the subscriber takes compressed views. First is the number of the first change, which is the same for
-	// updates with the same changes.
-	Compressed bool
-	First      int
-	Fleet      *messenger.Fleet
-	Evidence   *messenger.Evidence
+	// First is the number of the first change, which is the same for updates with the same changes.
+	First    int
+	Fleet    *messenger.Fleet
+	Evidence *messenger.Evidence
+	// Subscription is the subscriber's latest one.
+	Subscription Subscription
 }
 
 // A Feeder keeps the subscribers of one daemon. The zero value is ready to use.
@@ -69,9 +72,8 @@
 	address   string
 	sequence  int64
 	expiresAt time.Time
-	hasView   bool
-	// compressed reports whether it takes compressed views.
-	compressed bool
+	// subscription is the latest one.
+	subscription Subscription
 	// needsSnapshot reports whether it has no view of this daemon, or one that lacks an update. It has needed one since waitingSince.
 	needsSnapshot bool
 	waitingSince  time.Time
@@ -101,7 +103,7 @@
 		f.subscribers[address] = sub
 	}
 	sub.expiresAt = now.Add(SubscriptionTTL)
-	sub.hasView, sub.compressed, sub.unreachable = s.HasView, s.Compressed, false
+	sub.subscription, sub.unreachable = s, false
 	if !s.InOrder && !sub.isSentSnapshot() {
 		sub.requireSnapshot(now)
 	}
@@ -190,11 +192,11 @@
 	for _, s := range f.due(now) {
 		isFresh := fresh(s.address)
 		// Of a view that is out of date, a subscriber that has one from another daemon gets no snapshot.
-		wantsSnapshot := s.needsSnapshot && listed && (isFresh || !s.hasView)
+		wantsSnapshot := s.needsSnapshot && listed && (isFresh || !s.subscription.HasView)
 		if wantsSnapshot && snapshots >= maxSnapshots {
 			continue
 		}
-		u := Update{Address: s.address, Fresh: isFresh, Snapshot: wantsSnapshot, Compressed: s.compressed, First: s.next, Fleet: s.fleet, Evidence: s.evidence}
+		u := Update{Address: s.address, Fresh: isFresh, Snapshot: wantsSnapshot, First: s.next, Fleet: s.fleet, Evidence: s.evidence, Subscription: s.subscription}
 		if !s.needsSnapshot {
 			u.Changes = f.changesSince(s.next)
 		}
--- a/internal/edge/follower/follower.go
+++ b/internal/edge/follower/follower.go
@@ -17,15 +17,24 @@
 	// initialBackoff is the delay after the first failure in a row. It doubles with each further one, up to maxBackoff.
 	initialBackoff = 100 * time.Millisecond
 	maxBackoff     = 600 * time.Millisecond
+	// pollWait is how long a call of a watch waits for changes. A longer wait saves calls, each of which has a price, but two of them
+	// have to fit in the time for which the store keeps changes.
+	pollWait = 8 * time.Second
 )
 
 // A Follower follows one prefix of the store. Set the fields, then call Run.
 type Follower struct {
 	Prefix string
-	// List returns all entries and the revision after which a watch reports all later changes.
+	// BatchDelay is the delay after changes, so that changes in quick succession arrive in one answer.
+	BatchDelay time.Duration
+	// List returns all entries and the revision after which a poll reports all later changes.
 	List func(ctx context.Context, prefix string) ([]storer.Entry, int64, storer.Result)
-	// Watch reports changes until it fails. It returns the revision to continue from.
-	Watch func(ctx context.Context, prefix string, from int64, report func(storer.Entry, bool)) (int64, error)
+	// Poll returns the changes since a revision, and the revision to continue from. If there are none, it waits for some.
+	Poll func(ctx context.Context, prefix string, from int64, wait time.Duration) ([]storer.Change, int64, error)
+	// Now returns the time for Proved, which is called with the time as of which Listed, Changed and Removed were called with all that
+	// the store had accepted.
+	Now    func() time.Duration
+	Proved func(at time.Duration)
 	// Listed is called with all entries as of a revision.
 	Listed func(entries []storer.Entry, revision int64)
 	// Changed is called with an entry that was written, Removed with the key of an entry that was removed.
@@ -45,7 +54,7 @@
 			backoff = f.wait(ctx, backoff)
 			continue
 		}
-		next, err := f.Watch(ctx, f.Prefix, revision+1, f.report)
+		next, err := f.watch(ctx, revision+1)
 		if next > revision+1 {
 			backoff = initialBackoff
 		}
@@ -60,27 +69,65 @@
 }
 
 func (f *Follower) list(ctx context.Context) (int64, bool) {
+	sentAt := f.Now()
 	entries, revision, result := f.List(ctx, f.Prefix)
 	if result != storer.ResultOK {
 		return 0, false
 	}
 	f.Listed(entries, revision)
+	f.Proved(sentAt)
 	return revision, true
 }
 
-func (f *Follower) report(e storer.Entry, deleted bool) {
-	if deleted {
-		f.Removed(e.Key, e.Revision)
+// watch reports changes in order, starting at a revision, until the context is done or a call fails. It returns the revision to
+// continue from.
+//
+// A poll may end without the changes that were made while it waited, but with a revision after them. So a poll without changes only
+// confirms the revision of the one before it.
+func (f *Follower) watch(ctx context.Context, from int64) (int64, error) {
+	unconfirmed := from
+	for {
+		sentAt := f.Now()
+		changes, next, err := f.Poll(ctx, f.Prefix, from, pollWait)
+		if err != nil {
+			return from, err
+		}
+		for _, c := range changes {
+			f.report(c)
+		}
+		f.Proved(sentAt)
+		if len(changes) == 0 {
+			from, unconfirmed = unconfirmed, max(unconfirmed, next)
+			continue
+		}
+		from = max(from, next)
+		unconfirmed = from
+		if err := f.pause(ctx, f.BatchDelay); err != nil {
+			return from, err
+		}
+	}
+}
+
+func (f *Follower) report(c storer.Change) {
+	if c.Deleted {
+		f.Removed(c.Key, c.Revision)
 		return
 	}
-	f.Changed(e)
+	f.Changed(c.Entry)
 }
 
 // wait waits for the backoff with jitter, so that the daemons' retries don't coincide, and returns the next backoff.
 func (f *Follower) wait(ctx context.Context, backoff time.Duration) time.Duration {
+	_ = f.pause(ctx, backoff/2+rand.N(backoff))
+	return min(2*backoff, maxBackoff)
+}
+
+// pause waits for a time, or until the context is done.
+func (f *Follower) pause(ctx context.Context, d time.Duration) error {
 	select {
 	case <-ctx.Done():
-	case <-time.After(backoff/2 + rand.N(backoff)):
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
 	}
-	return min(2*backoff, maxBackoff)
 }
--- a/internal/edge/follower/follower_test.go
+++ b/internal/edge/follower/follower_test.go
@@ -15,13 +15,15 @@
 	"samphirewharf/internal/external/storer"
 )
 
-// A fakeStore answers lists and watches with the given results, one after the other.
+// A fakeStore answers lists and polls with the given results, one after the other.
 type fakeStore struct {
-	mu      sync.Mutex
-	lists   [][]storer.Entry
-	watches []func(from int64, report func(storer.Entry, bool)) (int64, error)
-	calls   []string
-	cancel  context.CancelFunc
+	mu     sync.Mutex
+	lists  [][]storer.Entry
+	polls  []func(from int64) ([]storer.Change, int64, error)
+	calls  []string
+	proved []time.Duration
+	clock  time.Duration
+	cancel context.CancelFunc
 }
 
 func (s *fakeStore) list(context.Context, string) ([]storer.Entry, int64, storer.Result) {
@@ -36,28 +38,35 @@
 	return entries, 10, storer.ResultOK
 }
 
-func (s *fakeStore) watch(ctx context.Context, _ string, from int64, report func(storer.Entry, bool)) (int64, error) {
+func (s *fakeStore) poll(ctx context.Context, _ string, from int64, _ time.Duration) ([]storer.Change, int64, error) {
 	s.mu.Lock()
-	if len(s.watches) == 0 {
+	if len(s.polls) == 0 {
 		s.mu.Unlock()
 		s.cancel()
-		return from, ctx.Err()
+		return nil, from, ctx.Err()
 	}
-	next := s.watches[0]
-	s.watches = s.watches[1:]
+	next := s.polls[0]
+	s.polls = s.polls[1:]
 	s.mu.Unlock()
-	return next(from, report)
+	return next(from)
 }
 
 func (s *fakeStore) record(call string) { s.calls = append(s.calls, call) }
 
+// now returns a time that rises by a second with each call.
+func (s *fakeStore) now() time.Duration {
+	s.clock += time.Second
+	return s.clock
+}
+
 func (s *fakeStore) run(t *testing.T) []string {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	s.cancel = cancel
 	f := Follower{
-		Prefix: "p/", List: s.list, Watch: s.watch,
+		Prefix: "p/", List: s.list, Poll: s.poll, Now: s.now,
+		Proved:  func(at time.Duration) { s.proved = append(s.proved, at) },
 		Listed:  func(entries []storer.Entry, _ int64) { s.record("listed " + string(rune('0'+len(entries)))) },
 		Changed: func(e storer.Entry) { s.record("changed " + e.Key) },
 		Removed: func(key string, _ int64) { s.record("removed " + key) },
@@ -75,24 +84,22 @@
 }
 
 func TestFollower(t *testing.T) {
-	broken := func(from int64, _ func(storer.Entry, bool)) (int64, error) { return from, io.ErrUnexpectedEOF }
-	change := func(from int64, report func(storer.Entry, bool)) (int64, error) {
-		report(storer.Entry{Key: "p/a"}, false)
-		report(storer.Entry{Key: "p/b"}, true)
-		return from + 2, io.ErrUnexpectedEOF
+	broken := func(from int64) ([]storer.Change, int64, error) { return nil, from, io.ErrUnexpectedEOF }
+	change := func(from int64) ([]storer.Change, int64, error) {
+		return []storer.Change{{Entry: storer.Entry{Key: "p/a"}}, {Entry: storer.Entry{Key: "p/b"}, Deleted: true}}, from + 2, nil
 	}
 	t.Run("the changes of a watch are reported", func(t *testing.T) {
 		s := &fakeStore{lists: [][]storer.Entry{{{Key: "p/a"}}}}
-		s.watches = append(s.watches, change)
+		s.polls = append(s.polls, change, broken)
 		assertCalls(t, s.run(t), "listed 1", "changed p/a", "removed p/b")
 	})
 	// The store may have compacted changes when it closed the watch.
 	t.Run("a failed watch is followed by a list", func(t *testing.T) {
 		resumed := int64(0)
 		s := &fakeStore{lists: [][]storer.Entry{{{Key: "p/a"}}, {{Key: "p/a"}, {Key: "p/c"}}}}
-		s.watches = append(s.watches, broken, func(from int64, _ func(storer.Entry, bool)) (int64, error) {
+		s.polls = append(s.polls, broken, func(from int64) ([]storer.Change, int64, error) {
 			resumed = from
-			return from, io.ErrUnexpectedEOF
+			return nil, from, io.ErrUnexpectedEOF
 		})
 		assertCalls(t, s.run(t), "listed 1", "listed 2")
 		if got, want := resumed, int64(11); got != want {
@@ -101,11 +108,35 @@
 	})
 	t.Run("compacted changes are followed by a list", func(t *testing.T) {
 		s := &fakeStore{lists: [][]storer.Entry{{}, {{Key: "p/a"}, {Key: "p/c"}}}}
-		s.watches = append(s.watches, func(from int64, _ func(storer.Entry, bool)) (int64, error) {
-			return from, storer.ErrCompacted
+		s.polls = append(s.polls, func(from int64) ([]storer.Change, int64, error) {
+			return nil, from, storer.ErrCompacted
 		})
 		assertCalls(t, s.run(t), "listed 0", "listed 2")
 	})
+	// A poll that ends without changes may have missed changes that were made in the meantime. The next poll asks for them again.
+	t.Run("a poll without changes is not trusted at once", func(t *testing.T) {
+		var from []int64
+		empty := func(next int64) func(int64) ([]storer.Change, int64, error) {
+			return func(f int64) ([]storer.Change, int64, error) {
+				from = append(from, f)
+				return nil, next, nil
+			}
+		}
+		s := &fakeStore{lists: [][]storer.Entry{{}}}
+		s.polls = append(s.polls, empty(21), empty(31), empty(41), empty(51))
+		s.run(t)
+		if want := []int64{11, 11, 21, 31}; !slices.Equal(from, want) {
+			t.Errorf("got polls from %v, want %v", from, want)
+		}
+	})
+	t.Run("the view is proved as of when the answered calls were sent", func(t *testing.T) {
+		s := &fakeStore{lists: [][]storer.Entry{{}}}
+		s.polls = append(s.polls, change, change, broken)
+		s.run(t)
+		if want := []time.Duration{time.Second, 2 * time.Second, 3 * time.Second}; !slices.Equal(s.proved, want) {
+			t.Errorf("got proofs %v, want %v", s.proved, want)
+		}
+	})
 }
 
 func TestRecords(t *testing.T) {
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"samphirewharf/internal/decision/conductor"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/decision/validator"
+	"samphirewharf/internal/decision/verifier"
 	"samphirewharf/internal/entry/acceptor"
 	"samphirewharf/internal/entry/streamer"
 	"samphirewharf/internal/fleet/matcher"
@@ -46,6 +47,8 @@
 	Post func(conductor.Event)
 	// Configuration returns the current configuration, nil if there is none.
 	Configuration func() *matcher.Configuration
+	// ConfigurationProof returns as of when the configuration is known to have been the newest, and how long ago that was. It may be nil.
+	ConfigurationProof func() (p verifier.Proof, age time.Duration)
 	// Random returns a random number in the half-open interval [0, 1).
 	Random func() float64
 	// Count is called with the outcome of each request.
@@ -208,6 +211,10 @@
 		}
 	}
 	line := g.Logger.Info().Str("Request", id).Str("Action", "Reject").Str("Reason", refusal.Code.String()).Str("Detail", refusal.Detail)
+	if configuration := g.Configuration(); configuration != nil && g.ConfigurationProof != nil {
+		proof, age := g.ConfigurationProof()
+		line = line.Int64("Configuration", configuration.Version).Str("Source", proof.Source).Int64("ProvedMs", age.Milliseconds())
+	}
 	if omitted > 0 {
 		line = line.Int("Omitted", omitted)
 	}
--- a/internal/edge/launcher/daemon.go
+++ b/internal/edge/launcher/daemon.go
@@ -17,6 +17,7 @@
 	"samphirewharf/internal/daemon/driver"
 	"samphirewharf/internal/daemon/scribe"
 	"samphirewharf/internal/decision/conductor"
+	"samphirewharf/internal/decision/verifier"
 	"samphirewharf/internal/edge/follower"
 	"samphirewharf/internal/edge/gateway"
 	"samphirewharf/internal/edge/relayer"
@@ -39,6 +40,10 @@
 	// idleTimeoutMargin is added to the configured idle timeout that callers rely on, so that a request that is sent at the
 	// last moment is still read.
 	idleTimeoutMargin = 5 * time.Second
+	// watchBatchDelay is the delay of watches after changes. serversBatchDelay is that for the servers' entries, some of which change all
+	// the time with what they have loaded.
+	watchBatchDelay   = 150 * time.Millisecond
+	serversBatchDelay = 300 * time.Millisecond
 	// defaultIdleTimeout is the idle timeout of callers' connections until a configuration is loaded.
 	defaultIdleTimeout = 60 * time.Second
 )
@@ -141,6 +146,7 @@
 	d.platform.SetOnRestored(d.storeRestored)
 	d.relayer = relayer.New(s.Self.Instance, d.handlers())
 	d.relayer.Send, d.relayer.Message, d.relayer.StoreReachable = d.sendUpdate, d.newMessage, d.storeReachable
+	d.relayer.Clock = d.now
 	d.relayer.OnFleet, d.relayer.OnFeed, d.relayer.OnListed, d.relayer.Logger = d.fleetReceived, d.updateReceived, d.storeListed, d.logger
 	d.machine = conductor.New(*s)
 	d.driver = driver.Driver[conductor.Event, conductor.Effect]{
@@ -186,12 +192,17 @@
 func (d *Daemon) gateway() http.Handler {
 	return &gateway.Gateway{
 		Name: d.settings.Conductor.Self.Name,
-		Open: d.driver.Open, Close: d.driver.Close, Post: d.countAndPost, Configuration: d.configuration.Load, Random: rand.Float64,
+		Open: d.driver.Open, Close: d.driver.Close, Post: d.countAndPost, Configuration: d.configuration.Load, ConfigurationProof: d.configurationProof, Random: rand.Float64,
 		Count: d.metrics.countRequest, Translator: d.platform.Translator, Client: &d.client, Logger: d.logger,
 		AllowLine: func(kind string) (omitted int, ok bool) { return d.sampler.Allow(kind, time.Now()) },
 	}
 }
 
+func (d *Daemon) configurationProof() (verifier.Proof, time.Duration) {
+	proof := d.relayer.Proof(d.platform.Entries.ConfigurationPrefix)
+	return proof, proof.Age(d.now())
+}
+
 // peerHandler returns the handler for other daemons' messages and for metrics.
 func (d *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -306,9 +317,13 @@
 	for _, h := range d.handlers() {
 		wrapped := d.relayer.Wrap(h)
 		f := &follower.Follower{
-			Prefix: h.Prefix, List: d.platform.Store.List, Watch: d.platform.Store.Watch,
+			Prefix: h.Prefix, BatchDelay: watchBatchDelay, List: d.platform.Store.List, Poll: d.platform.Store.Poll,
+			Now: d.now, Proved: func(at time.Duration) { d.relayer.Proved(h.Prefix, at) },
 			Listed: wrapped.Listed, Changed: wrapped.Changed, Removed: wrapped.Removed, Logger: d.logger,
 		}
+		if h.Prefix == d.platform.Entries.ServersPrefix {
+			f.BatchDelay = serversBatchDelay
+		}
 		go f.Run(ctx)
 	}
 }
--- a/internal/edge/launcher/dependencies.go
+++ b/internal/edge/launcher/dependencies.go
@@ -24,7 +24,8 @@
 	Put            func(ctx context.Context, key string, value []byte, leaseID int64) storer.Result
 	Revoke         func(ctx context.Context, leaseID int64) storer.Result
 	CompareAndSwap func(ctx context.Context, key string, value []byte, revision, leaseID int64) (int64, storer.Result)
-	Watch          func(ctx context.Context, prefix string, from int64, report func(storer.Entry, bool)) (int64, error)
+	// Poll returns the changes since a revision, and the revision to continue from. If there are none, it waits for some.
+	Poll func(ctx context.Context, prefix string, from int64, wait time.Duration) ([]storer.Change, int64, error)
 }
 
 // Engines holds the calls to model engines.
--- a/internal/edge/launcher/logging.go
+++ b/internal/edge/launcher/logging.go
@@ -29,7 +29,8 @@
 		line = line.Str("Other", e.Other).Float64("OtherScore", e.OtherScore)
 	}
 	if e.Action == "Send" {
-		line = line.Float64("Score", e.Score)
+		proof := d.relayer.Proof(d.platform.Entries.ServersPrefix)
+		line = line.Float64("Score", e.Score).Int64("Entry", e.Entry).Str("Source", proof.Source).Int64("ProvedMs", proof.Age(d.now()).Milliseconds())
 	}
 	if e.ExpectedPause > 0 {
 		line = line.Int64("ExpectedPauseMs", e.ExpectedPause.Milliseconds()).Int64("ExpectedFirstMs", e.ExpectedFirst.Milliseconds())
--- a/internal/edge/launcher/metrics.go
+++ b/internal/edge/launcher/metrics.go
@@ -13,6 +13,7 @@
 
 	"samphirewharf/internal/decision/attributor"
 	"samphirewharf/internal/decision/conductor"
+	"samphirewharf/internal/edge/follower"
 	"samphirewharf/internal/edge/gateway"
 	"samphirewharf/internal/fleet/registrar"
 	"samphirewharf/internal/peer/messenger"
@@ -67,6 +68,13 @@
 	})
 	m.set.NewGauge(`samphirewharf_edge_events_waiting`, func() float64 { return float64(d.driver.QueueLength()) })
 	m.set.NewGauge(`samphirewharf_edge_log_lines_dropped_total`, func() float64 { return float64(d.droppedLines()) })
+	for view, prefix := range map[string]string{
+		"Configuration": d.platform.Entries.ConfigurationPrefix, "Servers": d.platform.Entries.ServersPrefix, "Daemons": follower.SharedPrefix,
+	} {
+		m.set.NewGauge(`samphirewharf_edge_view_proved_seconds{view="`+view+`"}`, func() float64 {
+			return d.relayer.Proof(prefix).Age(d.now()).Seconds()
+		})
+	}
 	m.registerGauges()
 }
 
--- a/internal/edge/launcher/outage_store_test.go
+++ b/internal/edge/launcher/outage_store_test.go
@@ -15,12 +15,11 @@
 
 const (
 	// These are the times of the platform's client of the store.
-	storeCallTime     = 4 * time.Millisecond
-	storeCallTimeout  = 900 * time.Millisecond
-	storeListTimeout  = 2 * time.Second
-	storeWatchPoll    = 8 * time.Second
-	storeWatchTimeout = storeWatchPoll + storeListTimeout
-	storeBatchDelay   = 150 * time.Millisecond
+	storeCallTime    = 4 * time.Millisecond
+	storeCallTimeout = 900 * time.Millisecond
+	storeListTimeout = 2 * time.Second
+	// storeWatchTimeout is more than the longest time of a watch.
+	storeWatchTimeout = 10 * time.Second
 )
 
 var (
@@ -39,7 +38,7 @@
 	leases map[int64]time.Time
 	leased map[string]int64
 	// history holds all changes.
-	history []storeChange
+	history []storer.Change
 	// changed is closed at the next change, of the items or of who gets answers.
 	changed chan struct{}
 	// silent reports whether daemons without answers wait for their time-outs; otherwise they are refused at once.
@@ -49,11 +48,6 @@
 	readsAlone bool
 }
 
-type storeChange struct {
-	entry   storer.Entry
-	removed bool
-}
-
 func newOutageStore() *outageStore {
 	return &outageStore{
 		items: make(map[string]storer.Entry), leases: make(map[int64]time.Time), leased: make(map[string]int64),
@@ -94,7 +88,7 @@
 	if lease != 0 {
 		s.leased[e.Key] = lease
 	}
-	s.history = append(s.history, storeChange{entry: e})
+	s.history = append(s.history, storer.Change{Entry: e})
 	s.signal()
 }
 
@@ -107,7 +101,7 @@
 			s.revision++
 			delete(s.items, key)
 			delete(s.leased, key)
-			s.history = append(s.history, storeChange{entry: storer.Entry{Key: key, Revision: s.revision}, removed: true})
+			s.history = append(s.history, storer.Change{Entry: storer.Entry{Key: key, Revision: s.revision}, Deleted: true})
 			s.signal()
 		}
 	}
@@ -221,40 +215,27 @@
 	return entries, revision, resultOf(err)
 }
 
-func (v storeView) watch(ctx context.Context, prefix string, from int64, report func(storer.Entry, bool)) (int64, error) {
-	for {
-		changes, next, err := v.poll(ctx, prefix, from)
-		if ctx.Err() == nil {
-			v.observe("kv-watch", err)
-		}
-		if err != nil {
-			return from, err
-		}
-		for _, c := range changes {
-			report(c.entry, c.removed)
-		}
-		from = next
-		select {
-		case <-time.After(storeBatchDelay):
-		case <-ctx.Done():
-			return from, fmt.Errorf("watch: %w", ctx.Err())
-		}
+// poll waits for changes as one call of a watch does. The call ends with an error if the store begins to refuse the daemon, and has no
+// answer once it has become silent for it.
+func (v storeView) poll(ctx context.Context, prefix string, from int64, wait time.Duration) ([]storer.Change, int64, error) {
+	changes, next, err := v.await(ctx, prefix, from, wait)
+	if ctx.Err() == nil {
+		v.observe("kv-watch", err)
 	}
+	return changes, next, err
 }
 
-// poll waits for changes as one call of a watch does. The call ends with an error if the store begins to refuse the daemon, and has no
-// answer once it has become silent for it.
-func (v storeView) poll(ctx context.Context, prefix string, from int64) (changes []storeChange, next int64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, storeWatchTimeout)
+func (v storeView) await(ctx context.Context, prefix string, from int64, wait time.Duration) (changes []storer.Change, next int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+storeListTimeout)
 	defer cancel()
-	end := time.After(storeWatchPoll)
+	end := time.After(wait)
 	ended := false
 	for {
 		v.store.mu.Lock()
 		unserved, silent, changed := v.store.unserved[v.daemon], v.store.silent, v.store.changed
-		first, _ := slices.BinarySearchFunc(v.store.history, from, func(c storeChange, revision int64) int { return cmp.Compare(c.entry.Revision, revision) })
+		first, _ := slices.BinarySearchFunc(v.store.history, from, func(c storer.Change, revision int64) int { return cmp.Compare(c.Revision, revision) })
 		for _, c := range v.store.history[first:] {
-			if strings.HasPrefix(c.entry.Key, prefix) {
+			if strings.HasPrefix(c.Key, prefix) {
 				changes = append(changes, c)
 			}
 		}
--- a/internal/edge/launcher/outage_test.go
+++ b/internal/edge/launcher/outage_test.go
@@ -159,8 +159,8 @@
 		CompareAndSwap: func(ctx context.Context, key string, value []byte, revision, lease int64) (int64, storer.Result) {
 			return view.compareAndSwap(ctx, key, value, revision, lease)
 		},
-		Watch: func(ctx context.Context, prefix string, from int64, report func(storer.Entry, bool)) (int64, error) {
-			return view.watch(ctx, prefix, from, report)
+		Poll: func(ctx context.Context, prefix string, from int64, wait time.Duration) ([]storer.Change, int64, error) {
+			return view.poll(ctx, prefix, from, wait)
 		},
 	}
 	d.clock = func() (time.Duration, error) { return time.Since(f.begun), nil }
--- a/internal/edge/relayer/relayer.go
+++ b/internal/edge/relayer/relayer.go
@@ -9,9 +9,11 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 
 	"samphirewharf/internal/decision/feeder"
+	"samphirewharf/internal/decision/verifier"
 	"samphirewharf/internal/external/storer"
 	"samphirewharf/internal/fleet/sequencer"
 	"samphirewharf/internal/peer/messenger"
@@ -43,6 +45,8 @@
 	Message func() messenger.Message
 	// StoreReachable reports whether the store answers this daemon.
 	StoreReachable func() bool
+	// Clock returns the time, which goes on while the host is suspended.
+	Clock func() time.Duration
 	// OnFleet is called with the leader's message in an update.
 	OnFleet func(from string, fleet *messenger.Fleet)
 	// OnFeed is called for each update of the upstream that arrived in order or says that the upstream is out of date, and for each
@@ -74,6 +78,9 @@
 	relaying  bool
 	followers []string
 
+	// verifier holds as of when the views are known to hold all that the store had accepted.
+	verifier verifier.Verifier
+
 	wake chan struct{}
 	// compressor is used only by sendUpdates.
 	compressor messenger.Compressor
@@ -93,6 +100,7 @@
 	r := &Relayer{
 		handlers: handlers, stream: stream, prefixes: make(map[string]*prefixState), wake: make(chan struct{}, 1),
 	}
+	r.verifier.LastToken = xxhash.Sum64String(stream)
 	for _, h := range handlers {
 		r.prefixes[h.Prefix] = &prefixState{entries: make(map[string]storer.Entry)}
 	}
@@ -191,7 +199,7 @@
 		// Updates of another daemon don't continue the last one, also not those of a daemon that was the upstream before.
 		r.upstream, r.receivedSequence = upstream, -1
 	}
-	return &messenger.Subscribe{Stream: r.receivedStream, Sequence: r.receivedSequence, Compressed: true}
+	return &messenger.Subscribe{Stream: r.receivedStream, Sequence: r.receivedSequence, Compressed: true, Token: r.verifier.Subscribe(r.Clock())}
 }
 
 // HandleSubscribe adds or renews a subscription. A subscriber that has received nothing yet or missed an update is sent
@@ -199,7 +207,9 @@
 func (r *Relayer) HandleSubscribe(address string, s *messenger.Subscribe) {
 	r.mu.Lock()
 	// Until an update has arrived, the subscriber names the one before. Lost updates are known by their delivery.
-	r.feeder.Subscribe(time.Now(), address, feeder.Subscription{InOrder: s.Stream == r.stream && s.Sequence >= 0, HasView: s.Stream != "", Compressed: s.Compressed})
+	r.feeder.Subscribe(time.Now(), address, feeder.Subscription{
+		InOrder: s.Stream == r.stream && s.Sequence >= 0, HasView: s.Stream != "", Compressed: s.Compressed, Token: s.Token, ReceivedAt: r.Clock(),
+	})
 	r.mu.Unlock()
 	r.signal()
 }
@@ -220,6 +230,7 @@
 		for _, view := range feed.Views {
 			r.apply(view, feed.Whole)
 		}
+		r.provedBy(from, feed)
 	}
 }
 
@@ -422,6 +433,9 @@
 	messages := make([]messenger.Message, len(updates))
 	for i, u := range updates {
 		feed := &messenger.Feed{Stream: r.stream, Sequence: u.Sequence, Fresh: u.Fresh, Whole: u.Snapshot, Fleet: u.Fleet, Evidence: u.Evidence}
+		if u.Subscription.Token != 0 {
+			feed.Token, feed.Proved = u.Subscription.Token, r.verifier.Since(u.Subscription.ReceivedAt)
+		}
 		if u.Snapshot {
 			if snapshot == nil {
 				snapshot = r.snapshot()
@@ -445,7 +459,7 @@
 	compressed := make(map[content][]byte)
 	for i, u := range updates {
 		feed := messages[i].Feed
-		if !u.Compressed || viewsBytes(feed.Views) < minCompressedBytes {
+		if !u.Subscription.Compressed || viewsBytes(feed.Views) < minCompressedBytes {
 			continue
 		}
 		c := content{snapshot: u.Snapshot}
--- a/internal/edge/relayer/relayer_test.go
+++ b/internal/edge/relayer/relayer_test.go
@@ -26,6 +26,7 @@
 	sent           []*messenger.Feed
 	freshFlags     []bool
 	storeReachable bool
+	clock          time.Duration
 }
 
 func newTestDaemon(stream string) *testDaemon {
@@ -37,6 +38,7 @@
 	}
 	s.relayer.Message = func() messenger.Message { return messenger.Message{From: stream} }
 	s.relayer.StoreReachable = func() bool { return s.storeReachable }
+	s.relayer.Clock = func() time.Duration { return s.clock }
 	s.relayer.OnFeed = func(_ string, fresh bool) { s.freshFlags = append(s.freshFlags, fresh) }
 	s.relayer.OnFleet = func(_ string, f *messenger.Fleet) { s.calls = append(s.calls, fmt.Sprintf("fleet %d", f.Sequence)) }
 	s.relayer.Logger = &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
@@ -248,3 +250,42 @@
 		}
 	})
 }
+
+// TestProofsTravel guards against a subscriber that takes its view for newer than its upstream has proved, whatever their clocks say and
+// however long messages are on their way.
+func TestProofsTravel(t *testing.T) {
+	follower, subscriber := newTestDaemon("f"), newTestDaemon("d")
+	wrapped := follower.relayer.Wrap(follower.handler())
+	// Both clocks show the same time plus their own offset.
+	const followerOffset, subscriberOffset = time.Hour, time.Minute
+	at := func(now time.Duration) { follower.clock, subscriber.clock = now+followerOffset, now+subscriberOffset }
+	assertProof := func(want time.Duration) {
+		t.Helper()
+		got := subscriber.relayer.Proof(prefix)
+		if got.At != want+subscriberOffset || got.Source != "follower" {
+			t.Errorf("got proof as of %v by %s, want %v by follower", got.At-subscriberOffset, got.Source, want)
+		}
+	}
+	at(time.Second)
+	wrapped.Listed(nil, 7)
+	follower.relayer.Proved(prefix, follower.clock-100*time.Millisecond)
+	subscription := subscriber.relayer.Subscription("follower")
+	at(1200 * time.Millisecond) // The subscription takes 200 ms.
+	follower.relayer.HandleSubscribe("subscriber", subscription)
+	follower.relayer.sendUpdates(time.Now())
+	at(3 * time.Second) // The update takes 1.8 s.
+	subscriber.relayer.HandleFeed("follower", follower.sent[0])
+	assertProof(700 * time.Millisecond)
+	t.Run("an update with an unknown token proves nothing", func(t *testing.T) {
+		feed := *follower.sent[0]
+		feed.Sequence, feed.Whole, feed.Token, feed.Proved = 2, false, feed.Token+1, map[string]time.Duration{prefix: time.Second}
+		subscriber.relayer.HandleFeed("follower", &feed)
+		assertProof(700 * time.Millisecond)
+	})
+	t.Run("an update after a gap proves nothing", func(t *testing.T) {
+		feed := *follower.sent[0]
+		feed.Sequence, feed.Whole, feed.Proved = 9, false, map[string]time.Duration{prefix: time.Second}
+		subscriber.relayer.HandleFeed("follower", &feed)
+		assertProof(700 * time.Millisecond)
+	})
+}
--- a/internal/external/storer/result.go
+++ b/internal/external/storer/result.go
@@ -25,3 +25,9 @@
 	// Revision is the revision of the key's last change. It is never reused, even after the key is deleted.
 	Revision int64
 }
+
+// A Change is a key that was written, or deleted if Deleted is set. Its Revision is that of the change.
+type Change struct {
+	Entry
+	Deleted bool
+}
