test: facts that daemons learn late because answers to watches are lost

The stand-in for a connection to the store loses the answer to a watch, stays open and silent, and answers all else, as the platform's page says of lost answers.

--- a/internal/edge/launcher/outage_store_test.go
+++ b/internal/edge/launcher/outage_store_test.go
@@ -5,11 +5,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"samphirewharf/internal/edge/follower"
 	"samphirewharf/internal/external/storer"
 )
 
@@ -46,6 +48,8 @@
 	unserved map[string]bool
 	// readsAlone reports whether writes and leases are served nevertheless.
 	readsAlone bool
+	// losses is how many of the next answers to watches are lost, by daemon.
+	losses map[string]int
 }
 
 func newOutageStore() *outageStore {
@@ -92,6 +96,40 @@
 	s.signal()
 }
 
+// remove removes a key.
+func (s *outageStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.items, key)
+	s.history = append(s.history, storer.Change{Entry: storer.Entry{Key: key, Revision: s.revision}, Deleted: true})
+	s.signal()
+}
+
+// loseWatches has the next answers to watches of some daemons lost, n for each prefix of each of them, or all for n 0.
+func (s *outageStore) loseWatches(daemons []string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.losses = make(map[string]int)
+	for _, daemon := range daemons {
+		for _, prefix := range []string{"servers/", "config/", follower.SharedPrefix} {
+			s.losses[daemon+" "+prefix] = cmp.Or(n, math.MaxInt)
+		}
+	}
+}
+
+// loses reports whether an answer to a watch is lost.
+func (s *outageStore) loses(daemon, prefix string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := daemon + " " + prefix
+	lost := s.losses[key] > 0
+	if lost {
+		s.losses[key]--
+	}
+	return lost
+}
+
 // expireLeases removes the keys whose leases have expired.
 func (s *outageStore) expireLeases() {
 	s.mu.Lock()
@@ -247,6 +285,9 @@
 			return nil, from, errTimeout
 		case unserved:
 			return nil, from, errRefused
+		case (len(changes) > 0 || ended) && v.store.loses(v.daemon, prefix):
+			<-ctx.Done()
+			return nil, from, errTimeout
 		case len(changes) > 0 || ended:
 			return changes, next, nil
 		}
--- a/internal/edge/launcher/outage_test.go
+++ b/internal/edge/launcher/outage_test.go
@@ -51,6 +51,8 @@
 	readsAlone bool
 	// limit is the longest time for which a version may be missing at a daemon.
 	limit time.Duration
+	// facts measures when daemons know what, nil for versions only.
+	facts *factMeter
 }
 
 // An outageFleet runs daemons with the launcher's own relays, watches and monitors of the store in the time of a test bubble.
@@ -96,7 +98,7 @@
 		}
 	}
 	for i := range o.daemons {
-		d := f.newDaemon(i)
+		d := f.newDaemon(i, o.facts)
 		if o.slowLinks {
 			d.peers.Transport = newSlowLink(f)
 			d.send = func(ctx context.Context, address string, m messenger.Message) error {
@@ -118,7 +120,7 @@
 	return f
 }
 
-func (f *outageFleet) newDaemon(i int) *Daemon {
+func (f *outageFleet) newDaemon(i int, facts *factMeter) *Daemon {
 	record := outageRecord(i)
 	view := &storeView{store: f.store, daemon: record.Name}
 	d := &Daemon{
@@ -163,6 +165,9 @@
 			return view.poll(ctx, prefix, from, wait)
 		},
 	}
+	if facts != nil {
+		d.logger, d.platform.Entries.DecodeServer = facts.logger(record.Name), decodeTestServer
+	}
 	d.clock = func() (time.Duration, error) { return time.Since(f.begun), nil }
 	d.send = func(_ context.Context, address string, m messenger.Message) error { f.send(address, m); return nil }
 	d.ctx, d.cancel = context.WithCancel(context.Background())
@@ -214,12 +219,18 @@
 	}
 }
 
-// unserved chooses the daemons that get no answers.
-func (f *outageFleet) unserved(o outage) []string {
+// records returns the daemons' records.
+func (f *outageFleet) records() []conductor.Daemon {
 	var records []conductor.Daemon
 	for _, d := range f.daemons {
 		records = append(records, d.settings.Conductor.Self)
 	}
+	return records
+}
+
+// unserved chooses the daemons that get no answers.
+func (f *outageFleet) unserved(o outage) []string {
+	records := f.records()
 	if o.followersAlone {
 		return conductor.Followers(records)
 	}
@@ -293,8 +304,8 @@
 
 // play plays an outage and returns the meter of the versions.
 func (f *outageFleet) play(o outage) *delayMeter {
-	ctx, cancel := context.WithCancel(context.Background())
-	go f.run(ctx)
+	stop := f.start()
+	defer stop()
 	meter := &delayMeter{fleet: f, reached: make([]int64, len(f.daemons)), limit: o.limit}
 	time.Sleep(outageSettleTime + time.Duration(f.choices.Int64N(int64(time.Second))))
 	f.store.setUnserved(f.unserved(o), o.silent)
@@ -318,14 +329,22 @@
 			meter.count(i, version+1)
 		}
 	}
-	cancel()
-	for _, d := range f.daemons {
-		d.cancel()
-	}
-	time.Sleep(storeWatchTimeout)
 	return meter
 }
 
+// start starts the daemons. The returned function stops them and waits for the end of their calls.
+func (f *outageFleet) start() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go f.run(ctx)
+	return func() {
+		cancel()
+		for _, d := range f.daemons {
+			d.cancel()
+		}
+		time.Sleep(storeWatchTimeout)
+	}
+}
+
 func assertVersionsInTime(t *testing.T, o outage) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
