fix: a view of the store has an age, and is read anew before that passes its bound

Cause: a fact without an age. A daemon took its view for up to date while the store answered any of its calls, such as the renewal of its lease; a watch that heard nothing showed only at its time-out, 4 to 10 s later. Its subscribers believed it. Ruled out by the logs of: requests that wait on their way (the decision is by the old view each time).

Now each view has a bound, drain-ms, config-apply-ms or lease-ms, and a proof as of when it is complete, from whichever source. Calls of a watch end well within the bound. A daemon whose view nobody has proved for half of it (12/16 for one that has an upstream) reads what has changed over a new connection, and lists if that isn't answered.

TestReadsBesideSilentConnections holds the store's client.

--- a/internal/edge/follower/follower.go
+++ b/internal/edge/follower/follower.go
@@ -17,9 +17,10 @@
 	// initialBackoff is the delay after the first failure in a row. It doubles with each further one, up to maxBackoff.
 	initialBackoff = 100 * time.Millisecond
 	maxBackoff     = 600 * time.Millisecond
-	// pollWait is how long a call of a watch waits for changes. A longer wait saves calls, each of which has a price, but two of them
-	// have to fit in the time for which the store keeps changes.
-	pollWait = 8 * time.Second
+	// maxPollWait bounds how long a call of a watch waits for changes: two of them have to fit in the time for which the store keeps
+	// changes. minPollTime is the least time between two calls without changes.
+	maxPollWait = 8 * time.Second
+	minPollTime = 50 * time.Millisecond
 )
 
 // A Follower follows one prefix of the store. Set the fields, then call Run.
@@ -31,6 +32,8 @@
 	List func(ctx context.Context, prefix string) ([]storer.Entry, int64, storer.Result)
 	// Poll returns the changes since a revision, and the revision to continue from. If there are none, it waits for some.
 	Poll func(ctx context.Context, prefix string, from int64, wait time.Duration) ([]storer.Change, int64, error)
+	// Wait returns how long the next poll may wait.
+	Wait func() time.Duration
 	// Now returns the time for Proved, which is called with the time as of which Listed, Changed and Removed were called with all that
 	// the store had accepted.
 	Now    func() time.Duration
@@ -87,27 +90,39 @@
 func (f *Follower) watch(ctx context.Context, from int64) (int64, error) {
 	unconfirmed := from
 	for {
+		wait := min(f.Wait(), maxPollWait)
 		sentAt := f.Now()
-		changes, next, err := f.Poll(ctx, f.Prefix, from, pollWait)
+		changes, next, err := f.Poll(ctx, f.Prefix, from, wait)
 		if err != nil {
 			return from, err
 		}
 		for _, c := range changes {
 			f.report(c)
 		}
-		f.Proved(sentAt)
+		elapsed := f.Now() - sentAt
+		pause := f.BatchDelay
 		if len(changes) == 0 {
 			from, unconfirmed = unconfirmed, max(unconfirmed, next)
-			continue
+			pause = minPollTime - elapsed
+		} else {
+			from = max(from, next)
+			unconfirmed = from
 		}
-		from = max(from, next)
-		unconfirmed = from
-		if err := f.pause(ctx, f.BatchDelay); err != nil {
+		f.Proved(provedAt(sentAt, wait, elapsed, len(changes) > 0))
+		if err := f.pause(ctx, pause); err != nil {
 			return from, err
 		}
 	}
 }
 
+// provedAt returns as of when a poll proves the view. One that has waited for changes in vain was answered after that.
+func provedAt(sentAt, wait, elapsed time.Duration, changed bool) time.Duration {
+	if changed || elapsed < wait {
+		return sentAt
+	}
+	return sentAt + wait
+}
+
 func (f *Follower) report(c storer.Change) {
 	if c.Deleted {
 		f.Removed(c.Key, c.Revision)
@@ -124,6 +139,9 @@
 
 // pause waits for a time, or until the context is done.
 func (f *Follower) pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
--- a/internal/edge/follower/follower_test.go
+++ b/internal/edge/follower/follower_test.go
@@ -66,6 +66,7 @@
 	s.cancel = cancel
 	f := Follower{
 		Prefix: "p/", List: s.list, Poll: s.poll, Now: s.now,
+		Wait:    func() time.Duration { return time.Second },
 		Proved:  func(at time.Duration) { s.proved = append(s.proved, at) },
 		Listed:  func(entries []storer.Entry, _ int64) { s.record("listed " + string(rune('0'+len(entries)))) },
 		Changed: func(e storer.Entry) { s.record("changed " + e.Key) },
--- a/internal/edge/launcher/daemon.go
+++ b/internal/edge/launcher/daemon.go
@@ -20,6 +20,7 @@
 	"samphirewharf/internal/decision/verifier"
 	"samphirewharf/internal/edge/follower"
 	"samphirewharf/internal/edge/gateway"
+	"samphirewharf/internal/edge/refresher"
 	"samphirewharf/internal/edge/relayer"
 	"samphirewharf/internal/entry/acceptor"
 	"samphirewharf/internal/entry/streamer"
@@ -123,6 +124,7 @@
 		go e.run()
 	}
 	go d.relayer.Run(d.ctx)
+	go d.refresher().Run(d.ctx)
 	d.driver.Post(conductor.Ticked{})
 }
 
@@ -146,7 +148,12 @@
 	d.platform.SetOnRestored(d.storeRestored)
 	d.relayer = relayer.New(s.Self.Instance, d.handlers())
 	d.relayer.Send, d.relayer.Message, d.relayer.StoreReachable = d.sendUpdate, d.newMessage, d.storeReachable
-	d.relayer.Clock = d.now
+	d.relayer.Clock, d.relayer.StoreState = d.now, d.storeState
+	d.relayer.SetMaxAges(map[string]time.Duration{
+		d.platform.Entries.ConfigurationPrefix: d.settings.ConfigurationMaxAge,
+		d.platform.Entries.ServersPrefix:       d.settings.ServersMaxAge,
+		follower.SharedPrefix:                  s.TakeoverDelay,
+	})
 	d.relayer.OnFleet, d.relayer.OnFeed, d.relayer.OnListed, d.relayer.Logger = d.fleetReceived, d.updateReceived, d.storeListed, d.logger
 	d.machine = conductor.New(*s)
 	d.driver = driver.Driver[conductor.Event, conductor.Effect]{
@@ -203,6 +210,10 @@
 	return proof, proof.Age(d.now())
 }
 
+func (d *Daemon) refresher() *refresher.Refresher {
+	return &refresher.Refresher{Views: d.relayer, Read: d.platform.Store.Read, List: d.platform.Store.ListAnew, Now: d.now}
+}
+
 // peerHandler returns the handler for other daemons' messages and for metrics.
 func (d *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -229,6 +240,11 @@
 
 func (d *Daemon) storeReachable() bool { return d.storeMonitor.health.reachable(time.Now()) }
 
+func (d *Daemon) storeState() verifier.Store {
+	now := time.Now()
+	return verifier.Store{Lost: !d.storeMonitor.health.reachable(now), Silent: !d.storeMonitor.health.answers(now)}
+}
+
 // storeRestored records that the store was restored from a copy, which lacks its last changes.
 func (d *Daemon) storeRestored(epoch int64) {
 	d.storeEpoch.Store(epoch)
@@ -318,7 +334,8 @@
 		wrapped := d.relayer.Wrap(h)
 		f := &follower.Follower{
 			Prefix: h.Prefix, BatchDelay: watchBatchDelay, List: d.platform.Store.List, Poll: d.platform.Store.Poll,
-			Now: d.now, Proved: func(at time.Duration) { d.relayer.Proved(h.Prefix, at) },
+			Wait: func() time.Duration { return d.relayer.Wait(h.Prefix) },
+			Now:  d.now, Proved: func(at time.Duration) { d.relayer.Proved(h.Prefix, at) },
 			Listed: wrapped.Listed, Changed: wrapped.Changed, Removed: wrapped.Removed, Logger: d.logger,
 		}
 		if h.Prefix == d.platform.Entries.ServersPrefix {
--- a/internal/edge/launcher/dependencies.go
+++ b/internal/edge/launcher/dependencies.go
@@ -26,6 +26,9 @@
 	CompareAndSwap func(ctx context.Context, key string, value []byte, revision, leaseID int64) (int64, storer.Result)
 	// Poll returns the changes since a revision, and the revision to continue from. If there are none, it waits for some.
 	Poll func(ctx context.Context, prefix string, from int64, wait time.Duration) ([]storer.Change, int64, error)
+	// Read returns the changes since a revision, and ListAnew does what List does, each over a new connection.
+	Read     func(ctx context.Context, prefix string, from int64) ([]storer.Change, error)
+	ListAnew func(ctx context.Context, prefix string) ([]storer.Entry, int64, storer.Result)
 }
 
 // Engines holds the calls to model engines.
@@ -73,6 +76,10 @@
 	DirectoryAddress string
 	// MaxDescriptors bounds the open files and sockets of the process.
 	MaxDescriptors int
+	// ServersMaxAge and ConfigurationMaxAge are how long after the store has accepted a change of a server's entry, or of the
+	// configuration, a daemon may act on the one before; zero means verifier.DefaultMaxAge.
+	ServersMaxAge       time.Duration
+	ConfigurationMaxAge time.Duration
 	// DroppedLines returns the number of dropped log lines, for the metrics. It may be nil.
 	DroppedLines func() uint64
 	// Conductor are the conductor's settings. The launcher sets the fields that identify the process.
--- a/internal/edge/launcher/reach.go
+++ b/internal/edge/launcher/reach.go
@@ -76,3 +76,10 @@
 	defer s.mu.Unlock()
 	return !s.lost && now.Sub(s.answeredAt) <= reachableTTL
 }
+
+// answers reports whether the store has answered any call within reachableTTL.
+func (s *storeHealth) answers(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.answeredAt) <= reachableTTL
+}
--- a/internal/edge/relayer/relayer.go
+++ b/internal/edge/relayer/relayer.go
@@ -43,8 +43,9 @@
 	Send func(address string, message messenger.Message) error
 	// Message returns an empty message of this daemon.
 	Message func() messenger.Message
-	// StoreReachable reports whether the store answers this daemon.
+	// StoreReachable reports whether the store answers this daemon, StoreState tells more of it.
 	StoreReachable func() bool
+	StoreState     func() verifier.Store
 	// Clock returns the time, which goes on while the host is suspended.
 	Clock func() time.Duration
 	// OnFleet is called with the leader's message in an update.
@@ -78,8 +79,12 @@
 	relaying  bool
 	followers []string
 
-	// verifier holds as of when the views are known to hold all that the store had accepted.
-	verifier verifier.Verifier
+	// verifier holds as of when the views are known to hold all that the store had accepted, revisions up to which revision they do.
+	// changedProofs is closed and replaced when that has changed.
+	verifier      verifier.Verifier
+	revisions     map[string]int64
+	changedProofs chan struct{}
+	wokenReads    chan struct{}
 
 	wake chan struct{}
 	// compressor is used only by sendUpdates.
@@ -99,6 +104,7 @@
 func New(stream string, handlers []Handler) *Relayer {
 	r := &Relayer{
 		handlers: handlers, stream: stream, prefixes: make(map[string]*prefixState), wake: make(chan struct{}, 1),
+		revisions: make(map[string]int64), changedProofs: make(chan struct{}), wokenReads: make(chan struct{}, 1),
 	}
 	r.verifier.LastToken = xxhash.Sum64String(stream)
 	for _, h := range handlers {
@@ -110,6 +116,7 @@
 // Wrap returns a handler for entries that this daemon reads from the store itself. It relays them to the subscribers
 // besides calling h.
 func (r *Relayer) Wrap(h Handler) Handler {
+	h = r.noteRevisions(h)
 	return Handler{
 		Prefix: h.Prefix,
 		Listed: func(entries []storer.Entry, revision int64) {
@@ -131,6 +138,7 @@
 func (r *Relayer) Follow(on bool) {
 	r.mu.Lock()
 	r.following, r.recordedStream = on, ""
+	r.verifier.SetWatching(on)
 	for _, s := range r.prefixes {
 		s.current = false
 		if !on {
@@ -509,11 +517,13 @@
 }
 
 // upToDate reports whether this daemon is up to date by its own watches.
-func (r *Relayer) upToDate() bool { return r.allCurrent() && r.StoreReachable() }
+func (r *Relayer) upToDate() bool {
+	return r.allCurrent() && r.StoreReachable() && r.verifier.AllTrusted(r.Clock())
+}
 
 // relaysTo reports whether the updates that the upstream sends keep a subscriber up to date as well.
 func (r *Relayer) relaysTo(address string) bool {
-	return r.relaying && r.recordedStream != "" && !slices.Contains(r.followers, address)
+	return r.relaying && r.recordedStream != "" && r.verifier.AllTrusted(r.Clock()) && !slices.Contains(r.followers, address)
 }
 
 // views returns changes by prefix.
@@ -558,6 +568,7 @@
 				entries = append(entries, storer.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision})
 			}
 			h.Listed(entries, view.Revision)
+			r.noteRevision(view.Prefix, view.Revision)
 			return
 		}
 		for _, e := range view.Entries {
@@ -567,5 +578,6 @@
 				h.Changed(storer.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision})
 			}
 		}
+		r.noteRevision(view.Prefix, view.Revision)
 	}
 }
--- a/internal/edge/relayer/relayer_test.go
+++ b/internal/edge/relayer/relayer_test.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 
 	"samphirewharf/internal/decision/feeder"
+	"samphirewharf/internal/decision/verifier"
 	"samphirewharf/internal/external/storer"
 	"samphirewharf/internal/fleet/registrar"
 	"samphirewharf/internal/fleet/sequencer"
@@ -38,6 +39,7 @@
 	}
 	s.relayer.Message = func() messenger.Message { return messenger.Message{From: stream} }
 	s.relayer.StoreReachable = func() bool { return s.storeReachable }
+	s.relayer.StoreState = func() verifier.Store { return verifier.Store{Lost: !s.storeReachable} }
 	s.relayer.Clock = func() time.Duration { return s.clock }
 	s.relayer.OnFeed = func(_ string, fresh bool) { s.freshFlags = append(s.freshFlags, fresh) }
 	s.relayer.OnFleet = func(_ string, f *messenger.Fleet) { s.calls = append(s.calls, fmt.Sprintf("fleet %d", f.Sequence)) }
