fix: an upstream proves only what it relays

The upstream no longer watched the store: it was kept up to date by another daemon, sent updates without entries, and said as of when its own view was proved.

Proofs are kept for the entries that are relayed, apart from those of the daemon's own view, end with them, and go with updates after which the subscriber has all of them. A subtest of TestProofsTravel failed before.

--- a/internal/decision/feeder/feeder.go
+++ b/internal/decision/feeder/feeder.go
@@ -52,6 +52,8 @@
 	// Snapshot reports whether it holds all entries. Otherwise it holds the changes, the newest for each key.
 	Snapshot bool
 	Changes  []Change
+	// Complete reports whether the subscriber, once it has the update, has all that the daemon relays.
+	Complete bool
 	// First is the number of the first change, which is the same for updates with the same changes.
 	First    int
 	Fleet    *messenger.Fleet
@@ -196,7 +198,7 @@
 		if wantsSnapshot && snapshots >= maxSnapshots {
 			continue
 		}
-		u := Update{Address: s.address, Fresh: isFresh, Snapshot: wantsSnapshot, First: s.next, Fleet: s.fleet, Evidence: s.evidence, Subscription: s.subscription}
+		u := Update{Address: s.address, Fresh: isFresh, Snapshot: wantsSnapshot, Complete: wantsSnapshot || !s.needsSnapshot, First: s.next, Fleet: s.fleet, Evidence: s.evidence, Subscription: s.subscription}
 		if !s.needsSnapshot {
 			u.Changes = f.changesSince(s.next)
 		}
--- a/internal/decision/verifier/verifier.go
+++ b/internal/decision/verifier/verifier.go
@@ -280,12 +280,3 @@
 	}
 	return 0, false
 }
-
-// Since returns the proofs relative to the arrival of a subscription, by prefix, for the subscriber.
-func (v *Verifier) Since(receivedAt time.Duration) map[string]time.Duration {
-	times := make(map[string]time.Duration, len(v.views))
-	for prefix, w := range v.views {
-		times[prefix] = w.proof.At - receivedAt
-	}
-	return times
-}
--- a/internal/edge/relayer/proof.go
+++ b/internal/edge/relayer/proof.go
@@ -162,7 +162,7 @@
 	outcome := verifier.Answered
 	switch {
 	case err == nil:
-		r.proved(read.Prefix, sentAt, sourceRead)
+		r.proved(read.Prefix, sentAt, sourceRead, r.following)
 	case dialer.TimedOut(err):
 		outcome = verifier.Unanswered
 	default:
@@ -179,11 +179,11 @@
 func (r *Relayer) Proved(prefix string, at time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.proved(prefix, at, sourceWatch)
+	r.proved(prefix, at, sourceWatch, r.following)
 }
 
-// provedBy records what an update of the upstream, whose entries have been applied, proves.
-func (r *Relayer) provedBy(upstream string, feed *messenger.Feed) {
+// provedBy records what an update of the upstream, whose entries have been applied, proves. Recorded reports whether its entries are relayed.
+func (r *Relayer) provedBy(upstream string, feed *messenger.Feed, recorded bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	sentAt, ok := r.verifier.SubscribedAt(feed.Token)
@@ -192,14 +192,29 @@
 	}
 	for prefix, since := range feed.Proved {
 		if _, known := r.prefixes[prefix]; known {
-			r.proved(prefix, sentAt+since, upstream)
+			r.proved(prefix, sentAt+since, upstream, recorded)
 		}
 	}
 }
 
-func (r *Relayer) proved(prefix string, at time.Duration, source string) {
+// provedSince returns the proofs of what is relayed relative to the arrival of a subscription, by prefix.
+func (r *Relayer) provedSince(receivedAt time.Duration) map[string]time.Duration {
+	times := make(map[string]time.Duration, len(r.prefixes))
+	for prefix, s := range r.prefixes {
+		if s.proved {
+			times[prefix] = s.provedAt - receivedAt
+		}
+	}
+	return times
+}
+
+func (r *Relayer) proved(prefix string, at time.Duration, source string, relayed bool) {
 	now := r.Clock()
-	before, later := r.verifier.Proved(prefix, min(at, now), source)
+	at = min(at, now)
+	if s := r.prefixes[prefix]; relayed && s.listed && (!s.proved || at > s.provedAt) {
+		s.proved, s.provedAt = true, at
+	}
+	before, later := r.verifier.Proved(prefix, at, source)
 	if !later {
 		return
 	}
--- a/internal/edge/relayer/relayer.go
+++ b/internal/edge/relayer/relayer.go
@@ -98,6 +98,10 @@
 	current  bool
 	revision int64
 	entries  map[string]storer.Entry
+	// provedAt is as of when the entries are known to be all that the store had accepted, valid if proved. The daemon's own view may be
+	// newer, by updates of an upstream that aren't recorded here.
+	proved   bool
+	provedAt time.Duration
 }
 
 // New returns a relayer that passes received updates to the handlers. Stream identifies the process.
@@ -142,7 +146,7 @@
 	for _, s := range r.prefixes {
 		s.current = false
 		if !on {
-			s.listed = false
+			s.listed, s.proved = false, false
 			clear(s.entries)
 		}
 	}
@@ -226,7 +230,7 @@
 // subscription then asks for a snapshot. Of daemons other than the upstream, whose subscriptions may not have expired yet, it takes
 // only the leader's messages and whether they are up to date.
 func (r *Relayer) HandleFeed(from string, feed *messenger.Feed) {
-	position := r.receive(from, feed)
+	position, recorded := r.receive(from, feed)
 	if feed.Fleet != nil {
 		r.OnFleet(from, feed.Fleet)
 	}
@@ -238,7 +242,7 @@
 		for _, view := range feed.Views {
 			r.apply(view, feed.Whole)
 		}
-		r.provedBy(from, feed)
+		r.provedBy(from, feed, recorded)
 	}
 }
 
@@ -255,27 +259,27 @@
 )
 
 // receive records the position of an update of the upstream, and its entries if this daemon records them.
-func (r *Relayer) receive(from string, feed *messenger.Feed) position {
+func (r *Relayer) receive(from string, feed *messenger.Feed) (p position, recorded bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if from != r.upstream {
-		return positionForeign
+		return positionForeign, false
 	}
 	continues := feed.Stream == r.receivedStream && r.receivedSequence >= 0
 	switch {
 	case feed.Damaged:
 		r.Logger.Error().Str("From", from).Msg("views can't be read")
 		r.receivedStream, r.receivedSequence, r.recordedStream = "", 0, ""
-		return positionGap
+		return positionGap, false
 	case feed.Whole || continues && feed.Sequence == r.receivedSequence+1:
 	case continues && feed.Sequence <= r.receivedSequence:
-		return positionPast
+		return positionPast, false
 	default:
 		if continues {
 			r.receivedStream, r.receivedSequence = "", 0
 		}
 		r.recordedStream = ""
-		return positionGap
+		return positionGap, false
 	}
 	r.receivedStream, r.receivedSequence = feed.Stream, feed.Sequence
 	switch {
@@ -289,7 +293,7 @@
 			r.recordChanges(view)
 		}
 	}
-	return positionNext
+	return positionNext, r.following && r.recordedStream == feed.Stream
 }
 
 // Run sends updates to the subscribers until the context is done.
@@ -441,8 +445,8 @@
 	messages := make([]messenger.Message, len(updates))
 	for i, u := range updates {
 		feed := &messenger.Feed{Stream: r.stream, Sequence: u.Sequence, Fresh: u.Fresh, Whole: u.Snapshot, Fleet: u.Fleet, Evidence: u.Evidence}
-		if u.Subscription.Token != 0 {
-			feed.Token, feed.Proved = u.Subscription.Token, r.verifier.Since(u.Subscription.ReceivedAt)
+		if u.Subscription.Token != 0 && u.Complete {
+			feed.Token, feed.Proved = u.Subscription.Token, r.provedSince(u.Subscription.ReceivedAt)
 		}
 		if u.Snapshot {
 			if snapshot == nil {
--- a/internal/edge/relayer/relayer_test.go
+++ b/internal/edge/relayer/relayer_test.go
@@ -269,6 +269,7 @@
 		}
 	}
 	at(time.Second)
+	follower.relayer.Follow(true)
 	wrapped.Listed(nil, 7)
 	follower.relayer.Proved(prefix, follower.clock-100*time.Millisecond)
 	subscription := subscriber.relayer.Subscription("follower")
@@ -278,9 +279,26 @@
 	at(3 * time.Second) // The update takes 1.8 s.
 	subscriber.relayer.HandleFeed("follower", follower.sent[0])
 	assertProof(700 * time.Millisecond)
+	t.Run("a daemon that no longer relays proves nothing", func(t *testing.T) {
+		follower.relayer.Follow(false)
+		at(4 * time.Second)
+		follower.relayer.verifier.Proved(prefix, follower.clock, "its upstream")
+		subscription := subscriber.relayer.Subscription("follower")
+		follower.relayer.HandleSubscribe("subscriber", subscription)
+		follower.relayer.Delivered("subscriber", follower.sent[0], true)
+		follower.sent = nil
+		follower.relayer.sendUpdates(time.Now().Add(feeder.HeartbeatInterval))
+		for _, feed := range follower.sent {
+			subscriber.relayer.HandleFeed("follower", feed)
+		}
+		assertProof(700 * time.Millisecond)
+		if len(follower.sent) == 0 {
+			t.Error("got no update, want one without entries")
+		}
+	})
 	t.Run("an update with an unknown token proves nothing", func(t *testing.T) {
 		feed := *follower.sent[0]
-		feed.Sequence, feed.Whole, feed.Token, feed.Proved = 2, false, feed.Token+1, map[string]time.Duration{prefix: time.Second}
+		feed.Sequence, feed.Whole, feed.Token, feed.Proved = 3, false, feed.Token+9, map[string]time.Duration{prefix: time.Second}
 		subscriber.relayer.HandleFeed("follower", &feed)
 		assertProof(700 * time.Millisecond)
 	})
