fix: a lost answer to a watch doesn't make the store count as away

A failed call now counts only if the store has answered nothing that was sent after it, and a failed watch only if the store has refused it: the daemon lists after that, and the failure of the list counts. A read of changes that ends without an answer in any way is followed by a list; one that the store refuses isn't.

--- a/internal/decision/verifier/verifier.go
+++ b/internal/decision/verifier/verifier.go
@@ -62,9 +62,10 @@
 	readSentAt       time.Duration
 	// readLost reports whether the last read of changes was not answered.
 	readLost bool
-	// failures counts the reads in a row that have failed, after which the next one is due at retryAt.
-	failures int
-	retryAt  time.Duration
+	// failures counts the reads in a row that have failed. After that the next one is due at retryAt, and the next list at listRetryAt.
+	failures    int
+	retryAt     time.Duration
+	listRetryAt time.Duration
 }
 
 // maxSubscriptions is how many subscriptions an upstream's proofs may refer to. It has received one of the latest.
@@ -218,7 +219,7 @@
 	if w.listing || !w.unanswered() || v.store.Silent {
 		return Never
 	}
-	return max(w.proof.At+v.limit(prefix, listShare), w.readSentAt+v.limit(prefix, listShare-readShare), w.retryAt)
+	return max(w.proof.At+v.limit(prefix, listShare), w.readSentAt+v.limit(prefix, listShare-readShare), w.listRetryAt)
 }
 
 // unanswered reports whether a read of changes is on its way or was not answered.
@@ -231,9 +232,9 @@
 const (
 	// Answered: the store has answered.
 	Answered Outcome = iota
-	// Refused: the call failed or was refused.
+	// Refused: the store has refused the call.
 	Refused
-	// Unanswered: there was no answer in time.
+	// Unanswered: the answer was lost, or didn't come in time.
 	Unanswered
 )
 
@@ -250,14 +251,21 @@
 	}
 	switch {
 	case o == Answered:
-		w.failures, w.retryAt, w.readLost = 0, 0, false
-	case v.store.Lost:
-		w.failures++
-		w.retryAt = now + maxRetryDelay
-	case w.proof.At <= sentAt:
-		// Otherwise the view was proved meanwhile.
-		w.retryAt = now + min(minRetryDelay<<min(w.failures, 8), maxRetryDelay)
-		w.failures++
+		w.failures, w.retryAt, w.listRetryAt, w.readLost = 0, 0, 0, false
+		return
+	case w.proof.At > sentAt && !v.store.Lost:
+		// The view was proved meanwhile.
+		return
+	}
+	retryAt := now + min(minRetryDelay<<min(w.failures, 8), maxRetryDelay)
+	if v.store.Lost {
+		retryAt = now + maxRetryDelay
+	}
+	w.failures++
+	if r.All {
+		w.listRetryAt = retryAt
+	} else {
+		w.retryAt = retryAt
 	}
 }
 
--- a/internal/decision/verifier/verifier_test.go
+++ b/internal/decision/verifier/verifier_test.go
@@ -80,6 +80,15 @@
 		}
 		assertReads(t, play(newVerifier(false), 1500*ms, lost), "read at 1200, list at 1300")
 	})
+	t.Run("reads that fail don't put the list off", func(t *testing.T) {
+		reset := func(r Read) (Outcome, time.Duration) {
+			if r.All {
+				return Answered, 10 * ms
+			}
+			return Unanswered, 10 * ms
+		}
+		assertReads(t, play(newVerifier(true), 1300*ms, reset), "read at 800, read at 1060, list at 1300")
+	})
 	t.Run("a refused read is tried again with backoff", func(t *testing.T) {
 		assertReads(t, play(newVerifier(false), 4*time.Second, always(Refused, 10*ms)), "read at 1200, read at 1460, read at 1970, read at 2980, read at 3990")
 	})
--- a/internal/edge/launcher/dependencies.go
+++ b/internal/edge/launcher/dependencies.go
@@ -55,8 +55,8 @@
 	Engines    Engines
 	Entries    Entries
 	Translator gateway.Translator
-	// SetObserver registers a function that is called after each call to the store. The error is nil if the store answered.
-	SetObserver func(observer func(call string, err error))
+	// SetObserver registers a function that is called after each call to the store.
+	SetObserver func(observer func(StoreCall))
 	// SetOnRestored registers a function that is called when the store was restored from a copy, which is the store's next
 	// epoch.
 	SetOnRestored func(onRestored func(epoch int64))
--- a/internal/edge/launcher/lost_watch_test.go
+++ b/internal/edge/launcher/lost_watch_test.go
@@ -173,11 +173,17 @@
 	if l.followers != 0 {
 		losers = losers[:max(l.followers, 0)]
 	}
+	versions := &delayMeter{fleet: f, reached: make([]int64, l.daemons), limit: l.limit, anyAnswer: true}
 	for round := range lossRounds {
 		f.store.loseWatches(losers, l.answers)
 		f.change(&meter, round)
-		time.Sleep(l.limit + time.Duration(round)*300*time.Millisecond)
+		versions.acked = append(versions.acked, time.Now())
+		for range (l.limit + time.Duration(round)*300*time.Millisecond) / (10 * time.Millisecond) {
+			time.Sleep(10 * time.Millisecond)
+			versions.observe()
+		}
 	}
 	time.Sleep(l.limit)
 	meter.assertInTime(t, l.daemons, l.limit)
+	versions.assertProofsFounded(t)
 }
--- a/internal/edge/launcher/outage_store_test.go
+++ b/internal/edge/launcher/outage_store_test.go
@@ -25,7 +25,7 @@
 )
 
 var (
-	errRefused = errors.New("status 503")
+	errRefused = fmt.Errorf("status 503: %w", storer.ErrRefused)
 	errTimeout = fmt.Errorf("no answer in time: %w", context.DeadlineExceeded)
 )
 
@@ -149,14 +149,15 @@
 type storeView struct {
 	store   *outageStore
 	daemon  string
-	observe func(call string, err error)
+	observe func(StoreCall)
 }
 
 // call waits as a call does and has it carried out if the store answers the daemon.
 func (v storeView) call(ctx context.Context, name string, timeout time.Duration, do func()) error {
+	sentAt := time.Now()
 	err := v.try(ctx, name, timeout, do)
 	if ctx.Err() == nil {
-		v.observe(name, err)
+		v.observe(StoreCall{Name: name, SentAt: sentAt, Err: err})
 	}
 	return err
 }
@@ -256,9 +257,10 @@
 // poll waits for changes as one call of a watch does. The call ends with an error if the store begins to refuse the daemon, and has no
 // answer once it has become silent for it.
 func (v storeView) poll(ctx context.Context, prefix string, from int64, wait, timeout time.Duration) ([]storer.Change, int64, error) {
+	sentAt := time.Now()
 	changes, next, err := v.await(ctx, prefix, from, wait, timeout)
 	if ctx.Err() == nil {
-		v.observe("kv-watch", err)
+		v.observe(StoreCall{Name: "kv-watch", Watch: true, SentAt: sentAt, Err: err})
 	}
 	return changes, next, err
 }
--- a/internal/edge/launcher/outage_test.go
+++ b/internal/edge/launcher/outage_test.go
@@ -31,7 +31,8 @@
 	// deployments.
 	maxConfigurationDelay      = 3 * time.Second
 	maxSmallConfigurationDelay = 2 * time.Second
-	configurationKey           = "config/current"
+	configurationPrefix        = "config/"
+	configurationKey           = configurationPrefix + "current"
 )
 
 // An outage describes what the store does to a fleet.
@@ -136,13 +137,13 @@
 		},
 		platform: Platform{
 			Entries: Entries{
-				ServersPrefix: "servers/", ConfigurationPrefix: "config/", ConfigurationKey: configurationKey, DecodeConfiguration: decodeVersion,
+				ServersPrefix: "servers/", ConfigurationPrefix: configurationPrefix, ConfigurationKey: configurationKey, DecodeConfiguration: decodeVersion,
 				DecodeServer: func(string, []byte, int64) (registrar.Entry, error) {
 					return registrar.Entry{}, errors.New("no servers")
 				},
 				ServerID: func(key string) string { return key },
 			},
-			SetObserver:   func(observer func(string, error)) { view.observe = observer },
+			SetObserver:   func(observer func(StoreCall)) { view.observe = observer },
 			SetOnRestored: func(func(int64)) {},
 		},
 		logger: discardLogger(), exited: make(chan struct{}),
@@ -282,6 +283,8 @@
 	limit   time.Duration
 	late    int
 	worstAt string
+	// unfounded counts the proofs of daemons that lack a version which the store had accepted by then.
+	unfounded int
 }
 
 // observe looks at what the daemons have.
@@ -294,6 +297,10 @@
 				m.count(i, m.reached[i])
 			}
 		}
+		proof := d.relayer.Proof(configurationPrefix)
+		if next := int(m.reached[i]) - 1; m.reached[i] > 0 && next < len(m.acked) && proof.At > m.acked[next].Sub(m.fleet.begun) {
+			m.unfounded++
+		}
 	}
 }
 
@@ -312,6 +319,14 @@
 	}
 }
 
+// assertProofsFounded checks that no daemon had proof of a time by which the store had accepted a version that it lacked.
+func (m *delayMeter) assertProofsFounded(t *testing.T) {
+	t.Helper()
+	if m.unfounded > 0 {
+		t.Errorf("got daemons %d times that lacked a version and had proof of a later time, want none", m.unfounded)
+	}
+}
+
 // play plays an outage and returns the meter of the versions.
 func (f *outageFleet) play(o outage) *delayMeter {
 	stop := f.start()
@@ -363,6 +378,7 @@
 		f.mu.Lock()
 		t.Logf("longest delay %v at %s, %d snapshots", meter.worst, meter.worstAt, f.snapshots)
 		f.mu.Unlock()
+		meter.assertProofsFounded(t)
 		if meter.worst > o.limit {
 			t.Errorf("got %d versions later than %v, the latest after %v at %s, want none", meter.late, o.limit, meter.worst, meter.worstAt)
 		}
--- a/internal/edge/launcher/reach.go
+++ b/internal/edge/launcher/reach.go
@@ -1,10 +1,12 @@
 package launcher
 
 import (
+	"errors"
 	"sync"
 	"time"
 
 	"samphirewharf/internal/decision/conductor"
+	"samphirewharf/internal/external/storer"
 )
 
 const (
@@ -21,6 +23,20 @@
 	reachableTTL = time.Second
 )
 
+// A StoreCall is a call to the store that has ended.
+type StoreCall struct {
+	Name string
+	// Watch reports whether it is a call of a watch.
+	Watch  bool
+	SentAt time.Time
+	// Err is nil if the store has answered.
+	Err error
+}
+
+// answerLost reports whether only the answer to a call of a watch may be lost, which says nothing of other calls. After a failed watch
+// the daemon lists the entries.
+func (c StoreCall) answerLost() bool { return c.Watch && !errors.Is(c.Err, storer.ErrRefused) }
+
 // A storeMonitor posts an event when the store is lost or reached again, according to the outcomes of calls.
 type storeMonitor struct {
 	post   func(conductor.Event)
@@ -30,44 +46,78 @@
 
 // A storeHealth tracks consecutive failures of calls to the store. The zero value is ready to use.
 type storeHealth struct {
-	mu             sync.Mutex
-	failures       int
-	firstFailureAt time.Time
+	mu    sync.Mutex
+	calls streak
 	// answeredAt is when the last call was answered.
 	answeredAt time.Time
 	lost       bool
 }
 
+// A streak is a number of failures in a row.
+type streak struct {
+	failures       int
+	firstFailureAt time.Time
+	// answeredSentAt is when the latest call that was answered had been sent.
+	answeredSentAt time.Time
+}
+
+func (s *streak) answered(sentAt time.Time) {
+	s.failures = 0
+	if sentAt.After(s.answeredSentAt) {
+		s.answeredSentAt = sentAt
+	}
+}
+
+// failed counts a failure. One of a call that was sent before another one that was answered shows that an answer was lost, not the store.
+func (s *streak) failed(sentAt, now time.Time) (counted bool) {
+	if !sentAt.After(s.answeredSentAt) {
+		return false
+	}
+	s.failures++
+	if s.failures == 1 {
+		s.firstFailureAt = now
+	}
+	return true
+}
+
+func (s *streak) repeated(now time.Time) bool {
+	return s.failures >= failuresUntilLost && now.Sub(s.firstFailureAt) >= minFailureSpan
+}
+
 // observe handles the outcome of one call.
-func (m *storeMonitor) observe(call string, err error) {
-	m.count(call, err)
-	if event := m.health.record(err, time.Now()); event != nil {
+func (m *storeMonitor) observe(c StoreCall) {
+	m.count(c.Name, c.Err)
+	if event := m.health.record(c, time.Now()); event != nil {
 		m.post(event)
 	}
 }
 
 // record records the outcome of a call and returns the resulting event, nil if there is none.
-func (s *storeHealth) record(err error, now time.Time) conductor.Event {
+func (s *storeHealth) record(c StoreCall, now time.Time) conductor.Event {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil {
-		wasLost := s.lost
-		s.failures, s.lost, s.answeredAt = 0, false, now
-		if wasLost {
-			return conductor.StoreReached{}
-		}
-		return nil
+	if c.Err == nil {
+		return s.recordAnswer(c, now)
 	}
-	s.failures++
-	if s.failures == 1 {
-		s.firstFailureAt = now
+	failed := c.SentAt.After(s.calls.answeredSentAt) && now.Sub(s.answeredAt) >= maxSilence
+	if !c.answerLost() && s.calls.failed(c.SentAt, now) {
+		failed = failed || s.calls.repeated(now)
 	}
-	repeated := s.failures >= failuresUntilLost && now.Sub(s.firstFailureAt) >= minFailureSpan
-	if s.lost || !repeated && now.Sub(s.answeredAt) < maxSilence {
+	if s.lost || !failed {
 		return nil
 	}
 	s.lost = true
-	return conductor.StoreLost{Reason: err.Error()}
+	return conductor.StoreLost{Reason: c.Err.Error()}
+}
+
+func (s *storeHealth) recordAnswer(c StoreCall, now time.Time) conductor.Event {
+	s.calls.answered(c.SentAt)
+	s.answeredAt = now
+	if !s.lost {
+		return nil
+	}
+	s.lost = false
+	return conductor.StoreReached{}
 }
 
 // reachable reports whether the store is not lost and has answered within reachableTTL.
--- a/internal/edge/launcher/reach_test.go
+++ b/internal/edge/launcher/reach_test.go
@@ -23,26 +23,34 @@
 	lost := conductor.StoreLost{Reason: errConnectionReset.Error()}
 	newHealth := func() *storeHealth {
 		s := &storeHealth{}
-		assertEvent(t, s.record(nil, start), nil)
+		assertEvent(t, s.record(StoreCall{SentAt: start, Err: nil}, start), nil)
 		return s
 	}
 	t.Run("calls that fail together are no loss", func(t *testing.T) {
 		s := newHealth()
 		for range 3 {
-			assertEvent(t, s.record(errConnectionReset, at(10*time.Millisecond)), nil)
+			assertEvent(t, s.record(StoreCall{SentAt: at(10 * time.Millisecond), Err: errConnectionReset}, at(10*time.Millisecond)), nil)
 		}
-		assertEvent(t, s.record(nil, at(20*time.Millisecond)), nil)
+		assertEvent(t, s.record(StoreCall{SentAt: at(20 * time.Millisecond), Err: nil}, at(20*time.Millisecond)), nil)
 	})
 	t.Run("consecutive failures are a loss", func(t *testing.T) {
 		s := newHealth()
-		assertEvent(t, s.record(errConnectionReset, at(10*time.Millisecond)), nil)
-		assertEvent(t, s.record(errConnectionReset, at(100*time.Millisecond)), lost)
-		assertEvent(t, s.record(errConnectionReset, at(200*time.Millisecond)), nil)
-		assertEvent(t, s.record(nil, at(300*time.Millisecond)), conductor.StoreReached{})
+		assertEvent(t, s.record(StoreCall{SentAt: at(10 * time.Millisecond), Err: errConnectionReset}, at(10*time.Millisecond)), nil)
+		assertEvent(t, s.record(StoreCall{SentAt: at(100 * time.Millisecond), Err: errConnectionReset}, at(100*time.Millisecond)), lost)
+		assertEvent(t, s.record(StoreCall{SentAt: at(200 * time.Millisecond), Err: errConnectionReset}, at(200*time.Millisecond)), nil)
+		assertEvent(t, s.record(StoreCall{SentAt: at(300 * time.Millisecond), Err: nil}, at(300*time.Millisecond)), conductor.StoreReached{})
 	})
 	t.Run("a single failure after a silence is a loss", func(t *testing.T) {
 		s := newHealth()
-		assertEvent(t, s.record(errConnectionReset, at(time.Second)), lost)
+		assertEvent(t, s.record(StoreCall{SentAt: at(time.Second), Err: errConnectionReset}, at(time.Second)), lost)
+	})
+	t.Run("a lost answer is no loss if later calls are answered", func(t *testing.T) {
+		s := newHealth()
+		assertEvent(t, s.record(StoreCall{SentAt: at(500 * time.Millisecond)}, at(510*time.Millisecond)), nil)
+		for i := range time.Duration(3) {
+			lostAnswer := StoreCall{Watch: true, SentAt: at(100 * time.Millisecond), Err: errConnectionReset}
+			assertEvent(t, s.record(lostAnswer, at(2*time.Second+i*100*time.Millisecond)), nil)
+		}
 	})
 	t.Run("the store isn't reachable without recent answers, even if no call has failed", func(t *testing.T) {
 		s := newHealth()
--- a/internal/edge/refresher/refresher.go
+++ b/internal/edge/refresher/refresher.go
@@ -81,8 +81,12 @@
 	sentAt := c.refresher.Now()
 	entries, revision, result := c.refresher.List(ctx, c.read.Prefix)
 	var err error
-	if result != storer.ResultOK {
-		err = fmt.Errorf("%w: result %d", errNotListed, result)
+	switch result {
+	case storer.ResultOK:
+	case storer.ResultNotSent:
+		err = fmt.Errorf("list: %w", storer.ErrRefused)
+	default:
+		err = errNotListed
 	}
 	c.refresher.Views.EntriesRead(c.read, sentAt, entries, revision, err)
 }
--- a/internal/edge/relayer/proof.go
+++ b/internal/edge/relayer/proof.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"samphirewharf/internal/decision/verifier"
 	"samphirewharf/internal/external/storer"
-	"samphirewharf/internal/network/dialer"
 	"samphirewharf/internal/peer/messenger"
 )
 
@@ -163,10 +163,10 @@
 	switch {
 	case err == nil:
 		r.proved(read.Prefix, sentAt, sourceRead, r.following)
-	case dialer.TimedOut(err):
-		outcome = verifier.Unanswered
-	default:
+	case errors.Is(err, storer.ErrRefused):
 		outcome = verifier.Refused
+	default:
+		outcome = verifier.Unanswered
 	}
 	if err != nil {
 		r.Logger.Info().Err(err).Str("Prefix", read.Prefix).Msg("store didn't prove the view")
--- a/internal/external/storer/result.go
+++ b/internal/external/storer/result.go
@@ -1,6 +1,8 @@
 // Package storer is a client of the platform's key-value service, which implements the JSON form of the etcd v3 API.
 package storer
 
+import "errors"
+
 // A Result is the outcome of a call to the key-value service, as far as it is known.
 type Result uint8
 
@@ -26,6 +28,9 @@
 	Revision int64
 }
 
+// ErrRefused is wrapped by the errors of calls that the service has refused, as it is unavailable or overloaded.
+var ErrRefused = errors.New("refused")
+
 // A Change is a key that was written, or deleted if Deleted is set. Its Revision is that of the change.
 type Change struct {
 	Entry
