--- a/internal/edge/launcher/outage_store_test.go
+++ b/internal/edge/launcher/outage_store_test.go
@@ -157,7 +157,7 @@
 	sentAt := time.Now()
 	err := v.try(ctx, name, timeout, do)
 	if ctx.Err() == nil {
-		v.observe(StoreCall{Name: name, SentAt: sentAt, Err: err})
+		v.observe(StoreCall{Name: name, Read: name == "kv-range", SentAt: sentAt, Err: err})
 	}
 	return err
 }
@@ -260,7 +260,7 @@
 	sentAt := time.Now()
 	changes, next, err := v.await(ctx, prefix, from, wait, timeout)
 	if ctx.Err() == nil {
-		v.observe(StoreCall{Name: "kv-watch", Watch: true, SentAt: sentAt, Err: err})
+		v.observe(StoreCall{Name: "kv-watch", Watch: true, Read: true, SentAt: sentAt, Err: err})
 	}
 	return changes, next, err
 }
--- a/internal/edge/launcher/reach.go
+++ b/internal/edge/launcher/reach.go
@@ -26,9 +26,9 @@
 // A StoreCall is a call to the store that has ended.
 type StoreCall struct {
 	Name string
-	// Watch reports whether it is a call of a watch.
-	Watch  bool
-	SentAt time.Time
+	// Watch reports whether it is a call of a watch, Read whether it is that or a read.
+	Watch, Read bool
+	SentAt      time.Time
 	// Err is nil if the store has answered.
 	Err error
 }
@@ -46,11 +46,17 @@
 
 // A storeHealth tracks consecutive failures of calls to the store. The zero value is ready to use.
 type storeHealth struct {
-	mu    sync.Mutex
-	calls streak
-	// answeredAt is when the last call was answered.
-	answeredAt time.Time
-	lost       bool
+	mu sync.Mutex
+	// calls are all calls, reads those that bring the view up to date, which alone the store may refuse. Reads that were sent before the
+	// store was reached again don't count.
+	calls, reads streak
+	// answeredAt is when the last call was answered, otherAnsweredAt when the last one was that is no read.
+	answeredAt      time.Time
+	otherAnsweredAt time.Time
+	lost            bool
+	reachedAt       time.Time
+	// readsLost reports whether the store refuses reads while it answers other calls, so that only a read shows the end of that.
+	readsLost bool
 }
 
 // A streak is a number of failures in a row.
@@ -103,6 +109,10 @@
 	if !c.answerLost() && s.calls.failed(c.SentAt, now) {
 		failed = failed || s.calls.repeated(now)
 	}
+	if c.Read && !c.answerLost() && c.SentAt.After(s.reachedAt) && s.reads.failed(c.SentAt, now) && s.otherAnsweredAt.After(s.reads.firstFailureAt) {
+		s.readsLost = s.reads.repeated(now)
+		failed = failed || s.readsLost
+	}
 	if s.lost || !failed {
 		return nil
 	}
@@ -113,10 +123,19 @@
 func (s *storeHealth) recordAnswer(c StoreCall, now time.Time) conductor.Event {
 	s.calls.answered(c.SentAt)
 	s.answeredAt = now
-	if !s.lost {
+	if c.Read {
+		s.reads.answered(c.SentAt)
+		s.readsLost = false
+	} else {
+		s.otherAnsweredAt = now
+		// The reads that have failed may have been refused by a store that answers other calls.
+		s.readsLost = s.readsLost || s.lost && s.reads.repeated(now)
+	}
+	if !s.lost || s.readsLost {
 		return nil
 	}
-	s.lost = false
+	s.lost, s.reachedAt = false, now
+	s.reads.failures = 0
 	return conductor.StoreReached{}
 }
 
@@ -127,7 +146,7 @@
 	return !s.lost && now.Sub(s.answeredAt) <= reachableTTL
 }
 
-// answers reports whether the store has answered any call within reachableTTL.
+// answers reports whether the store has answered any call within reachableTTL, also if it refuses reads.
 func (s *storeHealth) answers(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/edge/launcher/reach_test.go
+++ b/internal/edge/launcher/reach_test.go
@@ -48,10 +48,43 @@
 		s := newHealth()
 		assertEvent(t, s.record(StoreCall{SentAt: at(500 * time.Millisecond)}, at(510*time.Millisecond)), nil)
 		for i := range time.Duration(3) {
-			lostAnswer := StoreCall{Watch: true, SentAt: at(100 * time.Millisecond), Err: errConnectionReset}
+			lostAnswer := StoreCall{Read: true, SentAt: at(100 * time.Millisecond), Err: errConnectionReset}
 			assertEvent(t, s.record(lostAnswer, at(2*time.Second+i*100*time.Millisecond)), nil)
 		}
 	})
+	t.Run("a loss that reads show ends with a read", func(t *testing.T) {
+		s := newHealth()
+		refused := func(d time.Duration) conductor.Event {
+			return s.record(StoreCall{Read: true, SentAt: at(d), Err: errConnectionReset}, at(d))
+		}
+		renewed := func(d time.Duration) conductor.Event { return s.record(StoreCall{SentAt: at(d)}, at(d)) }
+		assertEvent(t, refused(100*time.Millisecond), nil)
+		assertEvent(t, renewed(200*time.Millisecond), nil)
+		assertEvent(t, refused(300*time.Millisecond), lost)
+		assertEvent(t, renewed(400*time.Millisecond), nil)
+		if s.reachable(at(400*time.Millisecond)) || !s.answers(at(400*time.Millisecond)) {
+			t.Error("got reachable or no answers, want a lost store that answers")
+		}
+		assertEvent(t, s.record(StoreCall{Read: true, SentAt: at(500 * time.Millisecond)}, at(510*time.Millisecond)), conductor.StoreReached{})
+	})
+	t.Run("a store that answers other calls again is still lost until it answers a read", func(t *testing.T) {
+		s := newHealth()
+		for _, d := range []time.Duration{100, 200} {
+			s.record(StoreCall{Read: true, SentAt: at(d * time.Millisecond), Err: errConnectionReset}, at(d*time.Millisecond))
+		}
+		assertEvent(t, s.record(StoreCall{SentAt: at(300 * time.Millisecond)}, at(300*time.Millisecond)), nil)
+		assertEvent(t, s.record(StoreCall{Read: true, SentAt: at(400 * time.Millisecond)}, at(400*time.Millisecond)), conductor.StoreReached{})
+	})
+	t.Run("a read from before the end of an outage is no loss", func(t *testing.T) {
+		s := newHealth()
+		for _, d := range []time.Duration{100, 200} {
+			s.record(StoreCall{SentAt: at(d * time.Millisecond), Err: errConnectionReset}, at(d*time.Millisecond))
+		}
+		assertEvent(t, s.record(StoreCall{SentAt: at(300 * time.Millisecond)}, at(300*time.Millisecond)), conductor.StoreReached{})
+		for _, d := range []time.Duration{400, 500} {
+			assertEvent(t, s.record(StoreCall{Read: true, SentAt: at(250 * time.Millisecond), Err: errConnectionReset}, at(d*time.Millisecond)), nil)
+		}
+	})
 	t.Run("the store isn't reachable without recent answers, even if no call has failed", func(t *testing.T) {
 		s := newHealth()
 		if !s.reachable(at(reachableTTL)) || s.reachable(at(reachableTTL+time.Millisecond)) {
