fix: requests aren't refused for good by a configuration that may not be in force

Callers don't repeat a request after 404 or 401.

If the store doesn't prove the views, requests are served as before, but what would be refused for good gets 503 with Retry-After (5005, not run).

--- a/internal/caller/refuser/code.go
+++ b/internal/caller/refuser/code.go
@@ -52,10 +52,11 @@
 	CodeIdempotencyKeyExpired Code = 4007
 	CodeIdempotencyKeyInvalid Code = 4008
 
-	CodeNoConfiguration  Code = 5001
-	CodeStoreUnavailable Code = 5002
-	CodeVersionConflict  Code = 5003
-	CodeInvalidSettings  Code = 5004
+	CodeNoConfiguration       Code = 5001
+	CodeStoreUnavailable      Code = 5002
+	CodeVersionConflict       Code = 5003
+	CodeInvalidSettings       Code = 5004
+	CodeConfigurationUnproved Code = 5005
 )
 
 // A description is a code's row in the table in docs/RESULT-CODES.md.
@@ -110,6 +111,7 @@
 	{CodeStoreUnavailable, "StoreUnavailable", http.StatusServiceUnavailable, "The key-value service does not answer."},
 	{CodeVersionConflict, "VersionConflict", http.StatusConflict, "Another operator's change came first; the detail names its version."},
 	{CodeInvalidSettings, "InvalidSettings", http.StatusBadRequest, "A setting has a value that is not accepted."},
+	{CodeConfigurationUnproved, "ConfigurationUnproved", http.StatusServiceUnavailable, "By the configuration that the daemon knows the request would be refused for good, but the daemon can't tell whether that is still in force."},
 }
 
 // Codes returns all codes, in the order of the table in docs/RESULT-CODES.md.
--- a/internal/edge/gateway/authenticating.go
+++ b/internal/edge/gateway/authenticating.go
@@ -20,10 +20,12 @@
 
 // rejectKey refuses a request without a valid key. Another daemon that has passed it on has found the key in its own version of
 // the configuration, so it may ask a third daemon.
-func (g *Gateway) rejectKey(w *acceptor.Writer, header RequestHeader) {
+func (g *Gateway) rejectKey(w *acceptor.Writer, header RequestHeader, proved bool) {
 	if header.Forward.Get(delegatorHeader) != "" {
 		w.Header().Set(rejectedHeader, "1")
 	}
-	w.Header().Set("WWW-Authenticate", g.Translator.Challenge)
-	g.reject(w, header.ID, refuser.Refusal{Code: refuser.CodeUnauthenticated})
+	if proved {
+		w.Header().Set("WWW-Authenticate", g.Translator.Challenge)
+	}
+	g.rejectForGood(w, header, proved, refuser.Refusal{Code: refuser.CodeUnauthenticated})
 }
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -31,7 +32,7 @@
 	// larger ones at a time.
 	smallAnswerBytes = 32 << 10
 	maxSharedBuffer  = 32 << 20
-	// noConfigurationRetryDelay is the Retry-After of a daemon that has no configuration yet.
+	// noConfigurationRetryDelay is the Retry-After of a daemon that has no configuration yet, or can't tell whether it is in force.
 	noConfigurationRetryDelay = 500 * time.Millisecond
 )
 
@@ -47,6 +48,9 @@
 	Post func(conductor.Event)
 	// Configuration returns the current configuration, nil if there is none.
 	Configuration func() *matcher.Configuration
+	// AwaitProofs waits while the configuration and the servers' entries may still be proved, if they are too old to act on. It reports whether
+	// they aren't. It may be nil.
+	AwaitProofs func(ctx context.Context) bool
 	// ConfigurationProof returns as of when the configuration is known to have been the newest, and how long ago that was. It may be nil.
 	ConfigurationProof func() (p verifier.Proof, age time.Duration)
 	// Random returns a random number in the half-open interval [0, 1).
@@ -96,6 +100,7 @@
 	if header.ID != "" {
 		writer.Header().Set(g.Translator.IdentityHeader, header.ID)
 	}
+	proved := g.AwaitProofs == nil || g.AwaitProofs(r.Context())
 	configuration := g.Configuration()
 	if hasOlder(configuration, header.Forward) {
 		writer.Header().Set(rejectedHeader, "1")
@@ -109,12 +114,12 @@
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route, ok := configuration.Match(hostOf(r), path)
 	if !ok {
-		g.reject(writer, header.ID, refuser.Refusal{Code: refuser.CodeUnknownPath, Detail: "no route of " + hostOf(r) + " begins the path"})
+		g.rejectForGood(writer, header, proved, refuser.Refusal{Code: refuser.CodeUnknownPath, Detail: "no route of " + hostOf(r) + " begins the path"})
 		return
 	}
 	workspace, ok := authenticate(configuration, route, header.Key)
 	if !ok {
-		g.rejectKey(writer, header)
+		g.rejectKey(writer, header, proved)
 		return
 	}
 	body, err := io.ReadAll(r.Body)
@@ -201,6 +206,18 @@
 	g.writeRefusal(w, refusal)
 }
 
+// rejectForGood refuses a request for what the configuration says. Callers don't repeat it, so a daemon that can't tell whether its
+// configuration is in force asks them to try again.
+func (g *Gateway) rejectForGood(w *acceptor.Writer, header RequestHeader, proved bool, refusal refuser.Refusal) {
+	if !proved {
+		if header.Forward.Get(delegatorHeader) != "" {
+			w.Header().Set(rejectedHeader, "1")
+		}
+		refusal = refuser.Refusal{Code: refuser.CodeConfigurationUnproved, RetryAfter: noConfigurationRetryDelay, Detail: refusal.Detail}
+	}
+	g.reject(w, header.ID, refusal)
+}
+
 // logRejection logs a refusal. Of those of requests without a valid key it logs some a second, since anyone can send them.
 func (g *Gateway) logRejection(id string, refusal refuser.Refusal) {
 	omitted := 0
--- a/internal/edge/gateway/gateway_test.go
+++ b/internal/edge/gateway/gateway_test.go
@@ -44,6 +44,8 @@
 	lines atomic.Int64
 	// configuration is the one in force.
 	configuration atomic.Pointer[matcher.Configuration]
+	// awaitProofs is called for each request if it is set.
+	awaitProofs func(ctx context.Context) bool
 }
 
 // testMaxLines is how many limited lines a gateway may write in a test.
@@ -118,7 +120,7 @@
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: &h.log}}
 	g := &Gateway{
 		AllowLine: func(string) (omitted int, ok bool) { return 0, h.lines.Add(1) <= testMaxLines },
-		Name:      "d", Open: h.open, Close: func(reducer.RequestID) {}, Post: h.post, Configuration: h.configuration.Load,
+		Name:      "d", Open: h.open, Close: func(reducer.RequestID) {}, Post: h.post, Configuration: h.configuration.Load, AwaitProofs: h.await,
 		Random: func() float64 { return 0 }, Count: h.count, Translator: testTranslator(), Client: &streamer.Client{IdentityHeader: "X-Id", NotRun: testTranslator().NotRun, MaxAnswerBytes: testMaxAnswerBytes}, Logger: logger,
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -136,6 +138,8 @@
 	return h
 }
 
+func (h *harness) await(ctx context.Context) bool { return h.awaitProofs == nil || h.awaitProofs(ctx) }
+
 // restart has the next request decided anew, as if it were the first one.
 func (h *harness) restart(decide func(e conductor.Event) []conductor.Effect) {
 	h.mu.Lock()
--- a/internal/edge/launcher/daemon.go
+++ b/internal/edge/launcher/daemon.go
@@ -199,12 +199,16 @@
 func (d *Daemon) gateway() http.Handler {
 	return &gateway.Gateway{
 		Name: d.settings.Conductor.Self.Name,
-		Open: d.driver.Open, Close: d.driver.Close, Post: d.countAndPost, Configuration: d.configuration.Load, ConfigurationProof: d.configurationProof, Random: rand.Float64,
+		Open: d.driver.Open, Close: d.driver.Close, Post: d.countAndPost, Configuration: d.configuration.Load, AwaitProofs: d.awaitProofs, ConfigurationProof: d.configurationProof, Random: rand.Float64,
 		Count: d.metrics.countRequest, Translator: d.platform.Translator, Client: &d.client, Logger: d.logger,
 		AllowLine: func(kind string) (omitted int, ok bool) { return d.sampler.Allow(kind, time.Now()) },
 	}
 }
 
+func (d *Daemon) awaitProofs(ctx context.Context) bool {
+	return d.relayer.AwaitProofs(ctx, d.platform.Entries.ConfigurationPrefix, d.platform.Entries.ServersPrefix)
+}
+
 func (d *Daemon) configurationProof() (verifier.Proof, time.Duration) {
 	proof := d.relayer.Proof(d.platform.Entries.ConfigurationPrefix)
 	return proof, proof.Age(d.now())
