--- a/internal/edge/follower/follower_test.go
+++ b/internal/edge/follower/follower_test.go
@@ -29,6 +29,7 @@
 func (s *fakeStore) list(context.Context, string) ([]storer.Entry, int64, storer.Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.clock += time.Second
 	if len(s.lists) == 0 {
 		s.cancel()
 		return nil, 0, storer.ResultUnknown
@@ -40,6 +41,7 @@
 
 func (s *fakeStore) poll(ctx context.Context, _ string, from int64, _ time.Duration) ([]storer.Change, int64, error) {
 	s.mu.Lock()
+	s.clock += time.Second
 	if len(s.polls) == 0 {
 		s.mu.Unlock()
 		s.cancel()
@@ -53,11 +55,8 @@
 
 func (s *fakeStore) record(call string) { s.calls = append(s.calls, call) }
 
-// now returns a time that rises by a second with each call.
-func (s *fakeStore) now() time.Duration {
-	s.clock += time.Second
-	return s.clock
-}
+// now returns a time that rises by a second with each call to the store.
+func (s *fakeStore) now() time.Duration { return s.clock }
 
 func (s *fakeStore) run(t *testing.T) []string {
 	t.Helper()
@@ -131,7 +130,7 @@
 		}
 	})
 	t.Run("the view is proved as of when the answered calls were sent", func(t *testing.T) {
-		s := &fakeStore{lists: [][]storer.Entry{{}}}
+		s := &fakeStore{lists: [][]storer.Entry{{}}, clock: time.Second}
 		s.polls = append(s.polls, change, change, broken)
 		s.run(t)
 		if want := []time.Duration{time.Second, 2 * time.Second, 3 * time.Second}; !slices.Equal(s.proved, want) {
