fix: a daemon whose view of the servers is old doesn't answer inquiries as up to date

A stream that is taken up goes only to servers of its version, and daemons ask each other which versions a service has.

The conductor now gets the proofs of the servers' view, and answers as up to date only while that view is recent enough to act on. TestInquiriesAtADaemonWhoseWatchHearsNothing failed before.

--- a/internal/decision/conductor/feed.go
+++ b/internal/decision/conductor/feed.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"samphirewharf/internal/decision/subscriber"
+	"samphirewharf/internal/decision/verifier"
 	"samphirewharf/internal/fleet/sequencer"
 	"samphirewharf/internal/peer/messenger"
 )
@@ -32,8 +33,13 @@
 	// epoch is the latest epoch of the store that was seen, valid if known.
 	epoch int64
 	known bool
+	// servers is the latest proof of the servers' entries, not known if there was none.
+	servers verifier.Proof
 }
 
+// A ServersProved event reports as of when the servers' entries are known to be all that the store had accepted.
+type ServersProved struct{ Proof verifier.Proof }
+
 // An UpdatesReceived event reports that the upstream has sent updates.
 type UpdatesReceived struct {
 	From string
@@ -72,6 +78,7 @@
 func (UpdatesReceived) event() {}
 func (Subscribed) event()      {}
 func (StoreListed) event()     {}
+func (ServersProved) event()   {}
 func (Follow) effect()         {}
 func (Subscribe) effect()      {}
 func (Announce) effect()       {}
--- a/internal/decision/conductor/machine.go
+++ b/internal/decision/conductor/machine.go
@@ -30,6 +30,9 @@
 
 	// LeaseTTL is the TTL of the daemon's lease in the store.
 	LeaseTTL time.Duration
+	// ServersMaxAge is how long after the store has accepted a change of a server's entry a daemon may act on the one before, zero for
+	// verifier.DefaultMaxAge.
+	ServersMaxAge time.Duration
 	// EntryTTL is how long the store keeps the entry of a server that no longer renews it.
 	EntryTTL time.Duration
 	// TakeoverDelay is the minimum time between the orders of two leaders.
@@ -248,6 +251,10 @@
 		m.subscriber.Subscribed(m.now, slices.Contains(m.followerNames(), e.From))
 	case StoreListed:
 		m.subscriber.StoreListed()
+	case ServersProved:
+		if e.Proof.At > m.view.servers.At {
+			m.view.servers = e.Proof
+		}
 	case QuarantineChanged, StoreQuarantineEnded, VersionsRecorded, VersionsRecordRemoved, OriginsRecorded, OriginsRead:
 		m.applyRecord(event)
 	case StopRequested:
--- a/internal/decision/conductor/origin.go
+++ b/internal/decision/conductor/origin.go
@@ -227,7 +227,10 @@
 	}
 }
 
-// followsStore reports whether this daemon's view of the store is up to date. After a standstill it isn't until the lease is renewed.
+// followsStore reports whether this daemon's view of the servers is up to date. After a standstill it isn't until the lease is renewed.
 func (m *Machine) followsStore() bool {
+	if m.view.servers.Known && !m.view.servers.Trusted(m.now, m.settings.ServersMaxAge) {
+		return false
+	}
 	return m.lease.valid(m.now) && (m.subscriber.UpToDate(m.now) || m.subscriber.Following() && !m.store.unavailable)
 }
--- a/internal/decision/conductor/out_of_step_test.go
+++ b/internal/decision/conductor/out_of_step_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"samphirewharf/internal/decision/verifier"
 	"samphirewharf/internal/peer/messenger"
 )
 
@@ -113,6 +114,29 @@
 	}
 }
 
+// Guards against a daemon that tells others which versions a service has by entries that its watch no longer keeps up to date.
+func TestInquiriesAtADaemonWhoseWatchHearsNothing(t *testing.T) {
+	h := newHarness(t)
+	isFresh := func() bool {
+		t.Helper()
+		h.step(LeaseRenewed{SentAt: h.now, OK: true})
+		h.step(PeerReceived{Message: messenger.Message{From: "d2", Address: "d2:2", Origins: &messenger.Origins{Inquiry: &messenger.VersionsInquiry{Number: 7, Service: engineService}}}})
+		for _, e := range find[SendPeer](h) {
+			if e.Message.Origins != nil && e.Message.Origins.Versions != nil {
+				return e.Message.Origins.Versions.Fresh
+			}
+		}
+		t.Fatal("got no answer, want one")
+		return false
+	}
+	h.step(ServersProved{Proof: verifier.Proof{At: h.now + 1, Known: true}})
+	assertEqual(t, "up to date while the view is recent", isFresh(), true)
+	h.advance(verifier.DefaultMaxAge)
+	assertEqual(t, "up to date when the view is old", isFresh(), false)
+	h.step(ServersProved{Proof: verifier.Proof{At: h.now, Known: true}})
+	assertEqual(t, "up to date when the view is proved again", isFresh(), true)
+}
+
 // Guards against a daemon that has just started and tells others that a service has only the versions that it knows of yet.
 func TestInquiriesWaitForTheServers(t *testing.T) {
 	inquire := func(h *harness) []SendPeer {
--- a/internal/decision/verifier/verifier.go
+++ b/internal/decision/verifier/verifier.go
@@ -41,6 +41,11 @@
 // Age returns how long ago the view was last known to hold all.
 func (p Proof) Age(now time.Duration) time.Duration { return now - p.At }
 
+// Trusted reports whether the view is recent enough to act on. MaxAge is its bound, zero for DefaultMaxAge.
+func (p Proof) Trusted(now, maxAge time.Duration) bool {
+	return p.Known && p.Age(now) <= share(maxAge, trustShare)
+}
+
 // A Store is what a daemon knows of the store.
 type Store struct {
 	// Lost reports whether the store doesn't bring the daemon's views up to date, Silent whether it answers nothing.
@@ -129,7 +134,10 @@
 
 // limit returns a share of a view's bound.
 func (v *Verifier) limit(prefix string, sixteenths time.Duration) time.Duration {
-	bound := v.MaxAges[prefix]
+	return share(v.MaxAges[prefix], sixteenths)
+}
+
+func share(bound, sixteenths time.Duration) time.Duration {
 	if bound <= 0 {
 		bound = DefaultMaxAge
 	}
@@ -147,8 +155,7 @@
 
 // Trusted reports whether a view is recent enough to act on.
 func (v *Verifier) Trusted(now time.Duration, prefix string) bool {
-	p := v.Proof(prefix)
-	return p.Known && p.Age(now) <= v.limit(prefix, trustShare)
+	return v.Proof(prefix).Trusted(now, v.MaxAges[prefix])
 }
 
 // AllTrusted reports whether all views are recent enough to act on, and so to keep other daemons up to date.
@@ -204,11 +211,11 @@
 	if v.store.Lost && prefix == v.probe() {
 		return w.retryAt
 	}
-	share := time.Duration(readShare)
+	readAge := v.limit(prefix, readShare)
 	if v.watching {
-		share = watcherReadShare
+		readAge = v.limit(prefix, watcherReadShare)
 	}
-	return max(w.proof.At+v.limit(prefix, share), w.retryAt)
+	return max(w.proof.At+readAge, w.retryAt)
 }
 
 // probe returns the view that is read while the store is lost.
--- a/internal/edge/launcher/daemon.go
+++ b/internal/edge/launcher/daemon.go
@@ -148,10 +148,10 @@
 	d.platform.SetOnRestored(d.storeRestored)
 	d.relayer = relayer.New(s.Self.Instance, d.handlers())
 	d.relayer.Send, d.relayer.Message, d.relayer.StoreReachable = d.sendUpdate, d.newMessage, d.storeReachable
-	d.relayer.Clock, d.relayer.StoreState = d.now, d.storeState
+	d.relayer.Clock, d.relayer.StoreState, d.relayer.OnProved = d.now, d.storeState, d.viewProved
 	d.relayer.SetMaxAges(map[string]time.Duration{
 		d.platform.Entries.ConfigurationPrefix: d.settings.ConfigurationMaxAge,
-		d.platform.Entries.ServersPrefix:       d.settings.ServersMaxAge,
+		d.platform.Entries.ServersPrefix:       s.ServersMaxAge,
 		follower.SharedPrefix:                  s.TakeoverDelay,
 	})
 	d.relayer.OnFleet, d.relayer.OnFeed, d.relayer.OnListed, d.relayer.Logger = d.fleetReceived, d.updateReceived, d.storeListed, d.logger
@@ -244,6 +244,12 @@
 
 func (d *Daemon) storeReachable() bool { return d.storeMonitor.health.reachable(time.Now()) }
 
+func (d *Daemon) viewProved(prefix string, proof verifier.Proof) {
+	if prefix == d.platform.Entries.ServersPrefix {
+		d.post(conductor.ServersProved{Proof: proof})
+	}
+}
+
 func (d *Daemon) storeState() verifier.Store {
 	now := time.Now()
 	return verifier.Store{Lost: !d.storeMonitor.health.reachable(now), Silent: !d.storeMonitor.health.answers(now)}
--- a/internal/edge/launcher/dependencies.go
+++ b/internal/edge/launcher/dependencies.go
@@ -76,9 +76,8 @@
 	DirectoryAddress string
 	// MaxDescriptors bounds the open files and sockets of the process.
 	MaxDescriptors int
-	// ServersMaxAge and ConfigurationMaxAge are how long after the store has accepted a change of a server's entry, or of the
-	// configuration, a daemon may act on the one before; zero means verifier.DefaultMaxAge.
-	ServersMaxAge       time.Duration
+	// ConfigurationMaxAge is how long after the store has accepted a configuration a daemon may act on the one before; zero means
+	// verifier.DefaultMaxAge.
 	ConfigurationMaxAge time.Duration
 	// DroppedLines returns the number of dropped log lines, for the metrics. It may be nil.
 	DroppedLines func() uint64
--- a/internal/edge/launcher/outage_test.go
+++ b/internal/edge/launcher/outage_test.go
@@ -127,10 +127,10 @@
 	view := &storeView{store: f.store, daemon: record.Name}
 	d := &Daemon{
 		settings: Settings{
-			ServersMaxAge: f.maxAge, ConfigurationMaxAge: f.maxAge,
-			CallerAddress: record.CallerAddress, PeerAddress: record.PeerAddress,
+			ConfigurationMaxAge: f.maxAge,
+			CallerAddress:       record.CallerAddress, PeerAddress: record.PeerAddress,
 			Conductor: conductor.Settings{
-				Self: record, Seed: uint64(i + 1), LeaseTTL: outageLeaseTTL, EntryTTL: 3600 * time.Millisecond, TakeoverDelay: 3 * time.Second,
+				Self: record, Seed: uint64(i + 1), ServersMaxAge: f.maxAge, LeaseTTL: outageLeaseTTL, EntryTTL: 3600 * time.Millisecond, TakeoverDelay: 3 * time.Second,
 				EnginesCheckFencing: true, RetryRatio: 0.2, RetrySlack: 52, RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second, LoadOverage: 1.1,
 				StopTimeout: 8 * time.Second, AddressTTL: 2 * time.Second,
 			},
--- a/internal/edge/relayer/proof.go
+++ b/internal/edge/relayer/proof.go
@@ -156,13 +156,10 @@
 }
 
 func (r *Relayer) readEnded(read Read, sentAt time.Duration, err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.Clock()
 	outcome := verifier.Answered
 	switch {
 	case err == nil:
-		r.proved(read.Prefix, sentAt, sourceRead, r.following)
+		r.proved(read.Prefix, sentAt, sourceRead, true)
 	case errors.Is(err, storer.ErrRefused):
 		outcome = verifier.Refused
 	default:
@@ -171,22 +168,20 @@
 	if err != nil {
 		r.Logger.Info().Err(err).Str("Prefix", read.Prefix).Msg("store didn't prove the view")
 	}
-	r.verifier.Ended(now, sentAt, read.Read, outcome)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.verifier.Ended(r.Clock(), sentAt, read.Read, outcome)
 	r.proofsChanged()
 }
 
 // Proved records that this daemon's watch has brought all that the store had accepted at a time.
-func (r *Relayer) Proved(prefix string, at time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.proved(prefix, at, sourceWatch, r.following)
-}
+func (r *Relayer) Proved(prefix string, at time.Duration) { r.proved(prefix, at, sourceWatch, true) }
 
 // provedBy records what an update of the upstream, whose entries have been applied, proves. Recorded reports whether its entries are relayed.
 func (r *Relayer) provedBy(upstream string, feed *messenger.Feed, recorded bool) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	sentAt, ok := r.verifier.SubscribedAt(feed.Token)
+	r.mu.Unlock()
 	if !ok {
 		return
 	}
@@ -208,22 +203,29 @@
 	return times
 }
 
+// proved records a proof. Relayed reports whether it holds for the entries that are relayed as well, if this daemon watches the store.
 func (r *Relayer) proved(prefix string, at time.Duration, source string, relayed bool) {
+	r.mu.Lock()
 	now := r.Clock()
 	at = min(at, now)
-	if s := r.prefixes[prefix]; relayed && s.listed && (!s.proved || at > s.provedAt) {
+	if s := r.prefixes[prefix]; relayed && r.following && s.listed && (!s.proved || at > s.provedAt) {
 		s.proved, s.provedAt = true, at
 	}
 	before, later := r.verifier.Proved(prefix, at, source)
+	if later {
+		r.proofsChanged()
+	}
+	r.mu.Unlock()
 	if !later {
 		return
 	}
-	r.proofsChanged()
-	if !before.Known || before.Age(now) < longUnproved {
-		return
+	if r.OnProved != nil {
+		r.OnProved(prefix, verifier.Proof{At: at, Known: true, Source: source})
+	}
+	if before.Known && before.Age(now) >= longUnproved {
+		r.Logger.Info().Str("Subject", "View "+prefix).Str("Change", "Proved").Str("Reason", "it had not been for long").
+			Int64("AgeMs", before.Age(now).Milliseconds()).Str("Detail", "before by "+before.Source+", now by "+source).Msg("belief")
 	}
-	r.Logger.Info().Str("Subject", "View "+prefix).Str("Change", "Proved").Str("Reason", "it had not been for long").
-		Int64("AgeMs", before.Age(now).Milliseconds()).Str("Detail", "before by "+before.Source+", now by "+source).Msg("belief")
 }
 
 // noteRevisions returns a handler that notes which revision the view has, besides calling h.
--- a/internal/edge/relayer/relayer.go
+++ b/internal/edge/relayer/relayer.go
@@ -53,6 +53,8 @@
 	// OnFeed is called for each update of the upstream that arrived in order or says that the upstream is out of date, and for each
 	// update of another daemon. Fresh reports whether the sender is up to date.
 	OnFeed func(from string, fresh bool)
+	// OnProved is called with the proofs of views, after the entries. It may be nil.
+	OnProved func(prefix string, p verifier.Proof)
 	// OnListed is called when all prefixes have been listed since Follow or StoreLost was called last. It may be nil.
 	OnListed func()
 	Logger   *log.Logger
