fix: requests that wait for a connection to a server go elsewhere once it leaves

The conductor now withdraws the attempts at a server that accepts no more requests. The client ends a withdrawn call only if nothing of it was written: a connection that has been written to goes on, and one that has not accepts no more writes. Such an end counts neither as a failure of the server nor as a failed connection, and needs no retry budget.

--- a/internal/daemon/driver/driver.go
+++ b/internal/daemon/driver/driver.go
@@ -14,7 +14,7 @@
 	// eventQueueSize bounds the events queued for the reducer. Post blocks while the queue is full.
 	eventQueueSize = 8192
 	// effectQueueSize bounds the effects queued for the handler of one request. A request has at most one attempt, one
-	// cancellation and one final answer outstanding.
+	// withdrawal, one cancellation and one final answer outstanding.
 	effectQueueSize = 8
 	// minTickDelay limits how often the reducer runs only because time has passed.
 	minTickDelay = time.Millisecond
--- a/internal/decision/conductor/attempt.go
+++ b/internal/decision/conductor/attempt.go
@@ -71,7 +71,7 @@
 	if s == nil {
 		return
 	}
-	if e.Cause != CauseBroken && e.Cause != CauseConnect {
+	if e.Cause != CauseBroken && e.Cause != CauseConnect && e.Cause != CauseLeaving {
 		s.lastEnd = attemptEnd{at: m.now, outcome: e.Outcome, cause: e.Cause}
 	}
 	switch e.Outcome {
@@ -112,7 +112,7 @@
 		if e.Cause == CauseTimeout {
 			m.doubtLink(s)
 		}
-	case CauseNone:
+	case CauseNone, CauseLeaving:
 	}
 }
 
@@ -128,7 +128,9 @@
 		m.attemptDone(r, server, e)
 	case reducer.AttemptNotSent:
 		r.sends--
-		r.connectFailures++
+		if e.Cause != CauseLeaving {
+			r.connectFailures++
+		}
 		m.logDecision(r, LogDecision{Action: "Failed", Reason: e.Cause.String(), Server: server})
 		m.route(r)
 	case reducer.AttemptNotRun:
--- a/internal/decision/conductor/effect.go
+++ b/internal/decision/conductor/effect.go
@@ -55,6 +55,13 @@
 	Attempt int
 }
 
+// A Withdraw effect ends an attempt of which nothing has been sent yet, since its server accepts no more requests. It is answered by
+// AttemptEnded with CauseLeaving, or by the attempt's own end.
+type Withdraw struct {
+	Request reducer.RequestID
+	Attempt int
+}
+
 // A RefusalReason is the reason why a request is not served.
 type RefusalReason uint8
 
@@ -217,6 +224,7 @@
 
 func (Send) effect()           {}
 func (Abandon) effect()        {}
+func (Withdraw) effect()       {}
 func (Deliver) effect()        {}
 func (Refuse) effect()         {}
 func (Cancel) effect()         {}
--- a/internal/decision/conductor/event.go
+++ b/internal/decision/conductor/event.go
@@ -105,11 +105,13 @@
 	CauseInvalid
 	// CauseError: the server answered with an error of its own.
 	CauseError
+	// CauseLeaving: the server stopped accepting requests before anything was sent.
+	CauseLeaving
 )
 
 // String returns the cause's name in logs and metrics.
 func (c Cause) String() string {
-	names := [...]string{"None", "Connect", "Full", "Absent", "Misdirected", "Broken", "Silent", "Invalid", "Error"}
+	names := [...]string{"None", "Connect", "Full", "Absent", "Misdirected", "Broken", "Silent", "Invalid", "Error", "Leaving"}
 	if int(c) < len(names) {
 		return names[c]
 	}
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -204,6 +205,7 @@
 	}
 	if e.State != s.entry.State {
 		m.emit(LogStateChange{Subject: "Server " + e.ID, Change: "Draining", Version: e.Revision, Detail: m.useOf(s)})
+		m.withdrawRequests(s)
 	}
 	if e.Service != s.entry.Service {
 		m.serverSetChanged()
@@ -271,8 +273,18 @@
 	}
 }
 
+// withdrawRequests has the requests at a server that accepts no more sent elsewhere, if they still wait for a connection to it.
+func (m *Machine) withdrawRequests(s *server) {
+	for _, id := range slices.Sorted(maps.Keys(s.requests)) {
+		if r := s.requests[id]; r.state == stateRunning && !r.answerStarted {
+			m.emit(Withdraw{Request: id, Attempt: r.attempt})
+		}
+	}
+}
+
 // serverEnded handles the end of an incarnation. Requests whose connections broke shortly before may have crashed it.
 func (m *Machine) serverEnded(s *server) {
+	m.withdrawRequests(s)
 	m.serverCrashed(s)
 	m.forgetSpeed(s)
 }
--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -33,6 +33,8 @@
 	send     conductor.Send
 	ctx      context.Context //nolint:containedctx // It lives as long as the attempt.
 	cancel   context.CancelCauseFunc
+	// withdrawal ends the attempt if nothing has been sent.
+	withdrawal streamer.Withdrawal
 	// timeoutTimer bounds the whole attempt, silenceTimer the wait for the next event. firstTimer reports that there is no answer
 	// yet. The latter two are nil if there is no limit.
 	timeoutTimer *time.Timer
@@ -147,7 +149,7 @@
 	x.gateway.Translator.SetHeader(header, attemptHeader)
 	return streamer.Call{
 		Address: a.send.Address, Host: x.host, Method: x.method, Path: x.uri, Header: header, Body: x.body,
-		ID: x.header.ID, NewConnection: a.send.NewConnection, ConnectTimeout: a.send.ConnectTimeout,
+		ID: x.header.ID, NewConnection: a.send.NewConnection, ConnectTimeout: a.send.ConnectTimeout, Withdrawal: &a.withdrawal,
 	}
 }
 
@@ -403,6 +405,8 @@
 	case failure.Outcome == reducer.AttemptNotRun:
 		ended.Status = failure.Status
 		ended.Cause = a.exchange.gateway.Translator.Classify(failure.Status, failure.Header, a.send.Server)
+	case errors.Is(failure.Err, streamer.ErrWithdrawn):
+		ended.Cause = conductor.CauseLeaving
 	case failure.Outcome == reducer.AttemptNotSent:
 		ended.Cause, ended.TimedOut = conductor.CauseConnect, failure.TimedOut
 	case errors.Is(failure.Err, streamer.ErrOtherRequest):
--- a/internal/edge/gateway/exchange.go
+++ b/internal/edge/gateway/exchange.go
@@ -101,6 +101,11 @@
 			x.attempt.cancel(errServerSilent)
 		}
 		return false
+	case conductor.Withdraw:
+		if x.attempt != nil && x.attempt.send.Attempt == e.Attempt {
+			x.attempt.withdrawal.Withdraw()
+		}
+		return false
 	case conductor.Deliver:
 		x.stopAttempt()
 		x.deliver()
--- a/internal/edge/gateway/gateway_test.go
+++ b/internal/edge/gateway/gateway_test.go
@@ -266,6 +266,17 @@
 		assertEqual(t, "seal", header.Get("X-Seal"), "s")
 		assertEqual(t, "error", err, nil)
 	})
+	t.Run("a withdrawn request is not sent", func(t *testing.T) {
+		address := backend(t, func(http.ResponseWriter, *http.Request) { t.Error("got a request at the server, want none") })
+		x := &exchange{gateway: &Gateway{Client: &streamer.Client{}, Translator: testTranslator(), Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}}, method: http.MethodGet, uri: "/"}
+		x.header.Forward = make(http.Header)
+		x.attempt = newAttempt(x, sendTo(address))
+		x.apply(conductor.Withdraw{Attempt: 1})
+		x.attempt.run()
+		ended := <-x.attempt.ended
+		assertEqual(t, "outcome", ended.Outcome, reducer.AttemptNotSent)
+		assertEqual(t, "cause", ended.Cause, conductor.CauseLeaving)
+	})
 	t.Run("an unknown path is refused without the conductor", func(t *testing.T) {
 		h := newHarness(t, func(conductor.Event) []conductor.Effect { return nil })
 		status, _, _, _ := h.send("/other/")
--- a/internal/edge/launcher/effects.go
+++ b/internal/edge/launcher/effects.go
@@ -214,6 +214,8 @@
 		return e.Request, true
 	case conductor.Abandon:
 		return e.Request, true
+	case conductor.Withdraw:
+		return e.Request, true
 	default:
 		return 0, false
 	}
--- a/internal/entry/streamer/client.go
+++ b/internal/entry/streamer/client.go
@@ -77,6 +77,8 @@
 	NewConnection bool
 	// ConnectTimeout bounds the time until the call has a connection; zero means the client's DialTimeout.
 	ConnectTimeout time.Duration
+	// Withdrawal ends the call before anything is sent; nil for a call that isn't withdrawn.
+	Withdrawal *Withdrawal
 }
 
 // errConnectTimeout is the cause of a call that got no connection in time.
@@ -102,10 +104,12 @@
 		header = make(http.Header)
 	}
 	reply := &Reply{client: c}
+	ctx, reply.cancel = context.WithCancelCause(ctx)
 	if call.ConnectTimeout > 0 {
-		var cancel context.CancelCauseFunc
-		ctx, cancel = context.WithCancelCause(ctx)
-		reply.connectTimer = time.AfterFunc(call.ConnectTimeout, func() { cancel(errConnectTimeout) })
+		reply.connectTimer = time.AfterFunc(call.ConnectTimeout, func() { reply.cancel(errConnectTimeout) })
+	}
+	if call.Withdrawal != nil {
+		call.Withdrawal.attach(reply)
 	}
 	trace := &httptrace.ClientTrace{GotConn: reply.gotConn}
 	request := (&http.Request{
--- a/internal/entry/streamer/reply.go
+++ b/internal/entry/streamer/reply.go
@@ -26,6 +26,8 @@
 	ctx    context.Context
 	// connectTimer ends the call if it has no connection in time; nil for no limit.
 	connectTimer *time.Timer
+	// cancel ends the call.
+	cancel context.CancelCauseFunc
 
 	mu sync.Mutex
 	// conn is the connection that the call uses, nil until it has one.
@@ -34,6 +36,8 @@
 	reused bool
 	// writes is the connection's write count when the call acquired it.
 	writes int64
+	// withdrawn reports whether the call was ended before anything was sent.
+	withdrawn bool
 }
 
 // Discard ends the reply and closes its connection, so that no later call reads the rest of the response.
@@ -101,6 +105,9 @@
 
 func (r *Reply) newFailure(ctx context.Context, err error) *Failure {
 	r.closeConn()
+	if r.wasWithdrawn() {
+		return &Failure{Outcome: reducer.AttemptNotSent, Err: fmt.Errorf("%w: %w", ErrWithdrawn, err)}
+	}
 	return classify(ctx, err, r.wasSent())
 }
 
@@ -113,9 +120,32 @@
 	r.conn, r.reused = info.Conn, info.Reused
 	if tracked, ok := info.Conn.(*trackedConn); ok {
 		r.writes = tracked.writes.Load()
+		if r.withdrawn {
+			tracked.seal(r.writes)
+		}
 	}
 }
 
+// withdraw ends the call if nothing of the request has been sent.
+func (r *Reply) withdraw() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.conn != nil {
+		tracked, ok := r.conn.(*trackedConn)
+		if !ok || !tracked.seal(r.writes) {
+			return
+		}
+	}
+	r.withdrawn = true
+	r.cancel(ErrWithdrawn)
+}
+
+func (r *Reply) wasWithdrawn() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.withdrawn
+}
+
 // wasReused reports whether the connection has carried calls before.
 func (r *Reply) wasReused() bool {
 	r.mu.Lock()
@@ -131,5 +161,5 @@
 		return false
 	}
 	tracked, ok := r.conn.(*trackedConn)
-	return !ok || tracked.writes.Load() != r.writes
+	return !ok || tracked.writtenSince(r.writes)
 }
