--- a/internal/decision/conductor/calibrating.go
+++ b/internal/decision/conductor/calibrating.go
@@ -97,7 +97,7 @@
 	if !m.forecasts(r) {
 		return selector.Forecast{}
 	}
-	r.unread = unreadTokens(r, s.cachedParts.cachedShare(r.Parts))
+	r.unread = unreadTokens(r, s.cachedParts.CachedShare(r.Parts))
 	f := m.forecast(s, r.unread)
 	m.estimateOf(s).ObserveSend(m.now, r.unread, r.Route.EventGapObjective)
 	m.speedsOf(r.Service).ObserveLength(r.OutputTokens)
--- a/internal/decision/conductor/calibrating_test.go
+++ b/internal/decision/conductor/calibrating_test.go
@@ -80,8 +80,8 @@
 		h := newSpeedHarness(t)
 		r := newRequest(RequestArrived{Route: quick, InputTokens: 1000, Parts: []PromptPart{{ID: 1, Tokens: 900}, {ID: 2, Tokens: 100}}}, h.now)
 		s := h.machine.servers["e1"]
-		assertEqual(t, "unread tokens", unreadTokens(r, s.cachedParts.cachedShare(r.Parts)), 1000)
-		s.cachedParts.add(r.Parts[:1])
-		assertEqual(t, "unread tokens", unreadTokens(r, s.cachedParts.cachedShare(r.Parts)), 100)
+		assertEqual(t, "unread tokens", unreadTokens(r, s.cachedParts.CachedShare(r.Parts)), 1000)
+		s.cachedParts.Add(r.Parts[:1])
+		assertEqual(t, "unread tokens", unreadTokens(r, s.cachedParts.CachedShare(r.Parts)), 100)
 	})
 }
--- a/internal/decision/conductor/event.go
+++ b/internal/decision/conductor/event.go
@@ -13,6 +13,7 @@
 
 	"samphirewharf/internal/decision/calibrator"
 	"samphirewharf/internal/decision/elector"
+	"samphirewharf/internal/decision/estimator"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/fleet/matcher"
 	"samphirewharf/internal/fleet/registrar"
@@ -60,11 +61,8 @@
 	Known           bool
 }
 
-// A PromptPart is a part of a prompt that may be a prefix shared with other prompts.
-type PromptPart struct {
-	ID     uint64
-	Tokens int
-}
+// A PromptPart is a part of a prompt.
+type PromptPart = estimator.Part
 
 // A CallerLeft event reports that the caller has closed its connection.
 type CallerLeft struct{ Request reducer.RequestID }
--- a/internal/decision/conductor/limits.go
+++ b/internal/decision/conductor/limits.go
@@ -56,8 +56,6 @@
 	// otherRequestsWeight is the weight of the latest count in the moving average of other daemons' requests at a
 	// server.
 	otherRequestsWeight = 0.15
-	// maxCachedParts bounds the prompt parts that are remembered for each server.
-	maxCachedParts = 2048
 
 	// entryRecoveryTimeout is how long after an outage of the store removed entries may be registered again. Removals
 	// near an outage take effect only after it.
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -227,7 +227,7 @@
 		}
 		cached := 0.0
 		if r.Route.Sticky || criteria.EventGap > 0 {
-			cached = s.cachedParts.cachedShare(r.Parts)
+			cached = s.cachedParts.CachedShare(r.Parts)
 		}
 		if r.Route.Sticky {
 			c.CachedShare = cached
@@ -283,7 +283,7 @@
 	s.requests[r.Request] = r
 	m.countSend(s)
 	m.service(r.Service).sharer.Serve(m.now, &r.share)
-	s.cachedParts.add(r.Parts)
+	s.cachedParts.Add(r.Parts)
 	m.setTimer(r, r.deadline)
 	d := LogDecision{Action: "Send", Score: c.score, Age: m.now - s.seenAt, Entry: s.entry.Revision, Routine: r.attempt == 1, ExpectedPause: expected.Pause, ExpectedFirst: expected.First}
 	if c.other != nil {
@@ -299,7 +299,7 @@
 		Origin:       Origin{SoftwareVersion: s.entry.SoftwareVersion, Known: true},
 	}
 	if r.needsModel() {
-		e.Priority = priority(r.Route)
+		e.Priority = r.Route.EnginePriority()
 	}
 	e.ReportPace = m.forecasts(r)
 	if r.Route.Repeatable() {
@@ -327,16 +327,6 @@
 	return min(max(share, minConnectTimeout), maxConnectTimeout)
 }
 
-// priority returns an engine's priority number for a route, lowest first: by the route's priority, then the shorter
-// latency objective first.
-func priority(r matcher.Route) int {
-	p := 2 * r.Priority
-	if r.LatencyObjective >= time.Second {
-		p++
-	}
-	return min(p, 9)
-}
-
 // dispatchQueue routes the queued requests of a service again.
 func (m *Machine) dispatchQueue(service string) {
 	state, ok := m.services[service]
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -8,6 +8,7 @@
 
 	"samphirewharf/internal/decision/allotter"
 	"samphirewharf/internal/decision/breaker"
+	"samphirewharf/internal/decision/estimator"
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/fleet/registrar"
 )
@@ -61,8 +62,9 @@
 	// answeredSentAt is when the latest of this daemon's requests was sent that the server has answered.
 	answeredSentAt time.Duration
 	// ended holds the attempts that the server hasn't outlived yet, as far as is known.
-	ended       []endedAttempt
-	cachedParts partsCache
+	ended []endedAttempt
+	// cachedParts are the parts of prompts that the server has processed recently.
+	cachedParts estimator.Parts
 	speed       serverSpeed
 }
 
@@ -73,13 +75,6 @@
 	cause   Cause
 }
 
-// A partsCache records which parts of prompts a server has processed recently and is likely to have cached.
-type partsCache struct {
-	// at holds for each part the value of clock when the server last processed it; clock counts processed parts.
-	at    map[uint64]int64
-	clock int64
-}
-
 func newServer(e registrar.Entry) *server {
 	return &server{entry: e, requests: make(map[reducer.RequestID]*request), absentUntil: make(map[string]time.Duration)}
 }
@@ -102,42 +97,6 @@
 	s.otherRequests += otherRequestsWeight * (float64(max(0, all-len(s.requests))) - s.otherRequests)
 }
 
-// cachedShare returns the share of the prompt that the server is likely to have cached, from 0 to 1.
-func (c *partsCache) cachedShare(parts []PromptPart) float64 {
-	total, cached := 0, 0
-	contiguous := true
-	for _, p := range parts {
-		total += p.Tokens
-		if _, ok := c.at[p.ID]; ok && contiguous {
-			cached += p.Tokens
-		} else {
-			contiguous = false
-		}
-	}
-	if total == 0 {
-		return 0
-	}
-	return float64(cached) / float64(total)
-}
-
-func (c *partsCache) add(parts []PromptPart) {
-	if c.at == nil {
-		c.at = make(map[uint64]int64)
-	}
-	for _, p := range parts {
-		c.clock++
-		c.at[p.ID] = c.clock
-	}
-	if len(c.at) <= maxCachedParts {
-		return
-	}
-	for id, at := range c.at {
-		if at < c.clock-maxCachedParts/2 {
-			delete(c.at, id)
-		}
-	}
-}
-
 // serverKey returns the key of a server in removals.
 func serverKey(id string) string { return "server " + id }
 
--- a/internal/fleet/matcher/configuration.go
+++ b/internal/fleet/matcher/configuration.go
@@ -126,6 +126,16 @@
 	return r.Kind == KindIdempotent || r.Kind == KindStream && r.Resumable
 }
 
+// EnginePriority returns an engine's priority number for the route, lowest first: by the route's priority, then the shorter latency
+// objective first.
+func (r Route) EnginePriority() int {
+	p := 2 * r.Priority
+	if r.LatencyObjective >= time.Second {
+		p++
+	}
+	return min(p, 9)
+}
+
 // PickService returns the service for a request, at random by weight. The draw is a random number in [0, 1).
 func (r Route) PickService(draw float64) string {
 	total := 0
