fix: callers that send bytes without end don't take up the memory of the process

From servers such bytes were cut off; from callers two forms weren't: trailers of a chunked body that are empty, or of other names than the declared ones, were all kept until the time-out for reading a request (10 s), and so were extensions of chunks read.

Trailers count as fields of the header now, what frames chunks may take up as much as the largest body, and the bodies that are being read or handled share 24 MB. The first 32 KB of each are free, so small requests are served whatever the large ones take up. A large one without room gets 429 (2007, not run) at once, with Retry-After; what it still sends is discarded, up to the largest body, so that the caller reads the answer.

--- a/internal/entry/acceptor/connection.go
+++ b/internal/entry/acceptor/connection.go
@@ -15,14 +15,19 @@
 	"github.com/lesismal/nbio/nbhttp"
 
 	"samphirewharf/internal/caller/refuser"
+	"samphirewharf/internal/network/bounder"
 )
 
 const (
 	// readBytes is the size of the read buffer of one connection.
 	readBytes = 4 << 10
-	// maxLingerBytes bounds how much of a refused request is read and discarded before the connection is closed, so that
-	// the caller gets the response instead of a reset.
-	maxLingerBytes = 256 << 10
+	// minLingerBytes bounds how much of a refused request is read and discarded before the connection is closed, so that
+	// the caller gets the response instead of a reset. More is read where bodies may be larger.
+	minLingerBytes = 256 << 10
+	// freeBodyBytes is how much of a body needs no part of Limits.MaxSharedBytes.
+	freeBodyBytes = 32 << 10
+	// overloadRetryDelay is the Retry-After of requests for whose bodies there is no room.
+	overloadRetryDelay = time.Second
 	// stopIdleTimeout is how long an idle connection stays open during shutdown, for a request that is in transit.
 	stopIdleTimeout = 250 * time.Millisecond
 	// shortWriteTimeout bounds a write in progress after its response has been abandoned.
@@ -41,6 +46,8 @@
 	// handlerSlot is a semaphore held while a request is handled, so that responses are sent in the order of the
 	// requests.
 	handlerSlot chan struct{}
+	// hold is what the body of the request that is being read takes up.
+	hold bounder.Hold
 
 	mu sync.Mutex
 	// handling is true while the handler runs.
@@ -53,6 +60,7 @@
 func newConnection(server *Server, conn net.Conn) *connection {
 	c := &connection{Conn: conn, server: server, handlerSlot: make(chan struct{}, 1)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.hold = bounder.NewHold(&server.bodies, freeBodyBytes)
 	c.processor = &processor{Processor: nbhttp.NewServerProcessor(), connection: c, limits: server.limits}
 	c.parser = nbhttp.NewParser(c, server.engine, c.processor, false, c.execute)
 	return c
@@ -86,7 +94,8 @@
 func (c *connection) execute(handle func()) bool {
 	c.handlerSlot <- struct{}{}
 	c.setHandling(true)
-	t := task{connection: c, handle: handle}
+	t := task{connection: c, handle: handle, hold: c.hold}
+	c.hold = bounder.NewHold(&c.server.bodies, freeBodyBytes)
 	go t.run()
 	return true
 }
@@ -100,9 +109,11 @@
 		_ = tcp.CloseWrite()
 	}
 	_ = c.Conn.SetReadDeadline(time.Now().Add(refuseTimeout))
-	_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
+	_, _ = io.CopyN(io.Discard, c.Conn, max(minLingerBytes, int64(c.server.limits.MaxBodyBytes)))
 }
 
+func (c *connection) releaseHold() { c.hold.Release() }
+
 func (c *connection) isHandling() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -116,7 +127,7 @@
 		return c.readErrorRefusal(err), err
 	}
 	c.setRequestStart(time.Now())
-	parseErr := c.processor.countHeaderBytes(n)
+	parseErr := c.processor.countBytes(n)
 	if parseErr == nil {
 		parseErr = c.parser.Parse(buffer[:n])
 	}
@@ -186,6 +197,7 @@
 func (c *connection) run() {
 	defer c.server.remove(c)
 	defer c.abort()
+	defer c.releaseHold()
 	buffer := make([]byte, readBytes)
 	c.updateDeadline()
 	for {
--- a/internal/entry/acceptor/limits.go
+++ b/internal/entry/acceptor/limits.go
@@ -13,6 +13,8 @@
 	MaxHeaderBytes int
 	// MaxBodyBytes bounds the size of a request's body.
 	MaxBodyBytes int
+	// MaxSharedBytes bounds the bodies of all requests together that are being read or handled, without the first freeBodyBytes of each.
+	MaxSharedBytes int
 	// ReadTimeout bounds the time for reading one request.
 	ReadTimeout time.Duration
 	// IdleTimeout bounds how long a connection may wait for its next request.
@@ -28,6 +30,7 @@
 	DefaultMaxConnections  = 8192
 	DefaultMaxHeaderBytes  = 16 << 10
 	DefaultMaxBodyBytes    = 1<<20 + 64<<10
+	DefaultMaxSharedBytes  = 24 << 20
 	DefaultReadTimeout     = 10 * time.Second
 	DefaultIdleTimeout     = 90 * time.Second
 	DefaultWriteTimeout    = 20 * time.Second
@@ -39,6 +42,7 @@
 	l.MaxConnections = cmp.Or(max(l.MaxConnections, 0), DefaultMaxConnections)
 	l.MaxHeaderBytes = cmp.Or(max(l.MaxHeaderBytes, 0), DefaultMaxHeaderBytes)
 	l.MaxBodyBytes = cmp.Or(max(l.MaxBodyBytes, 0), DefaultMaxBodyBytes)
+	l.MaxSharedBytes = cmp.Or(max(l.MaxSharedBytes, 0), DefaultMaxSharedBytes)
 	l.ReadTimeout = cmp.Or(max(l.ReadTimeout, 0), DefaultReadTimeout)
 	l.IdleTimeout = cmp.Or(max(l.IdleTimeout, 0), DefaultIdleTimeout)
 	l.WriteTimeout = cmp.Or(max(l.WriteTimeout, 0), DefaultWriteTimeout)
--- a/internal/entry/acceptor/processor.go
+++ b/internal/entry/acceptor/processor.go
@@ -23,10 +23,12 @@
 	// inBody is true once the header of the partial request is complete.
 	inBody bool
 	// headerBytes is the number of bytes read before the header was complete; fieldBytes is the size of the header
-	// fields that have been parsed, and bodyBytes that of the body.
-	headerBytes     int
-	fieldBytes      int
-	bodyBytes       int
+	// fields and trailers that have been parsed, and bodyBytes that of the body.
+	headerBytes int
+	fieldBytes  int
+	bodyBytes   int
+	// framedBytes is the number of bytes read after the header: the body, and what frames its chunks.
+	framedBytes     int
 	contentLengths  int
 	expectsContinue bool
 	// refusal is why the request can't be accepted. Nothing that follows it is handled.
@@ -51,6 +53,7 @@
 	p.partial = false
 	p.inBody = false
 	p.headerBytes = 0
+	p.framedBytes = 0
 	p.Processor.OnComplete(parser)
 }
 
@@ -71,10 +74,7 @@
 // OnHeader checks one header field.
 func (p *processor) OnHeader(parser *nbhttp.Parser, key, value string) {
 	value = strings.TrimRight(value, " \t")
-	p.fieldBytes += len(key) + len(value)
-	if p.fieldBytes > p.limits.MaxHeaderBytes {
-		p.refuse(refuser.CodeRequestTooLarge, fmt.Sprintf("the header is larger than %d bytes", p.limits.MaxHeaderBytes))
-	}
+	p.countField(key, value)
 	switch key {
 	case "Content-Length":
 		p.contentLengths++
@@ -95,6 +95,22 @@
 	p.Processor.OnMethod(parser, method)
 }
 
+// OnTrailerHeader checks one field after a chunked body. nbhttp accepts any number of them.
+func (p *processor) OnTrailerHeader(parser *nbhttp.Parser, key, value string) {
+	p.countField(key, value)
+	if p.refusal == nil {
+		p.Processor.OnTrailerHeader(parser, key, value)
+	}
+}
+
+// countField counts a field of the header or a trailer.
+func (p *processor) countField(key, value string) {
+	p.fieldBytes += len(key) + len(value)
+	if p.fieldBytes > p.limits.MaxHeaderBytes {
+		p.refuse(refuser.CodeRequestTooLarge, fmt.Sprintf("the header is larger than %d bytes", p.limits.MaxHeaderBytes))
+	}
+}
+
 // sendContinue responds to "Expect: 100-continue", unless a response is being written.
 func (p *processor) sendContinue() {
 	if !p.connection.isHandling() {
@@ -102,10 +118,10 @@
 	}
 }
 
-// countHeaderBytes adds the bytes of one read and returns an error if the header becomes too large.
-func (p *processor) countHeaderBytes(n int) error {
+// countBytes adds the bytes of one read and returns an error if the header becomes too large, or the body with what frames its chunks.
+func (p *processor) countBytes(n int) error {
 	if p.inBody {
-		return nil
+		return p.countFramedBytes(n)
 	}
 	p.headerBytes += n
 	if p.headerBytes > p.limits.MaxHeaderBytes+readBytes {
@@ -114,6 +130,19 @@
 	return nil
 }
 
+// countFramedBytes adds the bytes of one read after the header. Frames may take up as much as the largest body.
+func (p *processor) countFramedBytes(n int) error {
+	p.framedBytes += n
+	if p.framedBytes > 2*p.limits.MaxBodyBytes+p.limits.MaxHeaderBytes+readBytes {
+		return nbhttp.ErrTooLong
+	}
+	if !p.connection.hold.Grow(int64(p.framedBytes)) {
+		p.refuse(refuser.CodeOverloaded, "other requests take up the memory for bodies")
+		p.refusal.RetryAfter = overloadRetryDelay
+	}
+	return nil
+}
+
 func (p *processor) refuse(code refuser.Code, detail string) {
 	if p.refusal == nil {
 		p.refusal = &refuser.Refusal{Code: code, Detail: detail}
--- a/internal/entry/acceptor/server.go
+++ b/internal/entry/acceptor/server.go
@@ -15,6 +15,7 @@
 	"github.com/phuslu/log"
 
 	"samphirewharf/internal/caller/refuser"
+	"samphirewharf/internal/network/bounder"
 )
 
 const (
@@ -48,6 +49,8 @@
 	draining atomic.Bool
 	// idleOverride replaces Limits.IdleTimeout unless it is 0.
 	idleOverride atomic.Int64
+	// bodies is what the bodies of requests take up.
+	bodies bounder.Budget
 	// rejections is the number of connections beyond the limit that are being refused.
 	rejections atomic.Int64
 
@@ -245,6 +248,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.limits = s.Limits.withDefaults()
+	s.bodies.Limit = int64(s.limits.MaxSharedBytes)
 	s.listener = listener
 	s.accepting = true
 	s.connections = make(map[*connection]struct{})
