--- a/internal/network/sender/sender_test.go
+++ b/internal/network/sender/sender_test.go
@@ -153,6 +153,10 @@
 	for _, c := range []struct{ name, head, part string }{
 		{"a status line", "", "HTTP/1.1"},
 		{"a header", "HTTP/1.1 200 OK\r\n", "X-More: x\r\n"},
+		{"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{"an extension of a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a=", "x"},
+		{"extensions of chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1;" + strings.Repeat("x", 500) + "\r\nx\r\n"},
+		{"trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: x\r\n"},
 		{"a body without a length", "HTTP/1.1 200 OK\r\n\r\n", "xxxx"},
 		{"a body of a huge length", "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", "xxxx"},
 	} {
