fix: large events of many streams share a bound of the process

Large answers had such a bound, events hadn't.

Events larger than 16 KB take part in the budget of large answers now, 24 MB for a process, and give it back with the next event. A stream without room fails without blame for its server, so that another one may go on with it. TestLargeEventsShareABound failed before in one of two cases.

--- a/internal/edge/gateway/attempt.go
+++ b/internal/edge/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/entry/streamer"
 	"samphirewharf/internal/fleet/matcher"
+	"samphirewharf/internal/network/bounder"
 )
 
 // minAttemptTimeout is the shortest timeout of an attempt.
@@ -180,9 +181,10 @@
 // forwardWhole reads the whole answer before passing it on, so that a truncated one doesn't reach the caller.
 func (a *attempt) forwardWhole(reply *streamer.Reply) error {
 	x := a.exchange
+	hold := bounder.NewHold(&x.gateway.answers, 0)
+	defer func() { hold.Release() }()
 	body, whole, err := reply.ReadUpTo(smallAnswerBytes)
-	if err == nil && !whole && a.reserveBuffer() {
-		defer a.releaseBuffer()
+	if err == nil && !whole && hold.Grow(maxBufferedBytes) {
 		var rest []byte
 		rest, whole, err = reply.ReadUpTo(maxBufferedBytes)
 		body = append(body, rest...)
@@ -209,18 +211,6 @@
 	return nil
 }
 
-// reserveBuffer reserves memory for a large answer. It returns false if others take up too much.
-func (a *attempt) reserveBuffer() bool {
-	g := a.exchange.gateway
-	if g.sharedBuffer.Add(maxBufferedBytes) > maxSharedBuffer {
-		g.sharedBuffer.Add(-maxBufferedBytes)
-		return false
-	}
-	return true
-}
-
-func (a *attempt) releaseBuffer() { a.exchange.gateway.sharedBuffer.Add(-maxBufferedBytes) }
-
 // forwardLarge streams an answer that is too large to buffer. If the server's answer breaks off, so does the caller's.
 func (a *attempt) forwardLarge(reply *streamer.Reply, header http.Header, prefix []byte) error {
 	x := a.exchange
@@ -252,6 +242,8 @@
 	x := a.exchange
 	x.position = x.position.WithAttempt()
 	events := streamer.NewEventReader(reply.Body)
+	events.Hold = bounder.NewHold(&x.gateway.answers, streamer.SmallEventBytes)
+	defer func() { events.Hold.Release() }()
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -407,6 +399,8 @@
 		ended.Cause = a.exchange.gateway.Translator.Classify(failure.Status, failure.Header, a.send.Server)
 	case errors.Is(failure.Err, streamer.ErrWithdrawn):
 		ended.Cause = conductor.CauseLeaving
+	case errors.Is(failure.Err, bounder.ErrNoRoom):
+		// Other answers take up the memory, so it isn't this server's failure.
 	case failure.Outcome == reducer.AttemptNotSent:
 		ended.Cause, ended.TimedOut = conductor.CauseConnect, failure.TimedOut
 	case errors.Is(failure.Err, streamer.ErrOtherRequest):
--- a/internal/edge/gateway/endless_test.go
+++ b/internal/edge/gateway/endless_test.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"samphirewharf/internal/decision/conductor"
+	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/entry/streamer"
+	"samphirewharf/internal/network/bounder"
 )
 
 // An endlessServer answers each request with a head and then with a part that it repeats until the connection is closed.
@@ -112,3 +115,34 @@
 		})
 	}
 }
+
+// Guards against streams whose large events together take up the memory of the process.
+func TestLargeEventsShareABound(t *testing.T) {
+	line := "data: " + strings.Repeat("x", 4*streamer.SmallEventBytes) + "\n"
+	address := backend(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Seal", "s")
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, event(1)+"id: 2\n"+line+"\n"+event(3))
+	})
+	for _, c := range []struct {
+		name    string
+		limit   int64
+		whole   bool
+		outcome reducer.AttemptOutcome
+	}{
+		{"there is room", bounder.DefaultBudget, true, reducer.AttemptDone},
+		{"there is no room", 1, false, reducer.AttemptFailed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, sendOnceTo(address))
+			h.gateway.answers.Limit = c.limit
+			_, body, _, err := h.send("/stream/a")
+			assertEqual(t, "whole", err == nil && strings.HasSuffix(body, event(3)), c.whole)
+			ended := h.ended(1)[0]
+			assertEqual(t, "outcome", ended.Outcome, c.outcome)
+			assertEqual(t, "cause", ended.Cause, conductor.CauseNone)
+			assertEqual(t, "reserved bytes", h.gateway.answers.Reserved(), 0)
+		})
+	}
+}
--- a/internal/edge/gateway/gateway.go
+++ b/internal/edge/gateway/gateway.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,16 +21,15 @@
 	"samphirewharf/internal/entry/acceptor"
 	"samphirewharf/internal/entry/streamer"
 	"samphirewharf/internal/fleet/matcher"
+	"samphirewharf/internal/network/bounder"
 	"samphirewharf/internal/network/filter"
 )
 
 const (
 	// maxBufferedBytes is the size up to which an answer that isn't streamed is buffered until it is complete.
 	maxBufferedBytes = 1 << 20
-	// smallAnswerBytes is the size up to which an answer is buffered without a share of maxSharedBuffer, which bounds the memory of
-	// larger ones at a time.
+	// smallAnswerBytes is the size up to which an answer is buffered without room in Gateway.answers.
 	smallAnswerBytes = 32 << 10
-	maxSharedBuffer  = 32 << 20
 	// noConfigurationRetryDelay is the Retry-After of a daemon that has no configuration yet, or can't tell whether it is in force.
 	noConfigurationRetryDelay = 500 * time.Millisecond
 )
@@ -66,8 +64,8 @@
 	Client     *streamer.Client
 	Logger     *log.Logger
 
-	// sharedBuffer is how much memory answers larger than smallAnswerBytes may take up now.
-	sharedBuffer atomic.Int64
+	// answers is what answers larger than smallAnswerBytes and events larger than streamer.SmallEventBytes take up.
+	answers bounder.Budget
 }
 
 // An Outcome describes how a request ended, for metrics.
--- a/internal/edge/gateway/gateway_test.go
+++ b/internal/edge/gateway/gateway_test.go
@@ -32,6 +32,7 @@
 	t       *testing.T
 	address string
 	client  *http.Client
+	gateway *Gateway
 
 	mu       sync.Mutex
 	events   []conductor.Event
@@ -123,6 +124,7 @@
 		Name:      "d", Open: h.open, Close: func(reducer.RequestID) {}, Post: h.post, Configuration: h.configuration.Load, AwaitProofs: h.await,
 		Random: func() float64 { return 0 }, Count: h.count, Translator: testTranslator(), Client: &streamer.Client{IdentityHeader: "X-Id", NotRun: testTranslator().NotRun, MaxAnswerBytes: testMaxAnswerBytes}, Logger: logger,
 	}
+	h.gateway = g
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/entry/acceptor/limits.go
+++ b/internal/entry/acceptor/limits.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"samphirewharf/internal/network/bounder"
 )
 
 // Limits are the limits of a Server. Zero fields mean the defaults.
@@ -30,7 +32,7 @@
 	DefaultMaxConnections  = 8192
 	DefaultMaxHeaderBytes  = 16 << 10
 	DefaultMaxBodyBytes    = 1<<20 + 64<<10
-	DefaultMaxSharedBytes  = 24 << 20
+	DefaultMaxSharedBytes  = bounder.DefaultBudget
 	DefaultReadTimeout     = 10 * time.Second
 	DefaultIdleTimeout     = 90 * time.Second
 	DefaultWriteTimeout    = 20 * time.Second
--- a/internal/entry/streamer/events.go
+++ b/internal/entry/streamer/events.go
@@ -8,11 +8,14 @@
 	"io"
 
 	"samphirewharf/internal/decision/validator"
+	"samphirewharf/internal/network/bounder"
 )
 
 const (
 	// MaxEventBytes bounds the size of one server-sent event, and the empty lines before it.
 	MaxEventBytes = 256 << 10
+	// SmallEventBytes is how much of an event needs no room in a budget.
+	SmallEventBytes = 16 << 10
 	// MaxEvents bounds the events of one body.
 	MaxEvents = 1 << 16
 )
@@ -41,6 +44,9 @@
 
 // An EventReader splits a body into server-sent events.
 type EventReader struct {
+	// Hold is what the event that is being read takes up. The caller releases it.
+	Hold bounder.Hold
+
 	reader *bufio.Reader
 	raw    []byte
 	// events counts the events that were read.
@@ -62,7 +68,7 @@
 // Next returns the next event. The error is io.EOF at the end of the body, and io.ErrUnexpectedEOF if the body ends
 // within an event.
 func (e *EventReader) Next() (Event, error) {
-	e.raw = e.raw[:0]
+	e.reset()
 	event := Event{}
 	if e.events++; e.events > MaxEvents {
 		return Event{}, ErrTooManyEvents
@@ -95,6 +101,15 @@
 	}
 }
 
+// reset forgets the event before, and gives back the memory of a large one.
+func (e *EventReader) reset() {
+	e.raw = e.raw[:0]
+	if cap(e.raw) > SmallEventBytes {
+		e.raw = nil
+		e.Hold.Release()
+	}
+}
+
 // readLine appends one line to raw and returns it without its line ending.
 func (e *EventReader) readLine() ([]byte, error) {
 	start := len(e.raw)
@@ -104,6 +119,8 @@
 		switch {
 		case len(e.raw) > MaxEventBytes:
 			return nil, ErrEventTooLarge
+		case !e.Hold.Grow(int64(cap(e.raw))):
+			return nil, fmt.Errorf("read server-sent event: %w", bounder.ErrNoRoom)
 		case err == nil:
 			return bytes.TrimSuffix(e.raw[start:len(e.raw)-1], []byte("\r")), nil
 		case errors.Is(err, bufio.ErrBufferFull):
