feat: log lines of leaving servers name the latest requests sent there, and what was known then

The line that says that a server drains, is gone, restarted or is doubted now has the latest 32 requests sent there in the last 10 s, each with the revision of the entry it was sent by, and how long before that the view was proved, and by whom. It is one line for each change of a server, 32 entries at most; a server takes up at most 3 KB for them.

--- a/internal/decision/conductor/advice.go
+++ b/internal/decision/conductor/advice.go
@@ -25,7 +25,7 @@
 	if e.Advice.Leaving && s.entry.State != registrar.StateDraining {
 		s.entry.State = registrar.StateDraining
 		m.placement.dirty = true
-		m.emit(LogStateChange{Subject: "Server " + e.Server, Change: "Draining", Reason: "it says so in an answer", Version: s.entry.Revision, Detail: m.useOf(s)})
+		m.emit(LogStateChange{Subject: "Server " + e.Server, Change: "Draining", Reason: "it says so in an answer", Version: s.entry.Revision, Detail: s.sends.Describe(m.now, len(s.requests))})
 	}
 	if until := m.now + e.Advice.Pause; e.Advice.Pause > 0 && until > s.pausedUntil {
 		s.pausedUntil = until
--- a/internal/decision/conductor/routing.go
+++ b/internal/decision/conductor/routing.go
@@ -7,6 +7,7 @@
 
 	"samphirewharf/internal/decision/allotter"
 	"samphirewharf/internal/decision/breaker"
+	"samphirewharf/internal/decision/retainer"
 	"samphirewharf/internal/decision/selector"
 	"samphirewharf/internal/fleet/matcher"
 )
@@ -282,6 +283,7 @@
 	expected := m.recordSend(r, s)
 	s.requests[r.Request] = r
 	m.countSend(s)
+	s.sends.Add(retainer.Send{ID: r.ID, At: m.now, Entry: s.entry.Revision, Proof: m.view.servers})
 	m.service(r.Service).sharer.Serve(m.now, &r.share)
 	s.cachedParts.Add(r.Parts)
 	m.setTimer(r, r.deadline)
--- a/internal/decision/conductor/server.go
+++ b/internal/decision/conductor/server.go
@@ -3,13 +3,13 @@
 import (
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"samphirewharf/internal/decision/allotter"
 	"samphirewharf/internal/decision/breaker"
 	"samphirewharf/internal/decision/estimator"
 	"samphirewharf/internal/decision/reducer"
+	"samphirewharf/internal/decision/retainer"
 	"samphirewharf/internal/fleet/registrar"
 )
 
@@ -65,7 +65,9 @@
 	ended []endedAttempt
 	// cachedParts are the parts of prompts that the server has processed recently.
 	cachedParts estimator.Parts
-	speed       serverSpeed
+	// sends are this daemon's latest requests to the server.
+	sends retainer.Sends
+	speed serverSpeed
 }
 
 // An attemptEnd is how and when an attempt ended, zero for none.
@@ -142,11 +144,12 @@
 	case e.StartedAt > s.entry.StartedAt || e.Address != s.entry.Address:
 		m.versionSeen(s.entry)
 		m.serverEnded(s)
+		use := s.sends.Describe(m.now, len(s.requests))
 		s = newServer(e)
 		m.servers[e.ID] = s
 		m.serverSetChanged()
 		m.placement.removeEngine(e.ID)
-		m.emit(LogStateChange{Subject: "Server " + e.ID, Change: "Restarted", Version: e.Revision, Detail: e.Address + " " + e.SoftwareVersion})
+		m.emit(LogStateChange{Subject: "Server " + e.ID, Change: "Restarted", Version: e.Revision, Detail: e.Address + " " + e.SoftwareVersion + "; before: " + use})
 	default:
 		m.serverUpdated(s, e)
 	}
@@ -163,7 +166,7 @@
 		e.State = registrar.StateDraining
 	}
 	if e.State != s.entry.State {
-		m.emit(LogStateChange{Subject: "Server " + e.ID, Change: "Draining", Version: e.Revision, Detail: m.useOf(s)})
+		m.emit(LogStateChange{Subject: "Server " + e.ID, Change: "Draining", Version: e.Revision, Detail: s.sends.Describe(m.now, len(s.requests))})
 		m.withdrawRequests(s)
 	}
 	if e.Service != s.entry.Service {
@@ -187,14 +190,14 @@
 		if m.view.stale {
 			s.keepUntil = m.now + time.Hour
 		}
-		m.emit(LogStateChange{Subject: "Server " + id, Change: "Doubted", Reason: "entry removed near an outage", Version: revision, Detail: m.useOf(s)})
+		m.emit(LogStateChange{Subject: "Server " + id, Change: "Doubted", Reason: "entry removed near an outage", Version: revision, Detail: s.sends.Describe(m.now, len(s.requests))})
 		return
 	}
 	m.dropServer(s, revision)
 }
 
 func (m *Machine) dropServer(s *server, revision int64) {
-	m.emit(LogStateChange{Subject: "Server " + s.entry.ID, Change: "Gone", Version: revision, Detail: m.useOf(s)})
+	m.emit(LogStateChange{Subject: "Server " + s.entry.ID, Change: "Gone", Version: revision, Detail: s.sends.Describe(m.now, len(s.requests))})
 	m.versionSeen(s.entry)
 	m.serverEnded(s)
 	m.recordServerRemoval(s, revision)
@@ -204,15 +207,6 @@
 	m.dispatchQueue(s.entry.Service)
 }
 
-// useOf returns how this daemon uses a server, for logs.
-func (m *Machine) useOf(s *server) string {
-	text := strconv.Itoa(len(s.requests)) + " requests running"
-	if n := len(s.recentSends); n > 0 {
-		text += ", the last one sent " + (m.now - s.recentSends[n-1]).String() + " ago"
-	}
-	return text
-}
-
 // expireServers drops the servers whose entries have not been registered again after an outage, and confirms those whose
 // entries outlived a restoration.
 func (m *Machine) expireServers() {
