--- a/internal/daemon/explainer/explainer.go
+++ b/internal/daemon/explainer/explainer.go
@@ -211,6 +211,7 @@
 	"Timeout": "its time limit expired while a server had it", "Broken": "the connection to the server broke off, and the request may not run again",
 	"Budget":  "the server failed, and the retry budget is exhausted",
 	"Poison":  "requests like it crashed the servers that ran them",
+	"Leaving": "the server stopped accepting requests before this one was sent",
 	"Connect": "the server accepted no connection", "Absent": "the server doesn't have the model or adapter",
 	"Misdirected": "another server has the address", "Silent": "the server sent nothing for too long",
 	"Invalid": "the data received was not the server's response to it", "Error": "the server answered with an error",
