refactor: one package for the connections of streamer and sender

Both had a tracked connection of their own, and the client for other daemons had none. What is read from a server has to be checked in one place, so the three use the same transport now: inspector opens the connections, counts their writes and seals them. Send calls back with each connection that net/http chooses, which spares the clients a trace and a type assertion each.

SealAt seals only where nothing was written since, as streamer did. sender sealed in any case; after a write its answer is the same, that the request may have been received.

New is Dial on both clients, so that tests can choose in which order the two directions of a connection fail.

No change in behaviour.

--- a/internal/entry/streamer/client.go
+++ b/internal/entry/streamer/client.go
@@ -7,12 +7,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
@@ -23,6 +24,7 @@
 	"samphirewharf/internal/network/bounder"
 	"samphirewharf/internal/network/dialer"
 	"samphirewharf/internal/network/filter"
+	"samphirewharf/internal/network/inspector"
 )
 
 const (
@@ -47,6 +49,8 @@
 type Client struct {
 	// DialTimeout bounds the time for opening a connection; zero means DefaultDialTimeout.
 	DialTimeout time.Duration
+	// Dial opens connections; nil means by TCP, within DialTimeout.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// MaxAnswerBytes bounds the body of a response; zero means DefaultMaxAnswerBytes.
 	MaxAnswerBytes int64
 	// IdentityHeader is the response header that identifies the request; empty means X-Request-Id.
@@ -55,8 +59,8 @@
 	NotRun func(status int, header http.Header) bool
 
 	once     sync.Once
-	pooled   *http.Transport
-	unpooled *http.Transport
+	pooled   *inspector.Transport
+	unpooled *inspector.Transport
 }
 
 // A Call is one request to a server.
@@ -111,7 +115,6 @@
 	if call.Withdrawal != nil {
 		call.Withdrawal.attach(reply)
 	}
-	trace := &httptrace.ClientTrace{GotConn: reply.gotConn}
 	request := (&http.Request{
 		Method:        call.Method,
 		Host:          call.Host,
@@ -119,8 +122,8 @@
 		Header:        header,
 		Body:          &singleUseBody{Reader: bytes.NewReader(call.Body)},
 		ContentLength: contentLength(call.Body),
-	}).WithContext(httptrace.WithClientTrace(ctx, trace))
-	response, err := c.transport(call.NewConnection).RoundTrip(request) //nolint:bodyclose // the reply's Finish or Discard closes it
+	}).WithContext(ctx)
+	response, err := c.transport(call.NewConnection).Send(request, reply.gotConn) //nolint:bodyclose // the reply's Finish or Discard closes it
 	if err != nil {
 		return nil, reply.newFailure(ctx, err)
 	}
@@ -142,13 +145,9 @@
 	c.unpooled.DisableKeepAlives = true
 }
 
-func (c *Client) newTransport() *http.Transport {
-	timeout := c.DialTimeout
-	if timeout <= 0 {
-		timeout = DefaultDialTimeout
-	}
-	return &http.Transport{
-		DialContext:            (&trackingDialer{dialer: dialer.Dialer{Timeout: timeout}}).dial,
+func (c *Client) newTransport() *inspector.Transport {
+	return inspector.NewTransport(&http.Transport{
+		DialContext:            c.dialFunc(),
 		DisableCompression:     true,
 		MaxIdleConns:           maxIdleConns,
 		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
@@ -156,10 +155,17 @@
 		MaxResponseHeaderBytes: bounder.MaxHeaderBytes,
 		ReadBufferSize:         bufferBytes,
 		WriteBufferSize:        bufferBytes,
+	})
+}
+
+func (c *Client) dialFunc() func(ctx context.Context, network, address string) (net.Conn, error) {
+	if c.Dial != nil {
+		return c.Dial
 	}
+	return dialer.Dialer{Timeout: cmp.Or(max(c.DialTimeout, 0), DefaultDialTimeout)}.Dial
 }
 
-func (c *Client) transport(newConnection bool) *http.Transport {
+func (c *Client) transport(newConnection bool) *inspector.Transport {
 	if newConnection {
 		return c.unpooled
 	}
--- a/internal/entry/streamer/reply.go
+++ b/internal/entry/streamer/reply.go
@@ -5,14 +5,13 @@
 	"fmt"
 	"io"
 	"mime"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
 	"time"
 
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/network/bounder"
+	"samphirewharf/internal/network/inspector"
 )
 
 // eventStreamType is the media type of an event stream.
@@ -31,11 +30,11 @@
 
 	mu sync.Mutex
 	// conn is the connection that the call uses, nil until it has one.
-	conn net.Conn
+	conn *inspector.Conn
 	// reused reports whether the connection has carried calls before.
 	reused bool
-	// writes is the connection's write count when the call acquired it.
-	writes int64
+	// writes is the connection's number of writes when the call acquired it.
+	writes int
 	// withdrawn reports whether the call was ended before anything was sent.
 	withdrawn bool
 }
@@ -111,18 +110,15 @@
 	return classify(ctx, err, r.wasSent())
 }
 
-func (r *Reply) gotConn(info httptrace.GotConnInfo) {
+func (r *Reply) gotConn(conn *inspector.Conn, reused bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.connectTimer != nil {
 		r.connectTimer.Stop()
 	}
-	r.conn, r.reused = info.Conn, info.Reused
-	if tracked, ok := info.Conn.(*trackedConn); ok {
-		r.writes = tracked.writes.Load()
-		if r.withdrawn {
-			tracked.seal(r.writes)
-		}
+	r.conn, r.reused, r.writes = conn, reused, conn.Writes()
+	if r.withdrawn {
+		conn.SealAt(r.writes)
 	}
 }
 
@@ -130,11 +126,8 @@
 func (r *Reply) withdraw() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.conn != nil {
-		tracked, ok := r.conn.(*trackedConn)
-		if !ok || !tracked.seal(r.writes) {
-			return
-		}
+	if r.conn != nil && !r.conn.SealAt(r.writes) {
+		return
 	}
 	r.withdrawn = true
 	r.cancel(ErrWithdrawn)
@@ -157,9 +150,5 @@
 func (r *Reply) wasSent() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.conn == nil {
-		return false
-	}
-	tracked, ok := r.conn.(*trackedConn)
-	return !ok || tracked.writtenSince(r.writes)
+	return r.conn != nil && r.conn.Writes() != r.writes
 }
--- a/internal/entry/streamer/withdrawal_test.go
+++ b/internal/entry/streamer/withdrawal_test.go
@@ -64,21 +64,3 @@
 		reply.Finish()
 	})
 }
-
-// Guards against a request that is written to a connection that opens as the request is withdrawn.
-func TestSealedConnectionAcceptsNoWrites(t *testing.T) {
-	conn := &trackedConn{}
-	conn.writes.Store(3)
-	if conn.seal(2) {
-		t.Error("got a connection sealed that was written to, want none")
-	}
-	if !conn.seal(3) {
-		t.Error("got a connection not sealed, want it sealed")
-	}
-	if _, err := conn.Write([]byte("x")); !errors.Is(err, errSealed) {
-		t.Errorf("got error %v, want %v", err, errSealed)
-	}
-	if conn.writtenSince(3) {
-		t.Error("got something written, want nothing")
-	}
-}
--- /dev/null
+++ b/internal/network/inspector/transport.go
@@ -0,0 +1,67 @@
+// Package inspector sends HTTP requests over connections whose writes are counted, so that a client can tell whether any byte of a
+// request was sent.
+package inspector
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// A Transport is an http.Transport that opens its connections as Conns. NewTransport returns one.
+type Transport struct {
+	*http.Transport
+
+	dialContext func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// NewTransport returns a Transport that sends requests by t, which must have a DialContext and belongs to the Transport from then on.
+func NewTransport(t *http.Transport) *Transport {
+	transport := &Transport{Transport: t, dialContext: t.DialContext}
+	t.DialContext = transport.dial
+	return transport
+}
+
+func (t *Transport) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := t.dialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{Conn: conn}, nil
+}
+
+// RoundTrip sends a request.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) { return t.Send(r, nil) }
+
+// Send sends a request. It calls onConn, which may be nil, with each connection that is chosen for the request, before anything of the
+// request is written there. Reused reports whether the connection has carried requests before.
+func (t *Transport) Send(r *http.Request, onConn func(c *Conn, reused bool)) (*http.Response, error) {
+	if r.URL.Scheme != "http" {
+		// The http.Transport would report connections that aren't Conns.
+		return nil, fmt.Errorf("send by %s: %w", r.URL.Scheme, errors.ErrUnsupported)
+	}
+	e := &exchange{onConn: onConn}
+	trace := &httptrace.ClientTrace{GotConn: e.gotConn}
+	return t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+}
+
+// An exchange is a request and its answer.
+type exchange struct {
+	onConn func(c *Conn, reused bool)
+	// conn is the connection that the http.Transport chose last, nil if there is none yet.
+	conn *Conn
+}
+
+func (e *exchange) gotConn(info httptrace.GotConnInfo) {
+	conn, ok := info.Conn.(*Conn)
+	if !ok {
+		return
+	}
+	e.conn = conn
+	if e.onConn != nil {
+		e.onConn(conn, info.Reused)
+	}
+}
--- a/internal/network/sender/sender.go
+++ b/internal/network/sender/sender.go
@@ -5,15 +5,17 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
 	"time"
 
 	"samphirewharf/internal/network/bounder"
 	"samphirewharf/internal/network/dialer"
+	"samphirewharf/internal/network/inspector"
 )
 
 const (
@@ -32,13 +34,15 @@
 type Sender struct {
 	// DialTimeout bounds the time for opening a connection; zero means two seconds.
 	DialTimeout time.Duration
+	// Dial opens connections; nil means by TCP, within DialTimeout.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// IdleTimeout is how long an idle connection stays open; zero means 30 seconds.
 	IdleTimeout time.Duration
 	// NewConnections has each request use a connection of its own.
 	NewConnections bool
 
 	once      sync.Once
-	transport *http.Transport
+	transport *inspector.Transport
 }
 
 // Close closes idle connections.
@@ -66,11 +70,10 @@
 		return nil, fmt.Errorf("%s %s: %w: %w", r.Method, r.URL, ErrNotSent, err)
 	}
 	var use connUse
-	trace := &httptrace.ClientTrace{GotConn: use.gotConn}
-	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	// Without GetBody the transport can't send a body again over another connection.
+	r = r.WithContext(r.Context())
 	r.GetBody = nil
-	response, err := s.transport.RoundTrip(r)
+	response, err := s.transport.Send(r, use.gotConn)
 	if err == nil {
 		response.Body = bounder.NewBody(response.Body, limit)
 		return response, nil
@@ -82,13 +85,16 @@
 }
 
 func (s *Sender) initTransport() {
-	tracker := trackingDialer{dialer: dialer.Dialer{Timeout: cmp.Or(s.DialTimeout, defaultDialTimeout)}}
-	s.transport = &http.Transport{
-		DialContext:            tracker.dial,
+	dial := s.Dial
+	if dial == nil {
+		dial = dialer.Dialer{Timeout: cmp.Or(s.DialTimeout, defaultDialTimeout)}.Dial
+	}
+	s.transport = inspector.NewTransport(&http.Transport{
+		DialContext:            dial,
 		DisableCompression:     true,
 		DisableKeepAlives:      s.NewConnections,
 		MaxResponseHeaderBytes: bounder.MaxHeaderBytes,
 		IdleConnTimeout:        cmp.Or(s.IdleTimeout, defaultIdleTimeout),
 		MaxIdleConnsPerHost:    maxIdlePerAddress,
-	}
+	})
 }
--- a/internal/peer/messenger/client.go
+++ b/internal/peer/messenger/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 
 	"samphirewharf/internal/network/bounder"
 	"samphirewharf/internal/network/dialer"
+	"samphirewharf/internal/network/inspector"
 )
 
 const (
@@ -139,7 +141,14 @@
 	if c.Transport != nil {
 		return
 	}
-	c.Transport = &http.Transport{DialContext: dialer.Dialer{}.Dial, DisableCompression: true, MaxResponseHeaderBytes: bounder.MaxHeaderBytes, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
+	c.Transport = newTransport(dialer.Dialer{}.Dial)
+}
+
+// newTransport returns a Transport whose connections are opened by a function.
+func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) http.RoundTripper {
+	return inspector.NewTransport(&http.Transport{
+		DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: bounder.MaxHeaderBytes, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute,
+	})
 }
 
 // timeout returns the time limit for the delivery of a message of a size in bytes.
