fix: an answer without a length that was reset amid the upload is not a whole one

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. The caller got that part as a complete answer, with a Content-Length of the part.

Cause: the kernel reports a reset to one call alone. If that is the write of the upload, which gets ECONNRESET, the next read finds what had arrived and then a plain end, and a body without a length counts as whole at the end of its connection. net/http closes the connection after the failed write, but a read that comes in between has its end by then. The same race is in each client: streamer (gateway, responder), sender (store, host list, reports, orders, health checks) and the client for other daemons.

Fix: at the end of a connection, Conn.Read asks whether a write has failed, and returns an error that wraps the write's. A write that is running is ended first, as its error is needed: it has not returned yet, though the kernel may have reported the reset to it. Nothing is lost by that, since net/http closes a connection at its end.

Why it works: a write gets ECONNRESET only if the reset came before the server's own end. So early answers to uploads stay whole where the server closes its side before it resets the connection. Nothing distinguishes a reset from the end of a server that was killed with all of the upload read; that is an end for every reader.

--- a/internal/edge/gateway/gateway_test.go
+++ b/internal/edge/gateway/gateway_test.go
@@ -200,7 +200,11 @@
 }
 
 func (h *harness) sendWith(path string, fields http.Header) (status int, body string, header http.Header, err error) {
-	r, err := http.NewRequest(http.MethodPost, "http://"+h.address+path, strings.NewReader("body"))
+	return h.upload(path, "body", fields)
+}
+
+func (h *harness) upload(path, text string, fields http.Header) (status int, body string, header http.Header, err error) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+h.address+path, strings.NewReader(text))
 	if err != nil {
 		h.t.Fatal(err)
 	}
--- a/internal/entry/responder/invalid.go
+++ b/internal/entry/responder/invalid.go
@@ -7,6 +7,7 @@
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/entry/streamer"
 	"samphirewharf/internal/network/bounder"
+	"samphirewharf/internal/network/inspector"
 )
 
 // errInvalidEvent is returned for an event that doesn't follow those that the caller has.
@@ -14,8 +15,8 @@
 
 // invalidAnswers are the errors for answers that a server sent, but that aren't valid.
 var invalidAnswers = []error{
-	errInvalidEvent, errNotEventStream, errIncompleteStream, errInvalidRefusal, bounder.ErrTooLarge, streamer.ErrEventTooLarge,
-	streamer.ErrMalformedEvent, streamer.ErrNotFinal, streamer.ErrOtherRequest, streamer.ErrResponseInEvent, streamer.ErrTooManyEvents,
+	errInvalidEvent, errNotEventStream, errIncompleteStream, errInvalidRefusal, bounder.ErrTooLarge, inspector.ErrReset,
+	streamer.ErrEventTooLarge, streamer.ErrMalformedEvent, streamer.ErrNotFinal, streamer.ErrOtherRequest, streamer.ErrResponseInEvent, streamer.ErrTooManyEvents,
 }
 
 // isInvalid reports whether an attempt ended because the answer isn't valid.
--- a/internal/network/inspector/conn.go
+++ b/internal/network/inspector/conn.go
@@ -2,18 +2,37 @@
 
 import (
 	"errors"
+	"fmt"
+	"io"
 	"net"
+	"os"
 	"sync"
+	"syscall"
+	"time"
 )
 
-// ErrSealed is returned for a write to a sealed connection.
-var ErrSealed = errors.New("connection is sealed")
+var (
+	// ErrSealed is returned for a write to a sealed connection.
+	ErrSealed = errors.New("connection is sealed")
+	// ErrReset is returned in place of the end of a connection that was reset.
+	ErrReset = errors.New("connection was reset before the end of the answer")
+	// errEndedAnswer is returned for a write that the end of the connection has interrupted.
+	errEndedAnswer = fmt.Errorf("server ended the connection amid the request: %w", io.ErrUnexpectedEOF)
+)
+
+// past is a deadline that ends a write at once.
+var past = time.Unix(1, 0)
 
-// A Conn is a client's connection that counts its writes and can be sealed. A sealed connection rejects all writes. It is safe for
-// concurrent use.
+// A Conn is a client's connection that counts its writes and can be sealed. A sealed connection rejects all writes. The end of what is read
+// is the server's: if the connection was reset, reading ends in an error. It is safe for concurrent use.
 type Conn struct {
 	net.Conn
 
+	// writing is held during each write.
+	writing sync.Mutex
+	// writeErr is the error of the first write that failed, nil if none has. It is guarded by writing.
+	writeErr error
+
 	mu sync.Mutex
 	// writes is the number of attempted writes, whether or not they succeeded. It is counted before each write, so that an unchanged
 	// number after the connection was sealed or closed proves that nothing was sent.
@@ -22,12 +41,46 @@
 	sealed bool
 }
 
+// Read reads from the connection.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = c.endError()
+	}
+	return n, err
+}
+
+// endError returns the error for the end of what can be read. The kernel reports a reset to one call alone: if that was a write, reads
+// find an end as if the server had closed the connection. A write that fails after the server has closed it gets EPIPE in place of the
+// reset.
+func (c *Conn) endError() error {
+	if !c.writing.TryLock() {
+		// The error of the running write is needed. It may wait for a server that reads no more, and what it sends has no use any more.
+		_ = c.SetWriteDeadline(past)
+		c.writing.Lock()
+	}
+	defer c.writing.Unlock()
+	if c.writeErr == nil || errors.Is(c.writeErr, syscall.EPIPE) {
+		return io.EOF
+	}
+	return fmt.Errorf("%w: %w", ErrReset, c.writeErr)
+}
+
 // Write counts a write and passes it on, unless the connection is sealed.
 func (c *Conn) Write(p []byte) (int, error) {
 	if !c.countWrite() {
 		return 0, ErrSealed
 	}
-	return c.Conn.Write(p)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		err = errEndedAnswer
+	case c.writeErr == nil:
+		c.writeErr = err
+	}
+	return n, err
 }
 
 func (c *Conn) countWrite() bool {
--- a/internal/network/inspector/transport.go
+++ b/internal/network/inspector/transport.go
@@ -1,5 +1,5 @@
-// Package inspector sends HTTP requests over connections whose writes are counted, so that a client can tell whether any byte of a
-// request was sent.
+// Package inspector sends HTTP requests and decides when an answer without a length has ended. Its connections count their writes, so that a
+// client can tell whether any byte of a request was sent.
 package inspector
 
 import (
