fix: an answer is none if a line of its head is no field

What callers saw: a server sent an answer in whose head the name of a field held a blank. They got it as an answer, with that line passed on; where the name was that of the field that frames the body ("Content-Length : 3", "Transfer-Encoding : chunked"), with a body by another framing than the server's, the chunk sizes included.

Cause: net/http keeps names with blanks as they are (net/textproto checks the other characters), and so doesn't know the framing fields by them. What counts as a head was nowhere decided by our own code. Control bytes, separators and high bytes in names, and control bytes in values, net/http refuses itself.

The other forms are refused as before; their entries in the log name them now.

Fix: Conn.Read checks the head of each answer line by line, interim heads included, before net/http gets it, and returns an error in place of the bytes. The clients take the answer for invalid: a repeatable request goes elsewhere, others get 502, the circuit breaker counts the server, and the line of the attempt quotes what was wrong, escaped.

Why it works: all that net/http parses as a head has passed the check, however it was split into reads, since the next head begins with the next request on the connection.

--- a/internal/entry/streamer/failure.go
+++ b/internal/entry/streamer/failure.go
@@ -12,6 +12,7 @@
 
 	"samphirewharf/internal/decision/reducer"
 	"samphirewharf/internal/network/dialer"
+	"samphirewharf/internal/network/inspector"
 )
 
 // idleConnClosedText is the text of net/http's unexported error for a connection that the server closed while idle.
@@ -70,7 +71,8 @@
 // isBroken reports whether an error means that the server closed the connection, which happens when the server dies.
 // The Transport then closes its own side too, so that a write may fail because the connection is closed.
 func isBroken(err error) bool {
-	if strings.Contains(err.Error(), idleConnClosedText) {
+	// After an invalid head it is the Transport that closes the connection.
+	if errors.Is(err, inspector.ErrInvalidHead) || strings.Contains(err.Error(), idleConnClosedText) {
 		return false
 	}
 	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, net.ErrClosed, syscall.ECONNRESET, syscall.EPIPE} {
--- a/internal/network/inspector/conn.go
+++ b/internal/network/inspector/conn.go
@@ -23,8 +23,9 @@
 // past is a deadline that ends a write at once.
 var past = time.Unix(1, 0)
 
-// A Conn is a client's connection that counts its writes and can be sealed. A sealed connection rejects all writes. The end of what is read
-// is the server's: if the connection was reset, reading ends in an error. It is safe for concurrent use.
+// A Conn is a client's connection that counts its writes and can be sealed. A sealed connection rejects all writes. What is read are valid
+// heads of answers and their bodies, and its end is that of the server: if the connection was reset, reading it ends in an error. It is
+// safe for concurrent use.
 type Conn struct {
 	net.Conn
 
@@ -39,17 +40,44 @@
 	writes int
 	// sealed is true once writes are rejected. It never becomes false again.
 	sealed bool
+	// head checks the head of the answer to the current request.
+	head head
+	// headErr is the error for a head that isn't valid, nil if there was none. Nothing is read after it.
+	headErr error
 }
 
-// Read reads from the connection.
+// Read reads from the connection. The error wraps ErrInvalidHead if the bytes that were received are no valid head of an answer, none of
+// which are returned then.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if headErr := c.checkHead(p[:n]); headErr != nil {
+		return 0, headErr
+	}
 	if errors.Is(err, io.EOF) {
 		err = c.endError()
 	}
 	return n, err
 }
 
+func (c *Conn) checkHead(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.headErr == nil {
+		c.headErr = c.head.read(p)
+	}
+	return c.headErr
+}
+
+// headError returns the error for an invalid head, nil if there was none.
+func (c *Conn) headError() error { return c.checkHead(nil) }
+
+// expectAnswer has the next bytes checked as the head of another answer.
+func (c *Conn) expectAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = head{}
+}
+
 // endError returns the error for the end of what can be read. The kernel reports a reset to one call alone: if that was a write, reads
 // find an end as if the server had closed the connection. A write that fails after the server has closed it gets EPIPE in place of the
 // reset.
--- /dev/null
+++ b/internal/network/inspector/head.go
@@ -0,0 +1,132 @@
+package inspector
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// ErrInvalidHead is wrapped by the errors for answers whose head isn't valid.
+var ErrInvalidHead = errors.New("invalid head of an answer")
+
+// maxQuotedBytes bounds the part of a line that an error quotes.
+const maxQuotedBytes = 64
+
+// A head checks the heads of an answer, the interim ones and the final one, as they are received. They have to follow the grammar of RFC
+// 9112; where that leaves it to the recipient, lines may end with a line feed alone, and values may go on in the next line. The zero value
+// is at the start of an answer.
+type head struct {
+	// line is the part of a line whose end hasn't been received. Its size is bounded by http.Transport, which reads no more than
+	// MaxResponseHeaderBytes.
+	line []byte
+	// begun reports whether the status line has been received.
+	begun bool
+	// complete reports whether the final head has ended.
+	complete bool
+	// interim reports whether another head follows.
+	interim bool
+	// named reports whether a field has been received.
+	named bool
+}
+
+// read checks the next bytes of an answer up to the end of its final head.
+func (h *head) read(p []byte) error {
+	for !h.complete {
+		part, rest, ended := bytes.Cut(p, []byte("\n"))
+		if !ended {
+			h.line = append(h.line, part...)
+			return nil
+		}
+		line := part
+		if len(h.line) > 0 {
+			h.line = append(h.line, part...)
+			line, h.line = h.line, h.line[:0]
+		}
+		if err := h.readLine(bytes.TrimSuffix(line, []byte("\r"))); err != nil {
+			return err
+		}
+		p = rest
+	}
+	return nil
+}
+
+func (h *head) readLine(line []byte) error {
+	switch {
+	case !h.begun:
+		h.begun = true
+		h.readStatus(line)
+		return nil
+	case len(line) == 0:
+		h.end()
+		return nil
+	case line[0] == ' ' || line[0] == '\t':
+		return h.readContinuation(line)
+	default:
+		return h.readField(line)
+	}
+}
+
+// readStatus reads from a status line whether the head is an interim one.
+func (h *head) readStatus(line []byte) {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	h.interim = len(rest) > 0 && rest[0] == '1' && !bytes.HasPrefix(rest, []byte("101"))
+}
+
+func (h *head) readField(line []byte) error {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	switch {
+	case !ok:
+		return invalid("line without a colon", line)
+	case !isToken(name):
+		return invalid("name of a field", name)
+	case !isText(value):
+		return invalid("value of a field", line)
+	}
+	h.named = true
+	return nil
+}
+
+// readContinuation checks a line that continues the value of the field before.
+func (h *head) readContinuation(line []byte) error {
+	if !h.named || !isText(line) {
+		return invalid("continuation of a field", line)
+	}
+	return nil
+}
+
+// end ends a head, the final one or an interim one.
+func (h *head) end() {
+	if h.interim {
+		*h = head{line: h.line}
+		return
+	}
+	h.complete = true
+	h.line = nil
+}
+
+// invalid returns the error for a part of a head. It quotes what was received, without control bytes.
+func invalid(what string, received []byte) error {
+	return fmt.Errorf("%w: %s %+q", ErrInvalidHead, what, received[:min(len(received), maxQuotedBytes)])
+}
+
+// isToken reports whether a text is a token of RFC 9110, which names of fields are.
+func isToken(p []byte) bool {
+	for _, c := range p {
+		letter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
+		if !letter && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return len(p) > 0
+}
+
+// isText reports whether a text has no control bytes but tabs.
+func isText(p []byte) bool {
+	for _, c := range p {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/network/inspector/transport.go
+++ b/internal/network/inspector/transport.go
@@ -1,8 +1,10 @@
-// Package inspector sends HTTP requests and decides when an answer without a length has ended. Its connections count their writes, so that a
-// client can tell whether any byte of a request was sent.
+// Package inspector sends HTTP requests and decides what counts as an answer: which heads are valid, and when a body without a length has
+// ended. No other code sees an answer before that. Its connections count their writes, so that a client can tell whether any byte of a
+// request was sent.
 package inspector
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -36,7 +38,7 @@
 // RoundTrip sends a request.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) { return t.Send(r, nil) }
 
-// Send sends a request. It calls onConn, which may be nil, with each connection that is chosen for the request, before anything of the
+// Send sends a request. The error wraps ErrInvalidHead for an answer whose head isn't valid. It calls onConn, which may be nil, with each connection that is chosen for the request, before anything of the
 // request is written there. Reused reports whether the connection has carried requests before.
 func (t *Transport) Send(r *http.Request, onConn func(c *Conn, reused bool)) (*http.Response, error) {
 	if r.URL.Scheme != "http" {
@@ -45,7 +47,11 @@
 	}
 	e := &exchange{onConn: onConn}
 	trace := &httptrace.ClientTrace{GotConn: e.gotConn}
-	return t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	response, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, e.failure(err)
+	}
+	return response, nil
 }
 
 // An exchange is a request and its answer.
@@ -53,6 +59,8 @@
 	onConn func(c *Conn, reused bool)
 	// conn is the connection that the http.Transport chose last, nil if there is none yet.
 	conn *Conn
+	// headErr is the error for an invalid head on a connection before that one, nil if there was none.
+	headErr error
 }
 
 func (e *exchange) gotConn(info httptrace.GotConnInfo) {
@@ -60,8 +68,25 @@
 	if !ok {
 		return
 	}
+	if e.conn != nil {
+		e.headErr = e.conn.headError()
+	}
 	e.conn = conn
+	if info.Reused {
+		conn.expectAnswer()
+	}
 	if e.onConn != nil {
 		e.onConn(conn, info.Reused)
 	}
 }
+
+// failure returns the error for an exchange without an answer. net/http may return an error that followed from that for an invalid head.
+func (e *exchange) failure(err error) error {
+	if e.conn == nil || errors.Is(err, ErrInvalidHead) {
+		return err
+	}
+	if headErr := cmp.Or(e.headErr, e.conn.headError()); headErr != nil {
+		return fmt.Errorf("%w: %w", headErr, err)
+	}
+	return err
+}
--- a/internal/network/sender/broken_answers_test.go
+++ b/internal/network/sender/broken_answers_test.go
@@ -1,6 +1,7 @@
 package sender_test
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -8,6 +9,7 @@
 	"testing"
 
 	"samphirewharf/internal/network/bounder"
+	"samphirewharf/internal/network/inspector"
 	"samphirewharf/internal/network/sender"
 	"samphirewharf/internal/standin/breaker"
 )
@@ -36,6 +38,32 @@
 	}
 }
 
+// Guards against answers of the store, a host list or an engine that count though their heads aren't valid, and against valid ones that don't.
+func TestHeadsOfAnswers(t *testing.T) {
+	ask := func(t *testing.T, answer string) (body string, err error) {
+		server := startScriptedServer(t, func(s *scriptedServer, conn net.Conn) {
+			s.read(conn)
+			_, _ = io.WriteString(conn, answer)
+		})
+		_, body, err = get(t, &sender.Sender{}, server.listener.Addr().String(), "x")
+		return body, err
+	}
+	for name, answer := range breaker.InvalidHeads("", "{}") {
+		t.Run(name, func(t *testing.T) {
+			if body, err := ask(t, answer); !errors.Is(err, inspector.ErrInvalidHead) {
+				t.Errorf("got body %q and error %v, want %v", body, err, inspector.ErrInvalidHead)
+			}
+		})
+	}
+	for name, answer := range breaker.ValidHeads("", "{}") {
+		t.Run(name, func(t *testing.T) {
+			if body, err := ask(t, answer); body != "{}" || err != nil {
+				t.Errorf("got body %q and error %v, want {}", body, err)
+			}
+		})
+	}
+}
+
 // Guards against whole answers that are lost since the server answers before it has read the upload.
 func TestEarlyAnswers(t *testing.T) {
 	for name, framing := range map[string]string{"with a length": "Content-Length: 2\r\n", "without a length": ""} {
--- a/internal/peer/messenger/broken_answers_test.go
+++ b/internal/peer/messenger/broken_answers_test.go
@@ -1,6 +1,9 @@
 package messenger
 
 import (
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"samphirewharf/internal/standin/breaker"
@@ -13,3 +16,22 @@
 		t.Error("got the message delivered, want an error")
 	}
 }
+
+// Guards against a message that counts as delivered though the answer of the other daemon has no valid head.
+func TestHeadsOfAnswers(t *testing.T) {
+	for name, answer := range breaker.InvalidHeads("Content-Type: application/protobuf\r\n", "") {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+					_, _ = io.WriteString(conn, answer)
+					_ = conn.Close()
+				}
+			}))
+			t.Cleanup(server.Close)
+			if _, err := (&Client{}).messenger(server.Listener.Addr().String()).Deliver(t.Context(), heartbeatMessage(1).Envelope()); err == nil {
+				t.Error("got the message delivered, want an error")
+			}
+		})
+	}
+}
