fix: an answer in a version of HTTP that is neither 1.0 nor 1.1 is none

What callers saw: a head with HTTP/2.0 or HTTP/1.7 reached them as a whole 200.

Cause: net/http parses any version of two digits. What comes over these connections is HTTP/1.1, or 1.0 from old servers; no other version is sent in this form, so such a line is text of something else, or spoilt.

Evidence: both versions failed before in TestHeadsOfAnswers at the gateway (reads and streams), the responder, sender and messenger. A version in lower case was refused before.

Fix: the check of heads accepts HTTP/1.0 and HTTP/1.1. TestHeads and TestHeadsOfAnswers have sound answers of both.

--- a/internal/network/inspector/head.go
+++ b/internal/network/inspector/head.go
@@ -55,8 +55,7 @@
 	switch {
 	case !h.begun:
 		h.begun = true
-		h.readStatus(line)
-		return nil
+		return h.readStatus(line)
 	case len(line) == 0:
 		h.end()
 		return nil
@@ -67,10 +66,14 @@
 	}
 }
 
-// readStatus reads from a status line whether the head is an interim one.
-func (h *head) readStatus(line []byte) {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
+// readStatus checks the version of a status line, and reads whether the head is an interim one.
+func (h *head) readStatus(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	if string(version) != "HTTP/1.0" && string(version) != "HTTP/1.1" {
+		return invalid("version", version)
+	}
 	h.interim = len(rest) > 0 && rest[0] == '1' && !bytes.HasPrefix(rest, []byte("101"))
+	return nil
 }
 
 func (h *head) readField(line []byte) error {
--- a/internal/standin/breaker/answer.go
+++ b/internal/standin/breaker/answer.go
@@ -27,6 +27,9 @@
 		"a control byte in a value":              ok + "X-Odd: \x1b[2J\r\n" + length,
 		"a carriage return in a value":           ok + "X-Odd: a\rContent-Length: 1\r\n" + length,
 		"a control byte in a continuation":       ok + "X-Odd: x\r\n \x1b[2J\r\n" + length,
+		"a version that nobody speaks":           "HTTP/1.7 200 OK\r\n" + length,
+		"a version of another protocol":          "HTTP/2.0 200 OK\r\n" + length,
+		"a version in lower case":                "http/1.1 200 OK\r\n" + length,
 		"a blank in a name of an interim head":   "HTTP/1.1 103 Early Hints\r\nX Odd: x\r\n\r\n" + ok + length,
 	}
 }
