fix: an answer with a malformed status line is none

What callers saw: nothing of statuses 000, 001 to 099, of a sign or other than three digits; streamer refused those, or net/http did. A status line with two blanks before the status, or with a control byte in its reason, reached them as a whole 200.

What the daemon did: sender passed on 000, 099, "+20" and a switch of protocols (101) as answers. A health check of a server that answers with one of them counted it as reached. Reports, orders and calls to the store ask for certain statuses, so they failed as before.

Cause: net/http takes any number of three characters for a status and skips blanks before it. The check for statuses below 200 was in streamer alone.

Evidence: TestEnginesWithInvalidHeads failed before for the six forms above; TestHeadsOfAnswers for the blanks and the reason at all four readers, and for the statuses at sender.

Fix: the check of heads decides it for all readers: one blank, three digits from 100 on, a reason without control bytes, and no 101, since no request asks for another protocol. The one in streamer and its ErrNotFinal are gone; TestProtocolSwitch stays as it is. A missing or empty reason and unknown statuses from 200 to 999 count as before.

--- a/internal/entry/streamer/failure.go
+++ b/internal/entry/streamer/failure.go
@@ -21,9 +21,6 @@
 // ErrOtherRequest is returned for a response with another request's X-Request-Id.
 var ErrOtherRequest = errors.New("response belongs to another request")
 
-// ErrNotFinal is returned for a response that is none to the request, such as a switch to another protocol, which no request asks for.
-var ErrNotFinal = errors.New("response is not final")
-
 // maxDetailBytes bounds the part of a log line that says why an answer was given up.
 const maxDetailBytes = 256
 
--- a/internal/entry/streamer/reply.go
+++ b/internal/entry/streamer/reply.go
@@ -67,9 +67,6 @@
 // check returns a failure if the response belongs to another request, says that the request wasn't run, or announces a body
 // that is too large.
 func (r *Reply) check(id string) error {
-	if r.StatusCode < http.StatusOK {
-		return &Failure{Outcome: reducer.AttemptFailed, Err: fmt.Errorf("status %d: %w", r.StatusCode, ErrNotFinal)}
-	}
 	echoed := r.Header.Get(r.client.identityHeader())
 	refused := r.client.notRun(r.StatusCode, r.Header)
 	// On a connection that has carried another request, a refusal without ID may be the repeated answer to that.
--- a/internal/network/inspector/head.go
+++ b/internal/network/inspector/head.go
@@ -66,13 +66,22 @@
 	}
 }
 
-// readStatus checks the version of a status line, and reads whether the head is an interim one.
+// readStatus checks a status line, whose reason may be missing.
 func (h *head) readStatus(line []byte) error {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
-	if string(version) != "HTTP/1.0" && string(version) != "HTTP/1.1" {
+	status, reason, _ := bytes.Cut(rest, []byte(" "))
+	switch {
+	case string(version) != "HTTP/1.0" && string(version) != "HTTP/1.1":
 		return invalid("version", version)
+	case len(status) != 3 || !isNumber(status) || status[0] == '0':
+		return invalid("status", status)
+	case string(status) == "101":
+		// It answers no request, since none asks for another protocol.
+		return invalid("status", status)
+	case !isText(reason):
+		return invalid("reason", reason)
 	}
-	h.interim = len(rest) > 0 && rest[0] == '1' && !bytes.HasPrefix(rest, []byte("101"))
+	h.interim = status[0] == '1'
 	return nil
 }
 
@@ -133,3 +142,7 @@
 	}
 	return true
 }
+
+func isNumber(p []byte) bool {
+	return len(p) > 0 && !bytes.ContainsFunc(p, func(r rune) bool { return r < '0' || r > '9' })
+}
--- a/internal/standin/breaker/answer.go
+++ b/internal/standin/breaker/answer.go
@@ -30,6 +30,15 @@
 		"a version that nobody speaks":           "HTTP/1.7 200 OK\r\n" + length,
 		"a version of another protocol":          "HTTP/2.0 200 OK\r\n" + length,
 		"a version in lower case":                "http/1.1 200 OK\r\n" + length,
+		"status 000":                             "HTTP/1.1 000 Odd\r\n" + length,
+		"status 099":                             "HTTP/1.1 099 Odd\r\n" + length,
+		"status 101":                             "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: odd\r\n" + length,
+		"a status of two digits":                 "HTTP/1.1 20 OK\r\n" + length,
+		"a status of four digits":                "HTTP/1.1 2000 OK\r\n" + length,
+		"a status with a sign":                   "HTTP/1.1 +20 OK\r\n" + length,
+		"no status":                              "HTTP/1.1\r\n" + length,
+		"two blanks before the status":           "HTTP/1.1  200 OK\r\n" + length,
+		"a control byte in the reason":           "HTTP/1.1 200 O\x1b[2JK\r\n" + length,
 		"a blank in a name of an interim head":   "HTTP/1.1 103 Early Hints\r\nX Odd: x\r\n\r\n" + ok + length,
 	}
 }
