fix: an answer whose head names two framings is none

What callers saw: a head in HTTP/1.0 with "Transfer-Encoding: chunked" reached them as a whole 200 whose body held the sizes of the chunks. Heads with both a length and chunks, and with either of them on a continued line, reached them with one of the bodies that readers may take them to have.

Cause: net/http ignores the coding in HTTP/1.0, prefers it to a length in HTTP/1.1, and joins continued lines. RFC 9112, section 6.1, calls the first a faulty framing, and section 6.3 the second an error; of continued lines readers make different things (section 5.2). Two lengths, lengths that are no numbers and other codings net/http refuses itself.

Fix: the check of heads knows the fields that frame the body. They stand on one line, lengths are digits and agree, and a coding is chunked, once, in HTTP/1.1 and without a length. What net/http refused before is refused there too, so that the log names it as the other forms. A length given twice, and continued lines of other fields, count as before.

--- a/internal/network/inspector/head.go
+++ b/internal/network/inspector/head.go
@@ -26,8 +26,12 @@
 	complete bool
 	// interim reports whether another head follows.
 	interim bool
-	// named reports whether a field has been received.
-	named bool
+	// http10 reports whether the version is HTTP/1.0, which has no transfer codings.
+	http10 bool
+	// named reports whether a field has been received. Framing reports whether the last one frames the body.
+	named, framing bool
+	// lengths and codings are the values of the fields that frame the body.
+	lengths, codings []string
 }
 
 // read checks the next bytes of an answer up to the end of its final head.
@@ -57,8 +61,7 @@
 		h.begun = true
 		return h.readStatus(line)
 	case len(line) == 0:
-		h.end()
-		return nil
+		return h.end()
 	case line[0] == ' ' || line[0] == '\t':
 		return h.readContinuation(line)
 	default:
@@ -70,8 +73,9 @@
 func (h *head) readStatus(line []byte) error {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	status, reason, _ := bytes.Cut(rest, []byte(" "))
+	h.http10 = string(version) == "HTTP/1.0"
 	switch {
-	case string(version) != "HTTP/1.0" && string(version) != "HTTP/1.1":
+	case !h.http10 && string(version) != "HTTP/1.1":
 		return invalid("version", version)
 	case len(status) != 3 || !isNumber(status) || status[0] == '0':
 		return invalid("status", status)
@@ -95,26 +99,50 @@
 	case !isText(value):
 		return invalid("value of a field", line)
 	}
-	h.named = true
+	h.named, h.framing = true, true
+	switch {
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		h.lengths = append(h.lengths, string(bytes.Trim(value, " \t")))
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		h.codings = append(h.codings, string(bytes.Trim(value, " \t")))
+	default:
+		h.framing = false
+	}
 	return nil
 }
 
-// readContinuation checks a line that continues the value of the field before.
+// readContinuation checks a line that continues the value of the field before. Readers differ in whether they join the lines, so none of
+// a field that frames the body is accepted.
 func (h *head) readContinuation(line []byte) error {
-	if !h.named || !isText(line) {
+	if !h.named || h.framing || !isText(line) {
 		return invalid("continuation of a field", line)
 	}
 	return nil
 }
 
-// end ends a head, the final one or an interim one.
-func (h *head) end() {
+// end checks which fields frame the body. Readers differ in which one they go by if there are several.
+func (h *head) end() error {
 	if h.interim {
 		*h = head{line: h.line}
-		return
+		return nil
 	}
 	h.complete = true
 	h.line = nil
+	for _, length := range h.lengths {
+		if length != h.lengths[0] || !isNumber([]byte(length)) {
+			return invalid("length of the body", []byte(strings.Join(h.lengths, ", ")))
+		}
+	}
+	codings := strings.Join(h.codings, ", ")
+	switch {
+	case len(h.codings) == 0:
+		return nil
+	case len(h.lengths) > 0:
+		return invalid("length beside a transfer coding", []byte(strings.Join(h.lengths, ", ")))
+	case h.http10 || !strings.EqualFold(codings, "chunked"):
+		return invalid("transfer coding", []byte(codings))
+	}
+	return nil
 }
 
 // invalid returns the error for a part of a head. It quotes what was received, without control bytes.
--- a/internal/standin/breaker/answer.go
+++ b/internal/standin/breaker/answer.go
@@ -10,7 +10,7 @@
 
 // InvalidHeads returns answers whose heads aren't valid, by what is wrong. They have the body, and the fields, whose lines end with CR LF.
 func InvalidHeads(fields, body string) map[string]string {
-	n, plain, length, _, chunks := frame(fields, body)
+	n, plain, length, coding, chunks := frame(fields, body)
 	return map[string]string{
 		"a blank in the name of a field":         ok + "X Odd: x\r\n" + length,
 		"a blank before a colon":                 ok + "X-Odd : x\r\n" + length,
@@ -27,6 +27,15 @@
 		"a control byte in a value":              ok + "X-Odd: \x1b[2J\r\n" + length,
 		"a carriage return in a value":           ok + "X-Odd: a\rContent-Length: 1\r\n" + length,
 		"a control byte in a continuation":       ok + "X-Odd: x\r\n \x1b[2J\r\n" + length,
+		"a length over two lines":                ok + "Content-Length:\r\n " + n + "\r\n" + plain,
+		"a coding over two lines":                ok + "Transfer-Encoding:\r\n chunked\r\n" + chunks,
+		"two lengths":                            ok + "Content-Length: 3\r\n" + length,
+		"a length that is no number":             ok + "Content-Length: +" + n + "\r\n" + plain,
+		"an empty length":                        ok + "Content-Length: \r\n" + plain,
+		"a length and chunks":                    ok + "Content-Length: " + n + "\r\n" + coding,
+		"an unknown coding":                      ok + "Transfer-Encoding: odd\r\n" + plain,
+		"two codings":                            ok + "Transfer-Encoding: chunked\r\n" + coding,
+		"chunks in HTTP/1.0":                     "HTTP/1.0 200 OK\r\n" + coding,
 		"a version that nobody speaks":           "HTTP/1.7 200 OK\r\n" + length,
 		"a version of another protocol":          "HTTP/2.0 200 OK\r\n" + length,
 		"a version in lower case":                "http/1.1 200 OK\r\n" + length,
