fix: an answer that was received before its request is not the answer to it

What callers saw: on the own interface, where servers needn't repeat the request's ID, a server that writes two answers to one request had the second one passed on as the answer to the next request on that connection. On the users' platform the ID told it apart. Its head is one that the check of heads hasn't seen, since the connection took it for a part of the body before.

Cause: net/http returns a connection to its pool at the end of the body and reads on only then. A request that takes the connection in between gets what was already buffered.

Fix: Send compares the number of final heads that the connection has received before and after the request, and returns ErrUnsolicited if there is none since. Clients treat it as other invalid answers.

What remains: half a head after an answer, in the same segment, joined by the head of the next answer, is parsed as one head of which only the second part was checked.

--- a/internal/entry/responder/invalid.go
+++ b/internal/entry/responder/invalid.go
@@ -16,7 +16,8 @@
 // invalidAnswers are the errors for answers that a server sent, but that aren't valid.
 var invalidAnswers = []error{
 	errInvalidEvent, errNotEventStream, errIncompleteStream, errInvalidRefusal, bounder.ErrTooLarge, inspector.ErrInvalidHead, inspector.ErrReset,
-	streamer.ErrEventTooLarge, streamer.ErrMalformedEvent, streamer.ErrOtherRequest, streamer.ErrResponseInEvent, streamer.ErrTooManyEvents,
+	inspector.ErrUnsolicited, streamer.ErrEventTooLarge, streamer.ErrMalformedEvent, streamer.ErrOtherRequest, streamer.ErrResponseInEvent,
+	streamer.ErrTooManyEvents,
 }
 
 // isInvalid reports whether an attempt ended because the answer isn't valid.
--- a/internal/network/inspector/conn.go
+++ b/internal/network/inspector/conn.go
@@ -42,6 +42,8 @@
 	sealed bool
 	// head checks the head of the answer to the current request.
 	head head
+	// answers is the number of final heads that were received.
+	answers int
 	// headErr is the error for a head that isn't valid, nil if there was none. Nothing is read after it.
 	headErr error
 }
@@ -62,8 +64,12 @@
 func (c *Conn) checkHead(p []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.headErr == nil {
-		c.headErr = c.head.read(p)
+	if c.headErr != nil || c.head.complete {
+		return c.headErr
+	}
+	c.headErr = c.head.read(p)
+	if c.head.complete {
+		c.answers++
 	}
 	return c.headErr
 }
@@ -71,11 +77,19 @@
 // headError returns the error for an invalid head, nil if there was none.
 func (c *Conn) headError() error { return c.checkHead(nil) }
 
-// expectAnswer has the next bytes checked as the head of another answer.
-func (c *Conn) expectAnswer() {
+// expectAnswer has the next bytes checked as the head of another answer. It returns the number of final heads that were received before.
+func (c *Conn) expectAnswer() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head = head{}
+	return c.answers
+}
+
+// answeredSince reports whether a final head was received after a number of others.
+func (c *Conn) answeredSince(answers int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answers > answers
 }
 
 // endError returns the error for the end of what can be read. The kernel reports a reset to one call alone: if that was a write, reads
--- a/internal/network/inspector/head_test.go
+++ b/internal/network/inspector/head_test.go
@@ -1,9 +1,12 @@
 package inspector
 
 import (
+	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -48,3 +51,75 @@
 		}
 	}
 }
+
+// A keptServer answers each request on its connections with a text, and keeps them open.
+type keptServer struct {
+	net.Listener
+	answer string
+}
+
+func (s *keptServer) run() {
+	for {
+		conn, err := s.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(conn)
+	}
+}
+
+func (s *keptServer) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	for reader := bufio.NewReader(conn); ; {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, s.answer)
+	}
+}
+
+// Guards against additional answers that are taken for those to the next requests on their connections, with heads that nothing has checked,
+// and against answers that are taken for additional ones.
+func TestAnswersOnKeptConnections(t *testing.T) {
+	const own = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown"
+	for _, c := range []struct {
+		name, answer, body string
+		// all reports whether each request is answered.
+		all bool
+	}{
+		{name: "with a body", answer: own, body: "own", all: true},
+		{name: "without a body", answer: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", all: true},
+		{name: "doubled", answer: own + "HTTP/1.1 200 OK\r\nX Odd: x\r\nContent-Length: 3\r\n\r\nodd", body: "own"},
+	} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		go (&keptServer{listener, c.answer}).run()
+		transport := NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext, MaxIdleConnsPerHost: 8})
+		for range 8 {
+			t.Run(c.name, func(t *testing.T) {
+				t.Parallel()
+				for range 500 {
+					r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+listener.Addr().String(), http.NoBody)
+					if err != nil {
+						t.Fatal(err)
+					}
+					response, err := transport.RoundTrip(r)
+					if err != nil && c.all {
+						t.Fatal(err)
+					}
+					if err != nil {
+						continue
+					}
+					body, _ := io.ReadAll(response.Body)
+					_ = response.Body.Close()
+					if string(body) != c.body {
+						t.Fatalf("got body %q with header %v, want %q", body, response.Header, c.body)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/network/inspector/transport.go
+++ b/internal/network/inspector/transport.go
@@ -13,6 +13,10 @@
 	"net/http/httptrace"
 )
 
+// ErrUnsolicited is returned for an answer that was received before its request was sent, after the one to the request before. net/http may
+// take it for the answer to the next request on the connection.
+var ErrUnsolicited = errors.New("answer was received before its request was sent")
+
 // A Transport is an http.Transport that opens its connections as Conns. NewTransport returns one.
 type Transport struct {
 	*http.Transport
@@ -38,7 +42,8 @@
 // RoundTrip sends a request.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) { return t.Send(r, nil) }
 
-// Send sends a request. The error wraps ErrInvalidHead for an answer whose head isn't valid. It calls onConn, which may be nil, with each connection that is chosen for the request, before anything of the
+// Send sends a request. The error wraps ErrInvalidHead for an answer whose head isn't valid, and ErrUnsolicited for one that isn't to the
+// request. It calls onConn, which may be nil, with each connection that is chosen for the request, before anything of the
 // request is written there. Reused reports whether the connection has carried requests before.
 func (t *Transport) Send(r *http.Request, onConn func(c *Conn, reused bool)) (*http.Response, error) {
 	if r.URL.Scheme != "http" {
@@ -51,6 +56,10 @@
 	if err != nil {
 		return nil, e.failure(err)
 	}
+	if e.conn != nil && !e.conn.answeredSince(e.before) {
+		_, _ = e.conn.Close(), response.Body.Close()
+		return nil, ErrUnsolicited
+	}
 	return response, nil
 }
 
@@ -59,6 +68,8 @@
 	onConn func(c *Conn, reused bool)
 	// conn is the connection that the http.Transport chose last, nil if there is none yet.
 	conn *Conn
+	// before is the number of answers that were received on it for earlier requests.
+	before int
 	// headErr is the error for an invalid head on a connection before that one, nil if there was none.
 	headErr error
 }
@@ -72,8 +83,9 @@
 		e.headErr = e.conn.headError()
 	}
 	e.conn = conn
+	e.before = 0
 	if info.Reused {
-		conn.expectAnswer()
+		e.before = conn.expectAnswer()
 	}
 	if e.onConn != nil {
 		e.onConn(conn, info.Reused)
