fix: the addresses command reads answers as daemons do

It used the client of net/http, which also follows redirects and proxies from the environment; a daemon's answer was read without the checks that all other answers get. It uses sender now.

The emulator's load generator, the demonstration and the stand-ins keep net/http: they play callers and servers, and the first reports what it got.

--- a/internal/command/runner/addresses.go
+++ b/internal/command/runner/addresses.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"samphirewharf/internal/network/bounder"
+	"samphirewharf/internal/network/sender"
 )
 
 // addressesTimeout bounds one lookup.
@@ -64,7 +65,9 @@
 	if err != nil {
 		return addressesAnswer{}, fmt.Errorf("looking up addresses: %w", err)
 	}
-	response, err := http.DefaultClient.Do(request)
+	var client sender.Sender
+	defer client.Close()
+	response, err := client.Do(request)
 	if err != nil {
 		return addressesAnswer{}, fmt.Errorf("looking up addresses: %w", err)
 	}
