fix: half a head after an answer is not joined to the next one

What callers saw: a server wrote an answer and the first lines of a head after it, in one segment, and then answered the next request. The next caller got its own body under a head of both parts, with lines that nothing had checked: "X Odd: x", and a value "HTTP/1.1 200 OK".

Fix: the check counts what is received after a head. If a connection is used again and that wasn't exactly the body by its length, or chunks up to an empty line, the answer to the next request is given up. A server that has received that request may run it, so it counts as one that may have run, as before.

The type of the check is answer now, as it knows more than heads; its files have moved.

--- a/internal/network/inspector/head.go
+++ b/internal/network/inspector/answer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 )
 
@@ -13,10 +14,10 @@
 // maxQuotedBytes bounds the part of a line that an error quotes.
 const maxQuotedBytes = 64
 
-// A head checks the heads of an answer, the interim ones and the final one, as they are received. They have to follow the grammar of RFC
-// 9112; where that leaves it to the recipient, lines may end with a line feed alone, and values may go on in the next line. The zero value
-// is at the start of an answer.
-type head struct {
+// An answer checks the heads of an answer, the interim ones and the final one, as they are received. They have to follow the grammar of
+// RFC 9112; where that leaves it to the recipient, lines may end with a line feed alone, and values may go on in the next line. The zero
+// value is at the start of an answer.
+type answer struct {
 	// line is the part of a line whose end hasn't been received. Its size is bounded by http.Transport, which reads no more than
 	// MaxResponseHeaderBytes.
 	line []byte
@@ -32,50 +33,78 @@
 	named, framing bool
 	// lengths and codings are the values of the fields that frame the body.
 	lengths, codings []string
+	// body is the number of bytes received after the final head, tail the last of them.
+	body int64
+	tail [3]byte
 }
 
-// read checks the next bytes of an answer up to the end of its final head.
-func (h *head) read(p []byte) error {
-	for !h.complete {
+// read checks the next bytes of an answer up to the end of its final head, and counts those after it.
+func (a *answer) read(p []byte) error {
+	for !a.complete {
 		part, rest, ended := bytes.Cut(p, []byte("\n"))
 		if !ended {
-			h.line = append(h.line, part...)
+			a.line = append(a.line, part...)
 			return nil
 		}
 		line := part
-		if len(h.line) > 0 {
-			h.line = append(h.line, part...)
-			line, h.line = h.line, h.line[:0]
+		if len(a.line) > 0 {
+			a.line = append(a.line, part...)
+			line, a.line = a.line, a.line[:0]
 		}
-		if err := h.readLine(bytes.TrimSuffix(line, []byte("\r"))); err != nil {
+		if err := a.readLine(bytes.TrimSuffix(line, []byte("\r"))); err != nil {
 			return err
 		}
 		p = rest
 	}
+	a.readBody(p)
 	return nil
 }
 
-func (h *head) readLine(line []byte) error {
+func (a *answer) readBody(p []byte) {
+	a.body += int64(len(p))
+	for _, c := range p[max(0, len(p)-len(a.tail)):] {
+		a.tail = [3]byte{a.tail[1], a.tail[2], c}
+	}
+}
+
+// exact reports whether no more was received than the body, at its end. Answers to HEAD and those of some statuses have none, whatever
+// their fields say.
+func (a *answer) exact() bool {
+	switch {
+	case a.body == 0:
+		return true
+	case len(a.codings) > 0:
+		// Chunks end with an empty line. Another whole answer may follow, but not a part of one.
+		return a.tail == [3]byte{'\n', '\r', '\n'} || a.tail[1] == '\n' && a.tail[2] == '\n'
+	case len(a.lengths) > 0:
+		length, err := strconv.ParseInt(a.lengths[0], 10, 64)
+		return err == nil && length == a.body
+	default:
+		return false
+	}
+}
+
+func (a *answer) readLine(line []byte) error {
 	switch {
-	case !h.begun:
-		h.begun = true
-		return h.readStatus(line)
+	case !a.begun:
+		a.begun = true
+		return a.readStatus(line)
 	case len(line) == 0:
-		return h.end()
+		return a.end()
 	case line[0] == ' ' || line[0] == '\t':
-		return h.readContinuation(line)
+		return a.readContinuation(line)
 	default:
-		return h.readField(line)
+		return a.readField(line)
 	}
 }
 
 // readStatus checks a status line, whose reason may be missing.
-func (h *head) readStatus(line []byte) error {
+func (a *answer) readStatus(line []byte) error {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	status, reason, _ := bytes.Cut(rest, []byte(" "))
-	h.http10 = string(version) == "HTTP/1.0"
+	a.http10 = string(version) == "HTTP/1.0"
 	switch {
-	case !h.http10 && string(version) != "HTTP/1.1":
+	case !a.http10 && string(version) != "HTTP/1.1":
 		return invalid("version", version)
 	case len(status) != 3 || !isNumber(status) || status[0] == '0':
 		return invalid("status", status)
@@ -85,11 +114,11 @@
 	case !isText(reason):
 		return invalid("reason", reason)
 	}
-	h.interim = status[0] == '1'
+	a.interim = status[0] == '1'
 	return nil
 }
 
-func (h *head) readField(line []byte) error {
+func (a *answer) readField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	switch {
 	case !ok:
@@ -99,47 +128,47 @@
 	case !isText(value):
 		return invalid("value of a field", line)
 	}
-	h.named, h.framing = true, true
+	a.named, a.framing = true, true
 	switch {
 	case bytes.EqualFold(name, []byte("Content-Length")):
-		h.lengths = append(h.lengths, string(bytes.Trim(value, " \t")))
+		a.lengths = append(a.lengths, string(bytes.Trim(value, " \t")))
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
-		h.codings = append(h.codings, string(bytes.Trim(value, " \t")))
+		a.codings = append(a.codings, string(bytes.Trim(value, " \t")))
 	default:
-		h.framing = false
+		a.framing = false
 	}
 	return nil
 }
 
 // readContinuation checks a line that continues the value of the field before. Readers differ in whether they join the lines, so none of
 // a field that frames the body is accepted.
-func (h *head) readContinuation(line []byte) error {
-	if !h.named || h.framing || !isText(line) {
+func (a *answer) readContinuation(line []byte) error {
+	if !a.named || a.framing || !isText(line) {
 		return invalid("continuation of a field", line)
 	}
 	return nil
 }
 
 // end checks which fields frame the body. Readers differ in which one they go by if there are several.
-func (h *head) end() error {
-	if h.interim {
-		*h = head{line: h.line}
+func (a *answer) end() error {
+	if a.interim {
+		*a = answer{line: a.line}
 		return nil
 	}
-	h.complete = true
-	h.line = nil
-	for _, length := range h.lengths {
-		if length != h.lengths[0] || !isNumber([]byte(length)) {
-			return invalid("length of the body", []byte(strings.Join(h.lengths, ", ")))
+	a.complete = true
+	a.line = nil
+	for _, length := range a.lengths {
+		if length != a.lengths[0] || !isNumber([]byte(length)) {
+			return invalid("length of the body", []byte(strings.Join(a.lengths, ", ")))
 		}
 	}
-	codings := strings.Join(h.codings, ", ")
+	codings := strings.Join(a.codings, ", ")
 	switch {
-	case len(h.codings) == 0:
+	case len(a.codings) == 0:
 		return nil
-	case len(h.lengths) > 0:
-		return invalid("length beside a transfer coding", []byte(strings.Join(h.lengths, ", ")))
-	case h.http10 || !strings.EqualFold(codings, "chunked"):
+	case len(a.lengths) > 0:
+		return invalid("length beside a transfer coding", []byte(strings.Join(a.lengths, ", ")))
+	case a.http10 || !strings.EqualFold(codings, "chunked"):
 		return invalid("transfer coding", []byte(codings))
 	}
 	return nil
--- a/internal/network/inspector/head_test.go
+++ b/internal/network/inspector/answer_test.go
@@ -81,7 +81,10 @@
 // Guards against additional answers that are taken for those to the next requests on their connections, with heads that nothing has checked,
 // and against answers that are taken for additional ones.
 func TestAnswersOnKeptConnections(t *testing.T) {
-	const own = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown"
+	const (
+		own    = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown"
+		chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\nX-End: 1\r\n\r\n"
+	)
 	for _, c := range []struct {
 		name, answer, body string
 		// all reports whether each request is answered.
@@ -89,7 +92,10 @@
 	}{
 		{name: "with a body", answer: own, body: "own", all: true},
 		{name: "without a body", answer: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", all: true},
+		{name: "with chunks", answer: chunks, body: "own", all: true},
 		{name: "doubled", answer: own + "HTTP/1.1 200 OK\r\nX Odd: x\r\nContent-Length: 3\r\n\r\nodd", body: "own"},
+		{name: "followed by half a head", answer: own + "HTTP/1.1 200 OK\r\nX Odd: x\r\nX-Odd: ", body: "own"},
+		{name: "with chunks, followed by half a head", answer: chunks + "HTTP/1.1 200 OK\r\nX Odd: x\r\nX-Odd: ", body: "own"},
 	} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -115,8 +121,8 @@
 					}
 					body, _ := io.ReadAll(response.Body)
 					_ = response.Body.Close()
-					if string(body) != c.body {
-						t.Fatalf("got body %q with header %v, want %q", body, response.Header, c.body)
+					if string(body) != c.body || len(response.Header) > 1 {
+						t.Fatalf("got body %q with header %v, want %q and a field at most", body, response.Header, c.body)
 					}
 				}
 			})
--- a/internal/network/inspector/conn.go
+++ b/internal/network/inspector/conn.go
@@ -40,8 +40,8 @@
 	writes int
 	// sealed is true once writes are rejected. It never becomes false again.
 	sealed bool
-	// head checks the head of the answer to the current request.
-	head head
+	// answer checks the answer to the current request.
+	answer answer
 	// answers is the number of final heads that were received.
 	answers int
 	// headErr is the error for a head that isn't valid, nil if there was none. Nothing is read after it.
@@ -52,7 +52,7 @@
 // which are returned then.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if headErr := c.checkHead(p[:n]); headErr != nil {
+	if headErr := c.check(p[:n]); headErr != nil {
 		return 0, headErr
 	}
 	if errors.Is(err, io.EOF) {
@@ -61,28 +61,31 @@
 	return n, err
 }
 
-func (c *Conn) checkHead(p []byte) error {
+func (c *Conn) check(p []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.headErr != nil || c.head.complete {
+	if c.headErr != nil {
 		return c.headErr
 	}
-	c.headErr = c.head.read(p)
-	if c.head.complete {
+	begun := c.answer.complete
+	c.headErr = c.answer.read(p)
+	if !begun && c.answer.complete {
 		c.answers++
 	}
 	return c.headErr
 }
 
 // headError returns the error for an invalid head, nil if there was none.
-func (c *Conn) headError() error { return c.checkHead(nil) }
+func (c *Conn) headError() error { return c.check(nil) }
 
-// expectAnswer has the next bytes checked as the head of another answer. It returns the number of final heads that were received before.
-func (c *Conn) expectAnswer() int {
+// expectAnswer has the next bytes checked as those of another answer. It returns the number of final heads that were received before, and
+// whether nothing was received after the answer before.
+func (c *Conn) expectAnswer() (answers int, exact bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head = head{}
-	return c.answers
+	exact = c.answer.exact()
+	c.answer = answer{}
+	return c.answers, exact
 }
 
 // answeredSince reports whether a final head was received after a number of others.
--- a/internal/network/inspector/transport.go
+++ b/internal/network/inspector/transport.go
@@ -13,9 +13,9 @@
 	"net/http/httptrace"
 )
 
-// ErrUnsolicited is returned for an answer that was received before its request was sent, after the one to the request before. net/http may
-// take it for the answer to the next request on the connection.
-var ErrUnsolicited = errors.New("answer was received before its request was sent")
+// ErrUnsolicited is returned for an answer of which a part was received before its request was sent, after the answer to the request before.
+// net/http may take it for the answer to the next request on the connection.
+var ErrUnsolicited = errors.New("a part of the answer was received before its request was sent")
 
 // A Transport is an http.Transport that opens its connections as Conns. NewTransport returns one.
 type Transport struct {
@@ -56,7 +56,7 @@
 	if err != nil {
 		return nil, e.failure(err)
 	}
-	if e.conn != nil && !e.conn.answeredSince(e.before) {
+	if e.conn != nil && (e.unsolicited || !e.conn.answeredSince(e.before)) {
 		_, _ = e.conn.Close(), response.Body.Close()
 		return nil, ErrUnsolicited
 	}
@@ -68,8 +68,9 @@
 	onConn func(c *Conn, reused bool)
 	// conn is the connection that the http.Transport chose last, nil if there is none yet.
 	conn *Conn
-	// before is the number of answers that were received on it for earlier requests.
-	before int
+	// before is the number of answers that were received on it for earlier requests, unsolicited whether more than those was received.
+	before      int
+	unsolicited bool
 	// headErr is the error for an invalid head on a connection before that one, nil if there was none.
 	headErr error
 }
@@ -83,9 +84,10 @@
 		e.headErr = e.conn.headError()
 	}
 	e.conn = conn
-	e.before = 0
+	e.before, e.unsolicited = 0, false
 	if info.Reused {
-		e.before = conn.expectAnswer()
+		answers, exact := conn.expectAnswer()
+		e.before, e.unsolicited = answers, !exact
 	}
 	if e.onConn != nil {
 		e.onConn(conn, info.Reused)
