test: the gateway's test of heads says plainly which effects it chooses

Its function computed the effects of a request and replaced them. No change in behaviour; the tests of heads pass.

--- a/internal/edge/gateway/broken_answers_test.go
+++ b/internal/edge/gateway/broken_answers_test.go
@@ -32,14 +32,14 @@
 // Guards against answers that callers get though their heads aren't valid, and against services whose valid answers they don't get.
 func TestHeadsOfAnswers(t *testing.T) {
 	server := newBreakingServer(t, false)
+	address := server.listener.Addr().String()
 	h := newHarness(t, func(e conductor.Event) []conductor.Effect {
-		effects := sendOnceTo(server.listener.Addr().String())(e)
-		if _, ok := e.(conductor.RequestArrived); ok {
-			s := sendTo(server.listener.Addr().String())
-			s.NewConnection = true
-			return []conductor.Effect{s}
+		if _, ok := e.(conductor.RequestArrived); !ok {
+			return sendOnceTo(address)(e)
 		}
-		return effects
+		s := sendTo(address)
+		s.NewConnection = true
+		return []conductor.Effect{s}
 	})
 	sent := 0
 	send := func(path, answer string) (status int, body string, ended conductor.AttemptEnded) {
