test: one stand-in server for answers that are written by hand

Three tests of this change had one of their own. The checks are unchanged; the tests of inspector, sender, messenger and EngineClient pass, three times with the race detector.

--- a/internal/network/inspector/answer_test.go
+++ b/internal/network/inspector/answer_test.go
@@ -1,7 +1,6 @@
 package inspector
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -52,32 +51,6 @@
 	}
 }
 
-// A keptServer answers each request on its connections with a text, and keeps them open.
-type keptServer struct {
-	net.Listener
-	answer string
-}
-
-func (s *keptServer) run() {
-	for {
-		conn, err := s.Accept()
-		if err != nil {
-			return
-		}
-		go s.serve(conn)
-	}
-}
-
-func (s *keptServer) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	for reader := bufio.NewReader(conn); ; {
-		if _, err := http.ReadRequest(reader); err != nil {
-			return
-		}
-		_, _ = io.WriteString(conn, s.answer)
-	}
-}
-
 // Guards against additional answers that are taken for those to the next requests on their connections, with heads that nothing has checked,
 // and against answers that are taken for additional ones.
 func TestAnswersOnKeptConnections(t *testing.T) {
@@ -97,18 +70,18 @@
 		{name: "followed by half a head", answer: own + "HTTP/1.1 200 OK\r\nX Odd: x\r\nX-Odd: ", body: "own"},
 		{name: "with chunks, followed by half a head", answer: chunks + "HTTP/1.1 200 OK\r\nX Odd: x\r\nX-Odd: ", body: "own"},
 	} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+		server := &breaker.Server{Answer: c.answer, Keep: true}
+		if err := server.Start("127.0.0.1:0"); err != nil {
 			t.Fatal(err)
 		}
-		t.Cleanup(func() { _ = listener.Close() })
-		go (&keptServer{listener, c.answer}).run()
+		t.Cleanup(server.Stop)
 		transport := NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext, MaxIdleConnsPerHost: 8})
+		t.Cleanup(transport.CloseIdleConnections)
 		for range 8 {
 			t.Run(c.name, func(t *testing.T) {
 				t.Parallel()
 				for range 500 {
-					r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+listener.Addr().String(), http.NoBody)
+					r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+server.Address(), http.NoBody)
 					if err != nil {
 						t.Fatal(err)
 					}
--- a/internal/network/sender/broken_answers_test.go
+++ b/internal/network/sender/broken_answers_test.go
@@ -41,11 +41,12 @@
 // Guards against answers of the store, a host list or an engine that count though their heads aren't valid, and against valid ones that don't.
 func TestHeadsOfAnswers(t *testing.T) {
 	ask := func(t *testing.T, answer string) (body string, err error) {
-		server := startScriptedServer(t, func(s *scriptedServer, conn net.Conn) {
-			s.read(conn)
-			_, _ = io.WriteString(conn, answer)
-		})
-		_, body, err = get(t, &sender.Sender{}, server.listener.Addr().String(), "x")
+		server := &breaker.Server{Answer: answer}
+		if err := server.Start("127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(server.Stop)
+		_, body, err = get(t, &sender.Sender{}, server.Address(), "x")
 		return body, err
 	}
 	for name, answer := range breaker.InvalidHeads("", "{}") {
--- a/internal/peer/messenger/broken_answers_test.go
+++ b/internal/peer/messenger/broken_answers_test.go
@@ -1,9 +1,6 @@
 package messenger
 
 import (
-	"io"
-	"net/http"
-	"net/http/httptest"
 	"testing"
 
 	"samphirewharf/internal/standin/breaker"
@@ -21,15 +18,12 @@
 func TestHeadsOfAnswers(t *testing.T) {
 	for name, answer := range breaker.InvalidHeads("Content-Type: application/protobuf\r\n", "") {
 		t.Run(name, func(t *testing.T) {
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				_, _ = io.Copy(io.Discard, r.Body)
-				if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
-					_, _ = io.WriteString(conn, answer)
-					_ = conn.Close()
-				}
-			}))
-			t.Cleanup(server.Close)
-			if _, err := (&Client{}).messenger(server.Listener.Addr().String()).Deliver(t.Context(), heartbeatMessage(1).Envelope()); err == nil {
+			server := &breaker.Server{Answer: answer}
+			if err := server.Start("127.0.0.1:0"); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(server.Stop)
+			if _, err := (&Client{}).messenger(server.Address()).Deliver(t.Context(), heartbeatMessage(1).Envelope()); err == nil {
 				t.Error("got the message delivered, want an error")
 			}
 		})
--- a/internal/standin/breaker/conn.go
+++ b/internal/standin/breaker/conn.go
@@ -1,4 +1,4 @@
-// Package breaker stands in for backend servers whose answers are broken.
+// Package breaker stands in for servers whose answers are broken.
 package breaker
 
 import (
