--- /dev/null
+++ b/review/harness2/versions.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+const (
+	// pieces is the length of a stream, pieceTime the time between two of its events.
+	pieces    = 24
+	pieceTime = 400 * time.Millisecond
+	// outageTime is how long the store is down, downTime how long the daemons' machines are.
+	outageTime = 3500 * time.Millisecond
+	downTime   = time.Second
+	// retryPause is how long the client waits before it tries again.
+	retryPause = 1500 * time.Millisecond
+)
+
+// versions replaces the only server of a service by one of a newer version while a stream runs at the old one. During an outage of the
+// store in which leases expire, all daemons are killed. The client takes its stream up again.
+func versions(e *environment) error {
+	e.configure([]route{{name: "ask", prefix: "/ask/", kind: "streaming", service: "models", timeout: 20 * time.Second, objective: 500 * time.Millisecond, attempts: 2, resumable: true}}, []string{"models"}, "models", "common")
+	before, err := e.startVersion("i-old", "v1")
+	if err != nil {
+		return err
+	}
+	var machines []machine
+	for n := range 2 {
+		m, err := newMachine(n + 1)
+		if err != nil {
+			return err
+		}
+		machines = append(machines, m)
+		if _, err := e.start(m, true); err != nil {
+			return err
+		}
+	}
+	time.Sleep(4 * time.Second)
+	streamed := make(chan struct{})
+	go func() {
+		defer close(streamed)
+		e.stream(machines)
+	}()
+	time.Sleep(500 * time.Millisecond)
+	after, err := e.startVersion("i-new", "v2")
+	if err != nil {
+		return err
+	}
+	e.record.logf("release: %s (v2) has registered, %s (v1) drains", after.id, before.id)
+	before.setState("draining")
+	time.Sleep(3 * time.Second)
+	if e.trouble {
+		if err := e.breakAll(machines, before); err != nil {
+			return err
+		}
+	}
+	<-streamed
+	return nil
+}
+
+// startVersion starts an engine of a software version.
+func (e *environment) startVersion(id, version string) (*server, error) {
+	v, err := startServer(id, "models", e.store, e.record, "common")
+	if err != nil {
+		return nil, err
+	}
+	v.mu.Lock()
+	v.version = version
+	v.mu.Unlock()
+	v.beat()
+	v.work = func(w http.ResponseWriter, r *http.Request) { v.stream(w, r, version) }
+	return v, nil
+}
+
+// stream writes the events after the one that the client has, each with the version that made it.
+func (v *server) stream(w http.ResponseWriter, r *http.Request, version string) {
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	v.record.logf("%s (%s) goes on after event %d for %s", v.id, version, last, r.Header.Get("Request-Id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Weight-Versions", "1")
+	w.WriteHeader(http.StatusOK)
+	controller := http.NewResponseController(w)
+	for n := last + 1; n <= pieces; n++ {
+		if v.hasLeft() {
+			_ = controller.SetWriteDeadline(time.Unix(1, 0))
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", n, n, version); err != nil {
+			return
+		}
+		if controller.Flush() != nil {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(pieceTime):
+		}
+	}
+}
+
+// breakAll has the store down, its leases expire and all daemons killed meanwhile. The old server leaves.
+func (e *environment) breakAll(machines []machine, before *server) error {
+	lapse := os.Getenv("TROUBLE") != "kill"
+	if lapse {
+		e.record.logf("the store is down, leases expire")
+		e.store.setDown(true)
+	}
+	time.Sleep(time.Second)
+	for _, d := range e.daemons {
+		e.record.logf("SIGKILL to %s", d.name)
+		d.signal(syscall.SIGKILL)
+		<-d.ended
+	}
+	before.leave()
+	time.Sleep(downTime)
+	if lapse {
+		time.Sleep(outageTime - time.Second - downTime)
+		e.store.setDown(false)
+		e.record.logf("the store is back")
+	}
+	for _, m := range machines {
+		if _, err := e.start(m, false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// stream reads a stream and takes it up again where it breaks off, as PROTOCOL.md allows for resumable routes.
+func (e *environment) stream(machines []machine) {
+	deadline := time.Now().Add(20 * time.Second)
+	last, made := 0, map[string]bool{}
+	for try := 0; time.Now().Before(deadline); try++ {
+		r := newRequest("/ask/x", time.Until(deadline))
+		r.header = "Model: common\r\nToken-Usage: 100,60\r\nPrompt-Prefix: 5c1e07a2:80,91bd3f06:20\r\n"
+		if last > 0 {
+			r.header += fmt.Sprintf("Last-Event-Id: %d\r\n", last)
+		}
+		status, complete := e.readStream(machines[try%len(machines)], r, &last, made)
+		if complete {
+			e.record.logf("client has the whole stream, made by %v", made)
+			if len(made) > 1 {
+				e.record.breachf("ORDER: a stream that ended as complete is joined from pieces of two versions: %v", made)
+			}
+			return
+		}
+		e.record.logf("client %s: status %d, has events up to %d", r.id, status, last)
+		time.Sleep(retryPause)
+	}
+	e.record.logf("client gives up")
+}
+
+// readStream sends a request and reads the events of its answer. It reports whether the stream has ended as complete.
+func (e *environment) readStream(m machine, r request, last *int, made map[string]bool) (status int, complete bool) {
+	c, err := connect(m)
+	if err != nil {
+		return 0, false
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(r.deadline))
+	_, _ = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s", r.method, r.path, host, r.id, r.deadline.Milliseconds(), r.header, len(r.body), r.body)
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: r.method})
+	if err != nil {
+		return 0, false
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return response.StatusCode, false
+	}
+	lines := bufio.NewReader(response.Body)
+	for {
+		line, err := lines.ReadString('\n')
+		if err != nil {
+			return response.StatusCode, err == io.EOF && line == ""
+		}
+		line = strings.TrimSpace(line)
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			*last, _ = strconv.Atoi(id)
+		}
+		if data, ok := strings.CutPrefix(line, "data: "); ok {
+			_, version, _ := strings.Cut(data, " of ")
+			made[version] = true
+		}
+	}
+}
