--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -135,6 +135,6 @@
 	}
 	e.store.put("op/config", map[string]any{
 		"version": e.version, "routes": routeList, "services": serviceList,
-		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 5000, "idle-timeout-ms": 30000},
+		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 	})
 }
--- a/review/harness2/versions.go
+++ b/review/harness2/versions.go
@@ -8,7 +8,6 @@
 	"os"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 )
 
@@ -19,12 +18,15 @@
 	// outageTime is how long the store is down, downTime how long the daemons' machines are.
 	outageTime = 3500 * time.Millisecond
 	downTime   = time.Second
+	// releaseTime is how long the daemons are down if the server is replaced meanwhile.
+	releaseTime = 2 * time.Second
 	// retryPause is how long the client waits before it tries again.
 	retryPause = 1500 * time.Millisecond
 )
 
 // versions replaces the only server of a service by one of a newer version while a stream runs at the old one. During an outage of the
-// store in which leases expire, all daemons are killed. The client takes its stream up again.
+// store in which leases expire, all daemons are killed. The client takes its stream up again. TROUBLE=kill leaves out the outage.
+// TROUBLE=release has no outage either, and the server replaced while the daemons are down.
 func versions(e *environment) error {
 	e.configure([]route{{name: "ask", prefix: "/ask/", kind: "streaming", service: "models", timeout: 20 * time.Second, objective: 500 * time.Millisecond, attempts: 2, resumable: true}}, []string{"models"}, "models", "common")
 	before, err := e.startVersion("i-old", "v1")
@@ -49,19 +51,20 @@
 		e.stream(machines)
 	}()
 	time.Sleep(500 * time.Millisecond)
+	if err := e.replaceAndBreak(machines, before); err != nil {
+		return err
+	}
+	<-streamed
+	return nil
+}
+
+// release replaces a server by one of a newer version, which starts first. The old one drains.
+func (e *environment) release(before *server) error {
 	after, err := e.startVersion("i-new", "v2")
 	if err != nil {
 		return err
 	}
-	e.record.logf("release: %s (v2) has registered, %s (v1) drains", after.id, before.id)
-	before.setState("draining")
-	time.Sleep(3 * time.Second)
-	if e.trouble {
-		if err := e.breakAll(machines, before); err != nil {
-			return err
-		}
-	}
-	<-streamed
+	e.record.logf("release: %s (v2) has registered, %s (v1) is about to leave", after.id, before.id)
 	return nil
 }
 
@@ -105,19 +108,32 @@
 	}
 }
 
-// breakAll has the store down, its leases expire and all daemons killed meanwhile. The old server leaves.
-func (e *environment) breakAll(machines []machine, before *server) error {
-	lapse := os.Getenv("TROUBLE") != "kill"
+// replaceAndBreak replaces the server and has the disruptions happen.
+func (e *environment) replaceAndBreak(machines []machine, before *server) error {
+	mode := os.Getenv("TROUBLE")
+	if mode == "release" {
+		time.Sleep(3 * time.Second)
+		e.killAll()
+		if err := e.release(before); err != nil {
+			return err
+		}
+		// It never reports draining, but goes on serving what it has.
+		before.leave()
+		time.Sleep(releaseTime)
+		return e.startAll(machines)
+	}
+	if err := e.release(before); err != nil || !e.trouble {
+		return err
+	}
+	before.setState("draining")
+	time.Sleep(3 * time.Second)
+	lapse := mode != "kill"
 	if lapse {
 		e.record.logf("the store is down, leases expire")
 		e.store.setDown(true)
 	}
 	time.Sleep(time.Second)
-	for _, d := range e.daemons {
-		e.record.logf("SIGKILL to %s", d.name)
-		d.signal(syscall.SIGKILL)
-		<-d.ended
-	}
+	e.killAll()
 	before.leave()
 	time.Sleep(downTime)
 	if lapse {
@@ -125,6 +141,19 @@
 		e.store.setDown(false)
 		e.record.logf("the store is back")
 	}
+	return e.startAll(machines)
+}
+
+// killAll kills all daemons.
+func (e *environment) killAll() {
+	for _, d := range e.daemons {
+		e.record.logf("SIGKILL to %s", d.name)
+		d.stop()
+	}
+}
+
+// startAll starts the daemons of all machines again.
+func (e *environment) startAll(machines []machine) error {
 	for _, m := range machines {
 		if _, err := e.start(m, false); err != nil {
 			return err
