--- a/review/harness2/versions.go
+++ b/review/harness2/versions.go
@@ -17,11 +17,13 @@
 	// pieces is the length of a stream, pieceTime the time between two of its events.
 	pieces    = 24
 	pieceTime = 400 * time.Millisecond
-	// outageTime is how long the store is down, downTime how long the daemons' machines are.
+	// replaced is how many servers a release replaces one after the other, releaseGap the time in between.
+	replaced   = 2
+	releaseGap = 740 * time.Millisecond
+	// outageTime is how long the store is down. All daemons are killed killDelay after its begin and are back after downTime.
 	outageTime = 3500 * time.Millisecond
-	downTime   = time.Second
-	// releaseTime is how long the daemons are down if the server is replaced meanwhile.
-	releaseTime = 2 * time.Second
+	killDelay  = 1900 * time.Millisecond
+	downTime   = 1600 * time.Millisecond
 	// streams is how many streams run, maxJoined how many of them may be joined from two versions.
 	streams   = 8
 	maxJoined = 2
@@ -29,14 +31,18 @@
 	retryPause = 1500 * time.Millisecond
 )
 
-// versions replaces the only server of a service by one of a newer version while a stream runs at the old one. During an outage of the
-// store in which leases expire, all daemons are killed. The client takes its stream up again. TROUBLE=kill leaves out the outage.
-// TROUBLE=release has no outage either, and the server replaced while the daemons are down.
+// versions replaces the servers of a service by ones of a newer version while streams run at the old ones. During an outage of the
+// store in which leases expire, all daemons are killed. The clients take their streams up again. TROUBLE=kill leaves out the outage.
+// TROUBLE=release has no outage either, and the servers replaced while the daemons are down.
 func versions(e *environment) error {
 	e.configure([]route{{name: "ask", prefix: "/ask/", kind: "streaming", service: "models", timeout: 20 * time.Second, objective: 500 * time.Millisecond, attempts: 2, resumable: true}}, []string{"models"}, "models", "common")
-	before, err := e.startVersion("i-old", "v1")
-	if err != nil {
-		return err
+	var before []*server
+	for n := range replaced {
+		v, err := e.startVersion(fmt.Sprintf("i-old-%d", n+1), "v1")
+		if err != nil {
+			return err
+		}
+		before = append(before, v)
 	}
 	var machines []machine
 	for n := range 2 {
@@ -70,13 +76,19 @@
 	return nil
 }
 
-// release replaces a server by one of a newer version, which starts first. The old one drains.
-func (e *environment) release(before *server) error {
-	after, err := e.startVersion("i-new", "v2")
-	if err != nil {
-		return err
+// release replaces servers by ones of a newer version, one after the other. The new one starts first, then the old one begins to leave.
+func (e *environment) release(before []*server, leave func(v *server)) error {
+	for n, old := range before {
+		if n > 0 {
+			time.Sleep(releaseGap)
+		}
+		v, err := e.startVersion(fmt.Sprintf("i-new-%d", n+1), "v2")
+		if err != nil {
+			return err
+		}
+		e.record.logf("release: %s (v2) has registered, %s (v1) is about to leave", v.id, old.id)
+		leave(old)
 	}
-	e.record.logf("release: %s (v2) has registered, %s (v1) is about to leave", after.id, before.id)
 	return nil
 }
 
@@ -120,36 +132,37 @@
 	}
 }
 
-// replaceAndBreak replaces the server and has the disruptions happen.
-func (e *environment) replaceAndBreak(machines []machine, before *server) error {
+// replaceAndBreak replaces the servers and has the disruptions happen.
+func (e *environment) replaceAndBreak(machines []machine, before []*server) error {
 	mode := os.Getenv("TROUBLE")
 	if mode == "release" {
 		time.Sleep(3 * time.Second)
 		e.killAll()
-		if err := e.release(before); err != nil {
+		killedAt := time.Now()
+		// The old servers never report draining, but go on serving what they have.
+		if err := e.release(before, (*server).leave); err != nil {
 			return err
 		}
-		// It never reports draining, but goes on serving what it has.
-		before.leave()
-		time.Sleep(releaseTime)
+		time.Sleep(time.Until(killedAt.Add(downTime)))
 		return e.startAll(machines)
 	}
-	if err := e.release(before); err != nil || !e.trouble {
+	if err := e.release(before, func(v *server) { v.setState("draining") }); err != nil || !e.trouble {
 		return err
 	}
-	before.setState("draining")
-	time.Sleep(3 * time.Second)
+	time.Sleep(2 * time.Second)
 	lapse := mode != "kill"
 	if lapse {
 		e.record.logf("the store is down, leases expire")
 		e.store.setDown(true)
 	}
-	time.Sleep(time.Second)
+	downAt := time.Now()
+	time.Sleep(killDelay)
 	e.killAll()
-	before.leave()
-	time.Sleep(downTime)
+	for _, v := range before {
+		v.leave()
+	}
+	time.Sleep(time.Until(downAt.Add(outageTime)))
 	if lapse {
-		time.Sleep(outageTime - time.Second - downTime)
 		e.store.setDown(false)
 		e.record.logf("the store is back")
 	}
